--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agreement, storage, distribution and rate limits.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The pomelovale daemon.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts the program.
+
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and codecs between processes, and HTTP rules.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated state, clock, names and error kinds.
--- /dev/null
+++ b/crates/steering/src/lib.rs
@@ -0,0 +1,1 @@
+//! Steering decisions, free of I/O.
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer streams, HTTP server and client adapters.
