Add the replicated document and the types that the parts share

Cause: the parts are built side by side and need one set of types. Change: clock, names, error table, document, commands, state machine, intents, moves, a first client-block table, view, control handle.

--- /dev/null
+++ b/crates/coordination/src/control.rs
@@ -0,0 +1,62 @@
+//! How other parts of a process reach the control instances.
+
+use pomelovale_protocol::grants::{GrantReply, GrantRequest};
+use pomelovale_protocol::report::Report;
+use pomelovale_state::command::{Applied, Change};
+use pomelovale_state::ErrorKind;
+
+/// A call to the control instances and where its answer goes.
+#[derive(Debug)]
+pub enum ControlCall {
+    /// Asks the leader for tokens.
+    Grant(GrantRequest, flume::Sender<Result<GrantReply, ErrorKind>>),
+    /// Proposes a change; answered once it is applied.
+    Propose(Change, flume::Sender<Result<Applied, ErrorKind>>),
+    /// Sends measurements to the leader; not answered.
+    Report(Report),
+}
+
+/// Sends calls to the control instances; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    calls: flume::Sender<ControlCall>,
+}
+
+impl ControlHandle {
+    /// A handle and the receiver that serves it.
+    pub fn new(capacity: usize) -> (ControlHandle, flume::Receiver<ControlCall>) {
+        let (calls, served) = flume::bounded(capacity);
+        (ControlHandle { calls }, served)
+    }
+
+    /// Proposes a change and waits until it is applied. After `Unavailable`
+    /// or `Internal` the change may still have been accepted; a resend under
+    /// the same request identifier tells.
+    pub async fn propose(&self, change: Change) -> Result<Applied, ErrorKind> {
+        self.ask(|reply| ControlCall::Propose(change, reply)).await
+    }
+
+    /// Asks the leader for tokens.
+    pub async fn grant(&self, request: GrantRequest) -> Result<GrantReply, ErrorKind> {
+        self.ask(|reply| ControlCall::Grant(request, reply)).await
+    }
+
+    /// Sends measurements; dropped if the queue is full.
+    pub fn report(&self, report: Report) {
+        let _ = self.calls.try_send(ControlCall::Report(report));
+    }
+
+    async fn ask<T>(
+        &self,
+        call: impl FnOnce(flume::Sender<Result<T, ErrorKind>>) -> ControlCall,
+    ) -> Result<T, ErrorKind> {
+        let (reply, answer) = flume::bounded(1);
+        self.calls
+            .try_send(call(reply))
+            .map_err(|_| ErrorKind::Unavailable)?;
+        answer
+            .recv_async()
+            .await
+            .map_err(|_| ErrorKind::Unavailable)?
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,1 +1,4 @@
 //! Agreement, storage, distribution and rate limits.
+
+pub mod control;
+pub mod view;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,1 +1,4 @@
 //! Messages and codecs between processes, and HTTP rules.
+
+pub mod grants;
+pub mod report;
--- /dev/null
+++ b/crates/protocol/src/report.rs
@@ -0,0 +1,47 @@
+//! Measurements that entries send to the leader.
+
+use pomelovale_state::Name;
+use serde::{Deserialize, Serialize};
+
+/// Load of one service in one region, as one entry sees it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: Name,
+    /// Region of the backend servers.
+    pub region: Name,
+    /// Requests that this entry sent there in the last interval, per second.
+    pub rate: u64,
+    /// Busy slots reported by the backend servers, summed.
+    pub busy: u64,
+    /// Slots of the backend servers whose report is counted in `busy`.
+    pub slots: u64,
+    /// Age of the oldest report counted in `busy`, in milliseconds.
+    pub oldest_ms: u64,
+}
+
+/// Traffic that one entry sends between regions.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LinkLoad {
+    /// Region of the entry.
+    pub from: Name,
+    /// Region of the backend servers.
+    pub to: Name,
+    /// Kbit/s in the last interval, the larger of both directions.
+    pub kbits: u64,
+}
+
+/// One entry's measurements.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// The entry instance.
+    pub instance: Name,
+    /// Version of the document in force on it.
+    pub version: u64,
+    /// Age of its view in milliseconds.
+    pub view_ms: u64,
+    /// One row for each service and region.
+    pub services: Vec<ServiceLoad>,
+    /// One row for each pair of regions.
+    pub links: Vec<LinkLoad>,
+}
--- /dev/null
+++ b/crates/state/src/clock.rs
@@ -0,0 +1,80 @@
+//! Time in whole milliseconds, from a monotonic or a manual source.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time, or a span, in milliseconds of one process's clock.
+///
+/// Values of two processes are never compared with each other.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Milliseconds passed since `earlier`; zero if `earlier` is later.
+    pub fn since(self, earlier: Millis) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// The point `ms` milliseconds later.
+    pub fn plus(self, ms: u64) -> Millis {
+        Millis(self.0.saturating_add(ms))
+    }
+
+    /// The point `ms` milliseconds earlier, not before zero.
+    pub fn minus(self, ms: u64) -> Millis {
+        Millis(self.0.saturating_sub(ms))
+    }
+
+    /// The same span as a standard duration.
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
+
+/// The source of time of a process.
+#[derive(Clone, Debug)]
+pub enum Clock {
+    /// Advances only when told to; for tests and simulations.
+    Manual(Arc<AtomicU64>),
+    /// Counts from the creation of the clock.
+    Monotonic(Instant),
+}
+
+impl Clock {
+    /// A clock that follows the operating system's monotonic time.
+    pub fn monotonic() -> Clock {
+        Clock::Monotonic(Instant::now())
+    }
+
+    /// A clock that starts at zero and is advanced by hand.
+    pub fn manual() -> Clock {
+        Clock::Manual(Arc::new(AtomicU64::new(0)))
+    }
+
+    /// The current time.
+    pub fn now(&self) -> Millis {
+        match self {
+            Clock::Manual(at) => Millis(at.load(Ordering::SeqCst)),
+            Clock::Monotonic(start) => Millis(start.elapsed().as_millis() as u64),
+        }
+    }
+
+    /// Moves a manual clock forward; a monotonic clock ignores the call.
+    pub fn advance(&self, ms: u64) {
+        if let Clock::Manual(at) = self {
+            at.fetch_add(ms, Ordering::SeqCst);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/command.rs
@@ -0,0 +1,272 @@
+//! Changes to the shared state, as operators and instances propose them.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::blocks::BlockChange;
+use crate::document::{
+    Backend, Digest, Instance, Link, MemberState, Region, Service, Site, Workspace,
+};
+use crate::intents::{IntentBegin, IntentEnd};
+use crate::moves::{MoveAction, Step};
+use crate::{ErrorKind, Millis, Name};
+
+/// Crashed backend servers after which a request is quarantined.
+pub const CRASH_LIMIT: usize = 2;
+/// How long a request that crashed backend servers stays recorded.
+pub const CRASH_LIFE_MS: u64 = 600_000;
+/// Most commands in one [`Command::Batch`].
+pub const BATCH_MAX: usize = 10_000;
+
+/// The unit that carries a version of its own.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Item {
+    /// A backend server.
+    Backend(Name),
+    /// The whole client-block table.
+    Blocks,
+    /// The whole document, for batches.
+    Document,
+    /// An instance.
+    Instance(Name),
+    /// A key.
+    Key(Name),
+    /// The links between regions.
+    Links,
+    /// A move.
+    Move(Name),
+    /// A region.
+    Region(Name),
+    /// A service.
+    Service(Name),
+    /// A site.
+    Site(Name),
+    /// A workspace.
+    Workspace(Name),
+}
+
+/// One change of the shared state.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Command {
+    /// Several commands, accepted together or not at all.
+    Batch(Vec<Command>),
+    /// Starts a request under an idempotency key.
+    BeginIntent(IntentBegin),
+    /// Changes rows of the client-block table.
+    ChangeBlocks(Vec<BlockChange>),
+    /// Ends a request under an idempotency key.
+    EndIntent(IntentEnd),
+    /// Creates or replaces a backend server.
+    PutBackend {
+        /// Its name.
+        name: Name,
+        /// Its description.
+        backend: Backend,
+    },
+    /// Creates or replaces an instance.
+    PutInstance {
+        /// Its name.
+        name: Name,
+        /// Its description.
+        instance: Instance,
+    },
+    /// Creates a key. A revoked identifier is never given again.
+    PutKey {
+        /// Public identifier of the key.
+        id: Name,
+        /// Who the key speaks for.
+        holder: crate::document::KeyHolder,
+        /// SHA-256 of the whole key text.
+        digest: Digest,
+    },
+    /// Replaces the links between regions.
+    PutLinks(Vec<Link>),
+    /// Creates a move, or replaces the steps that have not begun.
+    PutMove {
+        /// Its name.
+        name: Name,
+        /// Services that move.
+        services: Vec<Name>,
+        /// Region they leave.
+        from: Name,
+        /// Region they go to.
+        to: Name,
+        /// The steps in order.
+        steps: Vec<Step>,
+    },
+    /// Creates or replaces a region.
+    PutRegion {
+        /// Its name.
+        name: Name,
+        /// Its description.
+        region: Region,
+    },
+    /// Creates or replaces a service.
+    PutService {
+        /// Its name.
+        name: Name,
+        /// Its description.
+        service: Service,
+    },
+    /// Creates or replaces a site.
+    PutSite {
+        /// Its name.
+        name: Name,
+        /// Its description.
+        site: Site,
+    },
+    /// Creates or replaces a workspace.
+    PutWorkspace {
+        /// Its name.
+        name: Name,
+        /// Its description.
+        workspace: Workspace,
+    },
+    /// Records that a backend server crashed while it ran a request.
+    RecordCrash {
+        /// Fingerprint of the request.
+        fingerprint: Digest,
+        /// Backend server that crashed.
+        backend: Name,
+    },
+    /// Removes a backend server.
+    RemoveBackend(Name),
+    /// Removes an instance.
+    RemoveInstance(Name),
+    /// Changes whether a backend server takes new work.
+    SetBackend {
+        /// Its name.
+        name: Name,
+        /// Its new state.
+        state: MemberState,
+    },
+    /// Changes whether callers are sent to an instance.
+    SetInstance {
+        /// Its name.
+        name: Name,
+        /// Its new state.
+        state: MemberState,
+    },
+    /// Drives a move.
+    StepMove {
+        /// Name of the move.
+        name: Name,
+        /// What to do with it.
+        action: MoveAction,
+    },
+    /// Revokes a key permanently.
+    RevokeKey(Name),
+}
+
+/// Which instances need a command.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Scope {
+    /// Control instances only; not distributed to entries.
+    Control,
+    /// All instances.
+    Fleet,
+}
+
+impl Command {
+    /// The item whose version the command checks and raises; none for
+    /// commands of instances, which never race with an operator.
+    pub fn item(&self) -> Option<Item> {
+        match self {
+            Command::Batch(_) => Some(Item::Document),
+            Command::ChangeBlocks(_) => Some(Item::Blocks),
+            Command::PutBackend { name, .. }
+            | Command::RemoveBackend(name)
+            | Command::SetBackend { name, .. } => Some(Item::Backend(name.clone())),
+            Command::PutInstance { name, .. }
+            | Command::RemoveInstance(name)
+            | Command::SetInstance { name, .. } => Some(Item::Instance(name.clone())),
+            Command::PutKey { id, .. } | Command::RevokeKey(id) => Some(Item::Key(id.clone())),
+            Command::PutLinks(_) => Some(Item::Links),
+            Command::PutMove { name, .. } | Command::StepMove { name, .. } => {
+                Some(Item::Move(name.clone()))
+            }
+            Command::PutRegion { name, .. } => Some(Item::Region(name.clone())),
+            Command::PutService { name, .. } => Some(Item::Service(name.clone())),
+            Command::PutSite { name, .. } => Some(Item::Site(name.clone())),
+            Command::PutWorkspace { name, .. } => Some(Item::Workspace(name.clone())),
+            Command::BeginIntent(_) | Command::EndIntent(_) | Command::RecordCrash { .. } => None,
+        }
+    }
+
+    /// Which instances need the command.
+    pub fn scope(&self) -> Scope {
+        match self {
+            Command::BeginIntent(_) | Command::EndIntent(_) => Scope::Control,
+            _ => Scope::Fleet,
+        }
+    }
+}
+
+/// A command with what makes it exactly-once and ordered.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Change {
+    /// Chosen by the sender; a resend carries the same one.
+    pub request: Name,
+    /// Operator or instance that sent it.
+    pub sender: Name,
+    /// Version of the item that the sender saw; `None` skips the check.
+    pub base: Option<u64>,
+    /// The leader's clock, set when it enters the log.
+    pub at: Millis,
+    /// What to do.
+    pub command: Command,
+}
+
+/// The change that another one lost against.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Winner {
+    /// Sender of the accepted change.
+    pub sender: Name,
+    /// Request identifier of the accepted change.
+    pub request: Name,
+    /// Version of the item now.
+    pub version: u64,
+}
+
+/// Why a change was refused.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Refusal {
+    /// Kind of the error.
+    pub kind: ErrorKind,
+    /// Text for a person.
+    pub text: String,
+    /// The change that was accepted instead.
+    pub winner: Option<Winner>,
+}
+
+impl Refusal {
+    /// A refusal without a winner.
+    pub fn new(kind: ErrorKind, text: impl Into<String>) -> Refusal {
+        Refusal {
+            kind,
+            text: text.into(),
+            winner: None,
+        }
+    }
+}
+
+/// What a change led to; the same for every resend.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Applied {
+    /// The change is in the document.
+    Accepted {
+        /// Version of the document with the change.
+        version: u64,
+        /// Version of the item with the change.
+        item: u64,
+    },
+    /// Answer to a command about an idempotency key.
+    Intent(crate::intents::IntentAnswer),
+    /// The document is as before.
+    Refused(Refusal),
+}
+
+/// Last accepted change of each item, kept to name the winner of a race.
+pub type Winners = IndexMap<Item, Winner>;
--- /dev/null
+++ b/crates/state/src/intents.rs
@@ -0,0 +1,164 @@
+//! Requests under an idempotency key: at most one run, one answer for resends.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::document::Digest;
+use crate::{Millis, Name};
+
+/// How long a finished or abandoned request is remembered.
+pub const INTENT_LIFE_MS: u64 = 86_400_000;
+/// Most requests remembered; the oldest ended ones go first.
+pub const INTENT_MAX: usize = 100_000;
+/// Largest answer body kept for resends; a larger one is remembered as unknown.
+pub const ANSWER_MAX_BYTES: usize = 16 * 1024;
+
+/// An idempotency key within its workspace.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct IntentKey {
+    /// Workspace of the caller; empty on open routes.
+    pub workspace: Name,
+    /// SHA-256 of the service and the caller's idempotency key.
+    pub key: Digest,
+}
+
+/// Start of a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct IntentBegin {
+    /// Which request.
+    pub key: IntentKey,
+    /// SHA-256 of method, path and body.
+    pub fingerprint: Digest,
+    /// Entry instance and attempt that asks, so that its own resend is recognised.
+    pub owner: Name,
+}
+
+/// End of a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct IntentEnd {
+    /// Which request.
+    pub key: IntentKey,
+    /// Entry instance and attempt that began it.
+    pub owner: Name,
+    /// What became of it.
+    pub result: IntentResult,
+}
+
+/// An answer kept for resends.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers in order.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum IntentResult {
+    /// It ran and was answered.
+    Answer(StoredAnswer),
+    /// No byte of it was written; the key is free again.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Answer to an intent command.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum IntentAnswer {
+    /// The asker may write the request.
+    Begin,
+    /// The request ran before; this was its answer.
+    Done(StoredAnswer),
+    /// The end was recorded, or had been before.
+    Ended,
+    /// The key was used with another request.
+    Mismatch,
+    /// The request is in flight, or its instance died with it.
+    Pending,
+    /// The request may have run.
+    Unknown,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Record {
+    fingerprint: Digest,
+    owner: Name,
+    at: Millis,
+    result: Option<IntentResult>,
+}
+
+/// All remembered requests, on control instances only.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Intents {
+    records: IndexMap<IntentKey, Record>,
+}
+
+impl Intents {
+    /// Starts a request, or tells what became of it before.
+    pub fn begin(&mut self, at: Millis, begin: IntentBegin) -> IntentAnswer {
+        self.expire(at);
+        let Some(r) = self.records.get(&begin.key) else {
+            let record = Record {
+                fingerprint: begin.fingerprint,
+                owner: begin.owner,
+                at,
+                result: None,
+            };
+            self.records.insert(begin.key, record);
+            return IntentAnswer::Begin;
+        };
+        match &r.result {
+            _ if r.fingerprint != begin.fingerprint => IntentAnswer::Mismatch,
+            None if r.owner == begin.owner => IntentAnswer::Begin,
+            None => IntentAnswer::Pending,
+            Some(IntentResult::Answer(a)) => IntentAnswer::Done(a.clone()),
+            Some(IntentResult::NotRun | IntentResult::Unknown) => IntentAnswer::Unknown,
+        }
+    }
+
+    /// Records the end of a request by the instance that began it.
+    pub fn end(&mut self, at: Millis, end: IntentEnd) -> IntentAnswer {
+        let Some(r) = self
+            .records
+            .get_mut(&end.key)
+            .filter(|r| r.owner == end.owner)
+        else {
+            return IntentAnswer::Ended;
+        };
+        match end.result {
+            _ if r.result.is_some() => return IntentAnswer::Ended,
+            IntentResult::NotRun => {
+                self.records.shift_remove(&end.key);
+            }
+            IntentResult::Answer(a) if a.body.len() > ANSWER_MAX_BYTES => {
+                (r.at, r.result) = (at, Some(IntentResult::Unknown));
+            }
+            result => (r.at, r.result) = (at, Some(result)),
+        }
+        IntentAnswer::Ended
+    }
+
+    /// Number of remembered requests.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    // Records are in order of their start, so only the front is looked at.
+    fn expire(&mut self, now: Millis) {
+        let old = |r: &Record| now.since(r.at) > INTENT_LIFE_MS;
+        let mut n = self.records.values().take_while(|r| old(r)).count();
+        n = n.max((self.records.len() + 1).saturating_sub(INTENT_MAX));
+        if n > 0 {
+            self.records.drain(..n);
+        }
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,15 @@
-//! Replicated state, clock, names and error kinds.
+//! The bottom layer: clock, names, error kinds and the replicated document.
+
+pub mod blocks;
+pub mod clock;
+pub mod command;
+pub mod document;
+pub mod error;
+pub mod intents;
+pub mod machine;
+pub mod moves;
+pub mod name;
+
+pub use clock::{Clock, Millis};
+pub use error::{Answer, ErrorKind, Outcome};
+pub use name::Name;
--- /dev/null
+++ b/crates/state/src/machine.rs
@@ -0,0 +1,411 @@
+//! The state machine that applies accepted changes in log order.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::command::{
+    Applied, Change, Command, Item, Refusal, Scope, Winner, Winners, BATCH_MAX, CRASH_LIFE_MS,
+};
+use crate::document::{Block, Document, Key, KeyHolder, MemberState};
+use crate::intents::Intents;
+use crate::moves::Move;
+use crate::{ErrorKind, Millis, Name};
+
+/// Answers of changes that are kept for resends.
+pub const RESULTS_MAX: usize = 8_192;
+
+type Step = Result<(), Refusal>;
+
+/// The full shared state of a control instance.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Machine {
+    /// What every instance holds.
+    pub document: Document,
+    /// Requests under an idempotency key.
+    pub intents: Intents,
+    results: IndexMap<Name, Applied>,
+    winners: Winners,
+}
+
+impl Machine {
+    /// Applies one change. Equal changes in equal order give equal states.
+    pub fn apply(&mut self, change: &Change) -> Applied {
+        let at = self.document.time.max(change.at);
+        self.document.time = at;
+        match &change.command {
+            Command::BeginIntent(b) => return Applied::Intent(self.intents.begin(at, b.clone())),
+            Command::EndIntent(e) => return Applied::Intent(self.intents.end(at, e.clone())),
+            _ => {}
+        }
+        if let Some(first) = self.results.get(&change.request) {
+            return first.clone();
+        }
+        let applied = match self.try_change(change) {
+            Ok(applied) => applied,
+            Err(refusal) => Applied::Refused(refusal),
+        };
+        self.remember(change, &applied);
+        applied
+    }
+
+    /// The first answer of a change, if it is still remembered.
+    pub fn result(&self, request: &Name) -> Option<&Applied> {
+        self.results.get(request)
+    }
+
+    fn remember(&mut self, change: &Change, applied: &Applied) {
+        if self.results.len() >= RESULTS_MAX {
+            self.results.shift_remove_index(0);
+        }
+        self.results.insert(change.request.clone(), applied.clone());
+    }
+
+    fn try_change(&mut self, change: &Change) -> Result<Applied, Refusal> {
+        let item = change.command.item();
+        self.check_base(change, item.as_ref())?;
+        // A batch is tried on a copy, so that a refused one leaves no trace.
+        let version = self.document.version + 1;
+        match &change.command {
+            Command::Batch(commands) if commands.len() > BATCH_MAX => {
+                return Err(bad(format!("a batch holds at most {BATCH_MAX} commands")));
+            }
+            Command::Batch(commands) => {
+                let mut copy = self.document.clone();
+                copy.version = version;
+                for command in commands {
+                    apply_command(&mut copy, command)?;
+                    raise(&mut copy, command.item());
+                }
+                self.document = copy;
+            }
+            command => {
+                apply_command(&mut self.document, command)?;
+                self.document.version = version;
+            }
+        }
+        let item_version = raise(&mut self.document, item.clone());
+        if let Some(item) = item {
+            let winner = Winner {
+                sender: change.sender.clone(),
+                request: change.request.clone(),
+                version: item_version,
+            };
+            self.winners.insert(item, winner);
+        }
+        Ok(Applied::Accepted {
+            version,
+            item: item_version,
+        })
+    }
+
+    fn check_base(&self, change: &Change, item: Option<&Item>) -> Step {
+        let (Some(base), Some(item)) = (change.base, item) else {
+            return Ok(());
+        };
+        let now = self.document.item_version(item);
+        if now == base {
+            return Ok(());
+        }
+        let text = format!("built on version {base}, but the version is {now}");
+        let winner = self.winners.get(item).cloned();
+        Err(Refusal {
+            kind: ErrorKind::VersionConflict,
+            text,
+            winner,
+        })
+    }
+}
+
+impl Document {
+    /// Version of one item; zero if it was never changed.
+    pub fn item_version(&self, item: &Item) -> u64 {
+        match item {
+            Item::Document => self.version,
+            item => self.versions.get(item).copied().unwrap_or(0),
+        }
+    }
+
+    /// Applies an accepted change that was distributed to this instance.
+    pub fn follow(&mut self, change: &Change, version: u64) -> Result<(), Refusal> {
+        if change.command.scope() == Scope::Control {
+            return Ok(());
+        }
+        self.time = self.time.max(change.at);
+        let commands = match &change.command {
+            Command::Batch(commands) => commands.as_slice(),
+            command => std::slice::from_ref(command),
+        };
+        let batch = matches!(change.command, Command::Batch(_));
+        for command in commands {
+            self.version = if batch { version } else { version - 1 };
+            apply_command(self, command)?;
+            self.version = version;
+            raise(self, command.item());
+        }
+        Ok(())
+    }
+}
+
+fn bad(text: impl Into<String>) -> Refusal {
+    Refusal::new(ErrorKind::BadRequest, text)
+}
+
+fn missing(what: &str, name: &str) -> Refusal {
+    Refusal::new(
+        ErrorKind::NotFound,
+        format!("there is no {what} named {name}"),
+    )
+}
+
+fn raise(document: &mut Document, item: Option<Item>) -> u64 {
+    match item {
+        None | Some(Item::Document) => document.version,
+        Some(item) => {
+            let version = document.versions.entry(item).or_insert(0);
+            *version += 1;
+            *version
+        }
+    }
+}
+
+fn check_name(name: &Name) -> Step {
+    match name.is_valid() {
+        true => Ok(()),
+        false => Err(bad(format!("{:?} is not a valid name", name.as_str()))),
+    }
+}
+
+fn check_place(document: &Document, region: &Name, domain: &Name) -> Step {
+    match document.regions.get(region) {
+        None => Err(missing("region", region)),
+        Some(r) if !r.domains.contains(domain) => Err(missing("failure domain", domain)),
+        Some(_) => Ok(()),
+    }
+}
+
+fn apply_command(document: &mut Document, command: &Command) -> Step {
+    match command {
+        Command::Batch(_) => Err(bad("a batch can't hold another batch")),
+        Command::BeginIntent(_) | Command::EndIntent(_) => {
+            Err(bad("an intent can't be part of a batch"))
+        }
+        Command::ChangeBlocks(changes) => {
+            let unknown = |c: &&crate::blocks::BlockChange| {
+                c.site
+                    .as_ref()
+                    .is_some_and(|s| !document.sites.contains_key(s))
+            };
+            match changes.iter().find(unknown).and_then(|c| c.site.as_ref()) {
+                Some(site) => Err(missing("site", site)),
+                None => {
+                    document.blocks.apply(changes);
+                    Ok(())
+                }
+            }
+        }
+        Command::PutBackend { name, backend } => {
+            check_name(name)?;
+            check_place(document, &backend.region, &backend.domain)?;
+            match document.services.contains_key(&backend.service) {
+                false => return Err(missing("service", &backend.service)),
+                true if backend.slots == 0 || backend.connections == 0 => {
+                    return Err(bad(
+                        "a backend server needs at least one slot and one connection",
+                    ));
+                }
+                true => {}
+            }
+            document.backends.insert(name.clone(), backend.clone());
+            Ok(())
+        }
+        Command::PutInstance { name, instance } => {
+            check_name(name)?;
+            check_place(document, &instance.region, &instance.domain)?;
+            document.instances.insert(name.clone(), instance.clone());
+            Ok(())
+        }
+        Command::PutKey { id, holder, digest } => put_key(document, id, holder, *digest),
+        Command::PutLinks(links) => {
+            for name in links.iter().flat_map(|l| [&l.from, &l.to]) {
+                if !document.regions.contains_key(name) {
+                    return Err(missing("region", name));
+                }
+            }
+            document.links.clone_from(links);
+            Ok(())
+        }
+        Command::PutMove {
+            name,
+            services,
+            from,
+            to,
+            steps,
+        } => put_move(
+            document,
+            name,
+            Move::new(services.clone(), from.clone(), to.clone(), steps.clone()),
+        ),
+        Command::PutRegion { name, region } => {
+            check_name(name)?;
+            document.regions.insert(name.clone(), region.clone());
+            Ok(())
+        }
+        Command::PutService { name, service } => {
+            check_name(name)?;
+            document.services.insert(name.clone(), service.clone());
+            Ok(())
+        }
+        Command::PutSite { name, site } => {
+            check_name(name)?;
+            check_place(document, &site.region, &site.domain)?;
+            document.sites.insert(name.clone(), site.clone());
+            Ok(())
+        }
+        Command::PutWorkspace { name, workspace } => {
+            check_name(name)?;
+            if workspace.rate == 0 || workspace.burst == 0 || workspace.weight == 0 {
+                return Err(bad(
+                    "rate, burst and weight of a workspace must be above zero",
+                ));
+            }
+            document.workspaces.insert(name.clone(), workspace.clone());
+            Ok(())
+        }
+        Command::RecordCrash {
+            fingerprint,
+            backend,
+        } => {
+            record_crash(document, *fingerprint, backend);
+            Ok(())
+        }
+        Command::RemoveBackend(name) => match document.backends.shift_remove(name) {
+            None => Err(missing("backend server", name)),
+            Some(_) => Ok(()),
+        },
+        Command::RemoveInstance(name) => match document.instances.shift_remove(name) {
+            None => Err(missing("instance", name)),
+            Some(_) => Ok(()),
+        },
+        Command::RevokeKey(id) => match document.keys.get_mut(id) {
+            None => Err(missing("key", id)),
+            Some(key) => {
+                key.revoked = true;
+                Ok(())
+            }
+        },
+        Command::SetBackend { name, state } => set_state(
+            document.backends.get_mut(name).map(|b| &mut b.state),
+            *state,
+            "backend server",
+            name,
+        ),
+        Command::SetInstance { name, state } => set_state(
+            document.instances.get_mut(name).map(|i| &mut i.state),
+            *state,
+            "instance",
+            name,
+        ),
+        Command::StepMove { name, action } => {
+            let (at, version) = (document.time, document.version + 1);
+            let Some(m) = document.moves.get_mut(name) else {
+                return Err(missing("move", name));
+            };
+            m.act(at, version, action)
+                .map_err(|(kind, text)| Refusal::new(kind, text))
+        }
+    }
+}
+
+fn set_state(slot: Option<&mut MemberState>, state: MemberState, what: &str, name: &Name) -> Step {
+    match slot {
+        None => Err(missing(what, name)),
+        Some(slot) => {
+            *slot = state;
+            Ok(())
+        }
+    }
+}
+
+fn put_key(
+    document: &mut Document,
+    id: &Name,
+    holder: &KeyHolder,
+    digest: crate::document::Digest,
+) -> Step {
+    check_name(id)?;
+    match (document.keys.contains_key(id), holder) {
+        (true, _) => Err(bad(format!(
+            "key {id} exists; a new key needs a new identifier"
+        ))),
+        (false, KeyHolder::Workspace(w)) if !document.workspaces.contains_key(w) => {
+            Err(missing("workspace", w))
+        }
+        (false, _) => {
+            document.keys.insert(
+                id.clone(),
+                Key {
+                    holder: holder.clone(),
+                    digest,
+                    revoked: false,
+                },
+            );
+            Ok(())
+        }
+    }
+}
+
+fn put_move(document: &mut Document, name: &Name, plan: Move) -> Step {
+    check_name(name)?;
+    for region in [&plan.from, &plan.to] {
+        if !document.regions.contains_key(region) {
+            return Err(missing("region", region));
+        }
+    }
+    let unknown = plan
+        .services
+        .iter()
+        .find(|s| !document.services.contains_key(*s));
+    let overlap = |(other, m): (&Name, &Move)| {
+        other != name && m.from == plan.from && m.services.iter().any(|s| plan.services.contains(s))
+    };
+    match (plan.faults().first(), unknown) {
+        _ if plan.from == plan.to => return Err(bad("a move needs two different regions")),
+        _ if plan.services.is_empty() || plan.steps.is_empty() => {
+            return Err(bad("a move needs at least one service and one step"));
+        }
+        (_, Some(service)) => return Err(missing("service", service)),
+        (Some((step, text)), None) => return Err(bad(format!("step {step}: {text}"))),
+        (None, None) if document.moves.iter().any(overlap) => {
+            return Err(bad(
+                "another move shifts one of these services out of the same region",
+            ));
+        }
+        (None, None) => {}
+    }
+    match document.moves.get_mut(name) {
+        None => {
+            document.moves.insert(name.clone(), plan);
+            Ok(())
+        }
+        Some(m) if (&m.services, &m.from, &m.to) != (&plan.services, &plan.from, &plan.to) => {
+            Err(bad("services and regions of a move can't be changed"))
+        }
+        Some(m) => m
+            .replan(plan.steps)
+            .map_err(|(kind, text)| Refusal::new(kind, text)),
+    }
+}
+
+fn record_crash(document: &mut Document, fingerprint: crate::document::Digest, backend: &Name) {
+    let now = document.time;
+    document.crashes.retain(|_, b| now < b.until);
+    let until = now.plus(CRASH_LIFE_MS);
+    let block = document.crashes.entry(fingerprint).or_insert(Block {
+        crashed: Vec::new(),
+        until: Millis(0),
+    });
+    block.until = until;
+    if !block.crashed.contains(backend) {
+        block.crashed.push(backend.clone());
+    }
+}
--- /dev/null
+++ b/crates/state/src/moves.rs
@@ -0,0 +1,185 @@
+//! Moves of services from one region to another in capped steps.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ErrorKind, Millis, Name};
+
+/// The whole of a service's traffic, in per mille.
+pub const WHOLE: u16 = 1_000;
+
+/// One step of a move.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// Share of the traffic of the source region moved once in force, per mille.
+    pub share: u16,
+    /// Most that this step may shift, per mille.
+    pub cap: u16,
+}
+
+/// State of a move.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MoveState {
+    /// An operator or the gate stopped it; shares stay as they are.
+    Held,
+    /// Steps may be taken.
+    #[default]
+    Open,
+}
+
+/// What an operator does with a move.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MoveAction {
+    /// Puts step `to` in force, which must be the next one.
+    Advance {
+        /// Index of the step.
+        to: usize,
+    },
+    /// Stops the move where it is.
+    Hold {
+        /// Why.
+        reason: String,
+    },
+    /// Leaves the destination at once, whatever the caps, since it is failing.
+    Leave,
+    /// Ends a hold.
+    Release,
+    /// Takes back the last step in force.
+    Reverse {
+        /// Number of steps in force afterwards.
+        to: usize,
+    },
+}
+
+/// A move and its progress.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Move {
+    /// Services that move.
+    pub services: Vec<Name>,
+    /// Region they leave.
+    pub from: Name,
+    /// Region they go to.
+    pub to: Name,
+    /// The steps in order.
+    pub steps: Vec<Step>,
+    /// Number of steps in force.
+    pub done: usize,
+    /// Whether it is held.
+    pub state: MoveState,
+    /// Reason of the hold.
+    pub reason: String,
+    /// The log's clock at the last shift.
+    pub shifted: Millis,
+    /// Version of the document at the last shift.
+    pub version: u64,
+}
+
+impl Move {
+    /// A move with no step in force.
+    pub fn new(services: Vec<Name>, from: Name, to: Name, steps: Vec<Step>) -> Move {
+        Move {
+            services,
+            from,
+            to,
+            steps,
+            done: 0,
+            state: MoveState::Open,
+            reason: String::new(),
+            shifted: Millis(0),
+            version: 0,
+        }
+    }
+
+    /// Share moved now, per mille.
+    pub fn share(&self) -> u16 {
+        self.share_at(self.done)
+    }
+
+    /// Share moved with `done` steps in force, per mille.
+    pub fn share_at(&self, done: usize) -> u16 {
+        match done {
+            0 => 0,
+            n => self.steps[n - 1].share,
+        }
+    }
+
+    /// Faults of the plan, each with the step it is about.
+    pub fn faults(&self) -> Vec<(usize, String)> {
+        let mut faults = Vec::new();
+        for (i, step) in self.steps.iter().enumerate() {
+            let before = self.share_at(i);
+            match step.share {
+                s if s > WHOLE => faults.push((i, format!("share {s} is over {WHOLE}"))),
+                s if s <= before => faults.push((
+                    i,
+                    format!("share {s} is not above the share {before} before it"),
+                )),
+                s if s - before > step.cap => {
+                    faults.push((
+                        i,
+                        format!("shift of {} is over the cap {}", s - before, step.cap),
+                    ));
+                }
+                _ => {}
+            }
+        }
+        faults
+    }
+
+    /// Replaces the steps that have not begun; those in force must stay equal.
+    pub fn replan(&mut self, steps: Vec<Step>) -> Result<(), (ErrorKind, String)> {
+        match steps.get(..self.done) {
+            Some(same) if same == &self.steps[..self.done] => self.steps = steps,
+            _ => {
+                return Err((
+                    ErrorKind::MoveHeld,
+                    "a step in force can't be changed".to_owned(),
+                ))
+            }
+        }
+        Ok(())
+    }
+
+    /// Carries out an action, as far as the plan alone decides.
+    pub fn act(
+        &mut self,
+        at: Millis,
+        version: u64,
+        action: &MoveAction,
+    ) -> Result<(), (ErrorKind, String)> {
+        let refuse = |text: String| Err((ErrorKind::MoveHeld, text));
+        match action {
+            MoveAction::Advance { .. } | MoveAction::Reverse { .. }
+                if self.state == MoveState::Held =>
+            {
+                return refuse(format!("the move is held: {}", self.reason));
+            }
+            MoveAction::Advance { to } if *to != self.done || *to >= self.steps.len() => {
+                return refuse(format!(
+                    "step {to} is not the next one; {} are in force",
+                    self.done
+                ));
+            }
+            MoveAction::Reverse { to } if *to + 1 != self.done => {
+                return refuse(format!(
+                    "only the last step can be reversed; {} are in force",
+                    self.done
+                ));
+            }
+            MoveAction::Advance { to } => self.shift(at, version, to + 1),
+            MoveAction::Hold { reason } => {
+                (self.state, self.reason) = (MoveState::Held, reason.clone())
+            }
+            MoveAction::Leave => self.shift(at, version, 0),
+            MoveAction::Release => (self.state, self.reason) = (MoveState::Open, String::new()),
+            MoveAction::Reverse { to } => self.shift(at, version, *to),
+        }
+        Ok(())
+    }
+
+    fn shift(&mut self, at: Millis, version: u64, done: usize) {
+        (self.done, self.shifted, self.version) = (done, at, version);
+    }
+}
