Check shifts of moves against measurements

Cause: an advance must wait for room, fresh measurements and settling. Change: measurements of all entries at the leader, the gate that an advance, a reverse and a leave pass, and taking silent entries out of the list.

--- /dev/null
+++ b/crates/coordination/src/gate.rs
@@ -0,0 +1,294 @@
+//! The gate that a shift of a move passes before the leader proposes it.
+
+use pomelovale_state::command::{Change, Command, Refusal};
+use pomelovale_state::document::Document;
+use pomelovale_state::moves::{Move, MoveAction, WHOLE};
+use pomelovale_state::{ErrorKind, Millis, Name};
+
+use crate::measures::{Measures, RegionLoad, MEASURE_BOUND_MS};
+
+/// Time to live of the entry lists that callers cache.
+pub const ENTRY_LIST_TTL_MS: u64 = 5_000;
+/// Share of the slots that remain after the loss of the largest failure
+/// domain which a shift may fill, in percent.
+pub const SLOT_USE_PERCENT: u64 = 90;
+/// Share of a link that a shift may fill, in percent.
+pub const LINK_USE_PERCENT: u64 = 80;
+
+/// A shift as the gate sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Shift<'a> {
+    /// Region that loses traffic.
+    pub from: &'a Name,
+    /// Region that gains traffic.
+    pub to: &'a Name,
+    /// Part of the losing region's present traffic, as a fraction.
+    pub part: (u64, u64),
+}
+
+/// Headroom and link use as of the latest measurements, for the sheet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Room {
+    /// Slots free in the gaining region, with the reserve taken off.
+    pub headroom: i64,
+    /// Slots that the shift would fill.
+    pub needed: u64,
+    /// Use of the link after the shift in percent; `None` without a link.
+    pub link: Option<u64>,
+    /// Age of the oldest measurement in milliseconds.
+    pub oldest: u64,
+}
+
+/// Checks a change against the measurements; changes that shift no traffic pass.
+pub fn check(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    change: &Change,
+) -> Result<(), Refusal> {
+    let Command::StepMove { name, action } = &change.command else {
+        return Ok(());
+    };
+    let Some(m) = document.moves.get(name) else {
+        return Ok(());
+    };
+    match action {
+        MoveAction::Advance { to } if *to < m.steps.len() => {
+            check_settled(document, measures, now, change.at, m)?;
+            check_room(document, measures, now, m, to + 1)
+        }
+        MoveAction::Reverse { to } if *to < m.done => {
+            check_settled(document, measures, now, change.at, m)?;
+            check_room(document, measures, now, m, *to)
+        }
+        MoveAction::Leave { to } if *to < m.done => {
+            check_failing(document, measures, now, m)?;
+            check_leave(document, measures, now, m, *to)
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Room for a change of the move from its present step to `done` steps,
+/// for the service of the move that has the least.
+pub fn room(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    m: &Move,
+    done: usize,
+) -> Option<Room> {
+    let shift = shift(m, done)?;
+    let rooms = m
+        .services
+        .iter()
+        .map(|s| service_room(document, measures, now, s, &shift));
+    let link = link_use(document, measures, now, m, &shift);
+    let least = rooms.min_by_key(|r| r.headroom - r.needed as i64)?;
+    Some(Room { link, ..least })
+}
+
+fn shift(m: &Move, done: usize) -> Option<Shift<'_>> {
+    let (old, new) = (u64::from(m.share()), u64::from(m.share_at(done)));
+    let whole = u64::from(WHOLE);
+    match (old, new) {
+        (o, n) if o < n => Some(Shift {
+            from: &m.from,
+            to: &m.to,
+            part: (n - o, whole - o),
+        }),
+        (o, n) if o > n => Some(Shift {
+            from: &m.to,
+            to: &m.from,
+            part: (o - n, o),
+        }),
+        _ => None,
+    }
+}
+
+fn held(text: String) -> Refusal {
+    Refusal::new(ErrorKind::MoveHeld, text)
+}
+
+fn check_settled(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    at: Millis,
+    m: &Move,
+) -> Result<(), Refusal> {
+    if m.version == 0 {
+        return Ok(());
+    }
+    let behind = measures.behind(document, now, m.version);
+    match (at.since(m.shifted), behind.first()) {
+        (age, _) if age < ENTRY_LIST_TTL_MS => {
+            let wait = ENTRY_LIST_TTL_MS - age;
+            Err(held(format!(
+                "the step before settles in {wait} ms, when cached entry lists have expired"
+            )))
+        }
+        (_, Some(name)) => Err(held(format!(
+            "the step before is not proven in force on instance {name}"
+        ))),
+        _ => Ok(()),
+    }
+}
+
+fn check_room(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    m: &Move,
+    done: usize,
+) -> Result<(), Refusal> {
+    let Some(shift) = shift(m, done) else {
+        return Ok(());
+    };
+    for service in &m.services {
+        let source = measures.load(document, now, service, shift.from);
+        check_fresh(service, shift.from, &source)?;
+        let target = measures.load(document, now, service, shift.to);
+        check_fresh(service, shift.to, &target)?;
+        let room = service_room(document, measures, now, service, &shift);
+        if room.headroom < room.needed as i64 {
+            return Err(held(format!(
+                "service {service} in region {} has headroom for {} slots, but the shift needs {}",
+                shift.to, room.headroom, room.needed
+            )));
+        }
+    }
+    match link_use(document, measures, now, m, &shift) {
+        None => Err(held(format!(
+            "no link is declared between {} and {}",
+            shift.from, shift.to
+        ))),
+        Some(percent) if percent > LINK_USE_PERCENT => Err(held(format!(
+            "the link would be used to {percent}%, over {LINK_USE_PERCENT}%"
+        ))),
+        Some(_) => Ok(()),
+    }
+}
+
+fn check_fresh(service: &Name, region: &Name, load: &RegionLoad) -> Result<(), Refusal> {
+    match load.oldest {
+        u64::MAX => Err(held(format!(
+            "measurements of service {service} in region {region} are missing"
+        ))),
+        age if age > MEASURE_BOUND_MS => Err(held(format!(
+            "measurements of service {service} in region {region} are {age} ms old"
+        ))),
+        _ => Ok(()),
+    }
+}
+
+// Leaving over several steps at once is allowed only towards a source that
+// has room, away from a destination that fails at least half of its requests
+// or has no serving backend server left.
+fn check_failing(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    m: &Move,
+) -> Result<(), Refusal> {
+    let failing = |service: &Name| {
+        let load = measures.load(document, now, service, &m.to);
+        let gone = document.serving(service, &m.to).next().is_none();
+        gone || (load.oldest <= MEASURE_BOUND_MS && load.rate > 0 && load.failed * 2 >= load.rate)
+    };
+    match m.services.iter().any(failing) {
+        true => Ok(()),
+        false => Err(held(format!(
+            "region {} is not measured as failing; reverse step by step",
+            m.to
+        ))),
+    }
+}
+
+fn check_leave(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    m: &Move,
+    to: usize,
+) -> Result<(), Refusal> {
+    let fits = |done: usize| {
+        shift(m, done).is_none_or(|shift| {
+            m.services.iter().all(|s| {
+                let source = measures.load(document, now, s, shift.to);
+                let room = service_room(document, measures, now, s, &shift);
+                source.oldest <= MEASURE_BOUND_MS && room.headroom >= room.needed as i64
+            })
+        })
+    };
+    let lowest = (to..m.done).find(|done| fits(*done));
+    match lowest {
+        Some(done) if done == to => Ok(()),
+        Some(done) => Err(held(format!(
+            "region {} has headroom only down to {done} steps in force",
+            m.from
+        ))),
+        None => Err(held(format!(
+            "region {} has no headroom to take traffic back",
+            m.from
+        ))),
+    }
+}
+
+fn service_room(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    service: &Name,
+    shift: &Shift<'_>,
+) -> Room {
+    let source = measures.load(document, now, service, shift.from);
+    let target = measures.load(document, now, service, shift.to);
+    let usable = usable_slots(document, service, shift.to);
+    let (part, whole) = shift.part;
+    Room {
+        headroom: usable as i64 - target.busy as i64,
+        needed: (source.busy * part).div_ceil(whole),
+        link: None,
+        oldest: source.oldest.max(target.oldest),
+    }
+}
+
+/// Slots of a service in a region that may be filled: what remains after the
+/// loss of its largest failure domain, less a margin.
+fn usable_slots(document: &Document, service: &Name, region: &Name) -> u64 {
+    let mut domains = indexmap::IndexMap::<&Name, u64>::new();
+    for (_, backend) in document.serving(service, region) {
+        *domains.entry(&backend.domain).or_insert(0) += u64::from(backend.slots);
+    }
+    let total: u64 = domains.values().sum();
+    let largest = domains.values().max().copied().unwrap_or(0);
+    (total - largest) * SLOT_USE_PERCENT / 100
+}
+
+fn link_use(
+    document: &Document,
+    measures: &Measures,
+    now: Millis,
+    m: &Move,
+    shift: &Shift<'_>,
+) -> Option<u64> {
+    let capacity = u64::from(document.link(&m.from, &m.to)?) * 1_000;
+    let (part, whole) = shift.part;
+    let extra: u64 = m
+        .services
+        .iter()
+        .map(|s| {
+            let bytes = document.services.get(s).map_or(0, |s| s.bytes);
+            measures.load(document, now, s, shift.from).rate * part / whole * bytes * 8 / 1_000
+        })
+        .sum();
+    // A reverse takes traffic off the link; the forward case adds to it.
+    let used = measures.link_kbits(document, &m.from, &m.to);
+    let after = if shift.to == &m.to {
+        used + extra
+    } else {
+        used
+    };
+    Some((after * 100).div_ceil(capacity.max(1)))
+}
--- /dev/null
+++ b/crates/coordination/src/measures.rs
@@ -0,0 +1,151 @@
+//! The leader's latest measurements from all entries.
+
+use indexmap::IndexMap;
+use pomelovale_protocol::report::{Report, ServiceLoad};
+use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::{Millis, Name};
+
+/// Oldest measurement that a decision may rest on.
+pub const MEASURE_BOUND_MS: u64 = 3_000;
+/// Time without a report after which an entry is taken out of the entry list.
+pub const LOST_AFTER_MS: u64 = 5_000;
+
+#[derive(Clone, Debug)]
+struct Received {
+    at: Millis,
+    report: Report,
+}
+
+/// Load of one service in one region over all entries.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RegionLoad {
+    /// Requests a second.
+    pub rate: u64,
+    /// Failed requests a second.
+    pub failed: u64,
+    /// Busy slots: the larger of what servers report and what entries have in flight.
+    pub busy: u64,
+    /// Age of the oldest measurement in it, in milliseconds; `u64::MAX` if one is missing.
+    pub oldest: u64,
+}
+
+/// The last report of each entry.
+#[derive(Clone, Debug, Default)]
+pub struct Measures {
+    reports: IndexMap<Name, Received>,
+}
+
+impl Measures {
+    /// Keeps a report in place of the entry's previous one.
+    pub fn record(&mut self, now: Millis, report: &Report) {
+        let received = Received {
+            at: now,
+            report: report.clone(),
+        };
+        self.reports.insert(report.instance.clone(), received);
+    }
+
+    /// Age of an entry's last report; `u64::MAX` if there is none.
+    pub fn age(&self, now: Millis, instance: &Name) -> u64 {
+        self.reports
+            .get(instance)
+            .map_or(u64::MAX, |r| now.since(r.at))
+    }
+
+    /// The last report of an entry.
+    pub fn report(&self, instance: &Name) -> Option<&Report> {
+        self.reports.get(instance).map(|r| &r.report)
+    }
+
+    /// Serving entries that do not prove that `version` is in force on them.
+    pub fn behind(&self, document: &Document, now: Millis, version: u64) -> Vec<Name> {
+        let proves = |name: &Name| match self.reports.get(name) {
+            Some(r) => now.since(r.at) <= MEASURE_BOUND_MS && r.report.version >= version,
+            None => false,
+        };
+        entries(document).filter(|n| !proves(n)).cloned().collect()
+    }
+
+    /// Load of a service in a region. An entry without a report makes it incomplete.
+    pub fn load(
+        &self,
+        document: &Document,
+        now: Millis,
+        service: &Name,
+        region: &Name,
+    ) -> RegionLoad {
+        let mut sum = RegionLoad::default();
+        let (mut outstanding, mut reported, mut freshest) = (0, 0, u64::MAX);
+        for name in entries(document) {
+            let Some(r) = self.reports.get(name) else {
+                sum.oldest = u64::MAX;
+                continue;
+            };
+            sum.oldest = sum.oldest.max(now.since(r.at));
+            let Some(row) = find(&r.report, service, region) else {
+                continue;
+            };
+            sum.rate += row.rate;
+            sum.failed += row.failed;
+            outstanding += row.outstanding;
+            if row.slots > 0 {
+                reported = reported.max(row.busy);
+                freshest = freshest.min(row.oldest_ms.saturating_add(now.since(r.at)));
+            }
+        }
+        // Every entry polls the same servers, so one fresh poll is enough.
+        sum.oldest = sum.oldest.max(freshest);
+        sum.busy = outstanding.max(reported);
+        sum
+    }
+
+    /// Traffic between two regions in kbit/s, over all entries.
+    pub fn link_kbits(&self, document: &Document, from: &Name, to: &Name) -> u64 {
+        let rows = entries(document)
+            .filter_map(|n| self.reports.get(n))
+            .flat_map(|r| &r.report.links);
+        rows.filter(|l| (&l.from, &l.to) == (from, to) || (&l.from, &l.to) == (to, from))
+            .map(|l| l.kbits)
+            .sum()
+    }
+
+    /// Changes of state due to reports that stopped or came back. Nothing is
+    /// taken out when most entries fall silent at once, since then the fault
+    /// is more likely between them and the leader.
+    pub fn membership(&self, document: &Document, now: Millis) -> Vec<(Name, MemberState)> {
+        let silent = |n: &Name| self.age(now, n) > LOST_AFTER_MS;
+        let serving: Vec<&Name> = entries(document).collect();
+        let lost: Vec<&Name> = serving.iter().copied().filter(|n| silent(n)).collect();
+        let back = document
+            .instances
+            .iter()
+            .filter(|(n, i)| i.state == MemberState::Lost && !silent(n));
+        let mut changes: Vec<_> = back
+            .map(|(n, _)| (n.clone(), MemberState::Serving))
+            .collect();
+        if lost.len() * 2 <= serving.len() {
+            changes.extend(lost.into_iter().map(|n| (n.clone(), MemberState::Lost)));
+        }
+        changes
+    }
+
+    /// Forgets entries that are no longer in the document.
+    pub fn retain(&mut self, document: &Document) {
+        self.reports
+            .retain(|name, _| document.instances.contains_key(name));
+    }
+}
+
+fn entries(document: &Document) -> impl Iterator<Item = &Name> {
+    let serves = |(_, i): &(&Name, &pomelovale_state::document::Instance)| {
+        i.callers.is_some() && i.state != MemberState::Lost
+    };
+    document.instances.iter().filter(serves).map(|(n, _)| n)
+}
+
+fn find<'a>(report: &'a Report, service: &Name, region: &Name) -> Option<&'a ServiceLoad> {
+    report
+        .services
+        .iter()
+        .find(|s| &s.service == service && &s.region == region)
+}
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Load of one service in one region, as one entry sees it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServiceLoad {
     /// The service.
     pub service: Name,
@@ -12,6 +12,10 @@
     pub region: Name,
     /// Requests that this entry sent there in the last interval, per second.
     pub rate: u64,
+    /// Requests of `rate` that failed at the backend server, per second.
+    pub failed: u64,
+    /// Requests that this entry has in flight there now.
+    pub outstanding: u64,
     /// Busy slots reported by the backend servers, summed.
     pub busy: u64,
     /// Slots of the backend servers whose report is counted in `busy`.
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -89,6 +89,8 @@
 pub enum MemberState {
     /// Finishes what it has and takes nothing new.
     Leaving,
+    /// Taken out by the leader since it stopped reporting.
+    Lost,
     /// Takes new work.
     #[default]
     Serving,
--- a/crates/state/src/moves.rs
+++ b/crates/state/src/moves.rs
@@ -42,8 +42,11 @@
         /// Why.
         reason: String,
     },
-    /// Leaves the destination at once, whatever the caps, since it is failing.
-    Leave,
+    /// Leaves a failing destination at once, over several steps.
+    Leave {
+        /// Number of steps in force afterwards.
+        to: usize,
+    },
     /// Ends a hold.
     Release,
     /// Takes back the last step in force.
@@ -168,11 +171,17 @@
                     self.done
                 ));
             }
+            MoveAction::Leave { to } if *to >= self.done => {
+                return refuse(format!(
+                    "step {to} is not in force; {} are in force",
+                    self.done
+                ));
+            }
             MoveAction::Advance { to } => self.shift(at, version, to + 1),
             MoveAction::Hold { reason } => {
                 (self.state, self.reason) = (MoveState::Held, reason.clone())
             }
-            MoveAction::Leave => self.shift(at, version, 0),
+            MoveAction::Leave { to } => self.shift(at, version, *to),
             MoveAction::Release => (self.state, self.reason) = (MoveState::Open, String::new()),
             MoveAction::Reverse { to } => self.shift(at, version, *to),
         }
