Read and write the sheet of a move

Cause: operators drive a move from a CSV sheet. Change: writing the sheet, reading it into one change a row or a plan, with faults by row and column; digests in hexadecimal where people read them.

--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -6,13 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::blocks::BlockTable;
+pub use crate::digest::Digest;
 use crate::moves::Move;
 use crate::{Millis, Name};
 
-/// SHA-256 of a key or of a request.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Digest(pub [u8; 32]);
-
 /// A region and its failure domains.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,12 +3,14 @@
 pub mod blocks;
 pub mod clock;
 pub mod command;
+pub mod digest;
 pub mod document;
 pub mod error;
 pub mod intents;
 pub mod machine;
 pub mod moves;
 pub mod name;
+pub mod sheet;
 
 pub use clock::{Clock, Millis};
 pub use error::{Answer, ErrorKind, Outcome};
