--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,4 @@
 //! The pomelovale daemon.
+
+pub mod schema;
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/schema.rs
@@ -0,0 +1,175 @@
+//! Shapes of JSON settings, checked so that every fault is found at once.
+
+use std::net::SocketAddr;
+
+use pomelovale_state::digest::Digest;
+use pomelovale_state::Name;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// One fault and where it is.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Fault {
+    /// JSON path such as `initial.services.shop.routes[0].prefix`.
+    pub path: String,
+    /// What is wrong.
+    pub text: String,
+}
+
+/// What a JSON value may be.
+pub enum Shape {
+    /// An IP address with a port.
+    Address,
+    /// `true` or `false`.
+    Bool,
+    /// A SHA-256 digest in hexadecimal.
+    Digest,
+    /// An object whose fields are checked one by one by a function.
+    Flat(fn(&Map<String, Value>) -> Result<(), String>),
+    /// A list.
+    List(&'static Shape),
+    /// An object with a valid name for each key.
+    Map(&'static Shape),
+    /// A valid name.
+    Name,
+    /// A whole number in a range.
+    Number(u64, u64),
+    /// An object with these fields.
+    Object(&'static [Field]),
+    /// One of some words.
+    OneOf(&'static [&'static str]),
+    /// A non-empty string.
+    Text,
+}
+
+/// A field of an object.
+pub struct Field {
+    /// Its name.
+    pub name: &'static str,
+    /// Whether it must be there.
+    pub required: bool,
+    /// What it may be.
+    pub shape: Shape,
+}
+
+/// A field that must be there.
+pub const fn required(name: &'static str, shape: Shape) -> Field {
+    Field {
+        name,
+        required: true,
+        shape,
+    }
+}
+
+/// A field that may be absent.
+pub const fn optional(name: &'static str, shape: Shape) -> Field {
+    Field {
+        name,
+        required: false,
+        shape,
+    }
+}
+
+/// Checks a value and adds what is wrong to `faults`.
+pub fn check(shape: &Shape, value: &Value, path: &str, faults: &mut Vec<Fault>) {
+    let mut wrong = |text: &str| {
+        faults.push(Fault {
+            path: path.to_owned(),
+            text: text.to_owned(),
+        })
+    };
+    match (shape, value) {
+        (Shape::Address, Value::String(s)) if s.parse::<SocketAddr>().is_ok() => {}
+        (Shape::Address, _) => {
+            wrong("expected an IP address with a port, such as \"127.0.0.1:8080\"")
+        }
+        (Shape::Bool, Value::Bool(_)) => {}
+        (Shape::Bool, _) => wrong("expected true or false"),
+        (Shape::Digest, Value::String(s)) if s.parse::<Digest>().is_ok() => {}
+        (Shape::Digest, _) => wrong("expected a SHA-256 digest of 64 hexadecimal digits"),
+        (Shape::Flat(read), Value::Object(map)) => check_flat(*read, map, path, faults),
+        (Shape::List(item), Value::Array(values)) => {
+            for (i, value) in values.iter().enumerate() {
+                check(item, value, &format!("{path}[{i}]"), faults);
+            }
+        }
+        (Shape::List(_), _) => wrong("expected a list"),
+        (Shape::Map(item), Value::Object(map)) => check_map(item, map, path, faults),
+        (Shape::Name, Value::String(s)) if Name::from(s.as_str()).is_valid() => {}
+        (Shape::Name, _) => wrong("expected a name of letters, digits, '-', '_' and '.'"),
+        (Shape::Number(low, high), Value::Number(n))
+            if n.as_u64().is_some_and(|n| (*low..=*high).contains(&n)) => {}
+        (Shape::Number(low, high), _) => {
+            wrong(&format!("expected a whole number from {low} to {high}"))
+        }
+        (Shape::Object(fields), Value::Object(map)) => check_object(fields, map, path, faults),
+        (Shape::Flat(_) | Shape::Map(_) | Shape::Object(_), _) => wrong("expected an object"),
+        (Shape::OneOf(words), Value::String(s)) if words.contains(&s.as_str()) => {}
+        (Shape::OneOf(words), _) => wrong(&format!("expected one of {}", words.join(", "))),
+        (Shape::Text, Value::String(s)) if !s.is_empty() => {}
+        (Shape::Text, _) => wrong("expected a non-empty string"),
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    match path {
+        "" => key.to_owned(),
+        path => format!("{path}.{key}"),
+    }
+}
+
+fn check_map(item: &Shape, map: &Map<String, Value>, path: &str, faults: &mut Vec<Fault>) {
+    for (key, value) in map {
+        let path = join(path, key);
+        if !Name::from(key.as_str()).is_valid() {
+            faults.push(Fault {
+                path: path.clone(),
+                text: "the key is not a valid name".to_owned(),
+            });
+        }
+        check(item, value, &path, faults);
+    }
+}
+
+fn check_object(fields: &[Field], map: &Map<String, Value>, path: &str, faults: &mut Vec<Fault>) {
+    for field in fields {
+        match map.get(field.name) {
+            Some(value) => check(&field.shape, value, &join(path, field.name), faults),
+            None if field.required => {
+                faults.push(Fault {
+                    path: join(path, field.name),
+                    text: "the field is missing".to_owned(),
+                });
+            }
+            None => {}
+        }
+    }
+    for key in map
+        .keys()
+        .filter(|k| fields.iter().all(|f| f.name != k.as_str()))
+    {
+        faults.push(Fault {
+            path: join(path, key),
+            text: "the field is unknown".to_owned(),
+        });
+    }
+}
+
+// Every field has a default, so each one can be read alone and all faults
+// are found, where reading the whole object would stop at the first.
+fn check_flat(
+    read: fn(&Map<String, Value>) -> Result<(), String>,
+    map: &Map<String, Value>,
+    path: &str,
+    faults: &mut Vec<Fault>,
+) {
+    for (key, value) in map {
+        let one = Map::from_iter([(key.clone(), value.clone())]);
+        if let Err(text) = read(&one) {
+            faults.push(Fault {
+                path: join(path, key),
+                text,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,378 @@
+//! Settings of the daemon, read from one JSON file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use indexmap::IndexMap;
+use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::digest::Digest;
+use pomelovale_state::document::{
+    Backend, Instance, KeyHolder, Link, Region, Service, Site, Workspace,
+};
+use pomelovale_state::machine::Machine;
+use pomelovale_state::{Millis, Name};
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+use crate::schema::{check, optional, required, Fault, Field, Shape};
+
+const ANY: u64 = u64::MAX;
+
+static REGION: Shape = Shape::Object(&[required("domains", Shape::List(&Shape::Name))]);
+static LINK: Shape = Shape::Object(&[
+    required("from", Shape::Name),
+    required("to", Shape::Name),
+    required("mbits", Shape::Number(1, u32::MAX as u64)),
+]);
+static SITE: Shape = Shape::Object(&[
+    required("region", Shape::Name),
+    required("domain", Shape::Name),
+]);
+static ROUTE: Shape = Shape::Object(&[
+    required("prefix", Shape::Text),
+    optional("open", Shape::Bool),
+    optional("idempotent", Shape::List(&Shape::Text)),
+    optional("deferrable", Shape::Bool),
+]);
+static SERVICE: Shape = Shape::Object(&[
+    optional("routes", Shape::List(&ROUTE)),
+    optional("timeout_ms", Shape::Number(1, 600_000)),
+    optional("bytes", Shape::Number(1, ANY)),
+]);
+static BACKEND: Shape = Shape::Object(&[
+    required("address", Shape::Address),
+    required("service", Shape::Name),
+    required("region", Shape::Name),
+    required("domain", Shape::Name),
+    required("slots", Shape::Number(1, u32::MAX as u64)),
+    required("connections", Shape::Number(1, u32::MAX as u64)),
+    optional("state", Shape::OneOf(&["leaving", "serving"])),
+]);
+static INSTANCE: Shape = Shape::Object(&[
+    optional("callers", Shape::Address),
+    optional("peers", Shape::Address),
+    required("region", Shape::Name),
+    required("domain", Shape::Name),
+    optional("state", Shape::OneOf(&["leaving", "serving"])),
+]);
+static WORKSPACE: Shape = Shape::Object(&[
+    required("rate", Shape::Number(1, ANY)),
+    required("burst", Shape::Number(1, ANY)),
+    optional("weight", Shape::Number(1, u32::MAX as u64)),
+]);
+static KEY: Shape = Shape::Object(&[
+    optional("workspace", Shape::Name),
+    optional("operator", Shape::Name),
+    required("digest", Shape::Digest),
+]);
+const INITIAL: Shape = Shape::Object(&[
+    optional("regions", Shape::Map(&REGION)),
+    optional("links", Shape::List(&LINK)),
+    optional("sites", Shape::Map(&SITE)),
+    optional("services", Shape::Map(&SERVICE)),
+    optional("backends", Shape::Map(&BACKEND)),
+    optional("instances", Shape::Map(&INSTANCE)),
+    optional("workspaces", Shape::Map(&WORKSPACE)),
+    optional("keys", Shape::Map(&KEY)),
+]);
+static PEER: Shape = Shape::Object(&[
+    required("address", Shape::Address),
+    required("region", Shape::Name),
+    required("domain", Shape::Name),
+]);
+static FIELDS: &[Field] = &[
+    required("instance", Shape::Name),
+    required("region", Shape::Name),
+    required("domain", Shape::Name),
+    required("roles", Shape::List(&Shape::OneOf(&["control", "entry"]))),
+    optional("callers", Shape::Address),
+    required("operators", Shape::Address),
+    optional("listen", Shape::Address),
+    required("peers", Shape::Map(&PEER)),
+    required("secret_file", Shape::Text),
+    optional("data", Shape::Text),
+    optional("entry", Shape::Flat(read_entry)),
+    optional("control", Shape::Flat(read_control)),
+    optional("initial", INITIAL),
+];
+
+/// Roles that a process can have.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Holds a replica of the shared state.
+    Control,
+    /// Serves callers.
+    Entry,
+}
+
+/// A control instance that peers connect to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct PeerAddress {
+    /// Its peer listener.
+    pub address: SocketAddr,
+    /// Region it runs in.
+    pub region: Name,
+    /// Failure domain it runs in.
+    pub domain: Name,
+}
+
+/// A key of the initial document.
+#[derive(Clone, Debug, Deserialize)]
+pub struct InitialKey {
+    /// Workspace it speaks for.
+    pub workspace: Option<Name>,
+    /// Operator it speaks for.
+    pub operator: Option<Name>,
+    /// SHA-256 of the key text.
+    pub digest: Digest,
+}
+
+/// The document that the first leader proposes once.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Initial {
+    /// Regions by name.
+    pub regions: IndexMap<Name, Region>,
+    /// Links between regions.
+    pub links: Vec<Link>,
+    /// Sites by name.
+    pub sites: IndexMap<Name, Site>,
+    /// Services by name.
+    pub services: IndexMap<Name, Service>,
+    /// Backend servers by name.
+    pub backends: IndexMap<Name, Backend>,
+    /// Instances by name.
+    pub instances: IndexMap<Name, Instance>,
+    /// Workspaces by name.
+    pub workspaces: IndexMap<Name, Workspace>,
+    /// Keys by identifier.
+    pub keys: IndexMap<Name, InitialKey>,
+}
+
+impl Initial {
+    /// The commands that build the document, in an order that satisfies
+    /// references, each with its JSON path.
+    pub fn commands(&self) -> Vec<(String, Command)> {
+        let mut list = Vec::new();
+        let mut add = |kind: &str, name: &str, command: Command| {
+            list.push((format!("initial.{kind}.{name}"), command))
+        };
+        for (name, region) in self.regions.clone() {
+            add(
+                "regions",
+                &name.clone(),
+                Command::PutRegion { name, region },
+            );
+        }
+        if !self.links.is_empty() {
+            add("links", "", Command::PutLinks(self.links.clone()));
+        }
+        for (name, site) in self.sites.clone() {
+            add("sites", &name.clone(), Command::PutSite { name, site });
+        }
+        for (name, service) in self.services.clone() {
+            add(
+                "services",
+                &name.clone(),
+                Command::PutService { name, service },
+            );
+        }
+        for (name, backend) in self.backends.clone() {
+            add(
+                "backends",
+                &name.clone(),
+                Command::PutBackend { name, backend },
+            );
+        }
+        for (name, instance) in self.instances.clone() {
+            add(
+                "instances",
+                &name.clone(),
+                Command::PutInstance { name, instance },
+            );
+        }
+        for (name, workspace) in self.workspaces.clone() {
+            add(
+                "workspaces",
+                &name.clone(),
+                Command::PutWorkspace { name, workspace },
+            );
+        }
+        for (id, key) in &self.keys {
+            if let Some(holder) = key.holder() {
+                add(
+                    "keys",
+                    id,
+                    Command::PutKey {
+                        id: id.clone(),
+                        holder,
+                        digest: key.digest,
+                    },
+                );
+            }
+        }
+        list
+    }
+}
+
+impl InitialKey {
+    fn holder(&self) -> Option<KeyHolder> {
+        match (&self.workspace, &self.operator) {
+            (Some(w), None) => Some(KeyHolder::Workspace(w.clone())),
+            (None, Some(o)) => Some(KeyHolder::Operator(o.clone())),
+            _ => None,
+        }
+    }
+}
+
+/// Settings that were checked.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: Name,
+    /// Region it runs in.
+    pub region: Name,
+    /// Failure domain it runs in.
+    pub domain: Name,
+    /// What it does.
+    pub roles: Vec<Role>,
+    /// Listener for callers; entry role.
+    pub callers: Option<SocketAddr>,
+    /// Listener for operators and `/metrics`.
+    pub operators: SocketAddr,
+    /// Listener for peers; control role.
+    pub listen: Option<SocketAddr>,
+    /// The control instances by name.
+    pub peers: IndexMap<Name, PeerAddress>,
+    /// File with the secret that peers share.
+    pub secret_file: PathBuf,
+    /// Folder for the control instance's files; control role.
+    pub data: Option<PathBuf>,
+    /// Limits and policies of the entry role.
+    #[serde(default)]
+    pub entry: Map<String, Value>,
+    /// Timings of the control role.
+    #[serde(default)]
+    pub control: Map<String, Value>,
+    /// Document of a new site.
+    #[serde(default)]
+    pub initial: Initial,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
+        let whole = |text: String| {
+            vec![Fault {
+                path: String::new(),
+                text,
+            }]
+        };
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| whole(format!("can't read {}: {e}", path.display())))?;
+        Settings::parse(&text)
+    }
+
+    /// Checks settings and names every fault.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+        let whole = |text: String| {
+            vec![Fault {
+                path: String::new(),
+                text,
+            }]
+        };
+        let value: Value =
+            serde_json::from_str(text).map_err(|e| whole(format!("not JSON: {e}")))?;
+        let mut faults = Vec::new();
+        check(&Shape::Object(FIELDS), &value, "", &mut faults);
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        let settings: Settings = serde_json::from_value(value).map_err(|e| whole(e.to_string()))?;
+        settings.check_roles(&mut faults);
+        settings.check_initial(&mut faults);
+        match faults.is_empty() {
+            true => Ok(settings),
+            false => Err(faults),
+        }
+    }
+
+    /// Whether the instance has a role.
+    pub fn has(&self, role: Role) -> bool {
+        self.roles.contains(&role)
+    }
+
+    fn check_roles(&self, faults: &mut Vec<Fault>) {
+        let mut add = |path: &str, text: &str| {
+            faults.push(Fault {
+                path: path.to_owned(),
+                text: text.to_owned(),
+            })
+        };
+        if self.roles.is_empty() {
+            add("roles", "at least one role is needed");
+        }
+        if self.peers.is_empty() {
+            add("peers", "at least one control instance is needed");
+        }
+        if self.has(Role::Entry) && self.callers.is_none() {
+            add("callers", "the entry role needs a listener for callers");
+        }
+        if self.has(Role::Control) && self.data.is_none() {
+            add("data", "the control role needs a data folder");
+        }
+        if self.has(Role::Control) && self.listen.is_none() {
+            add("listen", "the control role needs a listener for peers");
+        }
+        if self.has(Role::Control) && !self.peers.contains_key(&self.instance) {
+            add(
+                "peers",
+                "the list must hold this instance, since it has the control role",
+            );
+        }
+    }
+
+    fn check_initial(&self, faults: &mut Vec<Fault>) {
+        for (id, key) in self
+            .initial
+            .keys
+            .iter()
+            .filter(|(_, k)| k.holder().is_none())
+        {
+            let text = format!(
+                "a key needs either a workspace or an operator: {:?}",
+                key.workspace
+            );
+            faults.push(Fault {
+                path: format!("initial.keys.{id}"),
+                text,
+            });
+        }
+        let mut machine = Machine::default();
+        for (i, (path, command)) in self.initial.commands().into_iter().enumerate() {
+            let request = Name::from(format!("check-{i}"));
+            let change = Change {
+                request,
+                sender: self.instance.clone(),
+                base: None,
+                at: Millis(0),
+                command,
+            };
+            if let Applied::Refused(refusal) = machine.apply(&change) {
+                faults.push(Fault {
+                    path,
+                    text: refusal.text,
+                });
+            }
+        }
+    }
+}
+
+fn read_entry(_: &Map<String, Value>) -> Result<(), String> {
+    Ok(())
+}
+
+fn read_control(_: &Map<String, Value>) -> Result<(), String> {
+    Ok(())
+}
