Add the rate ledger and the entry-side limiter

A limit is a bucket that the ledger splits into leased buckets (refill rate and capacity, for a limited life) and a pool. Each request tells all that an entry holds; only the reply to the latest request is accepted. A new leader renews what entries tell it and leases the rest after one life.

--- /dev/null
+++ b/crates/coordination/src/ledger.rs
@@ -0,0 +1,317 @@
+//! The leader's rate ledger: divides each workspace's limit between entries.
+//!
+//! The limit of a workspace is a bucket with a capacity (the burst) and a
+//! refill rate. The ledger splits it into leased buckets, one for each entry,
+//! and a pool that it keeps. The capacities of all unexpired leases and of the
+//! pool never exceed the burst, and their refill rates never exceed the rate.
+//! The sum of all levels is therefore at most the burst, rises at most by the
+//! rate, and falls by each admission, so that every window of length w admits
+//! at most rate * w + burst.
+//!
+//! A lease ends, on the entry, one life after the request was sent; here, one
+//! life (and a margin) after the request was received. A new leader does not
+//! know the leases of earlier epochs. It counts the whole limit as leased for
+//! one life, except for what entries tell it that they hold: this it renews,
+//! and what they release it can lease again.
+//!
+//! The caller must pass requests only while it is the leader by a quorum proof
+//! that is younger than the shortest election timeout, so that all grants of
+//! an epoch are made before the ledger of the next epoch is created.
+
+use indexmap::IndexMap;
+use pomelovale_protocol::grants::{Grant, GrantReply, GrantRequest, Want, TOKEN};
+use pomelovale_state::{Millis, Name};
+
+use crate::fairness::{max_min, proportional};
+
+/// The limit of one workspace over all instances.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rate {
+    /// Requests a second.
+    pub per_second: u64,
+    /// Requests above the rate at one moment.
+    pub burst: u64,
+}
+
+/// Settings of a ledger.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LedgerConfig {
+    /// Epoch of this leader; above that of every earlier leader.
+    pub epoch: u64,
+    /// Life of a lease.
+    pub life_ms: u64,
+    /// Added to the life here: rounding and drift of two clocks.
+    pub margin_ms: u64,
+    /// Time that a new leader counts the leases of earlier epochs as held.
+    pub wait_ms: u64,
+    /// Part of the rate that is leased, in per mille.
+    pub rate_leased: u64,
+    /// Part of the burst that is leased, in per mille.
+    pub cap_leased: u64,
+}
+
+impl LedgerConfig {
+    /// The usual settings for a leader of `epoch`.
+    pub fn new(epoch: u64) -> LedgerConfig {
+        LedgerConfig {
+            epoch,
+            life_ms: LIFE_MS,
+            margin_ms: MARGIN_MS,
+            wait_ms: LIFE_MS + MARGIN_MS,
+            rate_leased: 900,
+            cap_leased: 700,
+        }
+    }
+}
+
+/// Life of a lease in milliseconds. It outlasts an interval without a leader
+/// (2 s) and the round trips after it.
+pub const LIFE_MS: u64 = 4_000;
+/// Rounding of two clocks to 1 ms, and 2,000 ppm of drift over one life.
+pub const MARGIN_MS: u64 = 10;
+/// Part of the rate divided evenly, so that idle entries keep a reserve.
+const RESERVE_PER_MILLE: u64 = 50;
+/// Share of its demand, in per mille, that an entry is topped up with per
+/// millisecond of this time.
+const PREFETCH_MS: u64 = 250;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Lease {
+    rate: u64,
+    cap: u64,
+    demand: u64,
+    until: Millis,
+}
+
+/// One workspace.
+#[derive(Debug, Default)]
+struct Bucket {
+    rate: u64,
+    cap: u64,
+    /// Counted as leased by earlier epochs and not told yet.
+    unknown: Lease,
+    leases: IndexMap<Name, Lease>,
+    level: u64,
+    at: Millis,
+}
+
+#[derive(Debug)]
+struct Seen {
+    reply: GrantReply,
+    until: Millis,
+}
+
+/// Divides the limits of all workspaces; in memory of the leader only.
+#[derive(Debug)]
+pub struct Ledger {
+    config: LedgerConfig,
+    ready: Millis,
+    buckets: IndexMap<Name, Bucket>,
+    seen: IndexMap<Name, Seen>,
+}
+
+impl Ledger {
+    /// A ledger for a leader whose epoch began at `now` or earlier.
+    pub fn new(config: LedgerConfig, now: Millis) -> Ledger {
+        Ledger {
+            config,
+            ready: now.plus(config.wait_ms),
+            buckets: IndexMap::new(),
+            seen: IndexMap::new(),
+        }
+    }
+
+    /// Sets the limit of a workspace. A lowered limit is in force once the
+    /// present leases are renewed or have expired.
+    pub fn set_limit(&mut self, workspace: &Name, rate: Rate, now: Millis) {
+        let (per_ms, cap) = (rate.per_second * (TOKEN / 1_000), rate.burst * TOKEN);
+        let ready = self.ready;
+        let bucket = self.buckets.entry(workspace.clone()).or_insert(Bucket {
+            at: now,
+            ..Bucket::default()
+        });
+        bucket.advance(now, ready);
+        if now < ready && bucket.leases.is_empty() {
+            bucket.unknown.rate = per_ms;
+            bucket.unknown.cap = cap;
+        }
+        bucket.rate = per_ms;
+        bucket.cap = cap;
+        bucket.level = bucket.level.min(bucket.free().cap);
+    }
+
+    /// Removes a workspace; leases of it run out.
+    pub fn remove_limit(&mut self, workspace: &Name) {
+        self.buckets.shift_remove(workspace);
+    }
+
+    /// Processes a request of an entry.
+    pub fn request(&mut self, now: Millis, request: &GrantRequest) -> GrantReply {
+        self.seen.retain(|_, s| now < s.until);
+        let mut reply = GrantReply {
+            instance: request.instance.clone(),
+            seq: request.seq,
+            epoch: self.config.epoch,
+            life_ms: self.config.life_ms,
+            grants: Vec::new(),
+        };
+        match self.seen.get(&request.instance) {
+            _ if request.epoch != self.config.epoch => return reply,
+            Some(s) if request.seq == s.reply.seq => return s.reply.clone(),
+            Some(s) if request.seq < s.reply.seq => return reply,
+            _ => {}
+        }
+        let until = now.plus(self.config.life_ms + self.config.margin_ms);
+        for want in &request.wants {
+            let grant = match self.buckets.get_mut(&want.workspace) {
+                None => Grant {
+                    workspace: want.workspace.clone(),
+                    retry_ms: self.config.life_ms,
+                    ..Grant::default()
+                },
+                Some(bucket) => {
+                    bucket.advance(now, self.ready);
+                    bucket.grant(&self.config, &request.instance, want, until)
+                }
+            };
+            reply.grants.push(grant);
+        }
+        let seen = Seen {
+            reply: reply.clone(),
+            until,
+        };
+        self.seen.insert(request.instance.clone(), seen);
+        reply
+    }
+}
+
+impl Bucket {
+    /// What is neither leased nor unknown.
+    fn free(&self) -> Lease {
+        let mut free = Lease {
+            rate: self.rate.saturating_sub(self.unknown.rate),
+            cap: self.cap.saturating_sub(self.unknown.cap),
+            ..Lease::default()
+        };
+        for lease in self.leases.values() {
+            free.rate = free.rate.saturating_sub(lease.rate);
+            free.cap = free.cap.saturating_sub(lease.cap);
+        }
+        free
+    }
+
+    fn advance(&mut self, now: Millis, ready: Millis) {
+        let free = self.free();
+        let refill = free.rate.saturating_mul(now.since(self.at));
+        self.level = self.level.saturating_add(refill).min(free.cap);
+        self.at = self.at.max(now);
+        self.leases.retain(|_, l| now < l.until);
+        if now >= ready {
+            self.unknown = Lease::default();
+        }
+    }
+
+    /// Takes note of what an entry holds and has given back.
+    fn settle(&mut self, instance: &Name, want: &Want, until: Millis) -> Lease {
+        let before = match self.leases.get(instance) {
+            Some(lease) => *lease,
+            None => {
+                let told = Lease {
+                    rate: want.rate.min(self.unknown.rate),
+                    cap: want.cap.min(self.unknown.cap),
+                    ..Lease::default()
+                };
+                self.unknown.rate -= told.rate;
+                self.unknown.cap -= told.cap;
+                told
+            }
+        };
+        let held = Lease {
+            rate: want.rate.min(before.rate),
+            cap: want.cap.min(before.cap),
+            demand: want.demand,
+            until,
+        };
+        self.leases.insert(instance.clone(), held);
+        let returned = want.returned.min(before.cap);
+        self.level = self.level.saturating_add(returned).min(self.free().cap);
+        held
+    }
+
+    /// The lease that an entry should have in view of all demands.
+    fn target(&self, config: &LedgerConfig, instance: &Name) -> Lease {
+        let index = self.leases.get_index_of(instance).unwrap_or(0);
+        let claims: Vec<u64> = self.leases.values().map(|l| l.demand).collect();
+        let sum: u64 = claims.iter().fold(0, |a, &c| a.saturating_add(c));
+        let leased = self.rate / 1_000 * config.rate_leased;
+        let reserve = self.rate / 1_000 * RESERVE_PER_MILLE;
+        let rest = leased.saturating_sub(reserve);
+        let shares = match sum > rest {
+            true => max_min(rest, &claims),
+            false => proportional(rest, &claims),
+        };
+        let rate = shares[index] + reserve / claims.len() as u64;
+        let cap = u128::from(self.cap / 1_000 * config.cap_leased) * u128::from(rate);
+        let cap = (cap / u128::from(leased.max(1))) as u64;
+        match cap < TOKEN {
+            true => Lease::default(),
+            false => Lease {
+                rate,
+                cap,
+                ..Lease::default()
+            },
+        }
+    }
+
+    fn grant(
+        &mut self,
+        config: &LedgerConfig,
+        instance: &Name,
+        want: &Want,
+        until: Millis,
+    ) -> Grant {
+        let held = self.settle(instance, want, until);
+        let target = self.target(config, instance);
+        let free = self.free();
+        let raise = |held: u64, target: u64, free: u64| match target > held {
+            true => held + (target - held).min(free),
+            false => target,
+        };
+        let rate = raise(held.rate, target.rate, free.rate);
+        let mut cap = raise(held.cap, target.cap, free.cap);
+        let prefetch = (want.demand * PREFETCH_MS).min(cap);
+        let short = (want.wanted + prefetch).saturating_sub(want.level);
+        // Leased capacity leaves with the tokens that it holds.
+        let room = free.cap.saturating_sub(cap.saturating_sub(held.cap));
+        let tokens = short.min(self.level).max(self.level.saturating_sub(room));
+        let full = want.level.min(cap) + tokens;
+        cap = cap.max(full.min(held.cap + free.cap));
+        let tokens = tokens.min(cap - want.level.min(cap));
+        self.level -= tokens;
+        self.leases.insert(
+            instance.clone(),
+            Lease {
+                rate: rate.max(held.rate),
+                cap: cap.max(held.cap),
+                ..held
+            },
+        );
+        self.level = self.level.min(self.free().cap);
+        Grant {
+            workspace: want.workspace.clone(),
+            rate,
+            cap,
+            tokens,
+            retry_ms: self.retry_ms(want, tokens),
+        }
+    }
+
+    /// Zero while the workspace is within its limit.
+    fn retry_ms(&self, want: &Want, tokens: u64) -> u64 {
+        let demand: u64 = self.leases.values().map(|l| l.demand).sum();
+        match want.wanted > tokens + want.level && demand > self.rate {
+            true => (want.wanted / self.rate.max(1)).clamp(1, 1_000),
+            false => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/limiter.rs
@@ -0,0 +1,280 @@
+//! The entry's side of the rate limit: spends what the ledger leased.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use pomelovale_protocol::grants::{Grant, GrantReply, GrantRequest, Want, TOKEN};
+use pomelovale_state::{Millis, Name};
+
+/// Settings of a limiter.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LimiterConfig {
+    /// The entry instance; must differ for each start of the process.
+    pub instance: Name,
+    /// Longest time that a request waits for tokens.
+    pub wait_ms: u64,
+    /// Time after which a request to the ledger without a reply is given up.
+    pub timeout_ms: u64,
+    /// Time between requests to the ledger while tokens suffice.
+    pub renew_ms: u64,
+    /// Time after which a workspace without requests is given up.
+    pub idle_ms: u64,
+}
+
+impl LimiterConfig {
+    /// The usual settings.
+    pub fn new(instance: Name) -> LimiterConfig {
+        LimiterConfig {
+            instance,
+            wait_ms: 400,
+            timeout_ms: 300,
+            renew_ms: 250,
+            idle_ms: 30_000,
+        }
+    }
+}
+
+/// Whether a request may run now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admit {
+    /// The tokens are spent; the request may run.
+    Granted,
+    /// Tokens are on their way: ask again with [`Limiter::retry`] after the
+    /// next reply of the ledger or a few milliseconds.
+    Wait,
+    /// The workspace has used its limit.
+    Refused {
+        /// When tokens can be expected.
+        retry_after_ms: u64,
+    },
+}
+
+/// Time over which demand is averaged.
+const DEMAND_MS: f64 = 1_000.0;
+
+#[derive(Debug, Default)]
+struct Share {
+    rate: u64,
+    cap: u64,
+    level: u64,
+    surplus: u64,
+    until: Millis,
+    at: Millis,
+    demand: f64,
+    counted: Millis,
+    used: Millis,
+    retry_ms: u64,
+    waiting: VecDeque<(Millis, u64)>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    seq: u64,
+    sent: Millis,
+}
+
+/// Admits requests against leased shares of the workspaces' limits.
+#[derive(Debug)]
+pub struct Limiter {
+    config: LimiterConfig,
+    epoch: u64,
+    seq: u64,
+    sent: Millis,
+    urgent: bool,
+    pending: Option<Pending>,
+    shares: IndexMap<Name, Share>,
+}
+
+impl Limiter {
+    /// A limiter that holds nothing yet.
+    pub fn new(config: LimiterConfig) -> Limiter {
+        Limiter {
+            config,
+            epoch: 0,
+            seq: 0,
+            sent: Millis(0),
+            urgent: false,
+            pending: None,
+            shares: IndexMap::new(),
+        }
+    }
+
+    /// Decides about a new request.
+    pub fn admit(&mut self, now: Millis, workspace: &Name, cost: u64) -> Admit {
+        let amount = cost.saturating_mul(TOKEN);
+        let wait_ms = self.config.wait_ms;
+        let share = self.share(now, workspace);
+        share.count(now, amount);
+        let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
+        if share.spend(amount.saturating_add(ahead), amount) {
+            return Admit::Granted;
+        }
+        let accrual = share.accrual_ms(amount.saturating_add(ahead));
+        if share.retry_ms > 0 && accrual > wait_ms {
+            let retry_after_ms = share.retry_ms.min(accrual);
+            return Admit::Refused { retry_after_ms };
+        }
+        share.waiting.push_back((now.plus(wait_ms), amount));
+        self.urgent = true;
+        Admit::Wait
+    }
+
+    /// Decides again about a request that waits since `since`.
+    pub fn retry(&mut self, now: Millis, workspace: &Name, cost: u64, since: Millis) -> Admit {
+        let amount = cost.saturating_mul(TOKEN);
+        let wait_ms = self.config.wait_ms;
+        let share = self.share(now, workspace);
+        if share.spend(amount, amount) {
+            share.waiting.pop_front();
+            return Admit::Granted;
+        }
+        if now.since(since) >= wait_ms {
+            share.waiting.pop_front();
+            let retry_after_ms = share.retry_ms.max(share.accrual_ms(amount).min(1_000));
+            return Admit::Refused { retry_after_ms };
+        }
+        Admit::Wait
+    }
+
+    /// The next request to send to the ledger, if one is due.
+    pub fn next_request(&mut self, now: Millis) -> Option<GrantRequest> {
+        match &self.pending {
+            Some(p) if now.since(p.sent) < self.config.timeout_ms => return None,
+            Some(_) => {}
+            None if self.urgent => {}
+            None if now.since(self.sent) < self.config.renew_ms => return None,
+            None => {}
+        }
+        let idle_ms = self.config.idle_ms;
+        self.shares
+            .retain(|_, s| now.since(s.used) < idle_ms || now < s.until);
+        if self.shares.is_empty() {
+            return None;
+        }
+        self.seq += 1;
+        self.sent = now;
+        self.urgent = false;
+        self.pending = Some(Pending {
+            seq: self.seq,
+            sent: now,
+        });
+        let wants = self.shares.iter_mut().map(|(n, s)| s.want(now, n));
+        Some(GrantRequest {
+            instance: self.config.instance.clone(),
+            seq: self.seq,
+            epoch: self.epoch,
+            wants: wants.collect(),
+        })
+    }
+
+    /// Takes a reply of the ledger. Replies to any but the latest request, of
+    /// an earlier epoch, or whose life has passed, have no effect.
+    pub fn receive(&mut self, now: Millis, reply: GrantReply) {
+        let sent = match &self.pending {
+            Some(p) if p.seq == reply.seq && reply.instance == self.config.instance => p.sent,
+            _ => return,
+        };
+        if reply.epoch < self.epoch {
+            return;
+        }
+        self.pending = None;
+        let until = sent.plus(reply.life_ms);
+        match reply.epoch > self.epoch {
+            // The holdings must be told to the new leader before it grants.
+            true => {
+                self.epoch = reply.epoch;
+                self.urgent = true;
+            }
+            false if now < until => {
+                for grant in &reply.grants {
+                    self.apply(now, until, grant);
+                }
+            }
+            false => {}
+        }
+    }
+
+    fn apply(&mut self, now: Millis, until: Millis, grant: &Grant) {
+        let share = self.share(now, &grant.workspace);
+        let level = share.level + grant.tokens;
+        share.level = level.min(grant.cap);
+        share.surplus += level - share.level;
+        share.rate = grant.rate;
+        share.cap = grant.cap;
+        share.until = until;
+        share.retry_ms = grant.retry_ms;
+        let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
+        self.urgent |= ahead > share.level && grant.retry_ms == 0;
+    }
+
+    fn share(&mut self, now: Millis, workspace: &Name) -> &mut Share {
+        if !self.shares.contains_key(workspace) {
+            let share = Share {
+                at: now,
+                counted: now,
+                used: now,
+                ..Share::default()
+            };
+            self.shares.insert(workspace.clone(), share);
+        }
+        let share = &mut self.shares[workspace];
+        share.advance(now);
+        share
+    }
+}
+
+impl Share {
+    fn advance(&mut self, now: Millis) {
+        if now >= self.until {
+            self.rate = 0;
+            self.cap = 0;
+            self.level = 0;
+            self.surplus = 0;
+        }
+        let refill = self.rate.saturating_mul(now.since(self.at));
+        self.level = self.level.saturating_add(refill).min(self.cap);
+        self.at = self.at.max(now);
+        while self.waiting.front().is_some_and(|w| w.0 <= now) {
+            self.waiting.pop_front();
+        }
+    }
+
+    fn count(&mut self, now: Millis, amount: u64) {
+        self.demand = self.demand_at(now) + amount as f64;
+        self.counted = now;
+        self.used = now;
+    }
+
+    fn demand_at(&self, now: Millis) -> f64 {
+        self.demand * (-(now.since(self.counted) as f64) / DEMAND_MS).exp()
+    }
+
+    fn spend(&mut self, needed: u64, amount: u64) -> bool {
+        let enough = self.level >= needed;
+        if enough {
+            self.level -= amount;
+        }
+        enough
+    }
+
+    /// Time until the bucket alone holds an amount.
+    fn accrual_ms(&self, amount: u64) -> u64 {
+        match amount.saturating_sub(self.level) {
+            _ if amount > self.cap || self.rate == 0 => u64::MAX,
+            short => short.div_ceil(self.rate),
+        }
+    }
+
+    fn want(&mut self, now: Millis, workspace: &Name) -> Want {
+        self.advance(now);
+        Want {
+            workspace: workspace.clone(),
+            rate: self.rate,
+            cap: self.cap,
+            level: self.level,
+            wanted: self.waiting.iter().map(|w| w.1).sum(),
+            demand: (self.demand_at(now) / DEMAND_MS) as u64,
+            returned: std::mem::take(&mut self.surplus),
+        }
+    }
+}
--- a/crates/protocol/src/grants.rs
+++ b/crates/protocol/src/grants.rs
@@ -1,52 +1,77 @@
 //! Messages between the rate ledger and the limiters of entries.
+//!
+//! Amounts are in units of [`TOKEN`], rates in units per millisecond. Each
+//! request tells everything that the entry holds for a workspace, so that a
+//! lost, duplicated or late message is never counted twice: an entry accepts
+//! only the reply to its latest request, and the ledger processes each request
+//! of an instance once, in order.
 
 use pomelovale_state::Name;
 use serde::{Deserialize, Serialize};
 
-/// Tokens that an entry asks for, for one workspace.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// Units of one token: a request of cost 1.
+pub const TOKEN: u64 = 1_000_000;
+
+/// What an entry holds, and wants, for one workspace.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Want {
     /// The workspace.
     pub workspace: Name,
-    /// Tokens wanted now.
-    pub tokens: u64,
-    /// Tokens spent since the last request that was answered.
-    pub spent: u64,
-    /// Unspent tokens given back.
+    /// Refill rate that the entry holds.
+    pub rate: u64,
+    /// Capacity of the bucket that the entry holds.
+    pub cap: u64,
+    /// Unspent amount in that bucket.
+    pub level: u64,
+    /// Amount wanted now for waiting requests.
+    pub wanted: u64,
+    /// Recent rate of requests, admitted or not.
+    pub demand: u64,
+    /// Unspent amount given back.
     pub returned: u64,
 }
 
 /// One entry's request for tokens.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GrantRequest {
     /// The entry instance, unique for each start of its process.
     pub instance: Name,
     /// Raised by one with each request.
     pub seq: u64,
+    /// Latest epoch that a reply carried. A leader of another epoch grants
+    /// nothing and tells its own epoch first.
+    pub epoch: u64,
     /// One row for each workspace.
     pub wants: Vec<Want>,
 }
 
-/// Tokens granted for one workspace.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// What is granted for one workspace; replaces what the entry held.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Grant {
     /// The workspace.
     pub workspace: Name,
-    /// Tokens granted.
+    /// Refill rate of the entry's bucket.
+    pub rate: u64,
+    /// Capacity of the entry's bucket.
+    pub cap: u64,
+    /// Amount added to the bucket.
     pub tokens: u64,
-    /// When tokens can be expected if none were granted.
+    /// Time until tokens can be expected if the workspace has used its limit;
+    /// zero while it is within its limit.
     pub retry_ms: u64,
 }
 
 /// The ledger's answer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GrantReply {
+    /// The instance answered.
+    pub instance: Name,
     /// The request answered.
     pub seq: u64,
     /// Epoch of the leader that granted.
     pub epoch: u64,
-    /// Life of the tokens, counted from the sending of the request.
+    /// Life of what is granted, counted from the sending of the request.
     pub life_ms: u64,
-    /// One row for each workspace asked for.
+    /// One row for each workspace asked for; empty if nothing was processed.
     pub grants: Vec<Grant>,
 }
