Add peer frames, authentication and connections

Cause: control instances and entries need an authenticated connection that carries every message between them.

--- /dev/null
+++ b/crates/protocol/src/frame.rs
@@ -0,0 +1,124 @@
+//! Frames of the peer protocol: length, version byte, bincode body.
+
+use std::fmt;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Version of the peer protocol; a frame of another version is refused.
+pub const PROTOCOL_VERSION: u8 = 1;
+/// Largest frame, header included.
+pub const FRAME_MAX_BYTES: usize = 1024 * 1024;
+/// Largest frame before the peer is authenticated, header included.
+pub const HANDSHAKE_MAX_BYTES: usize = 1024;
+/// Length field and version byte.
+pub const FRAME_HEADER_BYTES: usize = 5;
+
+/// Why a frame was refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FrameError {
+    /// The body is not a message of the expected type, or has bytes left over.
+    Malformed,
+    /// The frame is over the limit.
+    TooLarge,
+    /// The version byte is another one.
+    Version,
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            FrameError::Malformed => "malformed frame",
+            FrameError::TooLarge => "frame over the limit",
+            FrameError::Version => "frame of another protocol version",
+        })
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+fn body_config() -> impl bincode::config::Config {
+    // The limit also bounds what a forged length inside the body can reserve.
+    bincode::config::standard().with_limit::<FRAME_MAX_BYTES>()
+}
+
+/// Encodes a value without a frame around it.
+pub fn encode_body<T: Serialize>(value: &T) -> Result<Vec<u8>, FrameError> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .map_err(|_| FrameError::Malformed)
+}
+
+/// Decodes a value of at most [`FRAME_MAX_BYTES`]; every byte must be used.
+pub fn decode_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, FrameError> {
+    match bincode::serde::decode_from_slice(body, body_config()) {
+        Ok((value, used)) if used == body.len() => Ok(value),
+        _ => Err(FrameError::Malformed),
+    }
+}
+
+/// Decodes a value of any size that an authenticated peer sent in chunks.
+pub fn decode_large<T: DeserializeOwned>(body: &[u8]) -> Result<T, FrameError> {
+    match bincode::serde::decode_from_slice(body, bincode::config::standard()) {
+        Ok((value, used)) if used == body.len() => Ok(value),
+        _ => Err(FrameError::Malformed),
+    }
+}
+
+/// Encodes one message as a frame.
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, FrameError> {
+    let body = encode_body(message)?;
+    let size = body.len() + FRAME_HEADER_BYTES;
+    if size > FRAME_MAX_BYTES {
+        return Err(FrameError::TooLarge);
+    }
+    let mut frame = BytesMut::with_capacity(size);
+    frame.put_u32(size as u32);
+    frame.put_u8(PROTOCOL_VERSION);
+    frame.put_slice(&body);
+    Ok(frame.freeze())
+}
+
+/// Cuts a byte stream into frames and decodes them.
+#[derive(Debug)]
+pub struct Decoder {
+    buffer: BytesMut,
+    limit: usize,
+}
+
+impl Decoder {
+    /// A decoder that refuses frames over `limit` bytes.
+    pub fn new(limit: usize) -> Decoder {
+        Decoder {
+            buffer: BytesMut::new(),
+            limit,
+        }
+    }
+
+    /// Changes the limit, after authentication.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
+    /// Adds received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next complete message; `None` if more bytes are needed.
+    pub fn next_message<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+        if self.buffer.len() < FRAME_HEADER_BYTES {
+            return Ok(None);
+        }
+        let size = (&self.buffer[..4]).get_u32() as usize;
+        match size {
+            _ if self.buffer[4] != PROTOCOL_VERSION => return Err(FrameError::Version),
+            _ if size > self.limit => return Err(FrameError::TooLarge),
+            _ if size < FRAME_HEADER_BYTES => return Err(FrameError::Malformed),
+            _ if self.buffer.len() < size => return Ok(None),
+            _ => {}
+        }
+        let frame = self.buffer.split_to(size);
+        decode_body(&frame[FRAME_HEADER_BYTES..]).map(Some)
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,4 +1,7 @@
 //! Messages and codecs between processes, and HTTP rules.
 
+pub mod auth;
+pub mod frame;
 pub mod grants;
+pub mod messages;
 pub mod report;
--- /dev/null
+++ b/crates/transport/src/peer_link.rs
@@ -0,0 +1,390 @@
+//! One authenticated peer connection, the same for both sides.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::{RecvStream, SendStream};
+use pomelovale_protocol::auth::{Role, Secret};
+use pomelovale_protocol::frame::{self, Decoder, FrameError};
+use pomelovale_protocol::messages::PeerMessage;
+use pomelovale_state::Name;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// Messages that may wait on one connection; a peer that falls further
+/// behind is disconnected.
+const QUEUE_MAX: usize = 8_192;
+/// Snapshot chunks that may wait on one connection.
+const BULK_MAX: usize = 4;
+/// Flow-control window of the connection and its stream.
+pub(crate) const WINDOW_BYTES: u32 = 1024 * 1024;
+/// How long a closed connection may take to write what is queued.
+pub(crate) const FLUSH_MS: u64 = 200;
+
+/// Time limits of peer connections, in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeerTimings {
+    /// Longest time to connect and to authenticate.
+    pub connect_ms: u64,
+    /// Longest pause between two messages that this side sends.
+    pub heartbeat_ms: u64,
+    /// Longest pause before the first attempt to connect again.
+    pub retry_ms: u64,
+    /// A connection that received nothing for this long is closed.
+    pub silence_ms: u64,
+}
+
+impl Default for PeerTimings {
+    fn default() -> PeerTimings {
+        PeerTimings {
+            connect_ms: 1_000,
+            heartbeat_ms: 400,
+            retry_ms: 100,
+            silence_ms: 1_200,
+        }
+    }
+}
+
+/// What a process needs to open and to accept peer connections.
+#[derive(Clone, Debug)]
+pub struct PeerConfig {
+    /// Name of this instance.
+    pub name: Name,
+    /// Role of this instance.
+    pub role: Role,
+    /// The shared secret.
+    pub secret: Secret,
+    /// Time limits.
+    pub timings: PeerTimings,
+    /// Delay added to each message sent, for tests of distant regions.
+    pub delay_ms: u64,
+    /// Counters of all connections of the process.
+    pub counters: Arc<PeerCounters>,
+}
+
+/// Counters of all peer connections of a process.
+#[derive(Debug, Default)]
+pub struct PeerCounters {
+    /// Bytes received on the sockets.
+    pub received: AtomicU64,
+    /// Bytes sent on the sockets.
+    pub sent: AtomicU64,
+    /// Connections closed because of a refused frame or message.
+    pub rejected: AtomicU64,
+    /// Connections that failed to authenticate.
+    pub refused: AtomicU64,
+    /// Connections closed because nothing came in time.
+    pub silent: AtomicU64,
+}
+
+impl PeerCounters {
+    pub(crate) fn count_end(&self, end: LinkEnd) {
+        let (counter, name) = match end {
+            LinkEnd::Closed | LinkEnd::Failed => return,
+            LinkEnd::Refused => (&self.refused, "peer_authentications_refused_total"),
+            LinkEnd::Rejected => (&self.rejected, "peer_frames_rejected_total"),
+            LinkEnd::Silent => (&self.silent, "peer_connections_silent_total"),
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!(name).increment(1);
+    }
+
+    fn count_bytes(&self, received: usize, sent: usize) {
+        self.received.fetch_add(received as u64, Ordering::Relaxed);
+        self.sent.fetch_add(sent as u64, Ordering::Relaxed);
+        metrics::counter!("peer_bytes_received_total").increment(received as u64);
+        metrics::counter!("peer_bytes_sent_total").increment(sent as u64);
+    }
+}
+
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkEnd {
+    /// One side closed it.
+    Closed,
+    /// The connection failed.
+    Failed,
+    /// The peer failed to authenticate.
+    Refused,
+    /// A frame or message was refused.
+    Rejected,
+    /// Nothing was received in time.
+    Silent,
+}
+
+impl From<h2::Error> for LinkEnd {
+    fn from(_: h2::Error) -> LinkEnd {
+        LinkEnd::Failed
+    }
+}
+
+impl From<FrameError> for LinkEnd {
+    fn from(_: FrameError) -> LinkEnd {
+        LinkEnd::Rejected
+    }
+}
+
+/// What happens on the connections of a process.
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// A connection is authenticated.
+    Opened(PeerLink),
+    /// A message came on the connection with this identifier.
+    Message(u64, PeerMessage),
+    /// The connection with this identifier ended.
+    Closed(u64),
+}
+
+type Queued = (Instant, PeerMessage);
+
+/// The sending side of a connection; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct PeerLink {
+    /// Unique within the process.
+    pub id: u64,
+    /// Instance at the other end.
+    pub peer: Name,
+    /// Role of the instance at the other end.
+    pub role: Role,
+    queue: flume::Sender<Queued>,
+    bulk: flume::Sender<Queued>,
+    closed: Arc<Notify>,
+}
+
+impl PeerLink {
+    /// Queues a message. A connection whose queue is full is closed.
+    pub fn send(&self, message: PeerMessage) -> bool {
+        let sent = self.queue.try_send((Instant::now(), message)).is_ok();
+        if !sent {
+            self.close();
+        }
+        sent
+    }
+
+    /// Sends large messages one after the other, behind all others.
+    pub fn send_bulk(&self, messages: impl Iterator<Item = PeerMessage> + Send + 'static) {
+        let bulk = self.bulk.clone();
+        tokio::spawn(async move {
+            for message in messages {
+                if bulk.send_async((Instant::now(), message)).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Closes the connection from this side; queued messages may be lost.
+    pub fn close(&self) {
+        self.closed.notify_one();
+    }
+}
+
+/// The receiving side of the queues of a [`PeerLink`].
+pub(crate) struct Outgoing {
+    queue: flume::Receiver<Queued>,
+    bulk: flume::Receiver<Queued>,
+    closed: Arc<Notify>,
+}
+
+pub(crate) fn link(peer: Name, role: Role) -> (PeerLink, Outgoing) {
+    static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+    let (queue, queue_out) = flume::bounded(QUEUE_MAX);
+    let (bulk, bulk_out) = flume::bounded(BULK_MAX);
+    let closed = Arc::new(Notify::new());
+    let outgoing = Outgoing {
+        queue: queue_out,
+        bulk: bulk_out,
+        closed: closed.clone(),
+    };
+    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+    let link = PeerLink {
+        id,
+        peer,
+        role,
+        queue,
+        bulk,
+        closed,
+    };
+    (link, outgoing)
+}
+
+/// Both directions of the stream of a connection.
+pub(crate) struct Frames {
+    pub(crate) send: SendStream<Bytes>,
+    pub(crate) receive: RecvStream,
+    pub(crate) decoder: Decoder,
+}
+
+impl Frames {
+    pub(crate) async fn read<T: DeserializeOwned>(&mut self) -> Result<T, LinkEnd> {
+        read_message(&mut self.receive, &mut self.decoder).await
+    }
+
+    pub(crate) async fn write<T: Serialize>(&mut self, message: &T) -> Result<(), LinkEnd> {
+        write_bytes(&mut self.send, frame::encode(message)?).await
+    }
+}
+
+async fn read_message<T: DeserializeOwned>(
+    receive: &mut RecvStream,
+    decoder: &mut Decoder,
+) -> Result<T, LinkEnd> {
+    loop {
+        if let Some(message) = decoder.next_message()? {
+            return Ok(message);
+        }
+        let bytes = receive.data().await.ok_or(LinkEnd::Closed)??;
+        receive.flow_control().release_capacity(bytes.len())?;
+        decoder.push(&bytes);
+    }
+}
+
+async fn write_bytes(send: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkEnd> {
+    while !bytes.is_empty() {
+        send.reserve_capacity(bytes.len());
+        let room = poll_fn(|cx| send.poll_capacity(cx)).await;
+        let room = room.ok_or(LinkEnd::Closed)??;
+        send.send_data(bytes.split_to(room.min(bytes.len())), false)?;
+    }
+    Ok(())
+}
+
+/// Exchanges messages on an authenticated connection until it ends.
+pub(crate) async fn run(
+    config: &PeerConfig,
+    id: u64,
+    frames: Frames,
+    outgoing: Outgoing,
+    events: &flume::Sender<PeerEvent>,
+) -> LinkEnd {
+    let Frames {
+        mut send,
+        mut receive,
+        mut decoder,
+    } = frames;
+    let closed = outgoing.closed.clone();
+    let reader = async {
+        let limit = Duration::from_millis(config.timings.silence_ms);
+        loop {
+            let message = match timeout(limit, read_message(&mut receive, &mut decoder)).await {
+                Err(_) => return LinkEnd::Silent,
+                Ok(Err(end)) => return end,
+                Ok(Ok(PeerMessage::Ping)) => continue,
+                Ok(Ok(message)) => message,
+            };
+            if events
+                .send_async(PeerEvent::Message(id, message))
+                .await
+                .is_err()
+            {
+                return LinkEnd::Closed;
+            }
+        }
+    };
+    let writer = async {
+        let delay = Duration::from_millis(config.delay_ms);
+        let pause = Duration::from_millis(config.timings.heartbeat_ms);
+        loop {
+            let message = match next_message(&outgoing, delay, pause).await {
+                Err(end) => return end,
+                Ok(message) => message,
+            };
+            let written = match frame::encode(&message) {
+                Ok(bytes) => write_bytes(&mut send, bytes).await,
+                // A message over the limit is lost; the connection is sound.
+                Err(_) => {
+                    metrics::counter!("peer_messages_oversize_total").increment(1);
+                    Ok(())
+                }
+            };
+            if let Err(end) = written {
+                return end;
+            }
+        }
+    };
+    tokio::select! {
+        end = reader => end,
+        end = writer => end,
+        () = closed.notified() => LinkEnd::Closed,
+    }
+}
+
+// The delay is counted from when a message was queued, so that it adds to the
+// latency without limiting the throughput.
+async fn next_message(
+    outgoing: &Outgoing,
+    delay: Duration,
+    pause: Duration,
+) -> Result<PeerMessage, LinkEnd> {
+    let received = tokio::select! {
+        biased;
+        m = outgoing.queue.recv_async() => m,
+        m = outgoing.bulk.recv_async() => m,
+        () = tokio::time::sleep(pause) => return Ok(PeerMessage::Ping),
+    };
+    let (queued, message) = received.map_err(|_| LinkEnd::Closed)?;
+    if !delay.is_zero() {
+        sleep_until(queued + delay).await;
+    }
+    Ok(message)
+}
+
+/// A socket that counts its bytes.
+pub(crate) struct Counted {
+    socket: TcpStream,
+    counters: Arc<PeerCounters>,
+}
+
+impl Counted {
+    pub(crate) fn new(socket: TcpStream, counters: Arc<PeerCounters>) -> Counted {
+        // Small messages are not held back for larger segments.
+        let _ = socket.set_nodelay(true);
+        Counted { socket, counters }
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.socket).poll_read(cx, buffer);
+        self.counters.count_bytes(buffer.filled().len() - before, 0);
+        result
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.socket).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(n)) = result {
+            self.counters.count_bytes(0, n);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
