Add the first version of the steering decisions

Change: balancer, ejection, evidence, admission, fair queue, concurrency limit, retry budget, quarantine, hedging, split, region selection and entry ranking as pure code, with the simple baselines as further enum variants.

--- /dev/null
+++ b/crates/steering/src/admission.rs
@@ -0,0 +1,291 @@
+//! Admission of requests to one service on one entry.
+//!
+//! A ticket is in exactly one place: in flight, in a queue, or gone. Whatever
+//! is refused or cancelled has left its queue before the caller is told.
+
+use indexmap::IndexSet;
+use pomelovale_state::{Millis, Name};
+
+use crate::concurrency::Limit;
+use crate::fair_queue::{FairQueue, QueuePolicy};
+use crate::{AttemptEnd, Class};
+
+pub use crate::fair_queue::Ticket;
+
+/// Share of the concurrency limit that deferrable work may fill.
+pub const DEFERRABLE_SHARE: f64 = 0.6;
+
+/// Shortest `Retry-After` of a refusal in milliseconds.
+const RETRY_AFTER_MIN_MS: u64 = 100;
+
+/// How requests are admitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionPolicy {
+    /// Learned concurrency limit, fair queue, early shedding.
+    Fair,
+    /// The same limit with one queue in order of arrival; kept for comparison.
+    Fifo,
+    /// Everything is admitted at once; kept for comparison.
+    Open,
+}
+
+/// Bounds of admission.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionLimits {
+    /// Concurrency limit at the start.
+    pub start: u32,
+    /// Lowest concurrency limit.
+    pub min: u32,
+    /// Highest concurrency limit.
+    pub max: u32,
+    /// Most requests that wait.
+    pub queue: usize,
+    /// Longest wait of an interactive request in milliseconds.
+    pub wait_ms: u64,
+    /// Longest wait of a deferrable request in milliseconds.
+    pub defer_ms: u64,
+}
+
+impl Default for AdmissionLimits {
+    fn default() -> AdmissionLimits {
+        AdmissionLimits {
+            start: 16,
+            min: 2,
+            max: 1_024,
+            queue: 512,
+            wait_ms: 1_000,
+            defer_ms: 30_000,
+        }
+    }
+}
+
+/// Answer to an offered request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It may run now.
+    Admitted,
+    /// It waits; `release` admits it or `take_refused` refuses it.
+    Queued,
+    /// It is refused and was not run.
+    Refused {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+}
+
+/// A waiting request that is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// The request.
+    pub ticket: Ticket,
+    /// When to try again.
+    pub retry_after_ms: u64,
+}
+
+/// The end of an admitted request.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// The request.
+    pub ticket: Ticket,
+    /// How its last attempt ended.
+    pub end: AttemptEnd,
+    /// Time at the backend server in milliseconds.
+    pub latency_ms: u64,
+}
+
+/// Admits the requests of one service on one entry.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    policy: AdmissionPolicy,
+    limits: AdmissionLimits,
+    limit: Limit,
+    in_flight: IndexSet<Ticket>,
+    queue: FairQueue,
+    deferred: FairQueue,
+    displaced: Vec<Refused>,
+    request_ms: f64,
+}
+
+impl Admission {
+    /// An admission with nothing in flight.
+    pub fn new(policy: AdmissionPolicy, limits: AdmissionLimits) -> Admission {
+        let order = match policy {
+            AdmissionPolicy::Fair => QueuePolicy::Fair,
+            AdmissionPolicy::Fifo | AdmissionPolicy::Open => QueuePolicy::Fifo,
+        };
+        Admission {
+            policy,
+            limits,
+            limit: Limit::new(limits.start, limits.min, limits.max),
+            in_flight: IndexSet::new(),
+            queue: FairQueue::new(order),
+            deferred: FairQueue::new(order),
+            displaced: Vec::new(),
+            request_ms: 0.0,
+        }
+    }
+
+    /// Sets the weight of a workspace in the fair queue.
+    pub fn set_weight(&mut self, workspace: &Name, weight: u32) {
+        self.queue.set_weight(workspace, weight);
+        self.deferred.set_weight(workspace, weight);
+    }
+
+    /// Changes the bounds of the concurrency limit.
+    pub fn set_bounds(&mut self, min: u32, max: u32) {
+        self.limit.set_bounds(min, max);
+    }
+
+    /// Offers a request.
+    pub fn offer(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        workspace: &Name,
+        class: Class,
+    ) -> Verdict {
+        if self.has_room(class) && self.no_queue(class) {
+            self.queue.charge(workspace);
+            self.in_flight.insert(ticket);
+            return Verdict::Admitted;
+        }
+        if class == Class::Deferrable {
+            return self.defer(now, ticket, workspace);
+        }
+        if self.expected_wait(workspace) > self.limits.wait_ms as f64 {
+            return self.refusal();
+        }
+        self.queue.push(now, ticket, workspace);
+        match self.queue.len() > self.limits.queue {
+            true => self.shed_longest(ticket),
+            false => Verdict::Queued,
+        }
+    }
+
+    /// Ends an admitted request; returns the tickets that are admitted next.
+    pub fn release(&mut self, now: Millis, ended: Ended) -> Vec<Ticket> {
+        if !self.in_flight.swap_remove(&ended.ticket) {
+            return Vec::new();
+        }
+        let beside = self.in_flight.len() as u32 + 1;
+        self.limit.record(now, ended.end, ended.latency_ms, beside);
+        if ended.end == AttemptEnd::Complete {
+            self.request_ms += (ended.latency_ms as f64 - self.request_ms) * 0.05;
+        }
+        self.admit_next()
+    }
+
+    /// Takes a request out, wherever it is, after its caller has gone. Returns
+    /// the tickets that are admitted next.
+    pub fn cancel(&mut self, ticket: Ticket) -> Vec<Ticket> {
+        if !self.queue.remove(ticket) && !self.deferred.remove(ticket) {
+            self.in_flight.swap_remove(&ticket);
+        }
+        self.admit_next()
+    }
+
+    /// Takes out the requests that have waited too long or were displaced.
+    /// Call at least every few tens of milliseconds and after each offer.
+    pub fn take_refused(&mut self, now: Millis) -> Vec<Refused> {
+        let retry_after_ms = self.retry_after();
+        let mut refused = std::mem::take(&mut self.displaced);
+        let late = self.queue.take_expired(now, self.limits.wait_ms);
+        let deferred = self.deferred.take_expired(now, self.limits.defer_ms);
+        let refuse = |ticket| Refused {
+            ticket,
+            retry_after_ms,
+        };
+        refused.extend(late.into_iter().chain(deferred).map(refuse));
+        refused
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len() + self.deferred.len()
+    }
+
+    /// The concurrency limit now.
+    pub fn limit(&self) -> u32 {
+        self.limit.current()
+    }
+
+    /// Expected wait of a new request of a workspace in milliseconds.
+    pub fn expected_wait(&self, workspace: &Name) -> f64 {
+        if self.queue.is_empty() {
+            return 0.0;
+        }
+        self.queue.ahead(workspace) * self.request_ms / f64::from(self.limit.current().max(1))
+    }
+
+    fn has_room(&self, class: Class) -> bool {
+        let limit = f64::from(self.limit.current());
+        let room = match class {
+            Class::Deferrable => limit * DEFERRABLE_SHARE,
+            Class::Idempotent | Class::Once => limit,
+        };
+        self.policy == AdmissionPolicy::Open || (self.in_flight.len() as f64) < room
+    }
+
+    fn no_queue(&self, class: Class) -> bool {
+        self.queue.is_empty() && (class != Class::Deferrable || self.deferred.is_empty())
+    }
+
+    fn defer(&mut self, now: Millis, ticket: Ticket, workspace: &Name) -> Verdict {
+        if self.deferred.len() >= self.limits.queue {
+            return self.refusal();
+        }
+        self.deferred.push(now, ticket, workspace);
+        Verdict::Queued
+    }
+
+    fn shed_longest(&mut self, offered: Ticket) -> Verdict {
+        let retry_after_ms = self.retry_after();
+        match self.queue.displace() {
+            Some((_, ticket)) if ticket == offered => Verdict::Refused { retry_after_ms },
+            Some((_, ticket)) => {
+                self.displaced.push(Refused {
+                    ticket,
+                    retry_after_ms,
+                });
+                Verdict::Queued
+            }
+            None => Verdict::Queued,
+        }
+    }
+
+    fn admit_next(&mut self) -> Vec<Ticket> {
+        let mut admitted = Vec::new();
+        while self.has_room(Class::Idempotent) {
+            let Some(ticket) = self.queue.pop() else {
+                break;
+            };
+            self.in_flight.insert(ticket);
+            admitted.push(ticket);
+        }
+        while self.queue.is_empty() && self.has_room(Class::Deferrable) {
+            let Some(ticket) = self.deferred.pop() else {
+                break;
+            };
+            self.in_flight.insert(ticket);
+            admitted.push(ticket);
+        }
+        admitted
+    }
+
+    fn refusal(&self) -> Verdict {
+        Verdict::Refused {
+            retry_after_ms: self.retry_after(),
+        }
+    }
+
+    fn retry_after(&self) -> u64 {
+        let waiting = self.queue.len() as f64 * self.request_ms;
+        let drain_ms = waiting / f64::from(self.limit.current().max(1));
+        (drain_ms as u64).max(RETRY_AFTER_MIN_MS)
+    }
+}
--- /dev/null
+++ b/crates/steering/src/balancer.rs
@@ -0,0 +1,450 @@
+//! Selection of the backend server for an attempt.
+
+use indexmap::IndexMap;
+use pomelovale_state::{Millis, Name};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::baseline;
+use crate::ejection::{Ejection, Health, EJECTED_SHARE};
+use crate::evidence::Evidence;
+use crate::{AttemptEnd, Class};
+
+pub use crate::evidence::LoadReport;
+
+/// Round trip between failure domains of a region in milliseconds.
+const DOMAIN_RTT_MS: f64 = 3.0;
+
+/// Round trip between regions in milliseconds.
+const REGION_RTT_MS: f64 = 110.0;
+
+/// Time between two attempts at a server on probation, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 100;
+
+/// How a server is selected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BalancerPolicy {
+    /// Fewest own requests outstanding; kept for comparison.
+    LeastOutstanding,
+    /// Any server; kept for comparison.
+    Random,
+    /// In turn; kept for comparison.
+    RoundRobin,
+    /// The entry's share of each server's slots first, then the server with
+    /// the shortest expected wait.
+    SlotShares,
+}
+
+/// A backend server as the document describes it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerInfo {
+    /// Its name.
+    pub name: Name,
+    /// Region it runs in.
+    pub region: Name,
+    /// Failure domain it runs in.
+    pub domain: Name,
+    /// Requests it can run at a time.
+    pub slots: u32,
+    /// Connections it accepts from all entries together.
+    pub connections: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// An entry that uses the same servers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntryInfo {
+    /// Its name.
+    pub name: Name,
+    /// Region it runs in.
+    pub region: Name,
+    /// Failure domain it runs in.
+    pub domain: Name,
+    /// Whether callers are no longer sent to it.
+    pub leaving: bool,
+}
+
+/// An attempt that needs a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Kind of request.
+    pub class: Class,
+    /// Servers that must not be chosen, such as those tried before.
+    pub exclude: &'a [Name],
+    /// The only region allowed; any if absent.
+    pub region: Option<&'a Name>,
+}
+
+/// The server chosen for an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub server: Name,
+    /// Its region.
+    pub region: Name,
+    /// Expected wait at it in milliseconds.
+    pub wait_ms: f64,
+}
+
+/// Load of a service in one region as this entry sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionLoad {
+    /// The region.
+    pub region: Name,
+    /// Slots of the servers that take work.
+    pub slots: u32,
+    /// Requests at these servers by their reports.
+    pub load: f64,
+    /// Expected wait of a new request in milliseconds.
+    pub wait_ms: f64,
+    /// Age of the oldest report used; `None` without any.
+    pub oldest_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Server {
+    info: ServerInfo,
+    evidence: Evidence,
+    ejection: Ejection,
+    probed: Millis,
+    share: u32,
+    most: u32,
+}
+
+/// Selects servers of one service for one entry.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    policy: BalancerPolicy,
+    rng: SmallRng,
+    own: Name,
+    entries: Vec<EntryInfo>,
+    servers: IndexMap<Name, Server>,
+    cursor: usize,
+    candidates: Vec<usize>,
+}
+
+impl Balancer {
+    /// A balancer that knows no server.
+    pub fn new(policy: BalancerPolicy, seed: u64) -> Balancer {
+        Balancer {
+            policy,
+            rng: SmallRng::seed_from_u64(seed),
+            own: Name::default(),
+            entries: Vec::new(),
+            servers: IndexMap::new(),
+            cursor: seed as usize % 1_024,
+            candidates: Vec::new(),
+        }
+    }
+
+    /// Sets the entries that share the servers, and which of them this one is.
+    pub fn set_entries(&mut self, own: &Name, entries: &[EntryInfo]) {
+        self.own = own.clone();
+        self.entries = entries.to_vec();
+        self.entries
+            .sort_by(|a, b| (&a.region, &a.domain, &a.name).cmp(&(&b.region, &b.domain, &b.name)));
+        self.divide();
+    }
+
+    /// Replaces the list of servers. A server that joins a known list is cold.
+    pub fn set_servers(&mut self, now: Millis, list: &[ServerInfo]) {
+        let first = self.servers.is_empty();
+        let mut before = std::mem::take(&mut self.servers);
+        for info in list {
+            let old = before.swap_remove(&info.name);
+            let joined = !first && old.is_none();
+            let mut server = old.unwrap_or_else(|| Server::new(info));
+            server.info = info.clone();
+            if joined {
+                server.evidence.start_ramp(now);
+            }
+            self.servers.insert(info.name.clone(), server);
+        }
+        self.divide();
+    }
+
+    /// Records a load report. `at` is when it was asked for.
+    pub fn report_load(&mut self, at: Millis, server: &Name, report: LoadReport) {
+        if let Some(s) = self.servers.get_mut(server) {
+            s.evidence.report(at, report);
+        }
+    }
+
+    /// Chooses a server; `None` if none may be used.
+    pub fn choose(&mut self, now: Millis, request: &Request<'_>) -> Option<Choice> {
+        let mut candidates = std::mem::take(&mut self.candidates);
+        candidates.clear();
+        let usable = |(_, s): &(usize, &Server)| s.is_allowed(request);
+        let found = self.servers.values().enumerate().filter(usable);
+        candidates.extend(found.map(|(i, _)| i));
+        let chosen = match self.policy {
+            BalancerPolicy::LeastOutstanding => {
+                let cost = |i: usize| f64::from(self.servers[i].evidence.outstanding());
+                baseline::least(&candidates, &mut self.rng, cost)
+            }
+            BalancerPolicy::Random => baseline::random(&candidates, &mut self.rng),
+            BalancerPolicy::RoundRobin => baseline::round_robin(&candidates, &mut self.cursor),
+            BalancerPolicy::SlotShares => self.choose_by_share(now, request, &mut candidates),
+        };
+        self.candidates = candidates;
+        let server = &self.servers[chosen?];
+        Some(Choice {
+            server: server.info.name.clone(),
+            region: server.info.region.clone(),
+            wait_ms: server.wait(now, 0.0),
+        })
+    }
+
+    /// Records the start of an attempt.
+    pub fn start(&mut self, now: Millis, server: &Name) {
+        if let Some(s) = self.servers.get_mut(server) {
+            s.evidence.start(now);
+        }
+    }
+
+    /// Records the end of an attempt.
+    pub fn finish(&mut self, now: Millis, server: &Name, end: AttemptEnd, latency_ms: u64) {
+        let room = end == AttemptEnd::Complete || self.may_eject(now, server);
+        let jitter = self.rng.random::<f64>();
+        if let Some(s) = self.servers.get_mut(server) {
+            s.evidence.finish(now, end, latency_ms);
+            if s.ejection.record(now, end, room, jitter) {
+                s.evidence.start_ramp(now);
+            }
+        }
+    }
+
+    /// Own requests outstanding at a server.
+    pub fn outstanding(&self, server: &Name) -> u32 {
+        self.servers
+            .get(server)
+            .map_or(0, |s| s.evidence.outstanding())
+    }
+
+    /// Whether a server is in use, on probation or ejected.
+    pub fn health(&self, now: Millis, server: &Name) -> Option<Health> {
+        self.servers.get(server).map(|s| s.ejection.health(now))
+    }
+
+    /// Load of each region, for the selection of regions and for measurements.
+    pub fn region_loads(&self, now: Millis) -> Vec<RegionLoad> {
+        let mut loads: IndexMap<Name, RegionLoad> = IndexMap::new();
+        for s in self.servers.values().filter(|s| s.takes_work(now)) {
+            let load = loads
+                .entry(s.info.region.clone())
+                .or_insert_with(|| RegionLoad::new(&s.info.region));
+            load.slots += s.info.slots;
+            load.load += s.evidence.reported_load();
+            load.oldest_ms = load.oldest_ms.max(s.evidence.report_age(now));
+            load.wait_ms += s.wait(now, 0.0) * f64::from(s.info.slots);
+        }
+        for load in loads.values_mut() {
+            load.wait_ms /= f64::from(load.slots.max(1));
+        }
+        loads.into_values().collect()
+    }
+
+    fn choose_by_share(
+        &mut self,
+        now: Millis,
+        request: &Request<'_>,
+        candidates: &mut Vec<usize>,
+    ) -> Option<usize> {
+        if request.class == Class::Idempotent {
+            if let Some(i) = self.due_probe(now, candidates) {
+                self.servers[i].probed = now;
+                return Some(i);
+            }
+        }
+        let all = candidates.clone();
+        candidates.retain(|&i| self.servers[i].is_usable(now));
+        let list = match candidates.is_empty() {
+            true => &all,
+            false => &*candidates,
+        };
+        let home = self.home();
+        let usual = self.usual_load(now, list);
+        let servers = &self.servers;
+        let cost = |i: usize| {
+            let s = &servers[i];
+            s.cost(now, usual) + s.distance(home.as_ref())
+        };
+        baseline::least(list, &mut self.rng, cost)
+    }
+
+    fn due_probe(&self, now: Millis, candidates: &[usize]) -> Option<usize> {
+        let due = |&&i: &&usize| self.servers[i].is_probe_due(now);
+        candidates.iter().find(due).copied()
+    }
+
+    /// Mean work of other entries for each slot, by the reports. One report
+    /// alone cannot make its server look idle.
+    fn usual_load(&self, now: Millis, list: &[usize]) -> f64 {
+        let mut sum = 0.0;
+        let mut weight = 0.0;
+        for &i in list {
+            let s = &self.servers[i];
+            let w = s.evidence.report_weight(now);
+            sum += w * s.evidence.others() / f64::from(s.info.slots.max(1));
+            weight += w;
+        }
+        match weight > 0.0 {
+            true => sum / weight,
+            false => 0.0,
+        }
+    }
+
+    fn home(&self) -> Option<(Name, Name)> {
+        let own = self.entries.iter().find(|e| e.name == self.own)?;
+        Some((own.region.clone(), own.domain.clone()))
+    }
+
+    fn may_eject(&self, now: Millis, server: &Name) -> bool {
+        let Some(target) = self.servers.get(server) else {
+            return false;
+        };
+        let peers = self
+            .servers
+            .values()
+            .filter(|s| s.info.region == target.info.region && !s.info.leaving);
+        let (mut all, mut out) = (0.0, 0.0);
+        for s in peers {
+            all += 1.0;
+            out += f64::from(u8::from(s.ejection.health(now) != Health::Serving));
+        }
+        all > 1.0 && (out == 0.0 || out + 1.0 <= all * EJECTED_SHARE)
+    }
+
+    /// Divides the slots and connections of each region among its entries.
+    /// Slots in a row go to the same entry, so that most servers are used by
+    /// few entries, which then know most of their work.
+    fn divide(&mut self) {
+        let Some((region, _)) = self.home() else {
+            self.divide_alone();
+            return;
+        };
+        let near: Vec<&EntryInfo> = self
+            .entries
+            .iter()
+            .filter(|e| e.region == region && !e.leaving)
+            .collect();
+        let count = near.len().max(1) as u32;
+        let place = near.iter().position(|e| e.name == self.own);
+        let mut order: Vec<usize> = (0..self.servers.len())
+            .filter(|&i| self.servers[i].info.region == region && !self.servers[i].info.leaving)
+            .collect();
+        order.sort_by(|&a, &b| {
+            let (a, b) = (&self.servers[a].info, &self.servers[b].info);
+            (&a.domain, &a.name).cmp(&(&b.domain, &b.name))
+        });
+        let total: u32 = order.iter().map(|&i| self.servers[i].info.slots).sum();
+        let entries = self.entries.len().max(1) as u32;
+        for s in self.servers.values_mut() {
+            s.share = 0;
+            s.most = (s.info.connections / entries).max(1);
+        }
+        let mut slot = 0;
+        for i in order {
+            let s = &mut self.servers[i];
+            let owner = |k: u32| u64::from(k) * u64::from(count) / u64::from(total.max(1));
+            let slots = slot..slot + s.info.slots;
+            let owned = slots.filter(|&k| place.is_some_and(|p| owner(k) == p as u64));
+            s.share = owned.count() as u32;
+            slot += s.info.slots;
+        }
+    }
+
+    fn divide_alone(&mut self) {
+        for s in self.servers.values_mut() {
+            s.share = s.info.slots;
+            s.most = s.info.connections.max(1);
+        }
+    }
+}
+
+impl RegionLoad {
+    fn new(region: &Name) -> RegionLoad {
+        RegionLoad {
+            region: region.clone(),
+            slots: 0,
+            load: 0.0,
+            wait_ms: 0.0,
+            oldest_ms: None,
+        }
+    }
+}
+
+impl Server {
+    fn new(info: &ServerInfo) -> Server {
+        Server {
+            info: info.clone(),
+            evidence: Evidence::default(),
+            ejection: Ejection::default(),
+            probed: Millis(0),
+            share: info.slots,
+            most: info.connections.max(1),
+        }
+    }
+
+    fn is_allowed(&self, request: &Request<'_>) -> bool {
+        !self.info.leaving
+            && request.region.is_none_or(|r| r == &self.info.region)
+            && !request.exclude.contains(&self.info.name)
+            && self.evidence.outstanding() < self.most
+    }
+
+    fn takes_work(&self, now: Millis) -> bool {
+        !self.info.leaving && self.is_usable(now)
+    }
+
+    fn is_usable(&self, now: Millis) -> bool {
+        self.ejection.health(now) == Health::Serving
+            && !self.evidence.is_stalled(now)
+            && !self.evidence.is_paused(now)
+    }
+
+    fn is_probe_due(&self, now: Millis) -> bool {
+        matches!(self.ejection.health(now), Health::Probation { .. })
+            && self.evidence.outstanding() == 0
+            && now.since(self.probed) >= PROBE_INTERVAL_MS
+    }
+
+    fn slots(&self, now: Millis) -> f64 {
+        (f64::from(self.info.slots) * self.evidence.ramp(now)).max(1.0)
+    }
+
+    /// Expected requests at the server, own and others'.
+    fn load(&self, now: Millis, usual: f64) -> f64 {
+        let slots = f64::from(self.info.slots);
+        let weight = self.evidence.report_weight(now);
+        let reported = self.evidence.others().max(usual * slots * 0.7);
+        f64::from(self.evidence.outstanding()) + weight * reported + (1.0 - weight) * usual * slots
+    }
+
+    fn wait(&self, now: Millis, usual: f64) -> f64 {
+        let slots = self.slots(now);
+        let over = (self.load(now, usual) + 1.0 - slots).max(0.0);
+        self.evidence.latency_ms() * over / slots
+    }
+
+    fn cost(&self, now: Millis, usual: f64) -> f64 {
+        let own = f64::from(self.evidence.outstanding());
+        let slots = self.slots(now);
+        let share = f64::from(self.share) * self.evidence.ramp(now);
+        if own < share {
+            return self.evidence.latency_ms() * own / slots * 0.1;
+        }
+        let latency = self.evidence.latency_ms().max(1.0);
+        self.wait(now, usual) + latency * (self.load(now, usual) / slots)
+    }
+
+    fn distance(&self, home: Option<&(Name, Name)>) -> f64 {
+        match home {
+            None => 0.0,
+            Some((region, _)) if region != &self.info.region => REGION_RTT_MS,
+            Some((_, domain)) if domain != &self.info.domain => DOMAIN_RTT_MS,
+            Some(_) => 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/concurrency.rs
@@ -0,0 +1,95 @@
+//! Concurrency limit of one service on one entry, learned from own evidence.
+
+use pomelovale_state::Millis;
+
+use crate::AttemptEnd;
+
+/// Factor on the limit after congestion.
+const DECREASE: f64 = 0.9;
+
+/// Shortest time between two decreases in milliseconds, so that responses of
+/// requests sent before the first decrease cause no second one.
+const DECREASE_INTERVAL_MS: u64 = 100;
+
+/// Ratio of the recent latency to its floor that counts as congestion.
+const CONGESTED: f64 = 2.0;
+
+/// Ratio below which the limit may grow.
+const RELAXED: f64 = 1.5;
+
+/// Weight of a new sample in the recent latency.
+const SAMPLE: f64 = 0.1;
+
+/// Relative rise of the latency floor per sample, so that it follows a lasting
+/// change within a few hundred requests.
+const FLOOR_RISE: f64 = 0.002;
+
+/// A limit on the requests in flight.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    value: f64,
+    min: f64,
+    max: f64,
+    floor_ms: f64,
+    recent_ms: f64,
+    decreased: Millis,
+}
+
+impl Limit {
+    /// A limit that starts at `start` and stays between `min` and `max`.
+    pub fn new(start: u32, min: u32, max: u32) -> Limit {
+        Limit {
+            value: f64::from(start),
+            min: f64::from(min),
+            max: f64::from(max),
+            floor_ms: 0.0,
+            recent_ms: 0.0,
+            decreased: Millis(0),
+        }
+    }
+
+    /// Requests that may be in flight.
+    pub fn current(&self) -> u32 {
+        self.value as u32
+    }
+
+    /// Changes the bounds, for example when backend servers join or leave.
+    pub fn set_bounds(&mut self, min: u32, max: u32) {
+        (self.min, self.max) = (f64::from(min), f64::from(max.max(min)));
+        self.value = self.value.clamp(self.min, self.max);
+    }
+
+    /// Learns from the end of a request that had `in_flight` requests beside it.
+    pub fn record(&mut self, now: Millis, end: AttemptEnd, latency_ms: u64, in_flight: u32) {
+        match end {
+            AttemptEnd::Complete => self.learn(now, latency_ms as f64, in_flight),
+            AttemptEnd::Shed | AttemptEnd::TimedOut => self.decrease(now),
+            AttemptEnd::Cancelled | AttemptEnd::Failed => {}
+        }
+    }
+
+    fn learn(&mut self, now: Millis, latency_ms: f64, in_flight: u32) {
+        let latency_ms = latency_ms.max(1.0);
+        if self.recent_ms == 0.0 {
+            (self.recent_ms, self.floor_ms) = (latency_ms, latency_ms);
+        }
+        self.recent_ms += (latency_ms - self.recent_ms) * SAMPLE;
+        self.floor_ms = (self.floor_ms * (1.0 + FLOOR_RISE)).min(self.recent_ms);
+        let ratio = self.recent_ms / self.floor_ms;
+        let binding = f64::from(in_flight) >= self.value * 0.8;
+        match ratio {
+            r if r > CONGESTED => self.decrease(now),
+            r if r < RELAXED && binding => {
+                self.value = (self.value + 1.0 / self.value).min(self.max)
+            }
+            _ => {}
+        }
+    }
+
+    fn decrease(&mut self, now: Millis) {
+        if now.since(self.decreased) >= DECREASE_INTERVAL_MS {
+            self.decreased = now;
+            self.value = (self.value * DECREASE).max(self.min);
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/ejection.rs
@@ -0,0 +1,135 @@
+//! Ejection of a backend server on own evidence, and its return by probation.
+
+use pomelovale_state::Millis;
+
+use crate::AttemptEnd;
+
+/// Consecutive failures that eject a server.
+const CONSECUTIVE: u32 = 3;
+
+/// Recent failure rate that ejects a server that also answers at times.
+const FAILURE_RATE: f64 = 0.5;
+
+/// Weight of a new sample in the failure rate.
+const SAMPLE: f64 = 0.15;
+
+/// First time out of service in milliseconds; doubled for each one after it.
+const EJECTION_MS: u64 = 1_000;
+
+/// Longest time out of service in milliseconds.
+const EJECTION_MAX_MS: u64 = 30_000;
+
+/// Attempts that must succeed, one at a time, before a server is back.
+const PROBATION_PASSES: u32 = 3;
+
+/// Share of a region's servers that may be out on own evidence.
+pub const EJECTED_SHARE: f64 = 0.34;
+
+/// Whether a server gets requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Health {
+    /// No requests.
+    Ejected {
+        /// End of the ejection.
+        until: Millis,
+    },
+    /// One idempotent request at a time.
+    Probation {
+        /// Attempts that succeeded so far.
+        passed: u32,
+    },
+    /// Requests as usual.
+    Serving,
+}
+
+/// Failure record of one server.
+#[derive(Clone, Debug)]
+pub struct Ejection {
+    health: Health,
+    consecutive: u32,
+    rate: f64,
+    times: u32,
+}
+
+impl Default for Ejection {
+    fn default() -> Ejection {
+        Ejection {
+            health: Health::Serving,
+            consecutive: 0,
+            rate: 0.0,
+            times: 0,
+        }
+    }
+}
+
+impl Ejection {
+    /// Whether the server gets requests at `now`.
+    pub fn health(&self, now: Millis) -> Health {
+        match self.health {
+            Health::Ejected { until } if now >= until => Health::Probation { passed: 0 },
+            health => health,
+        }
+    }
+
+    /// Recent share of failed attempts.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// Records the end of an attempt. `room` tells whether one more server may
+    /// be ejected, `jitter` in 0..1 spreads the returns. Returns true when the
+    /// server has just passed its probation.
+    pub fn record(&mut self, now: Millis, end: AttemptEnd, room: bool, jitter: f64) -> bool {
+        let failed = match end {
+            AttemptEnd::Cancelled | AttemptEnd::Shed => return false,
+            AttemptEnd::Complete => 0.0,
+            AttemptEnd::Failed | AttemptEnd::TimedOut => 1.0,
+        };
+        self.rate += (failed - self.rate) * SAMPLE;
+        match failed > 0.0 {
+            true => self.fail(now, end, room, jitter),
+            false => self.pass(now),
+        }
+    }
+
+    fn pass(&mut self, now: Millis) -> bool {
+        self.consecutive = 0;
+        match self.health(now) {
+            Health::Probation { passed } if passed + 1 >= PROBATION_PASSES => {
+                self.health = Health::Serving;
+                self.rate = 0.0;
+                true
+            }
+            Health::Probation { passed } => {
+                self.health = Health::Probation { passed: passed + 1 };
+                false
+            }
+            Health::Ejected { .. } => false,
+            Health::Serving => {
+                self.times = if self.rate < 0.05 { 0 } else { self.times };
+                false
+            }
+        }
+    }
+
+    fn fail(&mut self, now: Millis, end: AttemptEnd, room: bool, jitter: f64) -> bool {
+        self.consecutive += 1;
+        let again = matches!(self.health(now), Health::Probation { .. });
+        let limit = self.consecutive >= CONSECUTIVE || self.rate > FAILURE_RATE;
+        match self.health {
+            Health::Ejected { until } if now < until => {}
+            _ if again => self.eject(now, jitter),
+            _ if room && (limit || end == AttemptEnd::TimedOut) => self.eject(now, jitter),
+            _ => {}
+        }
+        false
+    }
+
+    fn eject(&mut self, now: Millis, jitter: f64) {
+        let base = (EJECTION_MS << self.times.min(5)).min(EJECTION_MAX_MS);
+        let until = now.plus(base + (base as f64 * 0.5 * jitter) as u64);
+        self.times += 1;
+        self.consecutive = 0;
+        self.health = Health::Ejected { until };
+    }
+}
--- /dev/null
+++ b/crates/steering/src/entries.rs
@@ -0,0 +1,151 @@
+//! Ranking of the entries that callers are told to use.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use indexmap::IndexMap;
+use pomelovale_state::{Millis, Name};
+
+use crate::balancer::EntryInfo;
+
+/// Oldest measurement that may change the ranking, in milliseconds.
+pub const MEASURE_MAX_MS: u64 = 5_000;
+
+/// Most of a region's callers that move away or back in a second.
+const CHANGE_PER_SECOND: f64 = 0.01;
+
+/// Load over capacity that is ignored, so that lagging measurements cause no
+/// oscillation.
+const DEAD_BAND: f64 = 0.05;
+
+/// How callers are spread over regions.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntryPolicy {
+    /// The nearest region as far as it has headroom, then the next ones.
+    Headroom,
+    /// Always the nearest region; kept for comparison.
+    Nearest,
+}
+
+/// Load of one region over all services.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionHeadroom {
+    /// The region.
+    pub region: Name,
+    /// Requests that its servers can run at a time.
+    pub capacity: f64,
+    /// Requests at them now.
+    pub load: f64,
+    /// Failure domains of the region.
+    pub domains: u32,
+    /// When the load was measured.
+    pub sampled: Millis,
+}
+
+impl RegionHeadroom {
+    /// Capacity left after the loss of one failure domain.
+    pub fn usable(&self) -> f64 {
+        match self.domains {
+            0 | 1 => self.capacity,
+            n => self.capacity * (1.0 - 1.0 / f64::from(n)),
+        }
+    }
+}
+
+/// Part of each region's callers that is sent elsewhere.
+#[derive(Clone, Debug)]
+pub struct EntryRanking {
+    policy: EntryPolicy,
+    away: IndexMap<Name, f64>,
+    room: IndexMap<Name, f64>,
+    updated: Option<Millis>,
+}
+
+impl EntryRanking {
+    /// A ranking that sends all callers to their region.
+    pub fn new(policy: EntryPolicy) -> EntryRanking {
+        EntryRanking {
+            policy,
+            away: IndexMap::new(),
+            room: IndexMap::new(),
+            updated: None,
+        }
+    }
+
+    /// Adjusts the parts by new measurements. A region without a fresh one
+    /// keeps its part and receives no further callers.
+    pub fn update(&mut self, now: Millis, measures: &[RegionHeadroom]) {
+        let passed = self.updated.map_or(0, |at| now.since(at)).min(1_000);
+        self.updated = Some(now);
+        let step = CHANGE_PER_SECOND * passed as f64 / 1_000.0;
+        let fresh = |m: &&RegionHeadroom| now.since(m.sampled) <= MEASURE_MAX_MS;
+        for m in measures.iter().filter(fresh) {
+            let spare = (m.usable() - m.load) / m.capacity.max(1.0);
+            self.room.insert(m.region.clone(), spare);
+        }
+        for m in measures.iter().filter(fresh) {
+            let elsewhere = self.room.iter().filter(|(r, _)| *r != &m.region);
+            let best = elsewhere.map(|(_, spare)| *spare).fold(0.0, f64::max);
+            let over = m.load / m.capacity.max(1.0) - 1.0;
+            let away = self.away.entry(m.region.clone()).or_insert(0.0);
+            match over {
+                o if o > DEAD_BAND && best > DEAD_BAND => *away = (*away + step).min(0.5),
+                o if o < -DEAD_BAND => *away = (*away - step).max(0.0),
+                _ => {}
+            }
+        }
+    }
+
+    /// Part of a region's callers that is sent elsewhere.
+    pub fn away(&self, region: &Name) -> f64 {
+        self.away.get(region).copied().unwrap_or(0.0)
+    }
+
+    /// The entries in the order in which a caller block should use them.
+    /// `distance_ms` gives the distance of a region from the block. The order
+    /// within a region differs between blocks, so that they spread.
+    pub fn rank(
+        &self,
+        block: u64,
+        entries: &[EntryInfo],
+        distance_ms: impl Fn(&Name) -> f64,
+    ) -> Vec<Name> {
+        let mut regions: Vec<&Name> = Vec::new();
+        for e in entries.iter().filter(|e| !e.leaving) {
+            if !regions.contains(&&e.region) {
+                regions.push(&e.region);
+            }
+        }
+        regions.sort_by(|a, b| distance_ms(a).total_cmp(&distance_ms(b)).then(a.cmp(b)));
+        self.move_away(block, &mut regions);
+        let place = |e: &EntryInfo| regions.iter().position(|r| *r == &e.region);
+        let mut list: Vec<&EntryInfo> = entries.iter().filter(|e| !e.leaving).collect();
+        list.sort_by_key(|e| (place(e), mix(block, &e.name)));
+        list.into_iter().map(|e| e.name.clone()).collect()
+    }
+
+    fn move_away(&self, block: u64, regions: &mut Vec<&Name>) {
+        let Some(&first) = regions.first() else {
+            return;
+        };
+        let point = mix(block, first) as f64 / u64::MAX as f64;
+        let moves = self.policy == EntryPolicy::Headroom && point < self.away(first);
+        let spare = |r: &&&Name| self.room.get(**r).copied().unwrap_or(0.0);
+        let best = regions[1..]
+            .iter()
+            .max_by(|a, b| spare(a).total_cmp(&spare(b)))
+            .copied();
+        match best {
+            Some(region) if moves => {
+                regions.retain(|r| *r != region);
+                regions.insert(0, region);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn mix(block: u64, name: &Name) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (block, name).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/steering/src/evidence.rs
@@ -0,0 +1,169 @@
+//! What an entry knows about the load of one backend server.
+
+use pomelovale_state::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::AttemptEnd;
+
+/// Weight of a new sample in the recent latency.
+const SAMPLE: f64 = 0.2;
+
+/// Weight of a report in the estimate of the other entries' work.
+const REPORT_SAMPLE: f64 = 0.3;
+
+/// Age at which a load report has lost all weight, in milliseconds.
+pub const REPORT_MAX_MS: u64 = 5_000;
+
+/// Shortest silence with requests outstanding that makes a server suspect.
+const STALL_MIN_MS: f64 = 200.0;
+
+/// Silence that makes a server suspect, as a multiple of its recent latency.
+const STALL_FACTOR: f64 = 8.0;
+
+/// Time after a shed response without further requests, in milliseconds.
+const SHED_PAUSE_MS: u64 = 25;
+
+/// Duration of the gradual admission of a cold server in milliseconds.
+pub const RAMP_MS: u64 = 5_000;
+
+/// Part of its slots that a cold server gets at first.
+const RAMP_START: f64 = 0.2;
+
+/// Idle time after which a server counts as cold, in milliseconds.
+pub const IDLE_MS: u64 = 30_000;
+
+/// Load as a backend server reports it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Requests that it can run at a time.
+    pub slots: u32,
+    /// Requests that run.
+    pub busy: u32,
+    /// Requests that wait in it.
+    pub queued: u32,
+}
+
+/// Evidence about one backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    outstanding: u32,
+    latency_ms: f64,
+    progress: Millis,
+    paused: Millis,
+    warm_from: Option<Millis>,
+    used: Option<Millis>,
+    reported: Option<Millis>,
+    load: f64,
+    others: f64,
+}
+
+impl Evidence {
+    /// Own requests outstanding.
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding
+    }
+
+    /// Recent latency in milliseconds; zero before the first response.
+    pub fn latency_ms(&self) -> f64 {
+        self.latency_ms
+    }
+
+    /// Begins a gradual admission.
+    pub fn start_ramp(&mut self, now: Millis) {
+        self.warm_from = Some(now);
+    }
+
+    /// Part of the slots that may be filled now.
+    pub fn ramp(&self, now: Millis) -> f64 {
+        match self.warm_from {
+            None => 1.0,
+            Some(from) => (now.since(from) as f64 / RAMP_MS as f64).clamp(RAMP_START, 1.0),
+        }
+    }
+
+    /// Records the start of an attempt.
+    pub fn start(&mut self, now: Millis) {
+        match self.used {
+            Some(used) if self.outstanding == 0 && now.since(used) > IDLE_MS => {
+                self.start_ramp(now)
+            }
+            _ => {}
+        }
+        if self.outstanding == 0 {
+            self.progress = now;
+        }
+        self.used = Some(now);
+        self.outstanding += 1;
+    }
+
+    /// Records the end of an attempt.
+    pub fn finish(&mut self, now: Millis, end: AttemptEnd, latency_ms: u64) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        match end {
+            AttemptEnd::Complete => {
+                self.progress = now;
+                self.learn(latency_ms as f64);
+            }
+            AttemptEnd::Shed => {
+                self.progress = now;
+                self.paused = now.plus(SHED_PAUSE_MS);
+            }
+            AttemptEnd::Failed => self.progress = now,
+            AttemptEnd::Cancelled | AttemptEnd::TimedOut => {}
+        }
+    }
+
+    /// Records a load report sampled at `at`.
+    pub fn report(&mut self, at: Millis, report: LoadReport) {
+        let load = f64::from(report.busy) + f64::from(report.queued);
+        let others = (load - f64::from(self.outstanding)).max(0.0);
+        self.others += match self.reported {
+            None => others - self.others,
+            Some(_) => (others - self.others) * REPORT_SAMPLE,
+        };
+        self.load = load;
+        self.reported = Some(at);
+    }
+
+    /// Weight of the last report by its age, from 1 down to 0.
+    pub fn report_weight(&self, now: Millis) -> f64 {
+        match self.reported {
+            None => 0.0,
+            Some(at) => 1.0 - (now.since(at) as f64 / REPORT_MAX_MS as f64).min(1.0),
+        }
+    }
+
+    /// Age of the last report in milliseconds.
+    pub fn report_age(&self, now: Millis) -> Option<u64> {
+        self.reported.map(|at| now.since(at))
+    }
+
+    /// Load as last reported.
+    pub fn reported_load(&self) -> f64 {
+        self.load
+    }
+
+    /// Work of other entries by the reports, averaged.
+    pub fn others(&self) -> f64 {
+        self.others
+    }
+
+    /// Whether the server pauses after a shed response.
+    pub fn is_paused(&self, now: Millis) -> bool {
+        now < self.paused
+    }
+
+    /// Whether requests are outstanding and none has ended for so long that
+    /// the server is probably silent.
+    pub fn is_stalled(&self, now: Millis) -> bool {
+        let bound = (self.latency_ms * STALL_FACTOR).max(STALL_MIN_MS);
+        self.outstanding > 0 && now.since(self.progress) as f64 > bound
+    }
+
+    fn learn(&mut self, latency_ms: f64) {
+        self.latency_ms += match self.latency_ms == 0.0 {
+            true => latency_ms,
+            false => (latency_ms - self.latency_ms) * SAMPLE,
+        };
+    }
+}
--- /dev/null
+++ b/crates/steering/src/hedge.rs
@@ -0,0 +1,77 @@
+//! Hedging: a second attempt for a request that takes unusually long.
+
+use pomelovale_state::Millis;
+
+use crate::retry::RetryBudget;
+use crate::Class;
+
+/// Share of requests that finish before the hedging delay.
+pub const HEDGE_PERCENTILE: f64 = 0.95;
+
+/// Shortest delay before a hedge in milliseconds.
+pub const HEDGE_MIN_MS: f64 = 5.0;
+
+/// Latencies recorded before the estimate is used.
+pub const HEDGE_MIN_SAMPLES: u64 = 100;
+
+/// Relative step of the percentile estimate per sample.
+const STEP: f64 = 0.02;
+
+/// Whether requests are hedged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HedgePolicy {
+    /// No hedging; kept for comparison.
+    Off,
+    /// After a high percentile of the latency.
+    Percentile,
+}
+
+/// Estimates the hedging delay of one service.
+#[derive(Clone, Debug)]
+pub struct Hedge {
+    policy: HedgePolicy,
+    delay_ms: f64,
+    samples: u64,
+}
+
+impl Hedge {
+    /// An estimate without samples.
+    pub fn new(policy: HedgePolicy) -> Hedge {
+        Hedge {
+            policy,
+            delay_ms: HEDGE_MIN_MS,
+            samples: 0,
+        }
+    }
+
+    /// Records the latency of a complete idempotent request.
+    ///
+    /// The estimate rises by a step for a latency above it and falls by a
+    /// smaller one below it; the ratio of the steps sets the percentile.
+    pub fn record(&mut self, latency_ms: u64) {
+        self.samples += 1;
+        let early = if self.samples < HEDGE_MIN_SAMPLES {
+            5.0
+        } else {
+            1.0
+        };
+        let step = self.delay_ms * STEP * early;
+        self.delay_ms += match (latency_ms as f64) > self.delay_ms {
+            true => step * HEDGE_PERCENTILE,
+            false => -step * (1.0 - HEDGE_PERCENTILE),
+        };
+        self.delay_ms = self.delay_ms.max(HEDGE_MIN_MS);
+    }
+
+    /// Delay after which a second attempt may start, if hedging is possible.
+    pub fn delay(&self) -> Option<Millis> {
+        let ready = self.policy == HedgePolicy::Percentile && self.samples >= HEDGE_MIN_SAMPLES;
+        ready.then_some(Millis(self.delay_ms.ceil() as u64))
+    }
+
+    /// Whether a request whose delay has passed gets a second attempt. A
+    /// request that was in flight in a crash (`suspect`) never does.
+    pub fn allows(&self, class: Class, suspect: bool, budget: &mut RetryBudget) -> bool {
+        self.delay().is_some() && class == Class::Idempotent && !suspect && budget.try_spend()
+    }
+}
