--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,140 @@
+//! The operators' HTTP client: tries the listeners in turn.
+
+use pomelovale_state::command::{Applied, Change, Command, Refusal};
+use pomelovale_state::document::Document;
+use pomelovale_state::{ErrorKind, Millis, Name};
+use rand::Rng;
+use serde::de::DeserializeOwned;
+
+use crate::args::Global;
+use crate::error::CliError;
+
+/// Longest time for one answer in seconds.
+const TIMEOUT_S: u64 = 10;
+/// Rounds over all listeners before giving up.
+const ROUNDS: usize = 3;
+/// Pause between two rounds in milliseconds.
+const PAUSE_MS: u64 = 500;
+
+/// Talks to the operators' listeners of a site.
+pub struct Client {
+    global: Global,
+}
+
+struct Reply {
+    status: u16,
+    body: String,
+}
+
+impl Client {
+    /// A client for the listeners and the key of the global options.
+    pub fn new(global: Global) -> Client {
+        Client { global }
+    }
+
+    /// The global options.
+    pub fn global(&self) -> &Global {
+        &self.global
+    }
+
+    /// Reads a JSON document from the first listener that answers.
+    pub fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        let reply = self.any(path, None)?;
+        match reply.status {
+            200 => Ok(serde_json::from_str(&reply.body)?),
+            _ => Err(refusal(&reply)),
+        }
+    }
+
+    /// The shared document.
+    pub fn document(&self) -> Result<Document, CliError> {
+        self.get("/v1/document")
+    }
+
+    /// Proposes a command on top of a version and returns the versions of the
+    /// document and of the item afterwards.
+    pub fn propose(&self, base: Option<u64>, command: Command) -> Result<(u64, u64), CliError> {
+        let request = match &self.global.request {
+            Some(request) => request.clone(),
+            None => Name::from(format!("{:032x}", rand::rng().random::<u128>())),
+        };
+        let sender = self.global.sender.clone();
+        let base = self.global.base.or(base);
+        self.send(&Change {
+            request,
+            sender,
+            base,
+            at: Millis(0),
+            command,
+        })
+    }
+
+    /// Sends a change; every try carries the same request identifier, so a
+    /// lost answer can't make it run twice.
+    pub fn send(&self, change: &Change) -> Result<(u64, u64), CliError> {
+        let body = serde_json::to_string(change)?;
+        let reply = self.any("/v1/changes", Some(&body))?;
+        match serde_json::from_str::<Applied>(&reply.body) {
+            Ok(Applied::Accepted { version, item }) => Ok((version, item)),
+            Ok(Applied::Refused(refusal)) => Err(CliError::Refused(refusal)),
+            Ok(Applied::Intent(_)) | Err(_) => Err(refusal(&reply)),
+        }
+    }
+
+    fn any(&self, path: &str, body: Option<&str>) -> Result<Reply, CliError> {
+        let mut last = "no listener is given; use --operators or POMELOVALE_OPERATORS".to_owned();
+        for round in 0..ROUNDS {
+            if round > 0 {
+                std::thread::sleep(Millis(PAUSE_MS).duration());
+            }
+            for address in &self.global.operators {
+                match self.one(address, path, body) {
+                    Ok(reply) if !should_try_next(&reply) => return Ok(reply),
+                    Ok(reply) => {
+                        last = format!("{address} answered {}: {}", reply.status, reply.body)
+                    }
+                    Err(e) => last = format!("{address}: {e}"),
+                }
+            }
+            if self.global.operators.is_empty() {
+                break;
+            }
+        }
+        Err(CliError::kind(ErrorKind::Unavailable, last))
+    }
+
+    fn one(&self, address: &str, path: &str, body: Option<&str>) -> Result<Reply, minreq::Error> {
+        let url = format!("http://{address}{path}");
+        let request = match body {
+            Some(body) => minreq::post(url)
+                .with_header("Content-Type", "application/json")
+                .with_body(body),
+            None => minreq::get(url),
+        };
+        let key = format!("Bearer {}", self.global.key);
+        let response = request
+            .with_header("Authorization", key)
+            .with_timeout(TIMEOUT_S)
+            .send()?;
+        Ok(Reply {
+            status: response.status_code as u16,
+            body: response.as_str().unwrap_or("").to_owned(),
+        })
+    }
+}
+
+// A 503 may also be made up by the HTTP library when the listener closed
+// without an answer, so the next listener is asked under the same identifier.
+fn should_try_next(reply: &Reply) -> bool {
+    matches!(reply.status, 502..=504)
+}
+
+fn refusal(reply: &Reply) -> CliError {
+    match serde_json::from_str::<Refusal>(&reply.body) {
+        Ok(refusal) => CliError::Refused(refusal),
+        Err(_) => CliError::kind(
+            ErrorKind::Internal,
+            format!("unexpected answer {}: {}", reply.status, reply.body),
+        ),
+    }
+}
--- a/crates/cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The operators' command line.
--- /dev/null
+++ b/crates/cli/src/status.rs
@@ -0,0 +1,46 @@
+//! `pomelovale status`: shows what is in force on each instance.
+
+use pico_args::Arguments;
+use serde_json::Value;
+
+use crate::args::finish;
+use crate::client::Client;
+use crate::error::CliError;
+use crate::table;
+
+/// Usage text.
+pub const USAGE: &str = "\
+Shows, for each instance, which version is in force and how old its proof is.
+
+Usage:
+    pomelovale status [options]
+
+The age is that of the proof that the instance's view is complete; keyed
+requests are refused once it is over 4,000 ms.
+";
+
+/// Runs the command.
+pub fn run(client: &Client, args: Arguments) -> Result<(), CliError> {
+    finish(args)?;
+    let status: Value = client.get("/v1/status")?;
+    if client.global().json {
+        println!("{}", serde_json::to_string_pretty(&status)?);
+        return Ok(());
+    }
+    println!("version {}", status["version"]);
+    println!("log {}", status["log"]);
+    let text = |v: &Value| v.as_str().map_or_else(|| v.to_string(), str::to_owned);
+    let rows: Vec<Vec<String>> = status["instances"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(|i| {
+            ["instance", "version", "view_ms", "state"]
+                .iter()
+                .map(|k| text(&i[*k]))
+                .collect()
+        })
+        .collect();
+    table::print(&["instance", "version", "view_ms", "state"], &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,152 @@
+//! A folder, a stand-in for an operators' listener, and the real binary.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use pomelovale_state::command::{Applied, Change};
+use pomelovale_state::machine::Machine;
+use pomelovale_state::sheet::MoveStatus;
+use tempfile::TempDir;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+/// What the stand-in does with the next changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// Applies the change and closes without an answer, once.
+    LostAnswer,
+    /// None.
+    Nothing,
+}
+
+/// A folder with a stand-in site.
+pub struct Workdir {
+    dir: TempDir,
+    address: String,
+    /// The state behind the stand-in.
+    pub machine: Arc<Mutex<Machine>>,
+    /// The next fault.
+    pub fault: Arc<Mutex<Fault>>,
+    server: Arc<Server>,
+}
+
+impl Workdir {
+    /// Starts a stand-in site.
+    pub fn new() -> Workdir {
+        let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+        let address = server.server_addr().to_string();
+        let machine = Arc::new(Mutex::new(Machine::default()));
+        let fault = Arc::new(Mutex::new(Fault::Nothing));
+        let (s, m, f) = (
+            Arc::clone(&server),
+            Arc::clone(&machine),
+            Arc::clone(&fault),
+        );
+        thread::spawn(move || s.incoming_requests().for_each(|r| serve(r, &m, &f)));
+        Workdir {
+            dir: TempDir::new().unwrap(),
+            address,
+            machine,
+            fault,
+            server,
+        }
+    }
+
+    /// Writes a file and returns its path.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.dir.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Reads a file.
+    pub fn read(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.path().join(name)).unwrap()
+    }
+
+    /// Runs the binary in the folder.
+    pub fn run(&self, words: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_pomelovale"))
+            .current_dir(self.dir.path())
+            .env("POMELOVALE_OPERATORS", &self.address)
+            .env("POMELOVALE_KEY", "pk.op.secret")
+            .args(words)
+            .output()
+            .unwrap()
+    }
+
+    /// Runs the binary and returns what it printed; fails unless it exits with `code`.
+    pub fn expect(&self, code: i32, words: &[&str]) -> String {
+        let output = self.run(words);
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8(text).unwrap();
+        assert_eq!(output.status.code(), Some(code), "{words:?}: {text}");
+        text
+    }
+}
+
+impl Drop for Workdir {
+    fn drop(&mut self) {
+        self.server.unblock();
+    }
+}
+
+fn serve(mut request: Request, machine: &Mutex<Machine>, fault: &Mutex<Fault>) {
+    let mut machine = machine.lock().unwrap();
+    let key = request
+        .headers()
+        .iter()
+        .find(|h| h.field.equiv("Authorization"));
+    if key.is_none_or(|k| k.value.as_str() != "Bearer pk.op.secret") {
+        let body = r#"{"kind":"KeyRefused","text":"the key is unknown","winner":null}"#;
+        return answer(request, 401, body.to_owned());
+    }
+    match (request.method(), request.url()) {
+        (Method::Get, "/v1/document") => answer(request, 200, json(&machine.document)),
+        (Method::Get, "/v1/moves") => {
+            let moves: Vec<MoveStatus> = statuses(&machine);
+            answer(request, 200, json(&moves));
+        }
+        (Method::Post, "/v1/changes") => {
+            let mut body = String::new();
+            request.as_reader().read_to_string(&mut body).unwrap();
+            let change: Change = serde_json::from_str(&body).unwrap();
+            let applied = machine.apply(&change);
+            let fault = std::mem::replace(&mut *fault.lock().unwrap(), Fault::Nothing);
+            match (&applied, fault) {
+                (_, Fault::LostAnswer) => drop(request.into_writer()),
+                (Applied::Refused(r), _) => answer(request, r.kind.answer().status, json(&applied)),
+                _ => answer(request, 200, json(&applied)),
+            }
+        }
+        _ => answer(request, 404, String::new()),
+    }
+}
+
+fn statuses(machine: &Machine) -> Vec<MoveStatus> {
+    let version = |name: &pomelovale_state::Name| {
+        let item = pomelovale_state::command::Item::Move(name.clone());
+        machine.document.item_version(&item)
+    };
+    let status =
+        |(name, plan): (&pomelovale_state::Name, &pomelovale_state::moves::Move)| MoveStatus {
+            name: name.clone(),
+            version: version(name),
+            plan: plan.clone(),
+            next: None,
+        };
+    machine.document.moves.iter().map(status).collect()
+}
+
+fn json<T: serde::Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap()
+}
+
+fn answer(request: Request, status: u16, body: String) {
+    let header = Header::from_bytes("Content-Type", "application/json").unwrap();
+    let response = Response::from_string(body)
+        .with_status_code(status)
+        .with_header(header);
+    request.respond(response).unwrap();
+}
--- a/crates/state/src/blocks.rs
+++ b/crates/state/src/blocks.rs
@@ -71,9 +71,30 @@
 /// Longest-prefix-match table from client blocks to sites.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct BlockTable {
+    #[serde(with = "rows")]
     rows: BTreeMap<Prefix, Name>,
 }
 
+// A JSON object can't have a prefix as its key, so rows are kept as a list.
+mod rows {
+    use super::{BTreeMap, Deserialize, Name, Prefix, Serialize};
+
+    pub fn serialize<S: serde::Serializer>(
+        rows: &BTreeMap<Prefix, Name>,
+        to: S,
+    ) -> Result<S::Ok, S::Error> {
+        rows.iter().collect::<Vec<_>>().serialize(to)
+    }
+
+    pub fn deserialize<'de, D: serde::Deserializer<'de>>(
+        from: D,
+    ) -> Result<BTreeMap<Prefix, Name>, D::Error> {
+        Ok(Vec::<(Prefix, Name)>::deserialize(from)?
+            .into_iter()
+            .collect())
+    }
+}
+
 impl BlockTable {
     /// Applies changed rows.
     pub fn apply(&mut self, changes: &[BlockChange]) {
