--- /dev/null
+++ b/crates/daemon/examples/support/mod.rs
@@ -0,0 +1,118 @@
+//! A stand-in backend server that counts how often each booking runs.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+/// Time that one request takes.
+const SERVICE_MS: u64 = 4;
+
+/// What all stand-ins of a run have seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Runs of each booking, by its body.
+    pub runs: Mutex<HashMap<String, u32>>,
+    /// Requests that carried a key.
+    pub keys: AtomicU64,
+}
+
+/// A stand-in backend server.
+#[derive(Debug)]
+pub struct Standin {
+    name: String,
+    slots: u32,
+    free: Semaphore,
+    waiting: AtomicU32,
+    /// Requests that it served.
+    pub served: AtomicU64,
+    seen: Arc<Seen>,
+}
+
+impl Standin {
+    /// Starts a stand-in on an address and returns the bound one.
+    pub async fn start(
+        name: &str,
+        address: SocketAddr,
+        slots: u32,
+        seen: Arc<Seen>,
+    ) -> std::io::Result<(SocketAddr, Arc<Standin>)> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        let standin = Arc::new(Standin {
+            name: name.to_owned(),
+            slots,
+            free: Semaphore::new(slots as usize),
+            waiting: AtomicU32::new(0),
+            served: AtomicU64::new(0),
+            seen,
+        });
+        let accepting = Arc::clone(&standin);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let standin = Arc::clone(&accepting);
+                tokio::spawn(async move {
+                    let service = service_fn(|request| standin.serve(request));
+                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        Ok((bound, standin))
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        if request.uri().path() == "/load" {
+            return Ok(self.load());
+        }
+        let key = request.headers().contains_key("authorization") || request.headers().contains_key("x-api-key");
+        self.seen.keys.fetch_add(u64::from(key), Ordering::Relaxed);
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let slot = self.free.acquire().await;
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(SERVICE_MS)).await;
+        let answer = self.answer(request).await;
+        drop(slot);
+        self.served.fetch_add(1, Ordering::Relaxed);
+        Ok(answer)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path().to_owned();
+        let booking = request.method() == http::Method::POST;
+        let body = match request.into_body().collect().await {
+            Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+            Err(_) => return status(StatusCode::BAD_REQUEST),
+        };
+        if booking {
+            let mut runs = self.seen.runs.lock().unwrap_or_else(|e| e.into_inner());
+            *runs.entry(body.clone()).or_insert(0) += 1;
+        }
+        let text = format!("{{\"server\":\"{}\",\"path\":\"{path}\",\"echo\":\"{body}\"}}\n", self.name);
+        Response::new(Full::new(Bytes::from(text)))
+    }
+
+    fn load(&self) -> Response<Full<Bytes>> {
+        let busy = self.slots - self.free.available_permits() as u32;
+        let queued = self.waiting.load(Ordering::Relaxed);
+        let text = format!("{{\"slots\":{},\"busy\":{busy},\"queued\":{queued}}}", self.slots);
+        Response::new(Full::new(Bytes::from(text)))
+    }
+}
+
+fn status(code: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = code;
+    response
+}
