--- /dev/null
+++ b/crates/daemon/src/entry/crash.rs
@@ -0,0 +1,133 @@
+//! Requests that were in flight when a backend server crashed.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use pomelovale_state::command::{Applied, Command, CRASH_LIFE_MS, CRASH_LIMIT};
+use pomelovale_state::document::{Digest, Document};
+use pomelovale_state::{Millis, Name};
+use sha2::{Digest as _, Sha256};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::Shared;
+
+// A process that dies closes its connections and its listener one by one.
+const SETTLE_MS: u64 = 25;
+const VIEW_WAIT_MS: u64 = 5;
+// Most crashes remembered by this instance alone.
+const OWN_MAX: usize = 10_000;
+
+/// SHA-256 of method, path and body.
+pub fn fingerprint(method: &str, target: &str, body: &[u8]) -> Digest {
+    let mut hash = Sha256::new();
+    for part in [method.as_bytes(), target.as_bytes()] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.update(body);
+    Digest(hash.finalize().into())
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    own: HashMap<Digest, (Vec<Name>, Millis)>,
+    // The document's own time, and the local time at which it was first seen.
+    log_time: Millis,
+    seen: Millis,
+}
+
+/// The crashes that this instance saw, beside those in the document.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    inner: Mutex<Inner>,
+}
+
+impl Crashes {
+    /// Whether a request must not run. The fingerprint is only computed when
+    /// there is a crash to compare it with.
+    pub fn is_blocked(
+        &self,
+        document: &Document,
+        now: Millis,
+        print: impl FnOnce() -> Digest,
+    ) -> bool {
+        let mut inner = self.lock();
+        if document.crashes.is_empty() && inner.own.is_empty() {
+            return false;
+        }
+        if document.time > inner.log_time {
+            (inner.log_time, inner.seen) = (document.time, now);
+        }
+        let log_now = inner.log_time.plus(now.since(inner.seen));
+        let print = print();
+        let shared = document
+            .crashes
+            .get(&print)
+            .filter(|b| log_now < b.until)
+            .map_or(&[][..], |b| b.crashed.as_slice());
+        let own = inner
+            .own
+            .get(&print)
+            .filter(|(_, until)| now < *until)
+            .map_or(&[][..], |(crashed, _)| crashed.as_slice());
+        let more = own.iter().filter(|name| !shared.contains(name)).count();
+        shared.len() + more >= CRASH_LIMIT
+    }
+
+    /// Remembers a crash until the control instances have recorded it.
+    pub fn record(&self, now: Millis, print: Digest, server: &Name) {
+        let mut inner = self.lock();
+        inner.own.retain(|_, (_, until)| now < *until);
+        if inner.own.len() >= OWN_MAX && !inner.own.contains_key(&print) {
+            return;
+        }
+        let (crashed, until) = inner.own.entry(print).or_default();
+        *until = now.plus(CRASH_LIFE_MS);
+        if !crashed.contains(server) {
+            crashed.push(server.clone());
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic while held")
+    }
+}
+
+/// Whether a server whose connection was cut takes no connections any more.
+pub async fn is_down(address: SocketAddr, limit: Duration) -> bool {
+    let settle = Millis(SETTLE_MS).duration();
+    tokio::time::sleep(settle).await;
+    match timeout(limit, TcpStream::connect(address)).await {
+        // The listener of a dying process may still complete a handshake.
+        Ok(Ok(mut stream)) => {
+            let mut byte = [0];
+            timeout(settle, stream.read(&mut byte)).await.is_ok()
+        }
+        Ok(Err(_)) | Err(_) => true,
+    }
+}
+
+/// Records a crash everywhere before the request is tried again or answered,
+/// so that a resend through another instance is already counted.
+pub async fn report(shared: &Arc<Shared>, print: Digest, server: &Name) {
+    shared.crashes.record(shared.clock.now(), print, server);
+    metrics::counter!("entry_backend_crashes_total").increment(1);
+    let command = Command::RecordCrash {
+        fingerprint: print,
+        backend: server.clone(),
+    };
+    let Ok(Applied::Accepted { version, .. }) = shared.propose(command).await else {
+        return;
+    };
+    let seen = async {
+        while shared.view.document().version < version {
+            tokio::time::sleep(Millis(VIEW_WAIT_MS).duration()).await;
+        }
+    };
+    let limit = Millis(shared.config.spread_ms).duration();
+    let _ = timeout(limit, seen).await;
+}
--- /dev/null
+++ b/crates/daemon/src/entry/forward.rs
@@ -0,0 +1,385 @@
+//! Attempts of one request on backend servers.
+
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use pomelovale_protocol::http::{strip_hop_by_hop, strip_own, DEADLINE, REQUEST, SHED};
+use pomelovale_protocol::trace::{Trace, TRACEPARENT};
+use pomelovale_state::document::Digest;
+use pomelovale_state::{ErrorKind, Name};
+use pomelovale_transport::backend::{Connection, Failure, Fault, Reply, ReplyBody};
+use pomelovale_transport::body::{CallerBody, Passing};
+use tokio::time::{timeout_at, Instant};
+use tracing::Instrument;
+
+use super::decide::{AttemptEnd, Choice, Permit, Subject};
+use super::keys::{self, Pass};
+use super::{crash, Shared};
+
+const NOT_RUN: &[u8] = b"not-run";
+
+/// An admitted request.
+#[derive(Debug)]
+pub struct Job {
+    /// What decisions about it go by.
+    pub subject: Subject,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, without keys.
+    pub target: String,
+    /// Its end-to-end headers, without keys.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+    /// Whether it may be sent again.
+    pub idempotent: bool,
+    /// The accepted key; none on open routes.
+    pub pass: Option<Pass>,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// Its position in the caller's trace.
+    pub trace: Trace,
+    /// Its room in the service, held until the answer is complete.
+    pub permit: Arc<Permit>,
+    /// Its fingerprint, once computed.
+    pub print: OnceLock<Digest>,
+}
+
+impl Job {
+    /// SHA-256 of method, path and body.
+    pub fn fingerprint(&self) -> Digest {
+        let compute = || crash::fingerprint(self.method.as_str(), &self.target, &self.body);
+        *self.print.get_or_init(compute)
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Checks what may have changed while the request waited.
+    pub fn check(&self, shared: &Shared) -> Result<(), ErrorKind> {
+        let now = shared.clock.now();
+        if let Some(pass) = &self.pass {
+            keys::check_again(&shared.view, now, pass)?;
+        }
+        let document = shared.view.document();
+        let print = || self.fingerprint();
+        match shared.crashes.is_blocked(&document, now, print) {
+            true => Err(ErrorKind::Quarantined),
+            false if self.left().is_zero() => Err(ErrorKind::DeadlineSpent),
+            false => Ok(()),
+        }
+    }
+}
+
+/// How one attempt ended.
+enum Outcome {
+    Answer(Response<CallerBody>),
+    Failed(Failure),
+    Shed,
+}
+
+/// Counts an attempt until it ends; a dropped one was cancelled.
+struct Running {
+    shared: Arc<Shared>,
+    choice: Choice,
+    since: Instant,
+    ended: bool,
+}
+
+impl Running {
+    fn end(&mut self, end: AttemptEnd) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let now = self.shared.clock.now();
+        self.shared.decisions.finish(now, &self.choice.server, end);
+        metrics::histogram!("entry_attempt_seconds").record(self.since.elapsed());
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.end(AttemptEnd::Cancelled);
+    }
+}
+
+/// What the attempts so far have come to.
+#[derive(Debug, Default)]
+struct Progress {
+    tried: Vec<Name>,
+    attempts: usize,
+    cuts: usize,
+    written: Option<ErrorKind>,
+    unwritten: Option<ErrorKind>,
+}
+
+impl Progress {
+    // Once a byte was written, no later refusal may claim that nothing ran.
+    fn refuse(&self, kind: ErrorKind) -> ErrorKind {
+        self.written.unwrap_or(kind)
+    }
+}
+
+/// Sends a request until it is answered or must not be sent again.
+pub async fn forward(shared: Arc<Shared>, job: Job) -> Result<Response<CallerBody>, ErrorKind> {
+    let mut progress = Progress::default();
+    loop {
+        job.check(&shared).map_err(|kind| progress.refuse(kind))?;
+        let now = shared.clock.now();
+        let chosen = shared.decisions.choose(now, &job.subject, &progress.tried);
+        let Some(choice) = chosen else {
+            let kind = progress.unwritten.unwrap_or(ErrorKind::Unavailable);
+            return Err(progress.refuse(kind));
+        };
+        progress.attempts += 1;
+        let trace = job.trace.child();
+        let span = tracing::info_span!("attempt", server = %choice.server, trace = %trace);
+        let outcome = attempt(&shared, &job, &choice, trace, &progress)
+            .instrument(span)
+            .await;
+        let failure = match outcome {
+            Outcome::Answer(response) => return Ok(response),
+            Outcome::Shed => None,
+            Outcome::Failed(failure) => Some(failure),
+        };
+        let again = settle(&shared, &job, &mut progress, &choice, failure).await;
+        if !again || progress.attempts >= shared.config.attempts {
+            let kind = progress.unwritten.unwrap_or(ErrorKind::Unavailable);
+            return Err(progress.refuse(kind));
+        }
+        metrics::counter!("entry_retries_total").increment(1);
+    }
+}
+
+/// Takes a failed attempt into account; tells whether another one may follow.
+async fn settle(
+    shared: &Arc<Shared>,
+    job: &Job,
+    progress: &mut Progress,
+    choice: &Choice,
+    failure: Option<Failure>,
+) -> bool {
+    let service = &job.subject.service;
+    progress.tried.push(choice.server.clone());
+    let Some(failure) = failure else {
+        progress.unwritten = Some(ErrorKind::Overloaded);
+        return progress.written.is_none() && shared.decisions.try_spend(service);
+    };
+    if !failure.written {
+        // Nothing ran, so that another attempt costs no server anything.
+        progress.unwritten = Some(ErrorKind::Unavailable);
+        return true;
+    }
+    progress.written = Some(match failure.fault {
+        Fault::Silent => ErrorKind::UnknownTimeout,
+        _ => ErrorKind::UnknownOutcome,
+    });
+    let limit = Duration::from_millis(shared.config.connect_ms);
+    if failure.fault == Fault::Cut {
+        progress.cuts += 1;
+        if crash::is_down(choice.address, limit).await {
+            crash::report(shared, job.fingerprint(), &choice.server).await;
+        }
+    }
+    job.idempotent && progress.cuts <= 1 && shared.decisions.try_spend(service)
+}
+
+async fn attempt(
+    shared: &Arc<Shared>,
+    job: &Job,
+    choice: &Choice,
+    trace: Trace,
+    progress: &Progress,
+) -> Outcome {
+    let config = &shared.config;
+    let mut running = Running {
+        shared: shared.clone(),
+        choice: choice.clone(),
+        since: Instant::now(),
+        ended: false,
+    };
+    let unwritten = |fault| {
+        Outcome::Failed(Failure {
+            fault,
+            written: false,
+        })
+    };
+    let connection = match connect(shared, job, choice).await {
+        Ok(connection) => connection,
+        Err(fault) => {
+            running.end(AttemptEnd::Failed);
+            return unwritten(fault);
+        }
+    };
+    // A key can be revoked and a server can leave while a connection is opened.
+    if job.check(shared).is_err() || !shared.decisions.may_write(&choice.server) {
+        shared.pool.put(choice.address, connection);
+        return unwritten(Fault::Connect);
+    }
+    let id = shared.unique();
+    let request = request(job, choice, trace, &id);
+    let more =
+        progress.attempts < config.attempts && shared.decisions.has_retry(&job.subject.service);
+    let limit = match job.idempotent && more {
+        true => job.left().min(Duration::from_millis(config.attempt_ms)),
+        false => job.left(),
+    };
+    let (start, span) = (Instant::now(), tracing::info_span!("backend"));
+    let end = start + limit;
+    let result = match connection.send(request, &id, limit).instrument(span).await {
+        Ok(reply) => receive(shared, job, reply, end, running).await,
+        Err(failure) => Err((failure, running)),
+    };
+    match result {
+        Ok(outcome) => outcome,
+        Err((failure, mut running)) => {
+            if failure.fault == Fault::Silent {
+                // Others that were open before may have gone silent with it.
+                shared.pool.purge(choice.address, start);
+            }
+            running.end(AttemptEnd::Failed);
+            Outcome::Failed(failure)
+        }
+    }
+}
+
+async fn connect(shared: &Shared, job: &Job, choice: &Choice) -> Result<Connection, Fault> {
+    let config = &shared.config;
+    let age = match job.idempotent {
+        true => config.idle_ms,
+        false => config.proven_ms,
+    };
+    match shared.pool.take(choice.address, Duration::from_millis(age)) {
+        Some(connection) => Ok(connection),
+        None => {
+            let limit = Duration::from_millis(config.connect_ms).min(job.left());
+            Connection::open(choice.address, limit).await
+        }
+    }
+}
+
+fn request(job: &Job, choice: &Choice, trace: Trace, id: &str) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.target.parse().unwrap_or_default();
+    let mut headers = job.headers.clone();
+    if !headers.contains_key(header::HOST) {
+        let host = HeaderValue::try_from(choice.address.to_string());
+        headers.insert(header::HOST, host.expect("an address is a valid value"));
+    }
+    let left = job.left().as_millis() as u64;
+    headers.insert(DEADLINE, HeaderValue::from(left));
+    headers.insert(TRACEPARENT, trace.value());
+    let id = HeaderValue::try_from(id).unwrap_or(HeaderValue::from_static(""));
+    headers.insert(REQUEST, id);
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Holds an answer back until it is complete, or passes on one that is large.
+async fn receive(
+    shared: &Arc<Shared>,
+    job: &Job,
+    reply: Reply,
+    end: Instant,
+    mut running: Running,
+) -> Result<Outcome, (Failure, Running)> {
+    let address = running.choice.address;
+    let Reply { parts, mut body } = reply;
+    let shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
+        && parts.headers.get(SHED).is_some_and(|v| v == NOT_RUN);
+    let held = match hold(&mut body, shared.config.answer_bytes, end).await {
+        Ok(held) => held,
+        Err(fault) => {
+            let failure = Failure {
+                fault,
+                written: true,
+            };
+            return Err((failure, running));
+        }
+    };
+    let mut headers = parts.headers;
+    strip_hop_by_hop(&mut headers);
+    strip_own(&mut headers);
+    let body = match held {
+        Held::All(bytes) => {
+            if let Some(connection) = body.finish() {
+                shared.pool.put(address, connection);
+            }
+            let ended = if shed {
+                AttemptEnd::Shed
+            } else {
+                AttemptEnd::Answered
+            };
+            running.end(ended);
+            CallerBody::Full(bytes)
+        }
+        Held::Part(prefix) => {
+            let pause = Duration::from_millis(shared.config.pause_ms);
+            CallerBody::Stream(Box::new(pass_on(job, prefix, body, pause, running)))
+        }
+    };
+    if shed {
+        return Ok(Outcome::Shed);
+    }
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers;
+    Ok(Outcome::Answer(response))
+}
+
+enum Held {
+    All(Bytes),
+    Part(Bytes),
+}
+
+async fn hold(body: &mut ReplyBody, limit: usize, end: Instant) -> Result<Held, Fault> {
+    let mut held = Bytes::new();
+    loop {
+        let part = std::future::poll_fn(|cx| body.poll_part(cx));
+        match timeout_at(end, part).await {
+            Err(_) => return Err(Fault::Silent),
+            Ok(None) => return Ok(Held::All(held)),
+            Ok(Some(Err(fault))) => return Err(fault),
+            Ok(Some(Ok(part))) if held.is_empty() => held = part,
+            Ok(Some(Ok(part))) => {
+                let mut joined = BytesMut::from(held);
+                joined.extend_from_slice(&part);
+                held = joined.freeze();
+            }
+        }
+        if held.len() > limit {
+            return Ok(Held::Part(held));
+        }
+    }
+}
+
+fn pass_on(
+    job: &Job,
+    prefix: Bytes,
+    body: ReplyBody,
+    pause: Duration,
+    mut running: Running,
+) -> Passing {
+    let permit = job.permit.clone();
+    let on_end = move |result: Result<Option<Connection>, Fault>| {
+        match result {
+            Ok(Some(connection)) => {
+                let address = running.choice.address;
+                running.shared.pool.put(address, connection);
+                running.end(AttemptEnd::Answered);
+            }
+            Ok(None) => running.end(AttemptEnd::Answered),
+            Err(Fault::Cut) => running.end(AttemptEnd::Cancelled),
+            Err(_) => running.end(AttemptEnd::Failed),
+        }
+        drop(permit);
+    };
+    Passing::new(prefix, body, pause, !job.idempotent, Box::new(on_end))
+}
--- /dev/null
+++ b/crates/daemon/src/entry/keys.rs
@@ -0,0 +1,60 @@
+//! The check of a caller's key against the view.
+
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::http::KeyText;
+use pomelovale_state::document::{Digest, Document, Key, KeyHolder};
+use pomelovale_state::{ErrorKind, Millis, Name};
+use subtle::ConstantTimeEq;
+
+/// A key that was accepted. It holds no secret, so that it can wait in queues.
+#[derive(Clone, Debug)]
+pub struct Pass {
+    /// Workspace that the key speaks for.
+    pub workspace: Name,
+    id: Name,
+    digest: Digest,
+}
+
+/// Accepts or refuses a key by the current view.
+pub fn check(view: &View, now: Millis, key: Option<&KeyText>) -> Result<Pass, ErrorKind> {
+    if !view.serves_keys(now) {
+        return Err(ErrorKind::StaleView);
+    }
+    let key = key.ok_or(ErrorKind::KeyRefused)?;
+    let (document, digest) = (view.document(), key.digest());
+    let found = key
+        .ids()
+        .into_iter()
+        .find_map(|id| document.keys.get_key_value(id));
+    let (id, row) = found.ok_or(ErrorKind::KeyRefused)?;
+    let workspace = holder(row, &digest).ok_or(ErrorKind::KeyRefused)?;
+    Ok(Pass {
+        workspace: workspace.clone(),
+        id: id.clone(),
+        digest,
+    })
+}
+
+/// Checks an accepted key again, after the request has waited.
+pub fn check_again(view: &View, now: Millis, pass: &Pass) -> Result<(), ErrorKind> {
+    if !view.serves_keys(now) {
+        return Err(ErrorKind::StaleView);
+    }
+    let document = view.document();
+    match held(&document, pass) {
+        Some(workspace) if *workspace == pass.workspace => Ok(()),
+        _ => Err(ErrorKind::KeyRefused),
+    }
+}
+
+fn held<'a>(document: &'a Document, pass: &Pass) -> Option<&'a Name> {
+    holder(document.keys.get(&pass.id)?, &pass.digest)
+}
+
+fn holder<'a>(key: &'a Key, digest: &Digest) -> Option<&'a Name> {
+    let equal = bool::from(key.digest.0.ct_eq(&digest.0));
+    match &key.holder {
+        KeyHolder::Workspace(workspace) if equal && !key.revoked => Some(workspace),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,178 @@
+//! The entry role: the path of requests from callers to backend servers.
+
+pub mod config;
+pub mod crash;
+pub mod decide;
+pub mod forward;
+pub mod intent;
+pub mod keys;
+pub mod list;
+pub mod pipeline;
+pub mod poll;
+pub mod refusal;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use error_stack::{Report, ResultExt};
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::view::View;
+use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::document::MemberState;
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use pomelovale_transport::http_server::{Handler, Server};
+use pomelovale_transport::pool::Pool;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use config::EntryConfig;
+use crash::Crashes;
+use decide::Decisions;
+
+/// What all requests of an entry instance share.
+#[derive(Debug)]
+pub struct Shared {
+    config: EntryConfig,
+    view: Arc<View>,
+    control: ControlHandle,
+    clock: Clock,
+    decisions: Arc<Decisions>,
+    pool: Pool,
+    crashes: Crashes,
+    leaving: AtomicBool,
+    held: AtomicUsize,
+    // Unlike for each start of the process, so that identifiers never repeat.
+    start: u64,
+    seq: AtomicU64,
+    work: mpsc::WeakSender<()>,
+}
+
+impl Shared {
+    /// An identifier that no other instance or start uses.
+    fn unique(&self) -> String {
+        let seq = self.seq.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{seq:x}", self.config.instance, self.start)
+    }
+
+    /// Proposes a command and waits at most `control_ms` for its result.
+    async fn propose(&self, command: Command) -> Result<Applied, ErrorKind> {
+        let change = Change {
+            request: Name::from(self.unique()),
+            sender: self.config.instance.clone(),
+            base: None,
+            at: Millis(0),
+            command,
+        };
+        let limit = Millis(self.config.control_ms).duration();
+        let proposed = tokio::time::timeout(limit, self.control.propose(change));
+        proposed.await.unwrap_or(Err(ErrorKind::Unavailable))
+    }
+
+    /// Runs work that a graceful stop waits for.
+    fn spawn<F>(self: &Arc<Self>, work: F) -> JoinHandle<F::Output>
+    where
+        F: std::future::Future<Output: Send> + Send + 'static,
+    {
+        let guard = self.work.upgrade();
+        tokio::spawn(async move {
+            let output = work.await;
+            drop(guard);
+            output
+        })
+    }
+}
+
+/// Starts the entry role.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry;
+
+impl Entry {
+    /// Binds the callers' address and serves on it.
+    pub async fn start(
+        config: EntryConfig,
+        view: Arc<View>,
+        control: ControlHandle,
+        clock: Clock,
+    ) -> Result<EntryHandle, Report<ErrorKind>> {
+        let listener = TcpListener::bind(config.listen)
+            .await
+            .change_context(ErrorKind::BadSettings)
+            .attach_with(|| format!("can't listen on {}", config.listen))?;
+        let (work, done) = mpsc::channel(1);
+        let shared = Arc::new(Shared {
+            decisions: Arc::new(Decisions::new(&config, view.clone())),
+            config,
+            view,
+            control,
+            clock,
+            pool: Pool::default(),
+            crashes: Crashes::default(),
+            leaving: AtomicBool::new(false),
+            held: AtomicUsize::new(0),
+            start: rand::random(),
+            seq: AtomicU64::new(0),
+            work: work.downgrade(),
+        });
+        let answering = shared.clone();
+        let handler: Handler = Arc::new(move |request, caller| {
+            let shared = answering.clone();
+            Box::pin(pipeline::answer(shared, request, caller))
+        });
+        let limits = shared.config.server.clone();
+        let server =
+            Server::start(listener, limits, handler).change_context(ErrorKind::BadSettings)?;
+        let upkeep = tokio::spawn(poll::run(shared.clone()));
+        Ok(EntryHandle {
+            shared,
+            server,
+            upkeep,
+            work,
+            done,
+        })
+    }
+}
+
+/// A running entry role.
+#[derive(Debug)]
+pub struct EntryHandle {
+    shared: Arc<Shared>,
+    server: Server,
+    upkeep: JoinHandle<()>,
+    work: mpsc::Sender<()>,
+    done: mpsc::Receiver<()>,
+}
+
+impl EntryHandle {
+    /// The bound address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Leaves the entry list, serves for as long as callers may still hold it,
+    /// finishes the requests in flight and ends.
+    pub async fn stop(mut self) {
+        let config = &self.shared.config;
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        log::info!("{} leaves the entry list", config.instance);
+        let leave = Command::SetInstance {
+            name: config.instance.clone(),
+            state: MemberState::Leaving,
+        };
+        let left = self.shared.propose(leave).await;
+        if !matches!(left, Ok(Applied::Accepted { .. })) {
+            log::warn!(
+                "{}: the leaving was not recorded: {left:?}",
+                config.instance
+            );
+        }
+        let window = Millis(config.list_ms + config.spread_ms);
+        tokio::time::sleep(window.duration()).await;
+        self.server.stop().await;
+        drop(self.work);
+        let _ = self.done.recv().await;
+        self.upkeep.abort();
+        log::info!("{} stopped", self.shared.config.instance);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -0,0 +1,307 @@
+//! The steps that a request takes through an entry instance.
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{request, Method, Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use pomelovale_protocol::http::{
+    check_path, deadline_ms, find_key, strip_hop_by_hop, strip_keys, strip_own, strip_query,
+    IDEMPOTENCY_KEY,
+};
+use pomelovale_protocol::trace::{Trace, TRACESTATE};
+use pomelovale_state::document::{Route, Service};
+use pomelovale_state::intents::IntentResult;
+use pomelovale_state::{ErrorKind, Name, Outcome};
+use pomelovale_transport::body::CallerBody;
+use pomelovale_transport::http_server::Caller;
+use tokio::time::{timeout, Instant};
+use tracing::Instrument;
+
+use super::decide::{Class, Subject};
+use super::forward::{forward, Job};
+use super::intent::{self, Begun};
+use super::keys::{self, Pass};
+use super::refusal::Refusal;
+use super::{list, Shared};
+
+// Methods that HTTP defines as idempotent and that are passed on.
+const IDEMPOTENT: [&str; 5] = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"];
+
+/// What the route of a request says about it.
+#[derive(Debug)]
+struct Plan {
+    service: Name,
+    timeout: Duration,
+    open: bool,
+    idempotent: bool,
+    class: Class,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    caller: Caller,
+) -> Response<CallerBody> {
+    let start = Instant::now();
+    let trace = Trace::of(request.headers());
+    let span = tracing::info_span!("request", caller = %caller.address, parent = trace.map(tracing::field::display));
+    let trace = trace.map_or_else(Trace::root, |t| t.child());
+    let result = handle(&shared, request, caller, trace)
+        .instrument(span)
+        .await;
+    let mut response = result.unwrap_or_else(Refusal::response);
+    if shared.leaving.load(Ordering::Relaxed) {
+        // The caller asks for the list again before its next request.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    metrics::counter!("entry_requests_total").increment(1);
+    metrics::histogram!("entry_request_seconds").record(start.elapsed());
+    response
+}
+
+async fn handle(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    caller: Caller,
+    trace: Trace,
+) -> Result<Response<CallerBody>, Refusal> {
+    let (parts, body) = request.into_parts();
+    let closing = |refusal: Refusal| Ok(closed(refusal.response()));
+    if !caller.clear || matches!(parts.method, Method::CONNECT | Method::TRACE) {
+        return closing(ErrorKind::BadRequest.into());
+    }
+    if parts.uri.path() == list::PATH && parts.method == Method::GET {
+        return list::answer(shared, caller.address.ip(), parts.uri.query());
+    }
+    let plan = plan(shared, &parts)?;
+    let pass = match plan.open {
+        true => None,
+        false => {
+            let key = find_key(&parts.headers)?;
+            Some(keys::check(&shared.view, shared.clock.now(), key.as_ref())?)
+        }
+    };
+    let limit = match deadline_ms(&parts.headers)? {
+        Some(ms) => plan.timeout.min(Duration::from_millis(ms)),
+        None => plan.timeout,
+    };
+    let deadline = Instant::now() + limit;
+    if let Some(pass) = &pass {
+        let now = shared.clock.now();
+        shared.decisions.admit(now, &pass.workspace).await?;
+    }
+    let hold = match Hold::take(shared, &body) {
+        Ok(hold) => hold,
+        Err(kind) => return closing(kind.into()),
+    };
+    let body = match collect(shared, body).await {
+        Ok(body) => body,
+        Err(kind) => return closing(kind.into()),
+    };
+    let result = run(shared, plan, parts, body, pass, deadline, trace).await;
+    drop(hold);
+    result
+}
+
+fn closed(mut response: Response<CallerBody>) -> Response<CallerBody> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
+fn plan(shared: &Shared, parts: &request::Parts) -> Result<Plan, ErrorKind> {
+    let path = parts.uri.path();
+    check_path(path)?;
+    let rest = path.strip_prefix('/').ok_or(ErrorKind::BadRequest)?;
+    let (name, below) = match rest.find('/') {
+        Some(at) => rest.split_at(at),
+        None => (rest, "/"),
+    };
+    let document = shared.view.document();
+    let found = document.services.get_key_value(name);
+    let (name, service) = found.ok_or(ErrorKind::NotFound)?;
+    let route = route(service, below);
+    let method = parts.method.as_str();
+    let listed = route.and_then(|r| r.idempotent.as_ref());
+    let idempotent = match listed {
+        Some(methods) => methods.iter().any(|m| m.eq_ignore_ascii_case(method)),
+        None => IDEMPOTENT.contains(&method),
+    };
+    let class = match route.is_some_and(|r| r.deferrable) {
+        true => Class::Deferrable,
+        false => Class::Interactive,
+    };
+    Ok(Plan {
+        service: name.clone(),
+        timeout: Duration::from_millis(service.timeout_ms),
+        open: route.is_some_and(|r| r.open),
+        idempotent,
+        class,
+    })
+}
+
+// The longest prefix that ends at a segment's end applies.
+fn route<'a>(service: &'a Service, path: &str) -> Option<&'a Route> {
+    let matches = |r: &&Route| {
+        let prefix = r.prefix.trim_end_matches('/');
+        path.strip_prefix(prefix)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    };
+    let matching = service.routes.iter().filter(matches);
+    matching.max_by_key(|r| r.prefix.trim_end_matches('/').len())
+}
+
+/// Bytes of a body that count towards those held at a time.
+struct Hold {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
+
+impl Hold {
+    fn take(shared: &Arc<Shared>, body: &Incoming) -> Result<Hold, ErrorKind> {
+        let most = shared.config.body_bytes;
+        let bytes = match body.size_hint().exact() {
+            Some(n) if n > most as u64 => return Err(ErrorKind::TooLarge),
+            Some(n) => n as usize,
+            None => most,
+        };
+        let before = shared.held.fetch_add(bytes, Ordering::Relaxed);
+        let shared = shared.clone();
+        let hold = Hold { shared, bytes };
+        match before + bytes > hold.shared.config.held_bytes && bytes > 0 {
+            true => Err(ErrorKind::Overloaded),
+            false => Ok(hold),
+        }
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.shared.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+async fn collect(shared: &Shared, mut body: Incoming) -> Result<Bytes, ErrorKind> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let most = shared.config.body_bytes;
+    let all = async {
+        let mut held = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            // Trailers are dropped; they could hold a key.
+            let Ok(data) = frame.map_err(|_| ErrorKind::BadRequest)?.into_data() else {
+                continue;
+            };
+            if held.len() + data.len() > most {
+                return Err(ErrorKind::TooLarge);
+            }
+            held.extend_from_slice(&data);
+        }
+        Ok(held.freeze())
+    };
+    let limit = Duration::from_millis(shared.config.body_ms);
+    let collected = timeout(limit, all).await;
+    collected.unwrap_or(Err(ErrorKind::RequestTimeout))
+}
+
+/// The end-to-end headers that a backend server sees.
+fn forwarded(mut headers: HeaderMap, length: usize) -> Result<HeaderMap, ErrorKind> {
+    if headers.get_all(header::HOST).iter().count() > 1 {
+        return Err(ErrorKind::BadRequest);
+    }
+    let sized = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    strip_hop_by_hop(&mut headers);
+    strip_own(&mut headers);
+    strip_keys(&mut headers);
+    // The body is complete here, so that the caller has had its `100 Continue`.
+    headers.remove(header::EXPECT);
+    headers.remove(header::CONTENT_LENGTH);
+    if sized {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    if Trace::of(&headers).is_none() {
+        headers.remove(TRACESTATE);
+    }
+    Ok(headers)
+}
+
+async fn run(
+    shared: &Arc<Shared>,
+    plan: Plan,
+    parts: request::Parts,
+    body: Bytes,
+    pass: Option<Pass>,
+    deadline: Instant,
+    trace: Trace,
+) -> Result<Response<CallerBody>, Refusal> {
+    let subject = Subject {
+        service: plan.service,
+        workspace: pass
+            .as_ref()
+            .map_or_else(Name::default, |p| p.workspace.clone()),
+        class: plan.class,
+    };
+    let target = strip_query(parts.uri.path(), parts.uri.query()).into_owned();
+    let headers = forwarded(parts.headers, body.len())?;
+    let since = Instant::now();
+    let left = deadline.saturating_duration_since(since).as_millis() as u64;
+    let entering = shared.decisions.enter(&subject, left);
+    let permit = entering.instrument(tracing::info_span!("queue")).await;
+    metrics::histogram!("entry_queue_seconds").record(since.elapsed());
+    let job = Job {
+        subject,
+        method: parts.method,
+        target,
+        headers,
+        body,
+        idempotent: plan.idempotent,
+        pass,
+        deadline,
+        trace,
+        permit: Arc::new(permit?),
+        print: OnceLock::new(),
+    };
+    job.check(shared)?;
+    shared.decisions.record_request(&job.subject.service);
+    match job.idempotent {
+        // Dropped with the caller's connection, which cancels the attempt.
+        true => forward(shared.clone(), job).await.map_err(Refusal::from),
+        false => {
+            let once = run_once(shared.clone(), job).in_current_span();
+            let task = shared.spawn(once);
+            task.await.unwrap_or(Err(ErrorKind::Internal.into()))
+        }
+    }
+}
+
+/// Runs a non-idempotent request to its end, whether or not its caller stays.
+async fn run_once(shared: Arc<Shared>, job: Job) -> Result<Response<CallerBody>, Refusal> {
+    let Some(key) = job.headers.get(IDEMPOTENCY_KEY).cloned() else {
+        return Ok(forward(shared, job).await?);
+    };
+    let (service, workspace) = (job.subject.service.clone(), job.subject.workspace.clone());
+    let print = job.fingerprint();
+    let intent = match intent::begin(&shared, &service, &workspace, &key, print).await? {
+        Begun::Replay(response) => return Ok(response),
+        Begun::Run(intent) => intent,
+    };
+    let result = forward(shared.clone(), job).await;
+    let ended = match &result {
+        Ok(response) => intent::record(response),
+        Err(kind) => match kind.answer().outcome {
+            Outcome::NotRun => IntentResult::NotRun,
+            Outcome::Unknown => IntentResult::Unknown,
+        },
+    };
+    intent::end(&shared, intent, ended);
+    Ok(result?)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/refusal.rs
@@ -0,0 +1,58 @@
+//! Answers that the system gives itself.
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{Response, StatusCode};
+use pomelovale_protocol::http::OUTCOME;
+use pomelovale_state::ErrorKind;
+use pomelovale_transport::body::CallerBody;
+
+/// When a refusal that names no moment says to try again, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
+/// Why a request gets no answer of a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Kind of the error.
+    pub kind: ErrorKind,
+    /// When to try again, in milliseconds.
+    pub retry_ms: u64,
+}
+
+impl From<ErrorKind> for Refusal {
+    fn from(kind: ErrorKind) -> Refusal {
+        let retry_ms = RETRY_MS;
+        Refusal { kind, retry_ms }
+    }
+}
+
+impl Refusal {
+    /// The answer to the caller.
+    pub fn response(self) -> Response<CallerBody> {
+        let answer = self.kind.answer();
+        metrics::counter!("entry_refusals_total", "code" => answer.code).increment(1);
+        let body = format!("{{\"code\":\"{}\"}}", answer.code);
+        let mut response = Response::new(CallerBody::Full(Bytes::from(body)));
+        *response.status_mut() =
+            StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        // Clients cache some statuses by themselves.
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        match self.kind {
+            _ if answer.retry => {
+                let seconds = self.retry_ms.div_ceil(1_000).max(1);
+                headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+            }
+            ErrorKind::KeyRefused => {
+                headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+            }
+            _ => {}
+        }
+        response
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! The pomelovale daemon.
+
+pub mod entry;
--- /dev/null
+++ b/crates/daemon/tests/entry_keys.rs
@@ -0,0 +1,117 @@
+//! Key rules of the request path.
+
+mod entry_support;
+
+use entry_support::{keyed, ok, setup, Caller, Server, KEY};
+use pomelovale_state::command::Command;
+use pomelovale_state::Name;
+
+macro_rules! cases {
+    ($run:ident: $($(#[$doc:meta])* $name:ident => ($($arg:expr),* $(,)?);)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() { $run($($arg),*).await })*
+    };
+}
+
+/// Sends one request and checks the status, and whether it reached a server.
+async fn one(request: &str, status: u16, runs: usize) {
+    let server = Server::start(|_, _| ok("hello")).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let got = caller.ask(request).await.unwrap();
+    assert_eq!(
+        (got.status, server.requests().len()),
+        (status, runs),
+        "{got:?}"
+    );
+    let outcome = (runs == 0).then(|| "not-run".to_owned());
+    assert_eq!(got.outcome(), outcome);
+    assert!(!format!("{:?}", server.requests()).contains("secret"));
+}
+
+fn plain(path: &str, headers: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: x\r\n{headers}\r\n")
+}
+
+cases! { one:
+    /// A request with a valid key is refused.
+    accepts_a_bearer_key => (&keyed("GET", "/catalogue/x", "", ""), 200, 1);
+    /// A request with a valid key in the other header is refused.
+    accepts_an_api_key => (&plain("/catalogue/x", &format!("x-api-key: {KEY}\r\n")), 200, 1);
+    /// A request without a key runs.
+    refuses_no_key => (&plain("/catalogue/x", ""), 401, 0);
+    /// A key with the right identifier and a wrong secret runs.
+    refuses_a_wrong_secret => (&plain("/catalogue/x", "x-api-key: pk.k1.wrong\r\n"), 401, 0);
+    /// An unknown key runs.
+    refuses_an_unknown_key => (&plain("/catalogue/x", "x-api-key: pk.k9.secret-1\r\n"), 401, 0);
+    /// A request runs for one of two workspaces whose keys it carries.
+    refuses_two_keys => (&keyed("GET", "/catalogue/x", "x-api-key: pk.k2.secret-2\r\n", ""), 401, 0);
+    /// An open route asks for a key.
+    serves_an_open_route => (&plain("/catalogue/public/x", ""), 200, 1);
+    /// The key of a caller reaches the servers of an open route.
+    removes_the_key_on_open_routes => (&keyed("GET", "/catalogue/public/x", "", ""), 200, 1);
+    /// A prefix matches in the middle of a segment.
+    keeps_segments_apart => (&plain("/catalogue/publicity", ""), 401, 0);
+    /// A longer closed prefix below an open one is served without a key.
+    prefers_the_longest_route => (&plain("/catalogue/public/private/x", ""), 401, 0);
+    /// A dot segment leads from an open route to a closed one.
+    refuses_dot_segments => (&plain("/catalogue/public/../x", ""), 400, 0);
+    /// An encoded dot segment leads from an open route to a closed one.
+    refuses_encoded_dots => (&plain("/catalogue/public/%2e%2E/x", ""), 400, 0);
+    /// An encoded slash changes the route on the server.
+    refuses_encoded_slashes => (&plain("/catalogue/public/..%2fx", ""), 400, 0);
+    /// A key in the path reaches a server.
+    refuses_a_key_in_the_path => (&plain(&format!("/catalogue/public/{KEY}"), ""), 400, 0);
+    /// A key in a query, plain or encoded, reaches a server.
+    removes_keys_from_queries => (
+        &keyed("GET", &format!("/catalogue/x?a=1&k={KEY}&l=p%6b.k1%2Esecret-1&m=%2570k.k1.secret-1"), "", ""), 200, 1,
+    );
+    /// A key in a cookie reaches a server.
+    removes_keys_from_cookies => (
+        &keyed("GET", "/catalogue/x", &format!("cookie: a=1; k={KEY}; b=2\r\ncookie: c=\"{KEY}\"\r\n"), ""), 200, 1,
+    );
+    /// A key in another header reaches a server.
+    removes_keys_from_headers => (
+        &keyed("GET", "/catalogue/x", &format!("referer: http://x/?k={KEY}\r\nbaggage: k={KEY}\r\ntracestate: a={KEY}\r\n"), ""), 200, 1,
+    );
+    /// A key in a trailer reaches a server.
+    removes_keys_from_trailers => (
+        &format!("POST /catalogue/x HTTP/1.1\r\nhost: x\r\nx-api-key: {KEY}\r\ntrailer: x-api-key\r\n\
+            transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\nx-api-key: {KEY}\r\n\r\n"), 200, 1,
+    );
+}
+
+/// A key revoked between two requests of one connection still works.
+#[tokio::test]
+async fn checks_every_request() {
+    let server = Server::start(|_, _| ok("hello")).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let request = keyed("GET", "/catalogue/x", "", "");
+    assert_eq!(caller.ask(&request).await.unwrap().status, 200);
+    control.apply(Command::RevokeKey(Name::from("k1")));
+    assert_eq!(caller.ask(&request).await.unwrap().status, 401);
+    assert_eq!(server.requests().len(), 1);
+}
+
+/// A view that is cut off from revocations serves keyed requests, or stops
+/// serving open routes.
+#[tokio::test]
+async fn refuses_keys_when_the_view_is_old() {
+    let server = Server::start(|_, _| ok("hello")).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    control.clock.advance(4_001);
+    let got = caller
+        .ask(&keyed("GET", "/catalogue/x", "", ""))
+        .await
+        .unwrap();
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (503, Some("not-run"))
+    );
+    let got = caller.ask(&plain("/catalogue/public/x", "")).await.unwrap();
+    assert_eq!((got.status, server.requests().len()), (200, 1));
+}
--- /dev/null
+++ b/crates/protocol/src/trace.rs
@@ -0,0 +1,85 @@
+//! W3C trace context.
+
+use std::fmt;
+
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use rand::Rng;
+
+/// Header that carries a trace from hop to hop.
+pub const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
+/// Header with details of other tracing systems.
+pub const TRACESTATE: HeaderName = HeaderName::from_static("tracestate");
+const SAMPLED: u8 = 1;
+
+/// The position of one hop in a trace.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Trace {
+    /// Identifier of the whole trace.
+    pub trace: u128,
+    /// Identifier of this hop.
+    pub span: u64,
+    /// Flags, passed on as received.
+    pub flags: u8,
+}
+
+impl Trace {
+    /// A trace that begins here.
+    pub fn root() -> Trace {
+        let mut rng = rand::rng();
+        Trace {
+            trace: rng.random_range(1..=u128::MAX),
+            span: rng.random_range(1..=u64::MAX),
+            flags: SAMPLED,
+        }
+    }
+
+    /// The trace of a request; `None` if it has none or a malformed one.
+    pub fn of(headers: &HeaderMap) -> Option<Trace> {
+        let mut values = headers.get_all(TRACEPARENT).iter();
+        match (values.next(), values.next()) {
+            (Some(value), None) => Trace::parse(value.to_str().ok()?),
+            _ => None,
+        }
+    }
+
+    /// Parses the header's text.
+    pub fn parse(text: &str) -> Option<Trace> {
+        let mut parts = text.trim().split('-');
+        let (version, trace) = (parts.next()?, parts.next()?);
+        let (span, flags) = (parts.next()?, parts.next()?);
+        let more = parts.next().is_some();
+        let hex = |s: &str| s.bytes().all(|c| matches!(c, b'0'..=b'9' | b'a'..=b'f'));
+        let sized = [version, trace, span, flags].map(str::len) == [2, 32, 16, 2];
+        let known = version != "ff" && !(version == "00" && more);
+        if !sized || !known || ![version, trace, span, flags].into_iter().all(hex) {
+            return None;
+        }
+        let parsed = Trace {
+            trace: u128::from_str_radix(trace, 16).ok()?,
+            span: u64::from_str_radix(span, 16).ok()?,
+            flags: u8::from_str_radix(flags, 16).ok()?,
+        };
+        (parsed.trace != 0 && parsed.span != 0).then_some(parsed)
+    }
+
+    /// The next hop of the same trace.
+    pub fn child(&self) -> Trace {
+        let span = rand::rng().random_range(1..=u64::MAX);
+        Trace { span, ..*self }
+    }
+
+    /// The header value of this hop.
+    pub fn value(&self) -> HeaderValue {
+        HeaderValue::try_from(self.to_string()).expect("only hexadecimal digits and dashes")
+    }
+}
+
+impl fmt::Display for Trace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "00-{:032x}-{:016x}-{:02x}",
+            self.trace, self.span, self.flags
+        )
+    }
+}
--- /dev/null
+++ b/crates/transport/src/backend.rs
@@ -0,0 +1,321 @@
+//! One connection to a backend server.
+//!
+//! The request's own task drives the connection, so that no answer crosses
+//! from one thread to another.
+
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{header, response, Request, Response};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use pomelovale_protocol::http::{has_clear_length, REQUEST};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+// Most bytes of an answer's head.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
+/// Why an exchange with a backend server failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// No connection could be made.
+    Connect,
+    /// The connection ended before the answer was complete.
+    Cut,
+    /// The answer belongs to another request.
+    Foreign,
+    /// The answer breaks the protocol or has no end that can be checked.
+    Malformed,
+    /// The answer did not come in time.
+    Silent,
+}
+
+/// A failed exchange.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Failure {
+    /// Why it failed.
+    pub fault: Fault,
+    /// Whether a byte of the request may have reached the backend server.
+    pub written: bool,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    read: AtomicU64,
+    written: AtomicU64,
+}
+
+struct BackendIo {
+    io: TokioIo<TcpStream>,
+    counts: Arc<Counts>,
+}
+
+impl Read for BackendIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut out: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = out.remaining();
+        let cursor = &mut out;
+        let result = ready!(poll_into(Pin::new(&mut self.io), cx, cursor));
+        let n = (before - out.remaining()) as u64;
+        self.counts.read.fetch_add(n, Ordering::Relaxed);
+        Poll::Ready(result)
+    }
+}
+
+fn poll_into(
+    io: Pin<&mut TokioIo<TcpStream>>,
+    cx: &mut Context<'_>,
+    out: &mut ReadBufCursor<'_>,
+) -> Poll<io::Result<()>> {
+    let mut room = [0; 8 * 1024];
+    let want = out.remaining().min(room.len());
+    let mut part = hyper::rt::ReadBuf::new(&mut room[..want]);
+    ready!(io.poll_read(cx, part.unfilled()))?;
+    out.put_slice(part.filled());
+    Poll::Ready(Ok(()))
+}
+
+impl Write for BackendIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = ready!(Pin::new(&mut self.io).poll_write(cx, bytes));
+        self.count(&result);
+        Poll::Ready(result)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, parts));
+        self.count(&result);
+        Poll::Ready(result)
+    }
+}
+
+impl BackendIo {
+    fn count(&self, result: &io::Result<usize>) {
+        let n = *result.as_ref().unwrap_or(&0) as u64;
+        self.counts.written.fetch_add(n, Ordering::Relaxed);
+    }
+}
+
+/// An open connection that carries one exchange at a time.
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: Pin<Box<http1::Connection<BackendIo, Full<Bytes>>>>,
+    ended: bool,
+    counts: Arc<Counts>,
+    proven: Instant,
+    fresh: bool,
+}
+
+impl fmt::Debug for Connection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connection")
+            .field("proven", &self.proven)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, Fault> {
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) | Err(_) => return Err(Fault::Connect),
+        };
+        let _ = stream.set_nodelay(true);
+        let counts = Arc::new(Counts::default());
+        let io = BackendIo {
+            io: TokioIo::new(stream),
+            counts: counts.clone(),
+        };
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(HEAD_MAX_BYTES)
+            .handshake(io)
+            .await
+            .map_err(|_| Fault::Connect)?;
+        Ok(Connection {
+            sender,
+            driver: Box::pin(driver),
+            ended: false,
+            counts,
+            proven: Instant::now(),
+            fresh: true,
+        })
+    }
+
+    /// When the connection last carried a complete answer, or was opened.
+    pub fn proven(&self) -> Instant {
+        self.proven
+    }
+
+    /// Whether no answer has come over the connection yet.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
+    /// Whether the connection is open and owes no byte to an earlier exchange.
+    pub fn is_usable(&mut self) -> bool {
+        let _ = self.drive(&mut Context::from_waker(Waker::noop()));
+        !self.ended && self.sender.is_ready()
+    }
+
+    fn drive(&mut self, cx: &mut Context<'_>) -> bool {
+        if !self.ended {
+            self.ended = self.driver.as_mut().poll(cx).is_ready();
+        }
+        self.ended
+    }
+
+    /// Sends a request and waits for the head of its answer. `id` is the value
+    /// of [`REQUEST`] in it. On failure the connection is closed.
+    pub async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+        id: &str,
+        limit: Duration,
+    ) -> Result<Reply, Failure> {
+        let before = self.counts.written.load(Ordering::Relaxed);
+        let result = match timeout(limit, self.exchange(request)).await {
+            Err(_) => Err(Fault::Silent),
+            Ok(Err(fault)) => Err(fault),
+            Ok(Ok(response)) => check(response, id),
+        };
+        let written = self.counts.written.load(Ordering::Relaxed) != before;
+        let (parts, body) = result
+            .map_err(|fault| Failure { fault, written })?
+            .into_parts();
+        Ok(Reply {
+            parts,
+            body: ReplyBody {
+                body,
+                connection: self,
+            },
+        })
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Fault> {
+        let mut call = pin!(self.sender.send_request(request));
+        let (driver, ended) = (&mut self.driver, &mut self.ended);
+        let answer = std::future::poll_fn(|cx| {
+            if !*ended {
+                *ended = driver.as_mut().poll(cx).is_ready();
+            }
+            call.as_mut().poll(cx)
+        });
+        answer.await.map_err(fault)
+    }
+}
+
+fn fault(error: hyper::Error) -> Fault {
+    match error.is_parse() {
+        true => Fault::Malformed,
+        false => Fault::Cut,
+    }
+}
+
+fn check(response: Response<Incoming>, id: &str) -> Result<Response<Incoming>, Fault> {
+    let headers = response.headers();
+    let foreign = headers
+        .get_all(REQUEST)
+        .iter()
+        .any(|v| v.as_bytes() != id.as_bytes());
+    let counted = headers.contains_key(header::CONTENT_LENGTH);
+    let chunked = headers
+        .get(header::TRANSFER_ENCODING)
+        .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    let ends = response.body().is_end_stream() || counted || chunked;
+    match foreign {
+        true => Err(Fault::Foreign),
+        // The end of a connection is no proof that an answer is complete.
+        false if !ends || !has_clear_length(headers) => Err(Fault::Malformed),
+        false if response.status().is_informational() => Err(Fault::Malformed),
+        false => Ok(response),
+    }
+}
+
+/// An answer whose body is still on its connection.
+#[derive(Debug)]
+pub struct Reply {
+    /// Status and headers.
+    pub parts: response::Parts,
+    /// The body.
+    pub body: ReplyBody,
+}
+
+/// The body of an answer and the connection that it comes over.
+#[derive(Debug)]
+pub struct ReplyBody {
+    body: Incoming,
+    connection: Connection,
+}
+
+impl ReplyBody {
+    /// The next part of the body; `None` once it is complete.
+    pub fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        loop {
+            let mut polled = Pin::new(&mut self.body).poll_frame(cx);
+            if polled.is_pending() {
+                self.connection.drive(cx);
+                polled = Pin::new(&mut self.body).poll_frame(cx);
+            }
+            match ready!(polled) {
+                None => return Poll::Ready(None),
+                Some(Err(e)) => return Poll::Ready(Some(Err(fault(e)))),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => return Poll::Ready(Some(Ok(data))),
+                    Err(_) => continue,
+                },
+            }
+        }
+    }
+
+    /// Length of the rest, if it was announced.
+    pub fn exact(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    /// The connection after a complete answer, if it can carry another one.
+    pub fn finish(mut self) -> Option<Connection> {
+        drop(self.body);
+        self.connection.proven = Instant::now();
+        self.connection.fresh = false;
+        self.connection.is_usable().then_some(self.connection)
+    }
+}
--- /dev/null
+++ b/crates/transport/src/body.rs
@@ -0,0 +1,155 @@
+//! The body of an answer to a caller.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::{sleep, Instant, Sleep};
+
+use crate::backend::{Connection, Fault, ReplyBody};
+
+/// What to do when the body of an answer ends.
+pub type OnEnd = Box<dyn FnOnce(Result<Option<Connection>, Fault>) + Send>;
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub enum CallerBody {
+    /// All of it is here.
+    Full(Bytes),
+    /// The rest is passed on as it comes.
+    Stream(Box<Passing>),
+}
+
+/// A body that is passed on. An error makes hyper cut the caller's connection
+/// before the end of the body, so that the caller sees that it is incomplete.
+pub struct Passing {
+    prefix: Bytes,
+    rest: Option<ReplyBody>,
+    on_end: Option<OnEnd>,
+    pause: Duration,
+    silent: Pin<Box<Sleep>>,
+    complete: bool,
+}
+
+impl fmt::Debug for Passing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Passing").finish_non_exhaustive()
+    }
+}
+
+impl Passing {
+    /// Passes on `prefix` and then `rest`, whose parts come at most `pause`
+    /// apart. With `complete`, the rest is read even if the caller goes away,
+    /// so that the backend server is not interrupted.
+    pub fn new(
+        prefix: Bytes,
+        rest: ReplyBody,
+        pause: Duration,
+        complete: bool,
+        on_end: OnEnd,
+    ) -> Passing {
+        Passing {
+            prefix,
+            rest: Some(rest),
+            on_end: Some(on_end),
+            pause,
+            silent: Box::pin(sleep(pause)),
+            complete,
+        }
+    }
+
+    fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        if !self.prefix.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.prefix))));
+        }
+        let Some(rest) = &mut self.rest else {
+            return Poll::Ready(None);
+        };
+        let part = match rest.poll_part(cx) {
+            Poll::Ready(part) => part,
+            Poll::Pending => {
+                ready!(self.silent.as_mut().poll(cx));
+                Some(Err(Fault::Silent))
+            }
+        };
+        match &part {
+            Some(Ok(_)) => self.silent.as_mut().reset(Instant::now() + self.pause),
+            Some(Err(fault)) => self.end(Err(*fault)),
+            None => {
+                let connection = self.rest.take().and_then(ReplyBody::finish);
+                self.end(Ok(connection));
+            }
+        }
+        Poll::Ready(part)
+    }
+
+    fn end(&mut self, result: Result<Option<Connection>, Fault>) {
+        self.rest = None;
+        if let Some(on_end) = self.on_end.take() {
+            on_end(result);
+        }
+    }
+}
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        match (self.rest.take(), self.on_end.take()) {
+            (Some(rest), Some(on_end)) if self.complete => {
+                let rest = Passing::new(Bytes::new(), rest, self.pause, false, on_end);
+                tokio::spawn(read_out(rest));
+            }
+            (rest, Some(on_end)) => {
+                drop(rest);
+                on_end(Err(Fault::Cut));
+            }
+            (_, None) => {}
+        }
+    }
+}
+
+async fn read_out(mut rest: Passing) {
+    let mut part = Some(Ok(Bytes::new()));
+    while let Some(Ok(_)) = part {
+        part = std::future::poll_fn(|cx| rest.poll_part(cx)).await;
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match &mut *self {
+            CallerBody::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
+            CallerBody::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            CallerBody::Stream(passing) => {
+                let part = ready!(passing.poll_part(cx));
+                let cut = |fault: Fault| std::io::Error::other(format!("{fault:?}"));
+                Poll::Ready(part.map(|p| p.map(Frame::data).map_err(cut)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, CallerBody::Full(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            CallerBody::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            CallerBody::Stream(passing) => {
+                let rest = passing.rest.as_ref().and_then(ReplyBody::exact);
+                rest.map_or_else(SizeHint::default, |n| {
+                    SizeHint::with_exact(n + passing.prefix.len() as u64)
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/framing.rs
@@ -0,0 +1,256 @@
+//! Watches the framing of requests on a caller's connection.
+//!
+//! hyper drops `Content-Length` when a request is chunked as well, so that the
+//! conflict can no longer be seen in the parsed headers.
+
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{ready, Context, Poll};
+
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+// Longest line that is kept to be looked at; hyper refuses such heads anyway.
+const LINE_MAX_BYTES: usize = 64 * 1024;
+const READ_BYTES: usize = 8 * 1024;
+
+/// Whether each request has one clear length, in order of arrival.
+#[derive(Clone, Debug, Default)]
+pub struct Verdicts(Arc<Mutex<VecDeque<bool>>>);
+
+impl Verdicts {
+    /// The verdict on the next request; a missing one counts as unclear.
+    pub fn next(&self) -> bool {
+        let mut queue = self.0.lock().expect("no panic while held");
+        queue.pop_front().unwrap_or(false)
+    }
+
+    fn push(&self, clear: bool) {
+        self.0.lock().expect("no panic while held").push_back(clear);
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Body(u64),
+    Broken,
+    ChunkData(u64),
+    ChunkEnd,
+    ChunkSize,
+    Head,
+    Trailer,
+}
+
+/// Follows the bytes of requests from head to head.
+#[derive(Debug)]
+pub struct Framing {
+    state: State,
+    line: Vec<u8>,
+    lines: usize,
+    lengths: usize,
+    encodings: usize,
+    length: Option<u64>,
+    verdicts: Verdicts,
+}
+
+impl Framing {
+    /// A reader at the start of a connection.
+    pub fn new(verdicts: Verdicts) -> Framing {
+        Framing {
+            state: State::Head,
+            line: Vec::new(),
+            lines: 0,
+            lengths: 0,
+            encodings: 0,
+            length: Some(0),
+            verdicts,
+        }
+    }
+
+    /// Whether a part of a head has arrived and its end has not.
+    pub fn in_head(&self) -> bool {
+        self.state == State::Head && (self.lines > 0 || !self.line.is_empty())
+    }
+
+    /// Follows the next bytes of the connection.
+    pub fn feed(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            bytes = match self.state {
+                State::Broken => return,
+                State::Body(left) => self.skip(bytes, left, State::Body, State::Head),
+                State::ChunkData(left) => self.skip(bytes, left, State::ChunkData, State::ChunkEnd),
+                _ => self.take_line(bytes),
+            };
+        }
+    }
+
+    fn skip<'a>(
+        &mut self,
+        bytes: &'a [u8],
+        left: u64,
+        more: fn(u64) -> State,
+        end: State,
+    ) -> &'a [u8] {
+        let n = left.min(bytes.len() as u64);
+        self.state = match left - n {
+            0 => end,
+            rest => more(rest),
+        };
+        &bytes[n as usize..]
+    }
+
+    fn take_line<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        let end = bytes.iter().position(|c| *c == b'\n');
+        let part = &bytes[..end.unwrap_or(bytes.len())];
+        match (end, self.line.len() + part.len() > LINE_MAX_BYTES) {
+            (_, true) => self.state = State::Broken,
+            (None, false) => self.line.extend_from_slice(part),
+            (Some(_), false) if self.line.is_empty() => self.read_line(part),
+            (Some(_), false) => {
+                let mut line = std::mem::take(&mut self.line);
+                line.extend_from_slice(part);
+                self.read_line(&line);
+                line.clear();
+                self.line = line;
+            }
+        }
+        &bytes[end.map_or(bytes.len(), |n| n + 1)..]
+    }
+
+    fn read_line(&mut self, line: &[u8]) {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        match self.state {
+            State::Head if line.is_empty() && self.lines == 0 => {}
+            State::Head if line.is_empty() => self.end_head(),
+            State::Head => self.read_header(line),
+            State::ChunkSize => self.state = chunk(line),
+            State::ChunkEnd if line.is_empty() => self.state = State::ChunkSize,
+            State::Trailer if line.is_empty() => self.state = State::Head,
+            State::Trailer => {}
+            _ => self.state = State::Broken,
+        }
+    }
+
+    fn read_header(&mut self, line: &[u8]) {
+        self.lines += 1;
+        let colon = line.iter().position(|c| *c == b':');
+        let (name, value) = match colon {
+            Some(at) if self.lines > 1 => (line[..at].trim_ascii(), line[at + 1..].trim_ascii()),
+            _ => return,
+        };
+        if name.eq_ignore_ascii_case(b"content-length") {
+            self.lengths += 1;
+            self.length = number(value, 10);
+        }
+        if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            self.encodings += 1;
+            self.length = self
+                .length
+                .filter(|_| value.eq_ignore_ascii_case(b"chunked"));
+        }
+    }
+
+    fn end_head(&mut self) {
+        let clear = self.lengths + self.encodings <= 1 && self.length.is_some();
+        self.verdicts.push(clear);
+        self.state = match (clear, self.encodings, self.length) {
+            (true, 0, Some(0)) => State::Head,
+            (true, 0, Some(n)) => State::Body(n),
+            (true, _, _) => State::ChunkSize,
+            (false, _, _) => State::Broken,
+        };
+        (self.lines, self.lengths, self.encodings) = (0, 0, 0);
+        self.length = Some(0);
+    }
+}
+
+fn number(text: &[u8], radix: u32) -> Option<u64> {
+    let text = std::str::from_utf8(text).ok()?;
+    let digits = !text.is_empty() && text.bytes().all(|c| c.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, radix).ok())?
+}
+
+fn chunk(line: &[u8]) -> State {
+    let size = line.split(|c| *c == b';').next().unwrap_or(line);
+    match number(size.trim_ascii(), 16) {
+        None => State::Broken,
+        Some(0) => State::Trailer,
+        Some(n) => State::ChunkData(n),
+    }
+}
+
+/// A caller's connection whose requests are watched.
+#[derive(Debug)]
+pub struct CallerIo {
+    io: TokioIo<TcpStream>,
+    framing: Framing,
+}
+
+impl CallerIo {
+    /// Watches a connection.
+    pub fn new(stream: TcpStream, verdicts: Verdicts) -> CallerIo {
+        CallerIo {
+            io: TokioIo::new(stream),
+            framing: Framing::new(verdicts),
+        }
+    }
+
+    /// Whether a part of a head has arrived and its end has not.
+    pub fn in_head(&self) -> bool {
+        self.framing.in_head()
+    }
+
+    /// The connection itself.
+    pub fn into_stream(self) -> TcpStream {
+        self.io.into_inner()
+    }
+}
+
+impl Read for CallerIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut out: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut room = [0; READ_BYTES];
+        let want = out.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(&mut room[..want]);
+        ready!(Pin::new(&mut self.io).poll_read(cx, part.unfilled()))?;
+        self.framing.feed(part.filled());
+        out.put_slice(part.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for CallerIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, parts)
+    }
+}
--- /dev/null
+++ b/crates/transport/src/pool.rs
@@ -0,0 +1,88 @@
+//! Idle connections to backend servers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::backend::Connection;
+
+/// Idle connections by address, the last used one first.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Pool {
+    /// An idle connection that was proven live within `age`.
+    pub fn take(&self, address: SocketAddr, age: Duration) -> Option<Connection> {
+        loop {
+            let mut connection = self.pop(address)?;
+            match connection.proven().elapsed() <= age {
+                true if connection.is_usable() => return Some(connection),
+                true => drop(connection),
+                // All the others were proven earlier still.
+                false => {
+                    self.put(address, connection);
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// The idle connection that was proven first, to be proven again.
+    pub fn take_oldest(&self, address: SocketAddr) -> Option<Connection> {
+        loop {
+            let mut connection = {
+                let mut idle = self.lock();
+                let list = idle.get_mut(&address).filter(|l| !l.is_empty())?;
+                list.remove(0)
+            };
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection for later use.
+    pub fn put(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.lock();
+        let list = idle.entry(address).or_default();
+        let at = list.partition_point(|c| c.proven() <= connection.proven());
+        list.insert(at, connection);
+    }
+
+    /// Closes connections that were not proven since `moment`, after another
+    /// one to the same address fell silent.
+    pub fn purge(&self, address: SocketAddr, moment: Instant) {
+        let mut idle = self.lock();
+        if let Some(list) = idle.get_mut(&address) {
+            list.retain(|c| c.proven() >= moment);
+        }
+    }
+
+    /// Closes connections that are idle for longer than `age`, that were closed
+    /// by the server, or whose address is not in use any more.
+    pub fn sweep(&self, age: Duration, in_use: &dyn Fn(&SocketAddr) -> bool) {
+        let mut idle = self.lock();
+        idle.retain(|address, _| in_use(address));
+        for list in idle.values_mut() {
+            list.retain_mut(|c| c.proven().elapsed() <= age && c.is_usable());
+        }
+    }
+
+    /// Number of idle connections to an address.
+    pub fn count(&self, address: SocketAddr) -> usize {
+        self.lock().get(&address).map_or(0, Vec::len)
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<Connection> {
+        self.lock().get_mut(&address)?.pop()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+        self.idle.lock().expect("no panic while held")
+    }
+}
