--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,5 @@
 //! The pomelovale daemon.
 
 pub mod entry;
+pub mod schema;
+pub mod settings;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,9 @@
 //! Messages and codecs between processes, and HTTP rules.
 
+pub mod auth;
+pub mod frame;
 pub mod grants;
 pub mod http;
+pub mod messages;
 pub mod report;
 pub mod trace;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,3 +5,6 @@
 pub mod framing;
 pub mod http_server;
 pub mod pool;
+pub mod peer_client;
+pub mod peer_link;
+pub mod peer_server;
