--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,5 +3,7 @@
 pub mod auth;
 pub mod frame;
 pub mod grants;
+pub mod http;
 pub mod messages;
 pub mod report;
+pub mod trace;
