Measure the steering decisions in model time

Cause: the policies need comparison with simple ones under faults. Change: a bench that runs the decision code of 8 to 12 entries against stand-in backend servers, for both deployments and thirteen cases.

--- /dev/null
+++ b/crates/steering/benches/model/changes.rs
@@ -0,0 +1,275 @@
+//! Faults, restarts, measurements and what entries and callers learn of them.
+
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::balancer::{LoadReport, ServerInfo};
+use pomelovale_steering::entries::RegionHeadroom;
+use pomelovale_steering::AttemptEnd;
+use rand::rngs::SmallRng;
+use rand::Rng;
+
+use super::entry::Entry;
+use super::plan::*;
+use super::server::{Mode, Server};
+use super::stats::{End, Stats};
+use super::world::{Event, World};
+
+/// Attempt ends by the number in a reply event.
+pub const ENDS: [AttemptEnd; 3] = [AttemptEnd::Complete, AttemptEnd::Failed, AttemptEnd::Shed];
+/// The server with the fault in cases that have one.
+const FAULTY: usize = 3;
+const POLL_MS: u64 = 250;
+const PUBLISH: u64 = 200 * MS;
+
+pub fn exponential(rng: &mut SmallRng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+pub fn space_name(space: usize) -> Name {
+    Name::from(format!("w{space}"))
+}
+
+pub fn stand_in(i: usize, size: &Deployment) -> Server {
+    let info = ServerInfo {
+        name: Server::name(i),
+        region: region(i),
+        domain: domain(i),
+        slots: size.slots[i % 2],
+        connections: size.connections,
+        leaving: false,
+    };
+    Server::new(info, i % 3)
+}
+
+/// A region drawn by capacity, so that calm regions have equal relative load.
+pub fn home_region(rng: &mut SmallRng, servers: &[Server]) -> usize {
+    let total: u32 = servers.iter().map(|s| s.info.slots).sum();
+    let mut slot = rng.random_range(0..total);
+    for s in servers {
+        if slot < s.info.slots {
+            return s.place;
+        }
+        slot -= s.info.slots;
+    }
+    0
+}
+
+impl World {
+    pub fn fault(&mut self, step: u8) {
+        let case = self.case;
+        match step {
+            0 => case.faults.iter().for_each(|f| self.begin_fault(*f)),
+            _ => self.mend(),
+        }
+    }
+
+    fn begin_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::ColdHalf => self.servers.iter_mut().step_by(2).for_each(Server::cool),
+            Fault::Drain => {
+                for s in &mut self.document.0 {
+                    s.leaving = s.domain == domain(0);
+                }
+                self.announce();
+            }
+            Fault::FastFail => self.servers[FAULTY].mode = Mode::Failing,
+            Fault::RegionLost => self.lose_region(),
+            Fault::Silent => self.servers[FAULTY].mode = Mode::Silent,
+            Fault::Flood | Fault::NoReports | Fault::Restarts | Fault::ZeroReport => {}
+        }
+    }
+
+    fn mend(&mut self) {
+        let s = &mut self.servers[FAULTY];
+        if matches!(s.mode, Mode::Failing | Mode::Silent) {
+            s.mode = Mode::Normal;
+            (s.busy, s.connected) = (0, 0);
+            s.queue.clear();
+        }
+    }
+
+    fn lose_region(&mut self) {
+        for s in self.servers.iter_mut().filter(|s| s.place == 0) {
+            s.mode = Mode::Gone;
+        }
+        for i in 0..self.entries.len() {
+            if self.entries[i].place % 3 == 0 {
+                self.entries[i].alive = false;
+                self.lives[i] += 1;
+                self.document.1[i].leaving = true;
+            }
+        }
+        for r in 0..self.reqs.len() {
+            let req = &self.reqs[r];
+            if !req.over && !self.entries[req.entry].alive {
+                self.close(r, End::Failed);
+            }
+        }
+        for s in self.document.0.iter_mut().filter(|s| s.region == region(0)) {
+            s.leaving = true;
+        }
+        self.announce();
+    }
+
+    /// Entries learn the document between 300 ms and 1 s later.
+    fn announce(&mut self) {
+        for i in 0..self.entries.len() {
+            let lag = self.rng.random_range(300..1_000) * MS;
+            self.after(lag, Event::Learn(i));
+        }
+    }
+
+    pub fn learn(&mut self, i: usize) {
+        let now = self.millis();
+        self.entries[i].learn(now, &self.document.0, &self.document.1);
+    }
+
+    /// A planned restart: leave the list, serve for its lifetime, start anew.
+    pub fn restart(&mut self, i: usize, step: u8) {
+        match step {
+            0 => {
+                self.document.1[i].leaving = true;
+                self.announce();
+                self.after(5_500 * MS, Event::Restart(i, 1));
+            }
+            _ => {
+                self.lives[i] += 1;
+                for r in 0..self.reqs.len() {
+                    let req = &self.reqs[r];
+                    if !req.over && req.entry == i && !req.tries.is_empty() {
+                        self.close(r, End::Failed);
+                    }
+                }
+                self.entries[i] = Entry::new(i, &self.stack, self.seed + 1);
+                self.document.1[i].leaving = false;
+                self.learn(i);
+                self.announce();
+            }
+        }
+    }
+
+    fn has_reports(&self) -> bool {
+        !self.case.has(Fault::NoReports) || self.now < FAULT
+    }
+
+    pub fn publish(&mut self) {
+        self.servers.iter_mut().for_each(Server::publish);
+        if self.case.has(Fault::ZeroReport) && self.now >= FAULT {
+            let s = &mut self.servers[FAULTY];
+            s.published = LoadReport {
+                busy: 0,
+                queued: 0,
+                ..s.published
+            };
+        }
+        self.after(PUBLISH, Event::Publish);
+    }
+
+    /// An entry asks all servers for their load, those far away less often.
+    pub fn poll(&mut self, i: usize) {
+        let now = self.millis();
+        let entries = self.entries.len() as u32;
+        let e = &mut self.entries[i];
+        let far = (self.now / (POLL_MS * MS)) % 4 == 0;
+        if !self.case.has(Fault::NoReports) || self.now < FAULT {
+            for s in self
+                .servers
+                .iter()
+                .filter(|s| s.mode == Mode::Normal || s.mode == Mode::Failing)
+            {
+                let near = s.info.region == e.info.region;
+                if near || far {
+                    e.balancer.report_load(
+                        now.minus(if near { 3 } else { 110 }),
+                        &s.info.name,
+                        s.published,
+                    );
+                }
+            }
+        }
+        e.steer(now, POLL_MS, entries);
+        self.after(POLL_MS * MS, Event::Poll(i));
+    }
+
+    /// Headroom of the regions reaches the ranking once a second.
+    pub fn rank(&mut self) {
+        if self.has_reports() {
+            let measures: Vec<RegionHeadroom> = (0..3).map(|p| self.headroom(p)).collect();
+            self.ranking.update(self.millis(), &measures);
+        }
+        self.after(SECOND, Event::Rank);
+    }
+
+    fn headroom(&self, place: usize) -> RegionHeadroom {
+        let live = self.servers.iter().filter(|s| {
+            s.place == place
+                && s.mode != Mode::Gone
+                && !self.document.0[Server::index(&s.info.name)].leaving
+        });
+        let (mut capacity, mut load) = (0.0, 0.0);
+        for s in live {
+            capacity += f64::from(s.info.slots);
+            load += f64::from(s.published.busy + s.published.queued);
+        }
+        RegionHeadroom {
+            region: region(place),
+            capacity,
+            load,
+            domains: 2,
+            sampled: Millis(self.now / MS),
+        }
+    }
+
+    /// Callers of a block fetch the entry list anew.
+    pub fn refresh(&mut self, block: usize) {
+        let home = region(self.lists[block].0);
+        let far = |r: &Name| if r == &home { 0.0 } else { 55.0 };
+        let ranked = self.ranking.rank(block as u64, &self.document.1, far);
+        let index = |n: &Name| n[1..].parse().expect("an entry name");
+        self.lists[block].1 = ranked.iter().map(index).collect();
+    }
+
+    pub fn finish(mut self) -> Stats {
+        let unfinished: Vec<usize> = (0..self.reqs.len())
+            .filter(|&r| !self.reqs[r].over)
+            .collect();
+        for r in unfinished {
+            if self.reqs[r].sent < LAST {
+                self.close(r, End::Unknown);
+            }
+        }
+        self.stats.server_load = self.servers.iter().map(server_peak).fold(0.0, f64::max);
+        for place in 0..3 {
+            let peak = region_peak(self.servers.iter().filter(|s| s.place == place));
+            self.stats.region_load = self.stats.region_load.max(peak);
+        }
+        if self.case.has(Fault::Drain) {
+            let left = self.servers.iter().filter(|s| s.info.domain == domain(0));
+            for s in left {
+                let since = |t: u64| t.saturating_sub(FAULT) / MS;
+                self.stats.last_start_ms = self.stats.last_start_ms.max(since(s.last_start));
+                self.stats.drain_ms = self.stats.drain_ms.max(since(s.last_end));
+            }
+        }
+        self.stats
+    }
+}
+
+fn server_peak(s: &Server) -> f64 {
+    s.work()
+        .iter()
+        .max()
+        .map_or(0.0, |w| *w as f64 / s.capacity())
+}
+
+fn region_peak<'a>(servers: impl Iterator<Item = &'a Server>) -> f64 {
+    let mut work: Vec<f64> = vec![0.0; 8];
+    let mut capacity = 0.0;
+    for s in servers {
+        capacity += s.capacity();
+        s.work()
+            .iter()
+            .enumerate()
+            .for_each(|(i, w)| work[i] += *w as f64);
+    }
+    work.iter().fold(0.0, |m: f64, w| m.max(w / capacity))
+}
--- /dev/null
+++ b/crates/steering/benches/model/mod.rs
@@ -0,0 +1,10 @@
+//! A model of callers, entries and backend servers in model time.
+//!
+//! The decisions are those of the library; everything else is a stand-in.
+
+pub mod changes;
+pub mod entry;
+pub mod plan;
+pub mod server;
+pub mod stats;
+pub mod world;
--- /dev/null
+++ b/crates/steering/benches/model/plan.rs
@@ -0,0 +1,256 @@
+//! Deployments, policies and cases of the bench.
+
+use pomelovale_state::Name;
+use pomelovale_steering::admission::AdmissionPolicy;
+use pomelovale_steering::balancer::BalancerPolicy;
+use pomelovale_steering::entries::EntryPolicy;
+use pomelovale_steering::hedge::HedgePolicy;
+use pomelovale_steering::region::RegionPolicy;
+
+/// Microseconds in a millisecond.
+pub const MS: u64 = 1_000;
+/// Microseconds in a second.
+pub const SECOND: u64 = 1_000 * MS;
+/// Length of a run.
+pub const RUN: u64 = 30 * SECOND;
+/// Arrivals before this moment are not counted.
+pub const WARM: u64 = 5 * SECOND;
+/// Arrivals after this moment are not counted.
+pub const LAST: u64 = 27 * SECOND;
+/// Start of the fault of a case.
+pub const FAULT: u64 = 10 * SECOND;
+/// End of a fault that ends.
+pub const MENDED: u64 = 20 * SECOND;
+/// Mean work of a request in microseconds: 90% lookups of 20 ms, 10% bookings
+/// of 40 ms.
+pub const MEAN_WORK: f64 = 22_000.0;
+/// Share of each workspace in the load.
+pub const SHARES: [f64; 8] = [0.30, 0.20, 0.15, 0.10, 0.10, 0.05, 0.05, 0.05];
+/// Rate limit of a workspace relative to its mean rate.
+pub const RATE_FACTOR: f64 = 1.2;
+/// Burst of a workspace in seconds of its rate.
+pub const BURST_SECONDS: f64 = 0.25;
+/// Caller blocks of each workspace.
+pub const BLOCKS: usize = 24;
+/// The workspace that sends too much in the flood cases.
+pub const FLOODER: usize = 1;
+
+/// Sizes of a deployment, for one of its services.
+#[derive(Clone, Copy, Debug)]
+pub struct Deployment {
+    pub label: &'static str,
+    pub servers: usize,
+    /// Slots of even and odd servers.
+    pub slots: [u32; 2],
+    pub connections: u32,
+    pub entries: usize,
+    pub client_ms: u64,
+}
+
+pub const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        label: "A",
+        servers: 14,
+        slots: [5, 6],
+        connections: 330,
+        entries: 8,
+        client_ms: 1,
+    },
+    Deployment {
+        label: "B",
+        servers: 20,
+        slots: [9, 9],
+        connections: 390,
+        entries: 12,
+        client_ms: 8,
+    },
+];
+
+pub fn region(i: usize) -> Name {
+    Name::from(format!("r{}", i % 3))
+}
+
+pub fn domain(i: usize) -> Name {
+    Name::from(format!("r{}-{}", i % 3, i / 3 % 2))
+}
+
+/// A full set of policies.
+#[derive(Clone, Copy, Debug)]
+pub struct Stack {
+    pub label: &'static str,
+    pub balancer: BalancerPolicy,
+    pub admission: AdmissionPolicy,
+    pub region: RegionPolicy,
+    pub hedge: HedgePolicy,
+    pub entry: EntryPolicy,
+}
+
+const fn baseline(
+    label: &'static str,
+    balancer: BalancerPolicy,
+    admission: AdmissionPolicy,
+) -> Stack {
+    Stack {
+        label,
+        balancer,
+        admission,
+        region: RegionPolicy::NoSpill,
+        hedge: HedgePolicy::Off,
+        entry: EntryPolicy::Nearest,
+    }
+}
+
+/// The policies under test.
+pub const STEERED: Stack = Stack {
+    label: "steered",
+    balancer: BalancerPolicy::SlotShares,
+    admission: AdmissionPolicy::Fair,
+    region: RegionPolicy::Spill,
+    hedge: HedgePolicy::Percentile,
+    entry: EntryPolicy::Headroom,
+};
+
+pub const BASELINES: [Stack; 5] = [
+    baseline("rr+fifo", BalancerPolicy::RoundRobin, AdmissionPolicy::Fifo),
+    baseline("rand+fifo", BalancerPolicy::Random, AdmissionPolicy::Fifo),
+    baseline(
+        "least+fifo",
+        BalancerPolicy::LeastOutstanding,
+        AdmissionPolicy::Fifo,
+    ),
+    baseline(
+        "least+open",
+        BalancerPolicy::LeastOutstanding,
+        AdmissionPolicy::Open,
+    ),
+    baseline("rr+open", BalancerPolicy::RoundRobin, AdmissionPolicy::Open),
+];
+
+/// The policies under test with one of them replaced.
+pub const ABLATIONS: [Stack; 4] = [
+    Stack {
+        label: "-shares",
+        balancer: BalancerPolicy::LeastOutstanding,
+        ..STEERED
+    },
+    Stack {
+        label: "-fair",
+        admission: AdmissionPolicy::Fifo,
+        ..STEERED
+    },
+    Stack {
+        label: "-spill",
+        region: RegionPolicy::NoSpill,
+        ..STEERED
+    },
+    Stack {
+        label: "-hedge",
+        hedge: HedgePolicy::Off,
+        ..STEERED
+    },
+];
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// Half of each region's servers restart cold.
+    ColdHalf,
+    /// The servers of one failure domain leave.
+    Drain,
+    /// One server fails at once.
+    FastFail,
+    /// One workspace sends five times its rate.
+    Flood,
+    /// Load reports and headroom stop.
+    NoReports,
+    /// One region is gone with its entries.
+    RegionLost,
+    /// All entries restart, one after the other.
+    Restarts,
+    /// One server stops answering.
+    Silent,
+    /// One server reports no load.
+    ZeroReport,
+}
+
+/// A load and the faults in it.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub label: &'static str,
+    pub load: f64,
+    pub faults: &'static [Fault],
+}
+
+pub const CASES: [Case; 13] = [
+    Case {
+        label: "calm 50%",
+        load: 0.5,
+        faults: &[],
+    },
+    Case {
+        label: "calm 80%",
+        load: 0.8,
+        faults: &[],
+    },
+    Case {
+        label: "flood 80%",
+        load: 0.8,
+        faults: &[Fault::Flood],
+    },
+    Case {
+        label: "zero report 80%",
+        load: 0.8,
+        faults: &[Fault::ZeroReport],
+    },
+    Case {
+        label: "silent 60%",
+        load: 0.6,
+        faults: &[Fault::Silent],
+    },
+    Case {
+        label: "fast fail 60%",
+        load: 0.6,
+        faults: &[Fault::FastFail],
+    },
+    Case {
+        label: "cold half 60%",
+        load: 0.6,
+        faults: &[Fault::ColdHalf],
+    },
+    Case {
+        label: "drain 60%",
+        load: 0.6,
+        faults: &[Fault::Drain],
+    },
+    Case {
+        label: "region lost 60%",
+        load: 0.6,
+        faults: &[Fault::RegionLost],
+    },
+    Case {
+        label: "no reports 80%",
+        load: 0.8,
+        faults: &[Fault::NoReports],
+    },
+    Case {
+        label: "restarts 60%",
+        load: 0.6,
+        faults: &[Fault::Restarts],
+    },
+    Case {
+        label: "silent+flood 60%",
+        load: 0.6,
+        faults: &[Fault::Silent, Fault::Flood],
+    },
+    Case {
+        label: "drain+no reports 60%",
+        load: 0.6,
+        faults: &[Fault::Drain, Fault::NoReports],
+    },
+];
+
+impl Case {
+    pub fn has(&self, fault: Fault) -> bool {
+        self.faults.contains(&fault)
+    }
+}
--- /dev/null
+++ b/crates/steering/benches/model/server.rs
@@ -0,0 +1,152 @@
+//! A stand-in backend server: slots, a queue, a connection limit, cold starts.
+
+use std::collections::VecDeque;
+
+use pomelovale_state::Name;
+use pomelovale_steering::balancer::{LoadReport, ServerInfo};
+
+use super::plan::SECOND;
+
+/// Queue length at which a server sheds, in multiples of its slots.
+const QUEUE_FACTOR: usize = 4;
+/// Slowdown of the first request after a cold start.
+const COLD_FACTOR: f64 = 3.0;
+/// Requests until a server is warm, decreasing linearly.
+const WARM_AFTER: f64 = 200.0;
+/// Length of the windows for the highest load.
+const WINDOW: u64 = 5 * SECOND;
+
+/// How a server behaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mode {
+    Failing,
+    Gone,
+    Normal,
+    Silent,
+}
+
+/// An attempt at a server: the request and the number of its attempt.
+pub type Attempt = (usize, usize);
+
+/// What a server does with an attempt that arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Arrival {
+    Failed,
+    Held,
+    Lost,
+    Shed,
+    Started,
+}
+
+pub struct Server {
+    pub info: ServerInfo,
+    pub place: usize,
+    pub mode: Mode,
+    pub published: LoadReport,
+    pub busy: u32,
+    pub queue: VecDeque<Attempt>,
+    pub connected: u32,
+    served: f64,
+    work: Vec<u64>,
+    pub last_start: u64,
+    pub last_end: u64,
+}
+
+impl Server {
+    pub fn new(info: ServerInfo, place: usize) -> Server {
+        let published = LoadReport {
+            slots: info.slots,
+            busy: 0,
+            queued: 0,
+        };
+        Server {
+            info,
+            place,
+            mode: Mode::Normal,
+            published,
+            busy: 0,
+            queue: VecDeque::new(),
+            connected: 0,
+            served: WARM_AFTER,
+            work: Vec::new(),
+            last_start: 0,
+            last_end: 0,
+        }
+    }
+
+    pub fn name(i: usize) -> Name {
+        Name::from(format!("s{i:02}"))
+    }
+
+    pub fn index(name: &Name) -> usize {
+        name[1..].parse().expect("a server name")
+    }
+
+    /// Restarts without its caches.
+    pub fn cool(&mut self) {
+        self.served = 0.0;
+    }
+
+    pub fn arrive(&mut self, attempt: Attempt) -> Arrival {
+        match self.mode {
+            Mode::Failing => return Arrival::Failed,
+            Mode::Gone | Mode::Silent => return Arrival::Lost,
+            Mode::Normal => {}
+        }
+        if self.connected >= self.info.connections {
+            return Arrival::Failed;
+        }
+        if self.busy >= self.info.slots
+            && self.queue.len() >= self.info.slots as usize * QUEUE_FACTOR
+        {
+            return Arrival::Shed;
+        }
+        self.connected += 1;
+        if self.busy >= self.info.slots {
+            self.queue.push_back(attempt);
+            return Arrival::Held;
+        }
+        Arrival::Started
+    }
+
+    /// Starts a request with the given work; returns its duration.
+    pub fn start(&mut self, now: u64, work: u64) -> u64 {
+        self.busy += 1;
+        self.last_start = now;
+        let left = (1.0 - self.served / WARM_AFTER).max(0.0);
+        self.served += 1.0;
+        let duration = work as f64 * (1.0 + (COLD_FACTOR - 1.0) * left);
+        let window = (now / WINDOW) as usize;
+        if self.work.len() <= window {
+            self.work.resize(window + 1, 0);
+        }
+        self.work[window] += duration as u64;
+        duration as u64
+    }
+
+    /// Ends a running request; returns the one that runs next.
+    pub fn end(&mut self, now: u64) -> Option<Attempt> {
+        self.busy -= 1;
+        self.connected -= 1;
+        self.last_end = now;
+        self.queue.pop_front()
+    }
+
+    pub fn publish(&mut self) {
+        self.published = LoadReport {
+            slots: self.info.slots,
+            busy: self.busy,
+            queued: self.queue.len() as u32,
+        };
+    }
+
+    /// Work started in each window.
+    pub fn work(&self) -> &[u64] {
+        &self.work
+    }
+
+    /// Work that the server can do in one window.
+    pub fn capacity(&self) -> f64 {
+        f64::from(self.info.slots) * WINDOW as f64
+    }
+}
--- /dev/null
+++ b/crates/steering/benches/model/world.rs
@@ -0,0 +1,533 @@
+//! The event loop: callers, entries, servers and the network between them.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::admission::{Ended, Ticket, Verdict};
+use pomelovale_steering::balancer::{EntryInfo, Request, ServerInfo};
+use pomelovale_steering::entries::EntryRanking;
+use pomelovale_steering::{AttemptEnd, Class};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::changes::{exponential, home_region, space_name, stand_in, ENDS};
+use super::entry::Entry;
+use super::plan::*;
+use super::server::{Arrival, Mode, Server};
+use super::stats::{End, Stats};
+
+const PUBLISH: u64 = 200 * MS;
+const SWEEP: u64 = 20 * MS;
+const LIST_TTL: u64 = 5 * SECOND;
+const ATTEMPT_TIMEOUT: u64 = 1_000 * MS;
+const MAX_ATTEMPTS: usize = 4;
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Event {
+    Arrive(usize),
+    AtEntry(usize),
+    AtServer(usize, usize),
+    Done(usize, usize),
+    Fault(u8),
+    Hedge(usize),
+    Learn(usize),
+    Poll(usize),
+    Publish,
+    Rank,
+    Refresh(usize),
+    Reply(usize, usize, u8),
+    Restart(usize, u8),
+    Sweep(usize),
+    Timeout(usize, usize),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    Flying,
+    Over,
+    Queued,
+    Running,
+}
+
+#[derive(Clone, Copy)]
+pub struct Try {
+    pub server: usize,
+    pub started: u64,
+    pub phase: Phase,
+}
+
+pub struct Req {
+    pub space: usize,
+    pub booking: bool,
+    pub home: usize,
+    pub entry: usize,
+    /// Restarts of the entry when the request arrived at it.
+    pub life: u32,
+    pub sent: u64,
+    pub work: u64,
+    pub tries: Vec<Try>,
+    pub runs: u32,
+    pub over: bool,
+}
+
+pub struct World {
+    pub case: Case,
+    pub stack: Stack,
+    pub size: Deployment,
+    pub seed: u64,
+    pub now: u64,
+    pub order: u64,
+    pub heap: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    pub rng: SmallRng,
+    pub arrivals: Vec<SmallRng>,
+    pub rates: Vec<f64>,
+    pub buckets: Vec<(f64, u64)>,
+    pub servers: Vec<Server>,
+    pub document: (Vec<ServerInfo>, Vec<EntryInfo>),
+    pub entries: Vec<Entry>,
+    pub lives: Vec<u32>,
+    pub lists: Vec<(usize, Vec<usize>)>,
+    pub ranking: EntryRanking,
+    pub reqs: Vec<Req>,
+    pub stats: Stats,
+}
+
+pub fn run(case: Case, stack: Stack, size: Deployment, seed: u64) -> Stats {
+    let mut world = World::new(case, stack, size, seed);
+    while let Some(Reverse((at, _, event))) = world.heap.pop() {
+        if at > RUN {
+            break;
+        }
+        world.now = at;
+        world.handle(event);
+    }
+    world.finish()
+}
+
+impl World {
+    fn new(case: Case, stack: Stack, size: Deployment, seed: u64) -> World {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let servers: Vec<Server> = (0..size.servers).map(|i| stand_in(i, &size)).collect();
+        let infos = servers.iter().map(|s| s.info.clone()).collect();
+        let entries: Vec<Entry> = (0..size.entries)
+            .map(|i| Entry::new(i, &stack, seed))
+            .collect();
+        let slots: u32 = servers.iter().map(|s| s.info.slots).sum();
+        let total = case.load * f64::from(slots) / MEAN_WORK;
+        let lists = (0..BLOCKS * 8).map(|_| (home_region(&mut rng, &servers), Vec::new()));
+        let mut world = World {
+            document: (infos, entries.iter().map(|e| e.info.clone()).collect()),
+            lists: lists.collect(),
+            rates: SHARES.iter().map(|s| s * total).collect(),
+            buckets: SHARES
+                .iter()
+                .map(|s| (s * total * RATE_FACTOR * BURST_SECONDS * 1e6, 0))
+                .collect(),
+            arrivals: (0..8)
+                .map(|i| SmallRng::seed_from_u64(seed * 31 + i))
+                .collect(),
+            lives: vec![0; entries.len()],
+            ranking: EntryRanking::new(stack.entry),
+            stats: Stats::new(),
+            reqs: Vec::new(),
+            heap: BinaryHeap::new(),
+            now: 0,
+            order: 0,
+            case,
+            stack,
+            size,
+            seed,
+            rng,
+            servers,
+            entries,
+        };
+        world.schedule();
+        world
+    }
+
+    fn schedule(&mut self) {
+        for i in 0..self.entries.len() {
+            self.learn(i);
+            self.at(i as u64 * 30 * MS, Event::Poll(i));
+            self.at(i as u64 * 2 * MS, Event::Sweep(i));
+        }
+        for i in 0..self.lists.len() {
+            self.refresh(i);
+            let phase = self.rng.random_range(0..LIST_TTL);
+            self.at(phase, Event::Refresh(i));
+        }
+        (0..8).for_each(|i| self.at(0, Event::Arrive(i)));
+        self.at(PUBLISH, Event::Publish);
+        self.at(SECOND, Event::Rank);
+        self.at(FAULT, Event::Fault(0));
+        self.at(MENDED, Event::Fault(1));
+        if self.case.has(Fault::Restarts) {
+            for i in 0..self.entries.len() {
+                self.at(FAULT + i as u64 * 800 * MS, Event::Restart(i, 0));
+            }
+        }
+    }
+
+    pub fn at(&mut self, time: u64, event: Event) {
+        self.order += 1;
+        self.heap.push(Reverse((time, self.order, event)));
+    }
+
+    pub fn after(&mut self, delay: u64, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    pub fn millis(&self) -> Millis {
+        Millis(self.now / MS)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(space) => self.arrive(space),
+            Event::AtEntry(r) => self.at_entry(r),
+            Event::AtServer(r, k) => self.at_server(r, k),
+            Event::Done(r, k) => self.done(r, k),
+            Event::Fault(step) => self.fault(step),
+            Event::Hedge(r) => self.hedge(r),
+            Event::Learn(i) => self.learn(i),
+            Event::Poll(i) => self.poll(i),
+            Event::Publish => self.publish(),
+            Event::Rank => self.rank(),
+            Event::Refresh(i) => {
+                self.refresh(i);
+                self.after(LIST_TTL, Event::Refresh(i));
+            }
+            Event::Reply(r, k, end) => self.reply(r, k, ENDS[end as usize]),
+            Event::Restart(i, step) => self.restart(i, step),
+            Event::Sweep(i) => self.sweep(i),
+            Event::Timeout(r, k) => self.reply(r, k, AttemptEnd::TimedOut),
+        }
+    }
+
+    fn arrive(&mut self, space: usize) {
+        let rng = &mut self.arrivals[space];
+        let flood = self.case.has(Fault::Flood) && space == FLOODER && self.now >= FAULT;
+        let factor = if flood { 5.0 * RATE_FACTOR } else { 1.0 };
+        let gap = exponential(rng, 1.0 / (self.rates[space] * factor));
+        let booking = rng.random::<f64>() < 0.1;
+        let work = match booking {
+            true => 20_000.0 + exponential(rng, 20_000.0),
+            false => 8_000.0 + exponential(rng, 12_000.0),
+        };
+        let block = space * BLOCKS + rng.random_range(0..BLOCKS);
+        let home = self.lists[block].0;
+        let alive = self.lists[block]
+            .1
+            .iter()
+            .position(|&e| self.entries[e].alive);
+        let skipped = alive.unwrap_or(0) as u64;
+        let entry = self.lists[block].1[skipped as usize];
+        let r = self.reqs.len();
+        self.reqs.push(Req {
+            space,
+            booking,
+            home,
+            entry,
+            life: self.lives[entry],
+            sent: self.now,
+            work: work as u64,
+            tries: Vec::new(),
+            runs: 0,
+            over: false,
+        });
+        let delay = self.client_delay(r) + skipped * 2 * self.size.client_ms * MS;
+        self.after(delay, Event::AtEntry(r));
+        self.after(gap as u64, Event::Arrive(space));
+    }
+
+    fn client_delay(&self, r: usize) -> u64 {
+        let req = &self.reqs[r];
+        let far = self.entries[req.entry].place % 3 != req.home;
+        (self.size.client_ms + if far { 55 } else { 0 }) * MS
+    }
+
+    /// The exact token bucket across all entries.
+    fn within_rate(&mut self, space: usize) -> bool {
+        let rate = self.rates[space] * RATE_FACTOR;
+        let (level, at) = &mut self.buckets[space];
+        let most = rate * BURST_SECONDS * 1e6;
+        *level = (*level + (self.now - *at) as f64 * rate).min(most);
+        *at = self.now;
+        let ok = *level >= 1.0;
+        *level -= f64::from(u8::from(ok));
+        ok
+    }
+
+    fn at_entry(&mut self, r: usize) {
+        let (space, entry) = (self.reqs[r].space, self.reqs[r].entry);
+        if !self.entries[entry].alive {
+            return self.close(r, End::Failed);
+        }
+        if !self.within_rate(space) {
+            return self.close(r, End::Limited);
+        }
+        let now = self.millis();
+        let class = self.class(r);
+        self.reqs[r].life = self.lives[entry];
+        let e = &mut self.entries[entry];
+        e.arrived += 1;
+        let verdict = e
+            .admission
+            .offer(now, Ticket(r as u64), &space_name(space), class);
+        match verdict {
+            Verdict::Admitted => self.dispatch(r),
+            Verdict::Queued => {}
+            Verdict::Refused { .. } => self.close(r, End::Refused),
+        }
+    }
+
+    fn class(&self, r: usize) -> Class {
+        match self.reqs[r].booking {
+            true => Class::Once,
+            false => Class::Idempotent,
+        }
+    }
+
+    fn dispatch(&mut self, r: usize) {
+        self.entries[self.reqs[r].entry].budget.record_request();
+        if !self.attempt(r) {
+            return self.release(r, AttemptEnd::Failed, 0, End::Refused);
+        }
+        match self.entries[self.reqs[r].entry].hedge.delay() {
+            Some(delay) if !self.reqs[r].booking => self.after(delay.0 * MS, Event::Hedge(r)),
+            _ => {}
+        }
+    }
+
+    /// Sends an attempt to a server not tried yet; false if there is none.
+    fn attempt(&mut self, r: usize) -> bool {
+        let now = self.millis();
+        let class = self.class(r);
+        let tries = &self.reqs[r].tries;
+        let exclude: Vec<Name> = tries.iter().map(|t| Server::name(t.server)).collect();
+        let e = &mut self.entries[self.reqs[r].entry];
+        let region = e.regions.pick();
+        let mut request = Request {
+            class,
+            exclude: &exclude,
+            region: Some(&region),
+        };
+        let mut choice = e.balancer.choose(now, &request);
+        if choice.is_none() && self.stack.region == pomelovale_steering::region::RegionPolicy::Spill
+        {
+            request.region = None;
+            choice = e.balancer.choose(now, &request);
+        }
+        let Some(choice) = choice else { return false };
+        e.balancer.start(now, &choice.server);
+        let server = Server::index(&choice.server);
+        let idle = e.idle.entry(server).or_insert(0);
+        let connect = if *idle == 0 { MS } else { 0 };
+        *idle = idle.saturating_sub(1);
+        self.reqs[r].tries.push(Try {
+            server,
+            started: self.now,
+            phase: Phase::Flying,
+        });
+        self.stats.attempts += 1;
+        let k = self.reqs[r].tries.len() - 1;
+        let delay = connect + self.distance(r, server);
+        self.after(delay, Event::AtServer(r, k));
+        self.after(ATTEMPT_TIMEOUT, Event::Timeout(r, k));
+        true
+    }
+
+    /// One-way delay between a request's entry and a server.
+    fn distance(&self, r: usize, server: usize) -> u64 {
+        let (e, s) = (
+            &self.entries[self.reqs[r].entry].info,
+            &self.servers[server].info,
+        );
+        match () {
+            () if e.region != s.region => 55 * MS,
+            () if e.domain != s.domain => 1_500,
+            () => 100,
+        }
+    }
+
+    fn at_server(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        if t.phase == Phase::Over {
+            return;
+        }
+        let back = self.distance(r, t.server);
+        match self.servers[t.server].arrive((r, k)) {
+            Arrival::Failed => self.after(MS + back, Event::Reply(r, k, 1)),
+            Arrival::Held => self.reqs[r].tries[k].phase = Phase::Queued,
+            Arrival::Lost => {}
+            Arrival::Shed => self.after(MS + back, Event::Reply(r, k, 2)),
+            Arrival::Started => self.begin(r, k),
+        }
+    }
+
+    fn begin(&mut self, r: usize, k: usize) {
+        let req = &mut self.reqs[r];
+        req.tries[k].phase = Phase::Running;
+        req.runs += 1;
+        let server = req.tries[k].server;
+        let duration = self.servers[server].start(self.now, req.work);
+        self.after(duration, Event::Done(r, k));
+    }
+
+    fn done(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        let normal = self.servers[t.server].mode == Mode::Normal;
+        if t.phase != Phase::Running || !normal {
+            return;
+        }
+        let back = self.distance(r, t.server);
+        self.after(back, Event::Reply(r, k, 0));
+        self.leave_slot(t.server);
+        self.reqs[r].tries[k].phase = Phase::Flying;
+    }
+
+    fn leave_slot(&mut self, server: usize) {
+        let mut next = self.servers[server].end(self.now);
+        while let Some((r, k)) = next {
+            if self.reqs[r].tries[k].phase == Phase::Queued {
+                return self.begin(r, k);
+            }
+            next = self.servers[server].queue.pop_front();
+        }
+    }
+
+    /// An attempt ends at the entry.
+    fn reply(&mut self, r: usize, k: usize, end: AttemptEnd) {
+        let t = self.reqs[r].tries[k];
+        let entry = self.reqs[r].entry;
+        if t.phase == Phase::Over {
+            return;
+        }
+        if self.reqs[r].life != self.lives[entry] || !self.entries[entry].alive {
+            return self.cancel(r, k);
+        }
+        let latency = (self.now - t.started) / MS;
+        let now = self.millis();
+        if end == AttemptEnd::TimedOut {
+            self.cancel(r, k);
+        }
+        self.reqs[r].tries[k].phase = Phase::Over;
+        let e = &mut self.entries[entry];
+        e.balancer
+            .finish(now, &Server::name(t.server), end, latency);
+        if matches!(end, AttemptEnd::Complete | AttemptEnd::Shed) {
+            *e.idle.entry(t.server).or_insert(0) += 1;
+        }
+        if self.reqs[r].over {
+            return;
+        }
+        match end {
+            AttemptEnd::Complete => self.complete(r, k, latency),
+            AttemptEnd::Cancelled => {}
+            AttemptEnd::Failed | AttemptEnd::Shed | AttemptEnd::TimedOut => self.retry(r, end),
+        }
+    }
+
+    fn complete(&mut self, r: usize, k: usize, latency: u64) {
+        if !self.reqs[r].booking {
+            self.entries[self.reqs[r].entry].hedge.record(latency);
+        }
+        for other in 0..self.reqs[r].tries.len() {
+            if other != k && self.reqs[r].tries[other].phase != Phase::Over {
+                self.give_up(r, other);
+            }
+        }
+        self.release(r, AttemptEnd::Complete, latency, End::Answered);
+    }
+
+    fn give_up(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        let (now, latency) = (self.millis(), (self.now - t.started) / MS);
+        let e = &mut self.entries[self.reqs[r].entry];
+        e.balancer
+            .finish(now, &Server::name(t.server), AttemptEnd::Cancelled, latency);
+        self.cancel(r, k);
+    }
+
+    /// The server drops an attempt that nobody waits for.
+    fn cancel(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        self.reqs[r].tries[k].phase = Phase::Over;
+        match t.phase {
+            Phase::Running if self.servers[t.server].mode == Mode::Normal => {
+                self.leave_slot(t.server)
+            }
+            Phase::Queued => {
+                let s = &mut self.servers[t.server];
+                s.queue.retain(|a| *a != (r, k));
+                s.connected = s.connected.saturating_sub(1);
+            }
+            _ => {}
+        }
+    }
+
+    fn retry(&mut self, r: usize, end: AttemptEnd) {
+        let live = self.reqs[r].tries.iter().any(|t| t.phase != Phase::Over);
+        if live {
+            return;
+        }
+        let safe = !self.reqs[r].booking || end == AttemptEnd::Shed;
+        let more = self.reqs[r].tries.len() < MAX_ATTEMPTS;
+        let entry = self.reqs[r].entry;
+        if safe && more && self.entries[entry].budget.try_spend() && self.attempt(r) {
+            return;
+        }
+        let last = match end {
+            AttemptEnd::Shed => End::Refused,
+            AttemptEnd::TimedOut => End::Unknown,
+            _ => End::Failed,
+        };
+        let latency = (self.now - self.reqs[r].tries[0].started) / MS;
+        self.release(r, end, latency, last);
+    }
+
+    fn release(&mut self, r: usize, end: AttemptEnd, latency_ms: u64, result: End) {
+        self.close(r, result);
+        let (now, ticket) = (self.millis(), Ticket(r as u64));
+        let ended = Ended {
+            ticket,
+            end,
+            latency_ms,
+        };
+        let next = self.entries[self.reqs[r].entry]
+            .admission
+            .release(now, ended);
+        next.into_iter().for_each(|t| self.dispatch(t.0 as usize));
+    }
+
+    pub fn close(&mut self, r: usize, end: End) {
+        let latency = self.now + self.client_delay(r) - self.reqs[r].sent;
+        let req = &mut self.reqs[r];
+        req.over = true;
+        if req.booking && req.runs > 1 {
+            self.stats.twice += 1;
+        }
+        if (WARM..LAST).contains(&req.sent) {
+            self.stats.record(req.space, req.booking, latency, end);
+        }
+    }
+
+    fn hedge(&mut self, r: usize) {
+        let req = &self.reqs[r];
+        let e = &mut self.entries[req.entry];
+        let waits = !req.over && req.tries.len() == 1 && req.life == self.lives[req.entry];
+        if waits && e.hedge.allows(Class::Idempotent, false, &mut e.budget) {
+            self.attempt(r);
+        }
+    }
+
+    fn sweep(&mut self, i: usize) {
+        let now = self.millis();
+        let refused = self.entries[i].admission.take_refused(now);
+        refused
+            .iter()
+            .for_each(|x| self.close(x.ticket.0 as usize, End::Refused));
+        self.after(SWEEP, Event::Sweep(i));
+    }
+}
--- /dev/null
+++ b/crates/steering/benches/policy.rs
@@ -0,0 +1,176 @@
+//! Measures the steering decisions in model time and the cost of one choice.
+//!
+//! `cargo bench --bench policy` runs everything; `-- --short` runs the policies
+//! under test and the best baselines with two seeds, `-- --case TEXT` only the
+//! cases whose label contains the text, `-- --ablations` adds the policies under
+//! test with one of them replaced.
+
+mod model;
+
+use std::hint::black_box;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+use model::plan::*;
+use model::stats::Stats;
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::balancer::{Balancer, BalancerPolicy, Request, ServerInfo};
+use pomelovale_steering::{AttemptEnd, Class};
+
+const SEEDS: [u64; 5] = [11, 23, 37, 41, 59];
+const THREADS: usize = 3;
+const CHOICES: u32 = 500_000;
+
+struct Job {
+    size: Deployment,
+    case: Case,
+    stack: Stack,
+    seed: u64,
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let has = |flag: &str| args.iter().any(|a| a == flag);
+    let wanted = args
+        .iter()
+        .position(|a| a == "--case")
+        .map(|i| args[i + 1].clone());
+    let seeds = if has("--short") {
+        &SEEDS[..2]
+    } else {
+        &SEEDS[..]
+    };
+    let mut stacks = vec![STEERED];
+    stacks.extend(BASELINES);
+    if has("--ablations") {
+        stacks.extend(ABLATIONS);
+    }
+    time_choices();
+    let started = Instant::now();
+    for size in DEPLOYMENTS {
+        let picked = |c: &&Case| wanted.as_ref().is_none_or(|w| c.label.contains(w.as_str()));
+        let cases: Vec<Case> = CASES.iter().filter(picked).copied().collect();
+        let results = run_all(size, &cases, &stacks, seeds);
+        print_tables(size, &cases, &stacks, &results);
+    }
+    println!(
+        "seeds {seeds:?}, wall time {:.0} s",
+        started.elapsed().as_secs_f64()
+    );
+}
+
+fn run_all(size: Deployment, cases: &[Case], stacks: &[Stack], seeds: &[u64]) -> Vec<Stats> {
+    let mut jobs = Vec::new();
+    for &case in cases {
+        for &stack in stacks {
+            jobs.extend(seeds.iter().map(|&seed| Job {
+                size,
+                case,
+                stack,
+                seed,
+            }));
+        }
+    }
+    let results: Vec<Mutex<Stats>> = (0..jobs.len() / seeds.len())
+        .map(|_| Mutex::new(Stats::new()))
+        .collect();
+    let next = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| loop {
+                let i = next.fetch_add(1, Ordering::SeqCst);
+                let Some(job) = jobs.get(i) else { break };
+                let stats = model::world::run(job.case, job.stack, job.size, job.seed);
+                results[i / seeds.len()]
+                    .lock()
+                    .expect("no panic")
+                    .add(&stats);
+            });
+        }
+    });
+    results
+        .into_iter()
+        .map(|m| m.into_inner().expect("no panic"))
+        .collect()
+}
+
+fn print_tables(size: Deployment, cases: &[Case], stacks: &[Stack], results: &[Stats]) {
+    println!(
+        "\ndeployment {}: {} servers, {} entries; latencies in ms; load: highest 5 s window / capacity",
+        size.label, size.servers, size.entries
+    );
+    for (c, case) in cases.iter().enumerate() {
+        println!(
+            "\n{:<22}{:>7}{:>8}{:>8}{:>8}{:>8}{:>8}{:>8}{:>7}{:>7}{:>8}{:>8}{:>8}{:>7}{:>7}{:>7}{:>7}{:>6}",
+            case.label, "l.p50", "l.p99", "l.p999", "b.p50", "b.p99", "b.p999", "refused", "failed",
+            "unkn", "mean%", "worst%", "w.p99", "region", "server", "start", "drain", "twice"
+        );
+        let row = |s: usize| &results[c * stacks.len() + s];
+        for (s, stack) in stacks.iter().enumerate() {
+            print_row(stack.label, row(s));
+        }
+        let best = (1..=BASELINES.len())
+            .map(|s| row(s).lookup_ms(0.99))
+            .fold(f64::MAX, f64::min);
+        let gain = 100.0 * (1.0 - row(0).lookup_ms(0.99) / best);
+        println!("  steered p99 of lookups {gain:.1}% lower than the lowest of the baselines");
+        if case.has(Fault::Flood) {
+            print_flood(cases, case, row(0), results, stacks.len());
+        }
+    }
+}
+
+fn print_row(label: &str, s: &Stats) {
+    let (mean, worst) = s.shares();
+    println!(
+        "  {:<20}{:>7.1}{:>8.1}{:>8.1}{:>8.1}{:>8.1}{:>8.1}{:>8}{:>7}{:>7}{:>8.3}{:>8.3}{:>8.1}{:>7.2}{:>7.2}{:>7}{:>7}{:>6}",
+        label, s.lookup_ms(0.5), s.lookup_ms(0.99), s.lookup_ms(0.999), s.booking_ms(0.5),
+        s.booking_ms(0.99), s.booking_ms(0.999), s.refused, s.failed, s.unknown, mean * 100.0,
+        worst * 100.0, s.worst_p99(), s.region_load, s.server_load, s.last_start_ms, s.drain_ms, s.twice
+    );
+}
+
+/// The p99 of each workspace but the flooding one against the calm case.
+fn print_flood(cases: &[Case], case: &Case, flood: &Stats, results: &[Stats], stacks: usize) {
+    let calm = cases
+        .iter()
+        .position(|c| c.faults.is_empty() && c.load == case.load);
+    let Some(calm) = calm.map(|i| &results[i * stacks]) else {
+        return;
+    };
+    let others = (0..SHARES.len()).filter(|i| *i != FLOODER);
+    let ratio = |i: usize| flood.space_p99(i) / calm.space_p99(i);
+    let worst = others.map(ratio).fold(0.0, f64::max);
+    println!("  flood: p99 of the other workspaces at most {worst:.2} times the calm value");
+}
+
+fn time_choices() {
+    let size = DEPLOYMENTS[0];
+    for policy in [BalancerPolicy::SlotShares, BalancerPolicy::LeastOutstanding] {
+        let mut balancer = Balancer::new(policy, 1);
+        let entries: Vec<_> = (0..size.entries).map(model::entry::Entry::info).collect();
+        let servers: Vec<ServerInfo> = (0..36)
+            .map(|i| model::changes::stand_in(i, &size).info)
+            .collect();
+        balancer.set_entries(&entries[0].name, &entries);
+        balancer.set_servers(Millis(0), &servers);
+        let home = Name::from("r0");
+        for (label, region) in [("one region of 3", Some(&home)), ("all", None)] {
+            let request = Request {
+                class: Class::Idempotent,
+                exclude: &[],
+                region,
+            };
+            let started = Instant::now();
+            for i in 0..CHOICES {
+                let now = Millis(u64::from(i / 8));
+                let choice = balancer.choose(now, &request).expect("a server");
+                balancer.start(now, &choice.server);
+                balancer.finish(now, &black_box(choice).server, AttemptEnd::Complete, 20);
+            }
+            let ns = started.elapsed().as_nanos() / u128::from(CHOICES);
+            println!("choose + start + finish, 36 servers, {label}, {policy:?}: {ns} ns");
+        }
+    }
+}
--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -136,6 +136,14 @@
         self.limit.set_bounds(min, max);
     }
 
+    /// Sets the bounds from the slots of the region's servers and the number of
+    /// entries that share them. The limit leaves room for uneven demand.
+    pub fn set_shared(&mut self, slots: u32, entries: u32) {
+        let share = slots.div_ceil(entries.max(1)).max(1);
+        self.limit
+            .set_bounds(share.max(self.limits.min), (share * 3).min(self.limits.max));
+    }
+
     /// Offers a request.
     pub fn offer(
         &mut self,
@@ -222,6 +230,11 @@
         self.queue.ahead(workspace) * self.request_ms / f64::from(self.limit.current().max(1))
     }
 
+    /// Expected wait of the next request of any workspace in milliseconds.
+    pub fn queue_wait(&self) -> f64 {
+        self.queue.len() as f64 * self.request_ms / f64::from(self.limit.current().max(1))
+    }
+
     fn has_room(&self, class: Class) -> bool {
         let limit = f64::from(self.limit.current());
         let room = match class {
