Match the command line to the operators' listener

Cause: the listener takes the sender from the key and answers with an outcome. Change: proposals without a sender, verdicts by code; entry settings are checked field by field.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -15,7 +15,8 @@
     pub operators: Vec<String>,
     /// The operator's key.
     pub key: String,
-    /// Name under which changes are sent.
+    /// Identifier of the operator's key, which sets request identifiers of
+    /// two operators apart.
     pub sender: Name,
     /// Whether lists are printed as JSON.
     pub json: bool,
@@ -33,7 +34,6 @@
 pub fn global(args: &mut Arguments) -> Result<Global, CliError> {
     let operators: Option<String> = args.opt_value_from_str("--operators")?;
     let key_file: Option<String> = args.opt_value_from_str("--key-file")?;
-    let sender: Option<String> = args.opt_value_from_str("--sender")?;
     let request: Option<String> = args.opt_value_from_str("--request")?;
     let list = operators
         .or_else(|| variable("POMELOVALE_OPERATORS"))
@@ -48,13 +48,10 @@
             .filter(|a| !a.is_empty())
             .map(str::to_owned)
             .collect(),
-        key,
-        sender: sender
-            .or_else(|| variable("USER"))
-            .unwrap_or_else(|| "operator".to_owned())
-            .into(),
+        sender: key.split('.').nth(1).unwrap_or("").into(),
         json: args.contains("--json"),
         request: request.map(Name::from),
+        key,
         base: args.opt_value_from_str("--base")?,
     })
 }
--- a/crates/cli/src/blocks.rs
+++ b/crates/cli/src/blocks.rs
@@ -17,7 +17,7 @@
     pomelovale blocks load <file> [options]
 
 The file is CSV with the columns prefix and site; an empty site removes the
-row. It is sent in changes of 10,000 rows, each of which builds on the one
+row. It is sent in changes of 5,000 rows, each of which builds on the one
 before; after a conflict, what was accepted stays, and the command says from
 which row to go on.
 
@@ -25,7 +25,8 @@
     198.51.100.0/24,north-1
 ";
 
-const ROWS_MAX: usize = 10_000;
+// Keeps a change under the listener's limit of 1 MiB.
+const ROWS_MAX: usize = 5_000;
 
 /// Runs the command.
 pub fn run(client: &Client, mut args: Arguments) -> Result<(), CliError> {
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,10 +1,11 @@
 //! The operators' HTTP client: tries the listeners in turn.
 
-use pomelovale_state::command::{Applied, Change, Command, Refusal};
+use pomelovale_state::command::{Change, Command, Refusal, Winner};
 use pomelovale_state::document::Document;
 use pomelovale_state::{ErrorKind, Millis, Name};
 use rand::Rng;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::args::Global;
 use crate::error::CliError;
@@ -21,6 +22,33 @@
     global: Global,
 }
 
+/// Body of `POST /v1/changes`; the listener adds the sender, from the key.
+#[derive(Serialize)]
+struct Proposal<'a> {
+    request: &'a Name,
+    base: Option<u64>,
+    command: &'a Command,
+}
+
+/// Answer to a change, or a refusal of any request.
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+enum Verdict {
+    Accepted {
+        version: u64,
+        item: u64,
+    },
+    Refused {
+        code: String,
+        text: String,
+        #[serde(default)]
+        winner: Option<Winner>,
+    },
+    Unknown {
+        text: String,
+    },
+}
+
 struct Reply {
     status: u16,
     body: String,
@@ -72,12 +100,15 @@
     /// Sends a change; every try carries the same request identifier, so a
     /// lost answer can't make it run twice.
     pub fn send(&self, change: &Change) -> Result<(u64, u64), CliError> {
-        let body = serde_json::to_string(change)?;
-        let reply = self.any("/v1/changes", Some(&body))?;
-        match serde_json::from_str::<Applied>(&reply.body) {
-            Ok(Applied::Accepted { version, item }) => Ok((version, item)),
-            Ok(Applied::Refused(refusal)) => Err(CliError::Refused(refusal)),
-            Ok(Applied::Intent(_)) | Err(_) => Err(refusal(&reply)),
+        let proposal = Proposal {
+            request: &change.request,
+            base: change.base,
+            command: &change.command,
+        };
+        let reply = self.any("/v1/changes", Some(&serde_json::to_string(&proposal)?))?;
+        match serde_json::from_str(&reply.body) {
+            Ok(Verdict::Accepted { version, item }) => Ok((version, item)),
+            _ => Err(refusal(&reply)),
         }
     }
 
@@ -130,9 +161,19 @@
 }
 
 fn refusal(reply: &Reply) -> CliError {
-    match serde_json::from_str::<Refusal>(&reply.body) {
-        Ok(refusal) => CliError::Refused(refusal),
-        Err(_) => CliError::kind(
+    let kind = |code: &str| {
+        ErrorKind::ALL
+            .iter()
+            .copied()
+            .find(|k| k.answer().code == code)
+    };
+    match serde_json::from_str(&reply.body) {
+        Ok(Verdict::Refused { code, text, winner }) => {
+            let kind = kind(&code).unwrap_or(ErrorKind::Internal);
+            CliError::Refused(Refusal { kind, text, winner })
+        }
+        Ok(Verdict::Unknown { text, .. }) => CliError::kind(ErrorKind::UnknownOutcome, text),
+        _ => CliError::kind(
             ErrorKind::Internal,
             format!("unexpected answer {}: {}", reply.status, reply.body),
         ),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -43,7 +43,6 @@
 Options:
     --operators LIST   Operators' listeners, comma-separated [POMELOVALE_OPERATORS]
     --key-file FILE    File with the operator's key [POMELOVALE_KEY_FILE, POMELOVALE_KEY]
-    --sender NAME      Name under which changes are sent [USER]
     --request ID       Request identifier, to send a change again after a lost answer
     --base N           Version that the change builds on [the version read just before]
     --json             Print lists as JSON
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -5,12 +5,24 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-use pomelovale_state::command::{Applied, Change};
+use pomelovale_state::command::{self, Applied, Change};
 use pomelovale_state::machine::Machine;
 use pomelovale_state::sheet::MoveStatus;
+use pomelovale_state::{Millis, Name};
+use serde::Deserialize;
+use serde_json::json;
 use tempfile::TempDir;
 use tiny_http::{Header, Method, Request, Response, Server};
 
+/// Body of `POST /v1/changes`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Proposal {
+    request: Name,
+    base: Option<u64>,
+    command: command::Command,
+}
+
 /// What the stand-in does with the next changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
@@ -99,25 +111,40 @@
         .iter()
         .find(|h| h.field.equiv("Authorization"));
     if key.is_none_or(|k| k.value.as_str() != "Bearer pk.op.secret") {
-        let body = r#"{"kind":"KeyRefused","text":"the key is unknown","winner":null}"#;
+        let body = r#"{"outcome":"refused","code":"key-refused","text":"the key is unknown"}"#;
         return answer(request, 401, body.to_owned());
     }
     match (request.method(), request.url()) {
-        (Method::Get, "/v1/document") => answer(request, 200, json(&machine.document)),
+        (Method::Get, "/v1/document") => answer(request, 200, text(&machine.document)),
         (Method::Get, "/v1/moves") => {
             let moves: Vec<MoveStatus> = statuses(&machine);
-            answer(request, 200, json(&moves));
+            answer(request, 200, text(&moves));
         }
         (Method::Post, "/v1/changes") => {
             let mut body = String::new();
             request.as_reader().read_to_string(&mut body).unwrap();
-            let change: Change = serde_json::from_str(&body).unwrap();
+            let proposal: Proposal = serde_json::from_str(&body).unwrap();
+            let change = Change {
+                request: proposal.request,
+                sender: "op".into(),
+                base: proposal.base,
+                at: Millis(0),
+                command: proposal.command,
+            };
             let applied = machine.apply(&change);
             let fault = std::mem::replace(&mut *fault.lock().unwrap(), Fault::Nothing);
             match (&applied, fault) {
                 (_, Fault::LostAnswer) => drop(request.into_writer()),
-                (Applied::Refused(r), _) => answer(request, r.kind.answer().status, json(&applied)),
-                _ => answer(request, 200, json(&applied)),
+                (Applied::Refused(r), _) => {
+                    let answered = r.kind.answer();
+                    let body = json!({ "outcome": "refused", "code": answered.code, "text": r.text, "winner": r.winner });
+                    answer(request, answered.status, body.to_string());
+                }
+                (Applied::Accepted { version, item }, _) => {
+                    let body = json!({ "outcome": "accepted", "version": version, "item": item });
+                    answer(request, 200, body.to_string());
+                }
+                (Applied::Intent(_), _) => panic!("an operator sent an intent"),
             }
         }
         _ => answer(request, 404, String::new()),
@@ -125,21 +152,20 @@
 }
 
 fn statuses(machine: &Machine) -> Vec<MoveStatus> {
-    let version = |name: &pomelovale_state::Name| {
+    let version = |name: &Name| {
         let item = pomelovale_state::command::Item::Move(name.clone());
         machine.document.item_version(&item)
     };
-    let status =
-        |(name, plan): (&pomelovale_state::Name, &pomelovale_state::moves::Move)| MoveStatus {
-            name: name.clone(),
-            version: version(name),
-            plan: plan.clone(),
-            next: None,
-        };
+    let status = |(name, plan): (&Name, &pomelovale_state::moves::Move)| MoveStatus {
+        name: name.clone(),
+        version: version(name),
+        plan: plan.clone(),
+        next: None,
+    };
     machine.document.moves.iter().map(status).collect()
 }
 
-fn json<T: serde::Serialize>(value: &T) -> String {
+fn text<T: serde::Serialize>(value: &T) -> String {
     serde_json::to_string(value).unwrap()
 }
 
--- a/crates/daemon/examples/backend.rs
+++ b/crates/daemon/examples/backend.rs
@@ -10,15 +10,22 @@
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
     let mut words = std::env::args().skip(1);
-    let address: SocketAddr = words.next().ok_or("usage: backend ADDRESS [SLOTS]")?.parse()?;
+    let address: SocketAddr = words
+        .next()
+        .ok_or("usage: backend ADDRESS [SLOTS]")?
+        .parse()?;
     let slots: u32 = words.next().map_or(Ok(6), |s| s.parse())?;
     let seen = Arc::new(Seen::default());
-    let (bound, standin) = Standin::start(&address.to_string(), address, slots, Arc::clone(&seen)).await?;
+    let (bound, standin) =
+        Standin::start(&address.to_string(), address, slots, Arc::clone(&seen)).await?;
     println!("serving on {bound} with {slots} slots");
     tokio::signal::ctrl_c().await?;
     let runs = seen.runs.lock().map_err(|_| "a request failed")?;
     let twice = runs.values().filter(|n| **n > 1).count();
     let served = standin.served.load(std::sync::atomic::Ordering::Relaxed);
-    println!("served {served}, bookings {}, run twice {twice}", runs.len());
+    println!(
+        "served {served}, bookings {}, run twice {twice}",
+        runs.len()
+    );
     Ok(())
 }
--- a/crates/daemon/examples/support/mod.rs
+++ b/crates/daemon/examples/support/mod.rs
@@ -65,7 +65,9 @@
                 let standin = Arc::clone(&accepting);
                 tokio::spawn(async move {
                     let service = service_fn(|request| standin.serve(request));
-                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
                 });
             }
         });
@@ -76,7 +78,8 @@
         if request.uri().path() == "/load" {
             return Ok(self.load());
         }
-        let key = request.headers().contains_key("authorization") || request.headers().contains_key("x-api-key");
+        let key = request.headers().contains_key("authorization")
+            || request.headers().contains_key("x-api-key");
         self.seen.keys.fetch_add(u64::from(key), Ordering::Relaxed);
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let slot = self.free.acquire().await;
@@ -99,14 +102,20 @@
             let mut runs = self.seen.runs.lock().unwrap_or_else(|e| e.into_inner());
             *runs.entry(body.clone()).or_insert(0) += 1;
         }
-        let text = format!("{{\"server\":\"{}\",\"path\":\"{path}\",\"echo\":\"{body}\"}}\n", self.name);
+        let text = format!(
+            "{{\"server\":\"{}\",\"path\":\"{path}\",\"echo\":\"{body}\"}}\n",
+            self.name
+        );
         Response::new(Full::new(Bytes::from(text)))
     }
 
     fn load(&self) -> Response<Full<Bytes>> {
         let busy = self.slots - self.free.available_permits() as u32;
         let queued = self.waiting.load(Ordering::Relaxed);
-        let text = format!("{{\"slots\":{},\"busy\":{busy},\"queued\":{queued}}}", self.slots);
+        let text = format!(
+            "{{\"slots\":{},\"busy\":{busy},\"queued\":{queued}}}",
+            self.slots
+        );
         Response::new(Full::new(Bytes::from(text)))
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
+use crate::entry::config::EntryConfig;
 use crate::schema::{check, optional, required, Fault, Field, Shape};
 
 const ANY: u64 = u64::MAX;
@@ -369,8 +370,11 @@
     }
 }
 
-fn read_entry(_: &Map<String, Value>) -> Result<(), String> {
-    Ok(())
+fn read_entry(map: &Map<String, Value>) -> Result<(), String> {
+    let value = Value::Object(map.clone());
+    serde_json::from_value::<EntryConfig>(value)
+        .map(|_| ())
+        .map_err(|e| e.to_string())
 }
 
 fn read_control(_: &Map<String, Value>) -> Result<(), String> {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -57,7 +57,7 @@
     no_role: |v| v["roles"] = json!([]) => ["roles"];
     no_data_folder: |v| { v.as_object_mut().unwrap().remove("data"); } => ["data"];
     not_among_peers: |v| { v["peers"].as_object_mut().unwrap().remove("north-1"); } => ["peers"];
-    bad_name: |v| v["instance"] = json!("north 1") => ["instance", ];
+    bad_name: |v| v["instance"] = json!("north 1") => ["instance"];
     unknown_region_of_backend: |v| v["initial"]["backends"]["shop-north-a"]["region"] = json!("east")
         => ["initial.backends.shop-north-a"];
     key_for_two: |v| v["initial"]["keys"]["k1"]["operator"] = json!("ann") => ["initial.keys.k1"];
@@ -70,5 +70,9 @@
 #[test]
 fn broken_json_names_line_and_column() {
     let faults = Settings::parse("{\n  \"instance\": }").unwrap_err();
-    assert!(faults[0].text.contains("line 2 column 15"), "{}", faults[0].text);
+    assert!(
+        faults[0].text.contains("line 2 column 15"),
+        "{}",
+        faults[0].text
+    );
 }
