Add the replicated log: messages, core and storage

Change: pomelovale_protocol::log holds the messages; coordination::log the events, actions and settings.

Conclusion: the interface is usable; storage has no tests yet.

--- /dev/null
+++ b/crates/coordination/src/entries.rs
@@ -0,0 +1,172 @@
+//! The part of the log that is held in memory.
+
+use std::collections::VecDeque;
+
+use pomelovale_protocol::log::{
+    Entry, EntryData, Epoch, LogIndex, Members, Payload, Position, ReplicaId, Snapshot,
+};
+
+/// Entries after a base position, the latest snapshot, and the members.
+#[derive(Debug)]
+pub(crate) struct Entries {
+    base: Position,
+    configs: Vec<(LogIndex, Members)>,
+    kept: VecDeque<Entry>,
+    snapshot: Snapshot,
+}
+
+impl Entries {
+    /// The log that storage holds.
+    pub(crate) fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Entries {
+        let mut log = Entries {
+            base: snapshot.position(),
+            configs: vec![(snapshot.index, snapshot.members.clone())],
+            kept: VecDeque::new(),
+            snapshot,
+        };
+        entries.into_iter().for_each(|entry| log.push(entry));
+        log
+    }
+
+    /// Position of the last entry.
+    pub(crate) fn last(&self) -> Position {
+        self.kept.back().map_or(self.base, Entry::position)
+    }
+
+    /// Position before the first entry that is still held.
+    pub(crate) fn base(&self) -> Position {
+        self.base
+    }
+
+    /// The latest snapshot.
+    pub(crate) fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// Members as of the last entry.
+    pub(crate) fn members(&self) -> &Members {
+        &self.configs[self.configs.len() - 1].1
+    }
+
+    /// Index of the entry that set the members.
+    pub(crate) fn config_index(&self) -> LogIndex {
+        self.configs[self.configs.len() - 1].0
+    }
+
+    /// Whether `id` votes.
+    pub(crate) fn is_voter(&self, id: &ReplicaId) -> bool {
+        self.members().voters.contains(id)
+    }
+
+    /// Whether `id` is a voter or a learner.
+    pub(crate) fn is_member(&self, id: &ReplicaId) -> bool {
+        self.is_voter(id) || self.members().learners.contains(id)
+    }
+
+    /// Epoch of the entry at `index`, if known.
+    pub(crate) fn epoch_at(&self, index: LogIndex) -> Option<Epoch> {
+        if index == self.base.index {
+            return Some(self.base.epoch);
+        }
+        self.get(index).map(|entry| entry.epoch)
+    }
+
+    fn get(&self, index: LogIndex) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        self.kept.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Entries from `from` on, up to `bytes` of payload but at least one.
+    pub(crate) fn slice(&self, from: LogIndex, bytes: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let mut taken = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            size += entry.size();
+            if !taken.is_empty() && size > bytes {
+                break;
+            }
+            taken.push(entry.clone());
+            index = index.next();
+        }
+        taken
+    }
+
+    /// Entries after `after` up to and including `upto`.
+    pub(crate) fn range(&self, after: LogIndex, upto: LogIndex) -> Vec<Entry> {
+        (after.0 + 1..=upto.0)
+            .filter_map(|index| self.get(LogIndex(index)).cloned())
+            .collect()
+    }
+
+    /// Appends the next entry.
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last().index.next());
+        if let EntryData::Members(members) = &entry.data {
+            self.configs.push((entry.index, members.clone()));
+        }
+        self.kept.push_back(entry);
+    }
+
+    /// Drops the entries from `from` on.
+    pub(crate) fn truncate(&mut self, from: LogIndex) {
+        let length = from.0.saturating_sub(self.base.index.0 + 1);
+        self.kept.truncate(length as usize);
+        self.configs.retain(|(index, _)| *index < from);
+    }
+
+    /// The highest index below `index` whose epoch differs from that at
+    /// `index`, not below `floor`.
+    pub(crate) fn before_epoch_of(&self, index: LogIndex, floor: LogIndex) -> LogIndex {
+        let epoch = self.epoch_at(index);
+        let mut hint = index.previous();
+        while hint > floor && self.epoch_at(hint) == epoch {
+            hint = hint.previous();
+        }
+        hint
+    }
+
+    /// Records a snapshot of the applied state at `index` and drops entries
+    /// up to `retain` before it. `None` if there is a later snapshot.
+    pub(crate) fn compact(
+        &mut self,
+        index: LogIndex,
+        payload: Payload,
+        retain: usize,
+    ) -> Option<Snapshot> {
+        if index <= self.snapshot.index {
+            return None;
+        }
+        let epoch = self.epoch_at(index)?;
+        let members = self.members_at(index);
+        self.snapshot = Snapshot {
+            epoch,
+            index,
+            members,
+            payload,
+        };
+        let keep_after = LogIndex(index.0.saturating_sub(retain as u64));
+        while self.base.index < keep_after {
+            self.base = self.kept.pop_front()?.position();
+        }
+        let floor = self.base.index;
+        while self.configs.len() > 1 && self.configs[1].0 <= floor {
+            self.configs.remove(0);
+        }
+        Some(self.snapshot.clone())
+    }
+
+    /// Replaces everything by a snapshot from the leader.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) {
+        *self = Entries::new(snapshot, Vec::new());
+    }
+
+    fn members_at(&self, index: LogIndex) -> Members {
+        self.configs
+            .iter()
+            .rev()
+            .find(|(at, _)| *at <= index)
+            .map(|(_, members)| members.clone())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/frame.rs
@@ -0,0 +1,65 @@
+//! Records with length and checksum, as the files of the log hold them.
+//!
+//! A frame is the length of its body, the checksum of the body, a checksum of
+//! these two and of the frame's offset, and the body. The offset keeps bytes
+//! of a payload from being taken for a frame.
+
+use error_stack::Report;
+use pomelovale_state::ErrorKind;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Bytes before the body.
+pub(crate) const HEADER_BYTES: usize = 12;
+
+/// The frame for `value` at `offset` of its file.
+pub(crate) fn encode<T: Serialize>(offset: u64, value: &T) -> Result<Vec<u8>, Report<ErrorKind>> {
+    let body = bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .map_err(|error| Report::new(ErrorKind::Internal).attach(error.to_string()))?;
+    let length = u32::try_from(body.len()).map_err(|_| Report::new(ErrorKind::TooLarge))?;
+    let mut frame = Vec::with_capacity(HEADER_BYTES + body.len());
+    frame.extend(length.to_le_bytes());
+    frame.extend(crc32fast::hash(&body).to_le_bytes());
+    let check = header_check(&frame, offset);
+    frame.extend(check.to_le_bytes());
+    frame.extend(body);
+    Ok(frame)
+}
+
+/// The value of the frame at `offset` and where the next frame starts; `None`
+/// if there is no intact frame.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8], offset: usize) -> Option<(T, usize)> {
+    let body = body(bytes, offset)?;
+    let (value, used) =
+        bincode::serde::decode_from_slice(body, bincode::config::standard()).ok()?;
+    let end = offset + HEADER_BYTES + body.len();
+    (used == body.len()).then_some((value, end))
+}
+
+/// Whether a frame with intact checksums starts at `offset` or later.
+pub(crate) fn follows(bytes: &[u8], offset: usize) -> bool {
+    (offset..bytes.len()).any(|at| body(bytes, at).is_some())
+}
+
+fn body(bytes: &[u8], offset: usize) -> Option<&[u8]> {
+    let header = bytes.get(offset..offset + HEADER_BYTES)?;
+    if word(header, 8) != header_check(&header[..8], offset as u64) {
+        return None;
+    }
+    let start = offset + HEADER_BYTES;
+    let body = bytes.get(start..start + word(header, 0) as usize)?;
+    (crc32fast::hash(body) == word(header, 4)).then_some(body)
+}
+
+fn word(header: &[u8], at: usize) -> u32 {
+    let mut word = [0; 4];
+    word.copy_from_slice(&header[at..at + 4]);
+    u32::from_le_bytes(word)
+}
+
+fn header_check(header: &[u8], offset: u64) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(header);
+    hasher.update(&offset.to_le_bytes());
+    hasher.finalize()
+}
--- /dev/null
+++ b/crates/coordination/src/journal.rs
@@ -0,0 +1,130 @@
+//! What waits to be synced, and the messages that wait for it.
+
+use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, ReplicaId, Snapshot};
+
+use crate::log::{HardState, Persist};
+
+/// Collects writes into batches, of which one at a time is outstanding.
+///
+/// Batches are numbered; the batch being collected is `synced + 1`, or
+/// `synced + 2` while another one is outstanding.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    /// Last index whose entry is synced and still in the log.
+    durable: LogIndex,
+    /// The batch being collected.
+    dirty: Option<Persist>,
+    /// Last index of the outstanding batch that is still in the log.
+    flying: Option<LogIndex>,
+    /// Messages and the batch that each waits for.
+    held: Vec<(u64, ReplicaId, LogMessage)>,
+    /// Number of the last synced batch.
+    synced: u64,
+    /// Batch that holds the latest epoch and vote.
+    vote_batch: u64,
+}
+
+impl Journal {
+    /// A journal whose storage holds everything up to `durable`.
+    pub(crate) fn new(durable: LogIndex) -> Journal {
+        Journal {
+            durable,
+            dirty: None,
+            flying: None,
+            held: Vec::new(),
+            synced: 0,
+            vote_batch: 0,
+        }
+    }
+
+    /// Last index that is synced.
+    pub(crate) fn durable(&self) -> LogIndex {
+        self.durable
+    }
+
+    /// Whether the latest epoch and vote are synced.
+    pub(crate) fn vote_synced(&self) -> bool {
+        self.vote_batch <= self.synced
+    }
+
+    /// Adds the epoch and vote.
+    pub(crate) fn write_hard(&mut self, hard: HardState) {
+        self.vote_batch = self.open_batch();
+        self.dirty().hard = Some(hard);
+    }
+
+    /// Adds an entry; it replaces those from its index on.
+    pub(crate) fn write_entry(&mut self, entry: Entry) {
+        let kept = entry.index.previous();
+        self.durable = self.durable.min(kept);
+        self.flying = self.flying.map(|upto| upto.min(kept));
+        let entries = &mut self.dirty().entries;
+        while entries.last().is_some_and(|last| last.index > kept) {
+            entries.pop();
+        }
+        entries.push(entry);
+    }
+
+    /// Adds a snapshot of this replica's own applied state.
+    pub(crate) fn write_compaction(&mut self, snapshot: Snapshot) {
+        self.dirty().snapshot = Some(snapshot);
+    }
+
+    /// Adds a snapshot from the leader, which replaces all entries.
+    pub(crate) fn write_install(&mut self, snapshot: Snapshot) {
+        self.durable = LogIndex(0);
+        self.flying = self.flying.map(|_| LogIndex(0));
+        let dirty = self.dirty();
+        dirty.entries.clear();
+        dirty.snapshot = Some(snapshot);
+    }
+
+    /// Holds a message until the latest epoch and vote are synced; gives it
+    /// back if they are.
+    pub(crate) fn hold(&mut self, to: ReplicaId, message: LogMessage) -> Option<LogMessage> {
+        if self.vote_synced() {
+            return Some(message);
+        }
+        self.held.push((self.vote_batch, to, message));
+        None
+    }
+
+    /// The next batch, unless one is outstanding.
+    pub(crate) fn take(&mut self, epoch: Epoch, upto: LogIndex) -> Option<Persist> {
+        if self.flying.is_some() {
+            return None;
+        }
+        let mut batch = self.dirty.take()?;
+        batch.epoch = epoch;
+        batch.upto = upto;
+        self.flying = Some(upto);
+        Some(batch)
+    }
+
+    /// Records that the outstanding batch is synced; returns the messages
+    /// that waited for it.
+    pub(crate) fn synced(&mut self) -> Vec<(ReplicaId, LogMessage)> {
+        let Some(upto) = self.flying.take() else {
+            return Vec::new();
+        };
+        self.synced += 1;
+        self.durable = self.durable.max(upto);
+        let synced = self.synced;
+        let (ready, held) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|(batch, ..)| *batch <= synced);
+        self.held = held;
+        ready
+            .into_iter()
+            .map(|(_, to, message)| (to, message))
+            .collect()
+    }
+
+    fn open_batch(&self) -> u64 {
+        self.synced + 1 + u64::from(self.flying.is_some())
+    }
+
+    fn dirty(&mut self) -> &mut Persist {
+        self.dirty.get_or_insert_with(Persist::default)
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,4 +1,14 @@
 //! Agreement, storage, distribution and rate limits.
 
 pub mod control;
+mod election;
+mod entries;
+mod frame;
+mod journal;
+pub mod log;
+mod members;
+mod replica;
+mod replication;
+mod snapshot;
+mod storage;
 pub mod view;
--- /dev/null
+++ b/crates/coordination/src/replication.rs
@@ -0,0 +1,448 @@
+//! Leading: proposals, heartbeats, replication and the quorum's age.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use pomelovale_protocol::log::{
+    EntryData, LogIndex, LogMessage, Payload, Position, Refused, ReplicaId,
+};
+use pomelovale_state::{ErrorKind, Millis};
+
+use crate::log::{Action, Role};
+use crate::replica::Replica;
+
+/// Most entries sent to a replica ahead of its acknowledgement.
+const WINDOW: u64 = 4_096;
+
+/// Most `Append` messages sent to a replica at once.
+const BURST: usize = 4;
+
+/// Most entries that wait for a quorum; further proposals are refused.
+const UNCOMMITTED_MAX: u64 = 10_000;
+
+/// Wait for the reply to a snapshot before it is sent again, in milliseconds.
+const INSTALL_RETRY_MS: u64 = 3_000;
+
+/// Rounds remembered; they reach back further than the longest election
+/// timeout, after which a leader without a quorum steps down.
+const ROUNDS: usize = 64;
+
+/// What a leader keeps for its epoch.
+#[derive(Debug)]
+pub(crate) struct Lead {
+    /// Index of the empty entry that opens the epoch.
+    pub(crate) first: LogIndex,
+    pub(crate) progress: BTreeMap<ReplicaId, Progress>,
+    /// Index and token of each proposal that is not committed, in order.
+    pub(crate) tokens: VecDeque<(LogIndex, u64)>,
+    pub(crate) transfer: Option<Transfer>,
+    beat_at: Millis,
+    round: u64,
+    rounds: VecDeque<(u64, Millis)>,
+}
+
+/// A planned change of the leader.
+#[derive(Debug)]
+pub(crate) struct Transfer {
+    /// The replica that takes over.
+    pub(crate) target: ReplicaId,
+    /// When the leader gives up and takes proposals again.
+    until: Millis,
+}
+
+/// What a leader knows about another replica.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// When the latest round was sent that the replica acknowledged.
+    acked: Option<Millis>,
+    /// When the replica last held everything that the log held one election
+    /// timeout before.
+    pub(crate) caught_up: Option<Millis>,
+    /// Counter of the latest reply.
+    echo: u64,
+    /// A last index of the log, and when it was that.
+    goal: (LogIndex, Millis),
+    /// When the snapshot was sent that the replica has not confirmed.
+    install: Option<Millis>,
+    /// Last index that the replica has synced.
+    pub(crate) matched: LogIndex,
+    /// The next index to send.
+    next: LogIndex,
+    /// The position last probed, while the common part is unknown.
+    probe: Option<LogIndex>,
+    /// When the leader started to contact the replica.
+    since: Millis,
+}
+
+impl Progress {
+    fn new(last: LogIndex, now: Millis) -> Progress {
+        Progress {
+            acked: None,
+            caught_up: None,
+            echo: 0,
+            goal: (last, now),
+            install: None,
+            matched: LogIndex(0),
+            next: last.next(),
+            probe: None,
+            since: now,
+        }
+    }
+
+    /// Notes whether the replica reached a recent last index in time.
+    fn note_goal(&mut self, last: LogIndex, now: Millis, allowed: u64) {
+        if self.matched >= self.goal.0 {
+            let quick = now.since(self.goal.1) <= allowed;
+            self.caught_up = quick.then_some(now);
+            self.goal = (last, now);
+        }
+    }
+
+    /// Takes over a refusal; `true` if a new position has to be probed.
+    fn refuse(&mut self, refused: Refused) -> bool {
+        // Other refusals answer messages sent before the latest probe.
+        let expected = self.probe.is_none_or(|at| at == refused.previous);
+        if self.install.is_some() || !expected || refused.previous <= self.matched {
+            return false;
+        }
+        let next = refused.hint.min(refused.previous.previous()).next();
+        self.next = next.max(self.matched.next());
+        self.probe = Some(self.next.previous());
+        true
+    }
+
+    fn accept(&mut self, verified: LogIndex) {
+        self.probe = None;
+        self.install = None;
+        self.next = self.next.max(verified.next());
+    }
+
+    /// The latest moment as of which the replica is known to have followed,
+    /// or at which the leader began to wait for that.
+    pub(crate) fn seen(&self) -> Millis {
+        self.acked.unwrap_or(self.since)
+    }
+}
+
+impl Replica {
+    pub(crate) fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id.clone());
+        self.lead = Some(Lead {
+            first: self.entries.last().index.next(),
+            progress: BTreeMap::new(),
+            tokens: VecDeque::new(),
+            transfer: None,
+            beat_at: self.now,
+            round: 0,
+            rounds: VecDeque::new(),
+        });
+        self.track_members();
+        self.append(EntryData::Empty);
+        self.beat();
+    }
+
+    /// Starts to track new members and forgets removed ones.
+    pub(crate) fn track_members(&mut self) {
+        let last = self.entries.last().index;
+        let members = self.entries.members();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.progress
+            .retain(|id, _| members.voters.contains(id) || members.learners.contains(id));
+        for id in members.voters.iter().chain(&members.learners) {
+            if *id != self.id && !lead.progress.contains_key(id) {
+                let progress = Progress::new(last, self.now);
+                lead.progress.insert(id.clone(), progress);
+            }
+        }
+    }
+
+    pub(crate) fn tick_leader(&mut self) {
+        if self.now.since(self.quorum_seen()) > self.config.election_ms.1 {
+            self.follow(self.hard.epoch, None);
+            return;
+        }
+        self.prove();
+        self.drive_members();
+        self.drive_transfer();
+        let due = self.lead.as_ref().is_some_and(|l| self.now >= l.beat_at);
+        if due {
+            self.beat();
+        }
+    }
+
+    /// Sends a heartbeat round.
+    fn beat(&mut self) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.round += 1;
+        lead.beat_at = self.now.plus(self.config.heartbeat_ms);
+        if lead.rounds.len() == ROUNDS {
+            lead.rounds.pop_front();
+        }
+        lead.rounds.push_back((lead.round, self.now));
+        let others: Vec<ReplicaId> = lead.progress.keys().cloned().collect();
+        for to in &others {
+            self.replicate(to, true);
+        }
+        self.advance_commit();
+    }
+
+    /// Sends entries to all that have room for them.
+    pub(crate) fn replicate_all(&mut self) {
+        let keys = |lead: &Lead| lead.progress.keys().cloned().collect();
+        let others: Vec<ReplicaId> = self.lead.as_ref().map(keys).unwrap_or_default();
+        for to in &others {
+            self.replicate(to, false);
+        }
+    }
+
+    /// Sends what `to` lacks; a heartbeat is sent in any case.
+    fn replicate(&mut self, to: &ReplicaId, heartbeat: bool) {
+        let mut beat = heartbeat;
+        for _ in 0..BURST {
+            let Some(message) = self.next_message(to, beat) else {
+                return;
+            };
+            beat = false;
+            self.send(to, message);
+        }
+    }
+
+    fn next_message(&mut self, to: &ReplicaId, heartbeat: bool) -> Option<LogMessage> {
+        let proven = self.leader_proof();
+        let lead = self.lead.as_mut()?;
+        let progress = lead.progress.get_mut(to)?;
+        let base = self.entries.base();
+        let wait = |at: Millis| self.now.since(at) < INSTALL_RETRY_MS;
+        if progress.next <= base.index && !progress.install.is_some_and(wait) {
+            progress.install = Some(self.now);
+            progress.probe = None;
+            return Some(LogMessage::Install {
+                epoch: self.hard.epoch,
+                round: lead.round,
+                snapshot: self.entries.snapshot().clone(),
+            });
+        }
+        // While a snapshot is on its way, heartbeats refer to the base, which
+        // the replica refuses until it has the snapshot.
+        let installing = progress.next <= base.index;
+        let before = progress.next.previous().max(base.index);
+        let full = progress.next.0 > progress.matched.0 + WINDOW;
+        let probing = progress.probe.is_some() && !heartbeat;
+        let entries = if installing || full || probing {
+            Vec::new()
+        } else {
+            self.entries.slice(progress.next, self.config.append_bytes)
+        };
+        if entries.is_empty() && !heartbeat {
+            return None;
+        }
+        match progress.probe {
+            Some(_) => progress.probe = Some(before),
+            None => progress.next = LogIndex(progress.next.0 + entries.len() as u64),
+        }
+        Some(LogMessage::Append {
+            age_ms: proven.map(|at| self.now.since(at)),
+            commit: self.commit,
+            echo: progress.echo,
+            entries,
+            epoch: self.hard.epoch,
+            previous: Position {
+                epoch: self.entries.epoch_at(before)?,
+                index: before,
+            },
+            round: lead.round,
+        })
+    }
+
+    pub(crate) fn on_append_reply(&mut self, from: ReplicaId, reply: LogMessage) {
+        let LogMessage::AppendReply {
+            counter,
+            epoch,
+            matched,
+            refused,
+            round,
+            verified,
+        } = reply
+        else {
+            return;
+        };
+        let last = self.entries.last().index;
+        let Some(progress) = self.lead.as_mut().and_then(|l| l.progress.get_mut(&from)) else {
+            return;
+        };
+        if epoch != self.hard.epoch {
+            return;
+        }
+        progress.echo = counter;
+        progress.matched = progress.matched.max(matched);
+        progress.next = progress.next.max(progress.matched.next());
+        progress.note_goal(last, self.now, self.config.election_ms.0);
+        let probe = match refused {
+            Some(refused) => progress.refuse(refused),
+            None => {
+                progress.accept(verified);
+                false
+            }
+        };
+        self.acknowledge_round(&from, round);
+        if probe {
+            self.send_probe(&from);
+        }
+        self.prove();
+        self.advance_commit();
+        self.drive_transfer();
+        self.replicate(&from, false);
+    }
+
+    fn acknowledge_round(&mut self, from: &ReplicaId, round: u64) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let sent = lead.rounds.iter().find(|(sent, _)| *sent == round);
+        let at = sent.map(|(_, at)| *at);
+        if let Some(progress) = lead.progress.get_mut(from) {
+            progress.acked = progress.acked.max(at);
+        }
+    }
+
+    fn send_probe(&mut self, to: &ReplicaId) {
+        if let Some(message) = self.next_message(to, true) {
+            self.send(to, message);
+        }
+    }
+
+    /// Commits what a quorum has synced. Entries of earlier epochs are only
+    /// committed along with one of this epoch.
+    pub(crate) fn advance_commit(&mut self) {
+        let own = Some(self.journal.durable());
+        let index = self.of_quorum(own, |progress| Some(progress.matched));
+        let Some(index) = index.filter(|index| *index > self.commit) else {
+            return;
+        };
+        if self.entries.epoch_at(index) != Some(self.hard.epoch) {
+            return;
+        }
+        self.commit_to(index);
+        self.prove();
+        self.drive_members();
+    }
+
+    /// The greatest value that a quorum reaches.
+    fn of_quorum<V: Copy + Ord>(
+        &self,
+        own: Option<V>,
+        value: impl Fn(&Progress) -> Option<V>,
+    ) -> Option<V> {
+        let lead = self.lead.as_ref()?;
+        let voters = &self.entries.members().voters;
+        let of = |id: &ReplicaId| match lead.progress.get(id) {
+            Some(progress) => value(progress),
+            None if *id == self.id => own,
+            None => None,
+        };
+        let mut values: Vec<Option<V>> = voters.iter().map(of).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(voters.len() / 2).copied().flatten()
+    }
+
+    /// When a quorum last followed, as far as this leader knows.
+    fn quorum_seen(&self) -> Millis {
+        self.of_quorum(Some(self.now), |progress| Some(progress.seen()))
+            .unwrap_or_default()
+    }
+
+    /// The moment as of which a quorum confirmed that no other leader exists,
+    /// once an entry of this epoch is committed.
+    fn leader_proof(&self) -> Option<Millis> {
+        let first = self.lead.as_ref()?.first;
+        let own = (self.commit >= first).then_some(self.now)?;
+        self.of_quorum(Some(own), |progress| progress.acked)
+    }
+
+    fn prove(&mut self) {
+        self.proven = self.proven.max(self.leader_proof());
+    }
+
+    pub(crate) fn propose(&mut self, token: u64, payload: Payload) {
+        let waiting = self.entries.last().index.0 - self.commit.0;
+        let refusal = match &self.lead {
+            None => Some(ErrorKind::NotLeader),
+            Some(lead) if lead.transfer.is_some() => Some(ErrorKind::NotLeader),
+            Some(_) if payload.len() > self.config.entry_bytes => Some(ErrorKind::TooLarge),
+            Some(_) if waiting >= UNCOMMITTED_MAX => Some(ErrorKind::Overloaded),
+            Some(_) => None,
+        };
+        match refusal {
+            Some(kind) => self.reject(token, kind),
+            None => self.lead_entry(Some(token), EntryData::Change(payload)),
+        }
+    }
+
+    /// Appends an entry and sends it.
+    pub(crate) fn lead_entry(&mut self, token: Option<u64>, data: EntryData) {
+        let index = self.append(data);
+        self.track_members();
+        if let (Some(lead), Some(token)) = (&mut self.lead, token) {
+            lead.tokens.push_back((index, token));
+        }
+        self.replicate_all();
+    }
+
+    /// Answers the proposals that are committed.
+    pub(crate) fn answer_proposals(&mut self) {
+        let commit = self.commit;
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        while let Some((index, token)) = lead.tokens.pop_front() {
+            if index > commit {
+                lead.tokens.push_front((index, token));
+                break;
+            }
+            self.actions.push(Action::Accepted { token, index });
+        }
+    }
+
+    /// Hands over to the voter that holds the most entries.
+    pub(crate) fn resign(&mut self) {
+        let until = self.now.plus(self.config.election_ms.1);
+        let voters = &self.entries.members().voters;
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let candidates = lead.progress.iter().filter(|(id, _)| voters.contains(id));
+        let best = candidates.max_by_key(|(_, progress)| (progress.matched, progress.acked));
+        let target = best.map(|(id, _)| id.clone());
+        match target {
+            Some(target) => lead.transfer = Some(Transfer { target, until }),
+            None => return,
+        }
+        self.drive_transfer();
+    }
+
+    /// Tells the target to take over once it holds every entry.
+    fn drive_transfer(&mut self) {
+        let last = self.entries.last().index;
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(transfer) = &lead.transfer else {
+            return;
+        };
+        let target = transfer.target.clone();
+        let ready = lead
+            .progress
+            .get(&target)
+            .is_some_and(|p| p.matched == last);
+        if self.now >= transfer.until {
+            lead.transfer = None;
+        } else if ready {
+            let epoch = self.hard.epoch;
+            self.send(&target, LogMessage::HandOver { epoch });
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/snapshot.rs
@@ -0,0 +1,78 @@
+//! Files that are replaced as a whole: snapshot, vote and identity.
+
+use std::fs::{self, File};
+use std::io::{ErrorKind as IoKind, Write};
+use std::path::Path;
+
+use error_stack::Report;
+use pomelovale_state::ErrorKind;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::frame;
+
+/// Ending of a file that is being written.
+const UNFINISHED: &str = "tmp";
+
+/// Replaces `path` by one frame, durably: after a crash the file holds either
+/// the old content or the new one.
+pub(crate) fn replace<T: Serialize>(path: &Path, value: &T) -> Result<(), Report<ErrorKind>> {
+    let frame = frame::encode(0, value)?;
+    replace_bytes(path, &frame)
+}
+
+/// Replaces the content of `path` durably.
+pub(crate) fn replace_bytes(path: &Path, bytes: &[u8]) -> Result<(), Report<ErrorKind>> {
+    let unfinished = path.with_extension(UNFINISHED);
+    let write = || {
+        let mut file = File::create(&unfinished)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&unfinished, path)
+    };
+    write().map_err(|error| io_error(path, &error))?;
+    sync_directory(path)
+}
+
+/// Makes the creation or renaming of `path` durable.
+pub(crate) fn sync_directory(path: &Path) -> Result<(), Report<ErrorKind>> {
+    let parent = match path.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => parent,
+        _ => Path::new("."),
+    };
+    File::open(parent)
+        .and_then(|directory| directory.sync_all())
+        .map_err(|error| io_error(parent, &error))
+}
+
+/// The content of a file with one frame; `None` if the file does not exist.
+pub(crate) fn read<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, Report<ErrorKind>> {
+    let Some(bytes) = read_bytes(path)? else {
+        return Ok(None);
+    };
+    match frame::decode(&bytes, 0) {
+        Some((value, end)) if end == bytes.len() => Ok(Some(value)),
+        _ => Err(corrupt(path, 0, "the record failed its checksum")),
+    }
+}
+
+/// The bytes of a file; `None` if it does not exist.
+pub(crate) fn read_bytes(path: &Path) -> Result<Option<Vec<u8>>, Report<ErrorKind>> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == IoKind::NotFound => Ok(None),
+        Err(error) => Err(io_error(path, &error)),
+    }
+}
+
+/// The error for damaged content.
+pub(crate) fn corrupt(path: &Path, offset: usize, what: &str) -> Report<ErrorKind> {
+    let text = format!("{}, offset {offset}: {what}", path.display());
+    Report::new(ErrorKind::Corrupt).attach(text)
+}
+
+/// The error for a failed operation.
+pub(crate) fn io_error(path: &Path, error: &std::io::Error) -> Report<ErrorKind> {
+    let text = format!("{}: {error}", path.display());
+    Report::new(ErrorKind::Internal).attach(text)
+}
--- /dev/null
+++ b/crates/coordination/src/storage.rs
@@ -0,0 +1,281 @@
+//! Durable storage of the log in one directory.
+//!
+//! | file | content |
+//! | --- | --- |
+//! | `identity` | incarnation of the directory; written last on creation |
+//! | `vote` | latest epoch and vote |
+//! | `snapshot` | latest snapshot |
+//! | `log` | a base position, then one frame of entries per sync |
+//!
+//! All but `log` are replaced by renaming. An entry in `log` replaces those
+//! from its index on. Every frame is synced before the next one is written,
+//! so a crash damages the last frame at most: damage before an intact frame
+//! means that the disk lost data that was acknowledged.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use error_stack::Report;
+use pomelovale_protocol::log::{Entry, Epoch, Position, Snapshot};
+use pomelovale_state::ErrorKind;
+
+use crate::frame;
+use crate::log::{HardState, Persist, Restored};
+use crate::snapshot::{self, corrupt, io_error};
+
+/// Payload bytes after which a frame is closed.
+const FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Result of a storage operation.
+pub type Result<T> = std::result::Result<T, Report<ErrorKind>>;
+
+/// The data directory of a replica. After an error the state on disk is
+/// unknown, and the process has to stop.
+#[derive(Debug)]
+pub struct Storage {
+    base: Position,
+    directory: PathBuf,
+    failed: bool,
+    length: u64,
+    log: File,
+    queue: Vec<Persist>,
+    /// The stored entries; payloads are shared with the core.
+    tail: Vec<Entry>,
+}
+
+impl Storage {
+    /// Opens a data directory, or creates one under a new identity. A torn
+    /// last frame is cut off; damage elsewhere gives [`ErrorKind::Corrupt`].
+    pub fn open(directory: impl AsRef<Path>) -> Result<(Storage, Restored)> {
+        let directory = directory.as_ref().to_path_buf();
+        fs::create_dir_all(&directory).map_err(|error| io_error(&directory, &error))?;
+        snapshot::sync_directory(&directory)?;
+        let incarnation = match snapshot::read(&directory.join("identity"))? {
+            Some(incarnation) => incarnation,
+            None => create(&directory)?,
+        };
+        let hard: HardState = require(&directory.join("vote"))?;
+        let stored: Snapshot = snapshot::read(&directory.join("snapshot"))?.unwrap_or_default();
+        let path = directory.join("log");
+        let mut contents = read_log(&path)?;
+        if contents.base.index > stored.index {
+            let missing = "the snapshot that the log continues is missing";
+            return Err(corrupt(&path, 0, missing));
+        }
+        let last = contents.tail.last().map_or(stored.epoch, |e| e.epoch);
+        if last > hard.epoch {
+            return Err(corrupt(&path, 0, "an entry is later than the vote"));
+        }
+        let truncate = contents.base != stored.position();
+        rebase(&mut contents.tail, &mut contents.base, stored.position());
+        let mut storage = Storage {
+            base: contents.base,
+            directory,
+            failed: false,
+            length: contents.length as u64,
+            log: open_log(&path)?,
+            queue: Vec::new(),
+            tail: contents.tail,
+        };
+        if truncate {
+            storage.rewrite()?;
+        }
+        let restored = Restored {
+            entries: storage.tail.clone(),
+            hard,
+            incarnation,
+            snapshot: stored,
+        };
+        Ok((storage, restored))
+    }
+
+    /// Takes a write; it is on disk after the next [`Storage::sync`].
+    pub fn write(&mut self, persist: &Persist) -> Result<()> {
+        self.queue.push(persist.clone());
+        Ok(())
+    }
+
+    /// Makes all writes durable.
+    pub fn sync(&mut self) -> Result<()> {
+        if self.failed {
+            return Err(Report::new(ErrorKind::Internal).attach("an earlier write failed"));
+        }
+        let result = self.write_queue();
+        self.failed = result.is_err();
+        result
+    }
+
+    /// Size of the log file in bytes.
+    pub fn log_bytes(&self) -> u64 {
+        self.length
+    }
+
+    fn write_queue(&mut self) -> Result<()> {
+        let queue = std::mem::take(&mut self.queue);
+        if let Some(hard) = queue.iter().rev().find_map(|persist| persist.hard.as_ref()) {
+            snapshot::replace(&self.directory.join("vote"), hard)?;
+        }
+        let mut batch = Vec::new();
+        let mut size = 0;
+        for persist in queue {
+            if let Some(stored) = &persist.snapshot {
+                self.append(&std::mem::take(&mut batch))?;
+                self.install(stored)?;
+                size = 0;
+            }
+            for entry in persist.entries {
+                size += entry.size();
+                batch.push(entry);
+                if size >= FRAME_BYTES {
+                    self.append(&std::mem::take(&mut batch))?;
+                    size = 0;
+                }
+            }
+        }
+        self.append(&batch)
+    }
+
+    /// Writes one frame and syncs it.
+    fn append(&mut self, entries: &[Entry]) -> Result<()> {
+        let known = entries
+            .iter()
+            .take_while(|entry| entry.index <= self.base.index)
+            .count();
+        let entries = &entries[known..];
+        if entries.is_empty() {
+            return Ok(());
+        }
+        let frame = frame::encode(self.length, &entries)?;
+        self.log
+            .write_all(&frame)
+            .and_then(|()| self.log.sync_data())
+            .map_err(|error| io_error(&self.directory.join("log"), &error))?;
+        self.length += frame.len() as u64;
+        for entry in entries {
+            place(&mut self.tail, self.base, entry.clone());
+        }
+        Ok(())
+    }
+
+    fn install(&mut self, stored: &Snapshot) -> Result<()> {
+        snapshot::replace(&self.directory.join("snapshot"), stored)?;
+        rebase(&mut self.tail, &mut self.base, stored.position());
+        self.rewrite()
+    }
+
+    /// Replaces the log file by one that starts at the base.
+    fn rewrite(&mut self) -> Result<()> {
+        let path = self.directory.join("log");
+        let mut bytes = frame::encode(0, &self.base)?;
+        if !self.tail.is_empty() {
+            bytes.extend(frame::encode(bytes.len() as u64, &self.tail)?);
+        }
+        snapshot::replace_bytes(&path, &bytes)?;
+        self.log = open_log(&path)?;
+        self.length = bytes.len() as u64;
+        Ok(())
+    }
+}
+
+/// Creates the files of an empty log and draws its identity.
+fn create(directory: &Path) -> Result<u64> {
+    let hard: Option<HardState> = snapshot::read(&directory.join("vote"))?;
+    let used = hard.is_some_and(|hard| hard.epoch > Epoch(0));
+    if used || directory.join("snapshot").exists() {
+        let path = directory.join("identity");
+        return Err(corrupt(&path, 0, "the file of a used directory is missing"));
+    }
+    snapshot::replace(&directory.join("vote"), &HardState::default())?;
+    snapshot::replace(&directory.join("log"), &Position::default())?;
+    let incarnation = rand::random::<u64>().max(1);
+    snapshot::replace(&directory.join("identity"), &incarnation)?;
+    Ok(incarnation)
+}
+
+fn require<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T> {
+    snapshot::read(path)?.ok_or_else(|| corrupt(path, 0, "the file is missing"))
+}
+
+fn open_log(path: &Path) -> Result<File> {
+    OpenOptions::new()
+        .append(true)
+        .open(path)
+        .map_err(|error| io_error(path, &error))
+}
+
+struct Contents {
+    base: Position,
+    length: usize,
+    tail: Vec<Entry>,
+}
+
+fn read_log(path: &Path) -> Result<Contents> {
+    let Some(bytes) = snapshot::read_bytes(path)? else {
+        return Err(corrupt(path, 0, "the file is missing"));
+    };
+    let Some((base, mut offset)) = frame::decode::<Position>(&bytes, 0) else {
+        return Err(corrupt(path, 0, "the first record failed its checksum"));
+    };
+    let mut tail = Vec::new();
+    while offset < bytes.len() {
+        let Some((entries, end)) = frame::decode::<Vec<Entry>>(&bytes, offset) else {
+            if frame::follows(&bytes, offset) {
+                let what = "a record is damaged and intact ones follow";
+                return Err(corrupt(path, offset, what));
+            }
+            cut(path, offset, bytes.len())?;
+            break;
+        };
+        for entry in entries {
+            if !place(&mut tail, base, entry) {
+                return Err(corrupt(path, offset, "an entry is missing"));
+            }
+        }
+        offset = end;
+    }
+    Ok(Contents {
+        base,
+        length: offset,
+        tail,
+    })
+}
+
+/// Cuts off a frame that a crash left unfinished.
+fn cut(path: &Path, offset: usize, length: usize) -> Result<()> {
+    let bytes = length - offset;
+    log::warn!(
+        "{}: {bytes} bytes of a torn record cut off at offset {offset}",
+        path.display()
+    );
+    OpenOptions::new()
+        .write(true)
+        .open(path)
+        .and_then(|file| file.set_len(offset as u64).and_then(|()| file.sync_all()))
+        .map_err(|error| io_error(path, &error))
+}
+
+/// Puts an entry in its place; `false` if one before it is missing.
+fn place(tail: &mut Vec<Entry>, base: Position, entry: Entry) -> bool {
+    let Some(at) = entry.index.0.checked_sub(base.index.0 + 1) else {
+        return false;
+    };
+    if at as usize > tail.len() {
+        return false;
+    }
+    tail.truncate(at as usize);
+    tail.push(entry);
+    true
+}
+
+/// Drops the entries that a snapshot covers, and those after it unless the
+/// entry at its position is the one that it ends with.
+fn rebase(tail: &mut Vec<Entry>, base: &mut Position, to: Position) {
+    let covered = tail.iter().position(|entry| entry.position() == to);
+    match covered {
+        _ if *base == to => {}
+        Some(at) => drop(tail.drain(..=at)),
+        None => tail.clear(),
+    }
+    *base = to;
+}
--- /dev/null
+++ b/crates/coordination/tests/log_core.rs
@@ -0,0 +1,8 @@
+//! The replicated log without a disk or a network, on a manual clock.
+
+#[path = "log_core/cases.rs"]
+mod cases;
+#[path = "log_core/schedule.rs"]
+mod schedule;
+#[path = "log_core/sim.rs"]
+mod sim;
--- /dev/null
+++ b/crates/coordination/tests/log_core/schedule.rs
@@ -0,0 +1,145 @@
+//! Random schedules of failures.
+
+use pomelovale_coordination::log::{Event, MemberChange};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+use crate::sim::Sim;
+
+/// One step of a schedule. A `usize` selects an instance.
+#[derive(Clone, Debug)]
+enum Step {
+    Compact(usize),
+    Crash(usize),
+    Delay(u64),
+    Heal,
+    Isolate(usize),
+    Lose(u32),
+    Propose(usize),
+    Remove(usize),
+    Repeat(u32),
+    Resign(usize),
+    Run(u64),
+    Split(usize),
+    Start(usize),
+    Wipe(usize),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let node = usize::arbitrary(g) % 5;
+        let number = u64::arbitrary(g);
+        match u32::arbitrary(g) % 24 {
+            0 => Step::Compact(node),
+            1..=2 => Step::Crash(node),
+            3 => Step::Delay(number % 300),
+            4 => Step::Heal,
+            5 => Step::Isolate(node),
+            6 => Step::Lose(number as u32 % 30),
+            7..=11 => Step::Propose(1 + number as usize % 8),
+            12 => Step::Remove(node),
+            13 => Step::Repeat(number as u32 % 20),
+            14 => Step::Resign(node),
+            15..=18 => Step::Run(number % 3_000),
+            19 => Step::Split(number as usize % 32),
+            20..=21 => Step::Start(node),
+            _ => Step::Wipe(node),
+        }
+    }
+}
+
+/// A group and what happens to it.
+#[derive(Clone, Debug)]
+struct Schedule {
+    seed: u64,
+    size: usize,
+    steps: Vec<Step>,
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Schedule {
+        Schedule {
+            seed: u64::arbitrary(g),
+            size: *g.choose(&[3, 5]).unwrap_or(&3),
+            steps: Vec::arbitrary(g),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Schedule>> {
+        let schedule = self.clone();
+        let with = move |steps| Schedule {
+            steps,
+            ..schedule.clone()
+        };
+        Box::new(self.steps.shrink().map(with))
+    }
+}
+
+fn take(sim: &mut Sim, step: &Step, size: usize) {
+    match *step {
+        Step::Compact(node) => sim.compact(node % size),
+        Step::Crash(node) => sim.crash(node % size),
+        Step::Delay(ms) => sim.delay_ms.1 = 1 + ms,
+        Step::Heal => sim.partition(|_| 0),
+        Step::Isolate(node) => sim.partition(|other| usize::from(other == node % size)),
+        Step::Lose(percent) => sim.faults.0 = percent,
+        Step::Propose(count) => (0..count).for_each(|_| {
+            sim.propose();
+        }),
+        Step::Remove(_) if !sim.may_remove() => {}
+        Step::Remove(node) => {
+            let id = sim.id(node % size);
+            sim.removed.insert(node % size);
+            sim.change(MemberChange::Remove(id.clone()));
+            sim.run(500);
+            sim.change(MemberChange::AddLearner(id));
+        }
+        Step::Repeat(percent) => sim.faults.1 = percent,
+        Step::Resign(node) => sim.step(node % size, Event::Resign),
+        Step::Run(ms) => sim.run(ms),
+        Step::Split(mask) => sim.partition(|node| mask >> node & 1),
+        Step::Start(node) => sim.start(node % size),
+        Step::Wipe(node) => {
+            let node = node % size;
+            if sim.may_wipe(node) {
+                sim.crash(node);
+                sim.wipe(node);
+                sim.start(node);
+            }
+        }
+    }
+    sim.run(20);
+}
+
+/// Runs a schedule; the simulation checks each step.
+fn holds(schedule: Schedule) -> TestResult {
+    let mut sim = Sim::settled(schedule.size, schedule.seed);
+    for step in &schedule.steps {
+        take(&mut sim, step, schedule.size);
+    }
+    sim.recover();
+    TestResult::passed()
+}
+
+fn check(seed: u64, tests: u64) {
+    let source = Gen::from_size_and_seed(60, seed);
+    let property: fn(Schedule) -> TestResult = holds;
+    QuickCheck::new()
+        .rng(source)
+        .tests(tests)
+        .quickcheck(property);
+}
+
+/// Guards against two leaders in an epoch, lost or changed entries, different
+/// orders, proofs of an old state, and groups that do not recover.
+#[test]
+fn schedules_hold() {
+    check(1, 400);
+}
+
+/// The same over many more schedules; the seed is `LOG_SEED`.
+#[test]
+#[ignore = "takes minutes"]
+fn many_schedules_hold() {
+    let seed = std::env::var("LOG_SEED").ok().and_then(|s| s.parse().ok());
+    check(seed.unwrap_or(2), 10_000);
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,4 +1,5 @@
 //! Messages and codecs between processes, and HTTP rules.
 
 pub mod grants;
+pub mod log;
 pub mod report;
--- /dev/null
+++ b/crates/protocol/src/log.rs
@@ -0,0 +1,269 @@
+//! Entries of the replicated log and the messages between its replicas.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+
+use pomelovale_state::Name;
+use serde::{Deserialize, Serialize};
+
+/// Content of a proposal or of a snapshot; the log does not interpret it.
+pub type Payload = Arc<[u8]>;
+
+/// A replica: the name of its instance and the identity of its disk.
+///
+/// The incarnation is drawn at random when a data directory is created, so a
+/// replica that lost its disk is never mistaken for the one that voted and
+/// acknowledged before.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ReplicaId {
+    /// Name of the instance.
+    pub name: Name,
+    /// Identity of the data directory; [`ReplicaId::ANY`] addresses whichever
+    /// incarnation the instance runs.
+    pub incarnation: u64,
+}
+
+impl ReplicaId {
+    /// Incarnation in the address of a message to a replica whose identity is
+    /// not known yet. No replica has it.
+    pub const ANY: u64 = 0;
+
+    /// The address of whichever incarnation runs under `name`.
+    pub fn any(name: Name) -> ReplicaId {
+        ReplicaId {
+            name,
+            incarnation: ReplicaId::ANY,
+        }
+    }
+}
+
+impl fmt::Display for ReplicaId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{:016x}", self.name, self.incarnation)
+    }
+}
+
+/// Number of a leader's term; at most one leader exists per epoch.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Epoch(pub u64);
+
+impl Epoch {
+    /// The following epoch.
+    pub fn next(self) -> Epoch {
+        Epoch(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Epoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "epoch {}", self.0)
+    }
+}
+
+/// Number of an entry; the first one is 1, and 0 stands before it.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct LogIndex(pub u64);
+
+impl LogIndex {
+    /// The following index.
+    pub fn next(self) -> LogIndex {
+        LogIndex(self.0 + 1)
+    }
+
+    /// The preceding index, not before zero.
+    pub fn previous(self) -> LogIndex {
+        LogIndex(self.0.saturating_sub(1))
+    }
+}
+
+impl fmt::Display for LogIndex {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "index {}", self.0)
+    }
+}
+
+/// Place of an entry. Ordered by epoch first, so that the greater of two last
+/// positions belongs to the more up-to-date log.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Position {
+    /// Epoch of the leader that created the entry.
+    pub epoch: Epoch,
+    /// Index of the entry.
+    pub index: LogIndex,
+}
+
+/// The replicas that hold the log.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Members {
+    /// Receive entries and count towards no quorum.
+    pub learners: BTreeSet<ReplicaId>,
+    /// Vote, and acknowledge entries for a quorum.
+    pub voters: BTreeSet<ReplicaId>,
+}
+
+/// What an entry carries.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum EntryData {
+    /// A proposal.
+    Change(Payload),
+    /// Nothing; the first entry of every leader.
+    Empty,
+    /// The members from this entry on.
+    Members(Members),
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// Its content.
+    pub data: EntryData,
+    /// Epoch of the leader that created it.
+    pub epoch: Epoch,
+    /// Its place in the log.
+    pub index: LogIndex,
+}
+
+impl Entry {
+    /// Epoch and index.
+    pub fn position(&self) -> Position {
+        Position {
+            epoch: self.epoch,
+            index: self.index,
+        }
+    }
+
+    /// Bytes of its payload; entries without one count as zero.
+    pub fn size(&self) -> usize {
+        match &self.data {
+            EntryData::Change(payload) => payload.len(),
+            EntryData::Empty | EntryData::Members(_) => 0,
+        }
+    }
+}
+
+/// The state after all entries up to an index.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// Epoch of the last entry it covers.
+    pub epoch: Epoch,
+    /// Index of the last entry it covers.
+    pub index: LogIndex,
+    /// Members as of that entry.
+    pub members: Members,
+    /// State as of that entry.
+    pub payload: Payload,
+}
+
+impl Snapshot {
+    /// Position of the last entry it covers.
+    pub fn position(&self) -> Position {
+        Position {
+            epoch: self.epoch,
+            index: self.index,
+        }
+    }
+}
+
+/// A message between two replicas.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LogMessage {
+    /// A replica that is no member makes its identity known.
+    Announce {
+        /// Whether its disk holds neither an entry nor a vote.
+        vacant: bool,
+    },
+    /// Entries from the leader; without entries it is only a heartbeat.
+    Append {
+        /// Upper bound of the age of the leader's proof when it sent this, in
+        /// milliseconds.
+        age_ms: Option<u64>,
+        /// The leader's commit index.
+        commit: LogIndex,
+        /// Counter of the last reply that the leader received from this
+        /// replica.
+        echo: u64,
+        /// Entries that follow `previous`.
+        entries: Vec<Entry>,
+        /// The leader's epoch.
+        epoch: Epoch,
+        /// Position before the first entry.
+        previous: Position,
+        /// Heartbeat round that this message belongs to.
+        round: u64,
+    },
+    /// Answers `Append` and `Install`.
+    AppendReply {
+        /// Numbers the replies of one run of the sender's process.
+        counter: u64,
+        /// The sender's epoch.
+        epoch: Epoch,
+        /// Last index that is synced and equal to the leader's log.
+        matched: LogIndex,
+        /// Set if the position before the entries is unknown.
+        refused: Option<Refused>,
+        /// Round of the message that this answers.
+        round: u64,
+        /// Last index that is equal to the leader's log, synced or not.
+        verified: LogIndex,
+    },
+    /// The leader hands over; the receiver starts an election at once.
+    HandOver {
+        /// The leader's epoch.
+        epoch: Epoch,
+    },
+    /// A snapshot for a replica whose next entry the leader has truncated.
+    Install {
+        /// The leader's epoch.
+        epoch: Epoch,
+        /// Heartbeat round that this message belongs to.
+        round: u64,
+        /// The snapshot.
+        snapshot: Snapshot,
+    },
+    /// Asks whether `Vote` for this epoch would succeed; changes no state.
+    PreVote {
+        /// The epoch that the sender would campaign in.
+        epoch: Epoch,
+        /// Position of the sender's last entry.
+        last: Position,
+    },
+    /// Answers `PreVote`.
+    PreVoteReply {
+        /// The requested epoch if granted, else the sender's epoch.
+        epoch: Epoch,
+        /// Whether a vote would be granted.
+        granted: bool,
+    },
+    /// Asks for a vote.
+    Vote {
+        /// The epoch that the sender campaigns in.
+        epoch: Epoch,
+        /// Position of the sender's last entry.
+        last: Position,
+        /// Whether the leader itself asked for this election.
+        transfer: bool,
+    },
+    /// Answers `Vote`.
+    VoteReply {
+        /// The sender's epoch.
+        epoch: Epoch,
+        /// Whether the vote is given.
+        granted: bool,
+    },
+}
+
+/// Why entries were not taken.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Refused {
+    /// Highest index at which the logs may still agree.
+    pub hint: LogIndex,
+    /// Index of the position that is unknown.
+    pub previous: LogIndex,
+}
