Ask the steering and limiter libraries for decisions

Change: decide.rs hands out admission, server choice, regions, retry budget and rate limit from them; entries send load reports to the leader. Conclusion: no decision is made in the pipeline itself.

--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -1,35 +1,24 @@
 //! Every decision that the request path asks for.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
+use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
-use pomelovale_state::document::{Document, MemberState};
-use pomelovale_state::{ErrorKind, Millis, Name};
-use serde::Deserialize;
+use pomelovale_protocol::report::ServiceLoad;
+use pomelovale_state::document::MemberState;
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use pomelovale_steering::admission::{Ended, Ticket, Verdict};
+pub use pomelovale_steering::balancer::LoadReport;
+pub use pomelovale_steering::{AttemptEnd, Class};
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use super::config::EntryConfig;
+use super::rates::Rates;
 use super::refusal::Refusal;
-
-// Tenths of a retry that one request earns, and the retries kept in reserve.
-const RETRY_EARNED: u64 = 1;
-const RETRY_COST: u64 = 10;
-const RETRY_RESERVE: u64 = 10 * RETRY_COST;
-// A server that fails is left out for this long, doubled with each failure in
-// a row up to the maximum.
-const EJECT_MS: u64 = 500;
-const EJECT_MAX_MS: u64 = 8_000;
-
-/// How urgent a request is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Class {
-    /// May wait for spare room.
-    Deferrable,
-    /// Someone waits for the answer.
-    Interactive,
-}
+use super::service::{Admitted, Steering};
 
 /// What a decision is about.
 #[derive(Clone, Debug)]
@@ -38,26 +27,17 @@
     pub service: Name,
     /// The workspace; empty on open routes.
     pub workspace: Name,
-    /// How urgent the request is.
+    /// Kind of request.
     pub class: Class,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AttemptEnd {
-    /// With a complete answer.
-    Answered,
-    /// The caller went away.
-    Cancelled,
-    /// With a failure of the server or the connection.
-    Failed,
-    /// The server said that it did not run the request.
-    Shed,
+    /// The only region allowed; any if absent.
+    pub region: Option<Name>,
 }
 
 /// A backend server chosen for an attempt.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Choice {
+    /// Its service.
+    pub service: Name,
     /// Its name.
     pub server: Name,
     /// Its address.
@@ -66,55 +46,15 @@
     pub region: Name,
 }
 
-/// A backend server's answer to `GET /load`.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-pub struct LoadReport {
-    /// Requests it can run at a time.
-    pub slots: u32,
-    /// Requests it runs.
-    pub busy: u32,
-    /// Requests that wait in it.
-    pub queued: u32,
-}
-
-#[derive(Debug, Default)]
-struct Server {
-    outstanding: usize,
-    failures: u32,
-    until: Millis,
-    load: LoadReport,
-}
-
-#[derive(Debug)]
-struct Room {
-    running: usize,
-    waiting: VecDeque<(u64, oneshot::Sender<()>)>,
-    retries: u64,
-}
-
-impl Default for Room {
-    fn default() -> Room {
-        Room {
-            running: 0,
-            waiting: VecDeque::new(),
-            retries: RETRY_RESERVE,
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct Inner {
-    next: u64,
-    rooms: HashMap<Name, Room>,
-    servers: HashMap<Name, Server>,
-}
-
 /// The decisions of one entry instance.
 #[derive(Debug)]
 pub struct Decisions {
     config: EntryConfig,
     view: Arc<View>,
-    inner: Mutex<Inner>,
+    clock: Clock,
+    rates: Rates,
+    services: RwLock<HashMap<Name, Arc<Mutex<Steering>>>>,
+    next: std::sync::atomic::AtomicU64,
 }
 
 /// The right of one request to run; given back when dropped.
@@ -122,54 +62,105 @@
 pub struct Permit {
     decisions: Arc<Decisions>,
     service: Name,
+    ticket: Ticket,
+    last: Mutex<(AttemptEnd, u64)>,
+}
+
+impl Permit {
+    fn new(decisions: &Arc<Decisions>, service: &Name, ticket: Ticket) -> Permit {
+        Permit {
+            decisions: decisions.clone(),
+            service: service.clone(),
+            ticket,
+            last: Mutex::new((AttemptEnd::Cancelled, 0)),
+        }
+    }
+
+    /// Takes note of how the last attempt ended.
+    pub fn record(&self, end: AttemptEnd, latency_ms: u64) {
+        *self.last.lock().expect("no panic while held") = (end, latency_ms);
+    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.decisions.release(&self.service);
+        let (end, latency_ms) = *self.last.lock().expect("no panic while held");
+        let now = self.decisions.clock.now();
+        let ended = Ended {
+            ticket: self.ticket,
+            end,
+            latency_ms,
+        };
+        self.decisions.with(&self.service, |s| {
+            let next = s.admission.release(now, ended);
+            s.wake(next);
+        });
     }
 }
 
-/// A place in a queue; left when dropped.
-#[derive(Debug)]
-struct Place {
-    decisions: Arc<Decisions>,
-    service: Name,
-    ticket: u64,
-    admitted: oneshot::Receiver<()>,
+/// A place in a queue; left when dropped before the request is admitted.
+struct Place<'a> {
+    decisions: &'a Decisions,
+    service: &'a Name,
+    ticket: Ticket,
+    admitted: bool,
 }
 
-impl Drop for Place {
+impl Drop for Place<'_> {
     fn drop(&mut self) {
-        let mut inner = self.decisions.lock();
-        let room = inner.rooms.entry(self.service.clone()).or_default();
-        let before = room.waiting.len();
-        room.waiting.retain(|(ticket, _)| *ticket != self.ticket);
-        let admitted = room.waiting.len() == before && self.admitted.try_recv().is_ok();
-        drop(inner);
-        if admitted {
-            self.decisions.release(&self.service);
+        if self.admitted {
+            return;
         }
+        self.decisions.with(self.service, |s| {
+            s.waiting.remove(&self.ticket);
+            let next = s.admission.cancel(self.ticket);
+            s.wake(next);
+        });
     }
 }
 
 impl Decisions {
-    /// Decisions by the given view.
-    pub fn new(config: &EntryConfig, view: Arc<View>) -> Decisions {
+    /// Decisions by the given view. `start` differs for each start of the process.
+    pub fn new(config: &EntryConfig, view: Arc<View>, clock: Clock, start: u64) -> Decisions {
+        let unique = Name::from(format!("{}-{start:x}", config.instance));
         Decisions {
             config: config.clone(),
             view,
-            inner: Mutex::default(),
+            rates: Rates::new(unique, clock.clone()),
+            clock,
+            services: RwLock::default(),
+            next: start.into(),
+        }
+    }
+
+    fn service(&self, name: &Name) -> Arc<Mutex<Steering>> {
+        let known = self.services.read().expect("no panic while held");
+        if let Some(service) = known.get(name) {
+            return service.clone();
         }
+        drop(known);
+        let seed = rand::random();
+        let new = || Arc::new(Mutex::new(Steering::new(&self.config, name, seed)));
+        let mut known = self.services.write().expect("no panic while held");
+        known.entry(name.clone()).or_insert_with(new).clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no panic while held")
+    fn with<T>(&self, name: &Name, run: impl FnOnce(&mut Steering) -> T) -> T {
+        let service = self.service(name);
+        let mut steering: MutexGuard<'_, Steering> = service.lock().expect("no panic while held");
+        let document = self.view.document();
+        steering.sync(self.clock.now(), &self.config.instance, &document);
+        run(&mut steering)
+    }
+
+    /// Asks the ledger for tokens until the task is aborted.
+    pub async fn run_rates(&self, control: ControlHandle) {
+        self.rates.run(control).await;
     }
 
     /// Whether a workspace is within its rate.
-    pub async fn admit(&self, _now: Millis, _workspace: &Name) -> Result<(), Refusal> {
-        std::future::ready(Ok(())).await
+    pub async fn admit(&self, workspace: &Name) -> Result<(), Refusal> {
+        self.rates.admit(workspace).await
     }
 
     /// Waits for room; `limit_ms` bounds the wait.
@@ -178,100 +169,78 @@
         subject: &Subject,
         limit_ms: u64,
     ) -> Result<Permit, Refusal> {
-        let service = subject.service.clone();
-        let mut place = match self.offer(&service) {
-            Err(kind) => return Err(kind.into()),
-            Ok(None) => return Ok(self.permit(service)),
-            Ok(Some((ticket, admitted))) => Place {
-                decisions: self.clone(),
-                service: service.clone(),
-                ticket,
-                admitted,
-            },
+        let next = &self.next;
+        let ticket = Ticket(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        let Some(admitted) = self.offer(subject, ticket)? else {
+            return Ok(Permit::new(self, &subject.service, ticket));
         };
-        let limit = Millis(limit_ms.min(self.config.queue_ms)).duration();
-        match tokio::time::timeout(limit, &mut place.admitted).await {
-            Ok(Ok(())) => Ok(self.permit(service)),
-            Ok(Err(_)) | Err(_) => Err(ErrorKind::Overloaded.into()),
-        }
-    }
-
-    fn permit(self: &Arc<Self>, service: Name) -> Permit {
-        Permit {
-            decisions: self.clone(),
-            service,
+        let mut place = Place {
+            decisions: self,
+            service: &subject.service,
+            ticket,
+            admitted: false,
+        };
+        let ended = timeout(Millis(limit_ms).duration(), admitted).await;
+        match ended {
+            Ok(Ok(Ok(()))) => {
+                place.admitted = true;
+                Ok(Permit::new(self, &subject.service, ticket))
+            }
+            Ok(Ok(Err(retry_ms))) => Err(overloaded(retry_ms)),
+            Ok(Err(_)) => Err(ErrorKind::Overloaded.into()),
+            Err(_) => Err(ErrorKind::DeadlineSpent.into()),
         }
     }
 
     #[allow(clippy::type_complexity)]
-    fn offer(&self, service: &Name) -> Result<Option<(u64, oneshot::Receiver<()>)>, ErrorKind> {
-        let slots = self.slots(service);
-        let mut inner = self.lock();
-        inner.next += 1;
-        let ticket = inner.next;
-        let room = inner.rooms.entry(service.clone()).or_default();
-        match room {
-            _ if slots == 0 => Err(ErrorKind::Unavailable),
-            r if r.running < slots && r.waiting.is_empty() => {
-                r.running += 1;
-                Ok(None)
+    fn offer(
+        &self,
+        subject: &Subject,
+        ticket: Ticket,
+    ) -> Result<Option<oneshot::Receiver<Admitted>>, Refusal> {
+        let now = self.clock.now();
+        let (workspace, class) = (&subject.workspace, subject.class);
+        self.with(&subject.service, |s| {
+            let verdict = s.admission.offer(now, ticket, workspace, class);
+            s.refuse_late(now);
+            match verdict {
+                Verdict::Admitted => Ok(None),
+                Verdict::Refused { retry_after_ms } => Err(overloaded(retry_after_ms)),
+                Verdict::Queued => {
+                    let (admit, admitted) = oneshot::channel();
+                    s.waiting.insert(ticket, admit);
+                    Ok(Some(admitted))
+                }
             }
-            r if r.waiting.len() >= self.config.queue => Err(ErrorKind::Overloaded),
-            r => {
-                let (admit, admitted) = oneshot::channel();
-                r.waiting.push_back((ticket, admit));
-                Ok(Some((ticket, admitted)))
+        })
+    }
+
+    /// Ends waits that are too long. Call every few tens of milliseconds.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        for service in self.all() {
+            let mut steering = service.1.lock().expect("no panic while held");
+            if !steering.waiting.is_empty() {
+                steering.refuse_late(now);
             }
         }
     }
 
-    fn slots(&self, service: &Name) -> usize {
-        let document = self.view.document();
-        let slots = document
-            .backends
-            .values()
-            .filter(|b| b.service == *service && b.state == MemberState::Serving)
-            .map(|b| b.slots as usize);
-        slots.sum()
+    fn all(&self) -> Vec<(Name, Arc<Mutex<Steering>>)> {
+        let known = self.services.read().expect("no panic while held");
+        known.iter().map(|(n, s)| (n.clone(), s.clone())).collect()
     }
 
-    fn release(&self, service: &Name) {
-        let mut inner = self.lock();
-        let room = inner.rooms.entry(service.clone()).or_default();
-        while let Some((_, admit)) = room.waiting.pop_front() {
-            if admit.send(()).is_ok() {
-                return;
-            }
-        }
-        room.running = room.running.saturating_sub(1);
+    /// The region of a new request. Call once for each request.
+    pub fn region(&self, service: &Name) -> Option<Name> {
+        self.with(service, Steering::region)
     }
 
     /// Chooses a backend server, other than those in `tried`, and counts the
     /// attempt until [`Decisions::finish`].
     pub fn choose(&self, now: Millis, subject: &Subject, tried: &[Name]) -> Option<Choice> {
-        let document = self.view.document();
-        let share = connection_share(&document);
-        let mut inner = self.lock();
-        let open = document.backends.iter().filter(|(name, b)| {
-            b.service == subject.service && b.state == MemberState::Serving && !tried.contains(name)
-        });
-        let rank = |name: &Name, region: &Name, slots: u32| {
-            let server = inner.servers.get(name);
-            let ejected = server.is_some_and(|s| now < s.until);
-            let used = server.map_or(0, |s| s.outstanding);
-            let load = server.map_or(0, |s| s.load.queued);
-            let near = *region == self.config.region;
-            (ejected, !near, (used * 1_000) / slots.max(1) as usize, load)
-        };
-        let used = |name: &Name| inner.servers.get(name).map_or(0, |s| s.outstanding);
-        let (name, backend) = open
-            .filter(|(name, b)| used(name) < (b.connections as usize / share).max(1))
-            .min_by_key(|(name, b)| rank(name, &b.region, b.slots))?;
-        inner.servers.entry(name.clone()).or_default().outstanding += 1;
-        Some(Choice {
-            server: name.clone(),
-            address: backend.address,
-            region: backend.region.clone(),
+        self.with(&subject.service, |s| {
+            s.choose(now, subject.class, subject.region.as_ref(), tried)
         })
     }
 
@@ -283,56 +252,45 @@
     }
 
     /// Ends an attempt that [`Decisions::choose`] began.
-    pub fn finish(&self, now: Millis, server: &Name, end: AttemptEnd) {
-        let mut inner = self.lock();
-        let server = inner.servers.entry(server.clone()).or_default();
-        server.outstanding = server.outstanding.saturating_sub(1);
-        match end {
-            AttemptEnd::Answered => server.failures = 0,
-            AttemptEnd::Cancelled | AttemptEnd::Shed => {}
-            AttemptEnd::Failed => {
-                let ms = EJECT_MS << server.failures.min(8);
-                server.failures += 1;
-                server.until = now.plus(ms.min(EJECT_MAX_MS));
-            }
-        }
+    pub fn finish(&self, now: Millis, choice: &Choice, end: AttemptEnd, latency_ms: u64) {
+        self.with(&choice.service, |s| {
+            s.finish(now, choice, end, latency_ms);
+        });
     }
 
-    /// Takes note of a load report; `None` if the server did not answer.
-    pub fn report_load(&self, _now: Millis, server: &Name, load: Option<LoadReport>) {
-        let mut inner = self.lock();
-        let server = inner.servers.entry(server.clone()).or_default();
-        server.load = load.unwrap_or_default();
+    /// Takes note of a load report that was asked for at `at`.
+    pub fn report_load(&self, at: Millis, service: &Name, server: &Name, report: LoadReport) {
+        self.with(service, |s| s.report_load(at, server, report));
     }
 
     /// Counts a request towards the retry budget of its service.
     pub fn record_request(&self, service: &Name) {
-        let mut inner = self.lock();
-        let room = inner.rooms.entry(service.clone()).or_default();
-        room.retries = (room.retries + RETRY_EARNED).min(RETRY_RESERVE);
+        self.with(service, Steering::record_request);
     }
 
     /// Whether the budget of a service allows a retry now.
     pub fn has_retry(&self, service: &Name) -> bool {
-        let inner = self.lock();
-        inner
-            .rooms
-            .get(service)
-            .is_some_and(|r| r.retries >= RETRY_COST)
+        self.with(service, |s| s.budget.left() > 0)
     }
 
     /// Spends one retry of a service's budget.
     pub fn try_spend(&self, service: &Name) -> bool {
-        let mut inner = self.lock();
-        let room = inner.rooms.entry(service.clone()).or_default();
-        let left = room.retries.checked_sub(RETRY_COST);
-        room.retries = left.unwrap_or(room.retries);
-        left.is_some()
+        self.with(service, |s| s.budget.try_spend())
+    }
+
+    /// Takes new measurements into account and returns them for the leader.
+    pub fn measure(&self) -> Vec<ServiceLoad> {
+        let now = self.clock.now();
+        let document = self.view.document();
+        let measure = |(_, service): (Name, Arc<Mutex<Steering>>)| {
+            let mut steering = service.lock().expect("no panic while held");
+            steering.measure(now, &document)
+        };
+        self.all().into_iter().flat_map(measure).collect()
     }
 }
 
-// Backend servers bound the connections of all entries together.
-fn connection_share(document: &Document) -> usize {
-    let entry = |i: &&pomelovale_state::document::Instance| i.callers.is_some();
-    document.instances.values().filter(entry).count().max(1)
+fn overloaded(retry_ms: u64) -> Refusal {
+    let kind = ErrorKind::Overloaded;
+    Refusal { kind, retry_ms }
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -87,6 +87,7 @@
 struct Running {
     shared: Arc<Shared>,
     choice: Choice,
+    permit: Arc<Permit>,
     since: Instant,
     ended: bool,
 }
@@ -98,7 +99,10 @@
         }
         self.ended = true;
         let now = self.shared.clock.now();
-        self.shared.decisions.finish(now, &self.choice.server, end);
+        let latency_ms = self.since.elapsed().as_millis() as u64;
+        self.permit.record(end, latency_ms);
+        let decisions = &self.shared.decisions;
+        decisions.finish(now, &self.choice, end, latency_ms);
         metrics::histogram!("entry_attempt_seconds").record(self.since.elapsed());
     }
 }
@@ -201,6 +205,7 @@
     let mut running = Running {
         shared: shared.clone(),
         choice: choice.clone(),
+        permit: job.permit.clone(),
         since: Instant::now(),
         ended: false,
     };
@@ -243,7 +248,10 @@
                 // Others that were open before may have gone silent with it.
                 shared.pool.purge(choice.address, start);
             }
-            running.end(AttemptEnd::Failed);
+            running.end(match failure.fault {
+                Fault::Silent => AttemptEnd::TimedOut,
+                _ => AttemptEnd::Failed,
+            });
             Outcome::Failed(failure)
         }
     }
@@ -312,12 +320,11 @@
             if let Some(connection) = body.finish() {
                 shared.pool.put(address, connection);
             }
-            let ended = if shed {
-                AttemptEnd::Shed
-            } else {
-                AttemptEnd::Answered
-            };
-            running.end(ended);
+            running.end(match parts.status {
+                _ if shed => AttemptEnd::Shed,
+                status if status.is_server_error() => AttemptEnd::Failed,
+                _ => AttemptEnd::Complete,
+            });
             CallerBody::Full(bytes)
         }
         Held::Part(prefix) => {
@@ -367,19 +374,15 @@
     pause: Duration,
     mut running: Running,
 ) -> Passing {
-    let permit = job.permit.clone();
-    let on_end = move |result: Result<Option<Connection>, Fault>| {
-        match result {
-            Ok(Some(connection)) => {
-                let address = running.choice.address;
-                running.shared.pool.put(address, connection);
-                running.end(AttemptEnd::Answered);
-            }
-            Ok(None) => running.end(AttemptEnd::Answered),
-            Err(Fault::Cut) => running.end(AttemptEnd::Cancelled),
-            Err(_) => running.end(AttemptEnd::Failed),
+    let on_end = move |result: Result<Option<Connection>, Fault>| match result {
+        Ok(Some(connection)) => {
+            let address = running.choice.address;
+            running.shared.pool.put(address, connection);
+            running.end(AttemptEnd::Complete);
         }
-        drop(permit);
+        Ok(None) => running.end(AttemptEnd::Complete),
+        Err(Fault::Cut) => running.end(AttemptEnd::Cancelled),
+        Err(_) => running.end(AttemptEnd::Failed),
     };
     Passing::new(prefix, body, pause, !job.idempotent, Box::new(on_end))
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -9,7 +9,9 @@
 pub mod list;
 pub mod pipeline;
 pub mod poll;
+pub mod rates;
 pub mod refusal;
+pub mod service;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -25,7 +27,7 @@
 use pomelovale_transport::pool::Pool;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use config::EntryConfig;
 use crash::Crashes;
@@ -101,8 +103,10 @@
             .change_context(ErrorKind::BadSettings)
             .attach_with(|| format!("can't listen on {}", config.listen))?;
         let (work, done) = mpsc::channel(1);
+        let start = rand::random();
+        let decisions = Decisions::new(&config, view.clone(), clock.clone(), start);
         let shared = Arc::new(Shared {
-            decisions: Arc::new(Decisions::new(&config, view.clone())),
+            decisions: Arc::new(decisions),
             config,
             view,
             control,
@@ -111,7 +115,7 @@
             crashes: Crashes::default(),
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
-            start: rand::random(),
+            start,
             seq: AtomicU64::new(0),
             work: work.downgrade(),
         });
@@ -123,7 +127,14 @@
         let limits = shared.config.server.clone();
         let server =
             Server::start(listener, limits, handler).change_context(ErrorKind::BadSettings)?;
-        let upkeep = tokio::spawn(poll::run(shared.clone()));
+        let (deciding, granting) = (shared.clone(), shared.clone());
+        let mut upkeep = JoinSet::new();
+        upkeep.spawn(poll::run(shared.clone()));
+        upkeep.spawn(async move { poll::tick(&deciding).await });
+        upkeep.spawn(async move {
+            let control = granting.control.clone();
+            granting.decisions.run_rates(control).await;
+        });
         Ok(EntryHandle {
             shared,
             server,
@@ -139,7 +150,7 @@
 pub struct EntryHandle {
     shared: Arc<Shared>,
     server: Server,
-    upkeep: JoinHandle<()>,
+    upkeep: JoinSet<()>,
     work: mpsc::Sender<()>,
     done: mpsc::Receiver<()>,
 }
@@ -172,7 +183,7 @@
         self.server.stop().await;
         drop(self.work);
         let _ = self.done.recv().await;
-        self.upkeep.abort();
+        self.upkeep.shutdown().await;
         log::info!("{} stopped", self.shared.config.instance);
     }
 }
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -94,8 +94,7 @@
     };
     let deadline = Instant::now() + limit;
     if let Some(pass) = &pass {
-        let now = shared.clock.now();
-        shared.decisions.admit(now, &pass.workspace).await?;
+        shared.decisions.admit(&pass.workspace).await?;
     }
     let hold = match Hold::take(shared, &body) {
         Ok(hold) => hold,
@@ -136,7 +135,8 @@
     };
     let class = match route.is_some_and(|r| r.deferrable) {
         true => Class::Deferrable,
-        false => Class::Interactive,
+        false if idempotent => Class::Idempotent,
+        false => Class::Once,
     };
     Ok(Plan {
         service: name.clone(),
@@ -243,12 +243,13 @@
     deadline: Instant,
     trace: Trace,
 ) -> Result<Response<CallerBody>, Refusal> {
-    let subject = Subject {
+    let mut subject = Subject {
         service: plan.service,
         workspace: pass
             .as_ref()
             .map_or_else(Name::default, |p| p.workspace.clone()),
         class: plan.class,
+        region: None,
     };
     let target = strip_query(parts.uri.path(), parts.uri.query()).into_owned();
     let headers = forwarded(parts.headers, body.len())?;
@@ -257,6 +258,8 @@
     let entering = shared.decisions.enter(&subject, left);
     let permit = entering.instrument(tracing::info_span!("queue")).await;
     metrics::histogram!("entry_queue_seconds").record(since.elapsed());
+    let permit = permit?;
+    subject.region = shared.decisions.region(&subject.service);
     let job = Job {
         subject,
         method: parts.method,
@@ -267,7 +270,7 @@
         pass,
         deadline,
         trace,
-        permit: Arc::new(permit?),
+        permit: Arc::new(permit),
         print: OnceLock::new(),
     };
     job.check(shared)?;
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -2,22 +2,25 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::task::Poll;
 
 use bytes::{Bytes, BytesMut};
 use http::{header, Request};
 use http_body_util::Full;
+use indexmap::IndexMap;
 use pomelovale_state::document::MemberState;
 use pomelovale_state::{Millis, Name};
 use pomelovale_transport::backend::Connection;
 use tokio::time::timeout;
 
+use pomelovale_protocol::report::{LinkLoad, Report, ServiceLoad};
+
 use super::decide::LoadReport;
 use super::Shared;
 
 const PATH: &str = "/load";
 const REPORT_MAX_BYTES: usize = 4_096;
 const SWEEP_MS: u64 = 500;
+const TICK_MS: u64 = 20;
 
 /// Polls all backend servers until the task is aborted.
 pub async fn run(shared: Arc<Shared>) {
@@ -34,25 +37,65 @@
             .backends
             .iter()
             .filter(|(_, b)| b.state == MemberState::Serving);
-        let servers: Vec<(Name, SocketAddr)> =
-            serving.map(|(name, b)| (name.clone(), b.address)).collect();
+        let servers: Vec<(Name, Name, SocketAddr)> = serving
+            .map(|(name, b)| (b.service.clone(), name.clone(), b.address))
+            .collect();
         let age = Millis(shared.config.idle_ms).duration();
-        let in_use = |address: &SocketAddr| servers.iter().any(|(_, a)| a == address);
+        let in_use = |address: &SocketAddr| servers.iter().any(|(_, _, a)| a == address);
         shared.pool.sweep(age, &in_use);
+        report(&shared);
         if polls {
-            for (server, address) in servers {
-                tokio::spawn(poll(shared.clone(), server, address));
+            for (service, server, address) in servers {
+                tokio::spawn(poll(shared.clone(), service, server, address));
             }
         }
     }
 }
 
+fn report(shared: &Shared) {
+    let services = shared.decisions.measure();
+    let links = links(shared, &services);
+    shared.control.report(Report {
+        instance: shared.config.instance.clone(),
+        version: shared.view.document().version,
+        view_ms: shared.view.age(shared.clock.now()),
+        services,
+        links,
+    });
+}
+
+// By the size that each service declares for a request.
+fn links(shared: &Shared, services: &[ServiceLoad]) -> Vec<LinkLoad> {
+    let document = shared.view.document();
+    let mut kbits: IndexMap<&Name, u64> = IndexMap::new();
+    let home = &shared.config.region;
+    for load in services.iter().filter(|l| l.region != *home) {
+        let bytes = document.services.get(&load.service).map_or(0, |s| s.bytes);
+        *kbits.entry(&load.region).or_default() += load.rate * bytes * 8 / 1_000;
+    }
+    let rows = kbits.into_iter().map(|(to, kbits)| LinkLoad {
+        from: home.clone(),
+        to: to.clone(),
+        kbits,
+    });
+    rows.collect()
+}
+
+/// Ends waits in queues that are too long, until the task is aborted.
+pub async fn tick(shared: &Shared) {
+    loop {
+        tokio::time::sleep(Millis(TICK_MS).duration()).await;
+        shared.decisions.tick();
+    }
+}
+
 // The oldest idle connection is used, so that each report proves one more.
-async fn poll(shared: Arc<Shared>, server: Name, address: SocketAddr) {
+async fn poll(shared: Arc<Shared>, service: Name, server: Name, address: SocketAddr) {
     let limit = Millis(shared.config.poll_ms).duration();
-    let load = timeout(limit, fetch(&shared, address)).await.ok().flatten();
-    let now = shared.clock.now();
-    shared.decisions.report_load(now, &server, load);
+    let at = shared.clock.now();
+    if let Ok(Some(load)) = timeout(limit, fetch(&shared, address)).await {
+        shared.decisions.report_load(at, &service, &server, load);
+    }
 }
 
 async fn fetch(shared: &Shared, address: SocketAddr) -> Option<LoadReport> {
@@ -69,10 +112,7 @@
     let mut reply = connection.send(request, "", limit).await.ok()?;
     let mut body = BytesMut::new();
     loop {
-        let part = std::future::poll_fn(|cx| match reply.body.poll_part(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(part) => Poll::Ready(part),
-        });
+        let part = std::future::poll_fn(|cx| reply.body.poll_part(cx));
         match part.await {
             None => break,
             Some(Ok(part)) if body.len() + part.len() <= REPORT_MAX_BYTES => {
--- /dev/null
+++ b/crates/daemon/src/entry/rates.rs
@@ -0,0 +1,81 @@
+//! The entry's side of the rate limit, fed by the ledger at the leader.
+
+use std::sync::{Mutex, MutexGuard};
+
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::limiter::{Admit, Limiter, LimiterConfig};
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::refusal::Refusal;
+
+// Interval at which waiting requests and due renewals are looked at.
+const TICK_MS: u64 = 5;
+// A reply that takes longer than the limiter waits for has no effect.
+const REPLY_MS: u64 = 300;
+const COST: u64 = 1;
+
+/// Admits requests against the tokens that this instance holds.
+#[derive(Debug)]
+pub struct Rates {
+    limiter: Mutex<Limiter>,
+    clock: Clock,
+    // A request needs tokens, and tokens have come.
+    wanted: Notify,
+    come: Notify,
+}
+
+impl Rates {
+    /// A limiter under a name that no other start of the process uses.
+    pub fn new(instance: Name, clock: Clock) -> Rates {
+        Rates {
+            limiter: Mutex::new(Limiter::new(LimiterConfig::new(instance))),
+            clock,
+            wanted: Notify::new(),
+            come: Notify::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Limiter> {
+        self.limiter.lock().expect("no panic while held")
+    }
+
+    /// Whether a workspace is within its rate; waits for tokens on their way.
+    pub async fn admit(&self, workspace: &Name) -> Result<(), Refusal> {
+        let since = self.clock.now();
+        let mut verdict = self.lock().admit(since, workspace, COST);
+        loop {
+            match verdict {
+                Admit::Granted => return Ok(()),
+                Admit::Refused { retry_after_ms } => {
+                    let (kind, retry_ms) = (ErrorKind::LimitExceeded, retry_after_ms);
+                    return Err(Refusal { kind, retry_ms });
+                }
+                Admit::Wait => {}
+            }
+            self.wanted.notify_one();
+            let limit = Millis(TICK_MS).duration();
+            let _ = timeout(limit, self.come.notified()).await;
+            let now = self.clock.now();
+            verdict = self.lock().retry(now, workspace, COST, since);
+        }
+    }
+
+    /// Asks the ledger for tokens until the task is aborted.
+    pub async fn run(&self, control: ControlHandle) {
+        loop {
+            let limit = Millis(TICK_MS).duration();
+            let _ = timeout(limit, self.wanted.notified()).await;
+            let request = self.lock().next_request(self.clock.now());
+            let Some(request) = request else {
+                continue;
+            };
+            let limit = Millis(REPLY_MS).duration();
+            if let Ok(Ok(reply)) = timeout(limit, control.grant(request)).await {
+                self.lock().receive(self.clock.now(), reply);
+                self.come.notify_waiters();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/service.rs
@@ -0,0 +1,309 @@
+//! Steering of one service on one entry instance.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use pomelovale_protocol::report::ServiceLoad;
+use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::admission::{Admission, AdmissionLimits, AdmissionPolicy, Ticket};
+use pomelovale_steering::balancer::{
+    Balancer, BalancerPolicy, EntryInfo, LoadReport, Request, ServerInfo,
+};
+use pomelovale_steering::region::{RegionMeasure, RegionPolicy, Regions};
+use pomelovale_steering::retry::{RetryBudget, RetryPolicy};
+use pomelovale_steering::split::Split;
+use pomelovale_steering::{AttemptEnd, Class};
+use tokio::sync::oneshot;
+
+use super::config::EntryConfig;
+use super::decide::Choice;
+
+/// Round trip between regions in milliseconds, as far as nothing is measured.
+const REGION_RTT_MS: f64 = 110.0;
+const BITS_PER_MBIT: f64 = 1e6;
+
+/// How a wait ends: admitted, or refused with the time of the next try.
+pub type Admitted = Result<(), u64>;
+
+/// The decisions about one service.
+#[derive(Debug)]
+pub struct Steering {
+    /// Admission and its queues.
+    pub admission: Admission,
+    /// Selection of backend servers.
+    pub balancer: Balancer,
+    /// Retries allowed.
+    pub budget: RetryBudget,
+    /// Requests that wait.
+    pub waiting: HashMap<Ticket, oneshot::Sender<Admitted>>,
+    name: Name,
+    home: Name,
+    split: Split,
+    regions: Regions,
+    moved: Option<(Name, u16)>,
+    addresses: HashMap<Name, SocketAddr>,
+    local: bool,
+    version: Option<u64>,
+    requests: u64,
+    updated: Millis,
+    tallies: IndexMap<Name, Tally>,
+}
+
+/// Attempts in one region since the last measurement.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    sent: u64,
+    failed: u64,
+    outstanding: u64,
+}
+
+impl Steering {
+    /// Steering of a service that knows no server.
+    pub fn new(config: &EntryConfig, name: &Name, seed: u64) -> Steering {
+        let limits = AdmissionLimits {
+            queue: config.queue,
+            wait_ms: config.queue_ms,
+            ..AdmissionLimits::default()
+        };
+        Steering {
+            admission: Admission::new(AdmissionPolicy::Fair, limits),
+            balancer: Balancer::new(BalancerPolicy::SlotShares, seed),
+            budget: RetryBudget::new(RetryPolicy::Budget),
+            waiting: HashMap::new(),
+            name: name.clone(),
+            home: config.region.clone(),
+            split: Split::new(),
+            regions: Regions::new(RegionPolicy::Spill, &config.region),
+            moved: None,
+            addresses: HashMap::new(),
+            local: false,
+            version: None,
+            requests: 0,
+            updated: Millis(0),
+            tallies: IndexMap::new(),
+        }
+    }
+
+    /// Brings servers, entries, weights and the move up to date.
+    pub fn sync(&mut self, now: Millis, own: &Name, document: &Document) {
+        if self.version == Some(document.version) {
+            return;
+        }
+        self.version = Some(document.version);
+        let members = document
+            .backends
+            .iter()
+            .filter(|(_, b)| b.service == self.name);
+        self.addresses = members
+            .clone()
+            .map(|(n, b)| (n.clone(), b.address))
+            .collect();
+        let servers: Vec<ServerInfo> = members
+            .map(|(name, b)| ServerInfo {
+                name: name.clone(),
+                region: b.region.clone(),
+                domain: b.domain.clone(),
+                slots: b.slots,
+                connections: b.connections,
+                leaving: b.state == MemberState::Leaving,
+            })
+            .collect();
+        let entries = entries(document);
+        self.bound(&servers, entries.len());
+        let at_home = |s: &ServerInfo| s.region == self.home && !s.leaving;
+        self.local = servers.iter().any(at_home);
+        self.balancer.set_servers(now, &servers);
+        self.balancer.set_entries(own, &entries);
+        for (name, workspace) in &document.workspaces {
+            self.admission.set_weight(name, workspace.weight);
+        }
+        let moved = document
+            .moves
+            .values()
+            .find(|m| m.from == self.home && m.services.contains(&self.name) && m.share() > 0);
+        self.moved = moved.map(|m| (m.to.clone(), m.share()));
+        if self.moved.is_none() {
+            self.split.forget(&self.name);
+        }
+    }
+
+    // The limit never falls below this entry's share of the slots, nor rises
+    // above all of them.
+    fn bound(&mut self, servers: &[ServerInfo], entries: usize) {
+        let open = servers.iter().filter(|s| !s.leaving);
+        let slots: u32 = open.map(|s| s.slots).sum();
+        let share = slots.div_ceil(entries.max(1) as u32);
+        self.admission.set_bounds(share.max(2), slots.max(2));
+    }
+
+    /// The only region allowed for the next request; any if there is no server
+    /// in this entry's region. Call once for each request.
+    pub fn region(&mut self) -> Option<Name> {
+        let share = self.moved.as_ref().map_or(0, |(_, share)| *share);
+        match &self.moved {
+            Some((to, _)) if self.split.pick(&self.name, share) => return Some(to.clone()),
+            _ if !self.local => return None,
+            _ => {}
+        }
+        let picked = self.regions.pick();
+        match &self.moved {
+            Some((to, _)) if *to == picked && !self.split.try_spill(&self.name) => {
+                Some(self.home.clone())
+            }
+            _ => Some(picked),
+        }
+    }
+
+    /// Chooses a server and counts the attempt.
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        class: Class,
+        region: Option<&Name>,
+        tried: &[Name],
+    ) -> Option<Choice> {
+        let mut request = Request {
+            class,
+            exclude: tried,
+            region,
+        };
+        let mut chosen = self.balancer.choose(now, &request);
+        if chosen.is_none() && region.is_some_and(|r| *r != self.home) {
+            if self.moved.as_ref().map(|(to, _)| to) == region {
+                self.split.give_back(&self.name);
+            }
+            request.region = Some(&self.home);
+            chosen = self.balancer.choose(now, &request);
+        }
+        let chosen = chosen?;
+        let address = *self.addresses.get(&chosen.server)?;
+        self.balancer.start(now, &chosen.server);
+        let tally = self.tallies.entry(chosen.region.clone()).or_default();
+        tally.sent += 1;
+        tally.outstanding += 1;
+        Some(Choice {
+            service: self.name.clone(),
+            address,
+            server: chosen.server,
+            region: chosen.region,
+        })
+    }
+
+    /// Counts a request towards the retry budget and the rate.
+    pub fn record_request(&mut self) {
+        self.requests += 1;
+        self.budget.record_request();
+    }
+
+    /// Ends an attempt.
+    pub fn finish(&mut self, now: Millis, choice: &Choice, end: AttemptEnd, latency_ms: u64) {
+        let tally = self.tallies.entry(choice.region.clone()).or_default();
+        tally.outstanding = tally.outstanding.saturating_sub(1);
+        tally.failed += u64::from(matches!(end, AttemptEnd::Failed | AttemptEnd::TimedOut));
+        self.balancer.finish(now, &choice.server, end, latency_ms);
+    }
+
+    /// Records a load report that was asked for at `at`.
+    pub fn report_load(&mut self, at: Millis, server: &Name, report: LoadReport) {
+        self.balancer.report_load(at, server, report);
+    }
+
+    /// Ends the waits of admitted and refused requests.
+    pub fn wake(&mut self, admitted: Vec<Ticket>) {
+        for ticket in admitted {
+            match self.waiting.remove(&ticket).map(|w| w.send(Ok(()))) {
+                Some(Ok(())) => {}
+                Some(Err(_)) | None => {
+                    let next = self.admission.cancel(ticket);
+                    self.wake(next);
+                }
+            }
+        }
+    }
+
+    /// Refuses the requests that have waited too long or were displaced.
+    pub fn refuse_late(&mut self, now: Millis) {
+        for refused in self.admission.take_refused(now) {
+            if let Some(waiter) = self.waiting.remove(&refused.ticket) {
+                let _ = waiter.send(Err(refused.retry_after_ms));
+            }
+        }
+    }
+
+    /// Takes new measurements into the selection of regions, and returns them
+    /// for the leader.
+    pub fn measure(&mut self, now: Millis, document: &Document) -> Vec<ServiceLoad> {
+        let passed = now.since(self.updated).max(1);
+        let rate = per_second(self.requests, passed);
+        (self.updated, self.requests) = (now, 0);
+        let loads = self.balancer.region_loads(now);
+        let bytes = document.services.get(&self.name).map_or(1, |s| s.bytes);
+        let measured = loads.iter().filter_map(|l| Some((l, l.oldest_ms?)));
+        let measures: Vec<RegionMeasure> = measured
+            .clone()
+            .map(|(l, age)| RegionMeasure {
+                region: l.region.clone(),
+                slots: f64::from(l.slots),
+                load: l.load,
+                wait_ms: l.wait_ms,
+                distance_ms: if l.region == self.home {
+                    0.0
+                } else {
+                    REGION_RTT_MS
+                },
+                link_free: link(document, &self.home, &l.region) / 8.0 / bytes.max(1) as f64,
+                sampled: now.minus(age),
+            })
+            .collect();
+        let entries = entries(document).len() as u32;
+        self.regions.update(now, rate as f64, entries, &measures);
+        let tallies = std::mem::take(&mut self.tallies);
+        let rows = measured.map(|(l, age)| {
+            let tally = tallies.get(&l.region).copied().unwrap_or_default();
+            ServiceLoad {
+                service: self.name.clone(),
+                region: l.region.clone(),
+                rate: per_second(tally.sent, passed),
+                failed: per_second(tally.failed, passed),
+                outstanding: tally.outstanding,
+                busy: l.load as u64,
+                slots: u64::from(l.slots),
+                oldest_ms: age,
+            }
+        });
+        let rows = rows.collect();
+        self.tallies = tallies;
+        for tally in self.tallies.values_mut() {
+            (tally.sent, tally.failed) = (0, 0);
+        }
+        rows
+    }
+}
+
+fn per_second(count: u64, ms: u64) -> u64 {
+    count * 1_000 / ms
+}
+
+fn link(document: &Document, from: &Name, to: &Name) -> f64 {
+    document
+        .link(from, to)
+        .map_or(0.0, |mbits| f64::from(mbits) * BITS_PER_MBIT)
+}
+
+/// Instances with the entry role, as steering sees them.
+pub fn entries(document: &Document) -> Vec<EntryInfo> {
+    let callers = document
+        .instances
+        .iter()
+        .filter(|(_, i)| i.callers.is_some());
+    callers
+        .map(|(name, i)| EntryInfo {
+            name: name.clone(),
+            region: i.region.clone(),
+            domain: i.domain.clone(),
+            leaving: i.state == MemberState::Leaving,
+        })
+        .collect()
+}
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -8,6 +8,7 @@
 
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
 use pomelovale_coordination::view::View;
+use pomelovale_protocol::grants::{Grant, GrantReply, GrantRequest, Want, TOKEN};
 use pomelovale_protocol::http::KeyText;
 use pomelovale_state::command::{Change, Command};
 use pomelovale_state::document::{
@@ -320,11 +321,17 @@
         let (applying, published, log) = (machine.clone(), views.clone(), proposed.clone());
         tokio::spawn(async move {
             while let Ok(call) = calls.recv_async().await {
-                if let ControlCall::Propose(change, reply) = call {
-                    log.lock().unwrap().push(change.command.clone());
-                    let applied = applying.lock().unwrap().apply(&change);
-                    publish(&applying, &published);
-                    let _ = reply.send(Ok(applied));
+                match call {
+                    ControlCall::Propose(change, reply) => {
+                        log.lock().unwrap().push(change.command.clone());
+                        let applied = applying.lock().unwrap().apply(&change);
+                        publish(&applying, &published);
+                        let _ = reply.send(Ok(applied));
+                    }
+                    ControlCall::Grant(request, reply) => {
+                        let _ = reply.send(Ok(grant_all(request)));
+                    }
+                    ControlCall::Report(_) => {}
                 }
             }
         });
@@ -405,6 +412,25 @@
     }
 }
 
+/// A ledger without limits.
+fn grant_all(request: GrantRequest) -> GrantReply {
+    let rate = 1_000 * TOKEN;
+    let grant = |want: &Want| Grant {
+        workspace: want.workspace.clone(),
+        rate,
+        cap: 1_000 * rate,
+        tokens: 1_000 * rate,
+        retry_ms: 0,
+    };
+    GrantReply {
+        instance: request.instance.clone(),
+        seq: request.seq,
+        epoch: 1,
+        life_ms: 1_000_000,
+        grants: request.wants.iter().map(grant).collect(),
+    }
+}
+
 fn publish(machine: &Mutex<Machine>, views: &Mutex<Vec<Arc<View>>>) {
     let document = machine.lock().unwrap().document.clone();
     for view in views.lock().unwrap().iter() {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod body;
 pub mod framing;
 pub mod http_server;
-pub mod pool;
 pub mod peer_client;
 pub mod peer_link;
 pub mod peer_server;
+pub mod pool;
