--- /dev/null
+++ b/crates/daemon/examples/support/caller.rs
@@ -0,0 +1,170 @@
+//! A caller: asks for the entry list, keeps a connection, counts what it gets.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper_util::rt::TokioIo;
+use rand::seq::IndexedRandom;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time for one answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+
+/// One answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of `Pomelovale-Outcome`.
+    pub outcome: String,
+    /// Body.
+    pub body: String,
+}
+
+/// What a caller has got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    /// Complete answers to the caller's own request.
+    pub right: u64,
+    /// Answers that were not its own or not complete.
+    pub wrong: u64,
+    /// Connections that ended before the answer.
+    pub cut: u64,
+    /// Refusals, all of them true "not run".
+    pub refused: u64,
+    /// Answers `unknown`.
+    pub unknown: u64,
+}
+
+impl Tally {
+    /// Adds another tally.
+    pub fn add(&mut self, other: Tally) {
+        self.right += other.right;
+        self.wrong += other.wrong;
+        self.cut += other.cut;
+        self.refused += other.refused;
+        self.unknown += other.unknown;
+    }
+
+    /// Takes an answer into account; `own` tells whether the body is right.
+    pub fn count(&mut self, answer: Option<&Answer>, own: bool) {
+        match answer {
+            None => self.cut += 1,
+            Some(a) if a.status == 200 && own => self.right += 1,
+            Some(a) if a.status == 200 => self.wrong += 1,
+            Some(a) if a.outcome == "not-run" => self.refused += 1,
+            Some(_) => self.unknown += 1,
+        }
+    }
+}
+
+/// A caller with a key.
+pub struct Caller {
+    key: String,
+    entries: Vec<SocketAddr>,
+    listed: Option<Instant>,
+    lifetime: Duration,
+    open: Option<(SocketAddr, SendRequest<Full<Bytes>>)>,
+}
+
+impl Caller {
+    /// A caller that asks the given entries for the list.
+    pub fn new(key: &str, entries: Vec<SocketAddr>) -> Caller {
+        let lifetime = Duration::ZERO;
+        Caller { key: key.to_owned(), entries, listed: None, lifetime, open: None }
+    }
+
+    /// The entries of the last list.
+    pub fn entries(&self) -> &[SocketAddr] {
+        &self.entries
+    }
+
+    /// Sends a request to one of the listed entries.
+    pub async fn send(&mut self, method: Method, path: &str, body: &str) -> Option<Answer> {
+        self.refresh().await;
+        let address = match &self.open {
+            Some((address, _)) if self.entries.contains(address) => *address,
+            _ => *self.entries.choose(&mut rand::rng())?,
+        };
+        self.send_to(address, method, path, body).await
+    }
+
+    /// Sends a request to one entry.
+    pub async fn send_to(&mut self, address: SocketAddr, method: Method, path: &str, body: &str) -> Option<Answer> {
+        loop {
+            let fresh = !matches!(&self.open, Some((a, s)) if *a == address && !s.is_closed());
+            if fresh {
+                self.open = Some((address, connect(address).await?));
+            }
+            let (_, sender) = self.open.as_mut()?;
+            let request = Request::builder()
+                .method(method.clone())
+                .uri(path)
+                .header("host", "pomelovale.example")
+                .header("authorization", format!("Bearer {}", self.key))
+                .body(Full::new(Bytes::from(body.to_owned())))
+                .ok()?;
+            // A request that never left is sent again on a new connection.
+            let unsent = match sender.ready().await {
+                Err(_) => true,
+                Ok(()) => match timeout(ANSWER_LIMIT, sender.send_request(request)).await.ok()? {
+                    Ok(response) => return read(response).await,
+                    Err(e) => e.is_canceled(),
+                },
+            };
+            self.open = None;
+            if fresh || !unsent {
+                return None;
+            }
+        }
+    }
+
+    async fn refresh(&mut self) {
+        if self.listed.is_some_and(|at| at.elapsed() < self.lifetime) {
+            return;
+        }
+        for address in self.entries.clone() {
+            let mut asking = Caller::new("", Vec::new());
+            let path = "/.pomelovale/entries";
+            let answer = Box::pin(asking.send_to(address, Method::GET, path, "")).await;
+            let list = answer.and_then(|a| serde_json::from_str::<Value>(&a.body).ok());
+            let Some(list) = list else {
+                continue;
+            };
+            let rows = list["entries"].as_array().into_iter().flatten();
+            let found: Vec<SocketAddr> =
+                rows.filter_map(|e| e["address"].as_str()?.parse().ok()).collect();
+            if !found.is_empty() {
+                self.entries = found;
+                self.listed = Some(Instant::now());
+                self.lifetime = Duration::from_millis(list["ttl_ms"].as_u64().unwrap_or(1_000));
+                return;
+            }
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+async fn read(response: http::Response<hyper::body::Incoming>) -> Option<Answer> {
+    let (parts, body) = response.into_parts();
+    let body = timeout(ANSWER_LIMIT, body.collect()).await.ok()?.ok()?;
+    let outcome = parts.headers.get("pomelovale-outcome").and_then(|v| v.to_str().ok());
+    Some(Answer {
+        status: parts.status.as_u16(),
+        outcome: outcome.unwrap_or("").to_owned(),
+        body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/examples/support/site.rs
@@ -0,0 +1,210 @@
+//! Three instances, four stand-in backend servers and an operator, in one process.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use pomelovale_state::command::{Change, Command, Item};
+use pomelovale_state::digest::Digest;
+use pomelovale_state::document::Document;
+use pomelovale_state::sheet::{self, MoveStatus, Sheet};
+use pomelovale_state::Clock;
+use pomelovaled::node::Node;
+use pomelovaled::settings::Settings;
+use serde::de::DeserializeOwned;
+use serde_json::{json, Map, Value};
+
+use super::{Seen, Standin};
+
+/// Errors end the example.
+pub type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// Key of the operator.
+pub const OPERATOR: &str = "pk.op.1f0e2d3c4b5a69788796a5b4c3d2e1f00f1e2d3c4b5a6978";
+/// Keys of the two workspaces.
+pub const WORKSPACES: [(&str, &str); 2] = [
+    ("alpha", "pk.alpha1.00112233445566778899aabbccddeeff0011223344556677"),
+    ("beta", "pk.beta1.8899aabbccddeeff00112233445566778899aabbccddeeff"),
+];
+const INSTANCES: [(&str, &str, &str); 3] =
+    [("north-1", "north", "north-a"), ("north-2", "north", "north-b"), ("south-1", "south", "south-a")];
+
+/// A running site.
+pub struct Site {
+    /// The instances by name.
+    pub nodes: Vec<(String, Node)>,
+    /// The stand-ins by name.
+    pub servers: Vec<(String, Arc<Standin>)>,
+    /// What the stand-ins have seen.
+    pub seen: Arc<Seen>,
+    /// Talks to the operators' listeners.
+    pub operator: Operator,
+}
+
+fn free_port() -> Result<u16, Failure> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
+
+fn object<'a>(rows: impl Iterator<Item = (&'a str, Value)>) -> Value {
+    Value::Object(rows.map(|(k, v)| (k.to_owned(), v)).collect::<Map<String, Value>>())
+}
+
+impl Site {
+    /// Starts a site with its files under a folder.
+    pub async fn start(folder: &Path) -> Result<Site, Failure> {
+        let seen = Arc::new(Seen::default());
+        let (mut servers, mut backends) = (Vec::new(), Map::new());
+        for service in ["shop", "desk"] {
+            for domain in ["north-a", "north-b", "south-a", "south-b"] {
+                let name = format!("{service}-{domain}");
+                let any = "127.0.0.1:0".parse()?;
+                let (address, standin) = Standin::start(&name, any, 6, Arc::clone(&seen)).await?;
+                let region = &domain[..5];
+                let row = json!({"address": address, "service": service, "region": region,
+                    "domain": domain, "slots": 6, "connections": 330});
+                backends.insert(name.clone(), row);
+                servers.push((name, standin));
+            }
+        }
+        std::fs::write(folder.join("secret"), "the secret of the quickstart\n")?;
+        let ports: Vec<u16> = (0..6).map(|_| free_port()).collect::<Result<_, _>>()?;
+        let metrics = PrometheusBuilder::new().install_recorder()?;
+        let mut nodes = Vec::new();
+        for (i, (name, _, _)) in INSTANCES.iter().enumerate() {
+            let settings = settings(folder, i, &ports, &backends);
+            let settings = Settings::parse(&settings.to_string()).map_err(|f| format!("{f:?}"))?;
+            let node = Node::start(&settings, Clock::monotonic(), metrics.clone());
+            nodes.push(((*name).to_owned(), node.await.map_err(|e| format!("{e:?}"))?));
+        }
+        let listeners = nodes.iter().map(|(_, n)| n.operators()).collect();
+        let operator = Operator { listeners };
+        Ok(Site { nodes, servers, seen, operator })
+    }
+
+    /// Addresses for callers.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().filter_map(|(_, n)| n.callers()).collect()
+    }
+}
+
+fn settings(folder: &Path, i: usize, ports: &[u16], backends: &Map<String, Value>) -> Value {
+    let (name, region, domain) = INSTANCES[i];
+    let address = |port: u16| format!("127.0.0.1:{port}");
+    let peers = object(INSTANCES.iter().enumerate().map(|(i, (name, region, domain))| {
+        (*name, json!({"address": address(ports[i]), "region": region, "domain": domain}))
+    }));
+    let instances = object(INSTANCES.iter().enumerate().map(|(i, (name, region, domain))| {
+        let row = json!({"callers": address(ports[3 + i]), "peers": address(ports[i]),
+            "region": region, "domain": domain});
+        (*name, row)
+    }));
+    let mut keys = Map::new();
+    keys.insert("op".to_owned(), json!({"operator": "ann", "digest": Digest::of_key(OPERATOR)}));
+    for (workspace, key) in WORKSPACES {
+        let row = json!({"workspace": workspace, "digest": Digest::of_key(key)});
+        keys.insert(format!("{workspace}1"), row);
+    }
+    json!({
+        "instance": name, "region": region, "domain": domain, "roles": ["entry", "control"],
+        "callers": address(ports[3 + i]), "operators": "127.0.0.1:0", "listen": address(ports[i]),
+        "peers": peers, "secret_file": folder.join("secret"), "data": folder.join(name),
+        "initial": {
+            "regions": {"north": {"domains": ["north-a", "north-b"]}, "south": {"domains": ["south-a", "south-b"]}},
+            "links": [{"from": "north", "to": "south", "mbits": 4000}],
+            "services": {
+                "shop": {"timeout_ms": 2000, "bytes": 4096, "routes": [{"prefix": "/stock"}, {"prefix": "/hours", "open": true}]},
+                "desk": {"timeout_ms": 4000, "bytes": 4096, "routes": [{"prefix": "/bookings"}]}
+            },
+            "backends": backends, "instances": instances, "keys": keys,
+            "workspaces": {"alpha": {"rate": 400, "burst": 800}, "beta": {"rate": 200, "burst": 400}}
+        }
+    })
+}
+
+/// An operator that uses the HTTP listeners.
+#[derive(Clone)]
+pub struct Operator {
+    listeners: Vec<SocketAddr>,
+}
+
+impl Operator {
+    /// Uses only listeners other than the given one from now on.
+    pub fn forget(&mut self, listener: SocketAddr) {
+        self.listeners.retain(|l| *l != listener);
+    }
+
+    /// Reads JSON from the first listener that answers with it.
+    pub async fn get<T: DeserializeOwned + Send + 'static>(&self, path: &'static str) -> Result<T, Failure> {
+        let listeners = self.listeners.clone();
+        let read = move || {
+            let mut last = "no listener".to_owned();
+            for listener in listeners {
+                let request = minreq::get(format!("http://{listener}{path}"))
+                    .with_header("Authorization", format!("Bearer {OPERATOR}"))
+                    .with_timeout(5);
+                match request.send() {
+                    Ok(answer) if answer.status_code == 200 => return Ok(serde_json::from_str(answer.as_str()?)?),
+                    Ok(answer) => last = format!("{listener}: {}", answer.as_str()?),
+                    Err(e) => last = format!("{listener}: {e}"),
+                }
+            }
+            Err(last.into())
+        };
+        tokio::task::spawn_blocking(read).await?
+    }
+
+    /// Proposes a change; the answer's status and body.
+    pub async fn propose(&self, change: &Change) -> Result<(i32, Value), Failure> {
+        let body = json!({"request": change.request, "base": change.base, "command": change.command});
+        let (listener, body) = (self.listeners[0], body.to_string());
+        let send = move || {
+            let request = minreq::post(format!("http://{listener}/v1/changes"))
+                .with_header("Authorization", format!("Bearer {OPERATOR}"))
+                .with_body(body)
+                .with_timeout(15);
+            let answer = request.send()?;
+            Ok((answer.status_code, serde_json::from_str(answer.as_str()?)?))
+        };
+        tokio::task::spawn_blocking(send).await?
+    }
+
+    /// Proposes a command on top of the present version of its item.
+    pub async fn command(&self, request: &str, command: Command) -> Result<(i32, Value), Failure> {
+        let document: Document = self.get("/v1/document").await?;
+        let base = command.item().map(|item: Item| document.item_version(&item));
+        let change = Change {
+            request: request.into(),
+            sender: "op".into(),
+            base,
+            at: pomelovale_state::Millis(0),
+            command,
+        };
+        self.propose(&change).await
+    }
+
+    /// Exports the sheet, fills the action of the next step, and applies it
+    /// until the gate lets the step pass.
+    pub async fn next_step(&self, action: &str) -> Result<String, Failure> {
+        for _ in 0..200 {
+            let moves: Vec<MoveStatus> = self.get("/v1/moves").await?;
+            let text = sheet::write(&moves)?;
+            let filled: Vec<String> = text
+                .lines()
+                .map(|l| if l.contains(",next,") { format!("{l}{action}") } else { l.to_owned() })
+                .collect();
+            let Sheet { changes, .. } = sheet::read(&filled.join("\n"), &"op".into());
+            let Some(row) = changes.first() else {
+                return Err("the sheet has no next step".into());
+            };
+            let (status, body) = self.propose(&row.change).await?;
+            match status {
+                200 => return Ok(body.to_string()),
+                409 | 503 => tokio::time::sleep(Duration::from_millis(250)).await,
+                _ => return Err(format!("{status}: {body}").into()),
+            }
+        }
+        Err("the step was held for too long".into())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,176 @@
+//! One process: the roles that its settings name, started and stopped in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use error_stack::{Report, ResultExt};
+use metrics_exporter_prometheus::PrometheusHandle;
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::auth::Secret;
+use pomelovale_state::command::Command;
+use pomelovale_state::{Clock, ErrorKind};
+use pomelovale_transport::peer_client::PeerAddress;
+use serde_json::{json, Value};
+
+use crate::control::config::ControlConfig;
+use crate::control::{Control, ControlServer};
+use crate::entry::{Entry, EntryHandle};
+use crate::operators::{Operators, OperatorsConfig, OperatorsSources, StatusSource};
+use crate::settings::{Role, Settings};
+use crate::subscriber::{ControlPlace, Subscriber, SubscriberConfig};
+
+/// A running process.
+pub struct Node {
+    control: Option<Arc<ControlServer>>,
+    entry: Option<EntryHandle>,
+    handle: ControlHandle,
+    operators: Operators,
+    view: Arc<View>,
+}
+
+impl Node {
+    /// Starts the roles of the settings.
+    pub async fn start(
+        settings: &Settings,
+        clock: Clock,
+        metrics: PrometheusHandle,
+    ) -> Result<Node, Report<ErrorKind>> {
+        let secret = read_secret(settings)?;
+        let control = match settings.has(Role::Control) {
+            true => Some(start_control(settings, secret.clone(), clock.clone()).await?),
+            false => None,
+        };
+        let (handle, view) = match &control {
+            Some(control) => (control.handle(), control.view()),
+            None => subscribe(settings, secret, clock.clone()),
+        };
+        let entry = match settings.has(Role::Entry) {
+            true => Some(start_entry(settings, &view, &handle, &clock).await?),
+            false => None,
+        };
+        let sources = OperatorsSources {
+            handle: handle.clone(),
+            view: Arc::clone(&view),
+            clock,
+            status: status_source(settings, control.clone()),
+            metrics: Arc::new(move || metrics.render()),
+        };
+        let config = OperatorsConfig { listen: settings.operators, bootstrap: None };
+        let operators = Operators::start(config, sources)
+            .map_err(|e| Report::new(ErrorKind::BadSettings).attach(format!("operators' listener: {e}")))?;
+        Ok(Node { control, entry, handle, operators, view })
+    }
+
+    /// Bound address for callers, with the entry role.
+    pub fn callers(&self) -> Option<SocketAddr> {
+        self.entry.as_ref().map(EntryHandle::address)
+    }
+
+    /// Bound address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// The control role of this process.
+    pub fn control(&self) -> Option<&ControlServer> {
+        self.control.as_deref()
+    }
+
+    /// Reaches the control instances.
+    pub fn handle(&self) -> ControlHandle {
+        self.handle.clone()
+    }
+
+    /// The view of the shared document.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view)
+    }
+
+    /// Stops gracefully: the entry role first, since it still needs the
+    /// control role until its last request is finished.
+    pub async fn stop(self) {
+        if let Some(entry) = self.entry {
+            entry.stop().await;
+        }
+        drop(self.operators);
+        if let Some(control) = self.control.and_then(Arc::into_inner) {
+            control.stop().await;
+        }
+    }
+}
+
+fn read_secret(settings: &Settings) -> Result<Secret, Report<ErrorKind>> {
+    let path = settings.secret_file.display();
+    let text = std::fs::read_to_string(&settings.secret_file)
+        .change_context(ErrorKind::BadSettings)
+        .attach_with(|| format!("can't read the secret file {path}"))?;
+    let value = Value::String(text.trim().to_owned());
+    serde_json::from_value(value)
+        .change_context(ErrorKind::BadSettings)
+        .attach_with(|| format!("the secret in {path} can't be used"))
+}
+
+async fn start_control(
+    settings: &Settings,
+    secret: Secret,
+    clock: Clock,
+) -> Result<Arc<ControlServer>, Report<ErrorKind>> {
+    let others = settings.peers.iter().filter(|(name, _)| **name != settings.instance);
+    let initial: Vec<Command> = settings.initial.commands().into_iter().map(|(_, c)| c).collect();
+    let config = ControlConfig {
+        name: settings.instance.clone(),
+        directory: settings.data.clone().unwrap_or_default(),
+        listen: settings.listen.unwrap_or(settings.operators),
+        peers: others.map(|(name, p)| PeerAddress { name: name.clone(), address: p.address }).collect(),
+        secret,
+        initial,
+        timings: settings.peering()?,
+        limits: settings.control_limits()?,
+    };
+    let control = Control::start(config, clock).await.change_context(ErrorKind::BadSettings)?;
+    Ok(Arc::new(control))
+}
+
+fn subscribe(settings: &Settings, secret: Secret, clock: Clock) -> (ControlHandle, Arc<View>) {
+    let place = |(name, p): (&pomelovale_state::Name, &crate::settings::PeerAddress)| ControlPlace {
+        name: name.clone(),
+        address: p.address,
+        region: p.region.clone(),
+        domain: p.domain.clone(),
+    };
+    let config = SubscriberConfig {
+        name: settings.instance.clone(),
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        controls: settings.peers.iter().map(place).collect(),
+        secret,
+        timings: Default::default(),
+        limits: Default::default(),
+        counters: Default::default(),
+    };
+    let view = Arc::new(View::default());
+    let handle = Subscriber::start(config, Arc::clone(&view), clock);
+    (handle, view)
+}
+
+async fn start_entry(
+    settings: &Settings,
+    view: &Arc<View>,
+    handle: &ControlHandle,
+    clock: &Clock,
+) -> Result<EntryHandle, Report<ErrorKind>> {
+    let config = settings.entry_config()?;
+    Entry::start(config, Arc::clone(view), handle.clone(), clock.clone()).await
+}
+
+fn status_source(settings: &Settings, control: Option<Arc<ControlServer>>) -> StatusSource {
+    let instance = settings.instance.clone();
+    Arc::new(move || match &control {
+        None => json!({ "instance": instance }),
+        Some(control) => json!({
+            "instance": instance,
+            "log": &*control.status(),
+        }),
+    })
+}
