Test single failures of the replicated log

Cause: the random schedules state no figure and reach some failures rarely.

Change: cases for isolation over an hour, group commit, catch-up by log and

a repair; the simulation also checks promotions of learners.

--- a/crates/coordination/tests/log_core.rs
+++ b/crates/coordination/tests/log_core.rs
@@ -2,6 +2,8 @@
 
 #[path = "log_core/cases.rs"]
 mod cases;
+#[path = "log_core/checks.rs"]
+mod checks;
 #[path = "log_core/schedule.rs"]
 mod schedule;
 #[path = "log_core/sim.rs"]
--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -1,12 +1,14 @@
 //! Single failures, one case each.
 
+use pomelovale_coordination::log::{Event, Role};
+
 use crate::sim::Sim;
 
 macro_rules! cases {
-    ($($(#[$doc:meta])* $name:ident($size:expr) $case:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident($size:expr, $seeds:expr) $case:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() {
             let case: fn(Sim) = $case;
-            (0..4).for_each(|seed| case(Sim::settled($size, seed)));
+            (0..$seeds).for_each(|seed| case(Sim::settled($size, seed)));
         })*
     };
 }
@@ -14,13 +16,159 @@
 cases! {
     /// Guards against a group that elects no leader or loses proposals
     /// without any fault.
-    accepts_proposals(3) |mut sim| {
-        for _ in 0..20 {
-            sim.propose();
-        }
+    accepts_proposals(3, 10) |mut sim| {
+        (0..20).for_each(|_| sim.propose());
         sim.run(500);
         assert_eq!(sim.accepted.len(), 20);
         assert!(sim.is_whole());
-        assert!(sim.current_leader().is_some_and(|leader| sim.quorum_age(leader) < 300));
+        assert!((0..3).all(|node| sim.quorum_age(node) < 300));
+    };
+
+    /// Guards against one sync per proposal.
+    proposals_share_a_sync(3, 1) |mut sim| {
+        sim.sync_ms = (10, 10);
+        let before = sim.writes;
+        (0..100).for_each(|_| sim.propose());
+        sim.run(200);
+        assert_eq!(sim.accepted.len(), 100);
+        assert!(sim.writes - before <= 12, "{} writes", sim.writes - before);
+    };
+
+    /// Guards against acceptance, or entries lost, over restarts of all.
+    survives_restarts(3, 10) |mut sim| {
+        for _ in 0..5 {
+            (0..5).for_each(|_| sim.propose());
+            sim.run(100);
+            (0..3).for_each(|node| sim.crash(node));
+            (0..3).for_each(|node| sim.start(node));
+            sim.run(3_000);
+        }
+        assert_eq!(sim.accepted.len(), 25);
+        sim.recover();
+    };
+
+    /// Guards against a leader that is cut off and goes on to lead, to count
+    /// as current or to take proposals; and against one that disturbs the
+    /// others when it returns.
+    isolated_leader_for_an_hour(3, 1) |sim| isolate(sim, 3_600_000, true);
+    isolated_leader_of_five(5, 5) |sim| isolate(sim, 30_000, true);
+
+    /// The same for a follower. Without pre-vote its epoch would rise.
+    isolated_follower_for_an_hour(3, 1) |sim| isolate(sim, 3_600_000, false);
+    isolated_follower_of_five(5, 5) |sim| isolate(sim, 30_000, false);
+
+    /// Guards against a replica that never catches up, by log or by snapshot.
+    catches_up_by_log(3, 5) |sim| catch_up(sim, 40);
+    catches_up_by_snapshot(3, 5) |sim| catch_up(sim, 600);
+
+    /// Guards against data lost when another disk fails right after a
+    /// repair, with the fewest copies that a quorum allows.
+    second_loss_after_repair_of_three(3, 20) |sim| second_loss(sim);
+    second_loss_after_repair_of_five(5, 20) |sim| second_loss(sim);
+
+    /// Guards against a planned stop that costs an election timeout.
+    resigns(3, 20) |mut sim| {
+        let old = sim.current_leader();
+        sim.propose();
+        old.into_iter().for_each(|node| sim.step(node, Event::Resign));
+        let changed = |sim: &Sim| sim.current_leader().is_some_and(|new| Some(new) != old);
+        assert!(sim.run_until(100, changed));
+        assert_eq!(sim.leaders.len(), 2);
+    };
+}
+
+fn isolate(mut sim: Sim, ms: u64, leader: bool) {
+    let old = sim.current_leader().unwrap_or(0);
+    let node = if leader { old } else { (old + 1) % 3 };
+    sim.partition(|other| usize::from(other == node));
+    sim.propose();
+    sim.run(2_000);
+    let status = sim.status(node).expect("a running replica");
+    assert!(status.role != Role::Leader, "leads without a quorum");
+    sim.run(ms - 2_000);
+    assert!(sim.quorum_age(node) >= ms - 500);
+    let others = sim.current_leader();
+    assert!(others.is_some() && others != Some(node));
+    assert!(others.is_some_and(|other| sim.quorum_age(other) < 300));
+    let leaders = sim.leaders.len();
+    sim.partition(|_| 0);
+    sim.run(5_000);
+    assert_eq!((sim.current_leader(), sim.leaders.len()), (others, leaders));
+    assert!(sim.is_whole() && sim.quorum_age(node) < 300);
+}
+
+fn catch_up(mut sim: Sim, entries: usize) {
+    let leader = sim.current_leader().unwrap_or(0);
+    let node = (leader + 1) % 3;
+    sim.crash(node);
+    for _ in 0..entries / 20 {
+        (0..20).for_each(|_| sim.propose());
+        sim.run(50);
+    }
+    sim.run(100);
+    sim.compact(leader);
+    sim.start(node);
+    sim.run(1_000);
+    assert!(sim.is_whole());
+    assert_eq!(sim.accepted.len(), entries);
+}
+
+/// Accepts entries on the fewest disks, loses as many of them as the group
+/// survives, and as many again as soon as the group is repaired.
+fn second_loss(mut sim: Sim) {
+    let size = sim.nodes.len();
+    let leader = sim.current_leader().unwrap_or(0);
+    let other = |n: usize| (leader + n) % size;
+    let half = size / 2;
+    (half + 1..size).for_each(|n| sim.crash(other(n)));
+    (0..10).for_each(|_| sim.propose());
+    sim.run(100);
+    assert_eq!(sim.accepted.len(), 10);
+    let lose = |sim: &mut Sim, nodes: std::ops::Range<usize>| {
+        nodes.map(other).for_each(|node| {
+            assert!(sim.may_wipe(node));
+            sim.crash(node);
+            sim.wipe(node);
+        });
+        (0..size).for_each(|node| sim.start(node));
+        assert!(sim.run_until(30_000, Sim::is_repaired), "not repaired");
     };
+    lose(&mut sim, 1..half + 1);
+    lose(&mut sim, 0..half);
+    lose(&mut sim, half..2 * half);
+    sim.recover();
+    assert_eq!(sim.accepted.len(), 11);
+}
+
+/// Guards against a slow change of the leader on links of 55 ms.
+#[test]
+fn elections_end_in_time() {
+    for size in [3, 5] {
+        let mut times: Vec<u64> = (0..300).map(|seed| election_ms(size, seed)).collect();
+        times.sort_unstable();
+        let at = |percent: usize| times[(times.len() - 1) * percent / 100];
+        println!(
+            "{size} replicas: median {} ms, p90 {} ms, p99 {} ms, longest {} ms",
+            at(50),
+            at(90),
+            at(99),
+            at(100)
+        );
+        assert!(at(100) <= 2_000);
+    }
+}
+
+/// Time from the end of the leader to a leader that counts as current.
+fn election_ms(size: usize, seed: u64) -> u64 {
+    let mut sim = Sim::new(size, seed);
+    sim.delay_ms = (55, 58);
+    sim.sync_ms = (1, 10);
+    assert!(sim.run_until(20_000, |sim| sim.current_leader().is_some()));
+    sim.run(2_000 + seed % 100);
+    sim.current_leader()
+        .into_iter()
+        .for_each(|node| sim.crash(node));
+    let start = sim.now;
+    assert!(sim.run_until(20_000, |sim| sim.current_leader().is_some()));
+    sim.now - start
 }
--- a/crates/coordination/tests/log_core/schedule.rs
+++ b/crates/coordination/tests/log_core/schedule.rs
@@ -82,9 +82,7 @@
         Step::Heal => sim.partition(|_| 0),
         Step::Isolate(node) => sim.partition(|other| usize::from(other == node % size)),
         Step::Lose(percent) => sim.faults.0 = percent,
-        Step::Propose(count) => (0..count).for_each(|_| {
-            sim.propose();
-        }),
+        Step::Propose(count) => (0..count).for_each(|_| sim.propose()),
         Step::Remove(_) if !sim.may_remove() => {}
         Step::Remove(node) => {
             let id = sim.id(node % size);
--- a/crates/coordination/tests/log_core/sim.rs
+++ b/crates/coordination/tests/log_core/sim.rs
@@ -6,17 +6,11 @@
 use pomelovale_coordination::log::{
     Action, Event, LogConfig, LogStatus, MemberChange, Persist, Replica, Restored, Role, TICK_MS,
 };
-use pomelovale_protocol::log::{
-    Entry, EntryData, Epoch, LogIndex, LogMessage, Members, ReplicaId, Snapshot,
-};
+use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, ReplicaId};
 use pomelovale_state::{Millis, Name};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// Time after which an isolated replica can no longer finish anything that a
-/// quorum supported before it was isolated.
-const SETTLED_MS: u64 = 200;
-
 /// One instance: its disk, and its process if it runs.
 pub struct Node {
     pub core: Option<Replica>,
@@ -26,8 +20,8 @@
     /// Tells the events of this process from those of earlier ones.
     life: u64,
     /// Its clock minus the global one.
-    offset: u64,
-    writing: Option<Persist>,
+    pub offset: u64,
+    pub writing: Option<Persist>,
 }
 
 enum Due {
@@ -49,8 +43,6 @@
 pub struct Sim {
     /// Time and index of accepted proposals.
     pub accepted: Vec<(u64, u64)>,
-    /// Time, token of refused proposals.
-    pub rejected: Vec<(u64, u64)>,
     /// Latency of a link, shortest and longest.
     pub delay_ms: (u64, u64),
     /// Messages lost and sent twice, in percent.
@@ -64,10 +56,12 @@
     pub now: u64,
     pub retain: usize,
     pub sync_ms: (u64, u64),
+    /// Writes that were synced.
+    pub writes: u64,
     due: BTreeMap<(u64, u64), Due>,
     /// Partition that each instance is in, and since when.
-    groups: Vec<(usize, u64)>,
-    hashes: Vec<u64>,
+    pub groups: Vec<(usize, u64)>,
+    pub hashes: Vec<u64>,
     rng: SmallRng,
     sequence: u64,
     token: u64,
@@ -77,7 +71,7 @@
     Name::from(format!("c{node}"))
 }
 
-fn node_of(id: &ReplicaId) -> usize {
+pub fn node_of(id: &ReplicaId) -> usize {
     id.name[1..].parse().expect("name of a simulated instance")
 }
 
@@ -86,7 +80,6 @@
     pub fn new(size: usize, seed: u64) -> Sim {
         let mut sim = Sim {
             accepted: Vec::new(),
-            rejected: Vec::new(),
             delay_ms: (1, 5),
             faults: (0, 0),
             history: Vec::new(),
@@ -96,6 +89,7 @@
             now: 10_000,
             retain: 50,
             sync_ms: (1, 4),
+            writes: 0,
             due: BTreeMap::new(),
             groups: vec![(0, 0); size],
             hashes: vec![0],
@@ -222,6 +216,7 @@
                 }
             }
             Due::Synced { node, life } if life == self.nodes[node].life => {
+                self.writes += 1;
                 if let Some(persist) = self.nodes[node].writing.take() {
                     write(&mut self.nodes[node].disk, &persist);
                     self.step(node, persist.done());
@@ -252,12 +247,13 @@
             Action::Accepted { index, .. } => self.accept(node, index),
             Action::Apply(entries) => entries.iter().for_each(|entry| self.apply(node, entry)),
             Action::Persist(persist) => {
+                self.check_promotions(node, &persist);
                 assert!(self.nodes[node].writing.is_none(), "two writes at once");
                 self.nodes[node].writing = Some(persist);
                 let wait = self.rng.random_range(self.sync_ms.0..=self.sync_ms.1);
                 self.push(wait, Due::Synced { node, life });
             }
-            Action::Rejected { token, .. } => self.rejected.push((self.now, token)),
+            Action::Rejected { .. } => {}
             Action::Restore(snapshot) => self.restore(node, &snapshot),
             Action::Send { to, message } => self.send(node, to, message),
         }
@@ -280,81 +276,6 @@
         }
     }
 
-    fn accept(&mut self, node: usize, index: LogIndex) {
-        assert!(
-            index.0 <= self.nodes[node].applied,
-            "accepted before applied"
-        );
-        assert!(!self.is_isolated(node), "an isolated leader accepted");
-        self.accepted.push((self.now, index.0));
-    }
-
-    fn apply(&mut self, node: usize, entry: &Entry) {
-        let at = entry.index.0;
-        assert_eq!(at, self.nodes[node].applied + 1, "applied out of order");
-        self.nodes[node].applied = at;
-        if self.history.len() as u64 >= at {
-            let known = &self.history[at as usize - 1];
-            assert_eq!(known, entry, "two replicas applied different entries");
-            return;
-        }
-        self.history.push(entry.clone());
-        let hash = self.hashes[at as usize - 1].rotate_left(5) ^ entry.epoch.0 ^ at;
-        self.hashes.push(hash);
-    }
-
-    fn restore(&mut self, node: usize, snapshot: &Snapshot) {
-        let index = snapshot.index.0;
-        let hash = self.hashes[index as usize].to_le_bytes();
-        assert_eq!(*snapshot.payload, hash, "snapshot of another state");
-        assert!(index >= self.nodes[node].applied, "restored an older state");
-        self.nodes[node].applied = index;
-    }
-
-    fn check(&mut self, node: usize) {
-        let Some(status) = self.status(node) else {
-            return;
-        };
-        if status.role == Role::Leader {
-            let fresh = (self.now, status.id.clone());
-            let (_, known) = self.leaders.entry(status.epoch).or_insert(fresh);
-            assert_eq!(*known, status.id, "two leaders in {}", status.epoch);
-        }
-        let Some(proven) = status.proven else {
-            return;
-        };
-        let proven = proven.0.saturating_sub(self.nodes[node].offset);
-        let before = self.accepted.partition_point(|(at, _)| *at < proven);
-        let needed = self.accepted[..before]
-            .iter()
-            .map(|(_, index)| *index)
-            .max();
-        assert!(
-            needed.unwrap_or(0) <= self.nodes[node].applied,
-            "proof of an old state"
-        );
-        let (_, since) = self.groups[node];
-        if self.is_isolated(node) {
-            assert!(
-                proven <= since + SETTLED_MS,
-                "an isolated replica counts as current"
-            );
-        }
-    }
-
-    /// Whether the instance has been alone for a while, and needs others.
-    pub fn is_isolated(&self, node: usize) -> bool {
-        let (group, since) = self.groups[node];
-        let alone = self
-            .groups
-            .iter()
-            .filter(|(other, _)| *other == group)
-            .count()
-            == 1;
-        let several = self.status(node).is_none_or(|s| s.voters.len() > 1);
-        alone && several && self.now > since + SETTLED_MS
-    }
-
     pub fn status(&self, node: usize) -> Option<LogStatus> {
         self.nodes[node].core.as_ref().map(Replica::status)
     }
@@ -379,7 +300,7 @@
     }
 
     /// Proposes at every replica that takes itself for the leader.
-    pub fn propose(&mut self) -> u64 {
+    pub fn propose(&mut self) {
         self.token += 1;
         let token = self.token;
         for node in 0..self.nodes.len() {
@@ -388,7 +309,6 @@
                 self.step(node, Event::Propose { token, payload });
             }
         }
-        token
     }
 
     pub fn change(&mut self, change: MemberChange) {
@@ -405,83 +325,12 @@
         self.step(node, Event::Compact { index, snapshot });
     }
 
-    /// The committed members, and those of every later entry on a disk or in
-    /// a log.
-    pub fn configs(&self) -> Vec<Members> {
-        let of = |entry: &Entry| match &entry.data {
-            EntryData::Members(members) => Some((entry.index, members.clone())),
-            EntryData::Change(_) | EntryData::Empty => None,
-        };
-        let (index, committed) = self.history.iter().rev().find_map(of).unwrap_or_default();
-        let stored = self.nodes.iter().flat_map(|n| {
-            let writing = n.writing.iter().flat_map(|persist| &persist.entries);
-            n.disk.entries.iter().chain(writing)
-        });
-        let later = stored.filter_map(of).filter(|(at, _)| *at > index);
-        let mut configs: Vec<Members> = later.map(|(_, members)| members).collect();
-        configs.push(committed);
-        configs
-    }
-
-    /// Voters of a configuration whose disks are lost, the most of all.
-    fn lost(&self, besides: Option<usize>) -> impl Iterator<Item = (usize, usize)> {
-        let mut kept: BTreeSet<ReplicaId> = (0..self.nodes.len()).map(|n| self.id(n)).collect();
-        besides.map(|node| kept.remove(&self.id(node)));
-        let lost = move |m: Members| (m.voters.difference(&kept).count(), m.voters.len());
-        self.configs().into_iter().map(lost)
-    }
-
-    /// Whether every possible quorum survives the loss of one more disk.
-    pub fn may_wipe(&self, node: usize) -> bool {
-        self.lost(Some(node))
-            .all(|(lost, voters)| lost <= voters.saturating_sub(1) / 2)
-    }
-
-    /// Whether no disk is lost that still counts as a voter's. With one lost,
-    /// no operator removes a voter that works.
-    pub fn may_remove(&self) -> bool {
-        self.lost(None).all(|(lost, _)| lost == 0)
-    }
-
     pub fn id(&self, node: usize) -> ReplicaId {
         ReplicaId {
             name: name(node),
             incarnation: self.nodes[node].disk.incarnation,
         }
     }
-
-    /// Whether all instances vote under their present identity and have
-    /// applied everything.
-    pub fn is_whole(&self) -> bool {
-        let ids: BTreeSet<ReplicaId> = (0..self.nodes.len()).map(|n| self.id(n)).collect();
-        let whole = |n: usize| {
-            let applied = self.nodes[n].applied == self.history.len() as u64;
-            let voters = |s: LogStatus| s.voters.into_iter().collect::<BTreeSet<_>>() == ids;
-            applied && self.status(n).is_some_and(voters)
-        };
-        self.current_leader().is_some() && (0..self.nodes.len()).all(whole)
-    }
-
-    /// Starts everything on a sound network and checks that nothing is lost.
-    pub fn recover(&mut self) {
-        self.faults = (0, 0);
-        self.delay_ms = (1, 5);
-        self.partition(|_| 0);
-        (0..self.nodes.len()).for_each(|node| self.start(node));
-        for _ in 0..60 {
-            for node in self.removed.clone() {
-                self.change(MemberChange::AddLearner(self.id(node)));
-            }
-            self.run_until(1_000, Sim::is_whole);
-        }
-        assert!(self.is_whole(), "the group does not recover");
-        let last = self.accepted.iter().map(|(_, index)| *index).max();
-        assert!(last.unwrap_or(0) <= self.history.len() as u64);
-        self.propose();
-        let before = self.accepted.len();
-        let accepts = self.run_until(5_000, |sim| sim.accepted.len() > before);
-        assert!(accepts, "the group accepts nothing after it recovered");
-    }
 }
 
 /// Carries out a write the way that `Storage` does.
