--- /dev/null
+++ b/crates/coordination/tests/log_storage.rs
@@ -0,0 +1,210 @@
+//! The data directory of the replicated log after crashes and damage.
+
+use std::fs;
+use std::path::Path;
+
+use pomelovale_coordination::log::{HardState, Persist, Restored, Storage};
+use pomelovale_protocol::log::{Entry, EntryData, Epoch, LogIndex, Snapshot};
+use pomelovale_state::ErrorKind;
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident $case:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let directory = tempfile::tempdir().expect("a directory");
+            let case: fn(&Path) = $case;
+            case(directory.path());
+        })*
+    };
+}
+
+fn entries(epoch: u64, indexes: std::ops::RangeInclusive<u64>) -> Vec<Entry> {
+    let entry = |index| Entry {
+        data: EntryData::Change(vec![index as u8; 20].into()),
+        epoch: Epoch(epoch),
+        index: LogIndex(index),
+    };
+    indexes.map(entry).collect()
+}
+
+fn hard(epoch: u64) -> Persist {
+    let epoch = Epoch(epoch);
+    let hard = HardState { epoch, vote: None };
+    Persist {
+        hard: Some(hard),
+        ..Persist::default()
+    }
+}
+
+fn save(storage: &mut Storage, persist: Persist) {
+    storage.write(&persist).expect("written");
+    storage.sync().expect("synced");
+}
+
+fn save_entries(storage: &mut Storage, entries: Vec<Entry>) {
+    save(
+        storage,
+        Persist {
+            entries,
+            ..Persist::default()
+        },
+    );
+}
+
+fn save_snapshot(storage: &mut Storage, epoch: u64, index: u64) {
+    let snapshot = Snapshot {
+        epoch: Epoch(epoch),
+        index: LogIndex(index),
+        ..Snapshot::default()
+    };
+    save(
+        storage,
+        Persist {
+            snapshot: Some(snapshot),
+            ..Persist::default()
+        },
+    );
+}
+
+/// A directory with entries 1 to 9 of epoch 2 in three records.
+fn filled(directory: &Path) -> Storage {
+    let (mut storage, _) = Storage::open(directory).expect("opened");
+    save(&mut storage, hard(2));
+    for first in [1, 4, 7] {
+        save_entries(&mut storage, entries(2, first..=first + 2));
+    }
+    storage
+}
+
+fn reopen(directory: &Path) -> Restored {
+    Storage::open(directory).expect("opened").1
+}
+
+fn refused(directory: &Path, text: &str) {
+    let report = Storage::open(directory).expect_err("damage is found");
+    assert_eq!(*report.current_context(), ErrorKind::Corrupt);
+    let shown = format!("{report:?}");
+    assert!(shown.contains(text), "{shown}");
+}
+
+cases! {
+    /// Guards against lost entries, votes and identities over a restart.
+    keeps_everything |directory| {
+        drop(filled(directory));
+        let first = reopen(directory);
+        assert_eq!(first.entries, entries(2, 1..=9));
+        assert_eq!(first.hard.epoch, Epoch(2));
+        assert!(first.incarnation != 0);
+        assert_eq!(first, reopen(directory));
+    };
+
+    /// Guards against an identity that a new disk shares with an old one.
+    new_directory_has_new_identity |directory| {
+        let first = reopen(&directory.join("a")).incarnation;
+        assert_ne!(first, reopen(&directory.join("b")).incarnation);
+    };
+
+    /// Guards against entries of a deposed leader that come back.
+    later_epoch_replaces_entries |directory| {
+        let mut storage = filled(directory);
+        save(&mut storage, hard(3));
+        save_entries(&mut storage, entries(3, 5..=6));
+        let mut expected = entries(2, 1..=4);
+        expected.extend(entries(3, 5..=6));
+        assert_eq!(reopen(directory).entries, expected);
+    };
+
+    /// Guards against a start that fails, or loses an earlier record, after a
+    /// crash at any byte of the last record; and against a log that cannot
+    /// be continued after that.
+    torn_at_every_byte |directory| {
+        let path = directory.join("log");
+        let mut storage = filled(directory);
+        let start = storage.log_bytes() as usize;
+        save_entries(&mut storage, entries(2, 10..=12));
+        let whole = fs::read(&path).expect("read");
+        for length in start..whole.len() {
+            fs::write(&path, &whole[..length]).expect("written");
+            let (mut storage, restored) = Storage::open(directory).expect("opened");
+            assert_eq!(restored.entries, entries(2, 1..=9), "cut at {length}");
+            save_entries(&mut storage, entries(2, 10..=10));
+            assert_eq!(reopen(directory).entries, entries(2, 1..=10));
+        }
+    };
+
+    /// The same for blocks that never reached the disk and read as zeros.
+    zeros_at_every_byte |directory| {
+        let path = directory.join("log");
+        let mut storage = filled(directory);
+        let start = storage.log_bytes() as usize;
+        save_entries(&mut storage, entries(2, 10..=12));
+        let whole = fs::read(&path).expect("read");
+        for length in start..whole.len() - 1 {
+            let mut bytes = whole.clone();
+            bytes[length..].fill(0);
+            fs::write(&path, &bytes).expect("written");
+            assert_eq!(reopen(directory).entries, entries(2, 1..=9), "zeros from {length}");
+        }
+    };
+
+    /// Guards against acknowledged entries that are silently dropped: every
+    /// flipped bit before the last record has to be found.
+    flipped_bits_are_refused |directory| {
+        let path = directory.join("log");
+        let mut storage = filled(directory);
+        let start = storage.log_bytes() as usize;
+        save_entries(&mut storage, entries(2, 10..=12));
+        let whole = fs::read(&path).expect("read");
+        for bit in 0..start * 8 {
+            let mut bytes = whole.clone();
+            bytes[bit / 8] ^= 1 << (bit % 8);
+            fs::write(&path, &bytes).expect("written");
+            refused(directory, "log, offset ");
+        }
+    };
+
+    /// The same for the other files, of which a crash damages none.
+    other_files_are_refused |directory| {
+        let mut storage = filled(directory);
+        save_snapshot(&mut storage, 2, 5);
+        for name in ["identity", "vote", "snapshot"] {
+            let path = directory.join(name);
+            let whole = fs::read(&path).expect("read");
+            let mut bytes = whole.clone();
+            bytes[whole.len() - 1] ^= 1;
+            fs::write(&path, &bytes).expect("written");
+            refused(directory, &format!("{name}, offset 0"));
+            fs::remove_file(&path).expect("removed");
+            refused(directory, "missing");
+            fs::write(&path, &whole).expect("written");
+        }
+        assert_eq!(reopen(directory).entries, entries(2, 6..=9));
+    };
+
+    /// Guards against a crash between the snapshot and the truncation of the
+    /// log: entries must be neither lost nor applied twice.
+    crash_before_truncation |directory| {
+        let mut storage = filled(directory);
+        let log = fs::read(directory.join("log")).expect("read");
+        save_snapshot(&mut storage, 2, 5);
+        fs::write(directory.join("log"), &log).expect("written");
+        let (mut storage, restored) = Storage::open(directory).expect("opened");
+        assert_eq!(restored.snapshot.index, LogIndex(5));
+        assert_eq!(restored.entries, entries(2, 6..=9));
+        assert!(storage.log_bytes() < log.len() as u64);
+        save_entries(&mut storage, entries(2, 10..=10));
+        assert_eq!(reopen(directory).entries, entries(2, 6..=10));
+    };
+
+    /// The same for a leader's snapshot, which may contradict the log.
+    crash_before_replacement |directory| {
+        let mut storage = filled(directory);
+        save(&mut storage, hard(3));
+        let log = fs::read(directory.join("log")).expect("read");
+        save_snapshot(&mut storage, 3, 7);
+        fs::write(directory.join("log"), &log).expect("written");
+        assert_eq!(reopen(directory).entries, []);
+        let (mut storage, _) = Storage::open(directory).expect("opened");
+        save_entries(&mut storage, entries(3, 8..=9));
+        assert_eq!(reopen(directory).entries, entries(3, 8..=9));
+    };
+}
