--- /dev/null
+++ b/crates/coordination/tests/log_core/sim.rs
@@ -0,0 +1,356 @@
+//! Replicas, their disks and the network on a manual clock. Every step checks
+//! what has to hold at all times.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pomelovale_coordination::log::{
+    Action, Event, LogConfig, LogStatus, MemberChange, Persist, Replica, Restored, Role, TICK_MS,
+};
+use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, ReplicaId};
+use pomelovale_state::{Millis, Name};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// One instance: its disk, and its process if it runs.
+pub struct Node {
+    pub core: Option<Replica>,
+    pub disk: Restored,
+    /// Last applied index.
+    pub applied: u64,
+    /// Tells the events of this process from those of earlier ones.
+    life: u64,
+    /// Its clock minus the global one.
+    pub offset: u64,
+    pub writing: Option<Persist>,
+}
+
+enum Due {
+    Deliver {
+        from: ReplicaId,
+        to: ReplicaId,
+        message: LogMessage,
+    },
+    Synced {
+        node: usize,
+        life: u64,
+    },
+    Tick {
+        node: usize,
+        life: u64,
+    },
+}
+
+pub struct Sim {
+    /// Time and index of accepted proposals.
+    pub accepted: Vec<(u64, u64)>,
+    /// Latency of a link, shortest and longest.
+    pub delay_ms: (u64, u64),
+    /// Messages lost and sent twice, in percent.
+    pub faults: (u32, u32),
+    /// Entries in the order in which the first replica applied them.
+    pub history: Vec<Entry>,
+    pub leaders: BTreeMap<Epoch, (u64, ReplicaId)>,
+    pub nodes: Vec<Node>,
+    /// Instances removed by an operator, who adds them again in the end.
+    pub removed: BTreeSet<usize>,
+    pub now: u64,
+    pub retain: usize,
+    pub sync_ms: (u64, u64),
+    /// Writes that were synced.
+    pub writes: u64,
+    due: BTreeMap<(u64, u64), Due>,
+    /// Partition that each instance is in, and since when.
+    pub groups: Vec<(usize, u64)>,
+    pub hashes: Vec<u64>,
+    rng: SmallRng,
+    sequence: u64,
+    token: u64,
+}
+
+pub fn name(node: usize) -> Name {
+    Name::from(format!("c{node}"))
+}
+
+pub fn node_of(id: &ReplicaId) -> usize {
+    id.name[1..].parse().expect("name of a simulated instance")
+}
+
+impl Sim {
+    /// Instances with empty disks, which found the log by themselves.
+    pub fn new(size: usize, seed: u64) -> Sim {
+        let mut sim = Sim {
+            accepted: Vec::new(),
+            delay_ms: (1, 5),
+            faults: (0, 0),
+            history: Vec::new(),
+            leaders: BTreeMap::new(),
+            nodes: Vec::new(),
+            removed: BTreeSet::new(),
+            now: 10_000,
+            retain: 50,
+            sync_ms: (1, 4),
+            writes: 0,
+            due: BTreeMap::new(),
+            groups: vec![(0, 0); size],
+            hashes: vec![0],
+            rng: SmallRng::seed_from_u64(seed),
+            sequence: 0,
+            token: 0,
+        };
+        for node in 0..size {
+            let offset = sim.rng.random_range(0..1_000_000);
+            sim.nodes.push(Node {
+                core: None,
+                disk: Restored::default(),
+                applied: 0,
+                life: 0,
+                offset,
+                writing: None,
+            });
+            sim.wipe(node);
+            sim.start(node);
+        }
+        sim
+    }
+
+    /// A group that has a leader whose first entry is committed.
+    pub fn settled(size: usize, seed: u64) -> Sim {
+        let mut sim = Sim::new(size, seed);
+        assert!(sim.run_until(10_000, |sim| sim.current_leader().is_some()));
+        sim.run(500);
+        sim
+    }
+
+    fn local(&self, node: usize) -> Millis {
+        Millis(self.now + self.nodes[node].offset)
+    }
+
+    pub fn start(&mut self, node: usize) {
+        if self.nodes[node].core.is_some() {
+            return;
+        }
+        let peers = (0..self.groups.len()).map(name);
+        let mut config = LogConfig::new(name(node), peers.collect());
+        config.retain = self.retain;
+        config.append_bytes = 64;
+        let restored = self.nodes[node].disk.clone();
+        let seed = self.rng.random();
+        let core = Replica::new(config, restored, seed, self.local(node));
+        self.nodes[node].core = Some(core);
+        self.nodes[node].applied = 0;
+        let life = self.nodes[node].life;
+        self.push(0, Due::Tick { node, life });
+    }
+
+    /// Ends the process; of a write in progress, any leading part survives.
+    pub fn crash(&mut self, node: usize) {
+        if self.nodes[node].core.take().is_none() {
+            return;
+        }
+        self.nodes[node].life += 1;
+        let parts = self.rng.random_range(0..3);
+        if let Some(mut persist) = self.nodes[node].writing.take() {
+            if parts < 2 {
+                persist.entries.clear();
+                persist.snapshot = None;
+            }
+            if parts > 0 {
+                write(&mut self.nodes[node].disk, &persist);
+            }
+        }
+    }
+
+    /// Replaces the disk by an empty one; the process has to be down.
+    pub fn wipe(&mut self, node: usize) {
+        assert!(self.nodes[node].core.is_none());
+        self.nodes[node].disk = Restored {
+            incarnation: self.rng.random_range(1..u64::MAX),
+            ..Restored::default()
+        };
+    }
+
+    /// Puts instances into partitions; links between two are cut.
+    pub fn partition(&mut self, group: impl Fn(usize) -> usize) {
+        let groups: Vec<usize> = (0..self.groups.len()).map(group).collect();
+        if groups.iter().ne(self.groups.iter().map(|(group, _)| group)) {
+            let now = self.now;
+            self.groups = groups.into_iter().map(|group| (group, now)).collect();
+        }
+    }
+
+    fn push(&mut self, wait: u64, due: Due) {
+        self.sequence += 1;
+        self.due.insert((self.now + wait, self.sequence), due);
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some((&(at, sequence), _)) = self.due.first_key_value() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            if let Some(due) = self.due.remove(&(at, sequence)) {
+                self.happen(due);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done`, for at most `ms`.
+    pub fn run_until(&mut self, ms: u64, done: impl Fn(&Sim) -> bool) -> bool {
+        let end = self.now + ms;
+        while self.now < end && !done(self) {
+            self.run(5);
+        }
+        done(self)
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Deliver { from, to, message } => {
+                let node = node_of(&to);
+                let cut = self.groups[node].0 != self.groups[node_of(&from)].0;
+                if !cut {
+                    self.step(node, Event::Receive { from, message });
+                }
+            }
+            Due::Synced { node, life } if life == self.nodes[node].life => {
+                self.writes += 1;
+                if let Some(persist) = self.nodes[node].writing.take() {
+                    write(&mut self.nodes[node].disk, &persist);
+                    self.step(node, persist.done());
+                }
+            }
+            Due::Tick { node, life } if life == self.nodes[node].life => {
+                self.step(node, Event::Tick);
+                self.push(TICK_MS, Due::Tick { node, life });
+            }
+            Due::Synced { .. } | Due::Tick { .. } => {}
+        }
+    }
+
+    pub fn step(&mut self, node: usize, event: Event) {
+        let now = self.local(node);
+        let Some(core) = &mut self.nodes[node].core else {
+            return;
+        };
+        for action in core.step(now, event) {
+            self.act(node, action);
+        }
+        self.check(node);
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        let life = self.nodes[node].life;
+        match action {
+            Action::Accepted { index, .. } => self.accept(node, index),
+            Action::Apply(entries) => entries.iter().for_each(|entry| self.apply(node, entry)),
+            Action::Persist(persist) => {
+                self.check_promotions(node, &persist);
+                assert!(self.nodes[node].writing.is_none(), "two writes at once");
+                self.nodes[node].writing = Some(persist);
+                let wait = self.rng.random_range(self.sync_ms.0..=self.sync_ms.1);
+                self.push(wait, Due::Synced { node, life });
+            }
+            Action::Rejected { .. } => {}
+            Action::Restore(snapshot) => self.restore(node, &snapshot),
+            Action::Send { to, message } => self.send(node, to, message),
+        }
+    }
+
+    fn send(&mut self, node: usize, to: ReplicaId, message: LogMessage) {
+        let Some(from) = self.status(node).map(|status| status.id) else {
+            return;
+        };
+        let (lost, twice) = self.faults;
+        let copies = match self.rng.random_range(0..100) {
+            roll if roll < lost => 0,
+            roll if roll < lost + twice => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let wait = self.rng.random_range(self.delay_ms.0..=self.delay_ms.1);
+            let (from, to, message) = (from.clone(), to.clone(), message.clone());
+            self.push(wait, Due::Deliver { from, to, message });
+        }
+    }
+
+    pub fn status(&self, node: usize) -> Option<LogStatus> {
+        self.nodes[node].core.as_ref().map(Replica::status)
+    }
+
+    pub fn quorum_age(&self, node: usize) -> u64 {
+        let age = |status: LogStatus| status.quorum_age(self.local(node));
+        self.status(node).map_or(u64::MAX, age)
+    }
+
+    /// The leader of the latest epoch, once it counts as current.
+    pub fn current_leader(&self) -> Option<usize> {
+        let (_, (_, id)) = self.leaders.last_key_value()?;
+        let node = node_of(id);
+        let status = self.status(node)?;
+        let committed = |s: &LogStatus| self.epoch_at(s.commit.0) == Some(s.epoch);
+        (status.role == Role::Leader && committed(&status)).then_some(node)
+    }
+
+    fn epoch_at(&self, index: u64) -> Option<Epoch> {
+        let entry = self.history.get((index as usize).checked_sub(1)?)?;
+        Some(entry.epoch)
+    }
+
+    /// Proposes at every replica that takes itself for the leader.
+    pub fn propose(&mut self) {
+        self.token += 1;
+        let token = self.token;
+        for node in 0..self.nodes.len() {
+            if self.status(node).is_some_and(|s| s.role == Role::Leader) {
+                let payload = token.to_le_bytes().to_vec().into();
+                self.step(node, Event::Propose { token, payload });
+            }
+        }
+    }
+
+    pub fn change(&mut self, change: MemberChange) {
+        if let Some(leader) = self.current_leader() {
+            let token = 0;
+            self.step(leader, Event::ChangeMembers { token, change });
+        }
+    }
+
+    pub fn compact(&mut self, node: usize) {
+        let applied = self.nodes[node].applied;
+        let snapshot = self.hashes[applied as usize].to_le_bytes().to_vec().into();
+        let index = LogIndex(applied);
+        self.step(node, Event::Compact { index, snapshot });
+    }
+
+    pub fn id(&self, node: usize) -> ReplicaId {
+        ReplicaId {
+            name: name(node),
+            incarnation: self.nodes[node].disk.incarnation,
+        }
+    }
+}
+
+/// Carries out a write the way that `Storage` does.
+fn write(disk: &mut Restored, persist: &Persist) {
+    if let Some(hard) = &persist.hard {
+        disk.hard = hard.clone();
+    }
+    if let Some(snapshot) = &persist.snapshot {
+        let position = snapshot.position();
+        match disk.entries.iter().position(|e| e.position() == position) {
+            _ if disk.snapshot.position() == position => {}
+            Some(at) => drop(disk.entries.drain(..=at)),
+            None => disk.entries.clear(),
+        }
+        disk.snapshot = snapshot.clone();
+    }
+    for entry in persist.entries.iter() {
+        if entry.index > disk.snapshot.index {
+            disk.entries.retain(|other| other.index < entry.index);
+            disk.entries.push(entry.clone());
+        }
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod frame;
 pub mod grants;
 pub mod messages;
+pub mod log;
 pub mod report;
