--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,13 +1,13 @@
 //! Agreement, storage, distribution and rate limits.
 
 pub mod control;
-pub mod fairness;
-pub mod ledger;
-pub mod limiter;
 mod election;
 mod entries;
+pub mod fairness;
 mod frame;
 mod journal;
+pub mod ledger;
+pub mod limiter;
 pub mod log;
 mod members;
 mod replica;
--- /dev/null
+++ b/crates/daemon/src/control/calls.rs
@@ -0,0 +1,195 @@
+//! Calls that wait for an answer of the leader.
+
+use std::collections::HashMap;
+
+use indexmap::IndexMap;
+use pomelovale_protocol::auth::Role;
+use pomelovale_protocol::grants::GrantReply;
+use pomelovale_protocol::log::Epoch;
+use pomelovale_protocol::messages::{InstanceStatus, PeerMessage, Request, Response};
+use pomelovale_state::command::Applied;
+use pomelovale_state::{ErrorKind, Millis, Name};
+use pomelovale_transport::peer_link::PeerLink;
+
+/// Most calls that wait at a time.
+const CALLS_MAX: usize = 65_536;
+
+/// Where an answer goes.
+#[derive(Debug)]
+pub(crate) enum Sink {
+    /// A proposal of this process.
+    Applied(flume::Sender<Result<Applied, ErrorKind>>),
+    /// A request for tokens of this process.
+    Grant(flume::Sender<Result<GrantReply, ErrorKind>>),
+    /// A call of a peer.
+    Peer {
+        /// Its connection.
+        link: PeerLink,
+        /// Its identifier on that connection.
+        id: u64,
+    },
+    /// A question of this process.
+    Status(flume::Sender<Vec<InstanceStatus>>),
+}
+
+impl Sink {
+    fn is_control(&self) -> bool {
+        matches!(self, Sink::Peer { link, .. } if link.role == Role::Control)
+    }
+
+    pub(crate) fn deliver(&self, response: &Response) {
+        match (self, response.clone()) {
+            (Sink::Peer { link, id }, response) => {
+                link.send(PeerMessage::Reply { id: *id, response });
+            }
+            (Sink::Applied(s), Response::Applied(a)) => drop(s.try_send(Ok(a))),
+            (Sink::Applied(s), Response::Failed(kind)) => drop(s.try_send(Err(kind))),
+            (Sink::Applied(s), _) => drop(s.try_send(Err(ErrorKind::Internal))),
+            (Sink::Grant(s), Response::Grant(g)) => drop(s.try_send(Ok(g))),
+            (Sink::Grant(s), Response::Failed(kind)) => drop(s.try_send(Err(kind))),
+            (Sink::Grant(s), _) => drop(s.try_send(Err(ErrorKind::Internal))),
+            (Sink::Status(s), Response::Status(rows)) => drop(s.try_send(rows)),
+            (Sink::Status(s), _) => drop(s.try_send(Vec::new())),
+        }
+    }
+}
+
+/// Where a call was handed to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Target {
+    /// The log of this instance, as the leader of an epoch.
+    Log(Epoch),
+    /// Nobody yet.
+    Nobody,
+    /// The connection with this identifier.
+    Peer(u64),
+}
+
+/// A call that waits.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) request: Request,
+    pub(crate) target: Target,
+    sinks: Vec<Sink>,
+    until: Millis,
+}
+
+/// All calls that wait, by token.
+#[derive(Debug, Default)]
+pub(crate) struct Calls {
+    last: u64,
+    open: IndexMap<u64, Call>,
+    proposals: HashMap<Name, u64>,
+}
+
+impl Calls {
+    /// Adds a call. Returns its token if it has to be handed to somebody; a
+    /// resend of a proposal that waits already only adds a sink.
+    pub(crate) fn add(
+        &mut self,
+        request: Request,
+        sink: Option<Sink>,
+        until: Millis,
+    ) -> Option<u64> {
+        let name = match &request {
+            Request::Propose(change) => Some(change.request.clone()),
+            Request::Grant(_) | Request::Status => None,
+        };
+        let known = name.as_ref().and_then(|n| self.proposals.get(n));
+        if let Some(call) = known.and_then(|token| self.open.get_mut(token)) {
+            call.sinks.extend(sink);
+            call.until = call.until.max(until);
+            return None;
+        }
+        if self.open.len() >= CALLS_MAX {
+            sink.iter()
+                .for_each(|s| s.deliver(&Response::Failed(ErrorKind::Overloaded)));
+            return None;
+        }
+        self.last += 1;
+        if let Some(name) = name {
+            self.proposals.insert(name, self.last);
+        }
+        let call = Call {
+            request,
+            target: Target::Nobody,
+            sinks: sink.into_iter().collect(),
+            until,
+        };
+        self.open.insert(self.last, call);
+        Some(self.last)
+    }
+
+    pub(crate) fn get(&self, token: u64) -> Option<&Call> {
+        self.open.get(&token)
+    }
+
+    pub(crate) fn set_target(&mut self, token: u64, target: Target) {
+        if let Some(call) = self.open.get_mut(&token) {
+            call.target = target;
+        }
+    }
+
+    /// Answers a call.
+    pub(crate) fn answer(&mut self, token: u64, response: &Response) {
+        let Some(call) = self.open.swap_remove(&token) else {
+            return;
+        };
+        if let Request::Propose(change) = &call.request {
+            self.proposals.remove(&change.request);
+        }
+        call.sinks.iter().for_each(|s| s.deliver(response));
+    }
+
+    /// Answers the proposal with this request identifier, if it waits here.
+    pub(crate) fn answer_proposal(&mut self, request: &Name, applied: &Applied) {
+        if let Some(token) = self.proposals.get(request).copied() {
+            self.answer(token, &Response::Applied(applied.clone()));
+        }
+    }
+
+    /// Tokens of the calls that nobody processes. `lost` tells whether a
+    /// target will not answer any more.
+    pub(crate) fn unattended(&mut self, lost: impl Fn(Target) -> bool) -> Vec<u64> {
+        let mut tokens = Vec::new();
+        for (token, call) in &mut self.open {
+            if call.target == Target::Nobody || lost(call.target) {
+                call.target = Target::Nobody;
+                tokens.push(*token);
+            }
+        }
+        tokens
+    }
+
+    /// Ends the calls whose time is over.
+    pub(crate) fn expire(&mut self, now: Millis) {
+        let late = |(token, call): (&u64, &Call)| (call.until <= now).then_some(*token);
+        let tokens: Vec<u64> = self.open.iter().filter_map(late).collect();
+        for token in tokens {
+            self.answer(token, &Response::Failed(ErrorKind::Unavailable));
+        }
+    }
+
+    /// Sends calls of control instances back, since this one is not the
+    /// leader; only they may ask another one.
+    pub(crate) fn return_forwarded(&mut self) {
+        let refused = Response::Failed(ErrorKind::NotLeader);
+        let mut empty = Vec::new();
+        for (token, call) in &mut self.open {
+            let before = call.sinks.len();
+            call.sinks.retain(|s| {
+                let control = s.is_control();
+                if control {
+                    s.deliver(&refused);
+                }
+                !control
+            });
+            if before > 0 && call.sinks.is_empty() {
+                empty.push(*token);
+            }
+        }
+        for token in empty {
+            self.answer(token, &refused);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/core.rs
@@ -0,0 +1,477 @@
+//! The event loop of a control instance. It owns the log, the state and the
+//! connections, so that nothing in it is shared or locked.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use pomelovale_coordination::control::ControlCall;
+use pomelovale_coordination::log::{Action, Event, LogStatus, Replica, Role as LogRole, TICK_MS};
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::auth::Role;
+use pomelovale_protocol::frame::{decode_large, encode_body, FRAME_MAX_BYTES};
+use pomelovale_protocol::log::{
+    Entry, EntryData, LogIndex, Payload, Position, ReplicaId, Snapshot,
+};
+use pomelovale_protocol::messages::{
+    chunks, Assembly, Content, Delta, InstanceStatus, LogPacket, PeerMessage, Request, Response,
+};
+use pomelovale_state::command::Change;
+use pomelovale_state::machine::Machine;
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
+use serde::{Deserialize, Serialize};
+use tokio::time::MissedTickBehavior;
+
+use super::calls::{Calls, Sink, Target};
+use super::config::ControlConfig;
+use super::disk::Disk;
+use super::feed::{Feed, Standing};
+use super::leader::Leader;
+use super::{role_name, ControlStatus};
+
+/// Inputs processed before changes are pushed and the status is updated.
+const INPUT_BATCH: usize = 256;
+/// Encoded size over which a message of the log is sent in chunks.
+const PACKET_MAX_BYTES: usize = FRAME_MAX_BYTES - 1024;
+
+/// What the owner of the instance asks of it.
+pub(super) enum Order {
+    Instances(flume::Sender<Vec<InstanceStatus>>),
+    Stop,
+}
+
+/// Where the loop gets its work from.
+pub(super) struct Inputs {
+    pub(super) calls: flume::Receiver<ControlCall>,
+    pub(super) events: flume::Receiver<PeerEvent>,
+    pub(super) orders: flume::Receiver<Order>,
+}
+
+/// What the loop keeps current for the rest of the process.
+#[derive(Clone, Default)]
+pub(super) struct Outputs {
+    pub(super) status: Arc<ArcSwap<ControlStatus>>,
+    pub(super) view: Arc<View>,
+}
+
+/// Content of a snapshot.
+#[derive(Default, Deserialize, Serialize)]
+pub(super) struct Saved {
+    machine: Machine,
+    position: Position,
+}
+
+impl Saved {
+    pub(super) fn decode(snapshot: &Snapshot) -> Result<Saved, ErrorKind> {
+        match snapshot.payload.is_empty() {
+            true => Ok(Saved::default()),
+            false => decode_large(&snapshot.payload).map_err(|_| ErrorKind::Corrupt),
+        }
+    }
+}
+
+/// State of the loop.
+pub(super) struct Core {
+    pub(super) config: ControlConfig,
+    pub(super) clock: Clock,
+    pub(super) replica: Replica,
+    own: ReplicaId,
+    disk: Disk,
+    pub(super) machine: Machine,
+    applied: Position,
+    saved: LogIndex,
+    compacted: (flume::Sender<Event>, flume::Receiver<Event>),
+    compacting: bool,
+    feed: Feed,
+    outputs: Outputs,
+    links: HashMap<u64, PeerLink>,
+    pub(super) controls: HashMap<Name, u64>,
+    parts: HashMap<u64, Assembly>,
+    pub(super) calls: Calls,
+    pub(super) leader: Option<Leader>,
+    stopping: bool,
+    failed: bool,
+}
+
+impl Core {
+    pub(super) fn new(
+        config: ControlConfig,
+        clock: Clock,
+        replica: Replica,
+        disk: Disk,
+        outputs: Outputs,
+    ) -> Core {
+        Core {
+            feed: Feed::new(config.limits.recent, Position::default()),
+            config,
+            clock,
+            own: replica.status().id,
+            replica,
+            disk,
+            machine: Machine::default(),
+            applied: Position::default(),
+            saved: LogIndex(0),
+            compacted: flume::bounded(1),
+            compacting: false,
+            outputs,
+            links: HashMap::new(),
+            controls: HashMap::new(),
+            parts: HashMap::new(),
+            calls: Calls::default(),
+            leader: None,
+            stopping: false,
+            failed: false,
+        }
+    }
+
+    /// Runs until the instance is stopped or its disk fails.
+    pub(super) async fn run(mut self, inputs: Inputs) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while !self.failed {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                Ok(event) = inputs.events.recv_async() => self.peer_event(event),
+                Ok(call) = inputs.calls.recv_async() => self.local_call(call),
+                Ok(event) = self.compacted.1.recv_async() => self.compact(event),
+                synced = self.disk.synced.recv_async() => match synced {
+                    Ok(event) => self.step(event),
+                    Err(_) => return,
+                },
+                order = inputs.orders.recv_async() => match order {
+                    Ok(Order::Instances(reply)) => self.call(Request::Status, Sink::Status(reply)),
+                    Ok(Order::Stop) => {
+                        self.stopping = true;
+                        self.step(Event::Resign);
+                    }
+                    Err(_) => return,
+                },
+            }
+            self.drain(&inputs);
+            let status = self.settle();
+            if self.stopping && status.role != LogRole::Leader {
+                return;
+            }
+        }
+    }
+
+    // Work that is ready is processed together, so that pushes and the status
+    // are not computed for each message.
+    fn drain(&mut self, inputs: &Inputs) {
+        for _ in 0..INPUT_BATCH {
+            match (inputs.events.try_recv(), inputs.calls.try_recv()) {
+                (Err(_), Err(_)) => return,
+                (event, call) => {
+                    event.into_iter().for_each(|e| self.peer_event(e));
+                    call.into_iter().for_each(|c| self.local_call(c));
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.step(Event::Tick);
+        self.calls.expire(self.clock.now());
+        self.attend();
+        self.propose_initial();
+    }
+
+    // Brings everything that others see up to date.
+    fn settle(&mut self) -> LogStatus {
+        let now = self.clock.now();
+        let status = self.replica.status();
+        self.follow_role(&status, now);
+        let age = status.quorum_age(now);
+        if self.machine.document.version > self.outputs.view.document().version {
+            self.outputs.view.publish(self.machine.document.clone());
+        }
+        if let Some(at) = status.proven {
+            self.outputs.view.prove(at);
+        }
+        let standing = Standing {
+            age_ms: age,
+            leader: status.leader.as_ref().map(|l| l.name.clone()),
+        };
+        self.feed.push(&standing);
+        self.outputs.status.store(Arc::new(ControlStatus {
+            role: role_name(status.role),
+            epoch: status.epoch.0,
+            leader: standing.leader,
+            commit: status.commit.0,
+            last: status.last.0,
+            applied: self.applied.index.0,
+            version: self.machine.document.version,
+            age_ms: age,
+        }));
+        status
+    }
+
+    // A leader serves once it has applied an entry of its own epoch: from then
+    // on it has applied everything that earlier leaders accepted.
+    fn follow_role(&mut self, status: &LogStatus, now: Millis) {
+        let ready =
+            status.role == LogRole::Leader && self.applied.epoch == status.epoch && !self.stopping;
+        let led = self.leader.as_ref().map(|l| l.epoch);
+        match (ready, led) {
+            (true, Some(epoch)) if epoch == status.epoch => {}
+            (true, _) => {
+                log::info!("{} leads {}", self.config.name, status.epoch);
+                self.leader = Some(Leader::new(status.epoch, &self.machine.document, now));
+                self.attend();
+            }
+            (false, Some(_)) => {
+                log::info!("{} does not lead any more", self.config.name);
+                self.leader = None;
+                self.calls.return_forwarded();
+                self.attend();
+            }
+            (false, None) => {}
+        }
+    }
+
+    pub(super) fn step(&mut self, event: Event) {
+        let actions = self.replica.step(self.clock.now(), event);
+        for action in actions {
+            match action {
+                Action::Accepted { .. } => {}
+                Action::Apply(entries) => entries.iter().for_each(|e| self.apply(e)),
+                Action::Persist(persist) => self.disk.write(persist),
+                Action::Rejected { token, kind, .. } => self.rejected(token, kind),
+                Action::Restore(snapshot) => self.restore(&snapshot),
+                Action::Send { to, message } => self.send_log(LogPacket {
+                    from: self.own.clone(),
+                    to,
+                    message,
+                }),
+            }
+        }
+    }
+
+    // Nothing is known of the outcome of a rejected proposal that may be in
+    // the log, and a resend is safe: calls go to the next leader unless the
+    // change itself is at fault.
+    fn rejected(&mut self, token: u64, kind: ErrorKind) {
+        match kind {
+            ErrorKind::TooLarge | ErrorKind::BadRequest => {
+                self.calls.answer(token, &Response::Failed(kind));
+            }
+            _ => self.calls.set_target(token, Target::Nobody),
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        self.applied = entry.position();
+        let EntryData::Change(payload) = &entry.data else {
+            return;
+        };
+        let Ok(change) = decode_large::<Change>(payload) else {
+            // Skipping it would let this instance differ from the others.
+            log::error!("the change at {} can't be decoded", entry.index);
+            self.failed = true;
+            return;
+        };
+        let before = self.machine.document.version;
+        let applied = self.machine.apply(&change);
+        let version = self.machine.document.version;
+        self.calls.answer_proposal(&change.request, &applied);
+        if version > before {
+            let delta = Delta {
+                position: entry.position(),
+                version,
+                change,
+            };
+            self.feed.add(delta, payload.len());
+            let (now, document) = (self.clock.now(), &self.machine.document);
+            self.leader
+                .iter_mut()
+                .for_each(|l| l.set_limits(document, now));
+        }
+        self.save();
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) {
+        match Saved::decode(snapshot) {
+            Ok(saved) => {
+                self.machine = saved.machine;
+                self.feed.reset(saved.position);
+                self.applied = snapshot.position();
+                self.saved = snapshot.index;
+            }
+            Err(_) => {
+                log::error!("the snapshot at {} can't be decoded", snapshot.index);
+                self.failed = true;
+            }
+        }
+    }
+
+    // The state is encoded on another thread, since a large one takes longer
+    // than an election timeout.
+    fn save(&mut self) {
+        let grown = self.applied.index.0 - self.saved.0;
+        if self.compacting || grown < self.config.limits.snapshot_entries {
+            return;
+        }
+        self.compacting = true;
+        let saved = Saved {
+            machine: self.machine.clone(),
+            position: self.feed.position(),
+        };
+        let (index, done) = (self.applied.index, self.compacted.0.clone());
+        tokio::task::spawn_blocking(move || {
+            let snapshot = Payload::from(encode_body(&saved).unwrap_or_default());
+            let _ = done.send(Event::Compact { index, snapshot });
+        });
+    }
+
+    fn compact(&mut self, event: Event) {
+        self.compacting = false;
+        match &event {
+            Event::Compact { index, snapshot } if !snapshot.is_empty() => {
+                self.saved = self.saved.max(*index);
+                self.step(event);
+            }
+            _ => log::error!("the state can't be encoded"),
+        }
+    }
+
+    fn send_log(&mut self, packet: LogPacket) {
+        let link = self.controls.get(&packet.to.name);
+        let Some(link) = link.and_then(|id| self.links.get(id)) else {
+            return;
+        };
+        match encode_body(&packet) {
+            Ok(body) if body.len() > PACKET_MAX_BYTES => {
+                link.send_bulk(chunks(Content::Log, Arc::from(body)));
+            }
+            Ok(_) => {
+                link.send(PeerMessage::Log(packet));
+            }
+            Err(e) => log::error!("a message of the log can't be encoded: {e}"),
+        }
+    }
+
+    fn peer_event(&mut self, event: PeerEvent) {
+        match event {
+            PeerEvent::Opened(link) => self.opened(link),
+            PeerEvent::Message(id, message) => self.peer_message(id, message),
+            PeerEvent::Closed(id) => {
+                self.links.remove(&id);
+                self.parts.remove(&id);
+                self.feed.close(id);
+                self.controls.retain(|_, link| *link != id);
+            }
+        }
+    }
+
+    fn opened(&mut self, link: PeerLink) {
+        let known = self.config.peers.iter().any(|p| p.name == link.peer);
+        match link.role {
+            Role::Entry => self.feed.open(link.clone()),
+            Role::Control if known => {
+                let old = self.controls.insert(link.peer.clone(), link.id);
+                if let Some(old) = old.and_then(|id| self.links.get(&id)) {
+                    old.close();
+                }
+            }
+            Role::Control => {
+                log::warn!("{} is not a control instance of the settings", link.peer);
+                return link.close();
+            }
+        }
+        self.links.insert(link.id, link);
+    }
+
+    fn peer_message(&mut self, id: u64, message: PeerMessage) {
+        let Some(link) = self.links.get(&id).cloned() else {
+            return;
+        };
+        let now = self.clock.now();
+        match (message, link.role) {
+            (PeerMessage::Log(packet), Role::Control) => self.log_packet(packet, &link),
+            (PeerMessage::Chunk(chunk), Role::Control) => {
+                match self.parts.entry(id).or_default().push(chunk) {
+                    Ok(None) => {}
+                    Ok(Some((Content::Log, body))) => match decode_large(&body) {
+                        Ok(packet) => self.log_packet(packet, &link),
+                        Err(_) => link.reject(),
+                    },
+                    Ok(Some((Content::Document(_), _))) | Err(_) => link.reject(),
+                }
+            }
+            (PeerMessage::Renew(renew), Role::Entry) => {
+                let status = self.replica.status();
+                let standing = Standing {
+                    age_ms: status.quorum_age(now),
+                    leader: status.leader.map(|l| l.name),
+                };
+                self.feed
+                    .renew(id, &renew, &self.machine.document, &standing);
+            }
+            (PeerMessage::Report(report), _) => match self.leader.as_mut() {
+                Some(leader) => leader.record(&report, now),
+                None if link.role == Role::Entry => {
+                    self.to_leader(PeerMessage::Report(report));
+                }
+                None => {}
+            },
+            (PeerMessage::Call { id, .. }, Role::Control) if self.leader.is_none() => {
+                let response = Response::Failed(ErrorKind::NotLeader);
+                link.send(PeerMessage::Reply { id, response });
+            }
+            (PeerMessage::Call { id, request }, _) => {
+                self.call(request, Sink::Peer { link, id });
+            }
+            (PeerMessage::Reply { id, response }, Role::Control) => match response {
+                Response::Failed(ErrorKind::NotLeader | ErrorKind::Unavailable) => {
+                    self.calls.set_target(id, Target::Nobody);
+                }
+                response => self.calls.answer(id, &response),
+            },
+            (PeerMessage::Ping, _) => {}
+            _ => link.reject(),
+        }
+    }
+
+    fn log_packet(&mut self, packet: LogPacket, link: &PeerLink) {
+        let LogPacket { from, to, message } = packet;
+        match () {
+            () if from.name != link.peer || to.name != self.own.name => link.reject(),
+            // Meant for a data directory that is gone.
+            () if to != self.own && to.incarnation != ReplicaId::ANY => {}
+            () => self.step(Event::Receive { from, message }),
+        }
+    }
+
+    fn local_call(&mut self, call: ControlCall) {
+        match call {
+            ControlCall::Grant(request, reply) => {
+                self.call(Request::Grant(request), Sink::Grant(reply));
+            }
+            ControlCall::Propose(change, reply) => {
+                self.call(Request::Propose(change), Sink::Applied(reply));
+            }
+            ControlCall::Report(report) => match self.leader.as_mut() {
+                Some(leader) => leader.record(&report, self.clock.now()),
+                None => {
+                    self.to_leader(PeerMessage::Report(report));
+                }
+            },
+        }
+    }
+
+    fn call(&mut self, request: Request, sink: Sink) {
+        let until = self.clock.now().plus(self.config.limits.call_ms);
+        if let Some(token) = self.calls.add(request, Some(sink), until) {
+            self.attempt(token);
+        }
+    }
+
+    pub(super) fn to_leader(&self, message: PeerMessage) -> Option<u64> {
+        let leader = self.replica.status().leader?;
+        let id = self.controls.get(&leader.name)?;
+        let sent = self.links.get(id)?.send(message);
+        sent.then_some(*id)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/feed.rs
@@ -0,0 +1,216 @@
+//! Distribution of accepted changes to subscribers.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use pomelovale_protocol::frame::encode_body;
+use pomelovale_protocol::log::Position;
+use pomelovale_protocol::messages::{chunks, Content, Delta, PeerMessage, Proof, Renew};
+use pomelovale_state::document::Document;
+use pomelovale_state::Name;
+use pomelovale_transport::peer_link::PeerLink;
+
+/// Encoded size of the changes after which a new message is begun.
+const GROUP_BYTES: usize = 128 * 1024;
+/// Encoded size of all changes that are kept.
+const RECENT_BYTES: usize = 64 * 1024 * 1024;
+
+#[derive(Clone, Copy, Debug)]
+enum Progress {
+    /// Has not renewed yet.
+    New,
+    /// Is being sent the document as of this position.
+    Loading(Position),
+    /// Was sent every change up to this position.
+    Current(Position),
+}
+
+struct Subscriber {
+    link: PeerLink,
+    progress: Progress,
+}
+
+struct Recent {
+    delta: Arc<Delta>,
+    size: usize,
+}
+
+/// What a renewal is answered with, besides the changes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Standing {
+    /// Age of this instance's proof.
+    pub(super) age_ms: u64,
+    /// Name of the leader.
+    pub(super) leader: Option<Name>,
+}
+
+/// The latest changes and who was sent them.
+pub(super) struct Feed {
+    // Position before the first change in `recent`.
+    base: Position,
+    position: Position,
+    recent: VecDeque<Recent>,
+    bytes: usize,
+    most: usize,
+    encoded: Option<(Position, Arc<[u8]>)>,
+    subscribers: HashMap<u64, Subscriber>,
+}
+
+impl Feed {
+    pub(super) fn new(most: usize, position: Position) -> Feed {
+        Feed {
+            base: position,
+            position,
+            recent: VecDeque::new(),
+            bytes: 0,
+            most,
+            encoded: None,
+            subscribers: HashMap::new(),
+        }
+    }
+
+    /// Position of the last distributed change.
+    pub(super) fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Forgets the changes after a restored snapshot; subscribers load again.
+    pub(super) fn reset(&mut self, position: Position) {
+        self.base = position;
+        self.position = position;
+        self.recent.clear();
+        self.bytes = 0;
+    }
+
+    /// Adds an accepted change of `size` encoded bytes.
+    pub(super) fn add(&mut self, delta: Delta, size: usize) {
+        self.position = delta.position;
+        self.bytes += size;
+        let delta = Arc::new(delta);
+        self.recent.push_back(Recent { delta, size });
+        while self.recent.len() > self.most || self.bytes > RECENT_BYTES {
+            let Some(old) = self.recent.pop_front() else {
+                return;
+            };
+            self.bytes -= old.size;
+            self.base = old.delta.position;
+        }
+    }
+
+    pub(super) fn open(&mut self, link: PeerLink) {
+        let progress = Progress::New;
+        self.subscribers
+            .insert(link.id, Subscriber { link, progress });
+    }
+
+    pub(super) fn close(&mut self, id: u64) {
+        self.subscribers.remove(&id);
+    }
+
+    /// Sends new changes to every subscriber that has all earlier ones.
+    pub(super) fn push(&mut self, standing: &Standing) {
+        let ids: Vec<u64> = self.subscribers.keys().copied().collect();
+        for id in ids {
+            if let Some(Progress::Current(sent)) = self.subscribers.get(&id).map(|s| s.progress) {
+                self.send_changes(id, sent, None, standing);
+            }
+        }
+    }
+
+    /// Answers a renewal.
+    pub(super) fn renew(
+        &mut self,
+        id: u64,
+        renew: &Renew,
+        document: &Document,
+        standing: &Standing,
+    ) {
+        let Some(subscriber) = self.subscribers.get(&id) else {
+            return;
+        };
+        let seq = Some(renew.seq);
+        match (subscriber.progress, renew.position) {
+            (Progress::New, None) => self.load(id, seq, document, standing),
+            (Progress::New, Some(held)) => self.resume(id, held, seq, document, standing),
+            (Progress::Loading(to), Some(held)) if held.index >= to.index => {
+                self.resume(id, held, seq, document, standing);
+            }
+            (Progress::Loading(_), _) => self.prove(id, seq, standing, Vec::new()),
+            (Progress::Current(sent), _) => self.resume(id, sent, seq, document, standing),
+        }
+    }
+
+    // A subscriber may be ahead of this instance; it is then sent changes once
+    // this instance has passed it.
+    fn resume(
+        &mut self,
+        id: u64,
+        held: Position,
+        seq: Option<u64>,
+        document: &Document,
+        standing: &Standing,
+    ) {
+        match held.index < self.base.index {
+            true => self.load(id, seq, document, standing),
+            false => self.send_changes(id, held, seq, standing),
+        }
+    }
+
+    fn load(&mut self, id: u64, seq: Option<u64>, document: &Document, standing: &Standing) {
+        self.prove(id, seq, standing, Vec::new());
+        let position = self.position;
+        let body = match &self.encoded {
+            Some((at, body)) if *at == position => body.clone(),
+            _ => match encode_body(document) {
+                Ok(body) => Arc::from(body),
+                Err(e) => return log::error!("the document can't be encoded: {e}"),
+            },
+        };
+        self.encoded = Some((position, body.clone()));
+        let Some(s) = self.subscribers.get_mut(&id) else {
+            return;
+        };
+        if s.link.send_bulk(chunks(Content::Document(position), body)) {
+            s.progress = Progress::Loading(position);
+        }
+    }
+
+    fn send_changes(&mut self, id: u64, sent: Position, seq: Option<u64>, standing: &Standing) {
+        let start = self
+            .recent
+            .partition_point(|r| r.delta.position.index <= sent.index);
+        let (mut groups, mut size) = (vec![Vec::new()], 0);
+        for r in self.recent.range(start..) {
+            if size > 0 && size + r.size > GROUP_BYTES {
+                groups.push(Vec::new());
+                size = 0;
+            }
+            size += r.size;
+            if let Some(group) = groups.last_mut() {
+                group.push(r.delta.clone());
+            }
+        }
+        if let Some(s) = self.subscribers.get_mut(&id) {
+            s.progress = Progress::Current(sent.max(self.position));
+        }
+        if seq.is_none() && start == self.recent.len() {
+            return;
+        }
+        for changes in groups {
+            self.prove(id, seq, standing, changes);
+        }
+    }
+
+    fn prove(&self, id: u64, seq: Option<u64>, standing: &Standing, changes: Vec<Arc<Delta>>) {
+        let proof = Proof {
+            seq,
+            age_ms: standing.age_ms,
+            position: self.position,
+            leader: standing.leader.clone(),
+            changes,
+        };
+        if let Some(s) = self.subscribers.get(&id) {
+            s.link.send(PeerMessage::Proof(proof));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/serve.rs
@@ -0,0 +1,118 @@
+//! How a control instance serves calls: as the leader, or through the leader.
+
+use pomelovale_coordination::log::{Event, ELECTION_MS};
+use pomelovale_protocol::frame::encode_body;
+use pomelovale_protocol::grants::GrantRequest;
+use pomelovale_protocol::log::Payload;
+use pomelovale_protocol::messages::{PeerMessage, Request, Response};
+use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::{ErrorKind, Millis, Name};
+
+use super::calls::Target;
+use super::core::Core;
+
+/// Request identifier of the initial document.
+const INITIAL_REQUEST: &str = "initial-document";
+
+impl Core {
+    /// Hands out the calls that nobody processes, and those whose target is
+    /// lost.
+    pub(super) fn attend(&mut self) {
+        let epoch = self.leader.as_ref().map(|l| l.epoch);
+        let leader = self.replica.status().leader.map(|l| l.name);
+        let link = leader.as_ref().and_then(|n| self.controls.get(n)).copied();
+        let lost = |target| match target {
+            Target::Nobody => true,
+            Target::Log(at) => epoch != Some(at),
+            Target::Peer(id) => link != Some(id),
+        };
+        for token in self.calls.unattended(lost) {
+            self.attempt(token);
+        }
+    }
+
+    /// Serves a call, or passes it to the leader.
+    pub(super) fn attempt(&mut self, token: u64) {
+        let Some(request) = self.calls.get(token).map(|c| c.request.clone()) else {
+            return;
+        };
+        let known = match &request {
+            Request::Propose(change) => self.machine.result(&change.request).cloned(),
+            Request::Grant(_) | Request::Status => None,
+        };
+        let now = self.clock.now();
+        match (known, &self.leader, request) {
+            (Some(applied), _, _) => self.calls.answer(token, &Response::Applied(applied)),
+            (None, None, request) => self.forward(token, request),
+            (None, Some(_), Request::Propose(change)) => self.propose(token, change, now),
+            (None, Some(_), Request::Grant(request)) => self.grant(token, &request, now),
+            (None, Some(leader), Request::Status) => {
+                let rows = leader.instances(now);
+                self.calls.answer(token, &Response::Status(rows));
+            }
+        }
+    }
+
+    fn forward(&mut self, token: u64, request: Request) {
+        let message = PeerMessage::Call { id: token, request };
+        if let Some(link) = self.to_leader(message) {
+            self.calls.set_target(token, Target::Peer(link));
+        }
+    }
+
+    fn propose(&mut self, token: u64, mut change: Change, now: Millis) {
+        let Some(leader) = &self.leader else {
+            return;
+        };
+        if let Err(refusal) = leader.admit(&self.machine.document, &change, now) {
+            let refused = Response::Applied(Applied::Refused(refusal));
+            return self.calls.answer(token, &refused);
+        }
+        change.at = leader.log_time(now);
+        let epoch = leader.epoch;
+        match encode_body(&change) {
+            Ok(body) => {
+                self.calls.set_target(token, Target::Log(epoch));
+                let payload = Payload::from(body);
+                self.step(Event::Propose { token, payload });
+            }
+            Err(_) => {
+                let refused = Response::Failed(ErrorKind::BadRequest);
+                self.calls.answer(token, &refused);
+            }
+        }
+    }
+
+    // A quorum that heard from this leader less than the shortest election
+    // timeout ago has not elected another one, whose ledger would not know of
+    // this grant.
+    fn grant(&mut self, token: u64, request: &GrantRequest, now: Millis) {
+        let fresh = self.replica.status().quorum_age(now) < ELECTION_MS.0;
+        if let Some(leader) = self.leader.as_mut().filter(|_| fresh) {
+            let reply = leader.grant(request, now);
+            self.calls.answer(token, &Response::Grant(reply));
+        }
+    }
+
+    /// Proposes the initial document while there is none.
+    pub(super) fn propose_initial(&mut self) {
+        let request = Name::from(INITIAL_REQUEST);
+        let due = self.leader.is_some()
+            && self.machine.document.version == 0
+            && !self.config.initial.is_empty()
+            && self.machine.result(&request).is_none();
+        if due {
+            let change = Change {
+                request,
+                sender: self.config.name.clone(),
+                base: Some(0),
+                at: Millis(0),
+                command: Command::Batch(self.config.initial.clone()),
+            };
+            let until = self.clock.now().plus(self.config.limits.call_ms);
+            if let Some(token) = self.calls.add(Request::Propose(change), None, until) {
+                self.attempt(token);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,5 @@
 //! The pomelovale daemon.
+
+pub mod control;
+pub mod operators;
+pub mod subscriber;
--- /dev/null
+++ b/crates/daemon/src/operators.rs
@@ -0,0 +1,290 @@
+//! The operators' listener: metrics, status, the document and changes.
+
+use std::io::{Cursor, Read};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::view::View;
+use pomelovale_state::command::{Applied, Change, Command, Refusal};
+use pomelovale_state::document::{Digest, Document, KeyHolder};
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+/// Requests served at a time.
+const WORKERS: usize = 4;
+/// Largest body of a request.
+const BODY_MAX_BYTES: u64 = 1024 * 1024;
+/// Sender of changes made with the bootstrap key.
+const BOOTSTRAP: &str = "bootstrap";
+
+/// Gives the process's own part of `GET /v1/status`. It may block.
+pub type StatusSource = Arc<dyn Fn() -> Value + Send + Sync>;
+/// Renders `GET /metrics`.
+pub type MetricsSource = Arc<dyn Fn() -> String + Send + Sync>;
+
+/// Settings of the operators' listener.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorsConfig {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Digest of the key that is accepted while the document holds no key of
+    /// an operator.
+    #[serde(default)]
+    pub bootstrap: Option<Digest>,
+}
+
+/// What the listener serves.
+#[derive(Clone)]
+pub struct OperatorsSources {
+    /// Takes changes.
+    pub handle: ControlHandle,
+    /// The document, which also holds the operators' keys.
+    pub view: Arc<View>,
+    /// Tells the age of the view.
+    pub clock: Clock,
+    /// State of the process.
+    pub status: StatusSource,
+    /// Metrics of the process.
+    pub metrics: MetricsSource,
+}
+
+/// A running listener; dropping it ends it.
+pub struct Operators {
+    address: SocketAddr,
+    server: Arc<Server>,
+    stopped: Arc<AtomicBool>,
+}
+
+struct Worker {
+    bootstrap: Option<Digest>,
+    sources: OperatorsSources,
+    runtime: tokio::runtime::Runtime,
+}
+
+type Answer = (u16, Value);
+
+/// Body of `POST /v1/changes`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Proposal {
+    request: Name,
+    #[serde(default)]
+    base: Option<u64>,
+    command: Command,
+}
+
+impl Operators {
+    /// Binds the address and serves requests on threads of its own.
+    pub fn start(
+        config: OperatorsConfig,
+        sources: OperatorsSources,
+    ) -> Result<Operators, Box<dyn std::error::Error + Send + Sync>> {
+        let server = Arc::new(Server::http(config.listen)?);
+        let address = server.server_addr().to_ip().unwrap_or(config.listen);
+        let stopped = Arc::new(AtomicBool::new(false));
+        for _ in 0..WORKERS {
+            let worker = Worker {
+                bootstrap: config.bootstrap,
+                sources: sources.clone(),
+                runtime: tokio::runtime::Builder::new_current_thread().build()?,
+            };
+            let (server, stopped) = (server.clone(), stopped.clone());
+            thread::spawn(move || {
+                while !stopped.load(Ordering::Acquire) {
+                    match server.recv() {
+                        Ok(request) => worker.serve(request),
+                        Err(_) => return,
+                    }
+                }
+            });
+        }
+        Ok(Operators {
+            address,
+            server,
+            stopped,
+        })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Operators {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Release);
+        (0..WORKERS).for_each(|_| self.server.unblock());
+    }
+}
+
+fn header(name: &str, value: &str) -> Option<Header> {
+    Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
+}
+
+fn failure(kind: ErrorKind, text: &str) -> Answer {
+    let answer = kind.answer();
+    let body = json!({ "outcome": "refused", "code": answer.code, "text": text });
+    (answer.status, body)
+}
+
+fn refusal(refusal: &Refusal) -> Answer {
+    let (status, mut body) = failure(refusal.kind, &refusal.text);
+    if let Some(winner) = &refusal.winner {
+        body["winner"] = json!(winner);
+    }
+    (status, body)
+}
+
+/// The operator that a key speaks for.
+pub fn authenticate(
+    document: &Document,
+    bootstrap: Option<&Digest>,
+    text: &str,
+) -> Result<Name, ErrorKind> {
+    let digest: [u8; 32] = Sha256::digest(text.as_bytes()).into();
+    let equals = |known: &Digest| bool::from(known.0.ct_eq(&digest));
+    let id = text.strip_prefix("pk.").and_then(|t| t.split('.').next());
+    let key = id.and_then(|id| document.keys.get(id));
+    let operated = document
+        .keys
+        .values()
+        .any(|k| matches!(k.holder, KeyHolder::Operator(_)));
+    match (key.map(|k| (k, &k.holder)), bootstrap) {
+        (Some((k, KeyHolder::Operator(name))), _) if !k.revoked && equals(&k.digest) => {
+            Ok(name.clone())
+        }
+        (_, Some(known)) if !operated && equals(known) => Ok(Name::from(BOOTSTRAP)),
+        _ => Err(ErrorKind::KeyRefused),
+    }
+}
+
+impl Worker {
+    fn serve(&self, mut request: Request) {
+        let path = request.url().split('?').next().unwrap_or("").to_string();
+        if (request.method(), path.as_str()) == (&Method::Get, "/metrics") {
+            let text = (self.sources.metrics)();
+            return respond(request, 200, text, "text/plain; version=0.0.4");
+        }
+        let (status, body) = match self.operator(&request) {
+            Err((kind, text)) => failure(kind, text),
+            Ok(operator) => self.answer(&mut request, &path, operator),
+        };
+        respond(request, status, body.to_string(), "application/json");
+    }
+
+    // An old view may hold a key that was revoked since.
+    fn operator(&self, request: &Request) -> Result<Name, (ErrorKind, &'static str)> {
+        let sources = &self.sources;
+        if !sources.view.serves_keys(sources.clock.now()) {
+            let text = "the view of keys is too old to check an operator's key";
+            return Err((ErrorKind::StaleView, text));
+        }
+        let key = request
+            .headers()
+            .iter()
+            .find(|h| h.field.equiv("Authorization"))
+            .and_then(|h| h.value.as_str().strip_prefix("Bearer "));
+        authenticate(
+            &sources.view.document(),
+            self.bootstrap.as_ref(),
+            key.unwrap_or(""),
+        )
+        .map_err(|kind| (kind, "an operator's key is required"))
+    }
+
+    fn answer(&self, request: &mut Request, path: &str, operator: Name) -> Answer {
+        let sources = &self.sources;
+        match (request.method(), path) {
+            (Method::Get, "/v1/status") => {
+                let mut body = (sources.status)();
+                body["view"] = json!({
+                    "version": sources.view.document().version,
+                    "age_ms": sources.view.age(sources.clock.now()),
+                });
+                (200, body)
+            }
+            (Method::Get, "/v1/document") => {
+                match serde_json::to_value(&*sources.view.document()) {
+                    Ok(body) => (200, body),
+                    Err(e) => failure(ErrorKind::Internal, &e.to_string()),
+                }
+            }
+            (Method::Post, "/v1/changes") => self.change(request, operator),
+            _ => failure(ErrorKind::NotFound, "there is nothing at this path"),
+        }
+    }
+
+    fn change(&self, request: &mut Request, operator: Name) -> Answer {
+        let mut body = Vec::new();
+        let mut reader = request.as_reader().take(BODY_MAX_BYTES + 1);
+        match reader.read_to_end(&mut body) {
+            Err(_) => return failure(ErrorKind::BadRequest, "the body is incomplete"),
+            Ok(n) if n as u64 > BODY_MAX_BYTES => {
+                return failure(ErrorKind::TooLarge, "a change takes at most 1 MiB");
+            }
+            Ok(_) => {}
+        }
+        let proposal: Proposal = match serde_json::from_slice(&body) {
+            Ok(proposal) => proposal,
+            Err(e) => return failure(ErrorKind::BadRequest, &e.to_string()),
+        };
+        match &proposal.command {
+            Command::BeginIntent(_) | Command::EndIntent(_) | Command::RecordCrash { .. } => {
+                return failure(ErrorKind::BadRequest, "only instances send this command");
+            }
+            _ if !proposal.request.is_valid() => {
+                return failure(ErrorKind::BadRequest, "the request identifier is not valid");
+            }
+            _ => {}
+        }
+        let change = Change {
+            request: proposal.request,
+            sender: operator,
+            base: proposal.base,
+            at: Millis(0),
+            command: proposal.command,
+        };
+        match self.runtime.block_on(self.sources.handle.propose(change)) {
+            Ok(Applied::Accepted { version, item }) => {
+                let body = json!({ "outcome": "accepted", "version": version, "item": item });
+                (200, body)
+            }
+            Ok(Applied::Refused(r)) => refusal(&r),
+            Ok(Applied::Intent(_)) => failure(ErrorKind::Internal, "unexpected answer"),
+            Err(kind @ (ErrorKind::Unavailable | ErrorKind::Internal)) => {
+                let text = "the change may have been accepted; \
+                            send it again under the same request identifier";
+                let (status, mut body) = failure(kind, text);
+                body["outcome"] = json!("unknown");
+                (status, body)
+            }
+            Err(kind) => failure(kind, "the change was not taken"),
+        }
+    }
+}
+
+fn respond(request: Request, status: u16, body: String, kind: &str) {
+    let length = body.len();
+    let headers = [
+        header("Content-Type", kind),
+        header("Cache-Control", "no-store"),
+    ];
+    let response = Response::new(
+        status.into(),
+        headers.into_iter().flatten().collect(),
+        Cursor::new(body.into_bytes()),
+        Some(length),
+        None,
+    );
+    // The operator may have gone; there is nobody to tell.
+    let _ = request.respond(response);
+}
--- /dev/null
+++ b/crates/daemon/src/subscriber.rs
@@ -0,0 +1,419 @@
+//! The entry side of distribution: keeps a view current and passes calls to
+//! the control instances.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelovale_coordination::control::{ControlCall, ControlHandle};
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::auth::{Role, Secret};
+use pomelovale_protocol::frame::decode_large;
+use pomelovale_protocol::log::Position;
+use pomelovale_protocol::messages::{
+    Assembly, Chunk, Content, PeerMessage, Proof, Renew, Request, Response,
+};
+use pomelovale_state::document::Document;
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use pomelovale_transport::peer_client::{connect_once, PeerAddress};
+use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerEvent, PeerLink, PeerTimings};
+use serde::Deserialize;
+use sha2::{Digest as _, Sha256};
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+
+use crate::control::calls::{Calls, Sink, Target};
+
+/// Time between two checks of what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Calls that may wait for the task.
+const CALL_QUEUE: usize = 65_536;
+/// Messages that may wait for the task.
+const EVENT_QUEUE: usize = 1_024;
+/// Renewals without an answer that are remembered.
+const RENEWALS_MAX: usize = 64;
+
+/// A control instance and where it runs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ControlPlace {
+    /// Its instance name.
+    pub name: Name,
+    /// Its address for peers.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: Name,
+    /// Its failure domain.
+    pub domain: Name,
+}
+
+/// Settings of a subscriber.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubscriberConfig {
+    /// Name of this instance.
+    pub name: Name,
+    /// Region of this instance.
+    pub region: Name,
+    /// Failure domain of this instance.
+    pub domain: Name,
+    /// All control instances.
+    pub controls: Vec<ControlPlace>,
+    /// Secret of the deployment.
+    pub secret: Secret,
+    /// Time limits of connections.
+    #[serde(default)]
+    pub timings: PeerTimings,
+    /// Time limits of the subscription.
+    #[serde(default)]
+    pub limits: SubscriberLimits,
+    /// Counters of the connections.
+    #[serde(skip)]
+    pub counters: Arc<PeerCounters>,
+}
+
+/// Time limits of a subscription, in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct SubscriberLimits {
+    /// Longest time that a call waits for an answer.
+    pub call_ms: u64,
+    /// Delay added to each message sent, for tests of distant regions.
+    pub delay_ms: u64,
+    /// Time after which the next control instance is tried as well, while an
+    /// earlier one has not accepted the connection.
+    pub next_ms: u64,
+    /// Time between two renewals.
+    pub renew_ms: u64,
+    /// Time that a chosen control instance is given to prove its document.
+    pub settle_ms: u64,
+    /// Age of the view above which another control instance is chosen. Leaves
+    /// time for two more attempts before keyed requests are refused at 4 s.
+    pub switch_ms: u64,
+}
+
+impl Default for SubscriberLimits {
+    fn default() -> SubscriberLimits {
+        SubscriberLimits {
+            call_ms: 10_000,
+            delay_ms: 0,
+            next_ms: 400,
+            renew_ms: 500,
+            settle_ms: 600,
+            switch_ms: 1_800,
+        }
+    }
+}
+
+/// The control instances in the order in which an instance prefers them: its
+/// failure domain, its region, then by a hash of both names, so that
+/// subscribers spread evenly.
+pub fn ranked(config: &SubscriberConfig) -> Vec<ControlPlace> {
+    let distance = |p: &ControlPlace| match () {
+        () if p.region == config.region && p.domain == config.domain => 0,
+        () if p.region == config.region => 1,
+        () => 2,
+    };
+    let hash = |p: &ControlPlace| {
+        let digest = Sha256::new()
+            .chain_update(config.name.as_bytes())
+            .chain_update([0])
+            .chain_update(p.name.as_bytes());
+        <[u8; 32]>::from(digest.finalize())
+    };
+    let mut places = config.controls.clone();
+    places.sort_by_cached_key(|p| (distance(p), hash(p)));
+    places
+}
+
+/// Starts subscribers.
+pub struct Subscriber;
+
+impl Subscriber {
+    /// Subscribes to the control instances until every clone of the handle is
+    /// dropped.
+    pub fn start(config: SubscriberConfig, view: Arc<View>, clock: Clock) -> ControlHandle {
+        let (handle, calls) = ControlHandle::new(CALL_QUEUE);
+        let (events, received) = flume::bounded(EVENT_QUEUE);
+        let peering = PeerConfig {
+            name: config.name.clone(),
+            role: Role::Entry,
+            secret: config.secret.clone(),
+            timings: config.timings,
+            delay_ms: config.limits.delay_ms,
+            counters: config.counters.clone(),
+        };
+        let session = Session {
+            places: ranked(&config),
+            limits: config.limits,
+            peering,
+            clock,
+            view,
+            events,
+            next: 0,
+            attempts: JoinSet::new(),
+            tried: None,
+            link: None,
+            since: Millis(0),
+            document: Document::default(),
+            position: None,
+            assembly: Assembly::default(),
+            seq: 0,
+            renewals: VecDeque::new(),
+            renewed: None,
+            calls: Calls::default(),
+        };
+        tokio::spawn(session.run(calls, received));
+        handle
+    }
+}
+
+struct Session {
+    places: Vec<ControlPlace>,
+    limits: SubscriberLimits,
+    peering: PeerConfig,
+    clock: Clock,
+    view: Arc<View>,
+    events: flume::Sender<PeerEvent>,
+    // Place that is tried next, and the connections that are being opened.
+    next: usize,
+    attempts: JoinSet<()>,
+    tried: Option<Millis>,
+    link: Option<PeerLink>,
+    since: Millis,
+    document: Document,
+    position: Option<Position>,
+    assembly: Assembly,
+    seq: u64,
+    renewals: VecDeque<(u64, Millis)>,
+    renewed: Option<Millis>,
+    calls: Calls,
+}
+
+impl Session {
+    async fn run(
+        mut self,
+        calls: flume::Receiver<ControlCall>,
+        events: flume::Receiver<PeerEvent>,
+    ) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                Ok(event) = events.recv_async() => self.event(event),
+                call = calls.recv_async() => match call {
+                    Ok(call) => self.call(call),
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        let stale = self.view.age(now) > self.limits.switch_ms
+            && now.since(self.since) > self.limits.settle_ms;
+        match &self.link {
+            Some(_) if stale => self.leave(),
+            Some(_) if self.is_due(self.renewed, self.limits.renew_ms, now) => self.renew(now),
+            Some(_) => {}
+            None => self.connect(now),
+        }
+        self.calls.expire(now);
+        self.attend();
+    }
+
+    fn is_due(&self, last: Option<Millis>, pause: u64, now: Millis) -> bool {
+        last.is_none_or(|at| now.since(at) >= pause)
+    }
+
+    // The next place is tried beside the earlier ones, since an address that
+    // went silent holds an attempt up until its time limit.
+    fn connect(&mut self, now: Millis) {
+        while self.attempts.try_join_next().is_some() {}
+        let due = self.is_due(self.tried, self.limits.next_ms, now);
+        if self.places.is_empty() || !(due || self.attempts.is_empty()) {
+            return;
+        }
+        let place = &self.places[self.next % self.places.len()];
+        self.next += 1;
+        self.tried = Some(now);
+        let target = PeerAddress {
+            name: place.name.clone(),
+            address: place.address,
+        };
+        let (peering, events) = (self.peering.clone(), self.events.clone());
+        self.attempts.spawn(async move {
+            connect_once(&peering, &target, &events).await;
+        });
+    }
+
+    fn opened(&mut self, link: PeerLink) {
+        if self.link.is_some() {
+            return link.close();
+        }
+        let now = self.clock.now();
+        self.since = now;
+        self.renewals.clear();
+        self.assembly = Assembly::default();
+        self.link = Some(link);
+        self.renew(now);
+        self.attend();
+    }
+
+    fn lost(&mut self) {
+        self.link = None;
+        self.renewed = None;
+        self.tried = None;
+        self.connect(self.clock.now());
+    }
+
+    fn leave(&mut self) {
+        if let Some(link) = self.link.take() {
+            link.close();
+            metrics::counter!("subscriber_switches_total").increment(1);
+        }
+        self.lost();
+    }
+
+    fn renew(&mut self, now: Millis) {
+        let Some(link) = &self.link else {
+            return;
+        };
+        self.seq += 1;
+        self.renewed = Some(now);
+        self.renewals.push_back((self.seq, now));
+        if self.renewals.len() > RENEWALS_MAX {
+            self.renewals.pop_front();
+        }
+        link.send(PeerMessage::Renew(Renew {
+            seq: self.seq,
+            position: self.position,
+        }));
+    }
+
+    fn event(&mut self, event: PeerEvent) {
+        let current = self.link.as_ref().map(|l| l.id);
+        match event {
+            PeerEvent::Opened(link) => self.opened(link),
+            PeerEvent::Closed(id) if current == Some(id) => self.lost(),
+            PeerEvent::Message(id, message) if current == Some(id) => self.message(message),
+            PeerEvent::Closed(_) | PeerEvent::Message(..) => {}
+        }
+    }
+
+    fn message(&mut self, message: PeerMessage) {
+        let taken = match message {
+            PeerMessage::Proof(proof) => self.proof(proof),
+            PeerMessage::Chunk(chunk) => self.chunk(chunk),
+            PeerMessage::Reply { id, response } => {
+                self.reply(id, &response);
+                Ok(())
+            }
+            _ => Err(ErrorKind::BadRequest),
+        };
+        if taken.is_err() {
+            self.link.iter().for_each(PeerLink::reject);
+            self.leave();
+        }
+    }
+
+    fn proof(&mut self, proof: Proof) -> Result<(), ErrorKind> {
+        let before = self.document.version;
+        for delta in &proof.changes {
+            match delta.version {
+                v if v <= self.document.version => continue,
+                v if v > self.document.version + 1 => return Err(ErrorKind::BadRequest),
+                v => self
+                    .document
+                    .follow(&delta.change, v)
+                    .map_err(|_| ErrorKind::BadRequest)?,
+            }
+            self.position = Some(delta.position);
+        }
+        if self.document.version > before {
+            self.view.publish(self.document.clone());
+        }
+        let complete = self
+            .position
+            .is_some_and(|p| p.index >= proof.position.index);
+        if let Some(sent) = proof.seq.and_then(|seq| self.sent_at(seq)) {
+            // A moment before this process started can't be expressed.
+            if complete && proof.age_ms <= sent.0 {
+                self.view.prove(sent.minus(proof.age_ms));
+            }
+        }
+        Ok(())
+    }
+
+    fn sent_at(&self, seq: u64) -> Option<Millis> {
+        let found = self.renewals.iter().find(|(s, _)| *s == seq);
+        found.map(|(_, at)| *at)
+    }
+
+    fn chunk(&mut self, chunk: Chunk) -> Result<(), ErrorKind> {
+        let (content, body) = match self.assembly.push(chunk)? {
+            None => return Ok(()),
+            Some(whole) => whole,
+        };
+        let Content::Document(position) = content else {
+            return Err(ErrorKind::BadRequest);
+        };
+        let older = self.position.is_some_and(|p| position.index < p.index);
+        if !older {
+            self.document = decode_large(&body).map_err(|_| ErrorKind::BadRequest)?;
+            self.position = Some(position);
+            self.view.publish(self.document.clone());
+        }
+        // Asks for the changes since, without waiting for the next renewal.
+        self.renew(self.clock.now());
+        Ok(())
+    }
+
+    fn reply(&mut self, id: u64, response: &Response) {
+        match response {
+            Response::Failed(ErrorKind::NotLeader | ErrorKind::Unavailable) => {
+                self.calls.set_target(id, Target::Nobody);
+            }
+            response => self.calls.answer(id, response),
+        }
+    }
+
+    fn call(&mut self, call: ControlCall) {
+        let (request, sink) = match call {
+            ControlCall::Grant(request, reply) => (Request::Grant(request), Sink::Grant(reply)),
+            ControlCall::Propose(change, reply) => (Request::Propose(change), Sink::Applied(reply)),
+            ControlCall::Report(report) => {
+                if let Some(link) = &self.link {
+                    link.send(PeerMessage::Report(report));
+                }
+                return;
+            }
+        };
+        let until = self.clock.now().plus(self.limits.call_ms);
+        if let Some(token) = self.calls.add(request, Some(sink), until) {
+            self.hand_over(token);
+        }
+    }
+
+    fn attend(&mut self) {
+        let link = self.link.as_ref().map(|l| l.id);
+        let lost = |target| !matches!(target, Target::Peer(id) if Some(id) == link);
+        for token in self.calls.unattended(lost) {
+            self.hand_over(token);
+        }
+    }
+
+    fn hand_over(&mut self, token: u64) {
+        let request = self.calls.get(token).map(|c| c.request.clone());
+        let (Some(link), Some(request)) = (&self.link, request) else {
+            return;
+        };
+        let id = link.id;
+        if link.send(PeerMessage::Call { id: token, request }) {
+            self.calls.set_target(token, Target::Peer(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/control_peers.rs
@@ -0,0 +1,274 @@
+//! Peer connections against unauthenticated, malformed and silent peers.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pomelovale_protocol::auth::{nonce, Handshake, Role, Secret, Session};
+use pomelovale_protocol::frame::{self, Decoder};
+use pomelovale_protocol::messages::{PeerMessage, Renew};
+use pomelovale_state::Name;
+use pomelovale_transport::peer_client::{PeerAddress, PeerClient};
+use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerEvent, PeerTimings};
+use pomelovale_transport::peer_server::PeerServer;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const SECRET: &str = "a shared secret of the tests";
+
+fn config(name: &str, secret: &str) -> PeerConfig {
+    PeerConfig {
+        name: Name::from(name),
+        role: Role::Entry,
+        secret: Secret::try_from(secret.to_string()).unwrap(),
+        timings: PeerTimings {
+            connect_ms: 400,
+            heartbeat_ms: 50,
+            retry_ms: 20,
+            silence_ms: 400,
+        },
+        delay_ms: 0,
+        counters: Arc::new(PeerCounters::default()),
+    }
+}
+
+struct Listening {
+    server: PeerServer,
+    counters: Arc<PeerCounters>,
+    events: flume::Receiver<PeerEvent>,
+}
+
+async fn listen() -> Listening {
+    let config = config("c1", SECRET);
+    let counters = config.counters.clone();
+    let (sender, events) = flume::unbounded();
+    let address = "127.0.0.1:0".parse().unwrap();
+    let server = PeerServer::start(config, address, sender).await.unwrap();
+    Listening {
+        server,
+        counters,
+        events,
+    }
+}
+
+impl Listening {
+    fn failures(&self) -> u64 {
+        self.counters.rejected.load(Ordering::Relaxed)
+            + self.counters.refused.load(Ordering::Relaxed)
+    }
+
+    async fn counted(&self) {
+        until(|| self.failures() == 1).await;
+    }
+}
+
+async fn until(mut done: impl FnMut() -> bool) {
+    let mut n = 0;
+    while !done() {
+        n += 1;
+        assert!(n < 300, "STUCK");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+// The server still takes a sound peer after a faulty one.
+async fn serves_others(listening: &Listening) {
+    let (sender, events) = flume::unbounded();
+    let target = PeerAddress {
+        name: Name::from("c1"),
+        address: listening.server.address(),
+    };
+    let _client = PeerClient::start(config("e1", SECRET), target, sender);
+    let PeerEvent::Opened(link) = events.recv_async().await.unwrap() else {
+        panic!("a connection begins with its opening");
+    };
+    link.send(PeerMessage::Renew(Renew {
+        seq: 1,
+        position: None,
+    }));
+    // A connection ends when its link is dropped.
+    let mut seen = Vec::new();
+    let is_renewal = |e: &PeerEvent| matches!(e, PeerEvent::Message(_, PeerMessage::Renew(_)));
+    while !seen.last().is_some_and(is_renewal) {
+        seen.push(listening.events.recv_async().await.unwrap());
+    }
+}
+
+async fn send_raw(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    socket.write_all(bytes).await.unwrap();
+    let mut received = Vec::new();
+    let _ = socket.read_to_end(&mut received).await;
+    received
+}
+
+macro_rules! raw_bytes {
+    ($($name:ident: $bytes:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let listening = listen().await;
+            let received = send_raw(listening.server.address(), $bytes).await;
+            assert!(!received.windows(2).any(|w| w == b"c1"), "the server named itself");
+            listening.counted().await;
+            assert!(listening.events.is_empty());
+            serves_others(&listening).await;
+        }
+    )*};
+}
+
+// Guards against bytes that end or block the listener, or that are answered
+// with anything about the system.
+raw_bytes! {
+    nothing_until_the_time_limit: b"";
+    http_1_request: b"GET / HTTP/1.1\r\nHost: c1\r\n\r\n";
+    zeros: &[0; 4096];
+    preface_only: b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    preface_and_garbage: b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff";
+    preface_and_large_frame: b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\x04\x00\x00\x00\x00\x00";
+}
+
+struct Raw {
+    send: h2::SendStream<Bytes>,
+    receive: h2::RecvStream,
+    decoder: Decoder,
+}
+
+impl Raw {
+    async fn open(address: SocketAddr) -> Raw {
+        let socket = TcpStream::connect(address).await.unwrap();
+        let (requests, connection) = h2::client::handshake(socket).await.unwrap();
+        tokio::spawn(connection);
+        let mut requests = requests.ready().await.unwrap();
+        let request = http::Request::post("/peer").body(()).unwrap();
+        let (response, send) = requests.send_request(request, false).unwrap();
+        let receive = response.await.unwrap().into_body();
+        Raw {
+            send,
+            receive,
+            decoder: Decoder::new(4096),
+        }
+    }
+
+    fn write(&mut self, bytes: Bytes) {
+        self.send.send_data(bytes, false).unwrap();
+    }
+
+    fn send(&mut self, message: &Handshake) {
+        self.write(frame::encode(message).unwrap());
+    }
+
+    async fn read(&mut self) -> Option<Handshake> {
+        loop {
+            if let Some(message) = self.decoder.next_message().unwrap() {
+                return Some(message);
+            }
+            self.decoder.push(&self.receive.data().await?.ok()?);
+        }
+    }
+
+    async fn hello(&mut self) -> Session {
+        let client_nonce = nonce();
+        self.send(&Handshake::Hello {
+            name: Name::from("e9"),
+            role: Role::Entry,
+            nonce: client_nonce,
+        });
+        let Some(Handshake::Challenge(server_nonce)) = self.read().await else {
+            panic!("the server answers with a challenge");
+        };
+        Session {
+            client: Name::from("e9"),
+            role: Role::Entry,
+            client_nonce,
+            server: Name::from("c1"),
+            server_nonce,
+        }
+    }
+
+    async fn authenticate(&mut self) {
+        let session = self.hello().await;
+        let secret = Secret::try_from(SECRET.to_string()).unwrap();
+        self.send(&Handshake::Confirm(session.client_tag(&secret)));
+        assert!(matches!(self.read().await, Some(Handshake::Welcome(_))));
+    }
+}
+
+fn raw_frame(size: u32, version: u8, body: &[u8]) -> Bytes {
+    Bytes::from([&size.to_be_bytes()[..], &[version], body].concat())
+}
+
+macro_rules! streams {
+    ($($name:ident: $fault:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let listening = listen().await;
+            let raw = Raw::open(listening.server.address()).await;
+            let fault: fn(Raw) -> RawFuture = $fault;
+            let mut raw = fault(raw).await;
+            assert!(raw.read().await.is_none(), "the connection is closed");
+            listening.counted().await;
+            serves_others(&listening).await;
+        }
+    )*};
+}
+
+type RawFuture = std::pin::Pin<Box<dyn std::future::Future<Output = Raw> + Send>>;
+
+// Guards against a faulty stream that is answered, kept open, or that touches
+// other connections.
+streams! {
+    no_hello: |raw| Box::pin(async move { raw });
+    malformed_hello: |mut raw| Box::pin(async move { raw.write(raw_frame(6, 1, &[99])); raw });
+    message_instead_of_hello: |mut raw| Box::pin(async move {
+        raw.write(frame::encode(&PeerMessage::Ping).unwrap());
+        raw
+    });
+    hello_of_another_version: |mut raw| Box::pin(async move { raw.write(raw_frame(6, 9, &[0])); raw });
+    hello_over_the_limit: |mut raw| Box::pin(async move { raw.write(raw_frame(2000, 1, &[0; 1995])); raw });
+    confirm_before_hello: |mut raw| Box::pin(async move { raw.send(&Handshake::Confirm([0; 32])); raw });
+    proof_without_the_secret: |mut raw| Box::pin(async move {
+        let session = raw.hello().await;
+        let other = Secret::try_from("another secret of the tests".to_string()).unwrap();
+        raw.send(&Handshake::Confirm(session.client_tag(&other)));
+        raw
+    });
+    proof_in_another_role: |mut raw| Box::pin(async move {
+        let mut session = raw.hello().await;
+        session.role = Role::Control;
+        let secret = Secret::try_from(SECRET.to_string()).unwrap();
+        raw.send(&Handshake::Confirm(session.client_tag(&secret)));
+        raw
+    });
+    malformed_frame_after_authentication: |mut raw| Box::pin(async move {
+        raw.authenticate().await;
+        raw.write(raw_frame(6, 1, &[200]));
+        raw
+    });
+    oversize_frame_after_authentication: |mut raw| Box::pin(async move {
+        raw.authenticate().await;
+        raw.write(raw_frame(frame::FRAME_MAX_BYTES as u32 + 1, 1, &[3]));
+        raw
+    });
+}
+
+// Guards against a peer that trusts a server without the secret, or one that
+// is not the instance it meant to reach.
+#[tokio::test]
+async fn clients_authenticate_the_server() {
+    let listening = listen().await;
+    for (name, secret) in [("c1", "another secret of the tests"), ("c2", SECRET)] {
+        let (sender, events) = flume::unbounded();
+        let target = PeerAddress {
+            name: Name::from(name),
+            address: listening.server.address(),
+        };
+        let before = listening.failures();
+        let client = PeerClient::start(config("e1", secret), target, sender);
+        until(|| listening.failures() > before).await;
+        drop(client);
+        assert!(events.is_empty());
+        assert!(listening.events.is_empty());
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,6 @@
 pub mod auth;
 pub mod frame;
 pub mod grants;
-pub mod messages;
 pub mod log;
+pub mod messages;
 pub mod report;
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -1,26 +1,21 @@
 //! Messages between the system's processes.
 
+use std::sync::Arc;
+
 use pomelovale_state::command::{Applied, Change};
 use pomelovale_state::{ErrorKind, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::grants::{GrantReply, GrantRequest};
+use crate::log::{LogMessage, Position, ReplicaId};
 use crate::report::Report;
 
 /// Bytes of a snapshot in one frame; small, so that proofs and heartbeats
 /// are not kept waiting behind a large frame.
 pub const CHUNK_BYTES: usize = 64 * 1024;
-
-/// A place in the replicated log.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-pub struct Position {
-    /// Epoch of the entry.
-    pub epoch: u64,
-    /// Index of the entry.
-    pub index: u64,
-}
+/// Largest message that is joined from chunks; the table of 810,000 client
+/// blocks takes 30 MB.
+pub const ASSEMBLY_MAX_BYTES: u64 = 1024 * 1024 * 1024;
 
 /// An accepted change as it is distributed.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -58,17 +53,26 @@
     /// Name of the leader, if one is known.
     pub leader: Option<Name>,
     /// Changes in order.
-    pub changes: Vec<Delta>,
+    pub changes: Vec<Arc<Delta>>,
+}
+
+/// What a [`Chunk`] is part of.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Content {
+    /// An encoded document with all changes up to a position.
+    Document(Position),
+    /// An encoded [`LogPacket`] that is over the limit of a frame.
+    Log,
 }
 
-/// Part of an encoded document.
+/// Part of a message that is over the limit of a frame.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Chunk {
-    /// Last change that the document holds.
-    pub position: Position,
+    /// What it is part of.
+    pub content: Content,
     /// Offset of the first byte.
     pub offset: u64,
-    /// Size of the whole document.
+    /// Size of the whole message.
     pub size: u64,
     /// The bytes.
     pub bytes: Vec<u8>,
@@ -109,6 +113,17 @@
     Status(Vec<InstanceStatus>),
 }
 
+/// A message of the replicated log with its ends.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LogPacket {
+    /// The replica that sent it.
+    pub from: ReplicaId,
+    /// The replica that it is meant for.
+    pub to: ReplicaId,
+    /// The message.
+    pub message: LogMessage,
+}
+
 /// Everything that an authenticated peer may send.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -119,10 +134,10 @@
         /// The request.
         request: Request,
     },
-    /// Part of a document.
+    /// Part of a document or of a large message of the log.
     Chunk(Chunk),
-    /// A message of the replicated log, encoded by its own module.
-    Log(Vec<u8>),
+    /// A message of the replicated log.
+    Log(LogPacket),
     /// Keeps an idle connection from being taken for a silent one.
     Ping,
     /// A proof, or changes.
@@ -139,3 +154,50 @@
     /// Measurements for the leader; not answered.
     Report(Report),
 }
+
+/// Cuts an encoded message into chunks.
+pub fn chunks(content: Content, body: Arc<[u8]>) -> impl Iterator<Item = PeerMessage> + Send {
+    let count = body.len().div_ceil(CHUNK_BYTES);
+    (0..count).map(move |i| {
+        let start = i * CHUNK_BYTES;
+        let end = body.len().min(start + CHUNK_BYTES);
+        PeerMessage::Chunk(Chunk {
+            content,
+            offset: start as u64,
+            size: body.len() as u64,
+            bytes: body[start..end].to_vec(),
+        })
+    })
+}
+
+/// Joins chunks; chunks of one kind arrive in order on a connection.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    content: Option<Content>,
+    bytes: Vec<u8>,
+}
+
+impl Assembly {
+    /// Adds a chunk. Returns the whole message once it is complete.
+    pub fn push(&mut self, chunk: Chunk) -> Result<Option<(Content, Vec<u8>)>, ErrorKind> {
+        let end = chunk.offset.saturating_add(chunk.bytes.len() as u64);
+        let starts = chunk.offset == 0;
+        let continues =
+            self.content == Some(chunk.content) && chunk.offset == self.bytes.len() as u64;
+        match () {
+            () if end > chunk.size || chunk.size > ASSEMBLY_MAX_BYTES => {
+                return Err(ErrorKind::TooLarge);
+            }
+            () if starts => self.bytes.clear(),
+            () if continues => {}
+            () => return Err(ErrorKind::BadRequest),
+        }
+        self.content = Some(chunk.content);
+        self.bytes.extend_from_slice(&chunk.bytes);
+        if end < chunk.size {
+            return Ok(None);
+        }
+        self.content = None;
+        Ok(Some((chunk.content, std::mem::take(&mut self.bytes))))
+    }
+}
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -3,7 +3,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -148,7 +148,8 @@
 
 type Queued = (Instant, PeerMessage);
 
-/// The sending side of a connection; cheap to clone.
+/// The sending side of a connection; cheap to clone. The connection ends when
+/// the last clone is dropped.
 #[derive(Clone, Debug)]
 pub struct PeerLink {
     /// Unique within the process.
@@ -159,6 +160,8 @@
     pub role: Role,
     queue: flume::Sender<Queued>,
     bulk: flume::Sender<Queued>,
+    busy: Arc<AtomicBool>,
+    rejected: Arc<AtomicBool>,
     closed: Arc<Notify>,
 }
 
@@ -172,28 +175,41 @@
         sent
     }
 
-    /// Sends large messages one after the other, behind all others.
-    pub fn send_bulk(&self, messages: impl Iterator<Item = PeerMessage> + Send + 'static) {
-        let bulk = self.bulk.clone();
+    /// Sends the chunks of a large message, behind all others. Returns false,
+    /// and sends nothing, while an earlier large message is on its way.
+    pub fn send_bulk(&self, chunks: impl Iterator<Item = PeerMessage> + Send + 'static) -> bool {
+        if self.busy.swap(true, Ordering::AcqRel) {
+            return false;
+        }
+        let (bulk, busy) = (self.bulk.clone(), self.busy.clone());
         tokio::spawn(async move {
-            for message in messages {
-                if bulk.send_async((Instant::now(), message)).await.is_err() {
-                    return;
+            for chunk in chunks {
+                if bulk.send_async((Instant::now(), chunk)).await.is_err() {
+                    break;
                 }
             }
+            busy.store(false, Ordering::Release);
         });
+        true
     }
 
     /// Closes the connection from this side; queued messages may be lost.
     pub fn close(&self) {
         self.closed.notify_one();
     }
+
+    /// Closes the connection because of a message that the peer may not send.
+    pub fn reject(&self) {
+        self.rejected.store(true, Ordering::Release);
+        self.close();
+    }
 }
 
 /// The receiving side of the queues of a [`PeerLink`].
 pub(crate) struct Outgoing {
     queue: flume::Receiver<Queued>,
     bulk: flume::Receiver<Queued>,
+    rejected: Arc<AtomicBool>,
     closed: Arc<Notify>,
 }
 
@@ -202,9 +218,11 @@
     let (queue, queue_out) = flume::bounded(QUEUE_MAX);
     let (bulk, bulk_out) = flume::bounded(BULK_MAX);
     let closed = Arc::new(Notify::new());
+    let rejected = Arc::new(AtomicBool::new(false));
     let outgoing = Outgoing {
         queue: queue_out,
         bulk: bulk_out,
+        rejected: rejected.clone(),
         closed: closed.clone(),
     };
     let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
@@ -214,6 +232,8 @@
         role,
         queue,
         bulk,
+        busy: Arc::default(),
+        rejected,
         closed,
     };
     (link, outgoing)
@@ -253,9 +273,17 @@
 async fn write_bytes(send: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkEnd> {
     while !bytes.is_empty() {
         send.reserve_capacity(bytes.len());
-        let room = poll_fn(|cx| send.poll_capacity(cx)).await;
-        let room = room.ok_or(LinkEnd::Closed)??;
-        send.send_data(bytes.split_to(room.min(bytes.len())), false)?;
+        // Only a change of the capacity is signalled.
+        let room = match send.capacity() {
+            0 => {
+                let room = poll_fn(|cx| send.poll_capacity(cx)).await;
+                room.ok_or(LinkEnd::Closed)??
+            }
+            room => room,
+        };
+        if room > 0 {
+            send.send_data(bytes.split_to(room.min(bytes.len())), false)?;
+        }
     }
     Ok(())
 }
@@ -273,7 +301,7 @@
         mut receive,
         mut decoder,
     } = frames;
-    let closed = outgoing.closed.clone();
+    let (closed, rejected) = (outgoing.closed.clone(), outgoing.rejected.clone());
     let reader = async {
         let limit = Duration::from_millis(config.timings.silence_ms);
         loop {
@@ -316,7 +344,10 @@
     tokio::select! {
         end = reader => end,
         end = writer => end,
-        () = closed.notified() => LinkEnd::Closed,
+        () = closed.notified() => match rejected.load(Ordering::Acquire) {
+            true => LinkEnd::Rejected,
+            false => LinkEnd::Closed,
+        },
     }
 }
 
