--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,3 +3,6 @@
 pub mod entry;
 pub mod schema;
 pub mod settings;
+pub mod control;
+pub mod operators;
+pub mod subscriber;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod http;
 pub mod messages;
 pub mod log;
+pub mod messages;
 pub mod report;
 pub mod trace;
