Test the promises of the request path against stand-in servers

Cause: the pipeline had tests for key rules only. Change: tables for broken, late and foreign answers, single runs, retries, crashes, silent connections, idempotency keys, bad callers, the entry list and the graceful stop. Answers with both lengths and chunks are refused, for which the head of each answer is watched, as hyper drops the length. The oldest of equally idle connections makes room first. Conclusion: two faults were found and fixed on the way.

--- /dev/null
+++ b/crates/daemon/tests/entry_intents.rs
@@ -0,0 +1,118 @@
+//! Requests under an idempotency key.
+
+mod entry_support;
+
+use entry_support::{keyed, ok, setup, until, Act, Caller, Control, Got, Server};
+use pomelovale_state::command::Command;
+use pomelovaled::entry::EntryHandle;
+
+async fn book(entry: &EntryHandle, key: &str, body: &str) -> Got {
+    let mut caller = Caller::connect(entry.address()).await;
+    let headers = format!("idempotency-key: {key}\r\n");
+    let request = keyed("POST", "/catalogue/book", &headers, body);
+    caller.ask(&request).await.unwrap()
+}
+
+fn ended(control: &Control) -> usize {
+    let end = |c: &&Command| matches!(c, Command::EndIntent(_));
+    control.proposed.lock().unwrap().iter().filter(end).count()
+}
+
+/// A resend through another entry runs again, or gets another answer.
+#[tokio::test]
+async fn resends_get_the_first_answer() {
+    let answer = |_: &_, n| ok(&format!("booking {n}"));
+    let server = Server::start(answer).await;
+    let control = setup(&[&server]);
+    let (a, b) = (control.entry(|_| {}).await, control.entry(|_| {}).await);
+    let first = book(&a, "k", "x").await;
+    until(|| ended(&control) == 1).await;
+    let second = book(&b, "k", "x").await;
+    assert_eq!((first.status, first.body.as_str()), (200, "booking 0"));
+    assert_eq!((second.status, second.body), (200, first.body));
+    assert_eq!(book(&b, "other", "x").await.body, "booking 1");
+}
+
+/// A key is used for two different requests.
+#[tokio::test]
+async fn another_request_is_refused() {
+    let server = Server::start(|_, _| ok("done")).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    book(&entry, "k", "x").await;
+    until(|| ended(&control) == 1).await;
+    let got = book(&entry, "k", "y").await;
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (422, Some("not-run"))
+    );
+    assert_eq!(server.requests().len(), 1);
+}
+
+/// A resend of a request whose outcome is unknown runs.
+#[tokio::test]
+async fn unknown_outcomes_stay_unknown() {
+    let server = Server::start(|_, _| Act::Close).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    for _ in 0..2 {
+        let got = book(&entry, "k", "x").await;
+        assert_eq!(
+            (got.status, got.outcome().as_deref()),
+            (502, Some("unknown"))
+        );
+        until(|| ended(&control) == 1).await;
+    }
+    assert_eq!(server.requests().len(), 1);
+}
+
+/// A request that did not run can never be sent again under its key.
+#[tokio::test]
+async fn refused_requests_free_their_key() {
+    let control = setup(&[]);
+    let entry = control.entry(|_| {}).await;
+    let got = book(&entry, "k", "x").await;
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (503, Some("not-run"))
+    );
+    until(|| ended(&control) == 1).await;
+    let server = Server::start(|_, _| ok("done")).await;
+    control.add_server("late", server.address);
+    assert_eq!(book(&entry, "k", "x").await.status, 200);
+}
+
+/// A second copy of a request in flight runs beside the first one.
+#[tokio::test]
+async fn copies_in_flight_run_once() {
+    let server = Server::start(|_, _| Act::Late(100, entry_support::plain("done"))).await;
+    let control = setup(&[&server]);
+    let (a, b) = (control.entry(|_| {}).await, control.entry(|_| {}).await);
+    let (first, second) = tokio::join!(book(&a, "k", "x"), async {
+        until(|| server.requests().len() == 1).await;
+        book(&b, "k", "x").await
+    });
+    assert_eq!((first.status, second.status), (200, 409));
+    assert_eq!(second.outcome().as_deref(), Some("unknown"));
+    assert_eq!(server.requests().len(), 1);
+}
+
+/// Without control instances, a request runs that cannot be recorded.
+#[tokio::test]
+async fn unrecorded_requests_do_not_run() {
+    let server = Server::start(|_, _| ok("done")).await;
+    let mut control = setup(&[&server]);
+    let (lost, calls) = pomelovale_coordination::control::ControlHandle::new(64);
+    control.handle = lost;
+    let entry = control.entry(|c| c.control_ms = 50).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    // An open route, since no tokens can be had either.
+    let request = "POST /catalogue/public/x HTTP/1.1\r\nhost: x\r\nidempotency-key: k\r\n\r\n";
+    let got = caller.ask(request).await.unwrap();
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (503, Some("not-run"))
+    );
+    assert_eq!(server.requests().len(), 0);
+    drop(calls);
+}
--- /dev/null
+++ b/crates/daemon/tests/entry_once.rs
@@ -0,0 +1,341 @@
+//! At most one run of non-idempotent requests, retries, and crashes.
+
+mod entry_support;
+
+use entry_support::{keyed, ok, raw, setup, until, Act, Caller, Control, Got, Server};
+use pomelovale_state::command::Command;
+use pomelovale_state::document::MemberState;
+use pomelovale_state::Name;
+use pomelovaled::entry::EntryHandle;
+
+macro_rules! cases {
+    ($run:ident: $($(#[$doc:meta])* $name:ident => ($($arg:expr),* $(,)?);)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() { $run($($arg),*).await })*
+    };
+}
+
+const SHED: &str = "HTTP/1.1 503 Busy\r\npomelovale-shed: not-run\r\ncontent-length: 0\r\n\r\n";
+const BUSY: &str = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+
+fn total(servers: &[&Server]) -> usize {
+    servers.iter().map(|s| s.requests().len()).sum()
+}
+
+async fn one(entry: &EntryHandle, request: &str) -> Got {
+    let mut caller = Caller::connect(entry.address()).await;
+    caller.ask(request).await.unwrap()
+}
+
+/// A request to two servers that both act the same way the first time they
+/// are asked, and answer afterwards.
+async fn first_fails(method: &str, act: Act, status: u16, outcome: Option<&str>, runs: usize) {
+    let script = |act: Act| {
+        move |_: &_, n| match n {
+            0 => act.clone(),
+            _ => ok("done"),
+        }
+    };
+    let a = Server::start(script(act.clone())).await;
+    let b = Server::start(script(act)).await;
+    let control = setup(&[&a, &b]);
+    let entry = control.entry(|c| c.attempt_ms = 100).await;
+    let got = one(&entry, &keyed(method, "/catalogue/x", "", "")).await;
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (status, outcome),
+        "{got:?}"
+    );
+    assert_eq!(total(&[&a, &b]), runs);
+}
+
+cases! { first_fails:
+    /// A booking whose connection was cut is sent again.
+    cut_post => ("POST", Act::Close, 502, Some("unknown"), 1);
+    /// A booking that was not answered in time is sent again.
+    silent_post => ("POST", Act::Silent, 504, Some("unknown"), 1);
+    /// A lookup keeps being sent after two connections were cut by it.
+    cut_get => ("GET", Act::Close, 502, Some("unknown"), 2);
+    /// A lookup that a server answers with a fault is sent again.
+    fault_get => ("GET", raw(BUSY), 503, None, 1);
+    /// A lookup that all servers shed is sent without end.
+    shed_get => ("GET", raw(SHED), 503, Some("not-run"), 2);
+    /// A booking that all servers shed counts as run.
+    shed_post => ("POST", raw(SHED), 503, Some("not-run"), 2);
+}
+
+/// One faulty server and one that answers: the request goes to both, in an
+/// order that the balancer chooses, until the faulty one was asked.
+async fn recovers(method: &str, act: Act) {
+    let faulty = Server::start(move |_, _| act.clone()).await;
+    let healthy = Server::start(|_, _| ok("done")).await;
+    let control = setup(&[&faulty, &healthy]);
+    let entry = control.entry(|c| c.attempt_ms = 100).await;
+    while faulty.requests().is_empty() {
+        let got = one(&entry, &keyed(method, "/catalogue/x", "", "")).await;
+        assert_eq!((got.status, got.body.as_str()), (200, "done"), "{got:?}");
+    }
+}
+
+cases! { recovers:
+    /// A lookup is lost with its server's connection.
+    cut_lookup_is_retried => ("GET", Act::Close);
+    /// A lookup is lost on a silent server.
+    silent_lookup_is_retried => ("GET", Act::Silent);
+    /// A lookup is lost with a server that dies.
+    crashed_lookup_is_retried => ("GET", Act::Crash);
+    /// A short answer to a lookup is passed on.
+    short_lookup_is_retried => ("GET", Act::SayAndClose(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nx".to_vec()));
+    /// A booking that did not run by the server's word is refused.
+    shed_booking_is_retried => ("POST", raw(SHED));
+}
+
+/// A server that refuses connections costs a booking, though nothing ran.
+#[tokio::test]
+async fn unreachable_servers_are_skipped() {
+    let healthy = Server::start(|_, _| ok("done")).await;
+    let control = setup(&[&healthy]);
+    let closed = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    control.add_server("closed", closed);
+    let entry = control.entry(|_| {}).await;
+    for _ in 0..4 {
+        let got = one(&entry, &keyed("POST", "/catalogue/x", "", "b")).await;
+        assert_eq!(got.status, 200);
+    }
+}
+
+/// Without any server, a refusal claims that the outcome is unknown.
+#[tokio::test]
+async fn no_server_is_not_run() {
+    let control = setup(&[]);
+    let entry = control.entry(|_| {}).await;
+    let got = one(&entry, &keyed("POST", "/catalogue/x", "", "b")).await;
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (503, Some("not-run"))
+    );
+    assert!(got.head.contains("retry-after"));
+}
+
+/// Retries exceed the budget while every server sheds.
+#[tokio::test]
+async fn retries_stay_within_the_budget() {
+    let a = Server::start(|_, _| raw(SHED)).await;
+    let b = Server::start(|_, _| raw(SHED)).await;
+    let control = setup(&[&a, &b]);
+    let entry = control.entry(|_| {}).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    const REQUESTS: usize = 200;
+    const BURST: usize = 10;
+    for _ in 0..REQUESTS {
+        caller
+            .ask(&keyed("GET", "/catalogue/x", "", ""))
+            .await
+            .unwrap();
+    }
+    assert!(total(&[&a, &b]) <= REQUESTS + REQUESTS / 10 + BURST);
+}
+
+async fn fleet() -> (Vec<Server>, Control, [EntryHandle; 2]) {
+    let mut servers = Vec::new();
+    for _ in 0..5 {
+        let poison = |seen: &entry_support::Seen, _| match seen.head.contains("poison") {
+            true => Act::Crash,
+            false => ok("done"),
+        };
+        servers.push(Server::start(poison).await);
+    }
+    let control = setup(&servers.iter().collect::<Vec<_>>());
+    let entries = [control.entry(|_| {}).await, control.entry(|_| {}).await];
+    (servers, control, entries)
+}
+
+/// A caller that resends a request which kills its server through two entries
+/// takes one server after the other down.
+async fn poison(method: &str) {
+    let (servers, control, entries) = fleet().await;
+    let mut last = None;
+    for turn in 0..6 {
+        let request = keyed(method, "/catalogue/poison", "", "body");
+        last = Some(one(&entries[turn % 2], &request).await);
+    }
+    let last = last.unwrap();
+    assert_eq!(
+        (last.status, last.outcome().as_deref()),
+        (503, Some("not-run")),
+        "{last:?}"
+    );
+    let down = servers.iter().filter(|s| s.is_down()).count();
+    assert_eq!((down, total(&servers.iter().collect::<Vec<_>>())), (2, 2));
+    let recorded = |c: &&Command| matches!(c, Command::RecordCrash { .. });
+    assert_eq!(
+        control
+            .proposed
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(recorded)
+            .count(),
+        2
+    );
+    let other = keyed(method, "/catalogue/other", "", "body");
+    assert_eq!(one(&entries[0], &other).await.status, 200);
+}
+
+cases! { poison:
+    /// A poison lookup, which is retried once, kills more than two servers.
+    poison_lookup => ("GET");
+    /// A poison booking, which is never retried, kills more than two servers.
+    poison_booking => ("POST");
+}
+
+/// After one connection fell silent, each of the others to the same server
+/// costs a timeout of its own.
+#[tokio::test]
+async fn silent_connections_cost_one_timeout() {
+    let server = Server::start(|seen, n| match (n, seen.connection) {
+        (0..=2, _) => Act::Late(50, entry_support::plain("done")),
+        (_, 0..=2) => Act::Silent,
+        _ => ok("done"),
+    })
+    .await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|c| c.attempt_ms = 100).await;
+    let request = keyed("GET", "/catalogue/x", "", "");
+    let three = tokio::join!(
+        one(&entry, &request),
+        one(&entry, &request),
+        one(&entry, &request)
+    );
+    assert_eq!([three.0.status, three.1.status, three.2.status], [200; 3]);
+    let slow = one(&entry, &request).await;
+    assert_eq!(
+        (slow.status, slow.outcome().as_deref()),
+        (504, Some("unknown"))
+    );
+    assert_eq!(one(&entry, &request).await.status, 200);
+    until(|| server.closed.load(std::sync::atomic::Ordering::SeqCst) == 3).await;
+}
+
+/// A booking goes out on a connection that may have gone silent meanwhile.
+#[tokio::test]
+async fn bookings_use_proven_connections() {
+    let server = Server::start(|_, _| ok("done")).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|c| c.proven_ms = 20).await;
+    let request = keyed("POST", "/catalogue/x", "", "b");
+    one(&entry, &request).await;
+    tokio::time::sleep(std::time::Duration::from_millis(40)).await;
+    one(&entry, &request).await;
+    let seen = server.requests();
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
+
+/// A request that waits, or is tried again, goes to a server that has left,
+/// or runs although its key was revoked meanwhile.
+#[tokio::test]
+async fn leaving_and_revocation_reach_queued_requests() {
+    let server = Server::start(|_, n| match n {
+        0..=5 => Act::Late(200, entry_support::plain("done")),
+        _ => ok("done"),
+    })
+    .await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    let address = entry.address();
+    let send = |path: &'static str, headers: &'static str| {
+        let request = match headers {
+            "" => format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n"),
+            key => format!("GET {path} HTTP/1.1\r\nhost: x\r\nx-api-key: {key}\r\n\r\n"),
+        };
+        tokio::spawn(async move {
+            let mut caller = Caller::connect(address).await;
+            caller.ask(&request).await.unwrap()
+        })
+    };
+    let limit = server_limit();
+    let running: Vec<_> = (0..limit)
+        .map(|_| send("/catalogue/public/x", ""))
+        .collect();
+    until(|| server.requests().len() == limit).await;
+    let revoked = send("/catalogue/x", "pk.k1.secret-1");
+    let leaving = send("/catalogue/public/y", "");
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    control.apply(Command::RevokeKey(Name::from("k1")));
+    control.apply(Command::SetBackend {
+        name: Name::from("b0"),
+        state: MemberState::Leaving,
+    });
+    for task in running {
+        assert_eq!(task.await.unwrap().status, 200);
+    }
+    let got = revoked.await.unwrap();
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (401, Some("not-run"))
+    );
+    let got = leaving.await.unwrap();
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (503, Some("not-run"))
+    );
+    assert_eq!(server.requests().len(), limit);
+}
+
+// The slots of one test server, which bound the requests in flight.
+fn server_limit() -> usize {
+    6
+}
+
+/// A caller that goes away leaves its lookup running, or stops its booking.
+async fn caller_leaves(method: &str, completes: bool) {
+    let server = Server::start(|_, _| Act::Late(100, entry_support::plain("done"))).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    caller.write(&keyed(method, "/catalogue/x", "", "")).await;
+    until(|| server.requests().len() == 1).await;
+    drop(caller);
+    if completes {
+        // The connection is proven by the complete answer, and used again.
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        one(&entry, &keyed(method, "/catalogue/x", "", "")).await;
+        let seen = server.requests();
+        assert_eq!(seen[0].connection, seen[1].connection);
+    } else {
+        until(|| server.closed.load(std::sync::atomic::Ordering::SeqCst) == 1).await;
+    }
+}
+
+cases! { caller_leaves:
+    /// A lookup that nobody waits for keeps a server busy.
+    lookup_is_cancelled => ("GET", false);
+    /// A booking is interrupted half-way when its caller leaves.
+    booking_is_completed => ("POST", true);
+}
+
+/// A request whose time is up is sent, or its refusal claims that it ran.
+#[tokio::test]
+async fn spent_deadlines_are_not_run() {
+    let server = Server::start(|_, _| ok("done")).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|_| {}).await;
+    let request = keyed("POST", "/catalogue/x", "pomelovale-deadline-ms: 0\r\n", "b");
+    let got = one(&entry, &request).await;
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (504, Some("not-run"))
+    );
+    let request = keyed(
+        "POST",
+        "/catalogue/x",
+        "pomelovale-deadline-ms: 500\r\n",
+        "b",
+    );
+    assert_eq!(one(&entry, &request).await.status, 200);
+    let seen = server.requests();
+    let left = entry_support::header(&seen[0].head, "pomelovale-deadline-ms").unwrap();
+    assert!(seen.len() == 1 && left.parse::<u64>().unwrap() <= 500);
+}
--- /dev/null
+++ b/crates/daemon/tests/entry_stop.rs
@@ -0,0 +1,130 @@
+//! The entry list, and the graceful stop.
+
+mod entry_support;
+
+use entry_support::{keyed, ok, plain, setup, until, Act, Caller, Control, Server};
+use pomelovale_state::blocks::BlockChange;
+use pomelovale_state::command::Command;
+use pomelovale_state::document::Site;
+use pomelovale_state::Name;
+use pomelovaled::entry::EntryHandle;
+
+macro_rules! cases {
+    ($run:ident: $($(#[$doc:meta])* $name:ident => ($($arg:expr),* $(,)?);)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() { $run($($arg),*).await })*
+    };
+}
+
+fn instances(control: &Control) {
+    for (n, domain) in ["south-b", "south-a", "north-b", "north-a"]
+        .iter()
+        .enumerate()
+    {
+        control.add_instance(&format!("e{}", n + 1), domain, 4_000 + n as u16);
+    }
+    for domain in ["north-b", "south-a"] {
+        control.apply(Command::PutSite {
+            name: Name::from(format!("site-{domain}")),
+            site: Site {
+                region: Name::from(&domain[..5]),
+                domain: Name::from(domain),
+            },
+        });
+    }
+    let row = |block: &str, site: &str| BlockChange {
+        prefix: block.parse().unwrap(),
+        site: Some(Name::from(site)),
+    };
+    control.apply(Command::ChangeBlocks(vec![
+        row("10.0.0.0/8", "site-north-b"),
+        row("10.9.0.0/16", "site-south-a"),
+        row("127.0.0.0/8", "site-south-a"),
+    ]));
+}
+
+async fn list(entry: &EntryHandle, query: &str) -> Vec<String> {
+    let mut caller = Caller::connect(entry.address()).await;
+    let request = format!("GET /.pomelovale/entries{query} HTTP/1.1\r\nhost: x\r\n\r\n");
+    let got = caller.ask(&request).await.unwrap();
+    let list: serde_json::Value = serde_json::from_str(&got.body).unwrap();
+    let rows = list["entries"].as_array().unwrap().iter();
+    rows.map(|r| r["failure_domain"].as_str().unwrap().to_owned())
+        .collect()
+}
+
+/// The regions of the list, for one caller.
+async fn ranked(query: &str, region: &str) {
+    let control = setup(&[]);
+    instances(&control);
+    let entry = control.entry(|_| {}).await;
+    let list = list(&entry, query).await;
+    assert_eq!(list.len(), 4);
+    assert!(
+        list[..2].iter().all(|domain| domain.starts_with(region)),
+        "{list:?}"
+    );
+}
+
+cases! { ranked:
+    /// A caller is sent to a far region.
+    by_block => ("?address=10.1.2.3", "north");
+    /// A shorter block hides a longer one.
+    by_longest_block => ("?address=10.9.2.3", "south");
+    /// The address of the connection is not used.
+    by_connection => ("", "south");
+}
+
+/// A stopping instance interrupts requests, refuses callers that still hold an
+/// old list, or stays in the list.
+#[tokio::test]
+async fn stops_gracefully() {
+    let server = Server::start(|seen, _| match seen.head.contains("slow") {
+        true => Act::Late(300, plain("slow")),
+        false => ok("done"),
+    })
+    .await;
+    let control = setup(&[&server]);
+    instances(&control);
+    let leaving = control
+        .entry(|c| (c.list_ms, c.spread_ms) = (100, 50))
+        .await;
+    let staying = control.entry(|_| {}).await;
+    let address = leaving.address();
+    let mut waiting = Caller::connect(address).await;
+    let mut old = Caller::connect(address).await;
+    waiting
+        .write(&keyed("POST", "/catalogue/slow", "", "b"))
+        .await;
+    until(|| server.requests().len() == 1).await;
+    let stopping = tokio::spawn(leaving.stop());
+    let left = |c: &Command| matches!(c, Command::SetInstance { .. });
+    until(|| control.proposed.lock().unwrap().iter().any(left)).await;
+    assert!(!list(&staying, "").await.contains(&"south-b".to_owned()));
+    let got = old
+        .ask(&keyed("GET", "/catalogue/x", "", ""))
+        .await
+        .unwrap();
+    assert_eq!(got.status, 200);
+    assert!(got.head.contains("connection: close"));
+    assert_eq!(waiting.read().await.unwrap().body, "slow");
+    stopping.await.unwrap();
+    assert!(tokio::net::TcpStream::connect(address).await.is_err());
+}
+
+/// A stop ends before a booking whose caller has gone away.
+#[tokio::test]
+async fn stop_waits_for_work_without_caller() {
+    let server = Server::start(|_, _| Act::Late(300, plain("slow"))).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|c| (c.list_ms, c.spread_ms) = (1, 1)).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let headers = "idempotency-key: k\r\n";
+    caller
+        .write(&keyed("POST", "/catalogue/slow", headers, "b"))
+        .await;
+    until(|| server.requests().len() == 1).await;
+    drop(caller);
+    entry.stop().await;
+    let ended = |c: &Command| matches!(c, Command::EndIntent(_));
+    assert!(control.proposed.lock().unwrap().iter().any(ended));
+}
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -261,16 +261,6 @@
     }
 }
 
-/// Whether the length of a message is given once and in one way.
-pub fn has_clear_length(headers: &HeaderMap) -> bool {
-    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
-    let listed = headers
-        .get(header::CONTENT_LENGTH)
-        .is_some_and(|v| !v.as_bytes().iter().all(u8::is_ascii_digit));
-    let encodings = headers.get_all(header::TRANSFER_ENCODING).iter().count();
-    !listed && lengths + encodings <= 1
-}
-
 /// The time that the caller gives a request.
 pub fn deadline_ms(headers: &HeaderMap) -> Result<Option<u64>, ErrorKind> {
     let mut values = headers.get_all(DEADLINE).iter();
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
@@ -18,12 +18,15 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use pomelovale_protocol::http::{has_clear_length, REQUEST};
+use pomelovale_protocol::http::REQUEST;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
+use crate::framing::{Direction, Framing, Verdicts};
+
+const READ_BYTES: usize = 8 * 1024;
 // Most bytes of an answer's head.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 
@@ -51,15 +54,24 @@
     pub written: bool,
 }
 
-#[derive(Debug, Default)]
-struct Counts {
-    read: AtomicU64,
+/// What the connection and its driver share.
+#[derive(Debug)]
+struct Watch {
     written: AtomicU64,
+    framing: Mutex<Framing>,
+    verdicts: Verdicts,
+}
+
+impl Watch {
+    fn expect_head(&self) {
+        let mut framing = self.framing.lock().expect("no panic while held");
+        framing.restart();
+    }
 }
 
 struct BackendIo {
     io: TokioIo<TcpStream>,
-    counts: Arc<Counts>,
+    watch: Arc<Watch>,
 }
 
 impl Read for BackendIo {
@@ -68,28 +80,17 @@
         cx: &mut Context<'_>,
         mut out: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = out.remaining();
-        let cursor = &mut out;
-        let result = ready!(poll_into(Pin::new(&mut self.io), cx, cursor));
-        let n = (before - out.remaining()) as u64;
-        self.counts.read.fetch_add(n, Ordering::Relaxed);
-        Poll::Ready(result)
+        let mut room = [0; READ_BYTES];
+        let want = out.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(&mut room[..want]);
+        ready!(Pin::new(&mut self.io).poll_read(cx, part.unfilled()))?;
+        let mut framing = self.watch.framing.lock().expect("no panic while held");
+        framing.feed(part.filled());
+        out.put_slice(part.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
-fn poll_into(
-    io: Pin<&mut TokioIo<TcpStream>>,
-    cx: &mut Context<'_>,
-    out: &mut ReadBufCursor<'_>,
-) -> Poll<io::Result<()>> {
-    let mut room = [0; 8 * 1024];
-    let want = out.remaining().min(room.len());
-    let mut part = hyper::rt::ReadBuf::new(&mut room[..want]);
-    ready!(io.poll_read(cx, part.unfilled()))?;
-    out.put_slice(part.filled());
-    Poll::Ready(Ok(()))
-}
-
 impl Write for BackendIo {
     fn poll_write(
         mut self: Pin<&mut Self>,
@@ -127,7 +128,7 @@
 impl BackendIo {
     fn count(&self, result: &io::Result<usize>) {
         let n = *result.as_ref().unwrap_or(&0) as u64;
-        self.counts.written.fetch_add(n, Ordering::Relaxed);
+        self.watch.written.fetch_add(n, Ordering::Relaxed);
     }
 }
 
@@ -136,7 +137,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Pin<Box<http1::Connection<BackendIo, Full<Bytes>>>>,
     ended: bool,
-    counts: Arc<Counts>,
+    watch: Arc<Watch>,
     proven: Instant,
     fresh: bool,
 }
@@ -157,10 +158,16 @@
             Ok(Err(_)) | Err(_) => return Err(Fault::Connect),
         };
         let _ = stream.set_nodelay(true);
-        let counts = Arc::new(Counts::default());
+        let verdicts = Verdicts::default();
+        let framing = Framing::new(Direction::Answers, verdicts.clone());
+        let watch = Arc::new(Watch {
+            written: AtomicU64::new(0),
+            framing: Mutex::new(framing),
+            verdicts,
+        });
         let io = BackendIo {
             io: TokioIo::new(stream),
-            counts: counts.clone(),
+            watch: watch.clone(),
         };
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
@@ -171,7 +178,7 @@
             sender,
             driver: Box::pin(driver),
             ended: false,
-            counts,
+            watch,
             proven: Instant::now(),
             fresh: true,
         })
@@ -208,13 +215,15 @@
         id: &str,
         limit: Duration,
     ) -> Result<Reply, Failure> {
-        let before = self.counts.written.load(Ordering::Relaxed);
+        let before = self.watch.written.load(Ordering::Relaxed);
+        self.watch.expect_head();
         let result = match timeout(limit, self.exchange(request)).await {
             Err(_) => Err(Fault::Silent),
             Ok(Err(fault)) => Err(fault),
+            Ok(Ok(_)) if !self.watch.verdicts.next() => Err(Fault::Malformed),
             Ok(Ok(response)) => check(response, id),
         };
-        let written = self.counts.written.load(Ordering::Relaxed) != before;
+        let written = self.watch.written.load(Ordering::Relaxed) != before;
         let (parts, body) = result
             .map_err(|fault| Failure { fault, written })?
             .into_parts();
@@ -264,7 +273,7 @@
     match foreign {
         true => Err(Fault::Foreign),
         // The end of a connection is no proof that an answer is complete.
-        false if !ends || !has_clear_length(headers) => Err(Fault::Malformed),
+        false if !ends => Err(Fault::Malformed),
         false if response.status().is_informational() => Err(Fault::Malformed),
         false => Ok(response),
     }
--- a/crates/transport/src/framing.rs
+++ b/crates/transport/src/framing.rs
@@ -1,6 +1,6 @@
-//! Watches the framing of requests on a caller's connection.
+//! Watches the framing of requests and answers on their connections.
 //!
-//! hyper drops `Content-Length` when a request is chunked as well, so that the
+//! hyper drops `Content-Length` when a message is chunked as well, so that the
 //! conflict can no longer be seen in the parsed headers.
 
 use std::collections::VecDeque;
@@ -44,9 +44,20 @@
     Trailer,
 }
 
-/// Follows the bytes of requests from head to head.
+/// What a connection carries towards this process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// Answers; only the head after each [`Framing::restart`] is followed.
+    Answers,
+    /// Requests, followed from head to head.
+    Requests,
+}
+
+/// Follows the bytes of messages.
 #[derive(Debug)]
 pub struct Framing {
+    direction: Direction,
+    interim: bool,
     state: State,
     line: Vec<u8>,
     lines: usize,
@@ -58,8 +69,10 @@
 
 impl Framing {
     /// A reader at the start of a connection.
-    pub fn new(verdicts: Verdicts) -> Framing {
+    pub fn new(direction: Direction, verdicts: Verdicts) -> Framing {
         Framing {
+            direction,
+            interim: false,
             state: State::Head,
             line: Vec::new(),
             lines: 0,
@@ -70,6 +83,17 @@
         }
     }
 
+    /// Expects the head of the next answer.
+    pub fn restart(&mut self) {
+        self.line.clear();
+        self.begin_head();
+    }
+
+    fn begin_head(&mut self) {
+        (self.lines, self.lengths, self.encodings) = (0, 0, 0);
+        (self.state, self.length) = (State::Head, Some(0));
+    }
+
     /// Whether a part of a head has arrived and its end has not.
     pub fn in_head(&self) -> bool {
         self.state == State::Head && (self.lines > 0 || !self.line.is_empty())
@@ -136,6 +160,10 @@
 
     fn read_header(&mut self, line: &[u8]) {
         self.lines += 1;
+        if self.lines == 1 {
+            let status = line.split(|c| *c == b' ').nth(1).unwrap_or(b"");
+            self.interim = status.first() == Some(&b'1') && status != b"101";
+        }
         let colon = line.iter().position(|c| *c == b':');
         let (name, value) = match colon {
             Some(at) if self.lines > 1 => (line[..at].trim_ascii(), line[at + 1..].trim_ascii()),
@@ -155,15 +183,19 @@
 
     fn end_head(&mut self) {
         let clear = self.lengths + self.encodings <= 1 && self.length.is_some();
-        self.verdicts.push(clear);
-        self.state = match (clear, self.encodings, self.length) {
+        let next = match (clear, self.encodings, self.length) {
+            _ if self.direction == Direction::Answers && self.interim => State::Head,
+            _ if self.direction == Direction::Answers => State::Broken,
             (true, 0, Some(0)) => State::Head,
             (true, 0, Some(n)) => State::Body(n),
             (true, _, _) => State::ChunkSize,
             (false, _, _) => State::Broken,
         };
-        (self.lines, self.lengths, self.encodings) = (0, 0, 0);
-        self.length = Some(0);
+        if self.direction == Direction::Requests || !self.interim {
+            self.verdicts.push(clear);
+        }
+        self.begin_head();
+        self.state = next;
     }
 }
 
@@ -194,7 +226,7 @@
     pub fn new(stream: TcpStream, verdicts: Verdicts) -> CallerIo {
         CallerIo {
             io: TokioIo::new(stream),
-            framing: Framing::new(verdicts),
+            framing: Framing::new(Direction::Requests, verdicts),
         }
     }
 
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -203,7 +203,7 @@
         if slots.len() >= self.limits.connections {
             metrics::counter!("entry_connections_evicted_total").increment(1);
             let idle = |s: &Arc<Slot>| s.idle.load(Ordering::Relaxed);
-            let (oldest, slot) = slots.iter().min_by_key(|(_, s)| idle(s))?;
+            let (oldest, slot) = slots.iter().min_by_key(|(id, s)| (idle(s), **id))?;
             if idle(slot) == BUSY {
                 return None;
             }
