--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod grants;
 pub mod http;
 pub mod messages;
+pub mod log;
 pub mod report;
 pub mod trace;
