Learn the concurrency limit from a longer mean

Cause and change: The mean over ten samples varies so much that its minimum lies far below the usual latency, so the limit sank on an idle service. The mean now covers 50 samples, congestion is 2.5 times the floor, and one entry may use all slots of its region while the latency is low, since demand differs between entries.

--- a/crates/steering/benches/policy.rs
+++ b/crates/steering/benches/policy.rs
@@ -53,6 +53,7 @@
         let cases: Vec<Case> = CASES.iter().filter(picked).copied().collect();
         let results = run_all(size, &cases, &stacks, seeds);
         print_tables(size, &cases, &stacks, &results);
+        print_summary(size, &cases, stacks.len(), &results);
     }
     println!(
         "seeds {seeds:?}, wall time {:.0} s",
@@ -131,6 +132,27 @@
     );
 }
 
+/// One row for each case: the policies under test against the baseline with
+/// the lowest p99 of lookups.
+fn print_summary(size: Deployment, cases: &[Case], stacks: usize, results: &[Stats]) {
+    println!("\n| {} | l.p99 | best baseline | refused | worst-mean % | w.p99 | region | server | drain |", size.label);
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (c, case) in cases.iter().enumerate() {
+        let rows = &results[c * stacks..];
+        let s = &rows[0];
+        let p99 = |i: &usize| (rows[*i].lookup_ms(0.99) * 1_000.0) as u64;
+        let best = (1..=BASELINES.len()).min_by_key(p99).unwrap_or(0);
+        let b = &rows[best];
+        let gap = |s: &Stats| (s.shares().1 - s.shares().0) * 100.0;
+        println!(
+            "| {} | {:.1} | {:.1} {} | {} / {} | {:.2} / {:.2} | {:.0} / {:.0} | {:.2} / {:.2} | {:.2} / {:.2} | {} |",
+            case.label, s.lookup_ms(0.99), b.lookup_ms(0.99), BASELINES[best - 1].label, s.refused,
+            b.refused, gap(s), gap(b), s.worst_p99(), b.worst_p99(), s.region_load, b.region_load,
+            s.server_load, b.server_load, s.drain_ms
+        );
+    }
+}
+
 /// The p99 of each workspace but the flooding one against the calm case.
 fn print_flood(cases: &[Case], case: &Case, flood: &Stats, results: &[Stats], stacks: usize) {
     let calm = cases
--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -137,11 +137,11 @@
     }
 
     /// Sets the bounds from the slots of the region's servers and the number of
-    /// entries that share them. The limit leaves room for uneven demand.
+    /// entries that share them. Demand differs between entries, so that one may
+    /// use all slots as long as the latency stays low.
     pub fn set_shared(&mut self, slots: u32, entries: u32) {
-        let share = slots.div_ceil(entries.max(1)).max(1);
-        self.limit
-            .set_bounds(share.max(self.limits.min), (share * 3).min(self.limits.max));
+        let share = slots.div_ceil(entries.max(1)).max(self.limits.min);
+        self.limit.set_bounds(share, slots.min(self.limits.max));
     }
 
     /// Offers a request.
--- a/crates/steering/src/concurrency.rs
+++ b/crates/steering/src/concurrency.rs
@@ -12,17 +12,19 @@
 const DECREASE_INTERVAL_MS: u64 = 100;
 
 /// Ratio of the recent latency to its floor that counts as congestion.
-const CONGESTED: f64 = 2.0;
+const CONGESTED: f64 = 2.5;
 
 /// Ratio below which the limit may grow.
-const RELAXED: f64 = 1.5;
+const RELAXED: f64 = 2.0;
 
-/// Weight of a new sample in the recent latency.
-const SAMPLE: f64 = 0.1;
+/// Weight of a new sample in the recent latency. Over fewer samples the mean
+/// varies so much that its minimum lies far below the usual latency, and an
+/// idle service looks congested.
+const SAMPLE: f64 = 0.02;
 
 /// Relative rise of the latency floor per sample, so that it follows a lasting
-/// change within a few hundred requests.
-const FLOOR_RISE: f64 = 0.002;
+/// change within a few thousand requests.
+const FLOOR_RISE: f64 = 0.000_2;
 
 /// A limit on the requests in flight.
 #[derive(Clone, Debug)]
@@ -32,6 +34,7 @@
     max: f64,
     floor_ms: f64,
     recent_ms: f64,
+    samples: f64,
     decreased: Millis,
 }
 
@@ -44,6 +47,7 @@
             max: f64::from(max),
             floor_ms: 0.0,
             recent_ms: 0.0,
+            samples: 0.0,
             decreased: Millis(0),
         }
     }
@@ -70,11 +74,12 @@
 
     fn learn(&mut self, now: Millis, latency_ms: f64, in_flight: u32) {
         let latency_ms = latency_ms.max(1.0);
-        if self.recent_ms == 0.0 {
-            (self.recent_ms, self.floor_ms) = (latency_ms, latency_ms);
-        }
-        self.recent_ms += (latency_ms - self.recent_ms) * SAMPLE;
-        self.floor_ms = (self.floor_ms * (1.0 + FLOOR_RISE)).min(self.recent_ms);
+        self.samples += 1.0;
+        self.recent_ms += (latency_ms - self.recent_ms) * SAMPLE.max(1.0 / self.samples);
+        self.floor_ms = match self.samples * SAMPLE < 1.0 {
+            true => self.recent_ms,
+            false => (self.floor_ms * (1.0 + FLOOR_RISE)).min(self.recent_ms),
+        };
         let ratio = self.recent_ms / self.floor_ms;
         let binding = f64::from(in_flight) >= self.value * 0.8;
         match ratio {
