--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,19 +1,16 @@
 //! Agreement, storage, distribution and rate limits.
 
 pub mod control;
-pub mod fairness;
-pub mod gate;
-pub mod ledger;
-pub mod limiter;
-pub mod measures;
 mod election;
 mod entries;
 pub mod fairness;
 mod frame;
+pub mod gate;
 mod journal;
 pub mod ledger;
 pub mod limiter;
 pub mod log;
+pub mod measures;
 mod members;
 mod replica;
 mod replication;
--- a/crates/coordination/src/measures.rs
+++ b/crates/coordination/src/measures.rs
@@ -109,22 +109,31 @@
             .sum()
     }
 
-    /// Changes of state due to reports that stopped or came back. Nothing is
+    /// Changes of state due to reports that stopped or came back, or that
+    /// announce a stop. Nothing is
     /// taken out when most entries fall silent at once, since then the fault
     /// is more likely between them and the leader.
     pub fn membership(&self, document: &Document, now: Millis) -> Vec<(Name, MemberState)> {
         let silent = |n: &Name| self.age(now, n) > LOST_AFTER_MS;
+        let leaves = |n: &Name| self.reports.get(n).is_some_and(|r| r.report.leaving);
         let serving: Vec<&Name> = entries(document).collect();
         let lost: Vec<&Name> = serving.iter().copied().filter(|n| silent(n)).collect();
         let back = document
             .instances
             .iter()
-            .filter(|(n, i)| i.state == MemberState::Lost && !silent(n));
+            .filter(|(n, i)| i.state == MemberState::Away && !silent(n) && !leaves(n));
         let mut changes: Vec<_> = back
             .map(|(n, _)| (n.clone(), MemberState::Serving))
             .collect();
+        let stopping = serving.iter().copied().filter(|n| !silent(n) && leaves(n));
+        let open = |n: &&Name| document.instances[*n].state == MemberState::Serving;
+        changes.extend(
+            stopping
+                .filter(open)
+                .map(|n| (n.clone(), MemberState::Away)),
+        );
         if lost.len() * 2 <= serving.len() {
-            changes.extend(lost.into_iter().map(|n| (n.clone(), MemberState::Lost)));
+            changes.extend(lost.into_iter().map(|n| (n.clone(), MemberState::Away)));
         }
         changes
     }
@@ -138,7 +147,7 @@
 
 fn entries(document: &Document) -> impl Iterator<Item = &Name> {
     let serves = |(_, i): &(&Name, &pomelovale_state::document::Instance)| {
-        i.callers.is_some() && i.state != MemberState::Lost
+        i.callers.is_some() && i.state != MemberState::Away
     };
     document.instances.iter().filter(serves).map(|(n, _)| n)
 }
--- a/crates/coordination/tests/gate.rs
+++ b/crates/coordination/tests/gate.rs
@@ -104,6 +104,7 @@
         instance: instance.clone(),
         version: 9,
         view_ms: 200,
+        leaving: false,
         services: vec![row("north", 25, north), row("south", 10, south)],
         links: vec![LinkLoad {
             from: "north".into(),
@@ -188,8 +189,8 @@
     advance_with_a_silent_entry: case(10, 4, NEXT).reported("e-south-1", 3_001, |_| {}) => Err("e-south-1");
     first_advance_with_a_silent_entry: case(10, 4, MoveAction::Advance { to: 0 })
         .plan(|m| (m.done, m.version) = (0, 0)).reported("e-south-1", 3_001, |_| {}) => Err("3001 ms old");
-    advance_without_a_lost_entry: case(10, 4, NEXT).reported("e-south-1", 60_000, |_| {})
-        .edit(|d| d.instances["e-south-1"].state = MemberState::Lost) => Ok(());
+    advance_without_an_entry_that_is_away: case(10, 4, NEXT).reported("e-south-1", 60_000, |_| {})
+        .edit(|d| d.instances["e-south-1"].state = MemberState::Away) => Ok(());
     advance_without_measurements: Case { measures: Measures::default(), ..case(10, 4, NEXT) }
         .plan(|m| m.version = 0) => Err("missing");
     advance_with_old_server_reports: (0..4).fold(case(10, 4, NEXT), |c, i| {
@@ -223,8 +224,8 @@
         case.measures.record(later, &report(&name.into(), 1, 1));
     }
     let changes = case.measures.membership(&case.document, later);
-    assert_eq!(changes, [("e-south-1".into(), MemberState::Lost)]);
-    case.document.instances["e-south-1"].state = MemberState::Lost;
+    assert_eq!(changes, [("e-south-1".into(), MemberState::Away)]);
+    case.document.instances["e-south-1"].state = MemberState::Away;
     case.measures
         .record(later, &report(&"e-south-1".into(), 1, 1));
     let changes = case.measures.membership(&case.document, later);
--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -2,7 +2,6 @@
 //!
 //! Prints what happened and exits with 1 if a promise was broken.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::process::exit;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,9 +14,9 @@
 
 #[path = "support/caller.rs"]
 mod caller;
-mod support;
 #[path = "support/site.rs"]
 mod site;
+mod support;
 
 use caller::{Caller, Tally};
 use site::{Failure, Site, WORKSPACES};
@@ -32,32 +31,50 @@
 /// What all callers share.
 #[derive(Default)]
 struct Load {
+    pause: AtomicBool,
     stop: AtomicBool,
     next: AtomicU64,
     tally: Mutex<Tally>,
-    // Answers of the service that moves, by entry: all, and from the south.
-    moved: Mutex<HashMap<SocketAddr, (u64, u64)>>,
 }
 
 async fn call(load: Arc<Load>, key: &'static str, entries: Vec<SocketAddr>) {
     let mut caller = Caller::new(key, entries);
     while !load.stop.load(Ordering::Relaxed) {
+        if load.pause.load(Ordering::Relaxed) {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
         let n = load.next.fetch_add(1, Ordering::Relaxed);
-        let booking = n.is_multiple_of(5);
-        let path = if booking { "/desk/bookings".to_owned() } else { format!("/shop/stock/{n}") };
-        let body = if booking { format!("b{n}") } else { String::new() };
+        let booking = n % 5 == 0;
+        let path = if booking {
+            "/desk/bookings".to_owned()
+        } else {
+            format!("/shop/stock/{n}")
+        };
+        let body = if booking {
+            format!("b{n}")
+        } else {
+            String::new()
+        };
         let method = if booking { Method::POST } else { Method::GET };
         let answer = caller.send(method, &path, &body).await;
         let own = answer.as_ref().is_some_and(|a| {
-            a.body.contains(&format!("\"path\":\"{path}\"")) && a.body.contains(&format!("\"echo\":\"{body}\""))
+            a.body.contains(&format!("\"path\":\"{path}\""))
+                && a.body.contains(&format!("\"echo\":\"{body}\""))
         });
-        load.tally.lock().unwrap_or_else(|e| e.into_inner()).count(answer.as_ref(), own);
+        load.tally
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .count(answer.as_ref(), own);
         tokio::time::sleep(PAUSE).await;
     }
 }
 
 /// Sends lookups through one entry and counts those that the south answered.
+/// The other callers pause, so that the counted requests follow each other.
 async fn sample(load: &Load, entry: SocketAddr, count: u64) -> (u64, u64) {
+    load.pause.store(true, Ordering::Relaxed);
+    tokio::time::sleep(4 * PAUSE).await;
     let mut caller = Caller::new(WORKSPACES[0].1, vec![entry]);
     let (mut all, mut south) = (0, 0);
     for n in 0..count {
@@ -68,8 +85,7 @@
         }
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
-    let mut moved = load.moved.lock().unwrap_or_else(|e| e.into_inner());
-    moved.insert(entry, (all, south));
+    load.pause.store(false, Ordering::Relaxed);
     (all, south)
 }
 
@@ -78,9 +94,14 @@
         let mut caller = Caller::new(WORKSPACES[0].1, vec![entry]);
         let end = Instant::now() + Duration::from_secs(20);
         loop {
-            match caller.send_to(entry, Method::GET, "/shop/stock/first", "").await {
+            match caller
+                .send_to(entry, Method::GET, "/shop/stock/first", "")
+                .await
+            {
                 Some(answer) if answer.status == 200 => break,
-                answer if Instant::now() > end => return Err(format!("{entry} does not serve: {answer:?}").into()),
+                answer if Instant::now() > end => {
+                    return Err(format!("{entry} does not serve: {answer:?}").into())
+                }
                 _ => tokio::time::sleep(Duration::from_millis(50)).await,
             }
         }
@@ -89,7 +110,10 @@
 }
 
 async fn create_move(site: &Site) -> Result<(), Failure> {
-    let steps = STEPS.iter().map(|&(share, cap)| Step { share, cap }).collect();
+    let steps = STEPS
+        .iter()
+        .map(|&(share, cap)| Step { share, cap })
+        .collect();
     let command = Command::PutMove {
         name: "weekend".into(),
         services: vec!["shop".into()],
@@ -116,7 +140,10 @@
     for entry in site.entries() {
         let mut caller = Caller::new(key, vec![entry]);
         while accepted.elapsed() < Duration::from_secs(10) {
-            match caller.send_to(entry, Method::GET, "/shop/stock/revoked", "").await {
+            match caller
+                .send_to(entry, Method::GET, "/shop/stock/revoked", "")
+                .await
+            {
                 Some(answer) if answer.status == 401 => break,
                 _ => tokio::time::sleep(Duration::from_millis(10)).await,
             }
@@ -132,7 +159,10 @@
 impl Checks {
     fn row(&mut self, what: &str, found: impl ToString, allowed: &str, kept: bool) {
         let verdict = if kept { "kept" } else { "BROKEN" };
-        println!("{what:<44} {:>12}  {allowed:<18} {verdict}", found.to_string());
+        println!(
+            "{what:<44} {:>12}  {allowed:<18} {verdict}",
+            found.to_string()
+        );
         self.broken |= !kept;
     }
 }
@@ -146,12 +176,20 @@
     let load = Arc::new(Load::default());
     let mut callers = Vec::new();
     for (_, key) in WORKSPACES {
-        let count = if key == WORKSPACES[1].1 { 0 } else { 2 * CALLERS };
-        callers.extend((0..count).map(|_| tokio::spawn(call(Arc::clone(&load), key, site.entries()))));
+        let count = if key == WORKSPACES[1].1 {
+            0
+        } else {
+            2 * CALLERS
+        };
+        callers
+            .extend((0..count).map(|_| tokio::spawn(call(Arc::clone(&load), key, site.entries()))));
     }
     create_move(&site).await?;
     let mut checks = Checks { broken: false };
-    println!("{:<44} {:>12}  {:<18} promise", "what", "measured", "allowed");
+    println!(
+        "{:<44} {:>12}  {:<18} promise",
+        "what", "measured", "allowed"
+    );
     for (share, cap) in STEPS {
         site.operator.next_step("advance").await?;
         tokio::time::sleep(Duration::from_secs(2)).await;
@@ -159,11 +197,21 @@
             let (all, south) = sample(&load, entry, 200).await;
             let most = all * u64::from(share) / 1_000 + 1;
             let text = format!("at most {most} (cap {cap})");
-            checks.row(&format!("lookups moved at share {share}"), format!("{south}/{all}"), &text, south <= most);
+            checks.row(
+                &format!("lookups moved at share {share}"),
+                format!("{south}/{all}"),
+                &text,
+                south <= most,
+            );
         }
     }
     let lasted = revoke(&site).await?;
-    checks.row("revoked key still worked, ms", lasted.as_millis(), "at most 5000", lasted.as_millis() <= 5_000);
+    checks.row(
+        "revoked key still worked, ms",
+        lasted.as_millis(),
+        "at most 5000",
+        lasted.as_millis() <= 5_000,
+    );
     let before = *load.tally.lock().unwrap_or_else(|e| e.into_inner());
     let (name, node) = site.nodes.remove(1);
     site.operator.forget(node.operators());
@@ -175,15 +223,32 @@
         caller.await?;
     }
     let tally = *load.tally.lock().unwrap_or_else(|e| e.into_inner());
-    checks.row("answers right", tally.right, "more than 0", tally.right > before.right);
+    checks.row(
+        "answers right",
+        tally.right,
+        "more than 0",
+        tally.right > before.right,
+    );
     checks.row("answers wrong", tally.wrong, "0", tally.wrong == 0);
     checks.row("requests cut", tally.cut, "0", tally.cut == 0);
     checks.row("answers unknown", tally.unknown, "0", tally.unknown == 0);
     checks.row("refused wrongly", tally.refused, "0", tally.refused == 0);
-    let twice = site.seen.runs.lock().map_err(|_| "a stand-in failed")?.values().filter(|n| **n > 1).count();
+    let twice = site
+        .seen
+        .runs
+        .lock()
+        .map_err(|_| "a stand-in failed")?
+        .values()
+        .filter(|n| **n > 1)
+        .count();
     checks.row("bookings run twice", twice, "0", twice == 0);
     let keys = site.seen.keys.load(Ordering::Relaxed);
-    checks.row("requests with a key at a backend server", keys, "0", keys == 0);
+    checks.row(
+        "requests with a key at a backend server",
+        keys,
+        "0",
+        keys == 0,
+    );
     for (_, node) in site.nodes {
         drop(node);
     }
--- a/crates/daemon/examples/support/caller.rs
+++ b/crates/daemon/examples/support/caller.rs
@@ -43,15 +43,6 @@
 }
 
 impl Tally {
-    /// Adds another tally.
-    pub fn add(&mut self, other: Tally) {
-        self.right += other.right;
-        self.wrong += other.wrong;
-        self.cut += other.cut;
-        self.refused += other.refused;
-        self.unknown += other.unknown;
-    }
-
     /// Takes an answer into account; `own` tells whether the body is right.
     pub fn count(&mut self, answer: Option<&Answer>, own: bool) {
         match answer {
@@ -77,12 +68,13 @@
     /// A caller that asks the given entries for the list.
     pub fn new(key: &str, entries: Vec<SocketAddr>) -> Caller {
         let lifetime = Duration::ZERO;
-        Caller { key: key.to_owned(), entries, listed: None, lifetime, open: None }
-    }
-
-    /// The entries of the last list.
-    pub fn entries(&self) -> &[SocketAddr] {
-        &self.entries
+        Caller {
+            key: key.to_owned(),
+            entries,
+            listed: None,
+            lifetime,
+            open: None,
+        }
     }
 
     /// Sends a request to one of the listed entries.
@@ -96,7 +88,13 @@
     }
 
     /// Sends a request to one entry.
-    pub async fn send_to(&mut self, address: SocketAddr, method: Method, path: &str, body: &str) -> Option<Answer> {
+    pub async fn send_to(
+        &mut self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Option<Answer> {
         loop {
             let fresh = !matches!(&self.open, Some((a, s)) if *a == address && !s.is_closed());
             if fresh {
@@ -113,7 +111,10 @@
             // A request that never left is sent again on a new connection.
             let unsent = match sender.ready().await {
                 Err(_) => true,
-                Ok(()) => match timeout(ANSWER_LIMIT, sender.send_request(request)).await.ok()? {
+                Ok(()) => match timeout(ANSWER_LIMIT, sender.send_request(request))
+                    .await
+                    .ok()?
+                {
                     Ok(response) => return read(response).await,
                     Err(e) => e.is_canceled(),
                 },
@@ -138,8 +139,9 @@
                 continue;
             };
             let rows = list["entries"].as_array().into_iter().flatten();
-            let found: Vec<SocketAddr> =
-                rows.filter_map(|e| e["address"].as_str()?.parse().ok()).collect();
+            let found: Vec<SocketAddr> = rows
+                .filter_map(|e| e["address"].as_str()?.parse().ok())
+                .collect();
             if !found.is_empty() {
                 self.entries = found;
                 self.listed = Some(Instant::now());
@@ -161,7 +163,10 @@
 async fn read(response: http::Response<hyper::body::Incoming>) -> Option<Answer> {
     let (parts, body) = response.into_parts();
     let body = timeout(ANSWER_LIMIT, body.collect()).await.ok()?.ok()?;
-    let outcome = parts.headers.get("pomelovale-outcome").and_then(|v| v.to_str().ok());
+    let outcome = parts
+        .headers
+        .get("pomelovale-outcome")
+        .and_then(|v| v.to_str().ok());
     Some(Answer {
         status: parts.status.as_u16(),
         outcome: outcome.unwrap_or("").to_owned(),
--- a/crates/daemon/examples/support/site.rs
+++ b/crates/daemon/examples/support/site.rs
@@ -16,7 +16,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{json, Map, Value};
 
-use super::{Seen, Standin};
+use crate::support::{Seen, Standin};
 
 /// Errors end the example.
 pub type Failure = Box<dyn std::error::Error + Send + Sync>;
@@ -25,18 +25,25 @@
 pub const OPERATOR: &str = "pk.op.1f0e2d3c4b5a69788796a5b4c3d2e1f00f1e2d3c4b5a6978";
 /// Keys of the two workspaces.
 pub const WORKSPACES: [(&str, &str); 2] = [
-    ("alpha", "pk.alpha1.00112233445566778899aabbccddeeff0011223344556677"),
-    ("beta", "pk.beta1.8899aabbccddeeff00112233445566778899aabbccddeeff"),
+    (
+        "alpha",
+        "pk.alpha1.00112233445566778899aabbccddeeff0011223344556677",
+    ),
+    (
+        "beta",
+        "pk.beta1.8899aabbccddeeff00112233445566778899aabbccddeeff",
+    ),
+];
+const INSTANCES: [(&str, &str, &str); 3] = [
+    ("north-1", "north", "north-a"),
+    ("north-2", "north", "north-b"),
+    ("south-1", "south", "south-a"),
 ];
-const INSTANCES: [(&str, &str, &str); 3] =
-    [("north-1", "north", "north-a"), ("north-2", "north", "north-b"), ("south-1", "south", "south-a")];
 
 /// A running site.
 pub struct Site {
     /// The instances by name.
     pub nodes: Vec<(String, Node)>,
-    /// The stand-ins by name.
-    pub servers: Vec<(String, Arc<Standin>)>,
     /// What the stand-ins have seen.
     pub seen: Arc<Seen>,
     /// Talks to the operators' listeners.
@@ -48,24 +55,26 @@
 }
 
 fn object<'a>(rows: impl Iterator<Item = (&'a str, Value)>) -> Value {
-    Value::Object(rows.map(|(k, v)| (k.to_owned(), v)).collect::<Map<String, Value>>())
+    Value::Object(
+        rows.map(|(k, v)| (k.to_owned(), v))
+            .collect::<Map<String, Value>>(),
+    )
 }
 
 impl Site {
     /// Starts a site with its files under a folder.
     pub async fn start(folder: &Path) -> Result<Site, Failure> {
         let seen = Arc::new(Seen::default());
-        let (mut servers, mut backends) = (Vec::new(), Map::new());
+        let mut backends = Map::new();
         for service in ["shop", "desk"] {
             for domain in ["north-a", "north-b", "south-a", "south-b"] {
                 let name = format!("{service}-{domain}");
                 let any = "127.0.0.1:0".parse()?;
-                let (address, standin) = Standin::start(&name, any, 6, Arc::clone(&seen)).await?;
+                let (address, _) = Standin::start(&name, any, 6, Arc::clone(&seen)).await?;
                 let region = &domain[..5];
                 let row = json!({"address": address, "service": service, "region": region,
                     "domain": domain, "slots": 6, "connections": 330});
-                backends.insert(name.clone(), row);
-                servers.push((name, standin));
+                backends.insert(name, row);
             }
         }
         std::fs::write(folder.join("secret"), "the secret of the quickstart\n")?;
@@ -76,11 +85,18 @@
             let settings = settings(folder, i, &ports, &backends);
             let settings = Settings::parse(&settings.to_string()).map_err(|f| format!("{f:?}"))?;
             let node = Node::start(&settings, Clock::monotonic(), metrics.clone());
-            nodes.push(((*name).to_owned(), node.await.map_err(|e| format!("{e:?}"))?));
+            nodes.push((
+                (*name).to_owned(),
+                node.await.map_err(|e| format!("{e:?}"))?,
+            ));
         }
         let listeners = nodes.iter().map(|(_, n)| n.operators()).collect();
         let operator = Operator { listeners };
-        Ok(Site { nodes, servers, seen, operator })
+        Ok(Site {
+            nodes,
+            seen,
+            operator,
+        })
     }
 
     /// Addresses for callers.
@@ -92,16 +108,32 @@
 fn settings(folder: &Path, i: usize, ports: &[u16], backends: &Map<String, Value>) -> Value {
     let (name, region, domain) = INSTANCES[i];
     let address = |port: u16| format!("127.0.0.1:{port}");
-    let peers = object(INSTANCES.iter().enumerate().map(|(i, (name, region, domain))| {
-        (*name, json!({"address": address(ports[i]), "region": region, "domain": domain}))
-    }));
-    let instances = object(INSTANCES.iter().enumerate().map(|(i, (name, region, domain))| {
-        let row = json!({"callers": address(ports[3 + i]), "peers": address(ports[i]),
+    let peers = object(
+        INSTANCES
+            .iter()
+            .enumerate()
+            .map(|(i, (name, region, domain))| {
+                (
+                    *name,
+                    json!({"address": address(ports[i]), "region": region, "domain": domain}),
+                )
+            }),
+    );
+    let instances = object(
+        INSTANCES
+            .iter()
+            .enumerate()
+            .map(|(i, (name, region, domain))| {
+                let row = json!({"callers": address(ports[3 + i]), "peers": address(ports[i]),
             "region": region, "domain": domain});
-        (*name, row)
-    }));
+                (*name, row)
+            }),
+    );
     let mut keys = Map::new();
-    keys.insert("op".to_owned(), json!({"operator": "ann", "digest": Digest::of_key(OPERATOR)}));
+    keys.insert(
+        "op".to_owned(),
+        json!({"operator": "ann", "digest": Digest::of_key(OPERATOR)}),
+    );
     for (workspace, key) in WORKSPACES {
         let row = json!({"workspace": workspace, "digest": Digest::of_key(key)});
         keys.insert(format!("{workspace}1"), row);
@@ -136,7 +168,10 @@
     }
 
     /// Reads JSON from the first listener that answers with it.
-    pub async fn get<T: DeserializeOwned + Send + 'static>(&self, path: &'static str) -> Result<T, Failure> {
+    pub async fn get<T: DeserializeOwned + Send + 'static>(
+        &self,
+        path: &'static str,
+    ) -> Result<T, Failure> {
         let listeners = self.listeners.clone();
         let read = move || {
             let mut last = "no listener".to_owned();
@@ -145,7 +180,9 @@
                     .with_header("Authorization", format!("Bearer {OPERATOR}"))
                     .with_timeout(5);
                 match request.send() {
-                    Ok(answer) if answer.status_code == 200 => return Ok(serde_json::from_str(answer.as_str()?)?),
+                    Ok(answer) if answer.status_code == 200 => {
+                        return Ok(serde_json::from_str(answer.as_str()?)?)
+                    }
                     Ok(answer) => last = format!("{listener}: {}", answer.as_str()?),
                     Err(e) => last = format!("{listener}: {e}"),
                 }
@@ -156,8 +193,9 @@
     }
 
     /// Proposes a change; the answer's status and body.
-    pub async fn propose(&self, change: &Change) -> Result<(i32, Value), Failure> {
-        let body = json!({"request": change.request, "base": change.base, "command": change.command});
+    pub async fn propose(&self, change: &Change) -> Result<(u16, Value), Failure> {
+        let body =
+            json!({"request": change.request, "base": change.base, "command": change.command});
         let (listener, body) = (self.listeners[0], body.to_string());
         let send = move || {
             let request = minreq::post(format!("http://{listener}/v1/changes"))
@@ -165,15 +203,18 @@
                 .with_body(body)
                 .with_timeout(15);
             let answer = request.send()?;
-            Ok((answer.status_code, serde_json::from_str(answer.as_str()?)?))
+            let body: Value = serde_json::from_str(answer.as_str()?)?;
+            Ok((answer.status_code, body))
         };
         tokio::task::spawn_blocking(send).await?
     }
 
     /// Proposes a command on top of the present version of its item.
-    pub async fn command(&self, request: &str, command: Command) -> Result<(i32, Value), Failure> {
+    pub async fn command(&self, request: &str, command: Command) -> Result<(u16, Value), Failure> {
         let document: Document = self.get("/v1/document").await?;
-        let base = command.item().map(|item: Item| document.item_version(&item));
+        let base = command
+            .item()
+            .map(|item: Item| document.item_version(&item));
         let change = Change {
             request: request.into(),
             sender: "op".into(),
@@ -192,7 +233,13 @@
             let text = sheet::write(&moves)?;
             let filled: Vec<String> = text
                 .lines()
-                .map(|l| if l.contains(",next,") { format!("{l}{action}") } else { l.to_owned() })
+                .map(|l| {
+                    if l.contains(",next,") {
+                        format!("{l}{action}")
+                    } else {
+                        l.to_owned()
+                    }
+                })
                 .collect();
             let Sheet { changes, .. } = sheet::read(&filled.join("\n"), &"op".into());
             let Some(row) = changes.first() else {
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -6,7 +6,7 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::grants::GrantReply;
 use pomelovale_protocol::log::Epoch;
-use pomelovale_protocol::messages::{InstanceStatus, PeerMessage, Request, Response};
+use pomelovale_protocol::messages::{Fleet, PeerMessage, Request, Response};
 use pomelovale_state::command::Applied;
 use pomelovale_state::{ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::PeerLink;
@@ -29,7 +29,7 @@
         id: u64,
     },
     /// A question of this process.
-    Status(flume::Sender<Vec<InstanceStatus>>),
+    Status(flume::Sender<Fleet>),
 }
 
 impl Sink {
@@ -48,8 +48,8 @@
             (Sink::Grant(s), Response::Grant(g)) => drop(s.try_send(Ok(g))),
             (Sink::Grant(s), Response::Failed(kind)) => drop(s.try_send(Err(kind))),
             (Sink::Grant(s), _) => drop(s.try_send(Err(ErrorKind::Internal))),
-            (Sink::Status(s), Response::Status(rows)) => drop(s.try_send(rows)),
-            (Sink::Status(s), _) => drop(s.try_send(Vec::new())),
+            (Sink::Status(s), Response::Status(fleet)) => drop(s.try_send(fleet)),
+            (Sink::Status(s), _) => drop(s.try_send(Fleet::default())),
         }
     }
 }
--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -15,7 +15,7 @@
     Entry, EntryData, LogIndex, Payload, Position, ReplicaId, Snapshot,
 };
 use pomelovale_protocol::messages::{
-    chunks, Assembly, Content, Delta, InstanceStatus, LogPacket, PeerMessage, Request, Response,
+    chunks, Assembly, Content, Delta, Fleet, LogPacket, PeerMessage, Request, Response,
 };
 use pomelovale_state::command::Change;
 use pomelovale_state::machine::Machine;
@@ -38,7 +38,7 @@
 
 /// What the owner of the instance asks of it.
 pub(super) enum Order {
-    Instances(flume::Sender<Vec<InstanceStatus>>),
+    Fleet(flume::Sender<Fleet>),
     Stop,
 }
 
@@ -141,7 +141,7 @@
                     Err(_) => return,
                 },
                 order = inputs.orders.recv_async() => match order {
-                    Ok(Order::Instances(reply)) => self.call(Request::Status, Sink::Status(reply)),
+                    Ok(Order::Fleet(reply)) => self.call(Request::Status, Sink::Status(reply)),
                     Ok(Order::Stop) => {
                         self.stopping = true;
                         self.step(Event::Resign);
@@ -176,6 +176,7 @@
         self.calls.expire(self.clock.now());
         self.attend();
         self.propose_initial();
+        self.propose_membership();
     }
 
     // Brings everything that others see up to date.
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -1,23 +1,21 @@
 //! What only the leader does: the ledger, the log's clock, measurements.
 
 use indexmap::IndexMap;
+use pomelovale_coordination::gate;
 use pomelovale_coordination::ledger::{Ledger, LedgerConfig, Rate};
+use pomelovale_coordination::measures::Measures;
 use pomelovale_protocol::grants::{GrantReply, GrantRequest};
 use pomelovale_protocol::log::Epoch;
-use pomelovale_protocol::messages::InstanceStatus;
+use pomelovale_protocol::messages::{Fleet, InstanceStatus};
 use pomelovale_protocol::report::Report;
-use pomelovale_state::command::{Change, Refusal};
-use pomelovale_state::document::Document;
+use pomelovale_state::command::{Change, Command, Item, Refusal};
+use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::moves::{Move, MoveAction};
+use pomelovale_state::sheet::{MoveStatus, NextStep};
 use pomelovale_state::{Millis, Name};
 
-/// An instance that has not reported for this long is not listed any more.
-const REPORT_LIFE_MS: u64 = 60_000;
-
-struct Received {
-    at: Millis,
-    version: u64,
-    view_ms: u64,
-}
+/// Time between two checks of which instances still report.
+const MEMBERSHIP_MS: u64 = 500;
 
 /// State of a leader, made anew in every epoch that this instance leads.
 pub(super) struct Leader {
@@ -28,7 +26,8 @@
     since: Millis,
     ledger: Ledger,
     limits: IndexMap<Name, Rate>,
-    reports: IndexMap<Name, Received>,
+    measures: Measures,
+    checked: Millis,
 }
 
 impl Leader {
@@ -39,7 +38,8 @@
             since: now,
             ledger: Ledger::new(LedgerConfig::new(epoch.0), now),
             limits: IndexMap::new(),
-            reports: IndexMap::new(),
+            measures: Measures::default(),
+            checked: now,
         };
         leader.set_limits(document, now);
         leader
@@ -68,36 +68,97 @@
         self.ledger.request(now, request)
     }
 
-    /// Whether a change may be proposed now.
-    // The gate of moves is called here.
-    #[allow(clippy::unused_self)]
+    /// Whether a change may be proposed now, by the gate of moves.
     pub(super) fn admit(
         &self,
-        _document: &Document,
-        _change: &Change,
-        _now: Millis,
+        document: &Document,
+        change: &Change,
+        now: Millis,
     ) -> Result<(), Refusal> {
-        Ok(())
+        gate::check(document, &self.measures, now, change)
     }
 
     /// Takes the measurements of an instance.
-    // The measurements that the gate reads are recorded here.
     pub(super) fn record(&mut self, report: &Report, now: Millis) {
-        self.reports.retain(|_, r| now.since(r.at) < REPORT_LIFE_MS);
-        let received = Received {
-            at: now,
-            version: report.version,
-            view_ms: report.view_ms,
+        self.measures.record(now, report);
+    }
+
+    /// Changes of state of instances, at most once in a while so that those
+    /// proposed before are applied.
+    pub(super) fn membership(
+        &mut self,
+        own: &Name,
+        document: &Document,
+        now: Millis,
+    ) -> Vec<Change> {
+        if now.since(self.checked) < MEMBERSHIP_MS {
+            return Vec::new();
+        }
+        self.checked = now;
+        self.measures.retain(document);
+        let changes = self.measures.membership(document, now);
+        let epoch = self.epoch;
+        let change = |(name, state): (Name, MemberState)| Change {
+            request: format!("member-{}-{}-{name}", epoch.0, now.0).into(),
+            sender: own.clone(),
+            base: None,
+            at: Millis(0),
+            command: Command::SetInstance { name, state },
         };
-        self.reports.insert(report.instance.clone(), received);
+        changes.into_iter().map(change).collect()
     }
 
-    pub(super) fn instances(&self, now: Millis) -> Vec<InstanceStatus> {
-        let row = |(name, r): (&Name, &Received)| InstanceStatus {
-            instance: name.clone(),
-            version: r.version,
-            view_ms: r.view_ms.saturating_add(now.since(r.at)),
+    /// What is known of the whole site.
+    pub(super) fn fleet(&self, document: &Document, now: Millis) -> Fleet {
+        let row = |name: &Name| {
+            let report = self.measures.report(name)?;
+            let age = self.measures.age(now, name);
+            let view_ms = report.view_ms.saturating_add(age);
+            Some(InstanceStatus {
+                instance: name.clone(),
+                version: report.version,
+                view_ms,
+            })
         };
-        self.reports.iter().map(row).collect()
+        let instances = document.instances.keys().filter_map(row).collect();
+        let moves = document
+            .moves
+            .iter()
+            .map(|(name, m)| self.move_status(document, now, name, m));
+        Fleet {
+            instances,
+            moves: moves.collect(),
+        }
+    }
+
+    fn move_status(&self, document: &Document, now: Millis, name: &Name, m: &Move) -> MoveStatus {
+        let version = document.item_version(&Item::Move(name.clone()));
+        let next = (m.done < m.steps.len()).then(|| {
+            let room = gate::room(document, &self.measures, now, m, m.done + 1);
+            let advance = Change {
+                request: Name::default(),
+                sender: Name::default(),
+                base: None,
+                at: self.log_time(now),
+                command: Command::StepMove {
+                    name: name.clone(),
+                    action: MoveAction::Advance { to: m.done },
+                },
+            };
+            let held = gate::check(document, &self.measures, now, &advance).err();
+            NextStep {
+                headroom: room.map_or(0, |r| r.headroom),
+                needed: room.map_or(0, |r| r.needed),
+                link: room.and_then(|r| r.link),
+                oldest: room.map(|r| r.oldest).filter(|age| *age != u64::MAX),
+                reason: held.map(|r| r.text).unwrap_or_default(),
+            }
+        });
+        MoveStatus {
+            name: name.clone(),
+            version,
+            plan: m.clone(),
+            next,
+        }
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -18,7 +18,7 @@
 use pomelovale_coordination::log::{LogConfig, Replica, Role as LogRole, Storage};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Role;
-use pomelovale_protocol::messages::InstanceStatus;
+use pomelovale_protocol::messages::Fleet;
 use pomelovale_state::{Clock, Name};
 use pomelovale_transport::peer_client::PeerClient;
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters};
@@ -185,10 +185,10 @@
         self.outputs.status.load_full()
     }
 
-    /// The instances that report to the leader.
-    pub async fn instances(&self) -> Vec<InstanceStatus> {
+    /// What the leader knows of the whole site; empty if there is no leader.
+    pub async fn fleet(&self) -> Fleet {
         let (reply, rows) = flume::bounded(1);
-        let _ = self.orders.send(Order::Instances(reply));
+        let _ = self.orders.send(Order::Fleet(reply));
         rows.recv_async().await.unwrap_or_default()
     }
 
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -47,8 +47,8 @@
             (None, Some(_), Request::Propose(change)) => self.propose(token, change, now),
             (None, Some(_), Request::Grant(request)) => self.grant(token, &request, now),
             (None, Some(leader), Request::Status) => {
-                let rows = leader.instances(now);
-                self.calls.answer(token, &Response::Status(rows));
+                let fleet = leader.fleet(&self.machine.document, now);
+                self.calls.answer(token, &Response::Status(fleet));
             }
         }
     }
@@ -64,11 +64,11 @@
         let Some(leader) = &self.leader else {
             return;
         };
+        change.at = leader.log_time(now);
         if let Err(refusal) = leader.admit(&self.machine.document, &change, now) {
             let refused = Response::Applied(Applied::Refused(refusal));
             return self.calls.answer(token, &refused);
         }
-        change.at = leader.log_time(now);
         let epoch = leader.epoch;
         match encode_body(&change) {
             Ok(body) => {
@@ -94,6 +94,20 @@
         }
     }
 
+    /// Proposes changes of state of instances whose reports stopped or came back.
+    pub(super) fn propose_membership(&mut self) {
+        let now = self.clock.now();
+        let Some(leader) = self.leader.as_mut() else {
+            return;
+        };
+        let until = now.plus(self.config.limits.call_ms);
+        for change in leader.membership(&self.config.name, &self.machine.document, now) {
+            if let Some(token) = self.calls.add(Request::Propose(change), None, until) {
+                self.attempt(token);
+            }
+        }
+    }
+
     /// Proposes the initial document while there is none.
     pub(super) fn propose_initial(&mut self) {
         let request = Name::from(INITIAL_REQUEST);
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -169,7 +169,7 @@
         log::info!("{} leaves the entry list", config.instance);
         let leave = Command::SetInstance {
             name: config.instance.clone(),
-            state: MemberState::Leaving,
+            state: MemberState::Away,
         };
         let left = self.shared.propose(leave).await;
         if !matches!(left, Ok(Applied::Accepted { .. })) {
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -1,6 +1,7 @@
 //! Load reports of backend servers, and the upkeep of idle connections.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
@@ -59,6 +60,7 @@
         instance: shared.config.instance.clone(),
         version: shared.view.document().version,
         view_ms: shared.view.age(shared.clock.now()),
+        leaving: shared.leaving.load(Ordering::Relaxed),
         services,
         links,
     });
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -107,7 +107,7 @@
                 domain: b.domain.clone(),
                 slots: b.slots,
                 connections: b.connections,
-                leaving: b.state == MemberState::Leaving,
+                leaving: b.state != MemberState::Serving,
             })
             .collect();
         let entries = entries(document);
@@ -303,7 +303,7 @@
             name: name.clone(),
             region: i.region.clone(),
             domain: i.domain.clone(),
-            leaving: i.state == MemberState::Leaving,
+            leaving: i.state != MemberState::Serving,
         })
         .collect()
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,8 +1,9 @@
 //! The pomelovale daemon.
 
+pub mod control;
 pub mod entry;
+pub mod node;
+pub mod operators;
 pub mod schema;
 pub mod settings;
-pub mod control;
-pub mod operators;
 pub mod subscriber;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,143 @@
-//! Starts the program.
+//! The pomelovale daemon: `pomelovaled --config FILE`.
 
-fn main() {}
+use std::path::{Path, PathBuf};
+use std::process::exit;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use pico_args::Arguments;
+use pomelovale_state::{Clock, ErrorKind};
+use pomelovaled::node::Node;
+use pomelovaled::settings::Settings;
+use tokio::signal::unix::{signal, SignalKind};
+
+const USAGE: &str = "\
+Runs an instance of pomelovale.
+
+Usage:
+    pomelovaled --config FILE
+    pomelovaled check FILE
+    pomelovaled --help
+
+`check` reads a settings file, names every fault with its JSON path, and starts
+nothing. SIGTERM and SIGINT stop the instance gracefully.
+
+Exit codes:
+    0 stopped gracefully, or the settings are sound   2 bad arguments
+    3 bad settings   70 the instance could not start or run
+
+Examples:
+    pomelovaled check examples/north.json
+    pomelovaled --config examples/north.json
+";
+
+enum Task {
+    Check(PathBuf),
+    Help,
+    Run(PathBuf),
+}
+
+fn task() -> Result<Task, pico_args::Error> {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        return Ok(Task::Help);
+    }
+    match args.subcommand()?.as_deref() {
+        Some("check") => Ok(Task::Check(args.free_from_str()?)),
+        Some(other) => Err(pico_args::Error::ArgumentParsingFailed {
+            cause: format!("{other:?} is not a command"),
+        }),
+        None => Ok(Task::Run(args.value_from_str("--config")?)),
+    }
+}
+
+fn main() {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let code = match task() {
+        Err(e) => {
+            eprintln!("pomelovaled: {e}; see pomelovaled --help");
+            2
+        }
+        Ok(Task::Help) => {
+            print!("{USAGE}");
+            0
+        }
+        Ok(Task::Check(path)) => check(&path),
+        Ok(Task::Run(path)) => run(&path),
+    };
+    exit(code);
+}
+
+fn load(path: &Path) -> Option<Settings> {
+    match Settings::load(path) {
+        Ok(settings) => Some(settings),
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{}: {}: {}", path.display(), fault.path, fault.text);
+            }
+            None
+        }
+    }
+}
+
+fn check(path: &Path) -> i32 {
+    match load(path) {
+        Some(settings) => {
+            println!(
+                "{}: the settings of {} are sound",
+                path.display(),
+                settings.instance
+            );
+            0
+        }
+        None => ErrorKind::BadSettings.answer().exit,
+    }
+}
+
+fn run(path: &Path) -> i32 {
+    let Some(settings) = load(path) else {
+        return ErrorKind::BadSettings.answer().exit;
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("pomelovaled: can't start: {e}");
+            return ErrorKind::Internal.answer().exit;
+        }
+    };
+    match runtime.block_on(serve(&settings)) {
+        Ok(()) => 0,
+        Err(e) => {
+            eprintln!("pomelovaled: {e}");
+            ErrorKind::Internal.answer().exit
+        }
+    }
+}
+
+async fn serve(settings: &Settings) -> Result<(), String> {
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| e.to_string())?;
+    let node = Node::start(settings, Clock::monotonic(), metrics)
+        .await
+        .map_err(|e| format!("{e:?}"))?;
+    let callers = node.callers().map(|a| a.to_string()).unwrap_or_default();
+    println!(
+        "{} serves callers on {callers:?} and operators on {}",
+        settings.instance,
+        node.operators()
+    );
+    let (mut term, mut int) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    match (&mut term, &mut int) {
+        (Ok(term), Ok(int)) => tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        },
+        _ => return Err("can't listen for signals".to_owned()),
+    }
+    node.stop().await;
+    println!("{} stopped", settings.instance);
+    Ok(())
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,16 +2,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use metrics_exporter_prometheus::PrometheusHandle;
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Secret;
+use pomelovale_protocol::messages::Fleet;
 use pomelovale_state::command::Command;
 use pomelovale_state::{Clock, ErrorKind};
 use pomelovale_transport::peer_client::PeerAddress;
 use serde_json::{json, Value};
+use tokio::runtime::Handle;
+use tokio::time::timeout;
 
 use crate::control::config::ControlConfig;
 use crate::control::{Control, ControlServer};
@@ -20,6 +24,9 @@
 use crate::settings::{Role, Settings};
 use crate::subscriber::{ControlPlace, Subscriber, SubscriberConfig};
 
+/// Longest wait for the leader's answer about the site.
+const FLEET_LIMIT: Duration = Duration::from_secs(2);
+
 /// A running process.
 pub struct Node {
     control: Option<Arc<ControlServer>>,
@@ -49,17 +56,29 @@
             true => Some(start_entry(settings, &view, &handle, &clock).await?),
             false => None,
         };
+        let (status, moves) = fleet_sources(settings, &control);
         let sources = OperatorsSources {
             handle: handle.clone(),
             view: Arc::clone(&view),
             clock,
-            status: status_source(settings, control.clone()),
+            status,
+            moves,
             metrics: Arc::new(move || metrics.render()),
         };
-        let config = OperatorsConfig { listen: settings.operators, bootstrap: None };
-        let operators = Operators::start(config, sources)
-            .map_err(|e| Report::new(ErrorKind::BadSettings).attach(format!("operators' listener: {e}")))?;
-        Ok(Node { control, entry, handle, operators, view })
+        let config = OperatorsConfig {
+            listen: settings.operators,
+            bootstrap: None,
+        };
+        let operators = Operators::start(config, sources).map_err(|e| {
+            Report::new(ErrorKind::BadSettings).attach(format!("operators' listener: {e}"))
+        })?;
+        Ok(Node {
+            control,
+            entry,
+            handle,
+            operators,
+            view,
+        })
     }
 
     /// Bound address for callers, with the entry role.
@@ -116,36 +135,52 @@
     secret: Secret,
     clock: Clock,
 ) -> Result<Arc<ControlServer>, Report<ErrorKind>> {
-    let others = settings.peers.iter().filter(|(name, _)| **name != settings.instance);
-    let initial: Vec<Command> = settings.initial.commands().into_iter().map(|(_, c)| c).collect();
+    let others = settings
+        .peers
+        .iter()
+        .filter(|(name, _)| **name != settings.instance);
+    let initial: Vec<Command> = settings
+        .initial
+        .commands()
+        .into_iter()
+        .map(|(_, c)| c)
+        .collect();
     let config = ControlConfig {
         name: settings.instance.clone(),
         directory: settings.data.clone().unwrap_or_default(),
         listen: settings.listen.unwrap_or(settings.operators),
-        peers: others.map(|(name, p)| PeerAddress { name: name.clone(), address: p.address }).collect(),
+        peers: others
+            .map(|(name, p)| PeerAddress {
+                name: name.clone(),
+                address: p.address,
+            })
+            .collect(),
         secret,
         initial,
-        timings: settings.peering()?,
-        limits: settings.control_limits()?,
+        timings: settings.peering,
+        limits: settings.control,
     };
-    let control = Control::start(config, clock).await.change_context(ErrorKind::BadSettings)?;
+    let control = Control::start(config, clock)
+        .await
+        .change_context(ErrorKind::BadSettings)?;
     Ok(Arc::new(control))
 }
 
 fn subscribe(settings: &Settings, secret: Secret, clock: Clock) -> (ControlHandle, Arc<View>) {
-    let place = |(name, p): (&pomelovale_state::Name, &crate::settings::PeerAddress)| ControlPlace {
-        name: name.clone(),
-        address: p.address,
-        region: p.region.clone(),
-        domain: p.domain.clone(),
-    };
+    let place =
+        |(name, p): (&pomelovale_state::Name, &crate::settings::PeerAddress)| ControlPlace {
+            name: name.clone(),
+            address: p.address,
+            region: p.region.clone(),
+            domain: p.domain.clone(),
+        };
     let config = SubscriberConfig {
         name: settings.instance.clone(),
         region: settings.region.clone(),
         domain: settings.domain.clone(),
         controls: settings.peers.iter().map(place).collect(),
         secret,
-        timings: Default::default(),
+        timings: settings.peering,
         limits: Default::default(),
         counters: Default::default(),
     };
@@ -160,17 +195,32 @@
     handle: &ControlHandle,
     clock: &Clock,
 ) -> Result<EntryHandle, Report<ErrorKind>> {
-    let config = settings.entry_config()?;
+    let config = settings.entry_config();
     Entry::start(config, Arc::clone(view), handle.clone(), clock.clone()).await
 }
 
-fn status_source(settings: &Settings, control: Option<Arc<ControlServer>>) -> StatusSource {
+type Sources = (StatusSource, StatusSource);
+
+fn fleet_sources(settings: &Settings, control: &Option<Arc<ControlServer>>) -> Sources {
     let instance = settings.instance.clone();
-    Arc::new(move || match &control {
-        None => json!({ "instance": instance }),
-        Some(control) => json!({
-            "instance": instance,
-            "log": &*control.status(),
-        }),
-    })
+    let Some(control) = control.as_ref().map(Arc::downgrade) else {
+        let status = move || json!({ "instance": instance });
+        return (Arc::new(status), Arc::new(|| json!([])));
+    };
+    let runtime = Handle::current();
+    let fleet = move || match control.upgrade() {
+        None => (json!(null), Fleet::default()),
+        Some(control) => {
+            let asked = async { timeout(FLEET_LIMIT, control.fleet()).await };
+            let waited = runtime.block_on(asked);
+            (json!(&*control.status()), waited.unwrap_or_default())
+        }
+    };
+    let fleet = Arc::new(fleet);
+    let moves = Arc::clone(&fleet);
+    let status = move || {
+        let (log, fleet) = fleet();
+        json!({ "instance": instance, "log": log, "instances": fleet.instances })
+    };
+    (Arc::new(status), Arc::new(move || json!(moves().1.moves)))
 }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -8,6 +8,7 @@
 
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
+use pomelovale_state::blocks::BlockTable;
 use pomelovale_state::command::{Applied, Change, Command, Refusal};
 use pomelovale_state::document::{Digest, Document, KeyHolder};
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
@@ -52,6 +53,8 @@
     pub clock: Clock,
     /// State of the process.
     pub status: StatusSource,
+    /// Moves as the leader measures them.
+    pub moves: StatusSource,
     /// Metrics of the process.
     pub metrics: MetricsSource,
 }
@@ -136,6 +139,18 @@
     (answer.status, body)
 }
 
+// The client blocks are left out, since there can be hundreds of thousands.
+fn document(document: &Document) -> Answer {
+    let document = Document {
+        blocks: BlockTable::default(),
+        ..document.clone()
+    };
+    match serde_json::to_value(&document) {
+        Ok(body) => (200, body),
+        Err(e) => failure(ErrorKind::Internal, &e.to_string()),
+    }
+}
+
 fn refusal(refusal: &Refusal) -> Answer {
     let (status, mut body) = failure(refusal.kind, &refusal.text);
     if let Some(winner) = &refusal.winner {
@@ -208,16 +223,13 @@
                 let mut body = (sources.status)();
                 body["view"] = json!({
                     "version": sources.view.document().version,
+                    "blocks": sources.view.document().blocks.len(),
                     "age_ms": sources.view.age(sources.clock.now()),
                 });
                 (200, body)
             }
-            (Method::Get, "/v1/document") => {
-                match serde_json::to_value(&*sources.view.document()) {
-                    Ok(body) => (200, body),
-                    Err(e) => failure(ErrorKind::Internal, &e.to_string()),
-                }
-            }
+            (Method::Get, "/v1/document") => document(&sources.view.document()),
+            (Method::Get, "/v1/moves") => (200, (sources.moves)()),
             (Method::Post, "/v1/changes") => self.change(request, operator),
             _ => failure(ErrorKind::NotFound, "there is nothing at this path"),
         }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -11,9 +11,12 @@
 };
 use pomelovale_state::machine::Machine;
 use pomelovale_state::{Millis, Name};
+use pomelovale_transport::peer_link::PeerTimings;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
+use crate::control::config::ControlLimits;
 use crate::entry::config::EntryConfig;
 use crate::schema::{check, optional, required, Fault, Field, Shape};
 
@@ -94,6 +97,7 @@
     optional("data", Shape::Text),
     optional("entry", Shape::Flat(read_entry)),
     optional("control", Shape::Flat(read_control)),
+    optional("peering", Shape::Flat(read_peering)),
     optional("initial", INITIAL),
 ];
 
@@ -252,10 +256,13 @@
     pub data: Option<PathBuf>,
     /// Limits and policies of the entry role.
     #[serde(default)]
-    pub entry: Map<String, Value>,
-    /// Timings of the control role.
+    pub entry: EntryConfig,
+    /// Limits of the control role.
     #[serde(default)]
-    pub control: Map<String, Value>,
+    pub control: ControlLimits,
+    /// Timings of connections between instances.
+    #[serde(default)]
+    pub peering: PeerTimings,
     /// Document of a new site.
     #[serde(default)]
     pub initial: Initial,
@@ -299,6 +306,18 @@
         }
     }
 
+    /// Settings of the entry role, with this instance's place filled in.
+    pub fn entry_config(&self) -> EntryConfig {
+        let config = self.entry.clone();
+        EntryConfig {
+            instance: self.instance.clone(),
+            region: self.region.clone(),
+            domain: self.domain.clone(),
+            listen: self.callers.unwrap_or(config.listen),
+            ..config
+        }
+    }
+
     /// Whether the instance has a role.
     pub fn has(&self, role: Role) -> bool {
         self.roles.contains(&role)
@@ -370,13 +389,19 @@
     }
 }
 
+fn read<T: DeserializeOwned>(map: &Map<String, Value>) -> Result<(), String> {
+    let read = serde_json::from_value::<T>(Value::Object(map.clone()));
+    read.map(|_| ()).map_err(|e| e.to_string())
+}
+
 fn read_entry(map: &Map<String, Value>) -> Result<(), String> {
-    let value = Value::Object(map.clone());
-    serde_json::from_value::<EntryConfig>(value)
-        .map(|_| ())
-        .map_err(|e| e.to_string())
+    read::<EntryConfig>(map)
+}
+
+fn read_control(map: &Map<String, Value>) -> Result<(), String> {
+    read::<ControlLimits>(map)
 }
 
-fn read_control(_: &Map<String, Value>) -> Result<(), String> {
-    Ok(())
+fn read_peering(map: &Map<String, Value>) -> Result<(), String> {
+    read::<PeerTimings>(map)
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod frame;
 pub mod grants;
 pub mod http;
-pub mod messages;
 pub mod log;
 pub mod messages;
 pub mod report;
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use pomelovale_state::command::{Applied, Change};
+use pomelovale_state::sheet::MoveStatus;
 use pomelovale_state::{ErrorKind, Name};
 use serde::{Deserialize, Serialize};
 
@@ -100,6 +101,15 @@
     pub view_ms: u64,
 }
 
+/// What the leader knows of the whole site.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fleet {
+    /// Instances that reported lately.
+    pub instances: Vec<InstanceStatus>,
+    /// All moves, with what was measured about their next steps.
+    pub moves: Vec<MoveStatus>,
+}
+
 /// Answer to a [`Request`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Response {
@@ -110,7 +120,7 @@
     /// Answer to [`Request::Grant`].
     Grant(GrantReply),
     /// Answer to [`Request::Status`].
-    Status(Vec<InstanceStatus>),
+    Status(Fleet),
 }
 
 /// A message of the replicated log with its ends.
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -44,6 +44,8 @@
     pub version: u64,
     /// Age of its view in milliseconds.
     pub view_ms: u64,
+    /// Whether it is stopping.
+    pub leaving: bool,
     /// One row for each service and region.
     pub services: Vec<ServiceLoad>,
     /// One row for each pair of regions.
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -84,10 +84,11 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberState {
-    /// Finishes what it has and takes nothing new.
+    /// Taken out by the system: an instance that stops, or that stopped
+    /// reporting. It is taken back once it reports again.
+    Away,
+    /// Taken out by an operator: finishes what it has and takes nothing new.
     Leaving,
-    /// Taken out by the leader since it stopped reporting.
-    Lost,
     /// Takes new work.
     #[default]
     Serving,
