Test control instances and entries over loopback sockets

Cause: the control runtime had no test of lost instances and connections. Change: a kit of control instances, entries and stand-in links in one process; tests of resends, races, lost and isolated leaders, wiped disks, silent connections, catch-up and revocation. A stopped instance no longer polls its finished task.

--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -202,6 +202,9 @@
             commit: status.commit.0,
             last: status.last.0,
             applied: self.applied.index.0,
+            id: Some(status.id.clone()),
+            voters: status.voters.clone(),
+            learners: status.learners.clone(),
             version: self.machine.document.version,
             age_ms: age,
         }));
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -18,6 +18,7 @@
 use pomelovale_coordination::log::{LogConfig, Replica, Role as LogRole, Storage};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Role;
+use pomelovale_protocol::log::ReplicaId;
 use pomelovale_protocol::messages::InstanceStatus;
 use pomelovale_state::{Clock, Name};
 use pomelovale_transport::peer_client::PeerClient;
@@ -73,6 +74,12 @@
     pub last: u64,
     /// Last applied index.
     pub applied: u64,
+    /// Identity of this replica.
+    pub id: Option<ReplicaId>,
+    /// Replicas that vote.
+    pub voters: Vec<ReplicaId>,
+    /// Replicas that do not vote yet.
+    pub learners: Vec<ReplicaId>,
     /// Version of the document.
     pub version: u64,
     /// Age of the proof of the document, in milliseconds.
@@ -198,18 +205,21 @@
     }
 
     /// Hands leadership over and ends.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
         let _ = self.orders.send(Order::Stop);
-        let _ = timeout(HAND_OVER, &mut self.task).await;
+        let _ = timeout(HAND_OVER, self.ended()).await;
         self.kill().await;
     }
 
+    async fn ended(&self) {
+        let _ = self.written.recv_async().await;
+    }
+
     /// Ends without handing over, and waits until no file is written to any
     /// more.
-    pub async fn kill(mut self) {
+    pub async fn kill(self) {
         self.task.abort();
-        let _ = (&mut self.task).await;
-        let _ = self.written.recv_async().await;
+        self.ended().await;
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/control_entries.rs
@@ -0,0 +1,254 @@
+//! Entries: their views while control instances and connections are lost.
+
+mod control_kit;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use control_kit::{change, propose_many, put_key, put_workspace, until, within, Cluster, Entry};
+use pomelovale_coordination::view::KEY_VIEW_BOUND_MS;
+use pomelovale_protocol::grants::GrantRequest;
+use pomelovale_protocol::report::Report;
+use pomelovale_state::command::{Applied, Command};
+use pomelovale_state::Name;
+
+/// Records the greatest age of a view.
+struct Watch {
+    oldest: Arc<AtomicU64>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Watch {
+    fn start(entry: &Entry) -> Watch {
+        let (oldest, ended) = (Arc::<AtomicU64>::default(), Arc::<AtomicBool>::default());
+        let (view, clock) = (entry.view.clone(), entry.clock.clone());
+        let (seen, end) = (oldest.clone(), ended.clone());
+        tokio::spawn(async move {
+            while !end.load(Ordering::SeqCst) {
+                seen.fetch_max(view.age(clock.now()), Ordering::SeqCst);
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        });
+        Watch { oldest, ended }
+    }
+
+    fn assert_served(self) {
+        self.ended.store(true, Ordering::SeqCst);
+        let oldest = self.oldest.load(Ordering::SeqCst);
+        assert!(
+            oldest <= KEY_VIEW_BOUND_MS,
+            "keyed requests were refused: the view was {oldest} ms old"
+        );
+    }
+}
+
+async fn current(entry: &Entry, version: u64) {
+    until("the entry is current", || {
+        entry.version() == version && entry.age() < 1_000
+    })
+    .await;
+}
+
+// Guards against keyed requests that are refused because an instance of three
+// was lost. The cases differ in what is lost and how.
+macro_rules! losses {
+    ($($name:ident: $near:expr, $loss:expr;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let mut cluster = Cluster::start(3).await;
+            let leader = cluster.leader().await;
+            propose_many(&cluster, leader, "before", 5).await;
+            let near: fn(usize) -> usize = $near;
+            let entry = cluster.entry("e1", near(leader)).await;
+            current(&entry, 5).await;
+            let watch = Watch::start(&entry);
+            let before = cluster.server(leader).status().epoch;
+            let loss: Loss = $loss;
+            apply_loss(&mut cluster, leader, &entry, loss).await;
+            let other = (leader + 1) % 3;
+            if loss != Loss::Connections {
+                until("there is another leader or the entry moved", || {
+                    let status = cluster.server(other).status();
+                    status.age_ms < 1_000 && (status.epoch > before || loss == Loss::Follower)
+                })
+                .await;
+            }
+            propose_many(&cluster, other, "after", 5).await;
+            current(&entry, 10).await;
+            watch.assert_served();
+        }
+    )*};
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loss {
+    Connections,
+    Follower,
+    IsolatedLeader,
+    KilledLeader,
+}
+
+async fn apply_loss(cluster: &mut Cluster, leader: usize, entry: &Entry, loss: Loss) {
+    match loss {
+        Loss::KilledLeader => cluster.kill(leader).await,
+        Loss::Follower => cluster.kill((leader + 2) % 3).await,
+        Loss::IsolatedLeader => cluster.cut(&cluster.names[leader].clone(), true),
+        Loss::Connections => {
+            let own = |(from, _): &(Name, Name)| *from == entry.name;
+            let links = cluster.proxies.iter().filter(|(k, _)| own(k));
+            links.for_each(|(_, proxy)| proxy.silence_open());
+        }
+    }
+}
+
+losses! {
+    leader_killed_with_its_subscriber: |l| l, Loss::KilledLeader;
+    leader_killed_subscriber_elsewhere: |l| (l + 1) % 3, Loss::KilledLeader;
+    leader_isolated_with_its_subscriber: |l| l, Loss::IsolatedLeader;
+    follower_killed_with_its_subscriber: |l| (l + 2) % 3, Loss::Follower;
+    connections_silent_while_new_ones_work: |l| (l + 2) % 3, Loss::Connections;
+}
+
+// Guards against silent connections between control instances that are never
+// found: the leader is not isolated, new connections work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_connections_between_control_instances_are_replaced() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let entry = cluster.entry("e1", (leader + 1) % 3).await;
+    propose_many(&cluster, leader, "before", 3).await;
+    current(&entry, 3).await;
+    let watch = Watch::start(&entry);
+    for proxy in cluster.proxies.values() {
+        proxy.silence_open();
+    }
+    let found = |i: usize| cluster.server(i).counters().silent.load(Ordering::SeqCst);
+    until("the connections are closed", || {
+        (0..3).map(found).sum::<u64>() >= 3
+    })
+    .await;
+    let leader = cluster.leader().await;
+    propose_many(&cluster, leader, "after", 3).await;
+    current(&entry, 6).await;
+    watch.assert_served();
+}
+
+// Guards against an entry that, after a restart or a long cut, resumes from
+// changes that are no longer kept, or goes backwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_catch_up_after_hundreds_of_changes() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let entry = cluster.entry("e1", leader).await;
+    propose_many(&cluster, leader, "a", 10).await;
+    current(&entry, 10).await;
+    cluster.cut(&entry.name, true);
+    propose_many(&cluster, leader, "b", 100).await;
+    assert_eq!(entry.version(), 10);
+    cluster.cut(&entry.name, false);
+    current(&entry, 110).await;
+    cluster.cut(&entry.name, true);
+    propose_many(&cluster, leader, "c", 400).await;
+    assert_eq!(entry.version(), 110);
+    cluster.cut(&entry.name, false);
+    current(&entry, 510).await;
+    let restarted = cluster.entry("e1", leader).await;
+    current(&restarted, 510).await;
+    let expected = cluster.server(leader).view().document();
+    for view in [&entry.view, &restarted.view] {
+        assert_eq!(view.document().workspaces, expected.workspaces);
+        assert_eq!(view.document().versions, expected.versions);
+    }
+}
+
+// Guards against a revoked key that a cut-off entry serves for longer than the
+// bound of its view: the revocation is accepted, the entry can't know.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_off_entry_refuses_keys_after_a_revocation() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let (near, cut_off) = (
+        cluster.entry("e1", leader).await,
+        cluster.entry("e2", leader).await,
+    );
+    propose_many(&cluster, leader, "w", 1).await;
+    cluster
+        .propose(leader, change("key", put_key("k1", "w")))
+        .await;
+    current(&near, 2).await;
+    current(&cut_off, 2).await;
+    cluster.cut(&cut_off.name, true);
+    let revoke = change("revoke", Command::RevokeKey(Name::from("k1")));
+    let applied = cluster.propose(leader, revoke).await;
+    assert!(matches!(applied, Applied::Accepted { .. }));
+    let accepted = cut_off.clock.now();
+    until("the reachable entry knows", || {
+        near.view.document().keys["k1"].revoked
+    })
+    .await;
+    until("the cut-off entry refuses keys", || !cut_off.serves_keys()).await;
+    let proven = cut_off.clock.now().minus(cut_off.age());
+    assert!(proven <= accepted, "the proof is later than the cut");
+    assert!(!cut_off.view.document().keys["k1"].revoked);
+    cluster.cut(&cut_off.name, false);
+    current(&cut_off, 3).await;
+    assert!(cut_off.view.document().keys["k1"].revoked);
+}
+
+// Guards against a majority that is lost while entries go on serving keys.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_are_refused_once_the_majority_is_lost() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    propose_many(&cluster, leader, "w", 1).await;
+    let entry = cluster.entry("e1", leader).await;
+    current(&entry, 1).await;
+    cluster.kill((leader + 1) % 3).await;
+    cluster.kill((leader + 2) % 3).await;
+    until("the entry refuses keys", || !entry.serves_keys()).await;
+    assert_eq!(entry.version(), 1);
+    cluster.restart((leader + 1) % 3).await;
+    until("the entry serves keys", || entry.serves_keys()).await;
+}
+
+// Guards against calls of an entry that end unanswered: proposals, requests
+// for tokens and reports go through whichever instance it is subscribed to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_reach_the_leader_through_a_follower() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let entry = cluster.entry("e1", (leader + 1) % 3).await;
+    let sent = change("w", put_workspace("w", 1_000));
+    let first = within("an answer", entry.handle.propose(sent.clone())).await;
+    assert_eq!(
+        first,
+        Ok(Applied::Accepted {
+            version: 1,
+            item: 1
+        })
+    );
+    let request = |epoch| GrantRequest {
+        instance: entry.name.clone(),
+        seq: 1,
+        epoch,
+        wants: Vec::new(),
+    };
+    let reply = within("a reply", entry.handle.grant(request(0))).await;
+    assert_eq!(reply.unwrap().epoch, cluster.server(leader).status().epoch);
+    entry.handle.report(Report {
+        instance: entry.name.clone(),
+        version: entry.version(),
+        ..Report::default()
+    });
+    for i in 0..3 {
+        loop {
+            let rows = within("the rows", cluster.server(i).instances()).await;
+            if rows.iter().any(|r| r.instance == entry.name) {
+                break;
+            }
+        }
+    }
+    cluster.kill((leader + 1) % 3).await;
+    assert_eq!(within("an answer", entry.handle.propose(sent)).await, first);
+}
--- /dev/null
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -0,0 +1,408 @@
+//! Control instances, entries and stand-in links for tests, in one process.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::auth::Secret;
+use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::document::{Digest, KeyHolder, Workspace};
+use pomelovale_state::{Clock, Millis, Name};
+use pomelovale_transport::peer_client::PeerAddress;
+use pomelovale_transport::peer_link::PeerCounters;
+use pomelovaled::control::config::ControlConfig;
+use pomelovaled::control::{Control, ControlServer};
+use pomelovaled::subscriber::{ControlPlace, Subscriber, SubscriberConfig};
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Generous bound of every wait; only a failing test reaches it.
+const BOUND: Duration = Duration::from_secs(60);
+
+/// Polls until the condition holds.
+pub async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < BOUND, "still waiting until {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits for a future within the bound.
+pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    match tokio::time::timeout(BOUND, future).await {
+        Ok(value) => value,
+        Err(_) => panic!("still waiting for {what}"),
+    }
+}
+
+const PASS: u8 = 0;
+const SILENT: u8 = 1;
+
+/// A stand-in for the network between two processes. It can go silent: it
+/// then takes bytes and forwards none, and closes nothing.
+pub struct Proxy {
+    pub address: SocketAddr,
+    target: Arc<Mutex<Option<SocketAddr>>>,
+    mode: Arc<AtomicU8>,
+    opened: Arc<AtomicU64>,
+    // Connections up to this number are silent.
+    silent: Arc<AtomicU64>,
+}
+
+impl Proxy {
+    pub async fn start() -> Proxy {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let proxy = Proxy {
+            address: listener.local_addr().unwrap(),
+            target: Arc::default(),
+            mode: Arc::default(),
+            opened: Arc::default(),
+            silent: Arc::default(),
+        };
+        let (target, mode) = (proxy.target.clone(), proxy.mode.clone());
+        let (opened, silent) = (proxy.opened.clone(), proxy.silent.clone());
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let id = opened.fetch_add(1, Ordering::SeqCst) + 1;
+                let (mode, silent) = (mode.clone(), silent.clone());
+                let passes = move || {
+                    mode.load(Ordering::SeqCst) == PASS && silent.load(Ordering::SeqCst) < id
+                };
+                let target = *target.lock().unwrap();
+                tokio::spawn(forward(socket, target, passes));
+            }
+        });
+        proxy
+    }
+
+    pub fn set_target(&self, target: Option<SocketAddr>) {
+        *self.target.lock().unwrap() = target;
+    }
+
+    /// Cuts everything, new connections too.
+    pub fn cut(&self, cut: bool) {
+        let mode = if cut { SILENT } else { PASS };
+        self.mode.store(mode, Ordering::SeqCst);
+        if cut {
+            self.silence_open();
+        }
+    }
+
+    /// Cuts the connections that are open, permanently.
+    pub fn silence_open(&self) {
+        let opened = self.opened.load(Ordering::SeqCst);
+        self.silent.store(opened, Ordering::SeqCst);
+    }
+}
+
+async fn forward(
+    mut socket: TcpStream,
+    target: Option<SocketAddr>,
+    passes: impl Fn() -> bool + Clone,
+) {
+    let Some(target) = target else {
+        return;
+    };
+    let Ok(mut other) = TcpStream::connect(target).await else {
+        return;
+    };
+    let (mut a_in, mut a_out) = socket.split();
+    let (mut b_in, mut b_out) = other.split();
+    let pump = |passes: &dyn Fn() -> bool, n: usize| n > 0 && passes();
+    let there = async {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match a_in.read(&mut buffer).await {
+                Ok(n) if pump(&passes, n) => b_out.write_all(&buffer[..n]).await?,
+                Ok(n) if n > 0 => {}
+                _ if passes() => return std::io::Result::Ok(()),
+                _ => std::future::pending().await,
+            }
+        }
+    };
+    let back = async {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match b_in.read(&mut buffer).await {
+                Ok(n) if pump(&passes, n) => a_out.write_all(&buffer[..n]).await?,
+                Ok(n) if n > 0 => {}
+                _ if passes() => return std::io::Result::Ok(()),
+                _ => std::future::pending().await,
+            }
+        }
+    };
+    tokio::select! {
+        _ = there => {}
+        _ = back => {}
+    }
+}
+
+/// A clock that follows real time and can be moved forward.
+pub fn running_clock() -> Clock {
+    let clock = Clock::manual();
+    let driven = clock.clone();
+    tokio::spawn(async move {
+        let mut last = Instant::now();
+        loop {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            let passed = last.elapsed().as_millis() as u64;
+            last += Duration::from_millis(passed);
+            driven.advance(passed);
+        }
+    });
+    clock
+}
+
+pub fn secret() -> Secret {
+    Secret::try_from("a shared secret of the tests".to_string()).unwrap()
+}
+
+pub struct Cluster {
+    pub clocks: Vec<Clock>,
+    pub names: Vec<Name>,
+    pub servers: Vec<Option<ControlServer>>,
+    pub proxies: HashMap<(Name, Name), Proxy>,
+    pub delay_ms: u64,
+    pub initial: Vec<Command>,
+    directories: Vec<TempDir>,
+}
+
+/// The view and the calls of an entry.
+pub struct Entry {
+    pub name: Name,
+    pub clock: Clock,
+    pub counters: Arc<PeerCounters>,
+    pub handle: ControlHandle,
+    pub view: Arc<View>,
+}
+
+impl Entry {
+    pub fn version(&self) -> u64 {
+        self.view.document().version
+    }
+
+    pub fn age(&self) -> u64 {
+        self.view.age(self.clock.now())
+    }
+
+    pub fn serves_keys(&self) -> bool {
+        self.view.serves_keys(self.clock.now())
+    }
+}
+
+impl Cluster {
+    pub async fn start(count: usize) -> Cluster {
+        Cluster::start_with(count, 0, Vec::new()).await
+    }
+
+    pub async fn start_with(count: usize, delay_ms: u64, initial: Vec<Command>) -> Cluster {
+        let names: Vec<Name> = (1..=count).map(|i| Name::from(format!("c{i}"))).collect();
+        let mut cluster = Cluster {
+            clocks: (0..count).map(|_| running_clock()).collect(),
+            names: names.clone(),
+            servers: (0..count).map(|_| None).collect(),
+            proxies: HashMap::new(),
+            delay_ms,
+            initial,
+            directories: (0..count).map(|_| TempDir::new().unwrap()).collect(),
+        };
+        for from in &names {
+            for to in names.iter().filter(|to| *to != from) {
+                let proxy = Proxy::start().await;
+                cluster.proxies.insert((from.clone(), to.clone()), proxy);
+            }
+        }
+        for i in 0..count {
+            cluster.restart(i).await;
+        }
+        cluster
+    }
+
+    pub fn config(&self, i: usize) -> ControlConfig {
+        let others = self.names.iter().filter(|n| **n != self.names[i]);
+        let address = |to: &Name| self.proxies[&(self.names[i].clone(), to.clone())].address;
+        let peers = others.map(|name| PeerAddress {
+            name: name.clone(),
+            address: address(name),
+        });
+        ControlConfig {
+            name: self.names[i].clone(),
+            directory: self.directories[i].path().join("control"),
+            listen: "127.0.0.1:0".parse().unwrap(),
+            peers: peers.collect(),
+            secret: secret(),
+            initial: self.initial.clone(),
+            timings: Default::default(),
+            limits: pomelovaled::control::config::ControlLimits {
+                delay_ms: self.delay_ms,
+                snapshot_entries: 200,
+                recent: 150,
+                ..Default::default()
+            },
+        }
+    }
+
+    pub async fn restart(&mut self, i: usize) {
+        let started = Control::start(self.config(i), self.clocks[i].clone()).await;
+        let server = started.unwrap();
+        self.point(i, Some(server.address()));
+        self.servers[i] = Some(server);
+    }
+
+    fn point(&self, i: usize, address: Option<SocketAddr>) {
+        let to = self.proxies.iter().filter(|(k, _)| k.1 == self.names[i]);
+        to.for_each(|(_, proxy)| proxy.set_target(address));
+    }
+
+    pub async fn kill(&mut self, i: usize) {
+        self.point(i, None);
+        if let Some(server) = self.servers[i].take() {
+            server.kill().await;
+        }
+    }
+
+    pub async fn stop(&mut self, i: usize) {
+        if let Some(server) = self.servers[i].take() {
+            server.stop().await;
+        }
+        self.point(i, None);
+    }
+
+    pub fn wipe(&mut self, i: usize) {
+        self.directories[i] = TempDir::new().unwrap();
+    }
+
+    /// Cuts or restores all links of an instance.
+    pub fn cut(&self, name: &Name, cut: bool) {
+        let links = self.proxies.iter();
+        let links = links.filter(|((from, to), _)| from == name || to == name);
+        links.for_each(|(_, proxy)| proxy.cut(cut));
+    }
+
+    pub fn server(&self, i: usize) -> &ControlServer {
+        self.servers[i].as_ref().unwrap()
+    }
+
+    /// The instance that leads, among those that run and are not `except`.
+    pub async fn leader_except(&self, except: Option<usize>) -> usize {
+        let mut found = None;
+        until("there is a leader", || {
+            let leads = |i: &usize| {
+                let server = self.servers[*i].as_ref().filter(|_| Some(*i) != except);
+                server.is_some_and(|s| s.status().role == "leader" && s.status().age_ms < 1_000)
+            };
+            found = (0..self.names.len()).find(leads);
+            found.is_some()
+        })
+        .await;
+        found.unwrap()
+    }
+
+    pub async fn leader(&self) -> usize {
+        self.leader_except(None).await
+    }
+
+    /// An instance that follows.
+    pub async fn follower(&self) -> usize {
+        let leader = self.leader().await;
+        (0..self.names.len())
+            .find(|i| *i != leader && self.servers[*i].is_some())
+            .unwrap()
+    }
+
+    pub async fn propose(&self, i: usize, change: Change) -> Applied {
+        let handle = self.server(i).handle();
+        within("an answer", handle.propose(change)).await.unwrap()
+    }
+
+    /// Starts an entry that prefers the control instance `near`.
+    pub async fn entry(&mut self, name: &str, near: usize) -> Entry {
+        let name = Name::from(name);
+        let mut controls = Vec::new();
+        for (i, control) in self.names.clone().into_iter().enumerate() {
+            let proxy = Proxy::start().await;
+            proxy.set_target(self.servers[i].as_ref().map(ControlServer::address));
+            let domain = if i == near { "near" } else { "far" };
+            controls.push(ControlPlace {
+                name: control.clone(),
+                address: proxy.address,
+                region: Name::from(domain),
+                domain: Name::from(domain),
+            });
+            self.proxies.insert((name.clone(), control), proxy);
+        }
+        self.subscribe(name, controls)
+    }
+
+    fn subscribe(&self, name: Name, controls: Vec<ControlPlace>) -> Entry {
+        let (clock, counters) = (running_clock(), Arc::<PeerCounters>::default());
+        let config = SubscriberConfig {
+            name: name.clone(),
+            region: Name::from("near"),
+            domain: Name::from("near"),
+            controls,
+            secret: secret(),
+            timings: Default::default(),
+            limits: pomelovaled::subscriber::SubscriberLimits {
+                delay_ms: self.delay_ms,
+                ..Default::default()
+            },
+            counters: counters.clone(),
+        };
+        let view = Arc::new(View::default());
+        let handle = Subscriber::start(config, view.clone(), clock.clone());
+        Entry {
+            name,
+            clock,
+            counters,
+            handle,
+            view,
+        }
+    }
+}
+
+pub fn change(request: &str, command: Command) -> Change {
+    Change {
+        request: Name::from(request),
+        sender: Name::from("operator"),
+        base: None,
+        at: Millis(0),
+        command,
+    }
+}
+
+pub fn put_workspace(name: &str, rate: u64) -> Command {
+    Command::PutWorkspace {
+        name: Name::from(name),
+        workspace: Workspace {
+            rate,
+            burst: rate,
+            weight: 1,
+        },
+    }
+}
+
+pub fn put_key(id: &str, workspace: &str) -> Command {
+    Command::PutKey {
+        id: Name::from(id),
+        holder: KeyHolder::Workspace(Name::from(workspace)),
+        digest: Digest([7; 32]),
+    }
+}
+
+/// A number of accepted changes with distinct request identifiers.
+pub async fn propose_many(cluster: &Cluster, i: usize, prefix: &str, count: usize) {
+    for n in 0..count {
+        let command = put_workspace("w", n as u64 + 1);
+        let applied = cluster.propose(i, change(&format!("{prefix}-{n}"), command));
+        assert!(matches!(applied.await, Applied::Accepted { .. }));
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/control_log.rs
@@ -0,0 +1,256 @@
+//! Control instances: accepted changes, resends, races and lost instances.
+
+mod control_kit;
+
+use control_kit::{change, propose_many, put_workspace, until, within, Cluster};
+use pomelovale_state::command::{Applied, Command, Winner};
+use pomelovale_state::document::Region;
+use pomelovale_state::{ErrorKind, Name};
+
+fn region(name: &str) -> Command {
+    Command::PutRegion {
+        name: Name::from(name),
+        region: Region::default(),
+    }
+}
+
+// Guards against a change that is answered but not applied, and against a
+// follower that does not pass proposals on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_are_accepted_through_every_instance() {
+    let cluster = Cluster::start(3).await;
+    for i in 0..3 {
+        let applied = cluster
+            .propose(i, change(&format!("r{i}"), put_workspace("w", 10)))
+            .await;
+        let version = i as u64 + 1;
+        assert_eq!(
+            applied,
+            Applied::Accepted {
+                version,
+                item: version
+            }
+        );
+    }
+    for i in 0..3 {
+        let view = cluster.server(i).view();
+        until("every instance has applied it", || {
+            view.document().version == 3
+        })
+        .await;
+    }
+}
+
+// Guards against an initial document that is applied twice, after a restart
+// or by two leaders.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_initial_document_is_applied_once() {
+    let initial = vec![region("north"), put_workspace("w", 10)];
+    let mut cluster = Cluster::start_with(3, 0, initial).await;
+    for _ in 0..3 {
+        let leader = cluster.leader().await;
+        let view = cluster.server(leader).view();
+        until("the document is there", || view.document().version >= 1).await;
+        cluster.kill(leader).await;
+        cluster.restart(leader).await;
+    }
+    let applied = cluster.propose(0, change("next", region("south"))).await;
+    assert_eq!(
+        applied,
+        Applied::Accepted {
+            version: 2,
+            item: 1
+        }
+    );
+}
+
+// Guards against two operators who both believe that their change is the one
+// in force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_two_racing_operators_is_accepted() {
+    let cluster = Cluster::start(3).await;
+    cluster.leader().await;
+    for round in 0..5u64 {
+        let propose = |i: usize| {
+            let mut c = change(&format!("r{round}-{i}"), put_workspace("w", 10 + i as u64));
+            c.sender = Name::from(format!("operator-{i}"));
+            c.base = Some(round);
+            cluster.propose(i, c)
+        };
+        let (first, second) = tokio::join!(propose(0), propose(1));
+        let (won, lost, winner) = match (&first, &second) {
+            (Applied::Accepted { .. }, _) => (&first, &second, 0),
+            _ => (&second, &first, 1),
+        };
+        assert!(matches!(won, Applied::Accepted { .. }));
+        let Applied::Refused(refusal) = lost else {
+            panic!("both were accepted");
+        };
+        assert_eq!(refusal.kind, ErrorKind::VersionConflict);
+        let expected = Winner {
+            sender: Name::from(format!("operator-{winner}")),
+            request: Name::from(format!("r{round}-{winner}")),
+            version: round + 1,
+        };
+        assert_eq!(refusal.winner.as_ref(), Some(&expected));
+    }
+}
+
+// Guards against a resend that is applied again: the answer was lost with the
+// leader, and the resend goes to another instance.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_resend_after_a_lost_answer_gets_the_first_answer() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let mut sent = change("only-once", put_workspace("w", 10));
+    sent.base = Some(0);
+    let first = cluster.propose(leader, sent.clone()).await;
+    cluster.kill(leader).await;
+    let other = cluster.leader_except(Some(leader)).await;
+    cluster
+        .propose(other, change("later", put_workspace("w", 20)))
+        .await;
+    for i in (0..3).filter(|i| *i != leader) {
+        assert_eq!(cluster.propose(i, sent.clone()).await, first);
+    }
+    cluster.restart(leader).await;
+    assert_eq!(cluster.propose(leader, sent).await, first);
+    assert_eq!(cluster.server(other).view().document().version, 2);
+}
+
+// Guards against accepted changes that vanish with the leader, and against
+// proposals that get no answer because their leader was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn proposals_survive_the_loss_of_their_leader() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let follower = cluster.follower().await;
+    let handle = cluster.server(follower).handle();
+    let proposals: Vec<_> = (0..200u64)
+        .map(|n| {
+            let handle = handle.clone();
+            let sent = change(&format!("r{n}"), put_workspace("w", n + 1));
+            tokio::spawn(async move { handle.propose(sent).await })
+        })
+        .collect();
+    cluster.kill(leader).await;
+    let mut versions = Vec::new();
+    for proposal in proposals {
+        match within("an answer", proposal).await.unwrap().unwrap() {
+            Applied::Accepted { version, .. } => versions.push(version),
+            other => panic!("unexpected answer {other:?}"),
+        }
+    }
+    versions.sort_unstable();
+    assert_eq!(versions, (1..=200).collect::<Vec<u64>>());
+    cluster.restart(leader).await;
+    let view = cluster.server(leader).view();
+    until("the former leader has caught up", || {
+        view.document().version == 200
+    })
+    .await;
+}
+
+// Guards against a follower whose loss stops changes, or that comes back
+// without what it missed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_follower_comes_back_after_hundreds_of_changes() {
+    let mut cluster = Cluster::start(3).await;
+    let follower = cluster.follower().await;
+    cluster.kill(follower).await;
+    let leader = cluster.leader().await;
+    propose_many(&cluster, leader, "r", 500).await;
+    cluster.restart(follower).await;
+    let view = cluster.server(follower).view();
+    until("the follower has caught up", || {
+        view.document().version == 500 && view.age(cluster.clocks[follower].now()) < 1_000
+    })
+    .await;
+}
+
+// Guards against an isolated instance that acknowledges changes, proves its
+// state as current, or disturbs the others when it comes back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_isolated_leader_comes_back_after_an_hour() {
+    let mut cluster = Cluster::start(3).await;
+    let isolated = cluster.leader().await;
+    propose_many(&cluster, isolated, "before", 3).await;
+    let entry = cluster.entry("e1", isolated).await;
+    until("the entry is current", || entry.version() == 3).await;
+    cluster.cut(&cluster.names[isolated].clone(), true);
+    let handle = cluster.server(isolated).handle();
+    let lost = tokio::spawn({
+        let sent = change("isolated", put_workspace("w", 99));
+        async move { handle.propose(sent).await }
+    });
+    cluster.clocks[isolated].advance(3_600_000);
+    let view = cluster.server(isolated).view();
+    until("its own view is too old", || {
+        !view.serves_keys(cluster.clocks[isolated].now())
+    })
+    .await;
+    assert_eq!(
+        within("an answer", lost).await.unwrap(),
+        Err(ErrorKind::Unavailable)
+    );
+    let leader = cluster.leader_except(Some(isolated)).await;
+    propose_many(&cluster, leader, "during", 300).await;
+    until("the entry moved on", || {
+        entry.version() == 303 && entry.serves_keys()
+    })
+    .await;
+    let epoch = cluster.server(leader).status().epoch;
+    cluster.cut(&cluster.names[isolated].clone(), false);
+    until("it has caught up", || {
+        view.document().version == 303 && view.serves_keys(cluster.clocks[isolated].now())
+    })
+    .await;
+    assert_eq!(cluster.server(leader).status().epoch, epoch);
+    assert_eq!(cluster.server(leader).status().role, "leader");
+    let resent = change("isolated", put_workspace("w", 99));
+    let applied = cluster.propose(isolated, resent).await;
+    assert_eq!(
+        applied,
+        Applied::Accepted {
+            version: 304,
+            item: 304
+        }
+    );
+}
+
+// Guards against a wiped disk that votes under its old identity, or that never
+// becomes a member again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_wiped_instance_rejoins_and_replaces_a_second_loss() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    propose_many(&cluster, leader, "r", 300).await;
+    let wiped = (leader + 1) % 3;
+    let second = (leader + 2) % 3;
+    cluster.kill(wiped).await;
+    cluster.wipe(wiped);
+    cluster.restart(wiped).await;
+    let view = cluster.server(wiped).view();
+    until("it has caught up", || view.document().version == 300).await;
+    let id = cluster.server(wiped).status().id.clone().unwrap();
+    until("it votes", || {
+        cluster.server(leader).status().voters.contains(&id)
+    })
+    .await;
+    cluster.kill(second).await;
+    propose_many(&cluster, leader, "s", 3).await;
+    until("it has the rest", || view.document().version == 303).await;
+}
+
+// Guards against a planned stop of the leader that takes as long as an
+// unplanned one, or loses changes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopped_leader_hands_over() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    propose_many(&cluster, leader, "r", 3).await;
+    cluster.stop(leader).await;
+    let next = cluster.leader_except(Some(leader)).await;
+    propose_many(&cluster, next, "s", 3).await;
+    assert_eq!(cluster.server(next).view().document().version, 6);
+}
