Test the joining of chunks

Cause: large messages are sent in chunks, and their joining had no test; the frame test did not compile after the position moved. Change: tables of faulty chunks and of sizes. Conclusion: chunks that overflow or are missing are refused.

--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -4,13 +4,19 @@
 use pomelovale_protocol::frame::{
     decode_body, encode, Decoder, FrameError, FRAME_MAX_BYTES, PROTOCOL_VERSION,
 };
-use pomelovale_protocol::messages::{PeerMessage, Position, Renew};
+use pomelovale_protocol::log::{Epoch, LogIndex, Position};
+use pomelovale_protocol::messages::{
+    chunks, Assembly, Chunk, Content, PeerMessage, Renew, CHUNK_BYTES,
+};
 use pomelovale_state::Name;
 
 fn renew() -> PeerMessage {
     PeerMessage::Renew(Renew {
         seq: 7,
-        position: Some(Position { epoch: 3, index: 9 }),
+        position: Some(Position {
+            epoch: Epoch(3),
+            index: LogIndex(9),
+        }),
     })
 }
 
@@ -137,3 +143,51 @@
     let tag = signed.client_tag(&secret("a shared secret of peers"));
     assert!(!signed.check_client(&other, &tag));
 }
+
+fn chunk(offset: u64, size: u64, bytes: usize) -> Chunk {
+    Chunk {
+        content: Content::Log,
+        offset,
+        size,
+        bytes: vec![1; bytes],
+    }
+}
+
+macro_rules! assemblies {
+    ($($name:ident: $chunks:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut assembly = Assembly::default();
+            let joined: Result<Vec<_>, _> =
+                $chunks.into_iter().map(|c| assembly.push(c)).collect();
+            assert!(joined.is_err());
+        }
+    )*};
+}
+
+// Guards against chunks that overflow, reserve memory, or are joined wrongly.
+assemblies! {
+    chunk_past_the_size: [chunk(0, 4, 5)];
+    offset_overflows: [chunk(u64::MAX, 4, 5)];
+    assembled_size_over_the_limit: [chunk(0, u64::MAX, 5)];
+    first_chunk_is_missing: [chunk(5, 10, 5)];
+    chunk_is_missing: [chunk(0, 15, 5), chunk(10, 15, 5)];
+}
+
+// Guards against a message that differs after it was cut and joined.
+#[test]
+fn chunks_join_to_the_same_message() {
+    for size in [1, CHUNK_BYTES - 1, CHUNK_BYTES, 3 * CHUNK_BYTES + 5] {
+        let body: Vec<u8> = (0..size).map(|i| i as u8).collect();
+        let mut assembly = Assembly::default();
+        let mut joined = None;
+        for message in chunks(Content::Log, body.clone().into()) {
+            let PeerMessage::Chunk(chunk) = message else {
+                panic!("only chunks are sent");
+            };
+            assert_eq!(joined, None);
+            joined = assembly.push(chunk).unwrap();
+        }
+        assert_eq!(joined, Some((Content::Log, body)));
+    }
+}
