--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,6 +1,11 @@
 //! Agreement, storage, distribution and rate limits.
 
 pub mod control;
+pub mod fairness;
+pub mod gate;
+pub mod ledger;
+pub mod limiter;
+pub mod measures;
 mod election;
 mod entries;
 pub mod fairness;
