--- a/crates/coordination/src/measures.rs
+++ b/crates/coordination/src/measures.rs
@@ -10,6 +10,9 @@
 /// Time without a report after which an entry is taken out of the entry list.
 pub const LOST_AFTER_MS: u64 = 5_000;
 
+/// How long the report of an entry that is not in the document is kept.
+const REPORT_LIFE_MS: u64 = 60_000;
+
 #[derive(Clone, Debug)]
 struct Received {
     at: Millis,
@@ -138,10 +141,16 @@
         changes
     }
 
-    /// Forgets entries that are no longer in the document.
-    pub fn retain(&mut self, document: &Document) {
+    /// The entries that reported, with their last reports.
+    pub fn reports(&self) -> impl Iterator<Item = &Report> {
+        self.reports.values().map(|r| &r.report)
+    }
+
+    /// Forgets entries that are neither in the document nor reported lately.
+    pub fn retain(&mut self, document: &Document, now: Millis) {
+        let known = |name: &Name| document.instances.contains_key(name);
         self.reports
-            .retain(|name, _| document.instances.contains_key(name));
+            .retain(|name, r| known(name) || now.since(r.at) < REPORT_LIFE_MS);
     }
 }
 
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -95,7 +95,7 @@
             return Vec::new();
         }
         self.checked = now;
-        self.measures.retain(document);
+        self.measures.retain(document, now);
         let changes = self.measures.membership(document, now);
         let epoch = self.epoch;
         let change = |(name, state): (Name, MemberState)| Change {
@@ -110,17 +110,15 @@
 
     /// What is known of the whole site.
     pub(super) fn fleet(&self, document: &Document, now: Millis) -> Fleet {
-        let row = |name: &Name| {
-            let report = self.measures.report(name)?;
-            let age = self.measures.age(now, name);
-            let view_ms = report.view_ms.saturating_add(age);
-            Some(InstanceStatus {
-                instance: name.clone(),
+        let row = |report: &Report| {
+            let age = self.measures.age(now, &report.instance);
+            InstanceStatus {
+                instance: report.instance.clone(),
                 version: report.version,
-                view_ms,
-            })
+                view_ms: report.view_ms.saturating_add(age),
+            }
         };
-        let instances = document.instances.keys().filter_map(row).collect();
+        let instances = self.measures.reports().map(row).collect();
         let moves = document
             .moves
             .iter()
