--- /dev/null
+++ b/crates/coordination/benches/limits.rs
@@ -0,0 +1,284 @@
+//! Measures the rate limit in model time: windows over the limit, usable rate,
+//! wrongful refusals and waits, with and without a leader change.
+//!
+//! `cargo bench --bench limits [-- SEEDS [VARIANT [CASE]]]`
+
+#[allow(dead_code)]
+#[path = "limits_model.rs"]
+mod limits_model;
+
+use limits_model::{Net, World};
+use pomelovale_coordination::ledger::{LedgerConfig, Rate};
+use rand::seq::SliceRandom;
+use rand::Rng;
+
+const ENTRIES: usize = 12;
+const RATES: [u64; 8] = [1_600, 800, 400, 200, 100, 100, 50, 50];
+const SECONDS: u64 = 30;
+/// Time before anything is counted.
+const WARM_UP_MS: u64 = 10_000;
+const LEADER_LOST_MS: u64 = 15_000;
+
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    /// Offered load of workspace 0 and of the others, in per mille of the rate.
+    load: (u64, u64),
+    /// Time between two changes of the division of load between entries.
+    shift_ms: u64,
+    /// Skew of load between entries; 0 is even.
+    skew: f64,
+    leader_gap_ms: u64,
+}
+
+const CASES: [Case; 12] = [
+    case("even 90%", (900, 900), u64::MAX, 0.0, 0),
+    case("uneven 90%", (900, 900), u64::MAX, 1.0, 0),
+    case("shift 2 s 90%", (900, 900), 2_000, 1.0, 0),
+    case("shift 5 s 90%", (900, 900), 5_000, 1.0, 0),
+    case("uneven 120%", (1_200, 1_200), u64::MAX, 1.0, 0),
+    case("shift 2 s 120%", (1_200, 1_200), 2_000, 1.0, 0),
+    case("flood 5x", (5_000, 900), u64::MAX, 1.0, 0),
+    case("flood 5x, shift 5 s", (5_000, 900), 5_000, 1.0, 0),
+    case("leader 2 s, uneven 90%", (900, 900), u64::MAX, 1.0, 2_000),
+    case("leader 2 s, shift 5 s 90%", (900, 900), 5_000, 1.0, 2_000),
+    case(
+        "leader 2 s, shift 2 s 120%",
+        (1_200, 1_200),
+        2_000,
+        1.0,
+        2_000,
+    ),
+    case("leader 2 s, flood 5x", (5_000, 900), u64::MAX, 1.0, 2_000),
+];
+
+const fn case(
+    name: &'static str,
+    load: (u64, u64),
+    shift_ms: u64,
+    skew: f64,
+    leader_gap_ms: u64,
+) -> Case {
+    Case {
+        name,
+        load,
+        shift_ms,
+        skew,
+        leader_gap_ms,
+    }
+}
+
+#[derive(Default)]
+struct Sum {
+    over: u64,
+    offered: u64,
+    admitted: u64,
+    capacity: u64,
+    refused: u64,
+    wrongful: u64,
+    waits: Vec<u64>,
+    messages: u64,
+}
+
+fn poisson(world: &mut World, mean: f64) -> u64 {
+    let limit = (-mean).exp();
+    let (mut product, mut count) = (world.rng.random::<f64>(), 0);
+    while product > limit {
+        product *= world.rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
+
+fn weights(world: &mut World, skew: f64) -> Vec<f64> {
+    let mut weights: Vec<f64> = (1..=ENTRIES).map(|i| (i as f64).powf(-skew)).collect();
+    weights.shuffle(&mut world.rng);
+    let sum: f64 = weights.iter().sum();
+    weights.iter().map(|w| w / sum).collect()
+}
+
+fn pick(world: &mut World, weights: &[f64]) -> usize {
+    let mut at = world.rng.random::<f64>();
+    for (i, w) in weights.iter().enumerate() {
+        at -= w;
+        if at < 0.0 {
+            return i;
+        }
+    }
+    weights.len() - 1
+}
+
+fn run(case: Case, seed: u64, burst_ms: u64, config: fn(u64) -> LedgerConfig) -> World {
+    let limits = RATES.map(|r| Rate {
+        per_second: r,
+        burst: (r * burst_ms / 1_000).max(1),
+    });
+    let net = Net {
+        ticks_per_ms: 1,
+        one_way: 55,
+        jitter: 5,
+        loss: 1,
+        duplicate: 1,
+        late: 1,
+        late_by: 5_000,
+    };
+    let mut world = World::new(seed, ENTRIES, limits.to_vec(), net);
+    world.ledger_config = config;
+    world.start_leader();
+    let mut shares: Vec<Vec<f64>> = RATES.map(|_| weights(&mut world, case.skew)).to_vec();
+    for ms in 0..WARM_UP_MS + SECONDS * 1_000 {
+        if ms % case.shift_ms == case.shift_ms - 1 {
+            shares = RATES.map(|_| weights(&mut world, case.skew)).to_vec();
+        }
+        if ms == WARM_UP_MS {
+            world.messages = 0;
+            world.counts.iter_mut().for_each(|c| {
+                (c.offered, c.refused, c.wrongful) = (0, 0, 0);
+                c.waits.clear();
+            });
+        }
+        if case.leader_gap_ms > 0 && ms == LEADER_LOST_MS {
+            world.stop_leader();
+        }
+        if case.leader_gap_ms > 0 && ms == LEADER_LOST_MS + case.leader_gap_ms {
+            world.start_leader();
+        }
+        for (w, rate) in RATES.iter().enumerate() {
+            let load = if w == 0 { case.load.0 } else { case.load.1 };
+            let mean = (rate * load) as f64 / 1e6;
+            for _ in 0..poisson(&mut world, mean) {
+                let entry = pick(&mut world, &shares[w]);
+                world.offer(entry, w);
+            }
+        }
+        world.tick();
+    }
+    world
+}
+
+/// Adds up the workspaces from `first` on.
+fn add(sum: &mut Sum, world: &World, first: usize) {
+    for (count, limit) in world.counts.iter().zip(&world.limits).skip(first) {
+        let counted = count.admitted.iter().filter(|&&t| t >= WARM_UP_MS);
+        sum.over += count.ends_over(*limit, 1);
+        sum.offered += count.offered;
+        sum.admitted += counted.count() as u64;
+        sum.capacity += limit.per_second * SECONDS;
+        sum.refused += count.refused;
+        sum.wrongful += count.wrongful;
+        sum.waits.extend(&count.waits);
+    }
+    sum.messages += world.messages;
+}
+
+/// Runs all seeds, a few at a time.
+fn runs(case: Case, seeds: u64, burst_ms: u64, config: fn(u64) -> LedgerConfig) -> Vec<World> {
+    std::thread::scope(|scope| {
+        let start = |seed| scope.spawn(move || run(case, seed, burst_ms, config));
+        let threads: Vec<_> = (1..=seeds).map(start).collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("run"))
+            .collect()
+    })
+}
+
+fn report(case: Case, burst_ms: u64, seeds: u64, config: fn(u64) -> LedgerConfig) {
+    let (mut all, mut worst) = (Sum::default(), 0.0_f64);
+    let flooded = usize::from(case.load.0 != case.load.1);
+    let mut flood = Sum::default();
+    for world in runs(case, seeds, burst_ms, config) {
+        let mut one = Sum::default();
+        add(&mut one, &world, flooded);
+        worst = worst.max(one.wrongful as f64 / one.offered as f64);
+        add(&mut all, &world, flooded);
+        if flooded > 0 {
+            let mut first = world;
+            first.counts.truncate(1);
+            add(&mut flood, &first, 0);
+        }
+    }
+    all.waits.sort_unstable();
+    let rank = (all.waits.len() as f64 * 0.99) as usize;
+    let usable = all.admitted as f64 / all.capacity.min(all.offered) as f64;
+    let by_workspace = |c: &limits_model::Count| 100.0 * c.wrongful as f64 / c.offered as f64;
+    if std::env::var("DETAIL").is_ok() {
+        let world = run(case, 1, burst_ms, config);
+        let parts: Vec<_> = world
+            .counts
+            .iter()
+            .map(|c| format!("{:.2}", by_workspace(c)))
+            .collect();
+        println!("  wrongful by workspace: {}", parts.join(" "));
+    }
+    println!(
+        "{:<28} {:>5} {:>5} {:>8.2} {:>8.3} {:>9.3} {:>8.3} {:>7.2} {:>7} {:>7.1} {:>7.2}",
+        case.name,
+        burst_ms,
+        all.over + flood.over,
+        100.0 * usable,
+        100.0 * all.refused as f64 / all.offered as f64,
+        100.0 * all.wrongful as f64 / all.offered as f64,
+        100.0 * worst,
+        100.0 * all.waits.len() as f64 / all.offered as f64,
+        all.waits.get(rank).copied().unwrap_or(0),
+        all.messages as f64 / (seeds * SECONDS * ENTRIES as u64) as f64,
+        100.0 * flood.admitted as f64 / flood.capacity.max(1) as f64,
+    );
+}
+
+fn plain(epoch: u64) -> LedgerConfig {
+    LedgerConfig {
+        life_ms: 2_000,
+        wait_ms: 2_010,
+        rate_leased: 0,
+        cap_leased: 0,
+        ..LedgerConfig::new(epoch)
+    }
+}
+
+fn short(epoch: u64) -> LedgerConfig {
+    LedgerConfig {
+        life_ms: 2_000,
+        wait_ms: 2_010,
+        ..LedgerConfig::new(epoch)
+    }
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().filter(|a| a != "--bench").collect();
+    let seeds = args.get(1).and_then(|a| a.parse().ok()).unwrap_or(5);
+    let variants: [(&str, fn(u64) -> LedgerConfig); 3] = [
+        ("leased", LedgerConfig::new),
+        ("leased-2s", short),
+        ("plain", plain),
+    ];
+    for (name, config) in variants {
+        if args.get(2).is_some_and(|a| a != name) {
+            continue;
+        }
+        println!("variant {name}: seeds 1..={seeds}, {ENTRIES} entries, 55 to 60 ms one way");
+        println!(
+            "{:<28} {:>5} {:>5} {:>8} {:>8} {:>9} {:>8} {:>7} {:>7} {:>7} {:>7}",
+            "case",
+            "burst",
+            "over",
+            "usable%",
+            "refus%",
+            "wrongful%",
+            "worst%",
+            "wait%",
+            "p99ms",
+            "msg/s",
+            "flood%"
+        );
+        for burst_ms in [1_000, 250] {
+            for case in CASES {
+                if args.get(3).is_some_and(|a| !case.name.contains(a)) {
+                    continue;
+                }
+                report(case, burst_ms, seeds, config);
+            }
+        }
+    }
+}
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -58,7 +58,7 @@
             life_ms: LIFE_MS,
             margin_ms: MARGIN_MS,
             wait_ms: LIFE_MS + MARGIN_MS,
-            rate_leased: 900,
+            rate_leased: 1_000,
             cap_leased: 700,
         }
     }
@@ -75,6 +75,11 @@
 /// millisecond of this time.
 const PREFETCH_MS: u64 = 250;
 
+/// Demand above the rate by this many standard deviations is overload.
+const NOISE_ROOTS: f64 = 2.0;
+/// A prefetch takes at most this part of the pool.
+const PREFETCH_PART: u64 = 4;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Lease {
     rate: u64,
@@ -92,6 +97,8 @@
     unknown: Lease,
     leases: IndexMap<Name, Lease>,
     level: u64,
+    /// Refill that is withheld; see [`Bucket::settle`].
+    debt: u64,
     at: Millis,
 }
 
@@ -131,18 +138,23 @@
             ..Bucket::default()
         });
         bucket.advance(now, ready);
-        if now < ready && bucket.leases.is_empty() {
-            bucket.unknown.rate = per_ms;
-            bucket.unknown.cap = cap;
+        if now < ready {
+            // Earlier leaders may have leased by the raised limit already.
+            bucket.unknown.rate += per_ms.saturating_sub(bucket.rate);
+            bucket.unknown.cap += cap.saturating_sub(bucket.cap);
         }
         bucket.rate = per_ms;
         bucket.cap = cap;
         bucket.level = bucket.level.min(bucket.free().cap);
     }
 
-    /// Removes a workspace; leases of it run out.
-    pub fn remove_limit(&mut self, workspace: &Name) {
-        self.buckets.shift_remove(workspace);
+    /// Removes a workspace; leases of it run out, and count if it is set again.
+    pub fn remove_limit(&mut self, workspace: &Name, now: Millis) {
+        let none = Rate {
+            per_second: 0,
+            burst: 0,
+        };
+        self.set_limit(workspace, none, now);
     }
 
     /// Processes a request of an entry.
@@ -185,6 +197,12 @@
     }
 }
 
+/// Refill of a bucket, less than nominal so that a clock that is fast by up
+/// to 1,000 ppm never refills more than the rate.
+pub(crate) fn refill(rate: u64, ms: u64) -> u64 {
+    rate.saturating_mul(ms) / 1_000 * 999
+}
+
 impl Bucket {
     /// What is neither leased nor unknown.
     fn free(&self) -> Lease {
@@ -202,16 +220,25 @@
 
     fn advance(&mut self, now: Millis, ready: Millis) {
         let free = self.free();
-        let refill = free.rate.saturating_mul(now.since(self.at));
-        self.level = self.level.saturating_add(refill).min(free.cap);
+        let refill = refill(free.rate, now.since(self.at));
+        let paid = refill.min(self.debt);
+        self.debt -= paid;
+        self.level = self.level.saturating_add(refill - paid);
         self.at = self.at.max(now);
+        if self.level >= free.cap {
+            // The rest of the current millisecond doesn't refill a full bucket.
+            self.level = free.cap;
+            self.at = self.at.max(now.plus(1));
+        }
         self.leases.retain(|_, l| now < l.until);
         if now >= ready {
             self.unknown = Lease::default();
         }
     }
 
-    /// Takes note of what an entry holds and has given back.
+    /// Takes note of what an entry holds and has given back. A rate that is
+    /// given back refills the pool from the next millisecond on, since the
+    /// current one may have begun before the entry gave it up.
     fn settle(&mut self, instance: &Name, want: &Want, until: Millis) -> Lease {
         let before = match self.leases.get(instance) {
             Some(lease) => *lease,
@@ -232,6 +259,7 @@
             demand: want.demand,
             until,
         };
+        self.debt += before.rate - held.rate;
         self.leases.insert(instance.clone(), held);
         let returned = want.returned.min(before.cap);
         self.level = self.level.saturating_add(returned).min(self.free().cap);
@@ -281,6 +309,7 @@
         let mut cap = raise(held.cap, target.cap, free.cap);
         let prefetch = (want.demand * PREFETCH_MS).min(cap);
         let short = (want.wanted + prefetch).saturating_sub(want.level);
+        let short = short.min(want.wanted.saturating_sub(want.level) + self.level / PREFETCH_PART);
         // Leased capacity leaves with the tokens that it holds.
         let room = free.cap.saturating_sub(cap.saturating_sub(held.cap));
         let tokens = short.min(self.level).max(self.level.saturating_sub(room));
@@ -309,7 +338,11 @@
     /// Zero while the workspace is within its limit.
     fn retry_ms(&self, want: &Want, tokens: u64) -> u64 {
         let demand: u64 = self.leases.values().map(|l| l.demand).sum();
-        match want.wanted > tokens + want.level && demand > self.rate {
+        // Demand is an average over about a second, so its estimate varies by
+        // the root of the number of requests in a second.
+        let second = (self.rate as f64 * 1_000.0 / TOKEN as f64).sqrt();
+        let noise = (NOISE_ROOTS * second * TOKEN as f64 / 1_000.0) as u64;
+        match want.wanted > tokens + want.level && demand > self.rate + noise {
             true => (want.wanted / self.rate.max(1)).clamp(1, 1_000),
             false => 0,
         }
--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -6,6 +6,8 @@
 use pomelovale_protocol::grants::{Grant, GrantReply, GrantRequest, Want, TOKEN};
 use pomelovale_state::{Millis, Name};
 
+use crate::ledger::refill;
+
 /// Settings of a limiter.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LimiterConfig {
@@ -51,6 +53,11 @@
 
 /// Time over which demand is averaged.
 const DEMAND_MS: f64 = 1_000.0;
+/// Tokens are requested ahead for the use within this time: a round trip of
+/// 110 ms and its jitter.
+const AHEAD_MS: u64 = 150;
+/// Unused tokens beyond the use within this time are given back.
+const KEEP_MS: u64 = 300;
 
 #[derive(Debug, Default)]
 struct Share {
@@ -58,6 +65,7 @@
     cap: u64,
     level: u64,
     surplus: u64,
+    debt: u64,
     until: Millis,
     at: Millis,
     demand: f64,
@@ -107,6 +115,8 @@
         share.count(now, amount);
         let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
         if share.spend(amount.saturating_add(ahead), amount) {
+            let low = share.level < share.shortfall(now, AHEAD_MS);
+            self.urgent |= low && share.retry_ms == 0;
             return Admit::Granted;
         }
         let accrual = share.accrual_ms(amount.saturating_add(ahead));
@@ -199,6 +209,8 @@
         let level = share.level + grant.tokens;
         share.level = level.min(grant.cap);
         share.surplus += level - share.level;
+        // The raised rate refills from the next millisecond on.
+        share.debt += grant.rate.saturating_sub(share.rate);
         share.rate = grant.rate;
         share.cap = grant.cap;
         share.until = until;
@@ -231,9 +243,16 @@
             self.level = 0;
             self.surplus = 0;
         }
-        let refill = self.rate.saturating_mul(now.since(self.at));
-        self.level = self.level.saturating_add(refill).min(self.cap);
+        let refill = refill(self.rate, now.since(self.at));
+        let paid = refill.min(self.debt);
+        self.debt -= paid;
+        self.level = self.level.saturating_add(refill - paid);
         self.at = self.at.max(now);
+        if self.level >= self.cap {
+            // The rest of the current millisecond doesn't refill a full bucket.
+            self.level = self.cap;
+            self.at = self.at.max(now.plus(1));
+        }
         while self.waiting.front().is_some_and(|w| w.0 <= now) {
             self.waiting.pop_front();
         }
@@ -257,6 +276,12 @@
         enough
     }
 
+    /// What demand will use beyond the refill within a time.
+    fn shortfall(&self, now: Millis, ms: u64) -> u64 {
+        let demand = (self.demand_at(now) / DEMAND_MS) as u64;
+        demand.saturating_sub(self.rate).saturating_mul(ms)
+    }
+
     /// Time until the bucket alone holds an amount.
     fn accrual_ms(&self, amount: u64) -> u64 {
         match amount.saturating_sub(self.level) {
@@ -267,13 +292,19 @@
 
     fn want(&mut self, now: Millis, workspace: &Name) -> Want {
         self.advance(now);
+        let demand = (self.demand_at(now) / DEMAND_MS) as u64;
+        let keep = (demand * KEEP_MS).max(self.cap / 2);
+        if self.waiting.is_empty() && self.level > keep {
+            self.surplus += self.level - keep;
+            self.level = keep;
+        }
         Want {
             workspace: workspace.clone(),
             rate: self.rate,
             cap: self.cap,
             level: self.level,
             wanted: self.waiting.iter().map(|w| w.1).sum(),
-            demand: (self.demand_at(now) / DEMAND_MS) as u64,
+            demand,
             returned: std::mem::take(&mut self.surplus),
         }
     }
