--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -75,6 +75,8 @@
 /// millisecond of this time.
 const PREFETCH_MS: u64 = 250;
 
+/// The pool is short if it holds less than this part of the burst.
+const SHORT_PART: u64 = 8;
 /// Demand above the rate by this many standard deviations is overload.
 const NOISE_ROOTS: f64 = 2.0;
 /// A prefetch takes at most this part of the pool.
@@ -240,12 +242,13 @@
     /// given back refills the pool from the next millisecond on, since the
     /// current one may have begun before the entry gave it up.
     fn settle(&mut self, instance: &Name, want: &Want, until: Millis) -> Lease {
+        let cap = want.cap.max(want.level);
         let before = match self.leases.get(instance) {
             Some(lease) => *lease,
             None => {
                 let told = Lease {
                     rate: want.rate.min(self.unknown.rate),
-                    cap: want.cap.min(self.unknown.cap),
+                    cap: cap.min(self.unknown.cap),
                     ..Lease::default()
                 };
                 self.unknown.rate -= told.rate;
@@ -255,7 +258,7 @@
         };
         let held = Lease {
             rate: want.rate.min(before.rate),
-            cap: want.cap.min(before.cap),
+            cap: cap.min(before.cap),
             demand: want.demand,
             until,
         };
@@ -306,25 +309,22 @@
             false => target,
         };
         let rate = raise(held.rate, target.rate, free.rate);
-        let mut cap = raise(held.cap, target.cap, free.cap);
-        let prefetch = (want.demand * PREFETCH_MS).min(cap);
-        let short = (want.wanted + prefetch).saturating_sub(want.level);
-        let short = short.min(want.wanted.saturating_sub(want.level) + self.level / PREFETCH_PART);
+        let cap = raise(held.cap, target.cap, free.cap);
+        let level = want.level.min(held.cap);
+        let wanted = want.wanted.saturating_sub(level);
+        let ahead = (want.demand * PREFETCH_MS).saturating_sub(level.saturating_sub(want.wanted));
+        let tokens = wanted.saturating_add(ahead.min(self.level / PREFETCH_PART));
         // Leased capacity leaves with the tokens that it holds.
         let room = free.cap.saturating_sub(cap.saturating_sub(held.cap));
-        let tokens = short.min(self.level).max(self.level.saturating_sub(room));
-        let full = want.level.min(cap) + tokens;
-        cap = cap.max(full.min(held.cap + free.cap));
-        let tokens = tokens.min(cap - want.level.min(cap));
+        let tokens = tokens.min(self.level).max(self.level.saturating_sub(room));
+        let tokens = tokens.min((held.cap + free.cap).max(cap) - level);
         self.level -= tokens;
-        self.leases.insert(
-            instance.clone(),
-            Lease {
-                rate: rate.max(held.rate),
-                cap: cap.max(held.cap),
-                ..held
-            },
-        );
+        let lease = Lease {
+            rate: rate.max(held.rate),
+            cap: cap.max(held.cap).max(level + tokens),
+            ..held
+        };
+        self.leases.insert(instance.clone(), lease);
         self.level = self.level.min(self.free().cap);
         Grant {
             workspace: want.workspace.clone(),
@@ -332,6 +332,7 @@
             cap,
             tokens,
             retry_ms: self.retry_ms(want, tokens),
+            short: self.level < self.cap / SHORT_PART,
         }
     }
 
--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -63,7 +63,11 @@
 struct Share {
     rate: u64,
     cap: u64,
+    /// May be above `cap` after a grant, and falls back by spending.
     level: u64,
+    /// Level in the latest request.
+    told: u64,
+    short: bool,
     surplus: u64,
     debt: u64,
     until: Millis,
@@ -116,7 +120,7 @@
         let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
         if share.spend(amount.saturating_add(ahead), amount) {
             let low = share.level < share.shortfall(now, AHEAD_MS);
-            self.urgent |= low && share.retry_ms == 0;
+            self.urgent |= share.short || (low && share.retry_ms == 0);
             return Admit::Granted;
         }
         let accrual = share.accrual_ms(amount.saturating_add(ahead));
@@ -207,7 +211,7 @@
     fn apply(&mut self, now: Millis, until: Millis, grant: &Grant) {
         let share = self.share(now, &grant.workspace);
         let level = share.level + grant.tokens;
-        share.level = level.min(grant.cap);
+        share.level = level.min(grant.cap.max(share.told + grant.tokens));
         share.surplus += level - share.level;
         // The raised rate refills from the next millisecond on.
         share.debt += grant.rate.saturating_sub(share.rate);
@@ -215,6 +219,7 @@
         share.cap = grant.cap;
         share.until = until;
         share.retry_ms = grant.retry_ms;
+        share.short = grant.short;
         let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
         self.urgent |= ahead > share.level && grant.retry_ms == 0;
     }
@@ -246,11 +251,11 @@
         let refill = refill(self.rate, now.since(self.at));
         let paid = refill.min(self.debt);
         self.debt -= paid;
-        self.level = self.level.saturating_add(refill - paid);
+        let top = self.level.max(self.cap);
+        self.level = self.level.saturating_add(refill - paid).min(top);
         self.at = self.at.max(now);
         if self.level >= self.cap {
             // The rest of the current millisecond doesn't refill a full bucket.
-            self.level = self.cap;
             self.at = self.at.max(now.plus(1));
         }
         while self.waiting.front().is_some_and(|w| w.0 <= now) {
@@ -298,6 +303,7 @@
             self.surplus += self.level - keep;
             self.level = keep;
         }
+        self.told = self.level;
         Want {
             workspace: workspace.clone(),
             rate: self.rate,
--- a/crates/protocol/src/grants.rs
+++ b/crates/protocol/src/grants.rs
@@ -19,7 +19,7 @@
     pub workspace: Name,
     /// Refill rate that the entry holds.
     pub rate: u64,
-    /// Capacity of the bucket that the entry holds.
+    /// Level up to which that rate refills the entry's bucket.
     pub cap: u64,
     /// Unspent amount in that bucket.
     pub level: u64,
@@ -52,13 +52,15 @@
     pub workspace: Name,
     /// Refill rate of the entry's bucket.
     pub rate: u64,
-    /// Capacity of the entry's bucket.
+    /// Level up to which the rate refills the entry's bucket.
     pub cap: u64,
-    /// Amount added to the bucket.
+    /// Amount added to the bucket; may raise it over `cap`.
     pub tokens: u64,
     /// Time until tokens can be expected if the workspace has used its limit;
     /// zero while it is within its limit.
     pub retry_ms: u64,
+    /// Whether the pool is short, so that holdings should be told promptly.
+    pub short: bool,
 }
 
 /// The ledger's answer.
