--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -53,11 +53,15 @@
 
 /// Time over which demand is averaged.
 const DEMAND_MS: f64 = 1_000.0;
+/// Time over which a change of demand is noticed.
+const TREND_MS: f64 = 250.0;
+/// Requests are made more often by this factor while a pool is short.
+const SHORT_PART: u64 = 5;
+/// Standard deviations of a count of requests that chance explains.
+const NOISE_ROOTS: f64 = 2.0;
 /// Tokens are requested ahead for the use within this time: a round trip of
 /// 110 ms and its jitter.
 const AHEAD_MS: u64 = 150;
-/// Unused tokens beyond the use within this time are given back.
-const KEEP_MS: u64 = 300;
 
 #[derive(Debug, Default)]
 struct Share {
@@ -72,7 +76,9 @@
     debt: u64,
     until: Millis,
     at: Millis,
+    /// Decaying counts of requests over two times.
     demand: f64,
+    trend: f64,
     counted: Millis,
     used: Millis,
     retry_ms: u64,
@@ -93,6 +99,7 @@
     seq: u64,
     sent: Millis,
     urgent: bool,
+    short: bool,
     pending: Option<Pending>,
     shares: IndexMap<Name, Share>,
 }
@@ -106,6 +113,7 @@
             seq: 0,
             sent: Millis(0),
             urgent: false,
+            short: false,
             pending: None,
             shares: IndexMap::new(),
         }
@@ -152,11 +160,15 @@
 
     /// The next request to send to the ledger, if one is due.
     pub fn next_request(&mut self, now: Millis) -> Option<GrantRequest> {
+        let renew_ms = match self.short {
+            true => self.config.renew_ms / SHORT_PART,
+            false => self.config.renew_ms,
+        };
         match &self.pending {
             Some(p) if now.since(p.sent) < self.config.timeout_ms => return None,
             Some(_) => {}
             None if self.urgent => {}
-            None if now.since(self.sent) < self.config.renew_ms => return None,
+            None if now.since(self.sent) < renew_ms => return None,
             None => {}
         }
         let idle_ms = self.config.idle_ms;
@@ -200,6 +212,7 @@
                 self.urgent = true;
             }
             false if now < until => {
+                self.short = reply.grants.iter().any(|g| g.short);
                 for grant in &reply.grants {
                     self.apply(now, until, grant);
                 }
@@ -264,13 +277,23 @@
     }
 
     fn count(&mut self, now: Millis, amount: u64) {
-        self.demand = self.demand_at(now) + amount as f64;
+        let passed = now.since(self.counted) as f64;
+        self.demand = self.demand * (-passed / DEMAND_MS).exp() + amount as f64;
+        self.trend = self.trend * (-passed / TREND_MS).exp() + amount as f64;
         self.counted = now;
         self.used = now;
     }
 
-    fn demand_at(&self, now: Millis) -> f64 {
-        self.demand * (-(now.since(self.counted) as f64) / DEMAND_MS).exp()
+    /// Rate of requests: the long average, corrected if the short one differs
+    /// by more than chance explains.
+    fn demand_at(&self, now: Millis) -> u64 {
+        let passed = now.since(self.counted) as f64;
+        let long = self.demand * (-passed / DEMAND_MS).exp() / DEMAND_MS;
+        let short = self.trend * (-passed / TREND_MS).exp();
+        let noise = NOISE_ROOTS * (short * TOKEN as f64).sqrt();
+        let low = (short - noise) / TREND_MS;
+        let high = (short + noise + TOKEN as f64) / TREND_MS;
+        long.clamp(low, high) as u64
     }
 
     fn spend(&mut self, needed: u64, amount: u64) -> bool {
@@ -283,7 +306,7 @@
 
     /// What demand will use beyond the refill within a time.
     fn shortfall(&self, now: Millis, ms: u64) -> u64 {
-        let demand = (self.demand_at(now) / DEMAND_MS) as u64;
+        let demand = self.demand_at(now);
         demand.saturating_sub(self.rate).saturating_mul(ms)
     }
 
@@ -297,8 +320,8 @@
 
     fn want(&mut self, now: Millis, workspace: &Name) -> Want {
         self.advance(now);
-        let demand = (self.demand_at(now) / DEMAND_MS) as u64;
-        let keep = (demand * KEEP_MS).max(self.cap / 2);
+        let demand = self.demand_at(now);
+        let keep = (self.cap / 2).max(self.shortfall(now, AHEAD_MS));
         if self.waiting.is_empty() && self.level > keep {
             self.surplus += self.level - keep;
             self.level = keep;
