Announce a replica until a leader serves it

Change: a replica announces itself unless it hears from a leader that has received its replies, which the echoed counter shows.

Conclusion: joining no longer depends on the replica's own view of members.

--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -7,7 +7,7 @@
 use crate::replica::Replica;
 use crate::replication::Lead;
 
-/// Time between two announcements of a replica that is no member, in
+/// Time between two announcements of a replica that no leader serves, in
 /// milliseconds.
 const ANNOUNCE_MS: u64 = 300;
 
@@ -23,7 +23,10 @@
 }
 
 impl Replica {
-    /// Makes the identity of this replica known, or founds the log.
+    /// Makes the identity of a replica that no leader serves known, or founds
+    /// the log. What the replica takes for the members does not matter: the
+    /// entry that admitted it may be lost, or one that it lacks may have
+    /// removed it.
     pub(crate) fn announce(&mut self) {
         if self.now < self.announce_at {
             return;
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -55,6 +55,8 @@
     reported: LogIndex,
     /// Latest round of the leader.
     round: u64,
+    /// Last message from a leader that knows of this replica's replies.
+    served: Option<Millis>,
     /// Last index known to equal the leader's log.
     verified: LogIndex,
 }
@@ -91,6 +93,7 @@
             proofs: VecDeque::new(),
             reported: LogIndex(0),
             round: 0,
+            served: None,
             verified: LogIndex(0),
             journal: Journal::new(LogIndex(0)),
             entries: Entries::new(snapshot, restored.entries),
@@ -137,11 +140,16 @@
     }
 
     fn tick(&mut self) {
-        match self.role {
-            Role::Leader => self.tick_leader(),
-            _ if !self.entries.is_member(&self.id) => self.announce(),
-            _ if self.now >= self.deadline => self.pre_campaign(),
-            _ => {}
+        if self.role == Role::Leader {
+            self.tick_leader();
+            return;
+        }
+        let recent = |at: Millis| self.now.since(at) < self.config.election_ms.0;
+        if !self.served.is_some_and(recent) {
+            self.announce();
+        }
+        if self.now >= self.deadline {
+            self.pre_campaign();
         }
     }
 
@@ -365,7 +373,11 @@
     /// replica sent it before the leader sent the age.
     fn note_proof(&mut self, echo: u64, age_ms: Option<u64>, commit: LogIndex) {
         let sent = self.counters.iter().find(|(counter, _)| *counter == echo);
-        let (Some(age), Some((_, sent))) = (age_ms, sent) else {
+        let Some((_, sent)) = sent else {
+            return;
+        };
+        self.served = Some(self.now);
+        let Some(age) = age_ms else {
             return;
         };
         // A moment before the start of the clock cannot be expressed.
--- a/crates/protocol/src/log.rs
+++ b/crates/protocol/src/log.rs
@@ -174,7 +174,7 @@
 /// A message between two replicas.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum LogMessage {
-    /// A replica that is no member makes its identity known.
+    /// A replica that no leader serves makes its identity known.
     Announce {
         /// Whether its disk holds neither an entry nor a vote.
         vacant: bool,
