Count members on their way in the log's simulation

Change: the guard of the simulated disk losses counts every configuration that was written or sent and may still be committed.

Conclusion: the fault was in the test's guard, not in the log.

--- a/crates/coordination/tests/log_core/checks.rs
+++ b/crates/coordination/tests/log_core/checks.rs
@@ -121,17 +121,22 @@
         alone && several && self.now > since + SETTLED_MS
     }
 
-    /// The committed members, and those of every later entry on a disk or in
-    /// a log.
+    /// Notes members that a replica writes or sends.
+    pub fn note_members(&mut self, entries: &[Entry]) {
+        let later = entries
+            .iter()
+            .filter_map(|e| members(e).map(|m| (e.index, m)));
+        for (index, members) in later {
+            self.proposed.push((index, members.clone()));
+        }
+    }
+
+    /// The committed members, and all that may be committed after them.
     pub fn configs(&self) -> Vec<Members> {
-        let (index, committed) = self.committed();
-        let stored = self.nodes.iter().flat_map(|n| {
-            let writing = n.writing.iter().flat_map(|persist| &persist.entries);
-            n.disk.entries.iter().chain(writing)
-        });
-        let later = stored.filter(|entry| entry.index > index);
-        let mut configs: Vec<Members> = later.filter_map(members).cloned().collect();
-        configs.push(committed);
+        let open = |(index, _): &&(LogIndex, Members)| index.0 > self.history.len() as u64;
+        let later = self.proposed.iter().filter(open);
+        let mut configs: Vec<Members> = later.map(|(_, members)| members.clone()).collect();
+        configs.push(self.committed().1);
         configs
     }
 
--- a/crates/coordination/tests/log_core/sim.rs
+++ b/crates/coordination/tests/log_core/sim.rs
@@ -7,7 +7,7 @@
     Action, Event, LogConfig, LogStatus, MemberChange, Persist, Replica, Restored, Role,
     ELECTION_MS, TICK_MS,
 };
-use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, ReplicaId};
+use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, Members, ReplicaId};
 use pomelovale_state::{Millis, Name};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -22,7 +22,7 @@
     life: u64,
     /// Its clock minus the global one.
     pub offset: u64,
-    pub writing: Option<Persist>,
+    writing: Option<Persist>,
 }
 
 enum Due {
@@ -56,6 +56,8 @@
     /// Instances removed by an operator, who adds them again in the end.
     pub removed: BTreeSet<usize>,
     pub now: u64,
+    /// Members in entries that were written or sent.
+    pub proposed: Vec<(LogIndex, Members)>,
     pub retain: usize,
     /// Longer syncs of single instances.
     pub slow: Vec<u64>,
@@ -92,6 +94,7 @@
             nodes: Vec::new(),
             removed: BTreeSet::new(),
             now: 10_000,
+            proposed: Vec::new(),
             retain: 50,
             slow: vec![0; size],
             sync_ms: (1, 4),
@@ -259,6 +262,7 @@
             Action::Apply(entries) => entries.iter().for_each(|entry| self.apply(node, entry)),
             Action::Persist(persist) => {
                 self.check_promotions(node, &persist);
+                self.note_members(&persist.entries);
                 assert!(self.nodes[node].writing.is_none(), "two writes at once");
                 self.nodes[node].writing = Some(persist);
                 let wait = self.rng.random_range(self.sync_ms.0..=self.sync_ms.1);
@@ -274,6 +278,9 @@
         let Some(from) = self.status(node).map(|status| status.id) else {
             return;
         };
+        if let LogMessage::Append { entries, .. } = &message {
+            self.note_members(entries);
+        }
         let (lost, twice) = self.faults;
         let copies = match self.rng.random_range(0..100) {
             roll if roll < lost => 0,
