Spill single requests within an allowance

Cause and change: Spilled shares changed by 10% a second, and spilled requests occupied the local concurrency limit for the whole way. Now a request spills before admission if its expected local wait is longer than the remote one with the way, within an allowance of requests a second that follows the measured free slots.

--- a/crates/steering/benches/model/world.rs
+++ b/crates/steering/benches/model/world.rs
@@ -64,6 +64,8 @@
     pub entry: usize,
     /// Restarts of the entry when the request arrived at it.
     pub life: u32,
+    /// The region that it was spilled to.
+    pub region: Option<Name>,
     pub sent: u64,
     pub work: u64,
     pub tries: Vec<Try>,
@@ -230,6 +232,7 @@
             home,
             entry,
             life: self.lives[entry],
+            region: None,
             sent: self.now,
             work: work as u64,
             tries: Vec::new(),
@@ -272,6 +275,11 @@
         self.reqs[r].life = self.lives[entry];
         let e = &mut self.entries[entry];
         e.arrived += 1;
+        let wait = e.admission.expected_wait(&space_name(space));
+        if let Some(region) = e.regions.try_spill(wait) {
+            self.reqs[r].region = Some(region);
+            return self.dispatch(r);
+        }
         let verdict = e
             .admission
             .offer(now, Ticket(r as u64), &space_name(space), class);
@@ -307,7 +315,11 @@
         let tries = &self.reqs[r].tries;
         let exclude: Vec<Name> = tries.iter().map(|t| Server::name(t.server)).collect();
         let e = &mut self.entries[self.reqs[r].entry];
-        let region = e.regions.pick();
+        let region = self.reqs[r]
+            .region
+            .as_ref()
+            .unwrap_or(&e.info.region)
+            .clone();
         let mut request = Request {
             class,
             exclude: &exclude,
--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -222,6 +222,12 @@
         self.limit.current()
     }
 
+    /// Mean time of a request at a backend server in milliseconds; zero before
+    /// the first one has ended.
+    pub fn request_ms(&self) -> f64 {
+        self.request_ms
+    }
+
     /// Expected wait of a new request of a workspace in milliseconds.
     pub fn expected_wait(&self, workspace: &Name) -> f64 {
         if self.queue.is_empty() {
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -21,6 +21,13 @@
 /// Time between two attempts at a server on probation, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 100;
 
+/// Age up to which a load report counts for its region, in milliseconds.
+const REPORT_FRESH_MS: u64 = 2_000;
+
+/// Part of the usual load that every server is assumed to have at least,
+/// whatever it reports.
+const LEAST_USUAL: f64 = 0.7;
+
 /// How a server is selected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BalancerPolicy {
@@ -98,7 +105,7 @@
     pub load: f64,
     /// Expected wait of a new request in milliseconds.
     pub wait_ms: f64,
-    /// Age of the oldest report used; `None` without any.
+    /// Age of the oldest report used; `u64::MAX` if there is none.
     pub oldest_ms: Option<u64>,
 }
 
@@ -228,16 +235,17 @@
     }
 
     /// Load of each region, for the selection of regions and for measurements.
+    /// A server without a fresh report adds neither slots nor load while others
+    /// have one, and a report far below its peers' counts as near them.
     pub fn region_loads(&self, now: Millis) -> Vec<RegionLoad> {
         let mut loads: IndexMap<Name, RegionLoad> = IndexMap::new();
+        let all: Vec<usize> = (0..self.servers.len()).collect();
+        let usual = self.usual_load(now, &all);
         for s in self.servers.values().filter(|s| s.takes_work(now)) {
             let load = loads
                 .entry(s.info.region.clone())
                 .or_insert_with(|| RegionLoad::new(&s.info.region));
-            load.slots += s.info.slots;
-            load.load += s.evidence.reported_load();
-            load.oldest_ms = load.oldest_ms.max(s.evidence.report_age(now));
-            load.wait_ms += s.wait(now, 0.0) * f64::from(s.info.slots);
+            load.add(now, s, usual);
         }
         for load in loads.values_mut() {
             load.wait_ms /= f64::from(load.slots.max(1));
@@ -373,6 +381,24 @@
             oldest_ms: None,
         }
     }
+
+    fn add(&mut self, now: Millis, server: &Server, usual: f64) {
+        let age = server.evidence.report_age(now).unwrap_or(u64::MAX);
+        let stale = |age: u64| age > REPORT_FRESH_MS;
+        match self.oldest_ms {
+            Some(oldest) if stale(age) && !stale(oldest) => return,
+            Some(oldest) if stale(oldest) && !stale(age) => *self = RegionLoad::new(&self.region),
+            _ => {}
+        }
+        let slots = server.info.slots;
+        self.slots += slots;
+        self.load += server
+            .evidence
+            .reported_load()
+            .max(usual * f64::from(slots) * LEAST_USUAL);
+        self.wait_ms += server.wait(now, usual) * f64::from(slots);
+        self.oldest_ms = self.oldest_ms.max(Some(age));
+    }
 }
 
 impl Server {
@@ -418,7 +444,7 @@
     fn load(&self, now: Millis, usual: f64) -> f64 {
         let slots = f64::from(self.info.slots);
         let weight = self.evidence.report_weight(now);
-        let reported = self.evidence.others().max(usual * slots * 0.7);
+        let reported = self.evidence.others().max(usual * slots * LEAST_USUAL);
         f64::from(self.evidence.outstanding()) + weight * reported + (1.0 - weight) * usual * slots
     }
 
--- a/crates/steering/src/region.rs
+++ b/crates/steering/src/region.rs
@@ -1,20 +1,33 @@
 //! Selection of the region for a request of one service on one entry.
+//!
+//! A request leaves the entry's region only if it would wait longer there than
+//! in the other region including the way, and only within an allowance of
+//! requests a second. The allowance follows the measured headroom: each entry
+//! takes its part of what is free, so that all of them together cannot overload
+//! the region, however late they measure.
 
 use indexmap::IndexMap;
 use pomelovale_state::{Millis, Name};
 
-/// Oldest measurement that may cause a change, in milliseconds.
+/// Oldest measurement that may change an allowance, in milliseconds.
 pub const MEASURE_MAX_MS: u64 = 2_000;
 
 /// Part of a remote region's slots that must stay free of spilled work.
-const REMOTE_RESERVE: f64 = 0.2;
+const REMOTE_RESERVE: f64 = 0.1;
 
-/// Most that the spilled share changes in a second.
-const CHANGE_PER_SECOND: f64 = 0.1;
+/// Part of the free slots that is taken for each measurement. Measurements lag
+/// by up to a second, so the whole of it would be taken twice.
+const GAIN: f64 = 0.5;
 
 /// Difference of waits that is ignored, in milliseconds.
 const DEAD_BAND_MS: f64 = 10.0;
 
+/// Weight of a new sample in the spilled rate.
+const SAMPLE: f64 = 0.3;
+
+/// Time of a request at a backend server if none was measured.
+const DEFAULT_REQUEST_MS: f64 = 50.0;
+
 /// Whether requests leave the entry's region.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RegionPolicy {
@@ -43,13 +56,25 @@
     pub sampled: Millis,
 }
 
+#[derive(Clone, Debug, Default)]
+struct Remote {
+    wait_ms: f64,
+    sampled: Millis,
+    allowance: f64,
+    credit: f64,
+    spilled: u32,
+    rate: f64,
+}
+
 /// Chooses regions for one service on one entry.
 #[derive(Clone, Debug)]
 pub struct Regions {
     policy: RegionPolicy,
     home: Name,
-    shares: IndexMap<Name, f64>,
-    credits: IndexMap<Name, f64>,
+    wait_ms: f64,
+    rate: f64,
+    request_ms: f64,
+    remotes: IndexMap<Name, Remote>,
     updated: Option<Millis>,
 }
 
@@ -59,80 +84,92 @@
         Regions {
             policy,
             home: home.clone(),
-            shares: IndexMap::new(),
-            credits: IndexMap::new(),
+            wait_ms: 0.0,
+            rate: 0.0,
+            request_ms: DEFAULT_REQUEST_MS,
+            remotes: IndexMap::new(),
             updated: None,
         }
     }
 
-    /// Adjusts the spilled shares by new measurements. `rate` is the entry's
+    /// Sets the mean time of a request at a backend server, which relates slots
+    /// to requests a second.
+    pub fn set_request_ms(&mut self, request_ms: f64) {
+        self.request_ms = request_ms.max(1.0);
+    }
+
+    /// Takes new measurements; call a few times a second. `rate` is the entry's
     /// requests a second, `entries` the number of entries that may spill at the
-    /// same time. Without a fresh measurement of both ends a share stays.
+    /// same time. Without a fresh measurement an allowance stays as it is.
     pub fn update(&mut self, now: Millis, rate: f64, entries: u32, measures: &[RegionMeasure]) {
-        let passed = self.updated.map_or(0, |at| now.since(at)).min(1_000);
+        let passed = self.updated.map_or(0, |at| now.since(at)).min(1_000) as f64 / 1_000.0;
         self.updated = Some(now);
-        let step = CHANGE_PER_SECOND * passed as f64 / 1_000.0;
-        let fresh = |m: &&RegionMeasure| now.since(m.sampled) <= MEASURE_MAX_MS;
-        let Some(local) = measures
-            .iter()
-            .filter(fresh)
-            .find(|m| m.region == self.home)
-        else {
-            return;
-        };
-        for remote in measures
-            .iter()
-            .filter(fresh)
-            .filter(|m| m.region != self.home)
-        {
-            let share = self.shares.entry(remote.region.clone()).or_insert(0.0);
-            let change = wanted_change(local, remote);
-            let most = share_limit(remote, rate, entries, *share);
-            *share = (*share + change * step).clamp(0.0, most.max(*share - step).max(0.0));
+        self.rate = rate;
+        for m in measures.iter().filter(|m| m.region == self.home) {
+            self.wait_ms = m.wait_ms;
+        }
+        let per_slot = 1_000.0 / self.request_ms / f64::from(entries.max(1));
+        for m in measures.iter().filter(|m| m.region != self.home) {
+            let remote = self.remotes.entry(m.region.clone()).or_default();
+            remote.measure(now, m, per_slot, f64::from(entries.max(1)));
+        }
+        for remote in self.remotes.values_mut() {
+            remote.refill(passed);
         }
     }
 
-    /// The region for the next request.
-    pub fn pick(&mut self) -> Name {
+    /// The other region for a request that would wait `wait_ms` here, if one is
+    /// better and has room. Call at most once for each request.
+    pub fn try_spill(&mut self, wait_ms: f64) -> Option<Name> {
         if self.policy == RegionPolicy::NoSpill {
-            return self.home.clone();
+            return None;
         }
-        for (region, share) in &self.shares {
-            let credit = self.credits.entry(region.clone()).or_insert(0.0);
-            *credit += share;
-            if *credit >= 1.0 {
-                *credit -= 1.0;
-                return region.clone();
-            }
-        }
-        self.home.clone()
+        let better = |r: &Remote| r.credit >= 1.0 && wait_ms > r.wait_ms + DEAD_BAND_MS;
+        let (name, remote) = self
+            .remotes
+            .iter_mut()
+            .filter(|(_, r)| better(r))
+            .max_by(|a, b| a.1.credit.total_cmp(&b.1.credit))?;
+        remote.credit -= 1.0;
+        remote.spilled += 1;
+        Some(name.clone())
     }
 
-    /// Share of requests spilled to a region.
+    /// The region for the next request by the measured waits alone.
+    pub fn pick(&mut self) -> Name {
+        self.try_spill(self.wait_ms)
+            .unwrap_or_else(|| self.home.clone())
+    }
+
+    /// Share of this entry's requests that may spill to a region.
     pub fn share(&self, region: &Name) -> f64 {
-        self.shares.get(region).copied().unwrap_or(0.0)
+        let allowance = self.remotes.get(region).map_or(0.0, |r| r.allowance);
+        (allowance / self.rate.max(1.0)).min(1.0)
     }
 }
 
-fn wanted_change(local: &RegionMeasure, remote: &RegionMeasure) -> f64 {
-    let gain = local.wait_ms - remote.wait_ms - remote.distance_ms;
-    match gain {
-        g if g > DEAD_BAND_MS => 1.0,
-        g if g < -DEAD_BAND_MS => -1.0,
-        _ => 0.0,
+impl Remote {
+    /// Adjusts the allowance once for each new measurement.
+    fn measure(&mut self, now: Millis, m: &RegionMeasure, per_slot: f64, entries: f64) {
+        let fresh = now.since(m.sampled) <= MEASURE_MAX_MS;
+        if !fresh || m.sampled <= self.sampled {
+            return;
+        }
+        self.sampled = m.sampled;
+        self.wait_ms = m.wait_ms + m.distance_ms;
+        let free = m.slots * (1.0 - REMOTE_RESERVE) - m.load;
+        let room = free * per_slot * GAIN;
+        let link = m.link_free.max(0.0) / entries;
+        self.allowance = (self.rate + room.min(link)).max(0.0);
     }
-}
 
-/// Largest share that the remote headroom and the link can take.
-fn share_limit(remote: &RegionMeasure, rate: f64, entries: u32, share: f64) -> f64 {
-    let free = remote.slots * (1.0 - REMOTE_RESERVE) - remote.load;
-    let headroom = match free > 0.0 && remote.slots > 0.0 {
-        true => share + free / remote.slots / f64::from(entries.max(1)),
-        false => 0.0,
-    };
-    let link = match rate > 0.0 {
-        true => share + remote.link_free.max(0.0) / rate / f64::from(entries.max(1)),
-        false => 0.0,
-    };
-    headroom.min(link).clamp(0.0, 0.5)
+    fn refill(&mut self, passed: f64) {
+        if passed > 0.0 {
+            let rate = f64::from(self.spilled) / passed;
+            self.rate += (rate - self.rate) * SAMPLE;
+            self.spilled = 0;
+        }
+        let most = (self.allowance * passed).max(1.0);
+        self.credit = (self.credit + self.allowance * passed).min(most);
+    }
 }
