--- a/crates/coordination/benches/limits.rs
+++ b/crates/coordination/benches/limits.rs
@@ -80,6 +80,9 @@
     messages: u64,
 }
 
+/// A name and the ledger's settings in an epoch.
+type Variant = (&'static str, fn(u64) -> LedgerConfig);
+
 fn poisson(world: &mut World, mean: f64) -> u64 {
     let limit = (-mean).exp();
     let (mut product, mut count) = (world.rng.random::<f64>(), 0);
@@ -248,7 +251,7 @@
 fn main() {
     let args: Vec<String> = std::env::args().filter(|a| a != "--bench").collect();
     let seeds = args.get(1).and_then(|a| a.parse().ok()).unwrap_or(5);
-    let variants: [(&str, fn(u64) -> LedgerConfig); 3] = [
+    let variants: [Variant; 3] = [
         ("leased", LedgerConfig::new),
         ("leased-2s", short),
         ("plain", plain),
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -421,6 +421,7 @@
         cap: 1_000 * rate,
         tokens: 1_000 * rate,
         retry_ms: 0,
+        short: false,
     };
     GrantReply {
         instance: request.instance.clone(),
