Measure the shared state

Cause: commit rate, catch-up, elections and bytes had no measurement. Change: the state bench, with a delay for each message as an option.

--- a/crates/daemon/tests/control_kit/mod.rs
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -16,7 +16,7 @@
 use pomelovale_state::{Clock, Millis, Name};
 use pomelovale_transport::peer_client::PeerAddress;
 use pomelovale_transport::peer_link::PeerCounters;
-use pomelovaled::control::config::ControlConfig;
+use pomelovaled::control::config::{ControlConfig, ControlLimits};
 use pomelovaled::control::{Control, ControlServer};
 use pomelovaled::subscriber::{ControlPlace, Subscriber, SubscriberConfig};
 use tempfile::TempDir;
@@ -172,6 +172,7 @@
     pub proxies: HashMap<(Name, Name), Proxy>,
     pub delay_ms: u64,
     pub initial: Vec<Command>,
+    pub limits: ControlLimits,
     directories: Vec<TempDir>,
 }
 
@@ -200,10 +201,25 @@
 
 impl Cluster {
     pub async fn start(count: usize) -> Cluster {
-        Cluster::start_with(count, 0, Vec::new()).await
+        Cluster::start_with(count, Vec::new()).await
     }
 
-    pub async fn start_with(count: usize, delay_ms: u64, initial: Vec<Command>) -> Cluster {
+    pub async fn start_with(count: usize, initial: Vec<Command>) -> Cluster {
+        // Small enough for tests to pass them.
+        let limits = ControlLimits {
+            snapshot_entries: 200,
+            recent: 150,
+            ..Default::default()
+        };
+        Cluster::start_limited(count, 0, initial, limits).await
+    }
+
+    pub async fn start_limited(
+        count: usize,
+        delay_ms: u64,
+        initial: Vec<Command>,
+        limits: ControlLimits,
+    ) -> Cluster {
         let names: Vec<Name> = (1..=count).map(|i| Name::from(format!("c{i}"))).collect();
         let mut cluster = Cluster {
             clocks: (0..count).map(|_| running_clock()).collect(),
@@ -212,6 +228,7 @@
             proxies: HashMap::new(),
             delay_ms,
             initial,
+            limits,
             directories: (0..count).map(|_| TempDir::new().unwrap()).collect(),
         };
         for from in &names {
@@ -241,11 +258,9 @@
             secret: secret(),
             initial: self.initial.clone(),
             timings: Default::default(),
-            limits: pomelovaled::control::config::ControlLimits {
+            limits: ControlLimits {
                 delay_ms: self.delay_ms,
-                snapshot_entries: 200,
-                recent: 150,
-                ..Default::default()
+                ..self.limits
             },
         }
     }
--- a/crates/daemon/tests/control_log.rs
+++ b/crates/daemon/tests/control_log.rs
@@ -46,7 +46,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_initial_document_is_applied_once() {
     let initial = vec![region("north"), put_workspace("w", 10)];
-    let mut cluster = Cluster::start_with(3, 0, initial).await;
+    let mut cluster = Cluster::start_with(3, initial).await;
     for _ in 0..3 {
         let leader = cluster.leader().await;
         let view = cluster.server(leader).view();
