--- a/crates/coordination/src/measures.rs
+++ b/crates/coordination/src/measures.rs
@@ -10,6 +10,9 @@
 /// Time without a report after which an entry is taken out of the entry list.
 pub const LOST_AFTER_MS: u64 = 5_000;
 
+/// How long the report of an entry that is not in the document is kept.
+const REPORT_LIFE_MS: u64 = 60_000;
+
 #[derive(Clone, Debug)]
 struct Received {
     at: Millis,
@@ -109,36 +112,51 @@
             .sum()
     }
 
-    /// Changes of state due to reports that stopped or came back. Nothing is
+    /// Changes of state due to reports that stopped or came back, or that
+    /// announce a stop. Nothing is
     /// taken out when most entries fall silent at once, since then the fault
     /// is more likely between them and the leader.
     pub fn membership(&self, document: &Document, now: Millis) -> Vec<(Name, MemberState)> {
         let silent = |n: &Name| self.age(now, n) > LOST_AFTER_MS;
+        let leaves = |n: &Name| self.reports.get(n).is_some_and(|r| r.report.leaving);
         let serving: Vec<&Name> = entries(document).collect();
         let lost: Vec<&Name> = serving.iter().copied().filter(|n| silent(n)).collect();
         let back = document
             .instances
             .iter()
-            .filter(|(n, i)| i.state == MemberState::Lost && !silent(n));
+            .filter(|(n, i)| i.state == MemberState::Away && !silent(n) && !leaves(n));
         let mut changes: Vec<_> = back
             .map(|(n, _)| (n.clone(), MemberState::Serving))
             .collect();
+        let stopping = serving.iter().copied().filter(|n| !silent(n) && leaves(n));
+        let open = |n: &&Name| document.instances[*n].state == MemberState::Serving;
+        changes.extend(
+            stopping
+                .filter(open)
+                .map(|n| (n.clone(), MemberState::Away)),
+        );
         if lost.len() * 2 <= serving.len() {
-            changes.extend(lost.into_iter().map(|n| (n.clone(), MemberState::Lost)));
+            changes.extend(lost.into_iter().map(|n| (n.clone(), MemberState::Away)));
         }
         changes
     }
 
-    /// Forgets entries that are no longer in the document.
-    pub fn retain(&mut self, document: &Document) {
+    /// The entries that reported, with their last reports.
+    pub fn reports(&self) -> impl Iterator<Item = &Report> {
+        self.reports.values().map(|r| &r.report)
+    }
+
+    /// Forgets entries that are neither in the document nor reported lately.
+    pub fn retain(&mut self, document: &Document, now: Millis) {
+        let known = |name: &Name| document.instances.contains_key(name);
         self.reports
-            .retain(|name, _| document.instances.contains_key(name));
+            .retain(|name, r| known(name) || now.since(r.at) < REPORT_LIFE_MS);
     }
 }
 
 fn entries(document: &Document) -> impl Iterator<Item = &Name> {
     let serves = |(_, i): &(&Name, &pomelovale_state::document::Instance)| {
-        i.callers.is_some() && i.state != MemberState::Lost
+        i.callers.is_some() && i.state != MemberState::Away
     };
     document.instances.iter().filter(serves).map(|(n, _)| n)
 }
