--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -6,6 +6,8 @@
 use pomelovale_protocol::grants::{Grant, GrantReply, GrantRequest, Want, TOKEN};
 use pomelovale_state::{Millis, Name};
 
+use crate::ledger::refill;
+
 /// Settings of a limiter.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LimiterConfig {
@@ -51,16 +53,32 @@
 
 /// Time over which demand is averaged.
 const DEMAND_MS: f64 = 1_000.0;
+/// Time over which a change of demand is noticed.
+const TREND_MS: f64 = 250.0;
+/// Requests are made more often by this factor while a pool is short.
+const SHORT_PART: u64 = 5;
+/// Standard deviations of a count of requests that chance explains.
+const NOISE_ROOTS: f64 = 2.0;
+/// Tokens are requested ahead for the use within this time: a round trip of
+/// 110 ms and its jitter.
+const AHEAD_MS: u64 = 150;
 
 #[derive(Debug, Default)]
 struct Share {
     rate: u64,
     cap: u64,
+    /// May be above `cap` after a grant, and falls back by spending.
     level: u64,
+    /// Level in the latest request.
+    told: u64,
+    short: bool,
     surplus: u64,
+    debt: u64,
     until: Millis,
     at: Millis,
+    /// Decaying counts of requests over two times.
     demand: f64,
+    trend: f64,
     counted: Millis,
     used: Millis,
     retry_ms: u64,
@@ -81,6 +99,7 @@
     seq: u64,
     sent: Millis,
     urgent: bool,
+    short: bool,
     pending: Option<Pending>,
     shares: IndexMap<Name, Share>,
 }
@@ -94,6 +113,7 @@
             seq: 0,
             sent: Millis(0),
             urgent: false,
+            short: false,
             pending: None,
             shares: IndexMap::new(),
         }
@@ -107,6 +127,8 @@
         share.count(now, amount);
         let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
         if share.spend(amount.saturating_add(ahead), amount) {
+            let low = share.level < share.shortfall(now, AHEAD_MS);
+            self.urgent |= share.short || (low && share.retry_ms == 0);
             return Admit::Granted;
         }
         let accrual = share.accrual_ms(amount.saturating_add(ahead));
@@ -138,11 +160,15 @@
 
     /// The next request to send to the ledger, if one is due.
     pub fn next_request(&mut self, now: Millis) -> Option<GrantRequest> {
+        let renew_ms = match self.short {
+            true => self.config.renew_ms / SHORT_PART,
+            false => self.config.renew_ms,
+        };
         match &self.pending {
             Some(p) if now.since(p.sent) < self.config.timeout_ms => return None,
             Some(_) => {}
             None if self.urgent => {}
-            None if now.since(self.sent) < self.config.renew_ms => return None,
+            None if now.since(self.sent) < renew_ms => return None,
             None => {}
         }
         let idle_ms = self.config.idle_ms;
@@ -186,6 +212,7 @@
                 self.urgent = true;
             }
             false if now < until => {
+                self.short = reply.grants.iter().any(|g| g.short);
                 for grant in &reply.grants {
                     self.apply(now, until, grant);
                 }
@@ -197,12 +224,15 @@
     fn apply(&mut self, now: Millis, until: Millis, grant: &Grant) {
         let share = self.share(now, &grant.workspace);
         let level = share.level + grant.tokens;
-        share.level = level.min(grant.cap);
+        share.level = level.min(grant.cap.max(share.told + grant.tokens));
         share.surplus += level - share.level;
+        // The raised rate refills from the next millisecond on.
+        share.debt += grant.rate.saturating_sub(share.rate);
         share.rate = grant.rate;
         share.cap = grant.cap;
         share.until = until;
         share.retry_ms = grant.retry_ms;
+        share.short = grant.short;
         let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
         self.urgent |= ahead > share.level && grant.retry_ms == 0;
     }
@@ -231,22 +261,39 @@
             self.level = 0;
             self.surplus = 0;
         }
-        let refill = self.rate.saturating_mul(now.since(self.at));
-        self.level = self.level.saturating_add(refill).min(self.cap);
+        let refill = refill(self.rate, now.since(self.at));
+        let paid = refill.min(self.debt);
+        self.debt -= paid;
+        let top = self.level.max(self.cap);
+        self.level = self.level.saturating_add(refill - paid).min(top);
         self.at = self.at.max(now);
+        if self.level >= self.cap {
+            // The rest of the current millisecond doesn't refill a full bucket.
+            self.at = self.at.max(now.plus(1));
+        }
         while self.waiting.front().is_some_and(|w| w.0 <= now) {
             self.waiting.pop_front();
         }
     }
 
     fn count(&mut self, now: Millis, amount: u64) {
-        self.demand = self.demand_at(now) + amount as f64;
+        let passed = now.since(self.counted) as f64;
+        self.demand = self.demand * (-passed / DEMAND_MS).exp() + amount as f64;
+        self.trend = self.trend * (-passed / TREND_MS).exp() + amount as f64;
         self.counted = now;
         self.used = now;
     }
 
-    fn demand_at(&self, now: Millis) -> f64 {
-        self.demand * (-(now.since(self.counted) as f64) / DEMAND_MS).exp()
+    /// Rate of requests: the long average, corrected if the short one differs
+    /// by more than chance explains.
+    fn demand_at(&self, now: Millis) -> u64 {
+        let passed = now.since(self.counted) as f64;
+        let long = self.demand * (-passed / DEMAND_MS).exp() / DEMAND_MS;
+        let short = self.trend * (-passed / TREND_MS).exp();
+        let noise = NOISE_ROOTS * (short * TOKEN as f64).sqrt();
+        let low = (short - noise) / TREND_MS;
+        let high = (short + noise + TOKEN as f64) / TREND_MS;
+        long.clamp(low, high) as u64
     }
 
     fn spend(&mut self, needed: u64, amount: u64) -> bool {
@@ -257,6 +304,12 @@
         enough
     }
 
+    /// What demand will use beyond the refill within a time.
+    fn shortfall(&self, now: Millis, ms: u64) -> u64 {
+        let demand = self.demand_at(now);
+        demand.saturating_sub(self.rate).saturating_mul(ms)
+    }
+
     /// Time until the bucket alone holds an amount.
     fn accrual_ms(&self, amount: u64) -> u64 {
         match amount.saturating_sub(self.level) {
@@ -267,13 +320,20 @@
 
     fn want(&mut self, now: Millis, workspace: &Name) -> Want {
         self.advance(now);
+        let demand = self.demand_at(now);
+        let keep = (self.cap / 2).max(self.shortfall(now, AHEAD_MS));
+        if self.waiting.is_empty() && self.level > keep {
+            self.surplus += self.level - keep;
+            self.level = keep;
+        }
+        self.told = self.level;
         Want {
             workspace: workspace.clone(),
             rate: self.rate,
             cap: self.cap,
             level: self.level,
             wanted: self.waiting.iter().map(|w| w.1).sum(),
-            demand: (self.demand_at(now) / DEMAND_MS) as u64,
+            demand,
             returned: std::mem::take(&mut self.surplus),
         }
     }
