Estimate the wait by the oldest waiting request

Cause and change: A workspace above its weight at one entry waited long without spilling, since later arrivals of others were served first. The expected wait is now at least the wait of the oldest request in its line, slots are related to rates by the uncongested latency, and all of the free slots may be taken for a new measurement.

--- a/crates/steering/benches/model/entry.rs
+++ b/crates/steering/benches/model/entry.rs
@@ -78,8 +78,8 @@
         self.arrived = 0;
         let loads = self.balancer.region_loads(now);
         let measures: Vec<RegionMeasure> = loads.iter().map(|l| self.measure(now, l)).collect();
-        if self.admission.request_ms() > 0.0 {
-            self.regions.set_request_ms(self.admission.request_ms());
+        if self.admission.floor_ms() > 0.0 {
+            self.regions.set_request_ms(self.admission.floor_ms());
         }
         self.regions.update(now, rate, entries, &measures);
     }
--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -236,6 +236,20 @@
         self.queue.ahead(workspace) * self.request_ms / f64::from(self.limit.current().max(1))
     }
 
+    /// Like [`Admission::expected_wait`], but at least as long as the longest
+    /// wait so far in the workspace's line, which later arrivals of other
+    /// workspaces lengthen.
+    pub fn expected_wait_at(&self, now: Millis, workspace: &Name) -> f64 {
+        let oldest = self.queue.oldest(workspace);
+        let waited = oldest.map_or(0, |since| now.since(since));
+        self.expected_wait(workspace).max(waited as f64)
+    }
+
+    /// Mean time of a request at an uncongested backend server in milliseconds.
+    pub fn floor_ms(&self) -> f64 {
+        self.limit.floor_ms()
+    }
+
     /// Expected wait of the next request of any workspace in milliseconds.
     pub fn queue_wait(&self) -> f64 {
         self.queue.len() as f64 * self.request_ms / f64::from(self.limit.current().max(1))
--- a/crates/steering/src/concurrency.rs
+++ b/crates/steering/src/concurrency.rs
@@ -57,6 +57,11 @@
         self.value as u32
     }
 
+    /// Latency without congestion in milliseconds; zero before the first sample.
+    pub fn floor_ms(&self) -> f64 {
+        self.floor_ms
+    }
+
     /// Changes the bounds, for example when backend servers join or leave.
     pub fn set_bounds(&mut self, min: u32, max: u32) {
         (self.min, self.max) = (f64::from(min), f64::from(max.max(min)));
--- a/crates/steering/src/fair_queue.rs
+++ b/crates/steering/src/fair_queue.rs
@@ -75,6 +75,12 @@
         self.lines.get(workspace).map_or(0, |l| l.waiting.len())
     }
 
+    /// When the oldest waiting ticket of a workspace was added.
+    pub fn oldest(&self, workspace: &Name) -> Option<Millis> {
+        let line = self.lines.get(workspace)?;
+        line.waiting.front().map(|w| w.since)
+    }
+
     /// Sets the weight of a workspace; 1 if never set.
     pub fn set_weight(&mut self, workspace: &Name, weight: u32) {
         self.line(workspace).weight = f64::from(weight.max(1));
--- a/crates/steering/src/region.rs
+++ b/crates/steering/src/region.rs
@@ -15,9 +15,8 @@
 /// Part of a remote region's slots that must stay free of spilled work.
 const REMOTE_RESERVE: f64 = 0.1;
 
-/// Part of the free slots that is taken for each measurement. Measurements lag
-/// by up to a second, so the whole of it would be taken twice.
-const GAIN: f64 = 0.5;
+/// Part of the free slots that is taken for each new measurement.
+const GAIN: f64 = 1.0;
 
 /// Difference of waits that is ignored, in milliseconds.
 const DEAD_BAND_MS: f64 = 10.0;
