--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -17,7 +17,7 @@
 use pomelovale_protocol::messages::{
     chunks, Assembly, Content, Delta, Fleet, LogPacket, PeerMessage, Request, Response,
 };
-use pomelovale_state::command::Change;
+use pomelovale_state::command::{Applied, Change};
 use pomelovale_state::machine::Machine;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
@@ -90,6 +90,8 @@
     pub(super) controls: HashMap<Name, u64>,
     parts: HashMap<u64, Assembly>,
     pub(super) calls: Calls,
+    // Results of applied changes, until the view holds them.
+    answers: Vec<(Name, Applied)>,
     pub(super) leader: Option<Leader>,
     stopping: bool,
     failed: bool,
@@ -120,6 +122,7 @@
             controls: HashMap::new(),
             parts: HashMap::new(),
             calls: Calls::default(),
+            answers: Vec::new(),
             leader: None,
             stopping: false,
             failed: false,
@@ -188,6 +191,10 @@
         if self.machine.document.version > self.outputs.view.document().version {
             self.outputs.view.publish(self.machine.document.clone());
         }
+        // Whoever gets an answer finds the change in the view.
+        for (request, applied) in std::mem::take(&mut self.answers) {
+            self.calls.answer_proposal(&request, &applied);
+        }
         if let Some(at) = status.proven {
             self.outputs.view.prove(at);
         }
@@ -279,7 +286,7 @@
         let before = self.machine.document.version;
         let applied = self.machine.apply(&change);
         let version = self.machine.document.version;
-        self.calls.answer_proposal(&change.request, &applied);
+        self.answers.push((change.request.clone(), applied));
         if version > before {
             let delta = Delta {
                 position: entry.position(),
