Test the subscriber against a misleading control instance

Cause: the age rule and the order of changes were only tested as a whole. Change: a stand-in for a control instance with tables of proofs and faults. A change that does not apply now makes the subscriber load the document again, since part of a batch may be in it. Conclusion: ages add up to the millisecond, and no fault changes the view.

--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -326,10 +326,14 @@
             match delta.version {
                 v if v <= self.document.version => continue,
                 v if v > self.document.version + 1 => return Err(ErrorKind::BadRequest),
-                v => self
-                    .document
-                    .follow(&delta.change, v)
-                    .map_err(|_| ErrorKind::BadRequest)?,
+                v => {
+                    if self.document.follow(&delta.change, v).is_err() {
+                        // Part of a batch may be in it; it is loaded again.
+                        self.document = Document::default();
+                        self.position = None;
+                        return Err(ErrorKind::BadRequest);
+                    }
+                }
             }
             self.position = Some(delta.position);
         }
--- /dev/null
+++ b/crates/daemon/tests/control_subscriber.rs
@@ -0,0 +1,310 @@
+//! The subscriber against a control instance that misleads it.
+
+mod control_kit;
+
+use std::sync::Arc;
+
+use control_kit::{change, put_workspace, secret, until, within};
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::auth::Role;
+use pomelovale_protocol::frame::encode_body;
+use pomelovale_protocol::log::{Epoch, LogIndex, Position};
+use pomelovale_protocol::messages::{
+    chunks, Content, Delta, PeerMessage, Proof, Renew, Request, Response,
+};
+use pomelovale_state::command::Applied;
+use pomelovale_state::document::Document;
+use pomelovale_state::machine::Machine;
+use pomelovale_state::{Clock, ErrorKind, Name};
+use pomelovale_transport::peer_link::{PeerConfig, PeerEvent, PeerLink};
+use pomelovale_transport::peer_server::PeerServer;
+use pomelovaled::subscriber::{ranked, ControlPlace, Subscriber, SubscriberConfig};
+
+/// A stand-in for a control instance that sends what the test tells it to.
+struct Fake {
+    _server: PeerServer,
+    _handle: ControlHandle,
+    clock: Clock,
+    events: flume::Receiver<PeerEvent>,
+    link: Option<PeerLink>,
+    view: Arc<View>,
+    handle: ControlHandle,
+}
+
+fn place(name: &str, address: &str, region: &str, domain: &str) -> ControlPlace {
+    ControlPlace {
+        name: Name::from(name),
+        address: address.parse().unwrap(),
+        region: Name::from(region),
+        domain: Name::from(domain),
+    }
+}
+
+fn config(name: &str, controls: Vec<ControlPlace>) -> SubscriberConfig {
+    SubscriberConfig {
+        name: Name::from(name),
+        region: Name::from("north"),
+        domain: Name::from("north-a"),
+        controls,
+        secret: secret(),
+        timings: Default::default(),
+        limits: Default::default(),
+        counters: Default::default(),
+    }
+}
+
+impl Fake {
+    async fn start() -> Fake {
+        let (sender, events) = flume::unbounded();
+        let peering = PeerConfig {
+            name: Name::from("c1"),
+            role: Role::Control,
+            secret: secret(),
+            timings: Default::default(),
+            delay_ms: 0,
+            counters: Default::default(),
+        };
+        let listen = "127.0.0.1:0".parse().unwrap();
+        let server = PeerServer::start(peering, listen, sender).await.unwrap();
+        let address = server.address().to_string();
+        let (clock, view) = (Clock::manual(), Arc::new(View::default()));
+        clock.advance(100_000);
+        let config = config("e1", vec![place("c1", &address, "north", "north-a")]);
+        let handle = Subscriber::start(config, view.clone(), clock.clone());
+        Fake {
+            _server: server,
+            _handle: handle.clone(),
+            clock,
+            events,
+            link: None,
+            view,
+            handle,
+        }
+    }
+
+    /// The next message of the subscriber; `None` when its connection closed.
+    async fn next(&mut self) -> Option<PeerMessage> {
+        loop {
+            match within("a message", self.events.recv_async()).await.unwrap() {
+                PeerEvent::Opened(link) => self.link = Some(link),
+                PeerEvent::Closed(_) => return None,
+                PeerEvent::Message(_, message) => return Some(message),
+            }
+        }
+    }
+
+    async fn renewal(&mut self) -> Renew {
+        loop {
+            if let Some(PeerMessage::Renew(renew)) = self.next().await {
+                return renew;
+            }
+        }
+    }
+
+    async fn closed(&mut self) {
+        while self.next().await.is_some() {}
+    }
+
+    fn send(&self, message: PeerMessage) {
+        assert!(self.link.as_ref().unwrap().send(message));
+    }
+
+    fn prove(&self, seq: Option<u64>, age_ms: u64, index: u64, changes: Vec<Delta>) {
+        self.send(PeerMessage::Proof(Proof {
+            seq,
+            age_ms,
+            position: position(index),
+            leader: None,
+            changes: changes.into_iter().map(Arc::new).collect(),
+        }));
+    }
+
+    fn load(&self, index: u64, document: &Document) {
+        let body = Arc::from(encode_body(document).unwrap());
+        for chunk in chunks(Content::Document(position(index)), body) {
+            self.send(chunk);
+        }
+    }
+
+    /// Gives the subscriber the document of version 2 at index 20.
+    async fn loaded(&mut self) -> Renew {
+        self.renewal().await;
+        self.load(20, &document(2));
+        self.renewal().await
+    }
+
+    fn age(&self) -> u64 {
+        self.view.age(self.clock.now())
+    }
+}
+
+fn position(index: u64) -> Position {
+    Position {
+        epoch: Epoch(1),
+        index: LogIndex(index),
+    }
+}
+
+fn delta(version: u64) -> Delta {
+    Delta {
+        position: position(version * 10),
+        version,
+        change: change(&format!("r{version}"), put_workspace("w", version)),
+    }
+}
+
+fn document(version: u64) -> Document {
+    let mut machine = Machine::default();
+    for v in 1..=version {
+        machine.apply(&delta(v).change);
+    }
+    machine.document
+}
+
+// Guards against an age that leaves out a part: the view is as old as the
+// instance's own proof was, plus the time since the renewal was sent.
+#[tokio::test]
+async fn ages_add_up_from_the_sending_of_the_renewal() {
+    let mut fake = Fake::start().await;
+    let renew = fake.loaded().await;
+    fake.clock.advance(1_000);
+    fake.prove(Some(renew.seq), 300, 20, Vec::new());
+    until("the view is proven", || fake.age() != u64::MAX).await;
+    assert_eq!(fake.age(), 1_300);
+    fake.clock.advance(2_700);
+    assert!(fake.view.serves_keys(fake.clock.now()));
+    fake.clock.advance(1);
+    assert!(!fake.view.serves_keys(fake.clock.now()));
+}
+
+// Guards against a view that counts as proven although changes are missing,
+// the renewal is unknown, or the sender itself has no proof. The proof that
+// follows shows that the first one was received.
+macro_rules! no_proofs {
+    ($($name:ident: $seq:expr, $age:expr, $index:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let mut fake = Fake::start().await;
+            let renew = fake.loaded().await;
+            let seq: fn(u64) -> Option<u64> = $seq;
+            fake.prove(seq(renew.seq), $age, $index, Vec::new());
+            fake.prove(None, 0, 30, vec![delta(3)]);
+            until("the change is there", || fake.view.document().version == 3).await;
+            assert_eq!(fake.age(), u64::MAX);
+        }
+    )*};
+}
+
+no_proofs! {
+    proof_of_a_position_ahead: Some, 0, 30;
+    proof_of_an_unknown_renewal: |seq| Some(seq + 9), 0, 20;
+    changes_without_a_proof: |_| None, 0, 20;
+    proof_of_an_instance_without_one: Some, u64::MAX, 20;
+}
+
+// Guards against a view that goes backwards when its control instance lags.
+#[tokio::test]
+async fn an_older_document_changes_nothing() {
+    let mut fake = Fake::start().await;
+    fake.loaded().await;
+    fake.load(10, &document(1));
+    fake.prove(None, 0, 20, vec![delta(1), delta(2)]);
+    let renew = fake.renewal().await;
+    assert_eq!(renew.position, Some(position(20)));
+    assert_eq!(fake.view.document().version, 2);
+    fake.prove(Some(renew.seq), 0, 10, Vec::new());
+    until("the view is proven", || fake.age() != u64::MAX).await;
+}
+
+macro_rules! faults {
+    ($($name:ident: $resumes:expr, $fault:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let mut fake = Fake::start().await;
+            fake.loaded().await;
+            let fault: fn(&Fake) = $fault;
+            fault(&fake);
+            fake.closed().await;
+            assert_eq!(fake.view.document().version, 2);
+            let renew = fake.renewal().await;
+            assert_eq!(renew.position, $resumes);
+        }
+    )*};
+}
+
+// Guards against messages that corrupt the view; the subscriber connects again
+// and resumes from what it holds, unless that may be incomplete.
+faults! {
+    missing_change: Some(position(20)), |f| f.prove(None, 0, 40, vec![delta(4)]);
+    change_that_does_not_apply: None, |f| f.prove(None, 0, 30, vec![Delta {
+        change: change("r", pomelovale_state::command::Command::RevokeKey(Name::from("none"))),
+        ..delta(3)
+    }]);
+    document_that_is_none: Some(position(20)), |f| {
+        let body = Arc::from([255_u8; 40].as_slice());
+        chunks(Content::Document(position(50)), body).for_each(|c| f.send(c));
+    };
+    chunk_of_the_log: Some(position(20)), |f| chunks(Content::Log, Arc::from([0_u8; 4].as_slice())).for_each(|c| f.send(c));
+    renewal_from_a_control_instance: Some(position(20)), |f| f.send(PeerMessage::Renew(Renew { seq: 1, position: None }));
+}
+
+// Guards against a proposal that is given up, or sent under another request
+// identifier, when its connection is lost before the answer.
+#[tokio::test]
+async fn a_proposal_is_sent_again_on_the_next_connection() {
+    let mut fake = Fake::start().await;
+    fake.loaded().await;
+    let handle = fake.handle.clone();
+    let answer = tokio::spawn(async move { handle.propose(delta(3).change).await });
+    let mut sent = Vec::new();
+    for attempt in 0..3 {
+        let id = loop {
+            if let Some(PeerMessage::Call { id, request }) = fake.next().await {
+                sent.push(request);
+                break id;
+            }
+        };
+        let applied = Applied::Accepted {
+            version: 3,
+            item: 3,
+        };
+        match attempt {
+            0 => fake.link.take().unwrap().close(),
+            1 => fake.send(PeerMessage::Reply {
+                id,
+                response: Response::Failed(ErrorKind::Unavailable),
+            }),
+            _ => fake.send(PeerMessage::Reply {
+                id,
+                response: Response::Applied(applied),
+            }),
+        }
+    }
+    let applied = within("the answer", answer).await.unwrap().unwrap();
+    assert!(matches!(applied, Applied::Accepted { version: 3, .. }));
+    assert!(sent.iter().all(|r| *r == Request::Propose(delta(3).change)));
+}
+
+// Guards against entries that crowd on one control instance, or that prefer a
+// distant one.
+#[test]
+fn control_instances_are_ranked_by_distance_and_spread() {
+    let any = "127.0.0.1:1";
+    let controls = vec![
+        place("c1", any, "south", "south-a"),
+        place("c2", any, "south", "south-b"),
+        place("c3", any, "north", "north-b"),
+        place("c4", any, "north", "north-a"),
+    ];
+    let mut far = [0; 2];
+    for n in 0..200 {
+        let names: Vec<Name> = ranked(&config(&format!("e{n}"), controls.clone()))
+            .into_iter()
+            .map(|p| p.name)
+            .collect();
+        assert_eq!((&*names[0], &*names[1]), ("c4", "c3"));
+        far[usize::from(&*names[2] == "c2")] += 1;
+    }
+    assert!(far.iter().all(|n| (60..=140).contains(n)), "{far:?}");
+}
