Leave control instances more rarely while none is current

Cause: without a majority every entry changed its control instance every 600 ms. Change: the time that an instance is given doubles, up to 2.4 s, once all were tried; renewals are only hastened while the proof is younger than the limit. Conclusion: a lost majority costs each entry one connection in 2.4 s.

--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -31,6 +31,8 @@
 const CALL_QUEUE: usize = 65_536;
 /// Messages that may wait for the task.
 const EVENT_QUEUE: usize = 1_024;
+/// Doublings of the time that a control instance is given.
+const SETTLE_SHIFT_MAX: usize = 2;
 /// Renewals without an answer that are remembered.
 const RENEWALS_MAX: usize = 64;
 
@@ -156,6 +158,7 @@
             tried: None,
             link: None,
             since: Millis(0),
+            switches: 0,
             document: Document::default(),
             position: None,
             assembly: Assembly::default(),
@@ -182,6 +185,8 @@
     tried: Option<Millis>,
     link: Option<PeerLink>,
     since: Millis,
+    // Connections left since the view was current.
+    switches: usize,
     document: Document,
     position: Option<Position>,
     assembly: Assembly,
@@ -213,8 +218,14 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
-        let stale = self.view.age(now) > self.limits.switch_ms
-            && now.since(self.since) > self.limits.settle_ms;
+        let old = self.view.age(now) > self.limits.switch_ms;
+        if !old {
+            self.switches = 0;
+        }
+        // Once all instances were tried in vain, the attempts become rarer.
+        let rounds = self.switches / self.places.len().max(1);
+        let settle = self.limits.settle_ms << rounds.min(SETTLE_SHIFT_MAX);
+        let stale = old && now.since(self.since) > settle;
         match &self.link {
             Some(_) if stale => self.leave(),
             Some(_) if self.is_due(self.renewed, self.limits.renew_ms, now) => self.renew(now),
@@ -273,6 +284,7 @@
     fn leave(&mut self) {
         if let Some(link) = self.link.take() {
             link.close();
+            self.switches += 1;
             metrics::counter!("subscriber_switches_total").increment(1);
         }
         self.lost();
@@ -348,8 +360,8 @@
                 true if proof.age_ms <= sent.0 => self.view.prove(sent.minus(proof.age_ms)),
                 // A moment before this process started can't be expressed; a
                 // renewal that is sent soon can prove a later one.
-                true => self.renewed = None,
-                false => {}
+                true if proof.age_ms < self.limits.switch_ms => self.renewed = None,
+                true | false => {}
             }
         }
         Ok(())
