Test a leader that only its subscribers reach

Change: a case in which the leader is cut off from its peers but not from its subscriber, and a check that a silent connection is found as such.

--- a/crates/daemon/tests/control_entries.rs
+++ b/crates/daemon/tests/control_entries.rs
@@ -87,6 +87,7 @@
     Follower,
     IsolatedLeader,
     KilledLeader,
+    LeaderFromPeers,
 }
 
 async fn apply_loss(cluster: &mut Cluster, leader: usize, entry: &Entry, loss: Loss) {
@@ -94,10 +95,19 @@
         Loss::KilledLeader => cluster.kill(leader).await,
         Loss::Follower => cluster.kill((leader + 2) % 3).await,
         Loss::IsolatedLeader => cluster.cut(&cluster.names[leader].clone(), true),
+        Loss::LeaderFromPeers => {
+            let name = &cluster.names[leader];
+            let links = cluster.proxies.iter();
+            let links =
+                links.filter(|((from, to), _)| from != &entry.name && (from == name || to == name));
+            links.for_each(|(_, proxy)| proxy.cut(true));
+        }
         Loss::Connections => {
             let own = |(from, _): &(Name, Name)| *from == entry.name;
             let links = cluster.proxies.iter().filter(|(k, _)| own(k));
             links.for_each(|(_, proxy)| proxy.silence_open());
+            let found = || entry.counters.silent.load(Ordering::SeqCst);
+            until("the silent connection is found", || found() == 1).await;
         }
     }
 }
@@ -106,6 +116,7 @@
     leader_killed_with_its_subscriber: |l| l, Loss::KilledLeader;
     leader_killed_subscriber_elsewhere: |l| (l + 1) % 3, Loss::KilledLeader;
     leader_isolated_with_its_subscriber: |l| l, Loss::IsolatedLeader;
+    leader_reachable_but_cut_off_from_its_peers: |l| l, Loss::LeaderFromPeers;
     follower_killed_with_its_subscriber: |l| (l + 2) % 3, Loss::Follower;
     connections_silent_while_new_ones_work: |l| (l + 2) % 3, Loss::Connections;
 }
