Clear a lookup that was answered after a crash

Cause: a popular lookup in flight at two crashes, as when a failure domain is lost, was refused everywhere for ten minutes although it crashed nothing. Change: an answer clears the recorded crashes of its request; the attempt after a crash avoids the failure domain; own crash notes end once they are recorded. The command line no longer fails when its reader closes the pipe.

--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -6,6 +6,7 @@
 use crate::args::{finish, free};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 
 /// Usage text.
 pub const USAGE: &str = "\
@@ -28,6 +29,6 @@
     let commands: Vec<Command> = serde_json::from_str(&std::fs::read_to_string(path)?)?;
     let count = commands.len();
     let (version, _) = client.propose(None, Command::Batch(commands))?;
-    println!("accepted {count} commands as version {version}");
+    output::line(format!("accepted {count} commands as version {version}"));
     Ok(())
 }
--- a/crates/cli/src/backend.rs
+++ b/crates/cli/src/backend.rs
@@ -7,6 +7,7 @@
 use crate::args::{finish, name, option};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 use crate::table;
 
 /// Usage text.
@@ -60,7 +61,9 @@
     finish(args)?;
     let base = client.document()?.item_version(&Item::Backend(name));
     let (version, item) = client.propose(Some(base), command)?;
-    println!("accepted as version {version}, backend server version {item}");
+    output::line(format!(
+        "accepted as version {version}, backend server version {item}"
+    ));
     Ok(())
 }
 
@@ -79,7 +82,7 @@
 fn list(client: &Client) -> Result<(), CliError> {
     let document = client.document()?;
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(&document.backends)?);
+        output::line(serde_json::to_string_pretty(&document.backends)?);
         return Ok(());
     }
     let row = |(name, b): (&pomelovale_state::Name, &Backend)| {
--- a/crates/cli/src/blocks.rs
+++ b/crates/cli/src/blocks.rs
@@ -7,6 +7,7 @@
 use crate::args::{finish, free};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 
 /// Usage text.
 pub const USAGE: &str = "\
@@ -33,7 +34,8 @@
     match args.subcommand()?.unwrap_or_default().as_str() {
         "count" => {
             finish(args)?;
-            println!("{}", client.document()?.blocks.len());
+            let status: serde_json::Value = client.get("/v1/status")?;
+            output::line(status["view"]["blocks"].to_string());
             Ok(())
         }
         "load" => {
@@ -81,6 +83,6 @@
         }
         done += part.len();
     }
-    println!("accepted {done} rows");
+    output::line(format!("accepted {done} rows"));
     Ok(())
 }
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -10,6 +10,7 @@
 use crate::args::{finish, name, option};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 use crate::table;
 
 /// Usage text.
@@ -59,7 +60,9 @@
     finish(args)?;
     let base = client.document()?.item_version(&Item::Instance(name));
     let (version, item) = client.propose(Some(base), command)?;
-    println!("accepted as version {version}, instance version {item}");
+    output::line(format!(
+        "accepted as version {version}, instance version {item}"
+    ));
     Ok(())
 }
 
@@ -76,7 +79,7 @@
 fn list(client: &Client) -> Result<(), CliError> {
     let document = client.document()?;
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(&document.instances)?);
+        output::line(serde_json::to_string_pretty(&document.instances)?);
         return Ok(());
     }
     let address = |a: Option<SocketAddr>| a.map(|a| a.to_string()).unwrap_or_default();
--- a/crates/cli/src/key.rs
+++ b/crates/cli/src/key.rs
@@ -10,6 +10,7 @@
 use crate::args::{finish, name};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 use crate::table;
 
 /// Usage text.
@@ -40,7 +41,7 @@
             let id = name(&mut args, "key identifier")?;
             finish(args)?;
             let (key, digest) = make(&id)?;
-            println!("key     {key}\ndigest  {digest}");
+            output::line(format!("key     {key}\ndigest  {digest}"));
             Ok(())
         }
         "revoke" => revoke(client, args),
@@ -77,7 +78,7 @@
     };
     let (key, digest) = make(&id)?;
     let (version, _) = client.propose(Some(0), Command::PutKey { id, holder, digest })?;
-    println!("{key}");
+    output::line(key);
     eprintln!("accepted as version {version}; the key is not shown again");
     Ok(())
 }
@@ -87,14 +88,14 @@
     finish(args)?;
     let base = client.document()?.item_version(&Item::Key(id.clone()));
     let (version, _) = client.propose(Some(base), Command::RevokeKey(id))?;
-    println!("accepted as version {version}");
+    output::line(format!("accepted as version {version}"));
     Ok(())
 }
 
 fn list(client: &Client) -> Result<(), CliError> {
     let document = client.document()?;
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(&document.keys)?);
+        output::line(serde_json::to_string_pretty(&document.keys)?);
         return Ok(());
     }
     let row = |(id, key): (&Name, &Key)| {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod instance;
 mod key;
 mod moves;
+mod output;
 mod service;
 mod status;
 mod table;
@@ -83,7 +84,7 @@
         "status" => (status::USAGE, status::run),
         "workspace" => (workspace::USAGE, workspace::run),
         "" => {
-            print!("{USAGE}");
+            output::text(USAGE);
             return Ok(());
         }
         other => {
@@ -93,7 +94,7 @@
         }
     };
     if args.contains(["-h", "--help"]) {
-        print!("{usage}");
+        output::text(usage);
         return Ok(());
     }
     let global = args::global(&mut args)?;
--- a/crates/cli/src/moves.rs
+++ b/crates/cli/src/moves.rs
@@ -10,6 +10,7 @@
 use crate::args::{finish, free, name, option};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 use crate::table;
 
 /// Usage text.
@@ -71,7 +72,9 @@
         steps,
     };
     let (version, item) = client.propose(Some(0), command)?;
-    println!("accepted as version {version}, move version {item}");
+    output::line(format!(
+        "accepted as version {version}, move version {item}"
+    ));
     Ok(())
 }
 
@@ -112,7 +115,9 @@
     finish(args)?;
     let base = client.document()?.item_version(&Item::Move(name.clone()));
     let (version, item) = client.propose(Some(base), Command::StepMove { name, action })?;
-    println!("accepted as version {version}, move version {item}");
+    output::line(format!(
+        "accepted as version {version}, move version {item}"
+    ));
     Ok(())
 }
 
@@ -135,7 +140,7 @@
     let moves = moves(client, &mut args)?;
     finish(args)?;
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(&moves)?);
+        output::line(serde_json::to_string_pretty(&moves)?);
         return Ok(());
     }
     let row = |m: &MoveStatus| {
@@ -174,7 +179,7 @@
     let text = sheet::write(&moves)?;
     match out {
         Some(path) => std::fs::write(path, text)?,
-        None => print!("{text}"),
+        None => output::text(text),
     }
     Ok(())
 }
@@ -235,12 +240,12 @@
 
 fn print_results(client: &Client, results: &[RowResult]) -> Result<(), CliError> {
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(results)?);
+        output::line(serde_json::to_string_pretty(results)?);
         return Ok(());
     }
     for r in results {
         let rows: Vec<String> = r.rows.iter().map(u64::to_string).collect();
-        println!("row {}: {} {}", rows.join(","), r.result, r.text);
+        output::line(format!("row {}: {} {}", rows.join(","), r.result, r.text));
     }
     Ok(())
 }
--- a/crates/cli/src/service.rs
+++ b/crates/cli/src/service.rs
@@ -7,6 +7,7 @@
 use crate::args::{finish, free, name};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 use crate::table;
 
 /// Usage text.
@@ -45,14 +46,16 @@
         .document()?
         .item_version(&Item::Service(name.clone()));
     let (version, item) = client.propose(Some(base), Command::PutService { name, service })?;
-    println!("accepted as version {version}, service version {item}");
+    output::line(format!(
+        "accepted as version {version}, service version {item}"
+    ));
     Ok(())
 }
 
 fn list(client: &Client) -> Result<(), CliError> {
     let document = client.document()?;
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(&document.services)?);
+        output::line(serde_json::to_string_pretty(&document.services)?);
         return Ok(());
     }
     let mut rows = Vec::new();
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -6,6 +6,7 @@
 use crate::args::finish;
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 use crate::table;
 
 /// Usage text.
@@ -19,28 +20,38 @@
 requests are refused once it is over 4,000 ms.
 ";
 
+const COLUMNS: [&str; 3] = ["instance", "version", "view_ms"];
+
 /// Runs the command.
 pub fn run(client: &Client, args: Arguments) -> Result<(), CliError> {
     finish(args)?;
     let status: Value = client.get("/v1/status")?;
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(&status)?);
+        output::line(serde_json::to_string_pretty(&status)?);
         return Ok(());
     }
-    println!("version {}", status["version"]);
-    println!("log {}", status["log"]);
     let text = |v: &Value| v.as_str().map_or_else(|| v.to_string(), str::to_owned);
+    let (view, log) = (&status["view"], &status["log"]);
+    output::line(format!(
+        "{} holds version {}, proven {} ms ago",
+        text(&status["instance"]),
+        view["version"],
+        view["age_ms"]
+    ));
+    output::line(format!(
+        "log: {} of epoch {}, leader {}, commit {}, last {}",
+        text(&log["role"]),
+        log["epoch"],
+        text(&log["leader"]),
+        log["commit"],
+        log["last"]
+    ));
     let rows: Vec<Vec<String>> = status["instances"]
         .as_array()
         .into_iter()
         .flatten()
-        .map(|i| {
-            ["instance", "version", "view_ms", "state"]
-                .iter()
-                .map(|k| text(&i[*k]))
-                .collect()
-        })
+        .map(|i| COLUMNS.iter().map(|k| text(&i[*k])).collect())
         .collect();
-    table::print(&["instance", "version", "view_ms", "state"], &rows);
+    table::print(&COLUMNS, &rows);
     Ok(())
 }
--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -1,5 +1,7 @@
 //! Aligned text tables.
 
+use crate::output;
+
 /// Prints rows under a header, columns aligned.
 pub fn print(header: &[&str], rows: &[Vec<String>]) {
     let mut widths: Vec<usize> = header.iter().map(|h| h.len()).collect();
@@ -15,6 +17,6 @@
             .zip(&widths)
             .map(|(cell, width)| format!("{cell:<width$}"))
             .collect();
-        println!("{}", cells.join("  ").trim_end());
+        output::line(cells.join("  ").trim_end());
     }
 }
--- a/crates/cli/src/workspace.rs
+++ b/crates/cli/src/workspace.rs
@@ -7,6 +7,7 @@
 use crate::args::{finish, name, option};
 use crate::client::Client;
 use crate::error::CliError;
+use crate::output;
 use crate::table;
 
 /// Usage text.
@@ -48,14 +49,16 @@
         .document()?
         .item_version(&Item::Workspace(name.clone()));
     let (version, item) = client.propose(Some(base), Command::PutWorkspace { name, workspace })?;
-    println!("accepted as version {version}, workspace version {item}");
+    output::line(format!(
+        "accepted as version {version}, workspace version {item}"
+    ));
     Ok(())
 }
 
 fn list(client: &Client) -> Result<(), CliError> {
     let document = client.document()?;
     if client.global().json {
-        println!("{}", serde_json::to_string_pretty(&document.workspaces)?);
+        output::line(serde_json::to_string_pretty(&document.workspaces)?);
         return Ok(());
     }
     let row = |(name, w): (&pomelovale_state::Name, &Workspace)| {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -149,6 +149,15 @@
     assert!(text.contains("row 3, column prefix"), "{text}");
 }
 
+/// Guards against a status that hides how old a proof is.
+#[test]
+fn status_shows_versions_and_ages() {
+    let dir = site();
+    let text = dir.expect(0, &["status"]);
+    assert!(text.contains("holds version 1, proven 5 ms ago"), "{text}");
+    assert!(text.contains("e1        1        300"), "{text}");
+}
+
 /// Guards against usage texts that are missing.
 #[test]
 fn every_command_has_a_usage_text() {
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -116,6 +116,15 @@
     }
     match (request.method(), request.url()) {
         (Method::Get, "/v1/document") => answer(request, 200, text(&machine.document)),
+        (Method::Get, "/v1/status") => {
+            let view = json!({ "version": machine.document.version, "blocks": machine.document.blocks.len(), "age_ms": 5 });
+            let log =
+                json!({ "role": "leader", "epoch": 1, "leader": "c1", "commit": 2, "last": 2 });
+            let instances = json!([{ "instance": "e1", "version": 1, "view_ms": 300 }]);
+            let body =
+                json!({ "instance": "c1", "view": view, "log": log, "instances": instances });
+            answer(request, 200, body.to_string());
+        }
         (Method::Get, "/v1/moves") => {
             let moves: Vec<MoveStatus> = statuses(&machine);
             answer(request, 200, text(&moves));
--- a/crates/daemon/src/entry/crash.rs
+++ b/crates/daemon/src/entry/crash.rs
@@ -92,6 +92,22 @@
         }
     }
 
+    /// Whether any crash is known of a request. The fingerprint is only
+    /// computed when there is a crash to compare it with.
+    pub fn is_suspect(&self, document: &Document, print: impl FnOnce() -> Digest) -> bool {
+        let inner = self.lock();
+        if document.crashes.is_empty() && inner.own.is_empty() {
+            return false;
+        }
+        let print = print();
+        document.crashes.contains_key(&print) || inner.own.contains_key(&print)
+    }
+
+    /// Forgets the crashes that only this instance knows of.
+    pub fn forget(&self, print: &Digest) {
+        self.lock().own.remove(print);
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().expect("no panic while held")
     }
@@ -129,5 +145,22 @@
         }
     };
     let limit = Millis(shared.config.spread_ms).duration();
-    let _ = timeout(limit, seen).await;
+    if timeout(limit, seen).await.is_ok() {
+        shared.crashes.forget(&print);
+    }
+}
+
+/// Clears a request that was in flight at a crash and has been answered since.
+/// Without this, popular lookups that are in flight when a failure domain is
+/// lost would be refused everywhere.
+pub fn clear(shared: &Arc<Shared>, print: Digest) {
+    shared.crashes.forget(&print);
+    if !shared.view.document().crashes.contains_key(&print) {
+        return;
+    }
+    metrics::counter!("entry_crashes_cleared_total").increment(1);
+    let clearing = shared.clone();
+    shared.spawn(async move {
+        let _ = clearing.propose(Command::ClearCrash(print)).await;
+    });
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -119,6 +119,8 @@
     tried: Vec<Name>,
     attempts: usize,
     cuts: usize,
+    // Servers of failure domains in which a server went down.
+    doubtful: Vec<Name>,
     written: Option<ErrorKind>,
     unwritten: Option<ErrorKind>,
 }
@@ -136,7 +138,13 @@
     loop {
         job.check(&shared).map_err(|kind| progress.refuse(kind))?;
         let now = shared.clock.now();
-        let chosen = shared.decisions.choose(now, &job.subject, &progress.tried);
+        let avoid = [progress.tried.as_slice(), progress.doubtful.as_slice()].concat();
+        let chosen = match shared.decisions.choose(now, &job.subject, &avoid) {
+            None if !progress.doubtful.is_empty() => {
+                shared.decisions.choose(now, &job.subject, &progress.tried)
+            }
+            chosen => chosen,
+        };
         let Some(choice) = chosen else {
             let kind = progress.unwritten.unwrap_or(ErrorKind::Unavailable);
             return Err(progress.refuse(kind));
@@ -148,7 +156,14 @@
             .instrument(span)
             .await;
         let failure = match outcome {
-            Outcome::Answer(response) => return Ok(response),
+            Outcome::Answer(response) => {
+                let complete = matches!(response.body(), CallerBody::Full(_));
+                let document = shared.view.document();
+                if complete && shared.crashes.is_suspect(&document, || job.fingerprint()) {
+                    crash::clear(&shared, job.fingerprint());
+                }
+                return Ok(response);
+            }
             Outcome::Shed => None,
             Outcome::Failed(failure) => Some(failure),
         };
@@ -188,12 +203,26 @@
     if failure.fault == Fault::Cut {
         progress.cuts += 1;
         if crash::is_down(choice.address, limit).await {
+            // The whole failure domain may be going down.
+            progress.doubtful = domain_of(shared, &choice.server);
             crash::report(shared, job.fingerprint(), &choice.server).await;
         }
     }
     job.idempotent && progress.cuts <= 1 && shared.decisions.try_spend(service)
 }
 
+fn domain_of(shared: &Shared, server: &Name) -> Vec<Name> {
+    let document = shared.view.document();
+    let Some(down) = document.backends.get(server) else {
+        return Vec::new();
+    };
+    let near = document
+        .backends
+        .iter()
+        .filter(|(_, b)| b.service == down.service && b.domain == down.domain);
+    near.map(|(name, _)| name.clone()).collect()
+}
+
 async fn attempt(
     shared: &Arc<Shared>,
     job: &Job,
--- /dev/null
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -0,0 +1,89 @@
+//! Requests that were in flight at a crash without having caused it.
+
+mod entry_support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use entry_support::{keyed, ok, setup, until, Act, Caller, Control, Server};
+use pomelovale_state::command::Command;
+use pomelovale_state::document::{Backend, MemberState};
+use pomelovaled::entry::EntryHandle;
+
+/// A server that crashes on its first request for `/popular` once `armed`.
+async fn crashes_when(armed: Arc<AtomicBool>) -> Server {
+    Server::start(move |seen, _| match seen.head.contains("popular") {
+        true if armed.load(Ordering::SeqCst) => Act::Crash,
+        _ => ok("done"),
+    })
+    .await
+}
+
+async fn lookup(entry: &EntryHandle) -> u16 {
+    let mut caller = Caller::connect(entry.address()).await;
+    let request = keyed("GET", "/catalogue/popular", "", "");
+    caller.ask(&request).await.unwrap().status
+}
+
+fn add_server(control: &Control, name: &str, address: SocketAddr, domain: &str) {
+    let backend = Backend {
+        address,
+        service: "catalogue".into(),
+        region: "north".into(),
+        domain: domain.into(),
+        slots: 6,
+        connections: 330,
+        state: MemberState::Serving,
+    };
+    control.apply(Command::PutBackend {
+        name: name.into(),
+        backend,
+    });
+}
+
+/// Guards against a popular lookup being refused for ten minutes because it
+/// was in flight at two crashes, though it was answered in between.
+#[tokio::test]
+async fn an_answered_lookup_is_not_quarantined() {
+    let armed = [true, false].map(|b| Arc::new(AtomicBool::new(b)));
+    let first = crashes_when(armed[0].clone()).await;
+    let second = crashes_when(armed[1].clone()).await;
+    let healthy = Server::start(|_, _| ok("done")).await;
+    let control = setup(&[&first, &second, &healthy]);
+    let entry = control.entry(|_| {}).await;
+    let cleared = |control: &Control| {
+        let proposed = control.proposed.lock().unwrap();
+        proposed
+            .iter()
+            .filter(|c| matches!(c, Command::ClearCrash(_)))
+            .count()
+    };
+    for (n, server) in [&first, &second].into_iter().enumerate() {
+        armed[n].store(true, Ordering::SeqCst);
+        while !server.is_down() {
+            assert_eq!(lookup(&entry).await, 200);
+        }
+        until(|| cleared(&control) == n + 1).await;
+    }
+    assert_eq!(lookup(&entry).await, 200);
+}
+
+/// Guards against the second attempt of a lookup going to the failure domain
+/// that is going down, which would make a lost domain look like a poison request.
+#[tokio::test]
+async fn a_retry_after_a_crash_leaves_the_failure_domain() {
+    let armed = Arc::new(AtomicBool::new(true));
+    let mut near = Vec::new();
+    for _ in 0..4 {
+        near.push(crashes_when(armed.clone()).await);
+    }
+    let far = Server::start(|_, _| ok("done")).await;
+    let control = setup(&near.iter().collect::<Vec<_>>());
+    add_server(&control, "far", far.address, "north-b");
+    let entry = control.entry(|_| {}).await;
+    while !near.iter().any(Server::is_down) {
+        assert_eq!(lookup(&entry).await, 200);
+    }
+    assert_eq!(near.iter().filter(|s| s.is_down()).count(), 1);
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -56,6 +56,8 @@
     BeginIntent(IntentBegin),
     /// Changes rows of the client-block table.
     ChangeBlocks(Vec<BlockChange>),
+    /// Forgets the crashes of a request, since a backend server answered it.
+    ClearCrash(Digest),
     /// Ends a request under an idempotency key.
     EndIntent(IntentEnd),
     /// Creates or replaces a backend server.
@@ -191,7 +193,10 @@
             Command::PutService { name, .. } => Some(Item::Service(name.clone())),
             Command::PutSite { name, .. } => Some(Item::Site(name.clone())),
             Command::PutWorkspace { name, .. } => Some(Item::Workspace(name.clone())),
-            Command::BeginIntent(_) | Command::EndIntent(_) | Command::RecordCrash { .. } => None,
+            Command::BeginIntent(_)
+            | Command::ClearCrash(_)
+            | Command::EndIntent(_)
+            | Command::RecordCrash { .. } => None,
         }
     }
 
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -203,6 +203,10 @@
                 }
             }
         }
+        Command::ClearCrash(fingerprint) => {
+            document.crashes.shift_remove(fingerprint);
+            Ok(())
+        }
         Command::PutBackend { name, backend } => {
             check_name(name)?;
             check_place(document, &backend.region, &backend.domain)?;
