--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -326,10 +326,14 @@
             match delta.version {
                 v if v <= self.document.version => continue,
                 v if v > self.document.version + 1 => return Err(ErrorKind::BadRequest),
-                v => self
-                    .document
-                    .follow(&delta.change, v)
-                    .map_err(|_| ErrorKind::BadRequest)?,
+                v => {
+                    if self.document.follow(&delta.change, v).is_err() {
+                        // Part of a batch may be in it; it is loaded again.
+                        self.document = Document::default();
+                        self.position = None;
+                        return Err(ErrorKind::BadRequest);
+                    }
+                }
             }
             self.position = Some(delta.position);
         }
@@ -340,9 +344,12 @@
             .position
             .is_some_and(|p| p.index >= proof.position.index);
         if let Some(sent) = proof.seq.and_then(|seq| self.sent_at(seq)) {
-            // A moment before this process started can't be expressed.
-            if complete && proof.age_ms <= sent.0 {
-                self.view.prove(sent.minus(proof.age_ms));
+            match complete {
+                true if proof.age_ms <= sent.0 => self.view.prove(sent.minus(proof.age_ms)),
+                // A moment before this process started can't be expressed; a
+                // renewal that is sent soon can prove a later one.
+                true => self.renewed = None,
+                false => {}
             }
         }
         Ok(())
