Let requests wait longer while there is no leader

A new leader also keeps a pool of what entries told it, and prefetches take at most a twelfth of the pool.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -80,7 +80,7 @@
 /// Demand above the rate by this many standard deviations is overload.
 const NOISE_ROOTS: f64 = 2.0;
 /// A prefetch takes at most this part of the pool.
-const PREFETCH_PART: u64 = 4;
+const PREFETCH_PART: u64 = 12;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Lease {
@@ -274,6 +274,8 @@
         let index = self.leases.get_index_of(instance).unwrap_or(0);
         let claims: Vec<u64> = self.leases.values().map(|l| l.demand).collect();
         let sum: u64 = claims.iter().fold(0, |a, &c| a.saturating_add(c));
+        // A new leader keeps a pool of what was told, not of the whole limit.
+        let known = self.cap.saturating_sub(self.unknown.cap);
         let leased = self.rate / 1_000 * config.rate_leased;
         let reserve = self.rate / 1_000 * RESERVE_PER_MILLE;
         let rest = leased.saturating_sub(reserve);
@@ -282,7 +284,7 @@
             false => proportional(rest, &claims),
         };
         let rate = shares[index] + reserve / claims.len() as u64;
-        let cap = u128::from(self.cap / 1_000 * config.cap_leased) * u128::from(rate);
+        let cap = u128::from(known / 1_000 * config.cap_leased) * u128::from(rate);
         let cap = (cap / u128::from(leased.max(1))) as u64;
         match cap < TOKEN {
             true => Lease::default(),
--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -15,6 +15,9 @@
     pub instance: Name,
     /// Longest time that a request waits for tokens.
     pub wait_ms: u64,
+    /// Longest time that a request waits while the ledger doesn't answer: an
+    /// interval without a leader and the round trips after it.
+    pub outage_wait_ms: u64,
     /// Time after which a request to the ledger without a reply is given up.
     pub timeout_ms: u64,
     /// Time between requests to the ledger while tokens suffice.
@@ -29,6 +32,7 @@
         LimiterConfig {
             instance,
             wait_ms: 400,
+            outage_wait_ms: 2_500,
             timeout_ms: 300,
             renew_ms: 250,
             idle_ms: 30_000,
@@ -57,6 +61,9 @@
 const TREND_MS: f64 = 250.0;
 /// Requests are made more often by this factor while a pool is short.
 const SHORT_PART: u64 = 5;
+/// Time after an outage in which requests that waited longer than usual are
+/// kept: the holdings are told, then granted, then redistributed.
+const RECOVERY_MS: u64 = 1_000;
 /// Standard deviations of a count of requests that chance explains.
 const NOISE_ROOTS: f64 = 2.0;
 /// Tokens are requested ahead for the use within this time: a round trip of
@@ -98,6 +105,9 @@
     epoch: u64,
     seq: u64,
     sent: Millis,
+    /// When the first request was sent that was not answered yet.
+    unanswered: Option<Millis>,
+    patient_until: Millis,
     urgent: bool,
     short: bool,
     pending: Option<Pending>,
@@ -112,6 +122,8 @@
             epoch: 0,
             seq: 0,
             sent: Millis(0),
+            unanswered: None,
+            patient_until: Millis(0),
             urgent: false,
             short: false,
             pending: None,
@@ -122,7 +134,8 @@
     /// Decides about a new request.
     pub fn admit(&mut self, now: Millis, workspace: &Name, cost: u64) -> Admit {
         let amount = cost.saturating_mul(TOKEN);
-        let wait_ms = self.config.wait_ms;
+        let wait_ms = self.wait_ms(now);
+        let outage_wait_ms = self.config.outage_wait_ms;
         let share = self.share(now, workspace);
         share.count(now, amount);
         let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
@@ -136,7 +149,7 @@
             let retry_after_ms = share.retry_ms.min(accrual);
             return Admit::Refused { retry_after_ms };
         }
-        share.waiting.push_back((now.plus(wait_ms), amount));
+        share.waiting.push_back((now.plus(outage_wait_ms), amount));
         self.urgent = true;
         Admit::Wait
     }
@@ -144,7 +157,7 @@
     /// Decides again about a request that waits since `since`.
     pub fn retry(&mut self, now: Millis, workspace: &Name, cost: u64, since: Millis) -> Admit {
         let amount = cost.saturating_mul(TOKEN);
-        let wait_ms = self.config.wait_ms;
+        let wait_ms = self.wait_ms(now);
         let share = self.share(now, workspace);
         if share.spend(amount, amount) {
             share.waiting.pop_front();
@@ -158,6 +171,19 @@
         Admit::Wait
     }
 
+    /// Whether the ledger has left requests unanswered for a time-out.
+    fn is_silent(&self, now: Millis) -> bool {
+        self.unanswered
+            .is_some_and(|at| now.since(at) >= self.config.timeout_ms)
+    }
+
+    fn wait_ms(&self, now: Millis) -> u64 {
+        match self.is_silent(now) || now < self.patient_until {
+            true => self.config.outage_wait_ms,
+            false => self.config.wait_ms,
+        }
+    }
+
     /// The next request to send to the ledger, if one is due.
     pub fn next_request(&mut self, now: Millis) -> Option<GrantRequest> {
         let renew_ms = match self.short {
@@ -179,6 +205,7 @@
         }
         self.seq += 1;
         self.sent = now;
+        self.unanswered = self.unanswered.or(Some(now));
         self.urgent = false;
         self.pending = Some(Pending {
             seq: self.seq,
@@ -204,6 +231,10 @@
             return;
         }
         self.pending = None;
+        if self.is_silent(now) {
+            self.patient_until = now.plus(RECOVERY_MS);
+        }
+        self.unanswered = None;
         let until = sent.plus(reply.life_ms);
         match reply.epoch > self.epoch {
             // The holdings must be told to the new leader before it grants.
