Test a leader of the log that receives nothing

Cause: no test had a link that fails in one direction only.

Change: schedules and one case make an instance deaf; the catch-up cases check which way was taken.

Conclusion: check-quorum covers a leader whose replies are lost.

--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -62,7 +62,9 @@
 }
 
 impl Replica {
-    /// A replica that continues from what storage holds. `seed` has to differ
+    /// A replica that continues from what storage holds. The first step
+    /// restores the snapshot; entries after it are applied once a leader
+    /// confirms that they are committed. `seed` has to differ
     /// between two starts, since it also numbers the replies of this start.
     pub fn new(config: LogConfig, restored: Restored, seed: u64, now: Millis) -> Replica {
         let mut rng = SmallRng::seed_from_u64(seed);
--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -98,9 +98,20 @@
     isolated_follower_for_an_hour(3, 1) |sim| isolate(sim, 3_600_000, false);
     isolated_follower_of_five(5, 5) |sim| isolate(sim, 30_000, false);
 
+    /// Guards against a leader that receives nothing, yet keeps the others
+    /// from electing one that does.
+    deaf_leader_steps_down(3, 10) |mut sim| {
+        let old = sim.current_leader();
+        sim.deaf = old;
+        assert!(sim.run_until(4_000, |sim| sim.current_leader().is_some_and(|new| Some(new) != old)));
+        sim.propose();
+        sim.run(100);
+        assert_eq!(sim.accepted.len(), 1);
+    };
+
     /// Guards against a replica that never catches up, by log or by snapshot.
-    catches_up_by_log(3, 5) |sim| catch_up(sim, 40);
-    catches_up_by_snapshot(3, 5) |sim| catch_up(sim, 600);
+    catches_up_by_log(3, 5) |sim| catch_up(sim, 40, false);
+    catches_up_by_snapshot(3, 5) |sim| catch_up(sim, 600, true);
 
     /// Guards against data lost when another disk fails right after a
     /// repair, with the fewest copies that a quorum allows.
@@ -138,7 +149,7 @@
     assert!(sim.is_whole() && sim.quorum_age(node) < 300);
 }
 
-fn catch_up(mut sim: Sim, entries: usize) {
+fn catch_up(mut sim: Sim, entries: usize, snapshot: bool) {
     let leader = sim.current_leader().unwrap_or(0);
     let node = (leader + 1) % 3;
     sim.crash(node);
@@ -152,6 +163,7 @@
     sim.run(1_000);
     assert!(sim.is_whole());
     assert_eq!(sim.accepted.len(), entries);
+    assert_eq!(sim.nodes[node].disk.snapshot.index.0 > 0, snapshot);
 }
 
 /// Accepts entries on the fewest disks, loses as many of them as the group
--- a/crates/coordination/tests/log_core/schedule.rs
+++ b/crates/coordination/tests/log_core/schedule.rs
@@ -11,6 +11,7 @@
     Add(usize),
     Compact(usize),
     Crash(usize),
+    Deaf(usize),
     Delay(u64),
     Heal,
     Isolate(usize),
@@ -31,7 +32,7 @@
     fn arbitrary(g: &mut Gen) -> Step {
         let node = usize::arbitrary(g) % 5;
         let number = u64::arbitrary(g);
-        match u32::arbitrary(g) % 28 {
+        match u32::arbitrary(g) % 29 {
             0 => Step::Compact(node),
             1..=2 => Step::Crash(node),
             3 => Step::Delay(number % 300),
@@ -48,6 +49,7 @@
             22 => Step::Add(node),
             23..=24 => Step::Power(1 + number as usize % 31),
             25 => Step::Slow(number % 500),
+            26 => Step::Deaf(node),
             _ => Step::Wipe(node),
         }
     }
@@ -89,7 +91,11 @@
         Step::Compact(node) => sim.compact(node % size),
         Step::Crash(node) => sim.crash(node % size),
         Step::Delay(ms) => sim.delay_ms.1 = 1 + ms,
-        Step::Heal => sim.partition(|_| 0),
+        Step::Deaf(node) => sim.deaf = Some(node % size),
+        Step::Heal => {
+            sim.deaf = None;
+            sim.partition(|_| 0);
+        }
         Step::Isolate(node) => sim.partition(|other| usize::from(other == node % size)),
         Step::Lose(percent) => sim.faults.0 = percent,
         Step::Power(mask) => {
--- a/crates/coordination/tests/log_core/sim.rs
+++ b/crates/coordination/tests/log_core/sim.rs
@@ -44,6 +44,8 @@
 pub struct Sim {
     /// Time and index of accepted proposals.
     pub accepted: Vec<(u64, u64)>,
+    /// An instance that receives nothing.
+    pub deaf: Option<usize>,
     /// Latency of a link, shortest and longest.
     pub delay_ms: (u64, u64),
     pub election_ms: (u64, u64),
@@ -86,6 +88,7 @@
     pub fn new(size: usize, seed: u64) -> Sim {
         let mut sim = Sim {
             accepted: Vec::new(),
+            deaf: None,
             delay_ms: (1, 5),
             election_ms: ELECTION_MS,
             faults: (0, 0),
@@ -225,7 +228,7 @@
             Due::Deliver { from, to, message } => {
                 let node = node_of(&to);
                 let cut = self.groups[node].0 != self.groups[node_of(&from)].0;
-                if !cut {
+                if !cut && self.deaf != Some(node) {
                     self.step(node, Event::Receive { from, message });
                 }
             }
