--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,9 +3,14 @@
 pub mod control;
 mod election;
 mod entries;
+pub mod fairness;
 mod frame;
+pub mod gate;
 mod journal;
+pub mod ledger;
+pub mod limiter;
 pub mod log;
+pub mod measures;
 mod members;
 mod replica;
 mod replication;
--- /dev/null
+++ b/crates/daemon/src/control/leader.rs
@@ -0,0 +1,162 @@
+//! What only the leader does: the ledger, the log's clock, measurements.
+
+use indexmap::IndexMap;
+use pomelovale_coordination::gate;
+use pomelovale_coordination::ledger::{Ledger, LedgerConfig, Rate};
+use pomelovale_coordination::measures::Measures;
+use pomelovale_protocol::grants::{GrantReply, GrantRequest};
+use pomelovale_protocol::log::Epoch;
+use pomelovale_protocol::messages::{Fleet, InstanceStatus};
+use pomelovale_protocol::report::Report;
+use pomelovale_state::command::{Change, Command, Item, Refusal};
+use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::moves::{Move, MoveAction};
+use pomelovale_state::sheet::{MoveStatus, NextStep};
+use pomelovale_state::{Millis, Name};
+
+/// Time between two checks of which instances still report.
+const MEMBERSHIP_MS: u64 = 500;
+
+/// State of a leader, made anew in every epoch that this instance leads.
+pub(super) struct Leader {
+    pub(super) epoch: Epoch,
+    // The log's clock goes on from the last change; the leader's own clock
+    // only tells the time since then.
+    base: Millis,
+    since: Millis,
+    ledger: Ledger,
+    limits: IndexMap<Name, Rate>,
+    measures: Measures,
+    checked: Millis,
+}
+
+impl Leader {
+    pub(super) fn new(epoch: Epoch, document: &Document, now: Millis) -> Leader {
+        let mut leader = Leader {
+            epoch,
+            base: document.time,
+            since: now,
+            ledger: Ledger::new(LedgerConfig::new(epoch.0), now),
+            limits: IndexMap::new(),
+            measures: Measures::default(),
+            checked: now,
+        };
+        leader.set_limits(document, now);
+        leader
+    }
+
+    /// The log's clock.
+    pub(super) fn log_time(&self, now: Millis) -> Millis {
+        self.base.plus(now.since(self.since))
+    }
+
+    /// Takes over the rates of all workspaces.
+    pub(super) fn set_limits(&mut self, document: &Document, now: Millis) {
+        for (name, w) in &document.workspaces {
+            let rate = Rate {
+                per_second: w.rate,
+                burst: w.burst,
+            };
+            if self.limits.get(name) != Some(&rate) {
+                self.ledger.set_limit(name, rate, now);
+                self.limits.insert(name.clone(), rate);
+            }
+        }
+    }
+
+    pub(super) fn grant(&mut self, request: &GrantRequest, now: Millis) -> GrantReply {
+        self.ledger.request(now, request)
+    }
+
+    /// Whether a change may be proposed now, by the gate of moves.
+    pub(super) fn admit(
+        &self,
+        document: &Document,
+        change: &Change,
+        now: Millis,
+    ) -> Result<(), Refusal> {
+        gate::check(document, &self.measures, now, change)
+    }
+
+    /// Takes the measurements of an instance.
+    pub(super) fn record(&mut self, report: &Report, now: Millis) {
+        self.measures.record(now, report);
+    }
+
+    /// Changes of state of instances, at most once in a while so that those
+    /// proposed before are applied.
+    pub(super) fn membership(
+        &mut self,
+        own: &Name,
+        document: &Document,
+        now: Millis,
+    ) -> Vec<Change> {
+        if now.since(self.checked) < MEMBERSHIP_MS {
+            return Vec::new();
+        }
+        self.checked = now;
+        self.measures.retain(document, now);
+        let changes = self.measures.membership(document, now);
+        let epoch = self.epoch;
+        let change = |(name, state): (Name, MemberState)| Change {
+            request: format!("member-{}-{}-{name}", epoch.0, now.0).into(),
+            sender: own.clone(),
+            base: None,
+            at: Millis(0),
+            command: Command::SetInstance { name, state },
+        };
+        changes.into_iter().map(change).collect()
+    }
+
+    /// What is known of the whole site.
+    pub(super) fn fleet(&self, document: &Document, now: Millis) -> Fleet {
+        let row = |report: &Report| {
+            let age = self.measures.age(now, &report.instance);
+            InstanceStatus {
+                instance: report.instance.clone(),
+                version: report.version,
+                view_ms: report.view_ms.saturating_add(age),
+            }
+        };
+        let instances = self.measures.reports().map(row).collect();
+        let moves = document
+            .moves
+            .iter()
+            .map(|(name, m)| self.move_status(document, now, name, m));
+        Fleet {
+            instances,
+            moves: moves.collect(),
+        }
+    }
+
+    fn move_status(&self, document: &Document, now: Millis, name: &Name, m: &Move) -> MoveStatus {
+        let version = document.item_version(&Item::Move(name.clone()));
+        let next = (m.done < m.steps.len()).then(|| {
+            let room = gate::room(document, &self.measures, now, m, m.done + 1);
+            let advance = Change {
+                request: Name::default(),
+                sender: Name::default(),
+                base: None,
+                at: self.log_time(now),
+                command: Command::StepMove {
+                    name: name.clone(),
+                    action: MoveAction::Advance { to: m.done },
+                },
+            };
+            let held = gate::check(document, &self.measures, now, &advance).err();
+            NextStep {
+                headroom: room.map_or(0, |r| r.headroom),
+                needed: room.map_or(0, |r| r.needed),
+                link: room.and_then(|r| r.link),
+                oldest: room.map(|r| r.oldest).filter(|age| *age != u64::MAX),
+                reason: held.map(|r| r.text).unwrap_or_default(),
+            }
+        });
+        MoveStatus {
+            name: name.clone(),
+            version,
+            plan: m.clone(),
+            next,
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/region.rs
@@ -0,0 +1,174 @@
+//! Selection of the region for a request of one service on one entry.
+//!
+//! A request leaves the entry's region only if it would wait longer there than
+//! in the other region including the way, and only within an allowance of
+//! requests a second. The allowance follows the measured headroom: each entry
+//! takes its part of what is free, so that all of them together cannot overload
+//! the region, however late they measure.
+
+use indexmap::IndexMap;
+use pomelovale_state::{Millis, Name};
+
+/// Oldest measurement that may change an allowance, in milliseconds.
+pub const MEASURE_MAX_MS: u64 = 2_000;
+
+/// Part of a remote region's slots that must stay free of spilled work.
+const REMOTE_RESERVE: f64 = 0.1;
+
+/// Part of the free slots that is taken for each new measurement.
+const GAIN: f64 = 1.0;
+
+/// Difference of waits that is ignored, in milliseconds.
+const DEAD_BAND_MS: f64 = 10.0;
+
+/// Weight of a new sample in the spilled rate.
+const SAMPLE: f64 = 0.3;
+
+/// Time of a request at a backend server if none was measured.
+const DEFAULT_REQUEST_MS: f64 = 50.0;
+
+/// Whether requests leave the entry's region.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RegionPolicy {
+    /// Never; kept for comparison.
+    NoSpill,
+    /// When the local wait is longer, there is headroom and link capacity.
+    Spill,
+}
+
+/// Load of one region for one service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionMeasure {
+    /// The region.
+    pub region: Name,
+    /// Slots of the servers that take work.
+    pub slots: f64,
+    /// Slots in use and requests that wait.
+    pub load: f64,
+    /// Expected wait of a new request there in milliseconds.
+    pub wait_ms: f64,
+    /// Round trip from the entry in milliseconds.
+    pub distance_ms: f64,
+    /// Requests a second that the link to it can still carry.
+    pub link_free: f64,
+    /// When the load was measured.
+    pub sampled: Millis,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Remote {
+    wait_ms: f64,
+    sampled: Millis,
+    allowance: f64,
+    credit: f64,
+    spilled: u32,
+    rate: f64,
+}
+
+/// Chooses regions for one service on one entry.
+#[derive(Clone, Debug)]
+pub struct Regions {
+    policy: RegionPolicy,
+    home: Name,
+    wait_ms: f64,
+    rate: f64,
+    request_ms: f64,
+    remotes: IndexMap<Name, Remote>,
+    updated: Option<Millis>,
+}
+
+impl Regions {
+    /// A selection that uses the entry's region only.
+    pub fn new(policy: RegionPolicy, home: &Name) -> Regions {
+        Regions {
+            policy,
+            home: home.clone(),
+            wait_ms: 0.0,
+            rate: 0.0,
+            request_ms: DEFAULT_REQUEST_MS,
+            remotes: IndexMap::new(),
+            updated: None,
+        }
+    }
+
+    /// Sets the mean time of a request at a backend server, which relates slots
+    /// to requests a second.
+    pub fn set_request_ms(&mut self, request_ms: f64) {
+        self.request_ms = request_ms.max(1.0);
+    }
+
+    /// Takes new measurements; call a few times a second. `rate` is the entry's
+    /// requests a second, `entries` the number of entries that may spill at the
+    /// same time. Without a fresh measurement an allowance stays as it is.
+    pub fn update(&mut self, now: Millis, rate: f64, entries: u32, measures: &[RegionMeasure]) {
+        let passed = self.updated.map_or(0, |at| now.since(at)).min(1_000) as f64 / 1_000.0;
+        self.updated = Some(now);
+        self.rate = rate;
+        for m in measures.iter().filter(|m| m.region == self.home) {
+            self.wait_ms = m.wait_ms;
+        }
+        let per_slot = 1_000.0 / self.request_ms / f64::from(entries.max(1));
+        for m in measures.iter().filter(|m| m.region != self.home) {
+            let remote = self.remotes.entry(m.region.clone()).or_default();
+            remote.measure(now, m, per_slot, f64::from(entries.max(1)));
+        }
+        for remote in self.remotes.values_mut() {
+            remote.refill(passed);
+        }
+    }
+
+    /// The other region for a request that would wait `wait_ms` here, if one is
+    /// better and has room. Call at most once for each request.
+    pub fn try_spill(&mut self, wait_ms: f64) -> Option<Name> {
+        if self.policy == RegionPolicy::NoSpill {
+            return None;
+        }
+        let better = |r: &Remote| r.credit >= 1.0 && wait_ms > r.wait_ms + DEAD_BAND_MS;
+        let (name, remote) = self
+            .remotes
+            .iter_mut()
+            .filter(|(_, r)| better(r))
+            .max_by(|a, b| a.1.credit.total_cmp(&b.1.credit))?;
+        remote.credit -= 1.0;
+        remote.spilled += 1;
+        Some(name.clone())
+    }
+
+    /// The region for the next request by the measured waits alone.
+    pub fn pick(&mut self) -> Name {
+        self.try_spill(self.wait_ms)
+            .unwrap_or_else(|| self.home.clone())
+    }
+
+    /// Share of this entry's requests that may spill to a region.
+    pub fn share(&self, region: &Name) -> f64 {
+        let allowance = self.remotes.get(region).map_or(0.0, |r| r.allowance);
+        (allowance / self.rate.max(1.0)).min(1.0)
+    }
+}
+
+impl Remote {
+    /// Adjusts the allowance once for each new measurement.
+    fn measure(&mut self, now: Millis, m: &RegionMeasure, per_slot: f64, entries: f64) {
+        let fresh = now.since(m.sampled) <= MEASURE_MAX_MS;
+        if !fresh || m.sampled <= self.sampled {
+            return;
+        }
+        self.sampled = m.sampled;
+        self.wait_ms = m.wait_ms + m.distance_ms;
+        let free = m.slots * (1.0 - REMOTE_RESERVE) - m.load;
+        let room = free * per_slot * GAIN;
+        let link = m.link_free.max(0.0) / entries;
+        self.allowance = (self.rate + room.min(link)).max(0.0);
+    }
+
+    fn refill(&mut self, passed: f64) {
+        if passed > 0.0 {
+            let rate = f64::from(self.spilled) / passed;
+            self.rate += (rate - self.rate) * SAMPLE;
+            self.spilled = 0;
+        }
+        let most = (self.allowance * passed).max(1.0);
+        self.credit = (self.credit + self.allowance * passed).min(most);
+    }
+}
