Test that a leader commits by an entry of its own epoch

Change: a case elects a replica and acknowledges only entries of an earlier epoch.

Conclusion: the rule has a test that needs it.

--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -225,3 +225,57 @@
     assert!(sim.run_until(20_000, |sim| sim.current_leader().is_some()));
     sim.now - start
 }
+
+/// Guards against the commit of an entry of an earlier epoch by its copies
+/// alone, which a replica with a later entry could still overwrite.
+#[test]
+fn commits_only_with_own_epoch() {
+    let mut sim = Sim::settled(5, 1);
+    let mut core = sim.replica(0);
+    let old = core.status().last;
+    assert!(old > LogIndex(0) && core.status().commit == LogIndex(0));
+    let mut now = Millis(5_000_000);
+    let mut replies = Vec::new();
+    while core.status().role != Role::Leader {
+        now = now.plus(100);
+        let mut actions = core.step(now, Event::Tick);
+        for (from, message) in replies.drain(..) {
+            actions.extend(core.step(now, Event::Receive { from, message }));
+        }
+        while let Some(action) = actions.pop() {
+            match action {
+                Action::Persist(persist) => actions.extend(core.step(now, persist.done())),
+                Action::Send { to, message } => replies.extend(grant(message).map(|m| (to, m))),
+                _ => {}
+            }
+        }
+    }
+    let epoch = core.status().epoch;
+    let mut matched = |index: LogIndex| {
+        for node in 1..5 {
+            let message = LogMessage::AppendReply {
+                counter: 1,
+                epoch,
+                matched: index,
+                refused: None,
+                round: 1,
+                verified: index,
+            };
+            let from = sim.id(node);
+            core.step(now, Event::Receive { from, message });
+        }
+        core.status().commit
+    };
+    assert_eq!(matched(old), LogIndex(0));
+    assert_eq!(matched(old.next()), old.next());
+}
+
+/// The answer of a replica that supports every election.
+fn grant(message: LogMessage) -> Option<LogMessage> {
+    let granted = true;
+    match message {
+        LogMessage::PreVote { epoch, .. } => Some(LogMessage::PreVoteReply { epoch, granted }),
+        LogMessage::Vote { epoch, .. } => Some(LogMessage::VoteReply { epoch, granted }),
+        _ => None,
+    }
+}
