Serve workspaces by weight and usual demand

Cause and change: By weights alone a workspace whose callers concentrate on one entry waited there although it was within its rate. Its part of a queue is now its weight times its usual demand at this entry, learned over 20 s, and tags are start tags, so that a rare request is served first.

--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -153,7 +153,7 @@
         class: Class,
     ) -> Verdict {
         if self.has_room(class) && self.no_queue(class) {
-            self.queue.charge(workspace);
+            self.queue.charge(now, workspace);
             self.in_flight.insert(ticket);
             return Verdict::Admitted;
         }
--- a/crates/steering/src/fair_queue.rs
+++ b/crates/steering/src/fair_queue.rs
@@ -1,8 +1,13 @@
-//! Queue that serves workspaces in proportion to their weights.
+//! Queue that serves workspaces in proportion to their weights and usual demand.
 //!
 //! Start-time fair queuing: each request gets a tag on the virtual clock of its
 //! workspace, and the smallest tag is served first. A workspace that was idle
 //! starts at the current virtual time and saves up nothing.
+//!
+//! The rate limits bound each workspace over all entries, but its callers may
+//! concentrate on some of them. Its part of one queue is therefore its weight
+//! times its usual demand there, learned so slowly that a sudden flood delays
+//! the flooding workspace only.
 
 use std::collections::VecDeque;
 
@@ -23,6 +28,9 @@
     Fifo,
 }
 
+/// Time over which the usual demand is learned, in milliseconds.
+const DEMAND_MS: f64 = 20_000.0;
+
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     ticket: Ticket,
@@ -34,7 +42,11 @@
 #[derive(Clone, Debug)]
 struct Line {
     weight: f64,
-    last_tag: f64,
+    /// Requests of the last time, with exponential decay.
+    demand: f64,
+    seen: Millis,
+    /// Tag of the next request if it arrived while others wait.
+    next_tag: f64,
     waiting: VecDeque<Waiting>,
 }
 
@@ -88,11 +100,10 @@
 
     /// Adds a ticket at the end of its workspace's line.
     pub fn push(&mut self, now: Millis, ticket: Ticket, workspace: &Name) {
-        let virtual_time = self.virtual_time;
         let order = self.order;
+        let virtual_time = self.virtual_time;
         let line = self.line(workspace);
-        let tag = line.last_tag.max(virtual_time) + 1.0 / line.weight;
-        line.last_tag = tag;
+        let tag = line.arrive(now, virtual_time);
         line.waiting.push_back(Waiting {
             ticket,
             since: now,
@@ -104,10 +115,10 @@
     }
 
     /// Counts a request that was admitted without waiting.
-    pub fn charge(&mut self, workspace: &Name) {
+    pub fn charge(&mut self, now: Millis, workspace: &Name) {
         let virtual_time = self.virtual_time;
-        let line = self.line(workspace);
-        line.last_tag = line.last_tag.max(virtual_time) + 1.0 / line.weight;
+        let tag = self.line(workspace).arrive(now, virtual_time);
+        self.virtual_time = self.virtual_time.max(tag);
     }
 
     /// Takes the next ticket to serve.
@@ -147,16 +158,15 @@
         expired
     }
 
-    /// Takes out the newest ticket of the workspace with the longest line for
-    /// its weight, to make room.
+    /// Takes out the ticket that would be served last, to make room.
     pub fn displace(&mut self) -> Option<(Name, Ticket)> {
-        let depth = |l: &Line| l.waiting.len() as f64 / l.weight;
+        let last = |l: &Line| l.waiting.back().map_or(f64::NEG_INFINITY, |w| w.tag);
         let (name, line) = self
             .lines
             .iter_mut()
-            .max_by(|a, b| depth(a.1).total_cmp(&depth(b.1)))?;
+            .max_by(|a, b| last(a.1).total_cmp(&last(b.1)))?;
         let last = line.waiting.pop_back()?;
-        line.last_tag -= 1.0 / line.weight;
+        line.next_tag = last.tag;
         self.len -= 1;
         Some((name.clone(), last.ticket))
     }
@@ -168,9 +178,9 @@
             return self.len as f64;
         }
         let own = self.lines.get(workspace);
-        let weight = own.map_or(1.0, |l| l.weight);
-        let rounds = (own.map_or(0, |l| l.waiting.len()) as f64 + 1.0) / weight;
-        let served = |l: &Line| (l.waiting.len() as f64).min(rounds * l.weight);
+        let part = own.map_or(1.0, Line::part);
+        let rounds = (own.map_or(0, |l| l.waiting.len()) as f64 + 1.0) / part;
+        let served = |l: &Line| (l.waiting.len() as f64).min(rounds * l.part());
         self.lines.values().map(served).sum()
     }
 
@@ -191,7 +201,9 @@
         if !self.lines.contains_key(workspace) {
             let line = Line {
                 weight: 1.0,
-                last_tag: self.virtual_time,
+                demand: 0.0,
+                seen: Millis(0),
+                next_tag: self.virtual_time,
                 waiting: VecDeque::new(),
             };
             self.lines.insert(workspace.clone(), line);
@@ -199,3 +211,19 @@
         &mut self.lines[workspace]
     }
 }
+
+impl Line {
+    fn part(&self) -> f64 {
+        self.weight * self.demand.max(1.0)
+    }
+
+    /// Counts an arrival and returns its tag.
+    fn arrive(&mut self, now: Millis, virtual_time: f64) -> f64 {
+        let passed = now.since(self.seen) as f64;
+        self.demand = self.demand * (-passed / DEMAND_MS).exp() + 1.0;
+        self.seen = now;
+        let tag = self.next_tag.max(virtual_time);
+        self.next_tag = tag + 1.0 / self.part();
+        tag
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/admission.rs
@@ -0,0 +1,157 @@
+//! Guards against unfair, unbounded or lost places in the admission queues.
+
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::admission::{
+    Admission, AdmissionLimits, AdmissionPolicy, Ended, Ticket, Verdict,
+};
+use pomelovale_steering::{AttemptEnd, Class};
+
+const LIMIT: u32 = 4;
+
+fn admission(policy: AdmissionPolicy) -> Admission {
+    let limits = AdmissionLimits {
+        start: LIMIT,
+        min: LIMIT,
+        max: LIMIT,
+        queue: 40,
+        wait_ms: 500,
+        defer_ms: 5_000,
+    };
+    Admission::new(policy, limits)
+}
+
+fn offer(a: &mut Admission, t: u64, ticket: u64, workspace: &str, class: Class) -> Verdict {
+    a.offer(Millis(t), Ticket(ticket), &Name::from(workspace), class)
+}
+
+fn release(a: &mut Admission, t: u64, ticket: u64) -> Vec<u64> {
+    let ended = Ended {
+        ticket: Ticket(ticket),
+        end: AttemptEnd::Complete,
+        latency_ms: 20,
+    };
+    a.release(Millis(t), ended).iter().map(|t| t.0).collect()
+}
+
+/// Fills the slots with tickets 0 to 3.
+fn full(policy: AdmissionPolicy) -> Admission {
+    let mut a = admission(policy);
+    for i in 0..u64::from(LIMIT) {
+        assert_eq!(
+            offer(&mut a, 0, i, "w", Class::Idempotent),
+            Verdict::Admitted
+        );
+    }
+    a
+}
+
+/// Guards against a flooding workspace that delays another one's request.
+#[test]
+fn flood_does_not_delay_others() {
+    let mut a = full(AdmissionPolicy::Fair);
+    for i in 0..30 {
+        offer(&mut a, 1, 100 + i, "flood", Class::Idempotent);
+    }
+    offer(&mut a, 2, 500, "calm", Class::Idempotent);
+    let served: Vec<u64> = (0..3).flat_map(|i| release(&mut a, 3, i)).collect();
+    assert!(served.contains(&500), "{served:?}");
+}
+
+/// Guards against a baseline that is secretly fair.
+#[test]
+fn fifo_serves_in_order_of_arrival() {
+    let mut a = full(AdmissionPolicy::Fifo);
+    offer(&mut a, 1, 100, "flood", Class::Idempotent);
+    offer(&mut a, 1, 101, "flood", Class::Idempotent);
+    offer(&mut a, 2, 500, "calm", Class::Idempotent);
+    let served: Vec<u64> = (0..3).flat_map(|i| release(&mut a, 3, i)).collect();
+    assert_eq!(served, [100, 101, 500]);
+}
+
+macro_rules! leaves {
+    ($($name:ident: $leave:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut a = full(AdmissionPolicy::Fair);
+            offer(&mut a, 1, 100, "w", Class::Idempotent);
+            offer(&mut a, 1, 101, "w", Class::Deferrable);
+            let leave: fn(&mut Admission) = $leave;
+            leave(&mut a);
+            assert_eq!(a.waiting(), 0);
+            let admitted: Vec<u64> = (0..4).flat_map(|i| release(&mut a, 20_000, i)).collect();
+            assert_eq!(admitted, Vec::<u64>::new());
+            assert_eq!(a.in_flight(), 0);
+        }
+    )*};
+}
+
+// Guards against a refused or cancelled request that runs later.
+leaves! {
+    cancelled_ticket_leaves_every_queue: |a| {
+        a.cancel(Ticket(100));
+        a.cancel(Ticket(101));
+    };
+    late_ticket_leaves_every_queue: |a| {
+        let late: Vec<u64> = a.take_refused(Millis(10_000)).iter().map(|r| r.ticket.0).collect();
+        assert_eq!(late, [100, 101]);
+    };
+}
+
+/// Guards against a queue that grows without bound, and against shedding the
+/// short line instead of the long one.
+#[test]
+fn longest_line_is_shed_when_the_queue_is_full() {
+    let mut a = full(AdmissionPolicy::Fair);
+    let mut flood = (0..40).map(|i| offer(&mut a, 1, 100 + i, "flood", Class::Idempotent));
+    assert!(flood.all(|v| v == Verdict::Queued));
+    assert!(matches!(
+        offer(&mut a, 1, 200, "flood", Class::Idempotent),
+        Verdict::Refused { .. }
+    ));
+    assert_eq!(
+        offer(&mut a, 1, 300, "calm", Class::Idempotent),
+        Verdict::Queued
+    );
+    let shed: Vec<u64> = a
+        .take_refused(Millis(2))
+        .iter()
+        .map(|r| r.ticket.0)
+        .collect();
+    assert_eq!(shed, [139]);
+    assert_eq!(a.waiting(), 40);
+}
+
+/// Guards against deferrable work that takes room from interactive requests.
+#[test]
+fn deferrable_work_runs_on_spare_room_only() {
+    let mut a = admission(AdmissionPolicy::Fair);
+    let verdicts: Vec<Verdict> = (0..4)
+        .map(|i| offer(&mut a, 0, i, "w", Class::Deferrable))
+        .collect();
+    assert_eq!(
+        verdicts.iter().filter(|v| **v == Verdict::Admitted).count(),
+        3
+    );
+    assert_eq!(
+        offer(&mut a, 0, 10, "w", Class::Idempotent),
+        Verdict::Admitted
+    );
+    assert_eq!(
+        offer(&mut a, 0, 11, "w", Class::Idempotent),
+        Verdict::Queued
+    );
+    assert_eq!(release(&mut a, 1, 0), [11]);
+    assert_eq!(release(&mut a, 1, 1), Vec::<u64>::new());
+    assert_eq!(release(&mut a, 1, 2), [3]);
+}
+
+/// Guards against a release of a ticket that is not in flight.
+#[test]
+fn second_release_admits_nothing() {
+    let mut a = full(AdmissionPolicy::Fair);
+    offer(&mut a, 1, 100, "w", Class::Idempotent);
+    offer(&mut a, 1, 101, "w", Class::Idempotent);
+    assert_eq!(release(&mut a, 2, 0), [100]);
+    assert_eq!(release(&mut a, 2, 0), Vec::<u64>::new());
+    assert_eq!(a.in_flight(), 4);
+}
--- /dev/null
+++ b/crates/steering/tests/resending.rs
@@ -0,0 +1,90 @@
+//! Guards against retry storms and requests that crash one server after another.
+
+use pomelovale_state::document::Digest;
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::hedge::{Hedge, HedgePolicy, HEDGE_MIN_SAMPLES};
+use pomelovale_steering::quarantine::{Quarantine, QUARANTINE_MS};
+use pomelovale_steering::retry::{RetryBudget, RetryPolicy, RETRY_BURST};
+use pomelovale_steering::Class;
+use quickcheck::quickcheck;
+
+quickcheck! {
+    /// In any sequence, retries stay within a tenth of the requests and a burst.
+    fn budget_bounds_retries(attempts: Vec<bool>) -> bool {
+        let mut budget = RetryBudget::new(RetryPolicy::Budget);
+        let (mut requests, mut retries) = (0u64, 0u64);
+        attempts.iter().all(|&retry| {
+            match retry {
+                true => retries += u64::from(budget.try_spend()),
+                false => {
+                    requests += 1;
+                    budget.record_request();
+                }
+            }
+            retries <= requests / 10 + RETRY_BURST
+        })
+    }
+}
+
+const POISON: Digest = Digest([1; 32]);
+
+fn crashes(servers: &[&str]) -> Quarantine {
+    let mut quarantine = Quarantine::new();
+    for server in servers {
+        quarantine.record_crash(Millis(0), POISON, &Name::from(*server));
+    }
+    quarantine
+}
+
+macro_rules! quarantine {
+    ($($name:ident: $servers:expr, at $now:expr => blocked $blocked:literal, suspect $suspect:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let quarantine = crashes(&$servers);
+            assert_eq!(quarantine.is_blocked(Millis($now), &POISON), $blocked);
+            assert_eq!(quarantine.is_suspect(Millis($now), &POISON), $suspect);
+            assert!(!quarantine.is_suspect(Millis($now), &Digest([2; 32])));
+        }
+    )*};
+}
+
+quarantine! {
+    clean_request_passes: [], at 0 => blocked false, suspect false;
+    one_crash_is_suspect: ["a"], at 1 => blocked false, suspect true;
+    one_server_counts_once: ["a", "a"], at 1 => blocked false, suspect true;
+    two_crashes_block: ["a", "b"], at 1 => blocked true, suspect true;
+    block_ends: ["a", "b"], at QUARANTINE_MS => blocked false, suspect false;
+}
+
+macro_rules! hedges {
+    ($($name:ident: $policy:ident, $samples:expr, $class:ident, suspect $suspect:literal, spent $spent:literal => $allowed:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut hedge = Hedge::new(HedgePolicy::$policy);
+            let mut budget = RetryBudget::new(RetryPolicy::Budget);
+            (0..$samples).for_each(|_| hedge.record(20));
+            (0..$spent).for_each(|_| { budget.try_spend(); });
+            assert_eq!(hedge.allows(Class::$class, $suspect, &mut budget), $allowed);
+        }
+    )*};
+}
+
+hedges! {
+    lookup_is_hedged: Percentile, HEDGE_MIN_SAMPLES, Idempotent, suspect false, spent 0 => true;
+    booking_never: Percentile, HEDGE_MIN_SAMPLES, Once, suspect false, spent 0 => false;
+    suspect_never: Percentile, HEDGE_MIN_SAMPLES, Idempotent, suspect true, spent 0 => false;
+    not_without_budget: Percentile, HEDGE_MIN_SAMPLES, Idempotent, suspect false, spent 10 => false;
+    not_without_samples: Percentile, 10, Idempotent, suspect false, spent 0 => false;
+    not_when_off: Off, HEDGE_MIN_SAMPLES, Idempotent, suspect false, spent 0 => false;
+}
+
+/// Guards against a delay at which ordinary requests are hedged.
+#[test]
+fn delay_follows_the_high_percentile() {
+    let mut hedge = Hedge::new(HedgePolicy::Percentile);
+    for i in 0..20_000u64 {
+        hedge.record(10 + i * 37 % 100);
+    }
+    let delay = hedge.delay().unwrap().0;
+    assert!((95..=125).contains(&delay), "{delay}");
+}
