Shorten the wait bound in a lasting overload

Cause and change: In an overload that lasts, every request waited for the whole bound of 1 s and no more were served by it. If the queue has not been empty for 2 s, the bound is now a quarter of that, still above the way to another region.

--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -15,6 +15,15 @@
 /// Share of the concurrency limit that deferrable work may fill.
 pub const DEFERRABLE_SHARE: f64 = 0.6;
 
+/// Time after which a queue that never empties counts as overload rather than
+/// as a burst, in milliseconds.
+const STANDING_MS: u64 = 2_000;
+
+/// Part of the longest wait that is allowed in an overload. Waiting longer does
+/// not serve more requests then, it only delays all of them. Still longer than
+/// the way to another region, so that requests spill before they are refused.
+const STANDING_WAIT: f64 = 0.25;
+
 /// Shortest `Retry-After` of a refusal in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 
@@ -104,6 +113,7 @@
     deferred: FairQueue,
     displaced: Vec<Refused>,
     request_ms: f64,
+    standing: Option<Millis>,
 }
 
 impl Admission {
@@ -122,6 +132,7 @@
             deferred: FairQueue::new(order),
             displaced: Vec::new(),
             request_ms: 0.0,
+            standing: None,
         }
     }
 
@@ -160,10 +171,11 @@
         if class == Class::Deferrable {
             return self.defer(now, ticket, workspace);
         }
-        if self.expected_wait(workspace) > self.limits.wait_ms as f64 {
+        if self.expected_wait(workspace) > self.longest_wait(now) as f64 {
             return self.refusal();
         }
         self.queue.push(now, ticket, workspace);
+        self.standing = self.standing.or(Some(now));
         match self.queue.len() > self.limits.queue {
             true => self.shed_longest(ticket),
             false => Verdict::Queued,
@@ -197,8 +209,11 @@
     pub fn take_refused(&mut self, now: Millis) -> Vec<Refused> {
         let retry_after_ms = self.retry_after();
         let mut refused = std::mem::take(&mut self.displaced);
-        let late = self.queue.take_expired(now, self.limits.wait_ms);
+        let late = self.queue.take_expired(now, self.longest_wait(now));
         let deferred = self.deferred.take_expired(now, self.limits.defer_ms);
+        if self.queue.is_empty() {
+            self.standing = None;
+        }
         let refuse = |ticket| Refused {
             ticket,
             retry_after_ms,
@@ -264,6 +279,16 @@
         self.policy == AdmissionPolicy::Open || (self.in_flight.len() as f64) < room
     }
 
+    /// The bound of the wait: shorter if the queue has not been empty for long.
+    fn longest_wait(&self, now: Millis) -> u64 {
+        match self.standing {
+            Some(since) if now.since(since) > STANDING_MS => {
+                (self.limits.wait_ms as f64 * STANDING_WAIT) as u64
+            }
+            _ => self.limits.wait_ms,
+        }
+    }
+
     fn no_queue(&self, class: Class) -> bool {
         self.queue.is_empty() && (class != Class::Deferrable || self.deferred.is_empty())
     }
@@ -300,6 +325,9 @@
             self.in_flight.insert(ticket);
             admitted.push(ticket);
         }
+        if self.queue.is_empty() {
+            self.standing = None;
+        }
         while self.queue.is_empty() && self.has_room(Class::Deferrable) {
             let Some(ticket) = self.deferred.pop() else {
                 break;
