Apply a move to entries without servers of their own; grant at once on a new site

Cause: an entry in a region without servers ignored a move and kept sending to the region that was left; and the first requests to a new site were refused as over the limit until grants that nobody ever made had expired. Change: the split applies wherever an entry would send to the source region; the ledger of the first leader of an empty document is ready at once.

--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -30,13 +30,26 @@
     checked: Millis,
 }
 
+// On a new site no earlier leader can have granted anything, so that the first
+// requests need not wait until unknown grants have expired.
+fn ledger_config(epoch: Epoch, document: &Document) -> LedgerConfig {
+    let config = LedgerConfig::new(epoch.0);
+    match document.version {
+        0 => LedgerConfig {
+            wait_ms: 0,
+            ..config
+        },
+        _ => config,
+    }
+}
+
 impl Leader {
     pub(super) fn new(epoch: Epoch, document: &Document, now: Millis) -> Leader {
         let mut leader = Leader {
             epoch,
             base: document.time,
             since: now,
-            ledger: Ledger::new(LedgerConfig::new(epoch.0), now),
+            ledger: Ledger::new(ledger_config(epoch, document), now),
             limits: IndexMap::new(),
             measures: Measures::default(),
             checked: now,
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -27,6 +27,14 @@
 /// How a wait ends: admitted, or refused with the time of the next try.
 pub type Admitted = Result<(), u64>;
 
+/// A move of the service that has begun.
+#[derive(Debug)]
+struct Moved {
+    from: Name,
+    to: Name,
+    share: u16,
+}
+
 /// The decisions about one service.
 #[derive(Debug)]
 pub struct Steering {
@@ -42,7 +50,7 @@
     home: Name,
     split: Split,
     regions: Regions,
-    moved: Option<(Name, u16)>,
+    moved: Option<Moved>,
     addresses: HashMap<Name, SocketAddr>,
     local: bool,
     version: Option<u64>,
@@ -119,11 +127,7 @@
         for (name, workspace) in &document.workspaces {
             self.admission.set_weight(name, workspace.weight);
         }
-        let moved = document
-            .moves
-            .values()
-            .find(|m| m.from == self.home && m.services.contains(&self.name) && m.share() > 0);
-        self.moved = moved.map(|m| (m.to.clone(), m.share()));
+        self.moved = self.find_move(document);
         if self.moved.is_none() {
             self.split.forget(&self.name);
         }
@@ -138,20 +142,40 @@
         self.admission.set_bounds(share.max(2), slots.max(2));
     }
 
+    // The move out of this region goes first; others matter to requests that
+    // this entry sends into the region that is being left.
+    fn find_move(&self, document: &Document) -> Option<Moved> {
+        let moves = document.moves.values();
+        let mine = moves.filter(|m| m.services.contains(&self.name) && m.share() > 0);
+        let first = mine.min_by_key(|m| m.from != self.home)?;
+        Some(Moved {
+            from: first.from.clone(),
+            to: first.to.clone(),
+            share: first.share(),
+        })
+    }
+
     /// The only region allowed for the next request; any if there is no server
     /// in this entry's region. Call once for each request.
     pub fn region(&mut self) -> Option<Name> {
-        let share = self.moved.as_ref().map_or(0, |(_, share)| *share);
-        match &self.moved {
-            Some((to, _)) if self.split.pick(&self.name, share) => return Some(to.clone()),
-            _ if !self.local => return None,
-            _ => {}
+        let Some(moved) = &self.moved else {
+            return self.local.then(|| self.regions.pick());
+        };
+        let own = moved.from == self.home;
+        if (own || !self.local) && self.split.pick(&self.name, moved.share) {
+            return Some(moved.to.clone());
+        }
+        if !self.local {
+            return None;
         }
         let picked = self.regions.pick();
-        match &self.moved {
-            Some((to, _)) if *to == picked && !self.split.try_spill(&self.name) => {
+        match moved {
+            m if own && m.to == picked && !self.split.try_spill(&self.name) => {
                 Some(self.home.clone())
             }
+            m if !own && m.from == picked && self.split.pick(&self.name, m.share) => {
+                Some(m.to.clone())
+            }
             _ => Some(picked),
         }
     }
@@ -171,10 +195,10 @@
         };
         let mut chosen = self.balancer.choose(now, &request);
         if chosen.is_none() && region.is_some_and(|r| *r != self.home) {
-            if self.moved.as_ref().map(|(to, _)| to) == region {
+            if self.moved.as_ref().map(|m| &m.to) == region {
                 self.split.give_back(&self.name);
             }
-            request.region = Some(&self.home);
+            request.region = self.local.then_some(&self.home);
             chosen = self.balancer.choose(now, &request);
         }
         let chosen = chosen?;
--- /dev/null
+++ b/crates/daemon/tests/entry_moves.rs
@@ -0,0 +1,110 @@
+//! Moves as entries carry them out.
+
+mod entry_support;
+
+use std::net::SocketAddr;
+
+use entry_support::{keyed, ok, setup, Caller, Control, Server};
+use pomelovale_state::command::Command;
+use pomelovale_state::document::{Backend, MemberState, Region};
+use pomelovale_state::moves::{MoveAction, Step};
+use pomelovaled::entry::EntryHandle;
+
+macro_rules! cases {
+    ($run:ident: $($(#[$doc:meta])* $name:ident => ($($arg:expr),* $(,)?);)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() { $run($($arg),*).await })*
+    };
+}
+
+fn add_server(control: &Control, name: &str, address: SocketAddr) {
+    let backend = Backend {
+        address,
+        service: "catalogue".into(),
+        region: "south".into(),
+        domain: "south-a".into(),
+        slots: 6,
+        connections: 330,
+        state: MemberState::Serving,
+    };
+    control.apply(Command::PutBackend {
+        name: name.into(),
+        backend,
+    });
+}
+
+fn advance_to(control: &Control, shares: &[u16]) {
+    let steps = shares
+        .iter()
+        .map(|&share| Step { share, cap: 1_000 })
+        .collect();
+    control.apply(Command::PutMove {
+        name: "m".into(),
+        services: vec!["catalogue".into()],
+        from: "north".into(),
+        to: "south".into(),
+        steps,
+    });
+    for to in 0..shares.len() {
+        let action = MoveAction::Advance { to };
+        control.apply(Command::StepMove {
+            name: "m".into(),
+            action,
+        });
+    }
+}
+
+async fn send(entry: &EntryHandle, count: usize) {
+    let mut caller = Caller::connect(entry.address()).await;
+    for _ in 0..count {
+        let got = caller
+            .ask(&keyed("GET", "/catalogue/x", "", ""))
+            .await
+            .unwrap();
+        assert_eq!(got.status, 200);
+    }
+}
+
+const REQUESTS: usize = 100;
+
+/// Requests of an entry in one region, with a server in the region that is left
+/// and one in the region that takes over.
+async fn moves(region: &str, shares: &[u16], least: usize, most: usize) {
+    let (north, south) = (
+        Server::start(|_, _| ok("n")).await,
+        Server::start(|_, _| ok("s")).await,
+    );
+    let control = setup(&[&north]);
+    add_server(&control, "s0", south.address);
+    let domains = vec!["west-a".into()];
+    control.apply(Command::PutRegion {
+        name: "west".into(),
+        region: Region { domains },
+    });
+    let entry = control
+        .entry(|c| {
+            c.region = region.into();
+            c.domain = format!("{region}-a").as_str().into();
+        })
+        .await;
+    advance_to(&control, shares);
+    send(&entry, REQUESTS).await;
+    let moved = south.requests().len();
+    assert!(
+        (least..=most).contains(&moved),
+        "{moved} of {REQUESTS} moved"
+    );
+    assert_eq!(north.requests().len() + moved, REQUESTS);
+}
+
+cases! { moves:
+    /// More than the share and one request leaves the source region.
+    a_fifth => ("north", &[200], 19, 21);
+    /// Later steps add up beyond the last share.
+    the_last_share_counts => ("north", &[200, 500], 49, 51);
+    /// A finished move leaves traffic behind.
+    everything => ("north", &[400, 1_000], 100, 100);
+    /// Entries in a region without servers keep using the region that was left.
+    everything_of_a_third_region => ("west", &[1_000], 100, 100);
+    /// Entries of the destination send traffic back to the source.
+    the_destination_keeps_its_own => ("south", &[1_000], 100, 100);
+}
