--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -46,6 +46,8 @@
     pub delay_ms: u64,
     /// Changes kept for subscribers that lag.
     pub recent: usize,
+    /// Entries kept in memory behind a snapshot, for control instances that lag.
+    pub retain: usize,
     /// Entries applied between two snapshots.
     pub snapshot_entries: u64,
 }
@@ -56,6 +58,7 @@
             call_ms: 8_000,
             delay_ms: 0,
             recent: 4_096,
+            retain: 2_000,
             snapshot_entries: 4_096,
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -120,7 +120,10 @@
         let mut names: Vec<Name> = config.peers.iter().map(|p| p.name.clone()).collect();
         names.push(config.name.clone());
         names.sort();
-        let log = LogConfig::new(config.name.clone(), names);
+        let log = LogConfig {
+            retain: config.limits.retain,
+            ..LogConfig::new(config.name.clone(), names)
+        };
         let replica = Replica::new(log, restored, rand::random(), clock.now());
         let counters = Arc::new(PeerCounters::default());
         let peering = PeerConfig {
--- a/crates/daemon/tests/control_kit/mod.rs
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -211,6 +211,7 @@
         let limits = ControlLimits {
             snapshot_entries: 200,
             recent: 150,
+            retain: 50,
             ..Default::default()
         };
         Cluster::start_limited(count, 0, initial, limits).await
--- a/crates/daemon/tests/control_log.rs
+++ b/crates/daemon/tests/control_log.rs
@@ -3,8 +3,9 @@
 mod control_kit;
 
 use control_kit::{change, propose_many, put_workspace, until, within, Cluster};
+use pomelovale_protocol::grants::GrantRequest;
 use pomelovale_state::command::{Applied, Command, Winner};
-use pomelovale_state::document::Region;
+use pomelovale_state::document::{Region, Route, Service};
 use pomelovale_state::{ErrorKind, Name};
 
 fn region(name: &str) -> Command {
@@ -242,6 +243,81 @@
     until("it has the rest", || view.document().version == 303).await;
 }
 
+// Guards against a state over the limit of a frame that never reaches a
+// replaced instance or a new entry.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_state_reaches_replaced_instances_and_new_entries() {
+    const SERVICES: u64 = 40;
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    for n in 0..SERVICES {
+        let route = Route {
+            prefix: "/".repeat(40 * 1024),
+            open: true,
+            idempotent: None,
+            deferrable: false,
+        };
+        let command = Command::PutService {
+            name: Name::from(format!("s{n}")),
+            service: Service {
+                routes: vec![route],
+                ..Service::default()
+            },
+        };
+        cluster
+            .propose(leader, change(&format!("s{n}"), command))
+            .await;
+    }
+    let follower = (leader + 1) % 3;
+    cluster.kill(follower).await;
+    propose_many(&cluster, leader, "r", 300).await;
+    cluster.wipe(follower);
+    cluster.restart(follower).await;
+    let (view, expected) = (
+        cluster.server(follower).view(),
+        cluster.server(leader).view().document(),
+    );
+    until("the instance has the state", || {
+        view.document().version == SERVICES + 300
+    })
+    .await;
+    assert_eq!(view.document().services, expected.services);
+    let entry = cluster.entry("e1", follower).await;
+    until("the entry has the document", || {
+        entry.version() == SERVICES + 300 && entry.serves_keys()
+    })
+    .await;
+    assert_eq!(entry.view.document().services, expected.services);
+}
+
+// Guards against tokens that an isolated leader grants beside its successor:
+// a leader grants only while a quorum confirmed it less than the shortest
+// election timeout ago.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_isolated_leader_grants_no_tokens() {
+    let cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let handle = cluster.server(leader).handle();
+    let request = |seq| GrantRequest {
+        instance: Name::from("e1"),
+        seq,
+        epoch: 0,
+        wants: Vec::new(),
+    };
+    let first = within("a grant", handle.grant(request(1))).await.unwrap();
+    assert_eq!(first.epoch, cluster.server(leader).status().epoch);
+    cluster.cut(&cluster.names[leader].clone(), true);
+    cluster.clocks[leader].advance(700);
+    let refused = tokio::spawn(async move { handle.grant(request(2)).await });
+    let next = cluster.leader_except(Some(leader)).await;
+    cluster.clocks[leader].advance(60_000);
+    let refused = within("an answer", refused).await.unwrap();
+    assert_eq!(refused, Err(ErrorKind::Unavailable));
+    let handle = cluster.server(next).handle();
+    let second = within("a grant", handle.grant(request(3))).await.unwrap();
+    assert!(second.epoch > first.epoch);
+}
+
 // Guards against a planned stop of the leader that takes as long as an
 // unplanned one, or loses changes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
