--- a/crates/daemon/benches/state.rs
+++ b/crates/daemon/benches/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Options: `--delay-ms N` adds a delay to each message between processes,
 //! `--entries N` sets the number of entries, `--seconds N` the length of each
-//! measurement. Everything runs in one process over loopback sockets.
+//! measurement, `--blocks N` adds a document of N client blocks. Everything runs in one process over loopback sockets.
 
 #[path = "../tests/control_kit/mod.rs"]
 mod control_kit;
@@ -16,7 +16,9 @@
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_protocol::grants::{GrantRequest, Want};
 use pomelovale_protocol::report::Report;
-use pomelovale_state::command::Applied;
+use pomelovale_state::blocks::{BlockChange, Prefix};
+use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::document::{Region, Site};
 use pomelovale_state::Name;
 use pomelovale_transport::peer_link::PeerCounters;
 use pomelovaled::control::config::ControlLimits;
@@ -28,6 +30,7 @@
     delay_ms: u64,
     entries: usize,
     seconds: u64,
+    blocks: u64,
 }
 
 fn options() -> Options {
@@ -43,6 +46,7 @@
         delay_ms: number("--delay-ms", 0),
         entries: number("--entries", 12) as usize,
         seconds: number("--seconds", 3),
+        blocks: number("--blocks", 0),
     }
 }
 
@@ -74,8 +78,12 @@
     grants(&mut first, options).await;
     drop(first);
     bytes(options).await;
+    propagation(options).await;
     catch_up(options).await;
     elections(options).await;
+    if options.blocks > 0 {
+        blocks(options).await;
+    }
 }
 
 fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
@@ -242,6 +250,118 @@
     }
 }
 
+/// Time from the accepted answer until every entry has the change.
+async fn spread(cluster: &Cluster, leader: usize, entries: &[Entry], sent: Change) -> Duration {
+    let Applied::Accepted { version, .. } = cluster.propose(leader, sent).await else {
+        panic!("the change is accepted");
+    };
+    let start = Instant::now();
+    while entries.iter().any(|e| e.version() < version) {
+        tokio::time::sleep(Duration::from_micros(200)).await;
+    }
+    start.elapsed()
+}
+
+fn print_spread(what: &str, mut taken: Vec<Duration>) {
+    taken.sort_unstable();
+    let longest = taken.len() - 1;
+    println!(
+        "accepted answer to in force on every entry, {what}, {} changes: median {:.1} ms, longest {:.1} ms",
+        taken.len(),
+        taken[longest / 2].as_secs_f64() * 1_000.0,
+        taken[longest].as_secs_f64() * 1_000.0
+    );
+}
+
+async fn propagation(options: Options) {
+    let mut cluster = cluster(options).await;
+    let leader = cluster.leader().await;
+    let mut entries = Vec::new();
+    for n in 0..options.entries {
+        entries.push(cluster.entry(&format!("e{n}"), n % 3).await);
+    }
+    for entry in &entries {
+        until("every entry is current", || entry.serves_keys()).await;
+    }
+    let mut taken = Vec::new();
+    for n in 0..50 {
+        let sent = change(&format!("spread-{n}"), put_workspace("w", n + 1));
+        taken.push(spread(&cluster, leader, &entries, sent).await);
+    }
+    print_spread("small document", taken);
+}
+
+fn resident_mb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+    kb.unwrap_or(0) / 1_024
+}
+
+fn block(n: u64) -> BlockChange {
+    BlockChange {
+        prefix: Prefix::new((0x2000 + u128::from(n)) << 80, 48),
+        site: Some(Name::from(format!("site-{}", n % 59))),
+    }
+}
+
+async fn blocks(options: Options) {
+    const ROWS: u64 = 10_000;
+    let mut cluster = cluster(options).await;
+    let leader = cluster.leader().await;
+    let north = Name::from("north");
+    let mut setup = vec![Command::PutRegion {
+        name: north.clone(),
+        region: Region {
+            domains: vec![north.clone()],
+        },
+    }];
+    setup.extend((0..59).map(|n| Command::PutSite {
+        name: Name::from(format!("site-{n}")),
+        site: Site {
+            region: north.clone(),
+            domain: north.clone(),
+        },
+    }));
+    cluster
+        .propose(leader, change("sites", Command::Batch(setup)))
+        .await;
+    let before = resident_mb();
+    let start = Instant::now();
+    for first in (0..options.blocks).step_by(ROWS as usize) {
+        let rows = first..options.blocks.min(first + ROWS);
+        let command = Command::ChangeBlocks(rows.map(block).collect());
+        let sent = change(&format!("blocks-{first}"), command);
+        cluster.propose(leader, sent).await;
+    }
+    println!(
+        "{} client blocks: loaded by changes of {ROWS} rows in {:.1} s, 3 control instances take {} MB",
+        options.blocks,
+        start.elapsed().as_secs_f64(),
+        resident_mb() - before
+    );
+    let (before, start) = (resident_mb(), Instant::now());
+    let entry = cluster.entry("e0", leader).await;
+    until("the entry has the blocks", || entry.serves_keys()).await;
+    println!(
+        "{} client blocks: new entry current after {:.0} ms, takes {} MB with its connection",
+        options.blocks,
+        start.elapsed().as_secs_f64() * 1_000.0,
+        resident_mb().saturating_sub(before)
+    );
+    let entries = [entry];
+    let (mut small, mut rows) = (Vec::new(), Vec::new());
+    for n in 0..10 {
+        let sent = change(&format!("small-{n}"), put_workspace("w", n + 1));
+        small.push(spread(&cluster, leader, &entries, sent).await);
+        let command = Command::ChangeBlocks(vec![block(n)]);
+        let sent = change(&format!("row-{n}"), command);
+        rows.push(spread(&cluster, leader, &entries, sent).await);
+    }
+    print_spread("a workspace beside the blocks", small);
+    print_spread("one client block", rows);
+}
+
 async fn propose_all(cluster: &Cluster, leader: usize, count: usize) {
     let pending: Vec<_> = (0..count)
         .map(|n| {
