Test moves through a real leader, and the daemon as real processes

Cause: the gate, resends of steps and membership were only tested as pure code, and nothing killed or stopped a real process. Change: tests with three control instances and reporting entries; tests with three processes: a killed leader, a stop with a request in flight, a wiped disk followed by a second loss. A service slower than attempt_ms makes first attempts time out until the retry budget is spent; to be looked at.

--- /dev/null
+++ b/crates/daemon/tests/process/mod.rs
@@ -0,0 +1,245 @@
+//! A folder with a site of three real processes and a stand-in backend server.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use pomelovale_state::digest::Digest;
+use serde_json::{json, Map, Value};
+use tempfile::TempDir;
+
+pub const KEY: &str = "pk.k1.00112233";
+const NAMES: [&str; 3] = ["i0", "i1", "i2"];
+const POLL: Duration = Duration::from_millis(20);
+
+/// Runs the daemon's binary with some words.
+pub fn run(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_pomelovaled"))
+        .args(words)
+        .output()
+        .unwrap()
+}
+
+/// A stand-in backend server that answers every request after a delay.
+pub struct Backend {
+    pub address: SocketAddr,
+    pub requests: Arc<AtomicUsize>,
+}
+
+impl Backend {
+    pub fn start(delay: Duration) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicUsize::new(0));
+        let seen = Arc::clone(&requests);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let seen = Arc::clone(&seen);
+                thread::spawn(move || answer(stream.unwrap(), delay, &seen));
+            }
+        });
+        Backend { address, requests }
+    }
+}
+
+fn answer(mut stream: TcpStream, delay: Duration, seen: &AtomicUsize) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while matches!(stream.read(&mut byte), Ok(1)) {
+        head.push(byte[0]);
+        if !head.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        let load = head.starts_with(b"GET /load");
+        head.clear();
+        let body = if load {
+            r#"{"slots":6,"busy":0,"queued":0}"#
+        } else {
+            "done"
+        };
+        if !load {
+            seen.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(delay);
+        }
+        let length = body.len();
+        let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+        if stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// A site of three processes.
+pub struct Workdir {
+    pub dir: TempDir,
+    ports: Vec<u16>,
+    backend: SocketAddr,
+    children: Vec<Option<Child>>,
+}
+
+impl Workdir {
+    /// Starts a site and waits until every process serves keyed requests.
+    pub fn start(backend: &Backend) -> Workdir {
+        let free = |_| {
+            TcpListener::bind("127.0.0.1:0")
+                .unwrap()
+                .local_addr()
+                .unwrap()
+                .port()
+        };
+        let ports = (0..9).map(free).collect();
+        let dir = TempDir::new().unwrap();
+        std::fs::write(dir.path().join("secret"), "a secret of the tests").unwrap();
+        let children = vec![None, None, None];
+        let mut site = Workdir {
+            dir,
+            ports,
+            backend: backend.address,
+            children,
+        };
+        (0..3).for_each(|i| site.spawn(i));
+        (0..3).for_each(|i| site.wait(i));
+        site
+    }
+
+    fn address(&self, kind: usize, i: usize) -> String {
+        format!("127.0.0.1:{}", self.ports[3 * kind + i])
+    }
+
+    pub fn data(&self, i: usize) -> std::path::PathBuf {
+        self.dir.path().join(NAMES[i])
+    }
+
+    fn settings(&self, i: usize) -> Value {
+        let rows = |row: &dyn Fn(usize) -> Value| {
+            let rows = NAMES
+                .iter()
+                .enumerate()
+                .map(|(i, name)| ((*name).to_owned(), row(i)));
+            Value::Object(rows.collect::<Map<String, Value>>())
+        };
+        let peers =
+            rows(&|i| json!({"address": self.address(1, i), "region": "north", "domain": "a"}));
+        let instances = rows(
+            &|i| json!({"callers": self.address(0, i), "peers": self.address(1, i), "region": "north", "domain": "a"}),
+        );
+        json!({
+            "instance": NAMES[i], "region": "north", "domain": "a", "roles": ["entry", "control"],
+            "callers": self.address(0, i), "listen": self.address(1, i), "operators": self.address(2, i),
+            "peers": peers, "secret_file": self.dir.path().join("secret"), "data": self.data(i),
+            "entry": {"list_ms": 300, "spread_ms": 300},
+            "initial": {
+                "regions": {"north": {"domains": ["a"]}},
+                "services": {"s": {"timeout_ms": 5000}},
+                "backends": {"b": {"address": self.backend, "service": "s", "region": "north",
+                    "domain": "a", "slots": 6, "connections": 100}},
+                "instances": instances,
+                "workspaces": {"w": {"rate": 1000, "burst": 2000}},
+                "keys": {"k1": {"workspace": "w", "digest": Digest::of_key(KEY)}}
+            }
+        })
+    }
+
+    /// Starts a process.
+    pub fn spawn(&mut self, i: usize) {
+        let path = self.dir.path().join(format!("{}.json", NAMES[i]));
+        std::fs::write(&path, self.settings(i).to_string()).unwrap();
+        let log = std::fs::File::create(self.log(i)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_pomelovaled"))
+            .args([Path::new("--config"), &path])
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.children[i] = Some(child);
+    }
+
+    fn log(&self, i: usize) -> std::path::PathBuf {
+        self.dir.path().join(format!("{}.log", NAMES[i]))
+    }
+
+    /// What a process has logged.
+    pub fn logged(&self, i: usize) -> String {
+        std::fs::read_to_string(self.log(i)).unwrap()
+    }
+
+    /// Waits until a process serves keyed requests.
+    pub fn wait(&self, i: usize) {
+        while self.status(i) != 200 {
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Status of a keyed lookup through a process; 0 if there was no answer.
+    pub fn status(&self, i: usize) -> u16 {
+        let text = self.get(i, "/s/x").unwrap_or_default();
+        text.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// The whole answer to a keyed request.
+    pub fn get(&self, i: usize, path: &str) -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(self.address(0, i))?;
+        let request =
+            format!("GET {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes())?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        Ok(text)
+    }
+
+    /// Instances in the entry list that a process gives out.
+    pub fn listed(&self, i: usize) -> String {
+        self.get(i, "/.pomelovale/entries").unwrap_or_default()
+    }
+
+    /// The process that leads the log, by what the processes logged.
+    pub fn leader(&self) -> usize {
+        let leads = |i: &usize| {
+            let text = self.logged(*i);
+            let last = text.lines().rfind(|l| l.contains("lead"));
+            last.is_some_and(|l| l.contains(" leads "))
+        };
+        loop {
+            if let Some(i) = (0..3).filter(|i| self.children[*i].is_some()).find(leads) {
+                return i;
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Ends a process at once.
+    pub fn kill(&mut self, i: usize) {
+        let mut child = self.children[i].take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Asks a process to stop.
+    pub fn terminate(&self, i: usize) {
+        let id = self.children[i].as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill")
+            .args(["-TERM", &id])
+            .status()
+            .unwrap()
+            .success());
+    }
+
+    /// Waits for a process to end and returns its exit code.
+    pub fn exit(&mut self, i: usize) -> Option<i32> {
+        self.children[i].take().unwrap().wait().unwrap().code()
+    }
+}
+
+impl Drop for Workdir {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
