Check the rule of the rate limit over random schedules

Schedules with lost, late and duplicated messages, drifting clocks, dead and cut-off entries, leader changes and changed limits are checked over all pairs of admissions. Tests of single messages fail when the life counts from the receipt, when a request of an earlier epoch is granted, and when a lowered lease is released early.

--- a/crates/coordination/benches/limits.rs
+++ b/crates/coordination/benches/limits.rs
@@ -4,7 +4,7 @@
 //! `cargo bench --bench limits [-- SEEDS [VARIANT [CASE]]]`
 
 #[allow(dead_code)]
-#[path = "limits_model.rs"]
+#[path = "limits_model/mod.rs"]
 mod limits_model;
 
 use limits_model::{Net, World};
@@ -19,6 +19,8 @@
 const WARM_UP_MS: u64 = 10_000;
 const LEADER_LOST_MS: u64 = 15_000;
 
+type Settings = fn(u64) -> LedgerConfig;
+
 #[derive(Clone, Copy)]
 struct Case {
     name: &'static str,
@@ -108,7 +110,7 @@
     weights.len() - 1
 }
 
-fn run(case: Case, seed: u64, burst_ms: u64, config: fn(u64) -> LedgerConfig) -> World {
+fn run(case: Case, seed: u64, burst_ms: u64, config: Settings) -> World {
     let limits = RATES.map(|r| Rate {
         per_second: r,
         burst: (r * burst_ms / 1_000).max(1),
@@ -172,7 +174,7 @@
 }
 
 /// Runs all seeds, a few at a time.
-fn runs(case: Case, seeds: u64, burst_ms: u64, config: fn(u64) -> LedgerConfig) -> Vec<World> {
+fn runs(case: Case, seeds: u64, burst_ms: u64, config: Settings) -> Vec<World> {
     std::thread::scope(|scope| {
         let start = |seed| scope.spawn(move || run(case, seed, burst_ms, config));
         let threads: Vec<_> = (1..=seeds).map(start).collect();
@@ -183,7 +185,7 @@
     })
 }
 
-fn report(case: Case, burst_ms: u64, seeds: u64, config: fn(u64) -> LedgerConfig) {
+fn report(case: Case, burst_ms: u64, seeds: u64, config: Settings) {
     let (mut all, mut worst) = (Sum::default(), 0.0_f64);
     let flooded = usize::from(case.load.0 != case.load.1);
     let mut flood = Sum::default();
@@ -248,7 +250,7 @@
 fn main() {
     let args: Vec<String> = std::env::args().filter(|a| a != "--bench").collect();
     let seeds = args.get(1).and_then(|a| a.parse().ok()).unwrap_or(5);
-    let variants: [(&str, fn(u64) -> LedgerConfig); 3] = [
+    let variants: [(&str, Settings); 3] = [
         ("leased", LedgerConfig::new),
         ("leased-2s", short),
         ("plain", plain),
--- a/crates/coordination/benches/limits_model.rs
+++ b/crates/coordination/benches/limits_model/mod.rs
@@ -288,13 +288,13 @@
 
     /// Windows over the limit, exactly, over all pairs of admissions.
     pub fn pairs_over(&self, limit: Rate, ticks_per_ms: u64) -> u64 {
+        let unit = 1_000 * ticks_per_ms;
         let mut over = 0;
         for (i, from) in self.admitted.iter().enumerate() {
-            for (n, to) in self.admitted[i..].iter().enumerate() {
-                let ticks = u128::from(to - from) * u128::from(limit.per_second);
-                let allowed = ticks + u128::from(limit.burst * 1_000 * ticks_per_ms);
-                let admitted = (n as u128 + 1) * 1_000 * u128::from(ticks_per_ms);
-                over += u64::from(admitted > allowed);
+            let mut admitted = 0;
+            for to in &self.admitted[i..] {
+                admitted += unit;
+                over += u64::from(admitted > (to - from) * limit.per_second + limit.burst * unit);
             }
         }
         over
--- /dev/null
+++ b/crates/coordination/tests/limits_messages.rs
@@ -0,0 +1,187 @@
+//! Single messages between limiter and ledger, and the division of amounts.
+
+use pomelovale_coordination::fairness::{max_min, proportional};
+use pomelovale_coordination::ledger::{Ledger, LedgerConfig, Rate, LIFE_MS, MARGIN_MS};
+use pomelovale_coordination::limiter::{Admit, Limiter, LimiterConfig};
+use pomelovale_protocol::grants::{GrantReply, GrantRequest, Want, TOKEN};
+use pomelovale_state::{Millis, Name};
+use quickcheck::{Gen, QuickCheck};
+
+const RATE: Rate = Rate {
+    per_second: 100,
+    burst: 100,
+};
+
+fn ledger(epoch: u64) -> Ledger {
+    let mut ledger = Ledger::new(LedgerConfig::new(epoch), Millis(0));
+    ledger.set_limit(&Name::from("w"), RATE, Millis(0));
+    ledger
+}
+
+fn request(instance: &str, seq: u64, epoch: u64) -> GrantRequest {
+    let want = Want {
+        workspace: Name::from("w"),
+        wanted: 50 * TOKEN,
+        demand: TOKEN,
+        ..Want::default()
+    };
+    GrantRequest {
+        instance: Name::from(instance),
+        seq,
+        epoch,
+        wants: vec![want],
+    }
+}
+
+fn held(reply: &GrantReply) -> u64 {
+    reply.grants.iter().map(|g| g.cap.max(g.tokens)).sum()
+}
+
+/// A limiter that has sent request 2, and the reply to it, at 1,000 ms.
+fn answered(life_ms: u64) -> (Limiter, GrantReply) {
+    let config = LimiterConfig {
+        timeout_ms: 10_000,
+        ..LimiterConfig::new(Name::from("a"))
+    };
+    let (mut limiter, mut ledger) = (Limiter::new(config), ledger(1));
+    let (start, full) = (Millis(1_000), Millis(20_000));
+    assert_eq!(limiter.admit(start, &Name::from("w"), 1), Admit::Wait);
+    let hello = limiter.next_request(start).expect("due");
+    limiter.receive(start, ledger.request(full, &hello));
+    let asked = limiter.next_request(start).expect("due");
+    let mut reply = ledger.request(full, &asked);
+    reply.life_ms = life_ms;
+    (limiter, reply)
+}
+
+macro_rules! reply_at {
+    ($($(#[$doc:meta])* $name:ident: $received:literal, $asked:literal => $granted:literal;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let (mut limiter, reply) = answered(2_000);
+            limiter.receive(Millis($received), reply);
+            let admit = limiter.admit(Millis($asked), &Name::from("w"), 1);
+            assert_eq!(admit == Admit::Granted, $granted);
+        }
+    )*};
+}
+
+reply_at! {
+    /// Guards against a reply that grants nothing at all.
+    reply_in_time_grants: 1_110, 1_200 => true;
+    /// Guards against a life that is counted from the receipt.
+    life_counts_from_the_sending: 2_900, 3_000 => false;
+    /// Guards against a reply whose life has passed on arrival.
+    reply_after_its_life_grants_nothing: 3_000, 3_000 => false;
+}
+
+/// Guards against a reply of a request that was given up.
+#[test]
+fn only_the_latest_request_is_answered() {
+    let (mut limiter, reply) = answered(20_000);
+    assert!(limiter.next_request(Millis(11_000)).is_some());
+    limiter.receive(Millis(11_001), reply);
+    let admit = limiter.admit(Millis(11_500), &Name::from("w"), 1);
+    assert_ne!(admit, Admit::Granted);
+}
+
+/// Guards against grants on holdings that were told before the latest reply
+/// of an earlier leader: a copy of the request may have reached both.
+#[test]
+fn request_of_an_earlier_epoch_gets_no_grant() {
+    let (mut old, mut new) = (ledger(1), ledger(2));
+    let later = Millis(LIFE_MS + MARGIN_MS);
+    assert_ne!(held(&old.request(later, &request("a", 1, 1))), 0);
+    assert_eq!(held(&new.request(later, &request("a", 1, 1))), 0);
+    assert_ne!(held(&new.request(later, &request("a", 2, 2))), 0);
+}
+
+/// Guards against a lost reply whose grant is given again to others.
+#[test]
+fn grant_of_a_lost_reply_stays_reserved() {
+    let mut ledger = ledger(1);
+    let now = Millis(10_000);
+    ledger.request(now, &request("x", 1, 1));
+    let now = now.plus(10_000);
+    let lost = held(&ledger.request(now, &request("a", 1, 1)));
+    let others = ["b", "c", "d"].map(|i| held(&ledger.request(now, &request(i, 1, 1))));
+    assert!(lost > 0 && lost + others.iter().sum::<u64>() <= RATE.burst * TOKEN);
+}
+
+/// Guards against leasing what a reply took away before the entry has it.
+#[test]
+fn lowered_lease_stays_reserved_until_told() {
+    let mut ledger = ledger(1);
+    let now = Millis(10_000);
+    ledger.request(now, &request("x", 1, 1));
+    let now = now.plus(10_000);
+    let cap = ledger.request(now, &request("a", 1, 1)).grants[0].cap;
+    let mut idle = request("a", 2, 1);
+    (
+        idle.wants[0].cap,
+        idle.wants[0].demand,
+        idle.wants[0].wanted,
+    ) = (cap, 0, 0);
+    ledger.request(now, &request("b", 1, 1));
+    let lowered = ledger.request(now, &idle).grants[0].cap;
+    let other = held(&ledger.request(now, &request("b", 2, 1)));
+    assert!(lowered < cap && cap + other <= RATE.burst * TOKEN);
+}
+
+/// Guards against a duplicated request that takes or returns tokens twice.
+#[test]
+fn duplicate_gets_the_same_reply_and_an_old_one_none() {
+    let mut ledger = ledger(1);
+    let now = Millis(10_000);
+    let first = ledger.request(now, &request("a", 1, 1));
+    assert_eq!(ledger.request(now.plus(5), &request("a", 1, 1)), first);
+    ledger.request(now.plus(9), &request("a", 2, 1));
+    assert!(ledger.request(now, &request("a", 1, 1)).grants.is_empty());
+}
+
+/// Guards against a refusal that gives no time for a retry.
+#[test]
+fn refusal_says_when_to_retry() {
+    let (mut limiter, reply) = answered(20_000);
+    limiter.receive(Millis(1_000), reply);
+    let name = Name::from("w");
+    let refused = limiter.retry(Millis(5_000), &name, 1_000, Millis(1_000));
+    assert!(matches!(
+        refused,
+        Admit::Refused {
+            retry_after_ms: 1..
+        }
+    ));
+}
+
+fn fixed() -> QuickCheck {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 7))
+        .tests(1_000)
+}
+
+/// Guards against a division that gives out more than there is, or less than
+/// it could, or more to one than to another that wants more.
+#[test]
+fn division_is_max_min_fair() {
+    fn holds(total: u32, claims: Vec<u32>) -> bool {
+        let claims: Vec<u64> = claims.into_iter().map(u64::from).collect();
+        let shares = max_min(total.into(), &claims);
+        let (given, sum) = (shares.iter().sum::<u64>(), claims.iter().sum::<u64>());
+        let highest = shares.iter().max().copied().unwrap_or(0);
+        let fair = |(s, c): (&u64, &u64)| s == c || (s < c && s + 1 >= highest);
+        given == sum.min(total.into()) && shares.iter().zip(&claims).all(fair)
+    }
+    fixed().quickcheck(holds as fn(u32, Vec<u32>) -> bool);
+}
+
+/// Guards against a proportional division over the total.
+#[test]
+fn division_is_proportional() {
+    fn holds(total: u32, claims: Vec<u32>) -> bool {
+        let claims: Vec<u64> = claims.into_iter().map(u64::from).collect();
+        proportional(total.into(), &claims).iter().sum::<u64>() <= total.into()
+    }
+    fixed().quickcheck(holds as fn(u32, Vec<u32>) -> bool);
+}
--- /dev/null
+++ b/crates/coordination/tests/limits_rule.rs
@@ -0,0 +1,172 @@
+//! The rule of the rate limit over random schedules: in every window of length
+//! w, all instances together admit at most rate * w + burst.
+
+#[allow(dead_code)]
+#[path = "../benches/limits_model/mod.rs"]
+mod limits_model;
+
+use limits_model::{Net, World};
+use pomelovale_coordination::ledger::{LedgerConfig, Rate};
+use quickcheck::{Arbitrary, Gen};
+use rand::Rng;
+
+const TICKS_PER_MS: u64 = 4;
+const RUN_MS: u64 = 6_000;
+/// Shorter than in use, so that more leases expire in a schedule.
+const LIFE_MS: u64 = 700;
+/// Seed of the first schedule in CI, and the number of schedules there.
+const SEED: u64 = 20_261_204;
+const SCHEDULES: u64 = 8;
+
+/// Faults that one family of schedules has besides lost and late messages.
+#[derive(Clone, Copy)]
+struct Faults {
+    leaders: bool,
+    entries: bool,
+    limits: bool,
+}
+
+fn world(seed: u64, fast: bool) -> World {
+    let mut gen = Gen::from_size_and_seed(8, seed);
+    let mut below = |n: u64| u64::arbitrary(&mut gen) % n;
+    let limits = (0..2).map(|_| Rate {
+        per_second: 20 + below(400),
+        burst: 1 + below(200),
+    });
+    let limits: Vec<Rate> = limits.collect();
+    let one_way = below(if fast { 4 } else { 80 * TICKS_PER_MS });
+    let net = Net {
+        ticks_per_ms: TICKS_PER_MS,
+        one_way,
+        jitter: below(one_way + 40),
+        loss: below(100) as u32,
+        duplicate: below(300) as u32,
+        late: below(200) as u32,
+        late_by: 2_000 * TICKS_PER_MS,
+    };
+    World::new(seed, 2 + below(4) as usize, limits, net)
+}
+
+/// Runs one schedule and returns the windows over the limit.
+fn run(seed: u64, fast: bool, faults: Faults, config: fn(u64) -> LedgerConfig) -> u64 {
+    let mut world = world(seed, fast);
+    world.ledger_config = config;
+    world.start_leader();
+    let highest = world.limits.clone();
+    let entries = world.entries.len();
+    let (mut loads, mut leader_at) = ([4_000_u64; 2], u64::MAX);
+    let mut busy = 0;
+    for ms in 0..RUN_MS {
+        if ms % 250 == 0 && world.rng.random_range(0..6) == 0 {
+            // An idle phase fills the buckets, a busy one drains them.
+            loads = loads.map(|_| [0, 900, 4_000, 4_000][world.rng.random_range(0..4)]);
+            busy = world.rng.random_range(0..entries);
+        }
+        if ms == leader_at {
+            world.start_leader();
+            leader_at = u64::MAX;
+        }
+        let entry = world.rng.random_range(0..entries);
+        match world.rng.random_range(0..4_000) {
+            0..4 if faults.leaders && leader_at == u64::MAX => {
+                world.stop_leader();
+                let gap = [1, 10, 100, 1_000][world.rng.random_range(0..4)];
+                leader_at = ms + 1 + world.rng.random_range(0..gap);
+            }
+            4..7 if faults.entries => world.restart(entry),
+            7 if faults.entries => world.kill(entry),
+            8..12 if faults.entries => {
+                let cut = world.rng.random_range(0..2_500) * TICKS_PER_MS;
+                world.entries[entry].cut_until = world.now + cut;
+            }
+            12..18 if faults.limits => {
+                let part = world.rng.random_range(1..=4);
+                let lower = |r: u64| (r * part / 4).max(1);
+                let index = world.rng.random_range(0..2);
+                let rate = Rate {
+                    per_second: lower(highest[index].per_second),
+                    burst: lower(highest[index].burst),
+                };
+                world.set_limit(index, rate);
+            }
+            _ => {}
+        }
+        for _ in 0..TICKS_PER_MS {
+            for (index, limit) in highest.iter().enumerate() {
+                let chance = limit.per_second * loads[index];
+                let per_tick = 1_000_000 * TICKS_PER_MS;
+                for _ in 0..2 {
+                    if world.rng.random_range(0..2 * per_tick) < chance {
+                        let any = world.rng.random_range(0..entries);
+                        let entry = if any % 2 == 0 { busy } else { any };
+                        world.offer(entry, index);
+                    }
+                }
+            }
+            world.tick();
+        }
+    }
+    let over = world.counts.iter().zip(&highest);
+    over.map(|(c, l)| c.pairs_over(*l, TICKS_PER_MS)).sum()
+}
+
+/// Seeds of the schedules with a window over the limit. `LIMITS_SEED` and
+/// `LIMITS_SCHEDULES` in the environment choose others than those of CI.
+fn failing(fast: bool, faults: Faults, config: fn(u64) -> LedgerConfig) -> Vec<u64> {
+    let from_env = |name: &str, usual: u64| {
+        let value = std::env::var(name).ok();
+        value.and_then(|v| v.parse().ok()).unwrap_or(usual)
+    };
+    let seed = from_env("LIMITS_SEED", SEED);
+    let schedules = from_env("LIMITS_SCHEDULES", SCHEDULES);
+    let over = |s: &u64| run(*s, fast, faults, config) > 0;
+    (seed..seed + schedules).filter(over).collect()
+}
+
+fn usual(epoch: u64) -> LedgerConfig {
+    let usual = LedgerConfig::new(epoch);
+    LedgerConfig {
+        life_ms: LIFE_MS,
+        wait_ms: LIFE_MS + usual.margin_ms,
+        ..usual
+    }
+}
+
+macro_rules! rule {
+    ($($(#[$doc:meta])* $name:ident: $fast:literal, $leaders:literal, $entries:literal, $limits:literal;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let faults = Faults { leaders: $leaders, entries: $entries, limits: $limits };
+            assert_eq!(failing($fast, faults, usual), Vec::<u64>::new());
+        }
+    )*};
+}
+
+rule! {
+    /// Guards against counting late, lost or duplicated messages twice.
+    no_window_over_with_bad_messages: false, false, false, false;
+    /// Guards against overlaps within one millisecond on a fast network.
+    no_window_over_on_a_fast_network: true, true, true, false;
+    /// Guards against grants of a new leader on top of unexpired leases.
+    no_window_over_with_leader_changes: false, true, false, false;
+    /// Guards against reuse of leases of entries that died or are cut off.
+    no_window_over_with_entry_failures: false, false, true, false;
+    /// Guards against limits that are lowered and raised while leases run.
+    no_window_over_with_all_faults: false, true, true, true;
+}
+
+/// Guards against schedules that are too weak to find a missing wait.
+#[test]
+fn schedules_find_a_leader_that_does_not_wait() {
+    let hasty = |epoch| LedgerConfig {
+        wait_ms: 0,
+        ..usual(epoch)
+    };
+    let faults = Faults {
+        leaders: true,
+        entries: false,
+        limits: false,
+    };
+    assert_ne!(failing(false, faults, hasty), Vec::<u64>::new());
+}
