--- /dev/null
+++ b/crates/protocol/src/messages.rs
@@ -0,0 +1,213 @@
+//! Messages between the system's processes.
+
+use std::sync::Arc;
+
+use pomelovale_state::command::{Applied, Change};
+use pomelovale_state::sheet::MoveStatus;
+use pomelovale_state::{ErrorKind, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::grants::{GrantReply, GrantRequest};
+use crate::log::{LogMessage, Position, ReplicaId};
+use crate::report::Report;
+
+/// Bytes of a snapshot in one frame; small, so that proofs and heartbeats
+/// are not kept waiting behind a large frame.
+pub const CHUNK_BYTES: usize = 64 * 1024;
+/// Largest message that is joined from chunks; the table of 810,000 client
+/// blocks takes 30 MB.
+pub const ASSEMBLY_MAX_BYTES: u64 = 1024 * 1024 * 1024;
+
+/// An accepted change as it is distributed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Delta {
+    /// Place of the change in the log.
+    pub position: Position,
+    /// Version of the document with the change.
+    pub version: u64,
+    /// The change.
+    pub change: Change,
+}
+
+/// A subscriber's question whether its view is current.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Renew {
+    /// Raised by one with each renewal of a connection.
+    pub seq: u64,
+    /// Last change that the subscriber holds; `None` if it holds nothing.
+    pub position: Option<Position>,
+}
+
+/// Answer to a [`Renew`], or changes sent as soon as they are applied.
+///
+/// The changes lead towards `position`. A subscriber that has reached
+/// `position` holds every change accepted up to `age_ms` before it sent the
+/// renewal `seq`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Proof {
+    /// The renewal answered; `None` proves nothing and only carries changes.
+    pub seq: Option<u64>,
+    /// Age of the control instance's own proof when it answered.
+    pub age_ms: u64,
+    /// Last distributed change that the control instance has applied.
+    pub position: Position,
+    /// Name of the leader, if one is known.
+    pub leader: Option<Name>,
+    /// Changes in order.
+    pub changes: Vec<Arc<Delta>>,
+}
+
+/// What a [`Chunk`] is part of.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Content {
+    /// An encoded document with all changes up to a position.
+    Document(Position),
+    /// An encoded [`LogPacket`] that is over the limit of a frame.
+    Log,
+}
+
+/// Part of a message that is over the limit of a frame.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Chunk {
+    /// What it is part of.
+    pub content: Content,
+    /// Offset of the first byte.
+    pub offset: u64,
+    /// Size of the whole message.
+    pub size: u64,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// A request that is answered under the same identifier.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Request {
+    /// Tokens from the leader's ledger.
+    Grant(GrantRequest),
+    /// A change to propose.
+    Propose(Change),
+    /// What the leader knows of all instances.
+    Status,
+}
+
+/// One instance as the leader knows it from its reports.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct InstanceStatus {
+    /// The instance.
+    pub instance: Name,
+    /// Version of the document in force on it.
+    pub version: u64,
+    /// Age of its view when it reported, plus the time since the report came.
+    pub view_ms: u64,
+}
+
+/// What the leader knows of the whole site.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fleet {
+    /// Instances that reported lately.
+    pub instances: Vec<InstanceStatus>,
+    /// All moves, with what was measured about their next steps.
+    pub moves: Vec<MoveStatus>,
+}
+
+/// Answer to a [`Request`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Response {
+    /// Answer to [`Request::Propose`].
+    Applied(Applied),
+    /// The request was not served.
+    Failed(ErrorKind),
+    /// Answer to [`Request::Grant`].
+    Grant(GrantReply),
+    /// Answer to [`Request::Status`].
+    Status(Fleet),
+}
+
+/// A message of the replicated log with its ends.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LogPacket {
+    /// The replica that sent it.
+    pub from: ReplicaId,
+    /// The replica that it is meant for.
+    pub to: ReplicaId,
+    /// The message.
+    pub message: LogMessage,
+}
+
+/// Everything that an authenticated peer may send.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerMessage {
+    /// A request.
+    Call {
+        /// Unique for the connection.
+        id: u64,
+        /// The request.
+        request: Request,
+    },
+    /// Part of a document or of a large message of the log.
+    Chunk(Chunk),
+    /// A message of the replicated log.
+    Log(LogPacket),
+    /// Keeps an idle connection from being taken for a silent one.
+    Ping,
+    /// A proof, or changes.
+    Proof(Proof),
+    /// A renewal.
+    Renew(Renew),
+    /// The answer to a call.
+    Reply {
+        /// Identifier of the call.
+        id: u64,
+        /// The answer.
+        response: Response,
+    },
+    /// Measurements for the leader; not answered.
+    Report(Report),
+}
+
+/// Cuts an encoded message into chunks.
+pub fn chunks(content: Content, body: Arc<[u8]>) -> impl Iterator<Item = PeerMessage> + Send {
+    let count = body.len().div_ceil(CHUNK_BYTES);
+    (0..count).map(move |i| {
+        let start = i * CHUNK_BYTES;
+        let end = body.len().min(start + CHUNK_BYTES);
+        PeerMessage::Chunk(Chunk {
+            content,
+            offset: start as u64,
+            size: body.len() as u64,
+            bytes: body[start..end].to_vec(),
+        })
+    })
+}
+
+/// Joins chunks; chunks of one kind arrive in order on a connection.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    content: Option<Content>,
+    bytes: Vec<u8>,
+}
+
+impl Assembly {
+    /// Adds a chunk. Returns the whole message once it is complete.
+    pub fn push(&mut self, chunk: Chunk) -> Result<Option<(Content, Vec<u8>)>, ErrorKind> {
+        let end = chunk.offset.saturating_add(chunk.bytes.len() as u64);
+        let starts = chunk.offset == 0;
+        let continues =
+            self.content == Some(chunk.content) && chunk.offset == self.bytes.len() as u64;
+        match () {
+            () if end > chunk.size || chunk.size > ASSEMBLY_MAX_BYTES => {
+                return Err(ErrorKind::TooLarge);
+            }
+            () if starts => self.bytes.clear(),
+            () if continues => {}
+            () => return Err(ErrorKind::BadRequest),
+        }
+        self.content = Some(chunk.content);
+        self.bytes.extend_from_slice(&chunk.bytes);
+        if end < chunk.size {
+            return Ok(None);
+        }
+        self.content = None;
+        Ok(Some((chunk.content, std::mem::take(&mut self.bytes))))
+    }
+}
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -6,13 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::blocks::BlockTable;
+pub use crate::digest::Digest;
 use crate::moves::Move;
 use crate::{Millis, Name};
 
-/// SHA-256 of a key or of a request.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Digest(pub [u8; 32]);
-
 /// A region and its failure domains.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -87,7 +84,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberState {
-    /// Finishes what it has and takes nothing new.
+    /// Taken out by the system: an instance that stops, or that stopped
+    /// reporting. It is taken back once it reports again.
+    Away,
+    /// Taken out by an operator: finishes what it has and takes nothing new.
     Leaving,
     /// Takes new work.
     #[default]
