Step down when nobody takes over, and bound what the log keeps

Cause: a leader that resigned with no successor, or to a dead one, led on, so a planned stop would not end.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -127,12 +127,13 @@
     }
 
     /// Records a snapshot of the applied state at `index` and drops entries
-    /// up to `retain` before it. `None` if there is a later snapshot.
+    /// before it, but for the last ones within `retain` entries and bytes.
+    /// `None` if there is a later snapshot.
     pub(crate) fn compact(
         &mut self,
         index: LogIndex,
         payload: Payload,
-        retain: usize,
+        retain: (usize, usize),
     ) -> Option<Snapshot> {
         if index <= self.snapshot.index {
             return None;
@@ -145,7 +146,7 @@
             members,
             payload,
         };
-        let keep_after = LogIndex(index.0.saturating_sub(retain as u64));
+        let keep_after = self.retained_after(index, retain);
         while self.base.index < keep_after {
             self.base = self.kept.pop_front()?.position();
         }
@@ -156,6 +157,19 @@
         Some(self.snapshot.clone())
     }
 
+    fn retained_after(&self, index: LogIndex, (count, bytes): (usize, usize)) -> LogIndex {
+        let mut after = index;
+        let mut size = 0;
+        while let Some(entry) = self.get(after) {
+            size += entry.size();
+            if size > bytes || index.0 - after.0 >= count as u64 {
+                break;
+            }
+            after = after.previous();
+        }
+        after
+    }
+
     /// Replaces everything by a snapshot from the leader.
     pub(crate) fn install(&mut self, snapshot: Snapshot) {
         *self = Entries::new(snapshot, Vec::new());
--- a/crates/coordination/src/log.rs
+++ b/crates/coordination/src/log.rs
@@ -37,8 +37,10 @@
     /// Names of all control instances in the settings, this one included. The
     /// first start needs all of them.
     pub peers: Vec<Name>,
-    /// Entries kept in memory behind a snapshot, for replicas that lag.
+    /// Most entries kept in memory behind a snapshot, for replicas that lag.
     pub retain: usize,
+    /// Most payload bytes of the entries kept behind a snapshot.
+    pub retain_bytes: usize,
 }
 
 impl LogConfig {
@@ -52,6 +54,7 @@
             name,
             peers,
             retain: 2_000,
+            retain_bytes: 8 * 1024 * 1024,
         }
     }
 }
@@ -157,8 +160,8 @@
         /// The message.
         message: LogMessage,
     },
-    /// Hands leadership over before a planned stop; ignored by others than
-    /// the leader.
+    /// Hands leadership over before a planned stop, or steps down if nobody
+    /// takes over; ignored by others than the leader.
     Resign,
     /// Time passed.
     Tick,
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -417,7 +417,8 @@
             log::error!("{index} is not committed and cannot be compacted");
             return;
         }
-        if let Some(snapshot) = self.entries.compact(index, payload, self.config.retain) {
+        let retain = (self.config.retain, self.config.retain_bytes);
+        if let Some(snapshot) = self.entries.compact(index, payload, retain) {
             self.journal.write_compaction(snapshot);
         }
     }
--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -19,9 +19,13 @@
 /// Most entries that wait for a quorum; further proposals are refused.
 const UNCOMMITTED_MAX: u64 = 10_000;
 
-/// Wait for the reply to a snapshot before it is sent again, in milliseconds.
+/// Wait for the reply to a snapshot before it is sent again, in milliseconds,
+/// besides the time that its bytes take.
 const INSTALL_RETRY_MS: u64 = 3_000;
 
+/// Bytes of a snapshot sent, received and synced in a millisecond at least.
+const INSTALL_BYTES_PER_MS: u64 = 2_000;
+
 /// Rounds remembered; they reach back further than the longest election
 /// timeout, after which a leader without a quorum steps down.
 const ROUNDS: usize = 64;
@@ -45,7 +49,7 @@
 pub(crate) struct Transfer {
     /// The replica that takes over.
     pub(crate) target: ReplicaId,
-    /// When the leader gives up and takes proposals again.
+    /// When the leader gives up and steps down without it.
     until: Millis,
 }
 
@@ -216,7 +220,9 @@
         let lead = self.lead.as_mut()?;
         let progress = lead.progress.get_mut(to)?;
         let base = self.entries.base();
-        let wait = |at: Millis| self.now.since(at) < INSTALL_RETRY_MS;
+        let bytes = self.entries.snapshot().payload.len() as u64;
+        let allowed = INSTALL_RETRY_MS + bytes / INSTALL_BYTES_PER_MS;
+        let wait = |at: Millis| self.now.since(at) < allowed;
         if progress.next <= base.index && !progress.install.is_some_and(wait) {
             progress.install = Some(self.now);
             progress.probe = None;
@@ -407,7 +413,8 @@
         }
     }
 
-    /// Hands over to the voter that holds the most entries.
+    /// Hands over to the voter that holds the most entries, of those that
+    /// answer; steps down if there is none.
     pub(crate) fn resign(&mut self) {
         let until = self.now.plus(self.config.election_ms.1);
         let voters = &self.entries.members().voters;
@@ -415,11 +422,12 @@
             return;
         };
         let candidates = lead.progress.iter().filter(|(id, _)| voters.contains(id));
-        let best = candidates.max_by_key(|(_, progress)| (progress.matched, progress.acked));
+        let answers = |p: &Progress| self.now.since(p.seen()) < self.config.election_ms.0;
+        let best = candidates.max_by_key(|(_, p)| (answers(p), p.matched, p.acked));
         let target = best.map(|(id, _)| id.clone());
         match target {
             Some(target) => lead.transfer = Some(Transfer { target, until }),
-            None => return,
+            None => self.follow(self.hard.epoch, None),
         }
         self.drive_transfer();
     }
@@ -439,7 +447,7 @@
             .get(&target)
             .is_some_and(|p| p.matched == last);
         if self.now >= transfer.until {
-            lead.transfer = None;
+            self.follow(self.hard.epoch, None);
         } else if ready {
             let epoch = self.hard.epoch;
             self.send(&target, LogMessage::HandOver { epoch });
--- a/crates/coordination/src/storage.rs
+++ b/crates/coordination/src/storage.rs
@@ -81,6 +81,7 @@
         if truncate {
             storage.rewrite()?;
         }
+        storage.settle()?;
         let restored = Restored {
             entries: storage.tail.clone(),
             hard,
@@ -90,6 +91,16 @@
         Ok((storage, restored))
     }
 
+    /// Makes durable what an earlier process wrote and may not have synced:
+    /// from here on it counts as acknowledged.
+    fn settle(&self) -> Result<()> {
+        let path = self.directory.join("log");
+        self.log
+            .sync_all()
+            .map_err(|error| io_error(&path, &error))?;
+        snapshot::sync_directory(&path)
+    }
+
     /// Takes a write; it is on disk after the next [`Storage::sync`].
     pub fn write(&mut self, persist: &Persist) -> Result<()> {
         self.queue.push(persist.clone());
--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -98,6 +98,21 @@
     isolated_follower_for_an_hour(3, 1) |sim| isolate(sim, 3_600_000, false);
     isolated_follower_of_five(5, 5) |sim| isolate(sim, 30_000, false);
 
+    /// Guards against a planned stop that never ends for lack of a successor.
+    resigns_alone(1, 3) |mut sim| {
+        sim.step(0, Event::Resign);
+        assert!(sim.status(0).is_some_and(|s| s.role != Role::Leader));
+    };
+    resigns_to_a_dead_replica(3, 10) |mut sim| {
+        let old = sim.current_leader().unwrap_or(0);
+        (0..3).filter(|n| *n != old).for_each(|n| sim.crash(n));
+        sim.step(old, Event::Resign);
+        sim.run(100);
+        sim.start((old + 1) % 3);
+        let follows = |sim: &Sim| sim.status(old).is_some_and(|s| s.role != Role::Leader);
+        assert!(sim.run_until(1_300, follows));
+    };
+
     /// Guards against a leader that receives nothing, yet keeps the others
     /// from electing one that does.
     deaf_leader_steps_down(3, 10) |mut sim| {
