Ignore malformed messages of the log

Cause: an Append with a gap between its entries would have shifted the entries after it; a reply could name an index after the leader's last.

Change: the receiver ignores an Append whose entries do not continue each other, and the leader bounds the indexes of replies.

Conclusion: a malformed message has no effect on the log.

--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -269,7 +269,7 @@
         else {
             return;
         };
-        if !self.hear(&from, epoch, round) {
+        if !follows(previous, &entries, epoch) || !self.hear(&from, epoch, round) {
             return;
         }
         let refused = self.take_entries(previous, entries);
@@ -479,3 +479,15 @@
         }
     }
 }
+
+/// Whether entries continue each other from `previous` on, without epochs
+/// that decrease or exceed the sender's.
+fn follows(previous: Position, entries: &[Entry], epoch: Epoch) -> bool {
+    let mut before = previous;
+    let ordered = entries.iter().all(|entry| {
+        let next = entry.index == before.index.next() && entry.epoch >= before.epoch;
+        before = entry.position();
+        next
+    });
+    ordered && before.epoch <= epoch
+}
--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -284,13 +284,13 @@
             return;
         }
         progress.echo = counter;
-        progress.matched = progress.matched.max(matched);
+        progress.matched = progress.matched.max(matched.min(last));
         progress.next = progress.next.max(progress.matched.next());
         progress.note_goal(last, self.now, self.config.election_ms.0);
         let probe = match refused {
             Some(refused) => progress.refuse(refused),
             None => {
-                progress.accept(verified);
+                progress.accept(verified.min(last));
                 false
             }
         };
--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -1,7 +1,7 @@
 //! Single failures, one case each.
 
 use pomelovale_coordination::log::{Action, Event, Role};
-use pomelovale_protocol::log::{Epoch, LogIndex, LogMessage, Position};
+use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, Position};
 use pomelovale_state::Millis;
 
 use crate::sim::{write, Sim};
@@ -75,6 +75,27 @@
         assert!(!core.step(Millis(0), vote).iter().any(granted));
     };
 
+    /// Guards against a message with a gap that shifts the entries after it.
+    gap_is_ignored(3, 5) |mut sim| {
+        let leader = sim.current_leader().unwrap_or(0);
+        let node = (leader + 1) % 3;
+        let before = sim.status(node).expect("a running replica");
+        let last = sim.history.last().expect("an entry").clone();
+        let gap = Entry { index: LogIndex(last.index.0 + 2), ..last.clone() };
+        let message = LogMessage::Append {
+            age_ms: None,
+            commit: gap.index,
+            echo: 0,
+            epoch: before.epoch,
+            entries: vec![gap],
+            previous: last.position(),
+            round: 1,
+        };
+        sim.step(node, Event::Receive { from: sim.id(leader), message });
+        assert_eq!(sim.status(node).map(|s| (s.last, s.commit)), Some((before.last, before.commit)));
+        sim.recover();
+    };
+
     /// Guards against entries lost when all restart.
     survives_restarts(3, 10) |mut sim| {
         for _ in 0..5 {
