--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -344,6 +344,16 @@
         }
     }
 
+    /// Proves all views as of now, each time it is called.
+    pub fn prover(&self) -> impl Fn() + Send + 'static {
+        let (views, clock) = (self.views.clone(), self.clock.clone());
+        move || {
+            for view in views.lock().unwrap().iter() {
+                view.prove(clock.now());
+            }
+        }
+    }
+
     /// Applies a command and distributes it to all entries.
     pub fn apply(&self, command: Command) {
         let change = Change {
