Set spill allowances by the spill that the measurement contains

Cause and change: The slow allowance refused requests that remote regions had room for. The allowance is now what this entry spilled when the load was measured plus its part of the free slots; what it spilled since is not added again, so the loop with lagging measurements settles without the small gain.

--- a/crates/steering/src/region.rs
+++ b/crates/steering/src/region.rs
@@ -3,8 +3,11 @@
 //! A request leaves the entry's region only if it would wait longer there than
 //! in the other region including the way, and only within an allowance of
 //! requests a second. The allowance follows the measured headroom: each entry
-//! takes its part of what is free, so that all of them together cannot overload
-//! the region, however late they measure.
+//! takes its part of what is free, on top of what it spilled when the load was
+//! measured. What it spilled since then is not yet in the load and must not be
+//! added again; with the current rate instead the loop oscillated.
+
+use std::collections::VecDeque;
 
 use indexmap::IndexMap;
 use pomelovale_state::{Millis, Name};
@@ -15,17 +18,20 @@
 /// Part of a remote region's slots that must stay free of spilled work.
 const REMOTE_RESERVE: f64 = 0.1;
 
-/// Part of the free slots by which an allowance changes in a second.
-/// Measurements lag by up to a second; a gain above 0.37 for each second of lag
-/// overshoots, and one above 1.6 oscillates without end.
-const GAIN_PER_SECOND: f64 = 0.25;
+/// Part of the way to its target that an allowance moves for each new
+/// measurement. The whole way echoes errors in the age of measurements.
+const GAIN: f64 = 0.5;
+
+/// Time before a measurement over which the own spilled rate is averaged that
+/// the measured load contains, in milliseconds.
+const CONTAINED_MS: u64 = 500;
+
+/// Updates for which the own spilled rate is remembered.
+const HISTORY: usize = 32;
 
 /// Difference of waits that is ignored, in milliseconds.
 const DEAD_BAND_MS: f64 = 10.0;
 
-/// Weight of a new sample in the spilled rate.
-const SAMPLE: f64 = 0.3;
-
 /// Time of a request at a backend server if none was measured.
 const DEFAULT_REQUEST_MS: f64 = 50.0;
 
@@ -65,7 +71,7 @@
     allowance: f64,
     credit: f64,
     spilled: u32,
-    rate: f64,
+    history: VecDeque<(Millis, f64)>,
 }
 
 /// Chooses regions for one service on one entry.
@@ -116,7 +122,7 @@
             remote.measure(now, m, per_slot, f64::from(entries.max(1)));
         }
         for remote in self.remotes.values_mut() {
-            remote.refill(passed);
+            remote.refill(now, passed);
         }
     }
 
@@ -157,26 +163,33 @@
         if !fresh || m.sampled <= self.sampled {
             return;
         }
-        let passed = m.sampled.since(self.sampled).min(1_000) as f64 / 1_000.0;
         self.sampled = m.sampled;
         self.wait_ms = m.wait_ms + m.distance_ms;
         let free = m.slots * (1.0 - REMOTE_RESERVE) - m.load;
         let room = (free * per_slot).min(m.link_free.max(0.0) / entries);
-        let most = self.rate + room.max(0.0);
-        let first = std::mem::replace(&mut self.known, true);
-        let next = match first {
-            true => self.allowance + GAIN_PER_SECOND * room * passed,
-            false => most,
-        };
-        self.allowance = next.clamp(0.0, most);
+        let target = (self.rate_at(m.sampled) + room).max(0.0);
+        let first = !std::mem::replace(&mut self.known, true);
+        let gain = if first { 1.0 } else { GAIN };
+        self.allowance += (target - self.allowance) * gain;
+    }
+
+    /// Requests a second that were spilled just before `at`.
+    fn rate_at(&self, at: Millis) -> f64 {
+        let contained = |h: &&(Millis, f64)| h.0 <= at && at.since(h.0) <= CONTAINED_MS;
+        let rates = self.history.iter().filter(contained).map(|h| h.1);
+        let count = rates.clone().count().max(1);
+        rates.sum::<f64>() / count as f64
     }
 
-    fn refill(&mut self, passed: f64) {
+    fn refill(&mut self, now: Millis, passed: f64) {
         if passed > 0.0 {
             let rate = f64::from(self.spilled) / passed;
-            self.rate += (rate - self.rate) * SAMPLE;
+            self.history.push_back((now, rate));
             self.spilled = 0;
         }
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
         let most = (self.allowance * passed).max(1.0);
         self.credit = (self.credit + self.allowance * passed).min(most);
     }
