Spread callers of a lost region over equally distant ones

Cause and change: Callers of a lost region all went to the region whose name sorts first, and overloaded it while another one had room. Equally distant regions are now drawn by caller block in proportion to capacity.

--- a/crates/steering/src/entries.rs
+++ b/crates/steering/src/entries.rs
@@ -17,6 +17,10 @@
 /// oscillation.
 const DEAD_BAND: f64 = 0.05;
 
+/// Regions whose distances round to the same multiple of this count as equally
+/// distant, in milliseconds. Callers of a lost region spread over these.
+const EQUAL_MS: f64 = 10.0;
+
 /// How callers are spread over regions.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EntryPolicy {
@@ -57,6 +61,7 @@
     policy: EntryPolicy,
     away: IndexMap<Name, f64>,
     room: IndexMap<Name, f64>,
+    capacity: IndexMap<Name, f64>,
     updated: Option<Millis>,
 }
 
@@ -67,6 +72,7 @@
             policy,
             away: IndexMap::new(),
             room: IndexMap::new(),
+            capacity: IndexMap::new(),
             updated: None,
         }
     }
@@ -81,6 +87,7 @@
         for m in measures.iter().filter(fresh) {
             let spare = (m.usable() - m.load) / m.capacity.max(1.0);
             self.room.insert(m.region.clone(), spare);
+            self.capacity.insert(m.region.clone(), m.capacity);
         }
         for m in measures.iter().filter(fresh) {
             let elsewhere = self.room.iter().filter(|(r, _)| *r != &m.region);
@@ -115,7 +122,14 @@
                 regions.push(&e.region);
             }
         }
-        regions.sort_by(|a, b| distance_ms(a).total_cmp(&distance_ms(b)).then(a.cmp(b)));
+        let place = |r: &Name| ((distance_ms(r) / EQUAL_MS).round(), self.draw(block, r));
+        let places: Vec<(f64, f64)> = regions.iter().map(|r| place(r)).collect();
+        let mut order: Vec<usize> = (0..regions.len()).collect();
+        order.sort_by(|&a, &b| {
+            let (a, b) = (places[a], places[b]);
+            a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1))
+        });
+        let mut regions: Vec<&Name> = order.into_iter().map(|i| regions[i]).collect();
         self.move_away(block, &mut regions);
         let place = |e: &EntryInfo| regions.iter().position(|r| *r == &e.region);
         let mut list: Vec<&EntryInfo> = entries.iter().filter(|e| !e.leaving).collect();
@@ -123,6 +137,14 @@
         list.into_iter().map(|e| e.name.clone()).collect()
     }
 
+    /// Place of a region among equally distant ones: drawn by the block, smaller
+    /// in proportion to capacity. Capacity hardly changes, so blocks stay.
+    fn draw(&self, block: u64, region: &Name) -> f64 {
+        let point = (mix(block, region) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        let capacity = self.capacity.get(region).copied().unwrap_or(1.0);
+        -point.ln() / capacity.max(1.0)
+    }
+
     fn move_away(&self, block: u64, regions: &mut Vec<&Name>) {
         let Some(&first) = regions.first() else {
             return;
--- a/crates/steering/tests/regions.rs
+++ b/crates/steering/tests/regions.rs
@@ -147,3 +147,22 @@
     let first = lists.iter().filter(|l| l[0].as_str() == "a").count();
     assert!((30..=70).contains(&first), "{first}");
 }
+
+/// Guards against callers of a lost region that all go to the same other one,
+/// and against callers elsewhere that move with them.
+#[test]
+fn lost_region_spreads_over_equally_distant_ones() {
+    let all = [
+        entry("a", "north", false),
+        entry("b", "east", false),
+        entry("c", "south", false),
+    ];
+    let ranking = EntryRanking::new(EntryPolicy::Headroom);
+    let far = |r: &Name| if r.as_str() == "north" { 1.0 } else { 55.0 };
+    let first = |b: u64, list: &[EntryInfo]| ranking.rank(b, list, far)[0].clone();
+    assert!((0..100).all(|b| first(b, &all).as_str() == "a"));
+    let east = (0..100)
+        .filter(|b| first(*b, &all[1..]).as_str() == "b")
+        .count();
+    assert!((30..=70).contains(&east), "{east}");
+}
