Learn the usual demand over 5 s

Cause and change: After the loss of a region the mix of workspaces at an entry changes at once, so a usual demand learned over 20 s lags.

--- a/crates/steering/src/fair_queue.rs
+++ b/crates/steering/src/fair_queue.rs
@@ -29,7 +29,7 @@
 }
 
 /// Time over which the usual demand is learned, in milliseconds.
-const DEMAND_MS: f64 = 20_000.0;
+const DEMAND_MS: f64 = 5_000.0;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
