Share the rows of the client-block table between copies

Change: the table is kept in 256 parts that copies share until one changes, and rows share the names of their sites; at most 4 MiB of encoded changes are kept, an encoded document for 5 s. The time to load a new entry rose and was not looked into.

--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -201,6 +201,7 @@
         let standing = Standing {
             age_ms: age,
             leader: status.leader.as_ref().map(|l| l.name.clone()),
+            now,
         };
         self.feed.push(&standing);
         self.outputs.status.store(Arc::new(ControlStatus {
@@ -416,6 +417,7 @@
                 let standing = Standing {
                     age_ms: status.quorum_age(now),
                     leader: status.leader.map(|l| l.name),
+                    now,
                 };
                 self.feed
                     .renew(id, &renew, &self.machine.document, &standing);
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -7,13 +7,16 @@
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{chunks, Content, Delta, PeerMessage, Proof, Renew};
 use pomelovale_state::document::Document;
-use pomelovale_state::Name;
+use pomelovale_state::{Millis, Name};
 use pomelovale_transport::peer_link::PeerLink;
 
 /// Encoded size of the changes after which a new message is begun.
 const GROUP_BYTES: usize = 128 * 1024;
-/// Encoded size of all changes that are kept.
-const RECENT_BYTES: usize = 64 * 1024 * 1024;
+/// Encoded size of all changes that are kept. They take four times as much
+/// memory once decoded.
+const RECENT_BYTES: usize = 4 * 1024 * 1024;
+/// How long an encoded document is kept for other subscribers that load it.
+const ENCODED_LIFE_MS: u64 = 5_000;
 
 #[derive(Clone, Copy, Debug)]
 enum Progress {
@@ -42,6 +45,14 @@
     pub(super) age_ms: u64,
     /// Name of the leader.
     pub(super) leader: Option<Name>,
+    /// The current time.
+    pub(super) now: Millis,
+}
+
+struct Encoded {
+    position: Position,
+    at: Millis,
+    body: Arc<[u8]>,
 }
 
 /// The latest changes and who was sent them.
@@ -52,7 +63,7 @@
     recent: VecDeque<Recent>,
     bytes: usize,
     most: usize,
-    encoded: Option<(Position, Arc<[u8]>)>,
+    encoded: Option<Encoded>,
     subscribers: HashMap<u64, Subscriber>,
 }
 
@@ -109,6 +120,8 @@
 
     /// Sends new changes to every subscriber that has all earlier ones.
     pub(super) fn push(&mut self, standing: &Standing) {
+        let is_recent = |e: &Encoded| standing.now.since(e.at) < ENCODED_LIFE_MS;
+        self.encoded = self.encoded.take().filter(is_recent);
         let ids: Vec<u64> = self.subscribers.keys().copied().collect();
         for id in ids {
             if let Some(Progress::Current(sent)) = self.subscribers.get(&id).map(|s| s.progress) {
@@ -160,13 +173,17 @@
         self.prove(id, seq, standing, Vec::new());
         let position = self.position;
         let body = match &self.encoded {
-            Some((at, body)) if *at == position => body.clone(),
+            Some(e) if e.position == position => e.body.clone(),
             _ => match encode_body(document) {
                 Ok(body) => Arc::from(body),
                 Err(e) => return log::error!("the document can't be encoded: {e}"),
             },
         };
-        self.encoded = Some((position, body.clone()));
+        self.encoded = Some(Encoded {
+            position,
+            at: standing.now,
+            body: body.clone(),
+        });
         let Some(s) = self.subscribers.get_mut(&id) else {
             return;
         };
--- a/crates/state/src/blocks.rs
+++ b/crates/state/src/blocks.rs
@@ -1,8 +1,9 @@
 //! The client-block table: address blocks and the sites they are steered to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::IpAddr;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -68,59 +69,108 @@
     pub site: Option<Name>,
 }
 
-/// Longest-prefix-match table from client blocks to sites.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+/// Parts of the table that are copied on their own.
+const SHARDS: usize = 256;
+
+type Rows = BTreeMap<Prefix, Name>;
+
+/// Longest-prefix-match table from client blocks to sites. Clones share the
+/// parts that neither has changed since.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct BlockTable {
     #[serde(with = "rows")]
-    rows: BTreeMap<Prefix, Name>,
+    shards: Arc<Vec<Arc<Rows>>>,
+}
+
+impl Default for BlockTable {
+    fn default() -> BlockTable {
+        BlockTable {
+            shards: Arc::new(vec![Arc::default(); SHARDS]),
+        }
+    }
+}
+
+// Neighbouring blocks spread over all shards: multiplication by 2^64 divided
+// by the golden ratio.
+fn shard(prefix: &Prefix) -> usize {
+    let bits = prefix.first ^ u128::from(prefix.length);
+    let folded = (bits >> 64) as u64 ^ bits as u64;
+    let hash = (folded ^ folded >> 32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (hash >> 56) as usize % SHARDS
+}
+
+// Many rows name the same site; they share one name, which saves half of the
+// memory of a large table.
+#[derive(Default)]
+struct Shared(HashSet<Name>);
+
+impl Shared {
+    fn get(&mut self, name: &Name) -> Name {
+        match self.0.get(name) {
+            Some(known) => known.clone(),
+            None => {
+                self.0.insert(name.clone());
+                name.clone()
+            }
+        }
+    }
 }
 
 // A JSON object can't have a prefix as its key, so rows are kept as a list.
 mod rows {
-    use super::{BTreeMap, Deserialize, Name, Prefix, Serialize};
+    use super::{Arc, BlockTable, Deserialize, Name, Prefix, Rows, Serialize, Shared};
 
-    pub fn serialize<S: serde::Serializer>(
-        rows: &BTreeMap<Prefix, Name>,
-        to: S,
-    ) -> Result<S::Ok, S::Error> {
-        rows.iter().collect::<Vec<_>>().serialize(to)
+    pub fn serialize<S: serde::Serializer>(shards: &[Arc<Rows>], to: S) -> Result<S::Ok, S::Error> {
+        let rows: Vec<_> = shards.iter().flat_map(|rows| rows.iter()).collect();
+        rows.serialize(to)
     }
 
     pub fn deserialize<'de, D: serde::Deserializer<'de>>(
         from: D,
-    ) -> Result<BTreeMap<Prefix, Name>, D::Error> {
-        Ok(Vec::<(Prefix, Name)>::deserialize(from)?
-            .into_iter()
-            .collect())
+    ) -> Result<Arc<Vec<Arc<Rows>>>, D::Error> {
+        let mut table = BlockTable::default();
+        let mut shared = Shared::default();
+        for (prefix, site) in Vec::<(Prefix, Name)>::deserialize(from)? {
+            table.set(prefix, Some(shared.get(&site)));
+        }
+        Ok(table.shards)
     }
 }
 
 impl BlockTable {
     /// Applies changed rows.
     pub fn apply(&mut self, changes: &[BlockChange]) {
+        let mut shared = Shared::default();
         for change in changes {
-            match &change.site {
-                Some(site) => self.rows.insert(change.prefix, site.clone()),
-                None => self.rows.remove(&change.prefix),
-            };
+            self.set(change.prefix, change.site.as_ref().map(|s| shared.get(s)));
         }
     }
 
+    fn set(&mut self, prefix: Prefix, site: Option<Name>) {
+        let shards = Arc::make_mut(&mut self.shards);
+        let rows = Arc::make_mut(&mut shards[shard(&prefix)]);
+        match site {
+            Some(site) => rows.insert(prefix, site),
+            None => rows.remove(&prefix),
+        };
+    }
+
     /// The site of the longest block that holds an address.
     pub fn lookup(&self, address: IpAddr) -> Option<&Name> {
         let bits = address_bits(address);
-        (0..=128)
-            .rev()
-            .find_map(|length| self.rows.get(&Prefix::new(bits, length)))
+        (0..=128).rev().find_map(|length| {
+            let prefix = Prefix::new(bits, length);
+            self.shards[shard(&prefix)].get(&prefix)
+        })
     }
 
     /// Number of blocks.
     pub fn len(&self) -> usize {
-        self.rows.len()
+        self.shards.iter().map(|rows| rows.len()).sum()
     }
 
     /// Whether there are no blocks.
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
+        self.shards.iter().all(|rows| rows.is_empty())
     }
 }
