Give attempts the time that a service needs, and the last one all of it

Cause: a service slower than attempt_ms lost its first attempts to timeouts, and a lookup was given up although no other server was left to ask. Change: twice the slowest recent answer bounds an attempt from below; an attempt without a successor waits until the deadline.

--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -273,6 +273,12 @@
         self.with(service, Steering::record_request);
     }
 
+    /// Time for one attempt that may be followed by another.
+    pub fn attempt_ms(&self, service: &Name) -> u64 {
+        let least_ms = self.config.attempt_ms;
+        self.with(service, |s| s.attempt_ms(least_ms))
+    }
+
     /// Whether the budget of a service allows a retry now.
     pub fn has_retry(&self, service: &Name) -> bool {
         self.with(service, |s| s.budget.left() > 0)
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use pomelovale_protocol::http::{strip_hop_by_hop, strip_own, DEADLINE, REQUEST, SHED};
 use pomelovale_protocol::trace::{Trace, TRACEPARENT};
-use pomelovale_state::document::Digest;
+use pomelovale_state::document::{Digest, MemberState};
 use pomelovale_state::{ErrorKind, Name};
 use pomelovale_transport::backend::{Connection, Failure, Fault, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
@@ -211,6 +211,17 @@
     job.idempotent && progress.cuts <= 1 && shared.decisions.try_spend(service)
 }
 
+// Without another server to ask, waiting on is better than giving up.
+fn has_other(shared: &Shared, choice: &Choice, progress: &Progress) -> bool {
+    let document = shared.view.document();
+    let untried = |name: &Name| *name != choice.server && !progress.tried.contains(name);
+    let open = document
+        .backends
+        .iter()
+        .filter(|(_, b)| b.service == choice.service && b.state == MemberState::Serving);
+    open.map(|(name, _)| name).any(untried)
+}
+
 fn domain_of(shared: &Shared, server: &Name) -> Vec<Name> {
     let document = shared.view.document();
     let Some(down) = document.backends.get(server) else {
@@ -258,10 +269,14 @@
     }
     let id = shared.unique();
     let request = request(job, choice, trace, &id);
-    let more =
-        progress.attempts < config.attempts && shared.decisions.has_retry(&job.subject.service);
+    let more = progress.attempts < config.attempts
+        && has_other(shared, choice, progress)
+        && shared.decisions.has_retry(&job.subject.service);
     let limit = match job.idempotent && more {
-        true => job.left().min(Duration::from_millis(config.attempt_ms)),
+        true => {
+            let attempt_ms = shared.decisions.attempt_ms(&job.subject.service);
+            job.left().min(Duration::from_millis(attempt_ms))
+        }
         false => job.left(),
     };
     let (start, span) = (Instant::now(), tracing::info_span!("backend"));
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -22,6 +22,8 @@
 
 /// Round trip between regions in milliseconds, as far as nothing is measured.
 pub const REGION_RTT_MS: f64 = 110.0;
+/// Answers after which a slow one has lost about two thirds of its weight.
+const PEAK_DECAY: u64 = 64;
 const BITS_PER_MBIT: f64 = 1e6;
 
 /// How a wait ends: admitted, or refused with the time of the next try.
@@ -57,6 +59,7 @@
     requests: u64,
     updated: Millis,
     tallies: IndexMap<Name, Tally>,
+    slowest: u64,
 }
 
 /// Attempts in one region since the last measurement.
@@ -91,6 +94,7 @@
             requests: 0,
             updated: Millis(0),
             tallies: IndexMap::new(),
+            slowest: 0,
         }
     }
 
@@ -226,9 +230,20 @@
         let tally = self.tallies.entry(choice.region.clone()).or_default();
         tally.outstanding = tally.outstanding.saturating_sub(1);
         tally.failed += u64::from(matches!(end, AttemptEnd::Failed | AttemptEnd::TimedOut));
+        if end == AttemptEnd::Complete {
+            let decayed = self.slowest - self.slowest / PEAK_DECAY;
+            self.slowest = decayed.max(latency_ms);
+        }
         self.balancer.finish(now, &choice.server, end, latency_ms);
     }
 
+    /// Time for one attempt that may be followed by another. A service whose
+    /// answers take longer than `least_ms` gets twice its slowest recent one,
+    /// since it would otherwise lose its first attempts to timeouts.
+    pub fn attempt_ms(&self, least_ms: u64) -> u64 {
+        least_ms.max(2 * self.slowest)
+    }
+
     /// Records a load report that was asked for at `at`.
     pub fn report_load(&mut self, at: Millis, server: &Name, report: LoadReport) {
         self.balancer.report_load(at, server, report);
--- a/crates/daemon/tests/entry_once.rs
+++ b/crates/daemon/tests/entry_once.rs
@@ -142,6 +142,30 @@
     retries_after_failures => (raw("garbage\r\n\r\n"));
 }
 
+/// A service that is slower than the time for one attempt loses its first
+/// attempts to timeouts for as long as the retry budget lasts.
+#[tokio::test]
+async fn slow_services_keep_their_first_attempts() {
+    let script = |_: &_, _| Act::Late(120, entry_support::plain("done"));
+    let (a, b) = (Server::start(script).await, Server::start(script).await);
+    let control = setup(&[&a, &b]);
+    let advancing = control.clock.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            advancing.advance(5);
+        }
+    });
+    let entry = control.entry(|c| c.attempt_ms = 60).await;
+    const REQUESTS: usize = 20;
+    const FIRST: usize = 2;
+    for _ in 0..REQUESTS {
+        let got = one(&entry, &keyed("GET", "/catalogue/x", "", "")).await;
+        assert_eq!(got.status, 200);
+    }
+    assert!(total(&[&a, &b]) <= REQUESTS + FIRST);
+}
+
 async fn fleet() -> (Vec<Server>, Control, [EntryHandle; 2]) {
     let mut servers = Vec::new();
     for _ in 0..5 {
