Hold client blocks in shared, compact chunks

The table was a BTreeMap with a name for each row, and a clone of the document copied it. It is now sorted chunks of at most 255 rows with 4 bytes of offset and 4 of length, enclosing row and site; clones share unchanged chunks.

--- /dev/null
+++ b/crates/state/src/block_rows.rs
@@ -0,0 +1,221 @@
+//! Chunks of the client-block table: sorted rows in a compact form.
+//!
+//! Rows are sorted by first address and then by length, so that the row before
+//! an address is the innermost block that begins at or before it. Each row
+//! knows the row of its chunk that encloses it; a chunk knows the rows of
+//! earlier chunks that enclose its start. Chunks are immutable and shared
+//! between the versions of a table.
+
+use std::sync::Arc;
+
+use crate::blocks::{mask, Prefix};
+
+/// Most rows in a chunk; the position of a row fits a byte, and
+/// [`NO_PARENT`] stays free.
+pub(crate) const CHUNK_MAX: usize = 255;
+/// Rows in a chunk of a table that is built at once; leaves room for inserts.
+pub(crate) const CHUNK_FILL: usize = 240;
+const NO_PARENT: u8 = 255;
+
+/// One block with the number of its site.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Row {
+    pub(crate) prefix: Prefix,
+    pub(crate) site: u16,
+}
+
+impl Row {
+    fn covers(&self, bits: u128) -> bool {
+        (bits ^ self.prefix.first) & mask(self.prefix.length) == 0
+    }
+}
+
+/// What a row holds besides its first address.
+#[derive(Clone, Copy, Debug)]
+struct Meta {
+    length: u8,
+    parent: u8,
+    site: u16,
+}
+
+/// First addresses as shifted offsets from the first row.
+#[derive(Debug)]
+enum Offsets {
+    Full(Box<[u128]>),
+    Narrow(Box<[u32]>),
+    Wide(Box<[u64]>),
+}
+
+#[derive(Debug)]
+struct Rows {
+    base: u128,
+    shift: u32,
+    offsets: Offsets,
+    metas: Box<[Meta]>,
+}
+
+/// A run of rows.
+#[derive(Clone, Debug)]
+pub(crate) struct Chunk {
+    rows: Arc<Rows>,
+    /// Rows of earlier chunks that enclose the start, outermost first.
+    covers: Option<Arc<[Row]>>,
+}
+
+impl Rows {
+    /// The rows must be sorted, without duplicates and at least one.
+    fn new(rows: &[Row]) -> Rows {
+        let base = rows[0].prefix.first;
+        let offset = |r: &Row| r.prefix.first - base;
+        let shift = rows.iter().map(|r| offset(r).trailing_zeros()).min();
+        let shift = shift.unwrap_or(0).min(127);
+        let last = rows.last().map_or(0, |r| offset(r) >> shift);
+        let offsets = rows.iter().map(|r| offset(r) >> shift);
+        let offsets = match last {
+            n if u32::try_from(n).is_ok() => Offsets::Narrow(offsets.map(|o| o as u32).collect()),
+            n if u64::try_from(n).is_ok() => Offsets::Wide(offsets.map(|o| o as u64).collect()),
+            _ => Offsets::Full(offsets.collect()),
+        };
+        let mut metas: Vec<Meta> = Vec::with_capacity(rows.len());
+        for (i, row) in rows.iter().enumerate() {
+            let mut parent = match i {
+                0 => NO_PARENT,
+                _ => (i - 1) as u8,
+            };
+            while parent != NO_PARENT && !rows[parent as usize].covers(row.prefix.first) {
+                parent = metas[parent as usize].parent;
+            }
+            metas.push(Meta {
+                length: row.prefix.length,
+                parent,
+                site: row.site,
+            });
+        }
+        Rows {
+            base,
+            shift,
+            offsets,
+            metas: metas.into(),
+        }
+    }
+
+    fn row(&self, i: usize) -> Row {
+        let offset = match &self.offsets {
+            Offsets::Full(o) => o[i],
+            Offsets::Narrow(o) => u128::from(o[i]),
+            Offsets::Wide(o) => u128::from(o[i]),
+        };
+        Row {
+            prefix: Prefix {
+                first: self.base + (offset << self.shift),
+                length: self.metas[i].length,
+            },
+            site: self.metas[i].site,
+        }
+    }
+
+    /// Number of rows that begin at or before `bits`, which is not below the base.
+    fn upto(&self, bits: u128) -> usize {
+        let target = (bits - self.base) >> self.shift;
+        match &self.offsets {
+            Offsets::Full(o) => o.partition_point(|&x| x <= target),
+            Offsets::Narrow(o) => {
+                let target = u32::try_from(target).unwrap_or(u32::MAX);
+                o.partition_point(|&x| x <= target)
+            }
+            Offsets::Wide(o) => {
+                let target = u64::try_from(target).unwrap_or(u64::MAX);
+                o.partition_point(|&x| x <= target)
+            }
+        }
+    }
+
+    /// Rows that cover `bits` among row `i` and those that enclose it.
+    fn enclosing(&self, i: usize, bits: u128) -> impl Iterator<Item = Row> + '_ {
+        let mut next = i as u8;
+        let rows = std::iter::from_fn(move || match next {
+            NO_PARENT => None,
+            at => {
+                next = self.metas[at as usize].parent;
+                Some(self.row(at as usize))
+            }
+        });
+        rows.filter(move |r| r.covers(bits))
+    }
+
+    fn bytes(&self) -> usize {
+        let offsets = match &self.offsets {
+            Offsets::Full(o) => size_of_val(&**o),
+            Offsets::Narrow(o) => size_of_val(&**o),
+            Offsets::Wide(o) => size_of_val(&**o),
+        };
+        size_of::<Rows>() + offsets + size_of_val(&*self.metas)
+    }
+}
+
+impl Chunk {
+    /// Chunks of `fill` rows from sorted rows; [`Chunk::cover`] must follow.
+    pub(crate) fn split(rows: &[Row], fill: usize) -> Vec<Chunk> {
+        let chunk = |rows: &[Row]| Chunk {
+            rows: Arc::new(Rows::new(rows)),
+            covers: None,
+        };
+        let parts = rows.len().div_ceil(fill).max(1);
+        let even = rows.len().div_ceil(parts).max(1);
+        rows.chunks(even).map(chunk).collect()
+    }
+
+    /// First address of the first row.
+    pub(crate) fn start(&self) -> u128 {
+        self.rows.base
+    }
+
+    /// The first row's block.
+    pub(crate) fn first(&self) -> Prefix {
+        self.rows.row(0).prefix
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.rows.metas.len()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = Row> + '_ {
+        (0..self.len()).map(|i| self.rows.row(i))
+    }
+
+    /// Site of the longest block that holds `bits`, which is not below the start.
+    pub(crate) fn lookup(&self, bits: u128) -> Option<u16> {
+        let last = self.rows.upto(bits) - 1;
+        let own = self.rows.enclosing(last, bits).next();
+        let earlier = || {
+            let covers = self.covers.iter().flat_map(|c| c.iter());
+            covers.rev().find(|r| r.covers(bits)).copied()
+        };
+        own.or_else(earlier).map(|r| r.site)
+    }
+
+    /// Notes the rows of earlier chunks that enclose the start, found through
+    /// the chunk before. Returns whether they differ from those noted before.
+    pub(crate) fn cover(&mut self, before: Option<&Chunk>) -> bool {
+        let start = self.start();
+        let mut covers: Vec<Row> = Vec::new();
+        if let Some(before) = before {
+            covers.extend(before.rows.enclosing(before.len() - 1, start));
+            let earlier = before.covers.iter().flat_map(|c| c.iter());
+            covers.extend(earlier.rev().filter(|r| r.covers(start)));
+        }
+        covers.reverse();
+        let old = self.covers.as_deref().unwrap_or_default();
+        let changed = old != covers;
+        if changed {
+            self.covers = (!covers.is_empty()).then(|| covers.into());
+        }
+        changed
+    }
+
+    /// Memory of the chunk, without what the allocator adds.
+    pub(crate) fn bytes(&self) -> usize {
+        let covers = self.covers.as_deref().map_or(0, |c| size_of_val(c) + 16);
+        size_of::<Chunk>() + 16 + self.rows.bytes() + covers
+    }
+}
--- a/crates/state/src/blocks.rs
+++ b/crates/state/src/blocks.rs
@@ -1,11 +1,13 @@
 //! The client-block table: address blocks and the sites they are steered to.
 
-use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::str::FromStr;
+use std::sync::Arc;
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
+use crate::block_rows::{Chunk, Row, CHUNK_FILL, CHUNK_MAX};
 use crate::{ErrorKind, Name};
 
 /// An IPv4 or IPv6 prefix with its host bits cleared.
@@ -27,7 +29,7 @@
     }
 }
 
-fn mask(length: u8) -> u128 {
+pub(crate) fn mask(length: u8) -> u128 {
     match length {
         0 => 0,
         n => u128::MAX << (128 - u32::from(n)),
@@ -68,59 +70,202 @@
     pub site: Option<Name>,
 }
 
-/// Longest-prefix-match table from client blocks to sites.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+/// Longest-prefix-match table from client blocks to sites. A clone shares all
+/// rows with the original until one of them is changed.
+#[derive(Clone, Default)]
 pub struct BlockTable {
-    #[serde(with = "rows")]
-    rows: BTreeMap<Prefix, Name>,
+    index: Arc<Index>,
+    sites: Arc<IndexSet<Name>>,
+    len: usize,
 }
 
-// A JSON object can't have a prefix as its key, so rows are kept as a list.
-mod rows {
-    use super::{BTreeMap, Deserialize, Name, Prefix, Serialize};
+#[derive(Clone, Default)]
+struct Index {
+    /// Start of each chunk.
+    starts: Vec<u128>,
+    chunks: Vec<Chunk>,
+}
+
+/// A table is rebuilt if a batch changes more than this part of its chunks.
+const REBUILD_PART: usize = 4;
+/// A chunk with fewer rows is joined with the one before it.
+const CHUNK_LOW: usize = 64;
 
-    pub fn serialize<S: serde::Serializer>(
-        rows: &BTreeMap<Prefix, Name>,
-        to: S,
-    ) -> Result<S::Ok, S::Error> {
-        rows.iter().collect::<Vec<_>>().serialize(to)
+impl BlockTable {
+    /// Applies changed rows, in order.
+    pub fn apply(&mut self, changes: &[BlockChange]) {
+        // The last change of a block counts.
+        let mut order: Vec<&BlockChange> = changes.iter().collect();
+        order.sort_by_key(|c| c.prefix);
+        let last = |i: usize| order.get(i + 1).is_none_or(|n| n.prefix != order[i].prefix);
+        let order: Vec<&BlockChange> = (0..order.len())
+            .filter(|&i| last(i))
+            .map(|i| order[i])
+            .collect();
+        let edits: Vec<Edit> = order.into_iter().map(|c| self.edit(c)).collect();
+        let groups = self.index.group(&edits);
+        let index = Arc::make_mut(&mut self.index);
+        match groups.len() > index.chunks.len() / REBUILD_PART {
+            true => index.rebuild(&edits),
+            false => index.change(&groups),
+        }
+        self.len = self.index.chunks.iter().map(Chunk::len).sum();
     }
 
-    pub fn deserialize<'de, D: serde::Deserializer<'de>>(
-        from: D,
-    ) -> Result<BTreeMap<Prefix, Name>, D::Error> {
-        Ok(Vec::<(Prefix, Name)>::deserialize(from)?
-            .into_iter()
-            .collect())
+    fn edit(&mut self, change: &BlockChange) -> Edit {
+        let site = change.site.as_ref().map(|name| self.site_number(name));
+        Edit {
+            prefix: change.prefix,
+            site,
+        }
     }
-}
 
-impl BlockTable {
-    /// Applies changed rows.
-    pub fn apply(&mut self, changes: &[BlockChange]) {
-        for change in changes {
-            match &change.site {
-                Some(site) => self.rows.insert(change.prefix, site.clone()),
-                None => self.rows.remove(&change.prefix),
-            };
+    fn site_number(&mut self, name: &Name) -> u16 {
+        if let Some(number) = self.sites.get_index_of(name) {
+            return number as u16;
+        }
+        if self.sites.len() > usize::from(u16::MAX) {
+            self.forget_unused_sites();
         }
+        let sites = Arc::make_mut(&mut self.sites);
+        sites.insert_full(name.clone()).0 as u16
+    }
+
+    /// Numbers the sites anew, without those that have no block.
+    fn forget_unused_sites(&mut self) {
+        let mut sites = IndexSet::new();
+        let number = |row: Row| Row {
+            site: sites
+                .insert_full(self.sites[usize::from(row.site)].clone())
+                .0 as u16,
+            ..row
+        };
+        let rows: Vec<Row> = self.index.rows().map(number).collect();
+        self.index = Arc::new(Index::new(&rows));
+        self.sites = Arc::new(sites);
     }
 
     /// The site of the longest block that holds an address.
     pub fn lookup(&self, address: IpAddr) -> Option<&Name> {
         let bits = address_bits(address);
-        (0..=128)
-            .rev()
-            .find_map(|length| self.rows.get(&Prefix::new(bits, length)))
+        let at = self.index.starts.partition_point(|&s| s <= bits);
+        let site = self.index.chunks[..at].last()?.lookup(bits)?;
+        self.sites.get_index(usize::from(site))
+    }
+
+    /// All rows by first address and length.
+    pub fn iter(&self) -> impl Iterator<Item = (Prefix, &Name)> {
+        let row = |r: Row| (r.prefix, &self.sites[usize::from(r.site)]);
+        self.index.rows().map(row)
     }
 
     /// Number of blocks.
     pub fn len(&self) -> usize {
-        self.rows.len()
+        self.len
     }
 
     /// Whether there are no blocks.
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
+        self.len == 0
+    }
+
+    /// Memory of the rows in bytes, without what the allocator adds.
+    pub fn memory_bytes(&self) -> usize {
+        let chunks = self.index.chunks.iter().map(Chunk::bytes);
+        chunks.sum::<usize>() + size_of_val(&*self.index.starts)
+    }
+}
+
+/// A changed row with the number of its site.
+#[derive(Clone, Copy)]
+struct Edit {
+    prefix: Prefix,
+    site: Option<u16>,
+}
+
+/// Merges sorted rows and sorted edits.
+fn merge(rows: impl Iterator<Item = Row>, edits: &[Edit]) -> Vec<Row> {
+    let mut merged = Vec::with_capacity(rows.size_hint().0 + edits.len());
+    let (mut rows, mut edits) = (rows.peekable(), edits.iter().peekable());
+    while let Some(edit) = edits.peek() {
+        match rows.peek() {
+            Some(row) if row.prefix < edit.prefix => merged.extend(rows.next()),
+            Some(row) if row.prefix == edit.prefix => drop(rows.next()),
+            _ => {
+                let prefix = edit.prefix;
+                merged.extend(edit.site.map(|site| Row { prefix, site }));
+                edits.next();
+            }
+        }
+    }
+    merged.extend(rows);
+    merged
+}
+
+impl Index {
+    fn new(rows: &[Row]) -> Index {
+        let mut index = Index::default();
+        index.chunks = Chunk::split(rows, CHUNK_FILL);
+        index.starts = index.chunks.iter().map(Chunk::start).collect();
+        index.cover(0, index.chunks.len());
+        index
+    }
+
+    fn rows(&self) -> impl Iterator<Item = Row> + '_ {
+        self.chunks.iter().flat_map(Chunk::iter)
+    }
+
+    /// Sorted edits by the chunk that they belong to.
+    fn group<'a>(&self, edits: &'a [Edit]) -> Vec<(usize, &'a [Edit])> {
+        let (mut groups, mut rest) = (Vec::new(), edits);
+        while let Some(first) = rest.first() {
+            let after = self.chunks.partition_point(|c| c.first() <= first.prefix);
+            let end = match self.chunks.get(after) {
+                Some(next) => rest.partition_point(|e| e.prefix < next.first()),
+                None => rest.len(),
+            };
+            groups.push((after.saturating_sub(1), &rest[..end]));
+            rest = &rest[end..];
+        }
+        groups
+    }
+
+    fn rebuild(&mut self, edits: &[Edit]) {
+        let rows = merge(self.rows(), edits);
+        *self = Index::new(&rows);
+    }
+
+    fn change(&mut self, groups: &[(usize, &[Edit])]) {
+        // From the last to the first, so that earlier positions stay valid.
+        for (at, edits) in groups.iter().rev() {
+            let rows = merge(self.chunks[*at].iter(), edits);
+            let (mut from, mut rows) = (*at, rows);
+            if rows.len() < CHUNK_LOW && from > 0 {
+                from -= 1;
+                rows.splice(0..0, self.chunks[from].iter());
+            }
+            let chunks = match rows.len() {
+                0 => Vec::new(),
+                n if n <= CHUNK_MAX => Chunk::split(&rows, CHUNK_MAX),
+                _ => Chunk::split(&rows, CHUNK_FILL),
+            };
+            let left = self.chunks.len() - (at + 1);
+            self.starts
+                .splice(from..=*at, chunks.iter().map(Chunk::start));
+            self.chunks.splice(from..=*at, chunks);
+            self.cover(from, self.chunks.len() - left);
+        }
+    }
+
+    /// Renews what encloses the chunks from `from` to `to`, and later ones as
+    /// far as it changes.
+    fn cover(&mut self, from: usize, to: usize) {
+        for at in from..self.chunks.len() {
+            let (before, rest) = self.chunks.split_at_mut(at);
+            let changed = rest[0].cover(before.last());
+            if !changed && at >= to {
+                return;
+            }
+        }
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,5 +1,7 @@
 //! The bottom layer: clock, names, error kinds and the replicated document.
 
+mod block_codec;
+mod block_rows;
 pub mod blocks;
 pub mod clock;
 pub mod command;
