--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -76,8 +76,9 @@
     cap: u64,
     /// May be above `cap` after a grant, and falls back by spending.
     level: u64,
-    /// Level in the latest request.
+    /// Level and capacity in the latest request.
     told: u64,
+    told_cap: u64,
     short: bool,
     surplus: u64,
     debt: u64,
@@ -254,9 +255,13 @@
 
     fn apply(&mut self, now: Millis, until: Millis, grant: &Grant) {
         let share = self.share(now, &grant.workspace);
-        let level = share.level + grant.tokens;
-        share.level = level.min(grant.cap.max(share.told + grant.tokens));
-        share.surplus += level - share.level;
+        // What was refilled since the request may exceed what the ledger keeps
+        // reserved; a returned surplus may not.
+        let kept = grant.cap.max(share.told + grant.tokens);
+        let reserved = kept.max(share.told_cap);
+        let level = (share.level + grant.tokens).min(reserved);
+        share.level = level.min(kept);
+        share.surplus = level - share.level;
         // The raised rate refills from the next millisecond on.
         share.debt += grant.rate.saturating_sub(share.rate);
         share.rate = grant.rate;
@@ -358,6 +363,7 @@
             self.level = keep;
         }
         self.told = self.level;
+        self.told_cap = self.cap.max(self.level);
         Want {
             workspace: workspace.clone(),
             rate: self.rate,
--- a/crates/coordination/tests/limits_rule.rs
+++ b/crates/coordination/tests/limits_rule.rs
@@ -170,3 +170,16 @@
     };
     assert_ne!(failing(false, faults, hasty), Vec::<u64>::new());
 }
+
+/// Guards against a refill between request and reply that is given back on
+/// top of what the ledger keeps reserved: this schedule admitted 0.2 tokens
+/// too many in 28 ms.
+#[test]
+fn returned_tokens_stay_within_the_reserve() {
+    let faults = Faults {
+        leaders: true,
+        entries: true,
+        limits: false,
+    };
+    assert_eq!(run(604, true, faults, usual), 0);
+}
