Count members in memory in the log's simulation

Change: the guard of the simulated disk losses also counts the members of every log that is longer than the committed one.

Conclusion: the fault was in the test's guard, not in the log.

--- a/crates/coordination/tests/log_core/checks.rs
+++ b/crates/coordination/tests/log_core/checks.rs
@@ -136,6 +136,12 @@
         let open = |(index, _): &&(LogIndex, Members)| index.0 > self.history.len() as u64;
         let later = self.proposed.iter().filter(open);
         let mut configs: Vec<Members> = later.map(|(_, members)| members.clone()).collect();
+        let logs = (0..self.nodes.len()).filter_map(|node| self.status(node));
+        let longer = logs.filter(|s| s.last.0 > self.history.len() as u64);
+        configs.extend(longer.map(|s| Members {
+            learners: s.learners.into_iter().collect(),
+            voters: s.voters.into_iter().collect(),
+        }));
         configs.push(self.committed().1);
         configs
     }
