--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use pomelovale_protocol::http::{strip_hop_by_hop, strip_own, DEADLINE, REQUEST, SHED};
 use pomelovale_protocol::trace::{Trace, TRACEPARENT};
-use pomelovale_state::document::{Digest, MemberState};
+use pomelovale_state::document::Digest;
 use pomelovale_state::{ErrorKind, Name};
 use pomelovale_transport::backend::{Connection, Failure, Fault, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
@@ -185,7 +185,11 @@
     failure: Option<Failure>,
 ) -> bool {
     let service = &job.subject.service;
-    progress.tried.push(choice.server.clone());
+    let fault = failure.map(|f| f.fault);
+    let closed = failure.is_some_and(|f| !f.written) && fault != Some(Fault::Connect);
+    if !closed {
+        progress.tried.push(choice.server.clone());
+    }
     let Some(failure) = failure else {
         progress.unwritten = Some(ErrorKind::Overloaded);
         return progress.written.is_none() && shared.decisions.try_spend(service);
@@ -211,17 +215,6 @@
     job.idempotent && progress.cuts <= 1 && shared.decisions.try_spend(service)
 }
 
-// Without another server to ask, waiting on is better than giving up.
-fn has_other(shared: &Shared, choice: &Choice, progress: &Progress) -> bool {
-    let document = shared.view.document();
-    let untried = |name: &Name| *name != choice.server && !progress.tried.contains(name);
-    let open = document
-        .backends
-        .iter()
-        .filter(|(_, b)| b.service == choice.service && b.state == MemberState::Serving);
-    open.map(|(name, _)| name).any(untried)
-}
-
 fn domain_of(shared: &Shared, server: &Name) -> Vec<Name> {
     let document = shared.view.document();
     let Some(down) = document.backends.get(server) else {
@@ -269,15 +262,10 @@
     }
     let id = shared.unique();
     let request = request(job, choice, trace, &id);
-    let more = progress.attempts < config.attempts
-        && has_other(shared, choice, progress)
-        && shared.decisions.has_retry(&job.subject.service);
-    let limit = match job.idempotent && more {
-        true => {
-            let attempt_ms = shared.decisions.attempt_ms(&job.subject.service);
-            job.left().min(Duration::from_millis(attempt_ms))
-        }
-        false => job.left(),
+    let followed = job.idempotent && progress.attempts < config.attempts;
+    let limit = match choice.attempt.filter(|_| followed) {
+        Some(ms) => job.left().min(Duration::from_millis(ms)),
+        None => job.left(),
     };
     let (start, span) = (Instant::now(), tracing::info_span!("backend"));
     let end = start + limit;
@@ -361,9 +349,7 @@
     strip_own(&mut headers);
     let body = match held {
         Held::All(bytes) => {
-            if let Some(connection) = body.finish() {
-                shared.pool.put(address, connection);
-            }
+            shared.pool.put(address, body.finish());
             running.end(match parts.status {
                 _ if shed => AttemptEnd::Shed,
                 status if status.is_server_error() => AttemptEnd::Failed,
@@ -418,13 +404,12 @@
     pause: Duration,
     mut running: Running,
 ) -> Passing {
-    let on_end = move |result: Result<Option<Connection>, Fault>| match result {
-        Ok(Some(connection)) => {
+    let on_end = move |result: Result<Connection, Fault>| match result {
+        Ok(connection) => {
             let address = running.choice.address;
             running.shared.pool.put(address, connection);
             running.end(AttemptEnd::Complete);
         }
-        Ok(None) => running.end(AttemptEnd::Complete),
         Err(Fault::Cut) => running.end(AttemptEnd::Cancelled),
         Err(_) => running.end(AttemptEnd::Failed),
     };
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -60,6 +60,7 @@
     updated: Millis,
     tallies: IndexMap<Name, Tally>,
     slowest: u64,
+    attempt_ms: u64,
 }
 
 /// Attempts in one region since the last measurement.
@@ -95,6 +96,7 @@
             updated: Millis(0),
             tallies: IndexMap::new(),
             slowest: 0,
+            attempt_ms: config.attempt_ms,
         }
     }
 
@@ -110,6 +112,7 @@
             .filter(|(_, b)| b.service == self.name);
         self.addresses = members
             .clone()
+            .filter(|(_, b)| b.state == MemberState::Serving)
             .map(|(n, b)| (n.clone(), b.address))
             .collect();
         let servers: Vec<ServerInfo> = members
@@ -211,14 +214,26 @@
         let tally = self.tallies.entry(chosen.region.clone()).or_default();
         tally.sent += 1;
         tally.outstanding += 1;
+        let attempt = self.attempt_ms(&chosen.server, tried);
         Some(Choice {
             service: self.name.clone(),
             address,
             server: chosen.server,
             region: chosen.region,
+            attempt,
         })
     }
 
+    // A service whose answers take longer than `attempt_ms` gets twice its
+    // slowest recent one, since it would otherwise lose its first attempts to
+    // timeouts. Without another server to ask, waiting on is better than
+    // giving up.
+    fn attempt_ms(&self, chosen: &Name, tried: &[Name]) -> Option<u64> {
+        let untried = |name: &Name| name != chosen && !tried.contains(name);
+        let followed = self.budget.left() > 0 && self.addresses.keys().any(untried);
+        followed.then(|| self.attempt_ms.max(2 * self.slowest))
+    }
+
     /// Counts a request towards the retry budget and the rate.
     pub fn record_request(&mut self) {
         self.requests += 1;
@@ -237,13 +252,6 @@
         self.balancer.finish(now, &choice.server, end, latency_ms);
     }
 
-    /// Time for one attempt that may be followed by another. A service whose
-    /// answers take longer than `least_ms` gets twice its slowest recent one,
-    /// since it would otherwise lose its first attempts to timeouts.
-    pub fn attempt_ms(&self, least_ms: u64) -> u64 {
-        least_ms.max(2 * self.slowest)
-    }
-
     /// Records a load report that was asked for at `at`.
     pub fn report_load(&mut self, at: Millis, server: &Name, report: LoadReport) {
         self.balancer.report_load(at, server, report);
