Delay hedges that rarely end first

Cause and change: In the calm cases long lookups are long by their own work, and a second attempt only takes capacity. If fewer than a fifth of the hedges end first, hedging starts at twice the 99th percentile.

--- a/crates/steering/benches/model/world.rs
+++ b/crates/steering/benches/model/world.rs
@@ -70,6 +70,7 @@
     pub work: u64,
     pub tries: Vec<Try>,
     pub runs: u32,
+    pub hedged: bool,
     pub over: bool,
 }
 
@@ -237,6 +238,7 @@
             work: work as u64,
             tries: Vec::new(),
             runs: 0,
+            hedged: false,
             over: false,
         });
         let delay = self.client_delay(r) + skipped * 2 * self.size.client_ms * MS;
@@ -443,7 +445,12 @@
 
     fn complete(&mut self, r: usize, k: usize, latency: u64) {
         if !self.reqs[r].booking {
-            self.entries[self.reqs[r].entry].hedge.record(latency);
+            let hedged = self.reqs[r].hedged;
+            let hedge = &mut self.entries[self.reqs[r].entry].hedge;
+            hedge.record(latency);
+            if hedged {
+                hedge.record_hedge(k > 0);
+            }
         }
         for other in 0..self.reqs[r].tries.len() {
             if other != k && self.reqs[r].tries[other].phase != Phase::Over {
@@ -530,7 +537,7 @@
         let e = &mut self.entries[req.entry];
         let waits = !req.over && req.tries.len() == 1 && req.life == self.lives[req.entry];
         if waits && e.hedge.allows(Class::Idempotent, false, &mut e.budget) {
-            self.attempt(r);
+            self.reqs[r].hedged = self.attempt(r);
         }
     }
 
--- a/crates/steering/src/hedge.rs
+++ b/crates/steering/src/hedge.rs
@@ -15,6 +15,18 @@
 /// Latencies recorded before the estimate is used.
 pub const HEDGE_MIN_SAMPLES: u64 = 100;
 
+/// Share of hedges that must end first for hedging at the percentile itself.
+/// Below it, long requests are long by their own work, and a second attempt
+/// only takes capacity.
+const USEFUL: f64 = 0.2;
+
+/// Weight of a new sample in the share of useful hedges.
+const WON_SAMPLE: f64 = 0.05;
+
+/// Factor on the delay while hedges are useless. Still well below a timeout, so
+/// that requests at a silent server are rescued.
+const USELESS_FACTOR: f64 = 2.0;
+
 /// Relative step of the percentile estimate per sample.
 const STEP: f64 = 0.02;
 
@@ -33,6 +45,7 @@
     policy: HedgePolicy,
     delay_ms: f64,
     samples: u64,
+    won: f64,
 }
 
 impl Hedge {
@@ -42,6 +55,7 @@
             policy,
             delay_ms: HEDGE_MIN_MS,
             samples: 0,
+            won: USEFUL,
         }
     }
 
@@ -64,10 +78,21 @@
         self.delay_ms = self.delay_ms.max(HEDGE_MIN_MS);
     }
 
+    /// Records whether the second attempt of a hedged request ended first.
+    pub fn record_hedge(&mut self, won: bool) {
+        let won = f64::from(u8::from(won));
+        self.won += (won - self.won) * WON_SAMPLE;
+    }
+
     /// Delay after which a second attempt may start, if hedging is possible.
     pub fn delay(&self) -> Option<Millis> {
         let ready = self.policy == HedgePolicy::Percentile && self.samples >= HEDGE_MIN_SAMPLES;
-        ready.then_some(Millis(self.delay_ms.ceil() as u64))
+        let factor = if self.won < USEFUL {
+            USELESS_FACTOR
+        } else {
+            1.0
+        };
+        ready.then_some(Millis((self.delay_ms * factor).ceil() as u64))
     }
 
     /// Whether a request whose delay has passed gets a second attempt. A
--- a/crates/steering/tests/resending.rs
+++ b/crates/steering/tests/resending.rs
@@ -88,3 +88,17 @@
     let delay = hedge.delay().unwrap().0;
     assert!((95..=125).contains(&delay), "{delay}");
 }
+
+/// Guards against hedges that only take capacity, and against requests at a
+/// silent server that are no longer rescued.
+#[test]
+fn useless_hedges_start_later() {
+    let mut hedge = Hedge::new(HedgePolicy::Percentile);
+    (0..1_000).for_each(|_| hedge.record(20));
+    let early = hedge.delay().unwrap();
+    (0..100).for_each(|_| hedge.record_hedge(false));
+    let late = hedge.delay().unwrap();
+    (0..20).for_each(|_| hedge.record_hedge(true));
+    assert!(late.0 >= 2 * early.0 - 1 && late.0 <= 2 * early.0 + 1);
+    assert_eq!(hedge.delay(), Some(early));
+}
