--- /dev/null
+++ b/crates/steering/benches/model/attempts.rs
@@ -0,0 +1,220 @@
+//! Attempts at backend servers: start, end, retry, hedge and cancellation.
+
+use pomelovale_state::Name;
+use pomelovale_steering::balancer::Request;
+use pomelovale_steering::region::RegionPolicy;
+use pomelovale_steering::{AttemptEnd, Class};
+
+use super::plan::*;
+use super::server::{Arrival, Mode, Server};
+use super::stats::End;
+use super::world::{Event, Phase, Try, World};
+
+const ATTEMPT_TIMEOUT: u64 = 1_000 * MS;
+const MAX_ATTEMPTS: usize = 4;
+
+impl World {
+    /// Sends an attempt to a server not tried yet; false if there is none.
+    pub fn attempt(&mut self, r: usize) -> bool {
+        let now = self.millis();
+        let class = self.class(r);
+        let tries = &self.reqs[r].tries;
+        let exclude: Vec<Name> = tries.iter().map(|t| Server::name(t.server)).collect();
+        let e = &mut self.entries[self.reqs[r].entry];
+        let region = self.reqs[r]
+            .region
+            .as_ref()
+            .unwrap_or(&e.info.region)
+            .clone();
+        let mut request = Request {
+            class,
+            exclude: &exclude,
+            region: Some(&region),
+        };
+        let mut choice = e.balancer.choose(now, &request);
+        if choice.is_none() && self.stack.region == RegionPolicy::Spill {
+            request.region = None;
+            choice = e.balancer.choose(now, &request);
+        }
+        let Some(choice) = choice else { return false };
+        e.balancer.start(now, &choice.server);
+        let server = Server::index(&choice.server);
+        let idle = e.idle.entry(server).or_insert(0);
+        let connect = if *idle == 0 { MS } else { 0 };
+        *idle = idle.saturating_sub(1);
+        self.reqs[r].tries.push(Try {
+            server,
+            started: self.now,
+            phase: Phase::Flying,
+        });
+        self.stats.attempts += 1;
+        let k = self.reqs[r].tries.len() - 1;
+        let delay = connect + self.distance(r, server);
+        self.after(delay, Event::AtServer(r, k));
+        self.after(ATTEMPT_TIMEOUT, Event::Timeout(r, k));
+        true
+    }
+
+    /// One-way delay between a request's entry and a server.
+    pub fn distance(&self, r: usize, server: usize) -> u64 {
+        let (e, s) = (
+            &self.entries[self.reqs[r].entry].info,
+            &self.servers[server].info,
+        );
+        match () {
+            () if e.region != s.region => 55 * MS,
+            () if e.domain != s.domain => 1_500,
+            () => 100,
+        }
+    }
+
+    pub fn at_server(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        if t.phase == Phase::Over {
+            return;
+        }
+        let back = self.distance(r, t.server);
+        match self.servers[t.server].arrive((r, k)) {
+            Arrival::Failed => self.after(MS + back, Event::Reply(r, k, 1)),
+            Arrival::Held => self.reqs[r].tries[k].phase = Phase::Queued,
+            Arrival::Lost => {}
+            Arrival::Shed => self.after(MS + back, Event::Reply(r, k, 2)),
+            Arrival::Started => self.begin(r, k),
+        }
+    }
+
+    pub fn begin(&mut self, r: usize, k: usize) {
+        let req = &mut self.reqs[r];
+        req.tries[k].phase = Phase::Running;
+        req.runs += 1;
+        let server = req.tries[k].server;
+        let duration = self.servers[server].start(self.now, req.work);
+        self.after(duration, Event::Done(r, k));
+    }
+
+    pub fn done(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        let normal = self.servers[t.server].mode == Mode::Normal;
+        if t.phase != Phase::Running || !normal {
+            return;
+        }
+        let back = self.distance(r, t.server);
+        self.after(back, Event::Reply(r, k, 0));
+        self.leave_slot(t.server);
+        self.reqs[r].tries[k].phase = Phase::Flying;
+    }
+
+    pub fn leave_slot(&mut self, server: usize) {
+        let mut next = self.servers[server].end(self.now);
+        while let Some((r, k)) = next {
+            if self.reqs[r].tries[k].phase == Phase::Queued {
+                return self.begin(r, k);
+            }
+            next = self.servers[server].queue.pop_front();
+        }
+    }
+
+    /// An attempt ends at the entry.
+    pub fn reply(&mut self, r: usize, k: usize, end: AttemptEnd) {
+        let t = self.reqs[r].tries[k];
+        let entry = self.reqs[r].entry;
+        if t.phase == Phase::Over {
+            return;
+        }
+        if self.reqs[r].life != self.lives[entry] || !self.entries[entry].alive {
+            return self.cancel(r, k);
+        }
+        let latency = (self.now - t.started) / MS;
+        let now = self.millis();
+        if end == AttemptEnd::TimedOut {
+            self.cancel(r, k);
+        }
+        self.reqs[r].tries[k].phase = Phase::Over;
+        let e = &mut self.entries[entry];
+        e.balancer
+            .finish(now, &Server::name(t.server), end, latency);
+        if matches!(end, AttemptEnd::Complete | AttemptEnd::Shed) {
+            *e.idle.entry(t.server).or_insert(0) += 1;
+        }
+        if self.reqs[r].over {
+            return;
+        }
+        match end {
+            AttemptEnd::Complete => self.complete(r, k, latency),
+            AttemptEnd::Cancelled => {}
+            AttemptEnd::Failed | AttemptEnd::Shed | AttemptEnd::TimedOut => self.retry(r, end),
+        }
+    }
+
+    pub fn complete(&mut self, r: usize, k: usize, latency: u64) {
+        if !self.reqs[r].booking {
+            let hedged = self.reqs[r].hedged;
+            let hedge = &mut self.entries[self.reqs[r].entry].hedge;
+            hedge.record(latency);
+            if hedged {
+                hedge.record_hedge(k > 0);
+            }
+        }
+        for other in 0..self.reqs[r].tries.len() {
+            if other != k && self.reqs[r].tries[other].phase != Phase::Over {
+                self.give_up(r, other);
+            }
+        }
+        self.release(r, AttemptEnd::Complete, latency, End::Answered);
+    }
+
+    pub fn give_up(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        let (now, latency) = (self.millis(), (self.now - t.started) / MS);
+        let e = &mut self.entries[self.reqs[r].entry];
+        e.balancer
+            .finish(now, &Server::name(t.server), AttemptEnd::Cancelled, latency);
+        self.cancel(r, k);
+    }
+
+    /// The server drops an attempt that nobody waits for.
+    pub fn cancel(&mut self, r: usize, k: usize) {
+        let t = self.reqs[r].tries[k];
+        self.reqs[r].tries[k].phase = Phase::Over;
+        match t.phase {
+            Phase::Running if self.servers[t.server].mode == Mode::Normal => {
+                self.leave_slot(t.server)
+            }
+            Phase::Queued => {
+                let s = &mut self.servers[t.server];
+                s.queue.retain(|a| *a != (r, k));
+                s.connected = s.connected.saturating_sub(1);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn retry(&mut self, r: usize, end: AttemptEnd) {
+        let live = self.reqs[r].tries.iter().any(|t| t.phase != Phase::Over);
+        if live {
+            return;
+        }
+        let safe = !self.reqs[r].booking || end == AttemptEnd::Shed;
+        let more = self.reqs[r].tries.len() < MAX_ATTEMPTS;
+        let entry = self.reqs[r].entry;
+        if safe && more && self.entries[entry].budget.try_spend() && self.attempt(r) {
+            return;
+        }
+        let last = match end {
+            AttemptEnd::Shed => End::Refused,
+            AttemptEnd::TimedOut => End::Unknown,
+            _ => End::Failed,
+        };
+        let latency = (self.now - self.reqs[r].tries[0].started) / MS;
+        self.release(r, end, latency, last);
+    }
+
+    pub fn hedge(&mut self, r: usize) {
+        let req = &self.reqs[r];
+        let e = &mut self.entries[req.entry];
+        let waits = !req.over && req.tries.len() == 1 && req.life == self.lives[req.entry];
+        if waits && e.hedge.allows(Class::Idempotent, false, &mut e.budget) {
+            self.reqs[r].hedged = self.attempt(r);
+        }
+    }
+}
--- a/crates/steering/benches/model/changes.rs
+++ b/crates/steering/benches/model/changes.rs
@@ -74,7 +74,11 @@
             Fault::FastFail => self.servers[FAULTY].mode = Mode::Failing,
             Fault::RegionLost => self.lose_region(),
             Fault::Silent => self.servers[FAULTY].mode = Mode::Silent,
-            Fault::Flood | Fault::NoReports | Fault::Restarts | Fault::ZeroReport => {}
+            Fault::EvenWork
+            | Fault::Flood
+            | Fault::NoReports
+            | Fault::Restarts
+            | Fault::ZeroReport => {}
         }
     }
 
--- a/crates/steering/benches/model/mod.rs
+++ b/crates/steering/benches/model/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The decisions are those of the library; everything else is a stand-in.
 
+pub mod attempts;
 pub mod changes;
 pub mod entry;
 pub mod plan;
--- a/crates/steering/benches/model/plan.rs
+++ b/crates/steering/benches/model/plan.rs
@@ -157,6 +157,9 @@
     ColdHalf,
     /// The servers of one failure domain leave.
     Drain,
+    /// Every lookup takes 20 ms and every booking 40 ms, so that latencies
+    /// differ by waits alone.
+    EvenWork,
     /// One server fails at once.
     FastFail,
     /// One workspace sends five times its rate.
@@ -181,7 +184,7 @@
     pub faults: &'static [Fault],
 }
 
-pub const CASES: [Case; 13] = [
+pub const CASES: [Case; 14] = [
     Case {
         label: "calm 50%",
         load: 0.5,
@@ -192,6 +195,11 @@
         load: 0.8,
         faults: &[],
     },
+    Case {
+        label: "even work 80%",
+        load: 0.8,
+        faults: &[Fault::EvenWork],
+    },
     Case {
         label: "flood 80%",
         load: 0.8,
