Fill shares of slots evenly

Cause and change: Requests over the entry's share went to the server with the shortest expected wait by lagging reports. The cost of a server is now the latency times the requests beyond the entry's share of it, negative below the share; reports only add to it.

--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -484,9 +484,9 @@
         let slots = self.slots(now);
         let share = f64::from(self.share) * self.evidence.ramp(now);
         if own < share {
-            return self.evidence.latency_ms() * own / slots * 0.1;
+            return self.evidence.latency_ms() * (own + 1.0 - share) / slots;
         }
         let latency = self.evidence.latency_ms().max(1.0);
-        self.wait(now, usual) + latency * (self.load(now, usual) / slots)
+        self.wait(now, usual) + latency * (own + 1.0 - share) / slots
     }
 }
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -176,6 +176,24 @@
     silent_server_gets_few: TimedOut at most 40;
 }
 
+/// Guards against a silent server that looks idle beside busy ones, before the
+/// first time-out.
+#[test]
+fn stalled_server_is_not_chosen_before_its_timeout() {
+    let mut balancer = balancer(BalancerPolicy::SlotShares);
+    balancer.start(Millis(0), &name(1));
+    for t in 0..400 {
+        for i in (0..COUNT).filter(|i| *i != 1) {
+            balancer.start(Millis(t), &name(i));
+            if t >= 9 {
+                balancer.finish(Millis(t), &name(i), AttemptEnd::Complete, 9);
+            }
+        }
+    }
+    let choice = balancer.choose(Millis(400), &request(&[])).unwrap();
+    assert_ne!(choice.server, name(1));
+}
+
 /// Guards against ejecting so many servers that the rest is overloaded.
 #[test]
 fn most_servers_stay_when_all_fail() {
