--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -22,6 +22,8 @@
 
 /// Round trip between regions in milliseconds, as far as nothing is measured.
 pub const REGION_RTT_MS: f64 = 110.0;
+/// Answers after which a slow one has lost about two thirds of its weight.
+const PEAK_DECAY: u64 = 64;
 const BITS_PER_MBIT: f64 = 1e6;
 
 /// How a wait ends: admitted, or refused with the time of the next try.
@@ -57,6 +59,8 @@
     requests: u64,
     updated: Millis,
     tallies: IndexMap<Name, Tally>,
+    slowest: u64,
+    attempt_ms: u64,
 }
 
 /// Attempts in one region since the last measurement.
@@ -91,6 +95,8 @@
             requests: 0,
             updated: Millis(0),
             tallies: IndexMap::new(),
+            slowest: 0,
+            attempt_ms: config.attempt_ms,
         }
     }
 
@@ -106,6 +112,7 @@
             .filter(|(_, b)| b.service == self.name);
         self.addresses = members
             .clone()
+            .filter(|(_, b)| b.state == MemberState::Serving)
             .map(|(n, b)| (n.clone(), b.address))
             .collect();
         let servers: Vec<ServerInfo> = members
@@ -207,14 +214,26 @@
         let tally = self.tallies.entry(chosen.region.clone()).or_default();
         tally.sent += 1;
         tally.outstanding += 1;
+        let attempt = self.attempt_ms(&chosen.server, tried);
         Some(Choice {
             service: self.name.clone(),
             address,
             server: chosen.server,
             region: chosen.region,
+            attempt,
         })
     }
 
+    // A service whose answers take longer than `attempt_ms` gets twice its
+    // slowest recent one, since it would otherwise lose its first attempts to
+    // timeouts. Without another server to ask, waiting on is better than
+    // giving up.
+    fn attempt_ms(&self, chosen: &Name, tried: &[Name]) -> Option<u64> {
+        let untried = |name: &Name| name != chosen && !tried.contains(name);
+        let followed = self.budget.left() > 0 && self.addresses.keys().any(untried);
+        followed.then(|| self.attempt_ms.max(2 * self.slowest))
+    }
+
     /// Counts a request towards the retry budget and the rate.
     pub fn record_request(&mut self) {
         self.requests += 1;
@@ -226,6 +245,10 @@
         let tally = self.tallies.entry(choice.region.clone()).or_default();
         tally.outstanding = tally.outstanding.saturating_sub(1);
         tally.failed += u64::from(matches!(end, AttemptEnd::Failed | AttemptEnd::TimedOut));
+        if end == AttemptEnd::Complete {
+            let decayed = self.slowest - self.slowest / PEAK_DECAY;
+            self.slowest = decayed.max(latency_ms);
+        }
         self.balancer.finish(now, &choice.server, end, latency_ms);
     }
 
