--- /dev/null
+++ b/crates/daemon/benches/capacity.rs
@@ -0,0 +1,84 @@
+//! Measures the slopes that docs/CAPACITY.md extrapolates from: each cost at
+//! several sizes, and a linear fit through them.
+//!
+//! `cargo bench -p pomelovaled --bench capacity [-- blocks|limits|state]`
+
+#[path = "capacity_blocks/mod.rs"]
+mod capacity_blocks;
+#[path = "capacity_limits/mod.rs"]
+mod capacity_limits;
+#[path = "capacity_state/mod.rs"]
+mod capacity_state;
+#[path = "../tests/control_kit/mod.rs"]
+mod control_kit;
+
+use std::time::Instant;
+
+/// Intercept and slope of the least-squares line through the points.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let mean = |f: fn(&(f64, f64)) -> f64| points.iter().map(f).sum::<f64>() / n;
+    let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+    let over: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    let under: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
+    let slope = over / under;
+    (y - slope * x, slope)
+}
+
+/// Prints measured points and the line through them.
+fn print_fit(name: &str, unit: &str, points: &[(f64, f64)]) {
+    let (start, slope) = fit(points);
+    let listed: Vec<String> = points.iter().map(|(x, y)| format!("{x}: {y:.2}")).collect();
+    println!(
+        "{name:<44} {unit:<14} {start:>12.3} + {slope:>12.6} * n   [{}]",
+        listed.join(", ")
+    );
+}
+
+/// Microseconds that `work` takes, the smallest of `times` runs.
+fn micros(times: usize, mut work: impl FnMut()) -> f64 {
+    let mut run = || {
+        let start = Instant::now();
+        work();
+        start.elapsed().as_secs_f64() * 1e6
+    };
+    (0..times).map(|_| run()).fold(f64::MAX, f64::min)
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = status.split(' ').nth(1).and_then(|p| p.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * 4_096.0
+}
+
+/// CPU time of this process in microseconds, in steps of 10,000.
+fn cpu_micros() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split(' ').collect();
+    let ticks = |i: usize| {
+        fields
+            .get(i)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    (ticks(12) + ticks(13)) * 10_000.0
+}
+
+fn main() {
+    let only = std::env::args().skip(1).find(|a| !a.starts_with("--"));
+    let runs = |name: &str| only.as_deref().is_none_or(|o| o == name);
+    println!(
+        "{:<44} {:<14} {:>12}   {:>12}       [n: measured]",
+        "what", "unit", "start", "slope"
+    );
+    if runs("blocks") {
+        capacity_blocks::measure();
+    }
+    if runs("limits") {
+        capacity_limits::measure();
+    }
+    if runs("state") {
+        capacity_state::measure();
+    }
+}
--- /dev/null
+++ b/crates/daemon/benches/capacity_blocks/mod.rs
@@ -0,0 +1,127 @@
+//! The client-block table.
+
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+
+use pomelovale_state::blocks::{address_bits, BlockChange, BlockTable, Prefix};
+use pomelovale_state::Name;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::{micros, print_fit};
+
+const SITES: u64 = 59;
+const LOOKUPS: usize = 1_000_000;
+
+/// Which blocks a table has.
+#[derive(Clone, Copy, Debug)]
+enum Mix {
+    /// Adjacent IPv4 blocks of 256 addresses, with a few inner and outer ones.
+    Dense,
+    /// IPv4 blocks of 16 to 24 bits and IPv6 blocks of 32 to 48 bits, mixed
+    /// evenly, at random places.
+    Mixed,
+}
+
+fn rows(mix: Mix, count: usize, rng: &mut SmallRng) -> Vec<BlockChange> {
+    let prefix = |i: usize, rng: &mut SmallRng| match (mix, i % 32) {
+        (Mix::Dense, 0) => v4((i as u32) << 8, 20),
+        (Mix::Dense, 1) => v4((i as u32) << 8 | 64, 27),
+        (Mix::Dense, _) => v4((i as u32) << 8, 24),
+        (Mix::Mixed, n) if n % 2 == 0 => v4(rng.random(), rng.random_range(16..=24)),
+        (Mix::Mixed, _) => {
+            let bits = 0x2000 << 112 | rng.random::<u128>() >> 3;
+            Prefix::new(bits, rng.random_range(32..=48))
+        }
+    };
+    let mut rows = indexmap::IndexMap::new();
+    for i in 0.. {
+        if rows.len() == count {
+            break;
+        }
+        let site = Name::from(format!("site{}", rng.random_range(0..SITES)));
+        rows.insert(prefix(i, rng), site);
+    }
+    let row = |(prefix, site)| BlockChange {
+        prefix,
+        site: Some(site),
+    };
+    rows.into_iter().map(row).collect()
+}
+
+fn v4(bits: u32, length: u8) -> Prefix {
+    Prefix::new(address_bits(IpAddr::V4(Ipv4Addr::from(bits))), length + 96)
+}
+
+/// Addresses within blocks of the table, in random order.
+fn addresses(rows: &[BlockChange], rng: &mut SmallRng) -> Vec<IpAddr> {
+    let inside = |_| {
+        let prefix = rows[rng.random_range(0..rows.len())].prefix;
+        let host = rng.random::<u128>() & !Prefix::new(u128::MAX, prefix.length).first;
+        let bits = Ipv6Addr::from(prefix.first | host);
+        bits.to_ipv4_mapped().map_or(IpAddr::V6(bits), IpAddr::V4)
+    };
+    (0..LOOKUPS).map(inside).collect()
+}
+
+struct Measured {
+    build: f64,
+    bytes: f64,
+    lookup: f64,
+    delta: f64,
+    shared: f64,
+    encoded: f64,
+}
+
+fn one(mix: Mix, count: usize) -> Measured {
+    let mut rng = SmallRng::seed_from_u64(count as u64);
+    let mut rows = rows(mix, count, &mut rng);
+    rows.shuffle(&mut rng);
+    let config = bincode::config::standard();
+    let mut table = BlockTable::default();
+    let build = micros(1, || table.apply(&rows));
+    let bytes = bincode::serde::encode_to_vec(&table, config).expect("encodes");
+    let addresses = addresses(&rows, &mut rng);
+    let lookup = micros(5, || {
+        for &address in &addresses {
+            black_box(table.lookup(address));
+        }
+    });
+    let mut changed = table.clone();
+    let delta = micros(200, || {
+        let at = rng.random_range(0..rows.len());
+        changed.apply(&rows[at..=at]);
+    });
+    let shared = micros(50, || {
+        let mut copy = table.clone();
+        copy.apply(&rows[..1]);
+        black_box(copy.len());
+    });
+    Measured {
+        build,
+        bytes: table.memory_bytes() as f64,
+        lookup: lookup * 1e3 / LOOKUPS as f64,
+        delta,
+        shared,
+        encoded: bytes.len() as f64,
+    }
+}
+
+pub fn measure() {
+    for mix in [Mix::Dense, Mix::Mixed] {
+        let sizes = [101_250, 202_500, 405_000, 810_000];
+        let all: Vec<(f64, Measured)> = sizes.map(|n| (n as f64, one(mix, n))).into();
+        let line = |what: &str, unit: &str, value: fn(&Measured) -> f64| {
+            let points: Vec<(f64, f64)> = all.iter().map(|(n, m)| (*n, value(m))).collect();
+            print_fit(&format!("blocks {mix:?}: {what}"), unit, &points);
+        };
+        line("build", "us", |m| m.build);
+        line("memory of the rows", "bytes", |m| m.bytes);
+        line("lookup", "ns", |m| m.lookup);
+        line("lookups on one core", "million/s", |m| 1e3 / m.lookup);
+        line("delta of 1 row", "us", |m| m.delta);
+        line("delta of 1 row on a shared table", "us", |m| m.shared);
+        line("snapshot", "bytes", |m| m.encoded);
+    }
+}
--- /dev/null
+++ b/crates/daemon/benches/capacity_limits/mod.rs
@@ -0,0 +1,104 @@
+//! The rate ledger and the limiter.
+
+use std::hint::black_box;
+
+use pomelovale_coordination::ledger::{Ledger, LedgerConfig, Rate};
+use pomelovale_coordination::limiter::{Limiter, LimiterConfig};
+use pomelovale_protocol::grants::{GrantRequest, Want, TOKEN};
+use pomelovale_state::{Millis, Name};
+
+use crate::{micros, print_fit};
+
+const ROUNDS: u64 = 20;
+const ROUND_TRIP_MS: usize = 110;
+const DECISIONS_PER_MS: usize = 100;
+
+fn request(entry: usize, seq: u64, workspaces: usize) -> GrantRequest {
+    let want = |w: usize| Want {
+        workspace: Name::from(format!("w{w}")),
+        demand: TOKEN / 20,
+        wanted: 2 * TOKEN,
+        ..Want::default()
+    };
+    GrantRequest {
+        instance: Name::from(format!("e{entry}")),
+        seq,
+        epoch: 1,
+        wants: (0..workspaces).map(want).collect(),
+    }
+}
+
+/// Microseconds of the ledger for one row of a request.
+fn grant(entries: usize, workspaces: usize) -> f64 {
+    let mut ledger = Ledger::new(LedgerConfig::new(1), Millis(0));
+    let rate = Rate {
+        per_second: 100_000,
+        burst: 100_000,
+    };
+    for w in 0..workspaces {
+        ledger.set_limit(&Name::from(format!("w{w}")), rate, Millis(0));
+    }
+    let requests: Vec<GrantRequest> = (0..ROUNDS)
+        .flat_map(|seq| (0..entries).map(move |e| request(e, seq + 1, workspaces)))
+        .collect();
+    let mut now = Millis(5_000);
+    let took = micros(1, || {
+        for (i, request) in requests.iter().enumerate() {
+            if i % entries == 0 {
+                now = now.plus(250);
+            }
+            black_box(ledger.request(now, request));
+        }
+    });
+    took / (requests.len() * workspaces) as f64
+}
+
+/// Nanoseconds of one decision with a number of workspaces.
+fn admit(workspaces: usize) -> f64 {
+    let names: Vec<Name> = (0..workspaces)
+        .map(|w| Name::from(format!("w{w}")))
+        .collect();
+    let mut limiter = Limiter::new(LimiterConfig::new(Name::from("e")));
+    let mut ledger = Ledger::new(LedgerConfig::new(1), Millis(0));
+    let rate = Rate {
+        per_second: 1_000_000,
+        burst: 1_000_000,
+    };
+    for name in &names {
+        ledger.set_limit(name, rate, Millis(0));
+    }
+    let decisions = 200_000;
+    let took = micros(1, || {
+        for i in 0..decisions {
+            let now = Millis((5_000 + i / DECISIONS_PER_MS) as u64);
+            black_box(limiter.admit(now, &names[i * 7 % workspaces], 1));
+            // One exchange with the ledger in each round trip.
+            if i % (ROUND_TRIP_MS * DECISIONS_PER_MS) == 0 {
+                if let Some(request) = limiter.next_request(now) {
+                    limiter.receive(now, ledger.request(now, &request));
+                }
+            }
+        }
+    });
+    took * 1e3 / decisions as f64
+}
+
+pub fn measure() {
+    let sizes = [12, 55, 110, 220, 440];
+    let points = sizes.map(|n| (n as f64, grant(n, 8)));
+    print_fit("ledger: one row of a request, by entries", "us", &points);
+    let points = [8, 32, 128].map(|n| (n as f64, grant(110, n)));
+    print_fit("ledger: the same, by workspaces", "us", &points);
+    let points = [8, 64, 512].map(|n| (n as f64, admit(n)));
+    print_fit(
+        "limiter: decision with requests, by workspaces",
+        "ns",
+        &points,
+    );
+    let config = bincode::config::standard();
+    let points = [8, 32, 128].map(|n| {
+        let bytes = bincode::serde::encode_to_vec(request(1, 1, n), config).expect("encodes");
+        (n as f64, bytes.len() as f64)
+    });
+    print_fit("limiter: request, by workspaces", "bytes", &points);
+}
--- /dev/null
+++ b/crates/daemon/benches/capacity_state/mod.rs
@@ -0,0 +1,253 @@
+//! The log, subscriptions and the document. Both ends run in one process over
+//! loopback sockets, so that costs include both ends.
+
+use std::hint::black_box;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::grants::{GrantRequest, Want};
+use pomelovale_state::command::Applied;
+use pomelovale_state::document::{Digest, Document, Key, KeyHolder};
+use pomelovale_state::{Clock, Name};
+use pomelovale_transport::peer_link::PeerCounters;
+use pomelovaled::control::config::ControlLimits;
+use pomelovaled::subscriber::{ControlPlace, Subscriber, SubscriberConfig};
+
+use crate::control_kit::{change, put_workspace, secret, until, Cluster};
+use crate::{cpu_micros, micros, print_fit, resident};
+
+const CONTROLS: usize = 3;
+const WINDOW: Duration = Duration::from_secs(4);
+/// Changes a second while the cost of distribution is measured.
+const CHANGES_PER_SECOND: u64 = 20;
+
+/// An entry that is connected to the control instances without a stand-in.
+struct Subscribed {
+    handle: ControlHandle,
+    view: Arc<View>,
+    counters: Arc<PeerCounters>,
+}
+
+fn subscribe(cluster: &Cluster, n: usize) -> Subscribed {
+    let place = |i: usize| ControlPlace {
+        name: cluster.names[i].clone(),
+        address: cluster.server(i).address(),
+        region: Name::from("r"),
+        domain: Name::from("d"),
+    };
+    let counters = Arc::<PeerCounters>::default();
+    let config = SubscriberConfig {
+        name: Name::from(format!("e{n}")),
+        region: Name::from("r"),
+        domain: Name::from("d"),
+        controls: (0..CONTROLS).map(place).collect(),
+        secret: secret(),
+        timings: Default::default(),
+        limits: Default::default(),
+        counters: counters.clone(),
+    };
+    let view = Arc::new(View::default());
+    Subscribed {
+        handle: Subscriber::start(config, view.clone(), Clock::monotonic()),
+        view,
+        counters,
+    }
+}
+
+async fn propose(cluster: &Cluster, leader: usize, id: u64) {
+    let sent = change(&format!("p{id}"), put_workspace("w", id + 1));
+    let applied = cluster.server(leader).handle().propose(sent).await;
+    assert!(
+        matches!(applied, Ok(Applied::Accepted { .. })),
+        "{applied:?}"
+    );
+}
+
+struct Measured {
+    memory: f64,
+    idle_cpu: f64,
+    idle_bytes: f64,
+    change_cpu: f64,
+    change_bytes: f64,
+    in_force_ms: f64,
+    grant_cpu: f64,
+}
+
+fn bytes(entries: &[Subscribed]) -> f64 {
+    let of = |e: &Subscribed| {
+        e.counters.received.load(Ordering::Relaxed) + e.counters.sent.load(Ordering::Relaxed)
+    };
+    entries.iter().map(of).sum::<u64>() as f64
+}
+
+async fn subscriptions(count: usize) -> Measured {
+    let cluster = Cluster::start_limited(CONTROLS, 0, Vec::new(), ControlLimits::default()).await;
+    let leader = cluster.leader().await;
+    propose(&cluster, leader, 0).await;
+    let before = resident();
+    let entries: Vec<Subscribed> = (0..count).map(|n| subscribe(&cluster, n)).collect();
+    for entry in &entries {
+        until("the entry is current", || {
+            entry.view.document().version >= 1
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let memory = resident() - before;
+    let seconds = WINDOW.as_secs_f64();
+
+    let (cpu, sent) = (cpu_micros(), bytes(&entries));
+    tokio::time::sleep(WINDOW).await;
+    let idle_cpu = (cpu_micros() - cpu) / seconds;
+    let idle_bytes = (bytes(&entries) - sent) / seconds;
+
+    let changes = CHANGES_PER_SECOND * WINDOW.as_secs();
+    let (cpu, sent, start) = (cpu_micros(), bytes(&entries), Instant::now());
+    for id in 1..=changes {
+        propose(&cluster, leader, id).await;
+        let due = Duration::from_millis(id * 1_000 / CHANGES_PER_SECOND);
+        tokio::time::sleep(due.saturating_sub(start.elapsed())).await;
+    }
+    let took = start.elapsed().as_secs_f64();
+    let change_cpu = (cpu_micros() - cpu - idle_cpu * took) / changes as f64;
+    let change_bytes = (bytes(&entries) - sent - idle_bytes * took) / changes as f64;
+
+    let start = Instant::now();
+    propose(&cluster, leader, changes + 1).await;
+    for entry in &entries {
+        until("in force", || entry.view.document().version >= changes + 2).await;
+    }
+    let in_force_ms = start.elapsed().as_secs_f64() * 1e3;
+    let grant_cpu = grants(&entries, idle_cpu).await;
+    Measured {
+        memory,
+        idle_cpu,
+        idle_bytes,
+        change_cpu,
+        change_bytes,
+        in_force_ms,
+        grant_cpu,
+    }
+}
+
+/// CPU microseconds of one grant request of 8 workspaces, both ends.
+async fn grants(entries: &[Subscribed], idle_cpu: f64) -> f64 {
+    const ROUNDS: u64 = 8;
+    let (cpu, start) = (cpu_micros(), Instant::now());
+    for seq in 1..=ROUNDS {
+        let calls = entries.iter().enumerate().map(|(n, entry)| {
+            let want = |w: usize| Want {
+                workspace: Name::from(format!("w{w}")),
+                ..Want::default()
+            };
+            let request = GrantRequest {
+                instance: Name::from(format!("e{n}")),
+                seq,
+                epoch: 0,
+                wants: (0..8).map(want).collect(),
+            };
+            let handle = entry.handle.clone();
+            tokio::spawn(async move { handle.grant(request).await })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            let _ = call.await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let idle = idle_cpu * start.elapsed().as_secs_f64();
+    (cpu_micros() - cpu - idle) / (ROUNDS * entries.len() as u64) as f64
+}
+
+/// CPU microseconds for a number of changes, 64 at a time, without entries.
+async fn log(changes: u64) -> (f64, f64) {
+    let cluster = Cluster::start_limited(CONTROLS, 0, Vec::new(), ControlLimits::default()).await;
+    let leader = cluster.leader().await;
+    propose(&cluster, leader, 0).await;
+    let (cpu, start) = (cpu_micros(), Instant::now());
+    let cluster = Arc::new(cluster);
+    let workers = (0..64).map(|worker| {
+        let cluster = cluster.clone();
+        tokio::spawn(async move {
+            for id in (worker + 1..=changes).step_by(64) {
+                propose(&cluster, leader, id).await;
+            }
+        })
+    });
+    for worker in workers.collect::<Vec<_>>() {
+        worker.await.expect("the worker ends");
+    }
+    (cpu_micros() - cpu, start.elapsed().as_secs_f64() * 1e6)
+}
+
+fn document(keys: usize) -> Document {
+    let mut document = Document::default();
+    for n in 0..keys {
+        let key = Key {
+            holder: KeyHolder::Workspace(Name::from("w")),
+            digest: Digest([n as u8; 32]),
+            revoked: false,
+        };
+        document.keys.insert(Name::from(format!("key{n}")), key);
+    }
+    document
+}
+
+pub fn measure() {
+    let documents = [1_000, 4_000, 16_000].map(|n| {
+        let document = document(n);
+        let clone = micros(20, || drop(black_box(document.clone())));
+        let config = bincode::config::standard();
+        let bytes = bincode::serde::encode_to_vec(&document, config).expect("encodes");
+        (n as f64, clone, bytes.len() as f64)
+    });
+    print_fit(
+        "document: clone, by keys",
+        "us",
+        &documents.map(|d| (d.0, d.1)),
+    );
+    print_fit(
+        "document: snapshot, by keys",
+        "bytes",
+        &documents.map(|d| (d.0, d.2)),
+    );
+
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    let logs = [500, 1_000, 2_000, 4_000].map(|n| (n as f64, runtime.block_on(log(n))));
+    print_fit(
+        "log: CPU of 3 instances, by changes",
+        "us",
+        &logs.map(|l| (l.0, l.1 .0)),
+    );
+    print_fit(
+        "log: time, by changes, 64 at a time",
+        "us",
+        &logs.map(|l| (l.0, l.1 .1)),
+    );
+
+    let sizes = [40, 80, 160, 320];
+    let all = sizes.map(|n| (n as f64, runtime.block_on(subscriptions(n))));
+    let line = |what: &str, unit: &str, value: fn(&Measured) -> f64| {
+        let points: Vec<(f64, f64)> = all.iter().map(|(n, m)| (*n, value(m))).collect();
+        print_fit(&format!("subscriptions: {what}"), unit, &points);
+    };
+    line("memory, by entries", "bytes", |m| m.memory);
+    line("CPU a second without changes, by entries", "us", |m| {
+        m.idle_cpu
+    });
+    line("bytes a second without changes, by entries", "bytes", |m| {
+        m.idle_bytes
+    });
+    line("CPU of a change, by entries", "us", |m| m.change_cpu);
+    line("bytes of a change, by entries", "bytes", |m| m.change_bytes);
+    line("change in force everywhere, by entries", "ms", |m| {
+        m.in_force_ms
+    });
+    line("CPU of a grant request, by entries", "us", |m| m.grant_cpu);
+}
--- a/crates/state/src/block_rows.rs
+++ b/crates/state/src/block_rows.rs
@@ -15,6 +15,9 @@
 pub(crate) const CHUNK_MAX: usize = 255;
 /// Rows in a chunk of a table that is built at once; leaves room for inserts.
 pub(crate) const CHUNK_FILL: usize = 240;
+/// Offsets of one cache line.
+const GROUP: usize = 16;
+const GROUPS: usize = CHUNK_MAX.div_ceil(GROUP);
 const NO_PARENT: u8 = 255;
 
 /// One block with the number of its site.
@@ -42,7 +45,8 @@
 #[derive(Debug)]
 enum Offsets {
     Full(Box<[u128]>),
-    Narrow(Box<[u32]>),
+    /// With the last offset of each group, so that a search reads one group.
+    Narrow([u32; GROUPS], Box<[u32]>),
     Wide(Box<[u64]>),
 }
 
@@ -62,6 +66,16 @@
     covers: Option<Arc<[Row]>>,
 }
 
+impl Offsets {
+    fn narrow(offsets: Box<[u32]>) -> Offsets {
+        let mut ends = [u32::MAX; GROUPS];
+        for (end, group) in ends.iter_mut().zip(offsets.chunks_exact(GROUP)) {
+            *end = group[GROUP - 1];
+        }
+        Offsets::Narrow(ends, offsets)
+    }
+}
+
 impl Rows {
     /// The rows must be sorted, without duplicates and at least one.
     fn new(rows: &[Row]) -> Rows {
@@ -72,7 +86,7 @@
         let last = rows.last().map_or(0, |r| offset(r) >> shift);
         let offsets = rows.iter().map(|r| offset(r) >> shift);
         let offsets = match last {
-            n if u32::try_from(n).is_ok() => Offsets::Narrow(offsets.map(|o| o as u32).collect()),
+            n if u32::try_from(n).is_ok() => Offsets::narrow(offsets.map(|o| o as u32).collect()),
             n if u64::try_from(n).is_ok() => Offsets::Wide(offsets.map(|o| o as u64).collect()),
             _ => Offsets::Full(offsets.collect()),
         };
@@ -102,7 +116,7 @@
     fn row(&self, i: usize) -> Row {
         let offset = match &self.offsets {
             Offsets::Full(o) => o[i],
-            Offsets::Narrow(o) => u128::from(o[i]),
+            Offsets::Narrow(_, o) => u128::from(o[i]),
             Offsets::Wide(o) => u128::from(o[i]),
         };
         Row {
@@ -119,9 +133,12 @@
         let target = (bits - self.base) >> self.shift;
         match &self.offsets {
             Offsets::Full(o) => o.partition_point(|&x| x <= target),
-            Offsets::Narrow(o) => {
+            Offsets::Narrow(ends, o) => {
                 let target = u32::try_from(target).unwrap_or(u32::MAX);
-                o.partition_point(|&x| x <= target)
+                let group = ends.iter().filter(|&&x| x <= target).count();
+                let from = (group * GROUP).min(o.len());
+                let to = (from + GROUP).min(o.len());
+                from + o[from..to].iter().filter(|&&x| x <= target).count()
             }
             Offsets::Wide(o) => {
                 let target = u64::try_from(target).unwrap_or(u64::MAX);
@@ -146,7 +163,7 @@
     fn bytes(&self) -> usize {
         let offsets = match &self.offsets {
             Offsets::Full(o) => size_of_val(&**o),
-            Offsets::Narrow(o) => size_of_val(&**o),
+            Offsets::Narrow(_, o) => size_of_val(&**o),
             Offsets::Wide(o) => size_of_val(&**o),
         };
         size_of::<Rows>() + offsets + size_of_val(&*self.metas)
