--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -75,6 +75,8 @@
 /// millisecond of this time.
 const PREFETCH_MS: u64 = 250;
 
+/// Highest demand that is believed, in units per millisecond.
+const DEMAND_MAX: u64 = 1 << 40;
 /// The pool is short if it holds less than this part of the burst.
 const SHORT_PART: u64 = 8;
 /// Demand above the rate by this many standard deviations is overload.
@@ -98,6 +100,8 @@
     /// Counted as leased by earlier epochs and not told yet.
     unknown: Lease,
     leases: IndexMap<Name, Lease>,
+    /// Sums over all leases, and a time before which none of them ends.
+    sums: Lease,
     level: u64,
     /// Refill that is withheld; see [`Bucket::settle`].
     debt: u64,
@@ -208,16 +212,46 @@
 impl Bucket {
     /// What is neither leased nor unknown.
     fn free(&self) -> Lease {
-        let mut free = Lease {
-            rate: self.rate.saturating_sub(self.unknown.rate),
-            cap: self.cap.saturating_sub(self.unknown.cap),
+        Lease {
+            rate: (self.rate.saturating_sub(self.unknown.rate)).saturating_sub(self.sums.rate),
+            cap: (self.cap.saturating_sub(self.unknown.cap)).saturating_sub(self.sums.cap),
+            ..Lease::default()
+        }
+    }
+
+    fn put(&mut self, instance: &Name, lease: Lease) {
+        let old = self
+            .leases
+            .insert(instance.clone(), lease)
+            .unwrap_or_default();
+        let until = match self.leases.len() {
+            1 => lease.until,
+            _ => self.sums.until.min(lease.until),
+        };
+        self.sums = Lease {
+            rate: self.sums.rate - old.rate + lease.rate,
+            cap: self.sums.cap - old.cap + lease.cap,
+            demand: self.sums.demand - old.demand + lease.demand,
+            until,
+        };
+    }
+
+    fn remove_expired(&mut self, now: Millis) {
+        if self.leases.is_empty() || now < self.sums.until {
+            return;
+        }
+        self.leases.retain(|_, l| now < l.until);
+        let mut sums = Lease {
+            until: Millis(u64::MAX),
             ..Lease::default()
         };
         for lease in self.leases.values() {
-            free.rate = free.rate.saturating_sub(lease.rate);
-            free.cap = free.cap.saturating_sub(lease.cap);
+            sums.rate += lease.rate;
+            sums.cap += lease.cap;
+            sums.demand += lease.demand;
+            sums.until = sums.until.min(lease.until);
         }
-        free
+        self.sums = sums;
     }
 
     fn advance(&mut self, now: Millis, ready: Millis) {
@@ -232,7 +266,7 @@
             self.level = free.cap;
             self.at = self.at.max(now.plus(1));
         }
-        self.leases.retain(|_, l| now < l.until);
+        self.remove_expired(now);
         if now >= ready {
             self.unknown = Lease::default();
         }
@@ -259,11 +293,11 @@
         let held = Lease {
             rate: want.rate.min(before.rate),
             cap: cap.min(before.cap),
-            demand: want.demand,
+            demand: want.demand.min(DEMAND_MAX),
             until,
         };
         self.debt += before.rate - held.rate;
-        self.leases.insert(instance.clone(), held);
+        self.put(instance, held);
         let returned = want.returned.min(before.cap);
         self.level = self.level.saturating_add(returned).min(self.free().cap);
         held
@@ -272,18 +306,20 @@
     /// The lease that an entry should have in view of all demands.
     fn target(&self, config: &LedgerConfig, instance: &Name) -> Lease {
         let index = self.leases.get_index_of(instance).unwrap_or(0);
-        let claims: Vec<u64> = self.leases.values().map(|l| l.demand).collect();
-        let sum: u64 = claims.iter().fold(0, |a, &c| a.saturating_add(c));
+        let (claim, sum) = (self.leases[index].demand, self.sums.demand);
         // A new leader keeps a pool of what was told, not of the whole limit.
         let known = self.cap.saturating_sub(self.unknown.cap);
         let leased = self.rate / 1_000 * config.rate_leased;
         let reserve = self.rate / 1_000 * RESERVE_PER_MILLE;
         let rest = leased.saturating_sub(reserve);
-        let shares = match sum > rest {
-            true => max_min(rest, &claims),
-            false => proportional(rest, &claims),
+        let share = match sum > rest {
+            true => {
+                let claims: Vec<u64> = self.leases.values().map(|l| l.demand).collect();
+                max_min(rest, &claims)[index]
+            }
+            false => proportional(rest, &[claim, sum - claim])[0],
         };
-        let rate = shares[index] + reserve / claims.len() as u64;
+        let rate = share + reserve / self.leases.len() as u64;
         let cap = u128::from(known / 1_000 * config.cap_leased) * u128::from(rate);
         let cap = (cap / u128::from(leased.max(1))) as u64;
         match cap < TOKEN {
@@ -314,7 +350,10 @@
         let cap = raise(held.cap, target.cap, free.cap);
         let level = want.level.min(held.cap);
         let wanted = want.wanted.saturating_sub(level);
-        let ahead = (want.demand * PREFETCH_MS).saturating_sub(level.saturating_sub(want.wanted));
+        let ahead = want
+            .demand
+            .saturating_mul(PREFETCH_MS)
+            .saturating_sub(level.saturating_sub(want.wanted));
         let tokens = wanted.saturating_add(ahead.min(self.level / PREFETCH_PART));
         // Leased capacity leaves with the tokens that it holds.
         let room = free.cap.saturating_sub(cap.saturating_sub(held.cap));
@@ -326,7 +365,7 @@
             cap: cap.max(held.cap).max(level + tokens),
             ..held
         };
-        self.leases.insert(instance.clone(), lease);
+        self.put(instance, lease);
         self.level = self.level.min(self.free().cap);
         Grant {
             workspace: want.workspace.clone(),
@@ -340,12 +379,12 @@
 
     /// Zero while the workspace is within its limit.
     fn retry_ms(&self, want: &Want, tokens: u64) -> u64 {
-        let demand: u64 = self.leases.values().map(|l| l.demand).sum();
+        let demand = self.sums.demand;
         // Demand is an average over about a second, so its estimate varies by
         // the root of the number of requests in a second.
         let second = (self.rate as f64 * 1_000.0 / TOKEN as f64).sqrt();
         let noise = (NOISE_ROOTS * second * TOKEN as f64 / 1_000.0) as u64;
-        match want.wanted > tokens + want.level && demand > self.rate + noise {
+        match want.wanted > tokens.saturating_add(want.level) && demand > self.rate + noise {
             true => (want.wanted / self.rate.max(1)).clamp(1, 1_000),
             false => 0,
         }
