--- a/crates/coordination/tests/log_core/checks.rs
+++ b/crates/coordination/tests/log_core/checks.rs
@@ -136,6 +136,12 @@
         let open = |(index, _): &&(LogIndex, Members)| index.0 > self.history.len() as u64;
         let later = self.proposed.iter().filter(open);
         let mut configs: Vec<Members> = later.map(|(_, members)| members.clone()).collect();
+        let logs = (0..self.nodes.len()).filter_map(|node| self.status(node));
+        let longer = logs.filter(|s| s.last.0 > self.history.len() as u64);
+        configs.extend(longer.map(|s| Members {
+            learners: s.learners.into_iter().collect(),
+            voters: s.voters.into_iter().collect(),
+        }));
         configs.push(self.committed().1);
         configs
     }
@@ -154,10 +160,12 @@
             .all(|(lost, voters)| lost <= voters.saturating_sub(1) / 2)
     }
 
-    /// Whether no disk is lost that still counts as a voter's. With one lost,
-    /// no operator removes a voter that works.
+    /// Whether an operator may remove a voter: no disk is lost that still
+    /// counts as a voter's, and two voters remain. A group that grows from one
+    /// voter to two survives no loss while it does.
     pub fn may_remove(&self) -> bool {
-        self.lost(None).all(|(lost, _)| lost == 0)
+        self.lost(None)
+            .all(|(lost, voters)| lost == 0 && voters > 2)
     }
 
     /// Whether all instances vote under their present identity by every
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -22,11 +22,21 @@
 
 /// Round trip between regions in milliseconds, as far as nothing is measured.
 pub const REGION_RTT_MS: f64 = 110.0;
+/// Answers after which a slow one has lost about two thirds of its weight.
+const PEAK_DECAY: u64 = 64;
 const BITS_PER_MBIT: f64 = 1e6;
 
 /// How a wait ends: admitted, or refused with the time of the next try.
 pub type Admitted = Result<(), u64>;
 
+/// A move of the service that has begun.
+#[derive(Debug)]
+struct Moved {
+    from: Name,
+    to: Name,
+    share: u16,
+}
+
 /// The decisions about one service.
 #[derive(Debug)]
 pub struct Steering {
@@ -42,13 +52,15 @@
     home: Name,
     split: Split,
     regions: Regions,
-    moved: Option<(Name, u16)>,
+    moved: Option<Moved>,
     addresses: HashMap<Name, SocketAddr>,
     local: bool,
     version: Option<u64>,
     requests: u64,
     updated: Millis,
     tallies: IndexMap<Name, Tally>,
+    slowest: u64,
+    attempt_ms: u64,
 }
 
 /// Attempts in one region since the last measurement.
@@ -83,6 +95,8 @@
             requests: 0,
             updated: Millis(0),
             tallies: IndexMap::new(),
+            slowest: 0,
+            attempt_ms: config.attempt_ms,
         }
     }
 
@@ -98,6 +112,7 @@
             .filter(|(_, b)| b.service == self.name);
         self.addresses = members
             .clone()
+            .filter(|(_, b)| b.state == MemberState::Serving)
             .map(|(n, b)| (n.clone(), b.address))
             .collect();
         let servers: Vec<ServerInfo> = members
@@ -119,11 +134,7 @@
         for (name, workspace) in &document.workspaces {
             self.admission.set_weight(name, workspace.weight);
         }
-        let moved = document
-            .moves
-            .values()
-            .find(|m| m.from == self.home && m.services.contains(&self.name) && m.share() > 0);
-        self.moved = moved.map(|m| (m.to.clone(), m.share()));
+        self.moved = self.find_move(document);
         if self.moved.is_none() {
             self.split.forget(&self.name);
         }
@@ -138,20 +149,40 @@
         self.admission.set_bounds(share.max(2), slots.max(2));
     }
 
+    // The move out of this region goes first; others matter to requests that
+    // this entry sends into the region that is being left.
+    fn find_move(&self, document: &Document) -> Option<Moved> {
+        let moves = document.moves.values();
+        let mine = moves.filter(|m| m.services.contains(&self.name) && m.share() > 0);
+        let first = mine.min_by_key(|m| m.from != self.home)?;
+        Some(Moved {
+            from: first.from.clone(),
+            to: first.to.clone(),
+            share: first.share(),
+        })
+    }
+
     /// The only region allowed for the next request; any if there is no server
     /// in this entry's region. Call once for each request.
     pub fn region(&mut self) -> Option<Name> {
-        let share = self.moved.as_ref().map_or(0, |(_, share)| *share);
-        match &self.moved {
-            Some((to, _)) if self.split.pick(&self.name, share) => return Some(to.clone()),
-            _ if !self.local => return None,
-            _ => {}
+        let Some(moved) = &self.moved else {
+            return self.local.then(|| self.regions.pick());
+        };
+        let own = moved.from == self.home;
+        if (own || !self.local) && self.split.pick(&self.name, moved.share) {
+            return Some(moved.to.clone());
+        }
+        if !self.local {
+            return None;
         }
         let picked = self.regions.pick();
-        match &self.moved {
-            Some((to, _)) if *to == picked && !self.split.try_spill(&self.name) => {
+        match moved {
+            m if own && m.to == picked && !self.split.try_spill(&self.name) => {
                 Some(self.home.clone())
             }
+            m if !own && m.from == picked && self.split.pick(&self.name, m.share) => {
+                Some(m.to.clone())
+            }
             _ => Some(picked),
         }
     }
@@ -171,10 +202,10 @@
         };
         let mut chosen = self.balancer.choose(now, &request);
         if chosen.is_none() && region.is_some_and(|r| *r != self.home) {
-            if self.moved.as_ref().map(|(to, _)| to) == region {
+            if self.moved.as_ref().map(|m| &m.to) == region {
                 self.split.give_back(&self.name);
             }
-            request.region = Some(&self.home);
+            request.region = self.local.then_some(&self.home);
             chosen = self.balancer.choose(now, &request);
         }
         let chosen = chosen?;
@@ -183,14 +214,26 @@
         let tally = self.tallies.entry(chosen.region.clone()).or_default();
         tally.sent += 1;
         tally.outstanding += 1;
+        let attempt = self.attempt_ms(&chosen.server, tried);
         Some(Choice {
             service: self.name.clone(),
             address,
             server: chosen.server,
             region: chosen.region,
+            attempt,
         })
     }
 
+    // A service whose answers take longer than `attempt_ms` gets twice its
+    // slowest recent one, since it would otherwise lose its first attempts to
+    // timeouts. Without another server to ask, waiting on is better than
+    // giving up.
+    fn attempt_ms(&self, chosen: &Name, tried: &[Name]) -> Option<u64> {
+        let untried = |name: &Name| name != chosen && !tried.contains(name);
+        let followed = self.budget.left() > 0 && self.addresses.keys().any(untried);
+        followed.then(|| self.attempt_ms.max(2 * self.slowest))
+    }
+
     /// Counts a request towards the retry budget and the rate.
     pub fn record_request(&mut self) {
         self.requests += 1;
@@ -202,6 +245,10 @@
         let tally = self.tallies.entry(choice.region.clone()).or_default();
         tally.outstanding = tally.outstanding.saturating_sub(1);
         tally.failed += u64::from(matches!(end, AttemptEnd::Failed | AttemptEnd::TimedOut));
+        if end == AttemptEnd::Complete {
+            let decayed = self.slowest - self.slowest / PEAK_DECAY;
+            self.slowest = decayed.max(latency_ms);
+        }
         self.balancer.finish(now, &choice.server, end, latency_ms);
     }
 
