--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -286,6 +286,10 @@
         progress.echo = counter;
         progress.matched = progress.matched.max(matched.min(last));
         progress.next = progress.next.max(progress.matched.next());
+        if progress.next > self.entries.base().index {
+            // The replica has the snapshot, even if its reply was lost.
+            progress.install = None;
+        }
         progress.note_goal(last, self.now, self.config.election_ms.0);
         let probe = match refused {
             Some(refused) => progress.refuse(refused),
--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -1,7 +1,7 @@
 //! Single failures, one case each.
 
-use pomelovale_coordination::log::{Action, Event, Role};
-use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, Position};
+use pomelovale_coordination::log::{Action, Event, Replica, Role};
+use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, Position, Refused};
 use pomelovale_state::Millis;
 
 use crate::sim::{write, Sim};
@@ -267,9 +267,64 @@
 #[test]
 fn commits_only_with_own_epoch() {
     let mut sim = Sim::settled(5, 1);
+    let (mut core, now) = elect(&mut sim);
+    let old = core.status().last.previous();
+    assert_eq!(core.status().commit, LogIndex(0));
+    let mut matched = |index| {
+        (1..5).for_each(|node| drop(core.step(now, reply(&sim, node, &core, index, None))));
+        core.status().commit
+    };
+    assert_eq!(matched(old), LogIndex(0));
+    assert_eq!(matched(old.next()), old.next());
+}
+
+/// Guards against a leader that waits forever for the reply to a snapshot.
+/// The replica has it, but only answers messages sent before it.
+#[test]
+fn snapshot_reply_may_be_lost() {
+    let mut sim = Sim::settled(3, 1);
+    sim.propose();
+    sim.run(100);
+    sim.compact(0);
+    sim.run(100);
+    let (mut core, mut now) = elect(&mut sim);
+    let base = sim.nodes[0].disk.snapshot.index;
+    let last = core.status().last;
+    assert!(base > LogIndex(0) && base < last);
+    let refused = |hint| {
+        Some(Refused {
+            hint,
+            previous: last,
+        })
+    };
+    let sends = |actions: Vec<Action>, wanted: fn(&LogMessage, LogIndex) -> bool| {
+        let of = |action: &Action| matches!(action, Action::Send { message, .. } if wanted(message, base));
+        actions.iter().any(of)
+    };
+    let actions = core.step(
+        now,
+        reply(&sim, 1, &core, LogIndex(0), refused(LogIndex(0))),
+    );
+    assert!(sends(actions, |m, _| matches!(
+        m,
+        LogMessage::Install { .. }
+    )));
+    let probes = (0..20).filter(|_| {
+        now = now.plus(20);
+        let mut actions = core.step(now, Event::Tick);
+        actions.extend(core.step(now, reply(&sim, 1, &core, base, refused(base))));
+        sends(actions, |m, base| {
+            matches!(m, LogMessage::Append { entries, previous, .. }
+                if previous.index == base && !entries.is_empty())
+        })
+    });
+    // The first one is lost, too.
+    assert!(probes.count() > 1);
+}
+
+/// The replica of the first instance, restarted and elected.
+fn elect(sim: &mut Sim) -> (Replica, Millis) {
     let mut core = sim.replica(0);
-    let old = core.status().last;
-    assert!(old > LogIndex(0) && core.status().commit == LogIndex(0));
     let mut now = Millis(5_000_000);
     let mut replies = Vec::new();
     while core.status().role != Role::Leader {
@@ -286,24 +341,27 @@
             }
         }
     }
-    let epoch = core.status().epoch;
-    let mut matched = |index: LogIndex| {
-        for node in 1..5 {
-            let message = LogMessage::AppendReply {
-                counter: 1,
-                epoch,
-                matched: index,
-                refused: None,
-                round: 1,
-                verified: index,
-            };
-            let from = sim.id(node);
-            core.step(now, Event::Receive { from, message });
-        }
-        core.status().commit
+    (core, now)
+}
+
+/// The reply of an instance to the leader's first round.
+fn reply(
+    sim: &Sim,
+    node: usize,
+    core: &Replica,
+    matched: LogIndex,
+    refused: Option<Refused>,
+) -> Event {
+    let message = LogMessage::AppendReply {
+        counter: 1,
+        epoch: core.status().epoch,
+        matched,
+        refused,
+        round: 1,
+        verified: matched,
     };
-    assert_eq!(matched(old), LogIndex(0));
-    assert_eq!(matched(old.next()), old.next());
+    let from = sim.id(node);
+    Event::Receive { from, message }
 }
 
 /// The answer of a replica that supports every election.
