Continue the log after fewer torn records in its tests

Cause: each continued log costs several syncs, and the storage tests took 9 to 11 s on a busy disk.

Change: the log is still cut at every byte, and continued after every eighth.

--- a/crates/coordination/tests/log_storage.rs
+++ b/crates/coordination/tests/log_storage.rs
@@ -126,8 +126,10 @@
             fs::write(&path, &whole[..length]).expect("written");
             let (mut storage, restored) = Storage::open(directory).expect("opened");
             assert_eq!(restored.entries, entries(2, 1..=9), "cut at {length}");
-            save_entries(&mut storage, entries(2, 10..=10));
-            assert_eq!(reopen(directory).entries, entries(2, 1..=10));
+            if length % 8 == 0 {
+                save_entries(&mut storage, entries(2, 10..=10));
+                assert_eq!(reopen(directory).entries, entries(2, 1..=10));
+            }
         }
     };
 
