Measure the load of each region by its own servers

Cause and change: The assumed least load of a server was the mean over all regions, so a busy region made idle ones look as busy and spill stopped while there was room. Each region now has its own mean, half of which is the least load of a server in the region's sum.

--- a/crates/steering/benches/model/changes.rs
+++ b/crates/steering/benches/model/changes.rs
@@ -171,7 +171,7 @@
     /// An entry asks all servers for their load, those far away less often.
     pub fn poll(&mut self, i: usize) {
         let now = self.millis();
-        let entries = self.entries.len() as u32;
+        let entries = self.entries.len() as u32 * 2 / 3;
         let e = &mut self.entries[i];
         let far = (self.now / (POLL_MS * MS)) % 4 == 0;
         if !self.case.has(Fault::NoReports) || self.now < FAULT {
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -28,6 +28,10 @@
 /// whatever it reports. At 0.7 a server that reported zero got 44% more.
 const LEAST_USUAL: f64 = 1.0;
 
+/// The same for the load of a region. Raising every report to the mean would
+/// overstate the sum.
+const LEAST_IN_REGION: f64 = 0.5;
+
 /// How a server is selected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BalancerPolicy {
@@ -248,19 +252,24 @@
     /// A server without a fresh report adds neither slots nor load while others
     /// have one, and a report far below its peers' counts as near them.
     pub fn region_loads(&self, now: Millis) -> Vec<RegionLoad> {
-        let mut loads: IndexMap<Name, RegionLoad> = IndexMap::new();
-        let all: Vec<usize> = (0..self.servers.len()).collect();
-        let usual = self.usual_load(now, &all);
-        for s in self.servers.values().filter(|s| s.takes_work(now)) {
-            let load = loads
-                .entry(s.info.region.clone())
-                .or_insert_with(|| RegionLoad::new(&s.info.region));
-            load.add(now, s, usual);
+        let mut regions: IndexMap<&Name, Vec<usize>> = IndexMap::new();
+        for (i, s) in self.servers.values().enumerate() {
+            if s.takes_work(now) {
+                regions.entry(&s.info.region).or_default().push(i);
+            }
         }
-        for load in loads.values_mut() {
-            load.wait_ms /= f64::from(load.slots.max(1));
+        let load = |(region, list): (&Name, Vec<usize>)| self.region_load(now, region, &list);
+        regions.into_iter().map(load).collect()
+    }
+
+    fn region_load(&self, now: Millis, region: &Name, list: &[usize]) -> RegionLoad {
+        let usual = self.usual_load(now, list);
+        let mut load = RegionLoad::new(region);
+        for &i in list {
+            load.add(now, &self.servers[i], usual);
         }
-        loads.into_values().collect()
+        load.wait_ms /= f64::from(load.slots.max(1));
+        load
     }
 
     fn choose_by_share(
@@ -419,7 +428,7 @@
         self.load += server
             .evidence
             .reported_load()
-            .max(usual * f64::from(slots) * LEAST_USUAL);
+            .max(usual * f64::from(slots) * LEAST_IN_REGION);
         self.wait_ms += server.wait(now, usual) * f64::from(slots);
         self.oldest_ms = self.oldest_ms.max(Some(age));
     }
--- a/crates/steering/src/region.rs
+++ b/crates/steering/src/region.rs
@@ -107,7 +107,8 @@
     }
 
     /// Takes new measurements; call a few times a second. `rate` is the entry's
-    /// requests a second, `entries` the number of entries that may spill at the
+    /// requests a second, `entries` the number of entries outside the other region,
+    /// all of which may spill to it at the
     /// same time. Without a fresh measurement an allowance stays as it is.
     pub fn update(&mut self, now: Millis, rate: f64, entries: u32, measures: &[RegionMeasure]) {
         let passed = self.updated.map_or(0, |at| now.since(at)).min(1_000) as f64 / 1_000.0;
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -239,3 +239,31 @@
     let late = drive(&mut balancer, 7_000, 500, 30, |_| AttemptEnd::Complete);
     assert!(early[5] * 2 < late[5], "{early:?} then {late:?}");
 }
+
+/// Guards against a busy region that makes an idle one look busy, and so keeps
+/// requests from spilling there.
+#[test]
+fn region_loads_are_independent() {
+    let mut balancer = balancer(BalancerPolicy::SlotShares);
+    let mut list = servers();
+    list[3..]
+        .iter_mut()
+        .for_each(|s| s.region = Name::from("south"));
+    balancer.set_servers(Millis(0), &list);
+    for i in 0..COUNT {
+        let busy = if i < 3 { 6 } else { 1 };
+        let queued = if i < 3 { 20 } else { 0 };
+        balancer.report_load(
+            Millis(0),
+            &name(i),
+            LoadReport {
+                slots: 6,
+                busy,
+                queued,
+            },
+        );
+    }
+    let loads = balancer.region_loads(Millis(0));
+    let south = loads.iter().find(|l| l.region.as_str() == "south").unwrap();
+    assert_eq!((south.slots, south.load), (18, 3.0));
+}
