Spill a waiting request before it is refused

Cause and change: A request that had waited for its whole bound was refused although another region had room by then. Only the stand-in entry changed; the library already allows it.

--- a/crates/steering/benches/model/world.rs
+++ b/crates/steering/benches/model/world.rs
@@ -340,9 +340,17 @@
     fn sweep(&mut self, i: usize) {
         let now = self.millis();
         let refused = self.entries[i].admission.take_refused(now);
-        refused
-            .iter()
-            .for_each(|x| self.close(x.ticket.0 as usize, End::Refused));
+        for x in refused {
+            let r = x.ticket.0 as usize;
+            let waited = (self.now - self.reqs[r].sent) / MS;
+            match self.entries[i].regions.try_spill(waited as f64) {
+                Some(region) => {
+                    self.reqs[r].region = Some(region);
+                    self.dispatch(r);
+                }
+                None => self.close(r, End::Refused),
+            }
+        }
         self.after(SWEEP, Event::Sweep(i));
     }
 }
