Serve in order of arrival within the usual demand

Cause and change: Shares by weight and demand made workspaces wait unequally although all were within their rates. Virtual clock instead: a request's tag is its arrival, or later if its workspace sends more than 1.5 times its usual demand by its weight.

--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -6,28 +6,15 @@
 use rand::{Rng, SeedableRng};
 
 use crate::baseline;
-use crate::ejection::{Ejection, Health, EJECTED_SHARE};
-use crate::evidence::Evidence;
+use crate::ejection::{Health, EJECTED_SHARE};
+use crate::server::Server;
 use crate::{AttemptEnd, Class};
 
 pub use crate::evidence::LoadReport;
 
-/// Round trip between failure domains of a region in milliseconds.
-const DOMAIN_RTT_MS: f64 = 3.0;
-
-/// Round trip between regions in milliseconds.
-const REGION_RTT_MS: f64 = 110.0;
-
-/// Time between two attempts at a server on probation, in milliseconds.
-const PROBE_INTERVAL_MS: u64 = 100;
-
 /// Age up to which a load report counts for its region, in milliseconds.
 const REPORT_FRESH_MS: u64 = 2_000;
 
-/// Part of the usual load that every server is assumed to have at least,
-/// whatever it reports. At 0.7 a server that reported zero got 44% more.
-const LEAST_USUAL: f64 = 1.0;
-
 /// The same for the load of a region. Raising every report to the mean would
 /// overstate the sum.
 const LEAST_IN_REGION: f64 = 0.5;
@@ -113,17 +100,6 @@
     pub oldest_ms: Option<u64>,
 }
 
-#[derive(Clone, Debug)]
-struct Server {
-    info: ServerInfo,
-    evidence: Evidence,
-    ejection: Ejection,
-    probed: Millis,
-    share: u32,
-    most: u32,
-    distance_ms: f64,
-}
-
 /// Selects servers of one service for one entry.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -393,17 +369,6 @@
     }
 }
 
-impl ServerInfo {
-    fn distance(&self, home: Option<&(Name, Name)>) -> f64 {
-        match home {
-            None => 0.0,
-            Some((region, _)) if region != &self.region => REGION_RTT_MS,
-            Some((_, domain)) if domain != &self.domain => DOMAIN_RTT_MS,
-            Some(_) => 0.0,
-        }
-    }
-}
-
 impl RegionLoad {
     fn new(region: &Name) -> RegionLoad {
         RegionLoad {
@@ -433,69 +398,3 @@
         self.oldest_ms = self.oldest_ms.max(Some(age));
     }
 }
-
-impl Server {
-    fn new(info: &ServerInfo) -> Server {
-        Server {
-            info: info.clone(),
-            evidence: Evidence::default(),
-            ejection: Ejection::default(),
-            probed: Millis(0),
-            share: info.slots,
-            most: info.connections.max(1),
-            distance_ms: 0.0,
-        }
-    }
-
-    fn is_allowed(&self, request: &Request<'_>) -> bool {
-        !self.info.leaving
-            && request.region.is_none_or(|r| r == &self.info.region)
-            && !request.exclude.contains(&self.info.name)
-            && self.evidence.outstanding() < self.most
-    }
-
-    fn takes_work(&self, now: Millis) -> bool {
-        !self.info.leaving && self.is_usable(now)
-    }
-
-    fn is_usable(&self, now: Millis) -> bool {
-        self.ejection.health(now) == Health::Serving
-            && !self.evidence.is_stalled(now)
-            && !self.evidence.is_paused(now)
-    }
-
-    fn is_probe_due(&self, now: Millis) -> bool {
-        matches!(self.ejection.health(now), Health::Probation { .. })
-            && self.evidence.outstanding() == 0
-            && now.since(self.probed) >= PROBE_INTERVAL_MS
-    }
-
-    fn slots(&self, now: Millis) -> f64 {
-        (f64::from(self.info.slots) * self.evidence.ramp(now)).max(1.0)
-    }
-
-    /// Expected requests at the server, own and others'.
-    fn load(&self, now: Millis, usual: f64) -> f64 {
-        let slots = f64::from(self.info.slots);
-        let weight = self.evidence.report_weight(now);
-        let reported = self.evidence.others().max(usual * slots * LEAST_USUAL);
-        f64::from(self.evidence.outstanding()) + weight * reported + (1.0 - weight) * usual * slots
-    }
-
-    fn wait(&self, now: Millis, usual: f64) -> f64 {
-        let slots = self.slots(now);
-        let over = (self.load(now, usual) + 1.0 - slots).max(0.0);
-        self.evidence.latency_ms() * over / slots
-    }
-
-    fn cost(&self, now: Millis, usual: f64) -> f64 {
-        let own = f64::from(self.evidence.outstanding());
-        let slots = self.slots(now);
-        let share = f64::from(self.share) * self.evidence.ramp(now);
-        if own < share {
-            return self.evidence.latency_ms() * (own + 1.0 - share) / slots;
-        }
-        let latency = self.evidence.latency_ms().max(1.0);
-        self.wait(now, usual) + latency * (own + 1.0 - share) / slots
-    }
-}
--- a/crates/steering/src/fair_queue.rs
+++ b/crates/steering/src/fair_queue.rs
@@ -1,13 +1,11 @@
-//! Queue that serves workspaces in proportion to their weights and usual demand.
+//! Queue that delays the workspaces that exceed their usual demand.
 //!
-//! Start-time fair queuing: each request gets a tag on the virtual clock of its
-//! workspace, and the smallest tag is served first. A workspace that was idle
-//! starts at the current virtual time and saves up nothing.
-//!
-//! The rate limits bound each workspace over all entries, but its callers may
-//! concentrate on some of them. Its part of one queue is therefore its weight
-//! times its usual demand there, learned so slowly that a sudden flood delays
-//! the flooding workspace only.
+//! Virtual clock: each workspace has an entitled rate, a multiple of its usual
+//! demand by its weight. A request's tag is its time of arrival, or later if the
+//! workspace sends faster than that rate, and the smallest tag is served first.
+//! Workspaces within their rates are therefore served in order of arrival and
+//! wait equally long, and a flood delays the flooding workspace only. Shares by
+//! weight alone made workspaces wait whose callers concentrate on one entry.
 
 use std::collections::VecDeque;
 
@@ -29,7 +27,17 @@
 }
 
 /// Time over which the usual demand is learned, in milliseconds.
-const DEMAND_MS: f64 = 5_000.0;
+const DEMAND_MS: f64 = 20_000.0;
+
+/// Shortest time over which the demand of a new workspace is measured, in
+/// milliseconds.
+const DEMAND_MIN_MS: f64 = 1_000.0;
+
+/// Entitled rate of a workspace with weight 1 relative to its usual demand.
+const SLACK: f64 = 1.5;
+
+/// Lowest usual demand assumed, in requests a millisecond.
+const DEMAND_FLOOR: f64 = 0.01;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
@@ -45,7 +53,8 @@
     /// Requests of the last time, with exponential decay.
     demand: f64,
     seen: Millis,
-    /// Tag of the next request if it arrived while others wait.
+    since: Millis,
+    /// Earliest tag of the next request.
     next_tag: f64,
     waiting: VecDeque<Waiting>,
 }
@@ -55,7 +64,6 @@
 pub struct FairQueue {
     policy: QueuePolicy,
     lines: IndexMap<Name, Line>,
-    virtual_time: f64,
     order: u64,
     len: usize,
 }
@@ -66,7 +74,6 @@
         FairQueue {
             policy,
             lines: IndexMap::new(),
-            virtual_time: 0.0,
             order: 0,
             len: 0,
         }
@@ -93,17 +100,17 @@
         line.waiting.front().map(|w| w.since)
     }
 
-    /// Sets the weight of a workspace; 1 if never set.
+    /// Sets the weight of a workspace, a factor on its entitled rate; 1 if never
+    /// set.
     pub fn set_weight(&mut self, workspace: &Name, weight: u32) {
-        self.line(workspace).weight = f64::from(weight.max(1));
+        self.line(Millis(0), workspace).weight = f64::from(weight.max(1));
     }
 
     /// Adds a ticket at the end of its workspace's line.
     pub fn push(&mut self, now: Millis, ticket: Ticket, workspace: &Name) {
         let order = self.order;
-        let virtual_time = self.virtual_time;
-        let line = self.line(workspace);
-        let tag = line.arrive(now, virtual_time);
+        let line = self.line(now, workspace);
+        let tag = line.arrive(now);
         line.waiting.push_back(Waiting {
             ticket,
             since: now,
@@ -116,16 +123,13 @@
 
     /// Counts a request that was admitted without waiting.
     pub fn charge(&mut self, now: Millis, workspace: &Name) {
-        let virtual_time = self.virtual_time;
-        let tag = self.line(workspace).arrive(now, virtual_time);
-        self.virtual_time = self.virtual_time.max(tag);
+        self.line(now, workspace).arrive(now);
     }
 
     /// Takes the next ticket to serve.
     pub fn pop(&mut self) -> Option<Ticket> {
         let index = self.next_line()?;
         let next = self.lines[index].waiting.pop_front()?;
-        self.virtual_time = self.virtual_time.max(next.tag);
         self.len -= 1;
         Some(next.ticket)
     }
@@ -171,17 +175,17 @@
         Some((name.clone(), last.ticket))
     }
 
-    /// Depth of a workspace's line for its weight, as a share of all weights
-    /// that wait: the number of requests served before a new one of it.
+    /// Number of waiting requests that are served before a new one of a
+    /// workspace.
     pub fn ahead(&self, workspace: &Name) -> f64 {
-        if self.policy == QueuePolicy::Fifo {
-            return self.len as f64;
+        let own = self.lines.get(workspace).map_or(0.0, |l| l.next_tag);
+        let newest = |l: &Line| l.waiting.back().map_or(0.0, |w| w.since.0 as f64);
+        let tag = self.lines.values().map(newest).fold(own, f64::max);
+        let before = |l: &Line| l.waiting.partition_point(|w| w.tag <= tag);
+        match self.policy {
+            QueuePolicy::Fair => self.lines.values().map(before).sum::<usize>() as f64,
+            QueuePolicy::Fifo => self.len as f64,
         }
-        let own = self.lines.get(workspace);
-        let part = own.map_or(1.0, Line::part);
-        let rounds = (own.map_or(0, |l| l.waiting.len()) as f64 + 1.0) / part;
-        let served = |l: &Line| (l.waiting.len() as f64).min(rounds * l.part());
-        self.lines.values().map(served).sum()
     }
 
     fn next_line(&self) -> Option<usize> {
@@ -197,13 +201,14 @@
         .map(|h| h.0)
     }
 
-    fn line(&mut self, workspace: &Name) -> &mut Line {
+    fn line(&mut self, now: Millis, workspace: &Name) -> &mut Line {
         if !self.lines.contains_key(workspace) {
             let line = Line {
                 weight: 1.0,
                 demand: 0.0,
-                seen: Millis(0),
-                next_tag: self.virtual_time,
+                seen: now,
+                since: now,
+                next_tag: 0.0,
                 waiting: VecDeque::new(),
             };
             self.lines.insert(workspace.clone(), line);
@@ -213,17 +218,20 @@
 }
 
 impl Line {
-    fn part(&self) -> f64 {
-        self.weight * self.demand.max(1.0)
+    /// Requests a millisecond that the workspace may send without delay.
+    fn entitled(&self, now: Millis) -> f64 {
+        let age = (now.since(self.since) as f64).max(DEMAND_MIN_MS);
+        let measured = DEMAND_MS * (1.0 - (-age / DEMAND_MS).exp());
+        (self.demand / measured).max(DEMAND_FLOOR) * SLACK * self.weight
     }
 
     /// Counts an arrival and returns its tag.
-    fn arrive(&mut self, now: Millis, virtual_time: f64) -> f64 {
+    fn arrive(&mut self, now: Millis) -> f64 {
         let passed = now.since(self.seen) as f64;
         self.demand = self.demand * (-passed / DEMAND_MS).exp() + 1.0;
         self.seen = now;
-        let tag = self.next_tag.max(virtual_time);
-        self.next_tag = tag + 1.0 / self.part();
+        let tag = self.next_tag.max(now.0 as f64);
+        self.next_tag = tag + 1.0 / self.entitled(now);
         tag
     }
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod quarantine;
 pub mod region;
 pub mod retry;
+mod server;
 pub mod split;
 
 /// Kinds of request that steering treats differently.
