Count silently cancelled attempts as failures

Cause and change: Hedges cancel the attempts at a silent server before they time out, so the server was neither stalled nor ejected and kept its requests. A cancelled attempt during which the server gave no sign of life for at least twice its usual latency now counts as a failure.

--- a/crates/steering/src/evidence.rs
+++ b/crates/steering/src/evidence.rs
@@ -20,6 +20,13 @@
 /// Silence that makes a server suspect, as a multiple of its recent latency.
 const STALL_FACTOR: f64 = 8.0;
 
+/// Shortest time without a response after which a cancelled attempt counts as a
+/// failure, in milliseconds.
+const SILENT_MIN_MS: f64 = 50.0;
+
+/// The same as a multiple of the recent latency.
+const SILENT_FACTOR: f64 = 2.0;
+
 /// Time after a shed response without further requests, in milliseconds.
 const SHED_PAUSE_MS: u64 = 25;
 
@@ -160,6 +167,14 @@
         self.outstanding > 0 && now.since(self.progress) as f64 > bound
     }
 
+    /// Whether an attempt that is cancelled after `latency_ms` saw no sign of
+    /// life of the server. Hedges cancel the attempts at a silent server before
+    /// they time out, so that it would keep its requests otherwise.
+    pub fn was_silent(&self, now: Millis, latency_ms: u64) -> bool {
+        let bound = (self.latency_ms * SILENT_FACTOR).max(SILENT_MIN_MS);
+        latency_ms as f64 > bound && self.progress <= now.minus(latency_ms)
+    }
+
     fn learn(&mut self, latency_ms: f64) {
         self.latency_ms += match self.latency_ms == 0.0 {
             true => latency_ms,
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -267,3 +267,32 @@
     let south = loads.iter().find(|l| l.region.as_str() == "south").unwrap();
     assert_eq!((south.slots, south.load), (18, 3.0));
 }
+
+/// Guards against a silent server that keeps its requests because hedges cancel
+/// each attempt before it times out.
+#[test]
+fn silent_server_is_ejected_by_cancelled_attempts() {
+    let mut balancer = balancer(BalancerPolicy::SlotShares);
+    drive(&mut balancer, 0, 500, 12, |_| AttemptEnd::Complete);
+    for t in [500u64, 700, 900] {
+        balancer.start(Millis(t), &name(1));
+        balancer.finish(Millis(t + 130), &name(1), AttemptEnd::Cancelled, 130);
+    }
+    let health = balancer.health(Millis(1_030), &name(1));
+    assert!(matches!(health, Some(Health::Ejected { .. })));
+}
+
+/// Guards against ejecting servers whose callers went away.
+#[test]
+fn early_cancels_eject_nothing() {
+    let mut balancer = balancer(BalancerPolicy::SlotShares);
+    drive(&mut balancer, 0, 500, 12, |_| AttemptEnd::Complete);
+    for t in 500..600 {
+        balancer.start(Millis(t), &name(1));
+        balancer.finish(Millis(t), &name(1), AttemptEnd::Cancelled, 1);
+    }
+    assert_eq!(
+        balancer.health(Millis(600), &name(1)),
+        Some(Health::Serving)
+    );
+}
