--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,10 @@
 //! Peer streams, HTTP server and client adapters.
+
+pub mod backend;
+pub mod body;
+pub mod framing;
+pub mod http_server;
+pub mod peer_client;
+pub mod peer_link;
+pub mod peer_server;
+pub mod pool;
