Wait four seconds before an overload counts as lasting

Cause and change: In the drain many refusals fell into the two seconds in which the spill allowances still grew, when the shorter bound of the wait was already in force. It now begins after 4 s.

--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -21,7 +21,7 @@
 
 /// Time after which a queue that never empties counts as overload rather than
 /// as a burst, in milliseconds.
-const STANDING_MS: u64 = 2_000;
+const STANDING_MS: u64 = 4_000;
 
 /// Part of the longest wait that is allowed in an overload. Waiting longer does
 /// not serve more requests then, it only delays all of them. Still longer than
--- a/crates/steering/tests/regions.rs
+++ b/crates/steering/tests/regions.rs
@@ -166,3 +166,35 @@
         .count();
     assert!((30..=70).contains(&east), "{east}");
 }
+
+/// Guards against a ranking that sends callers back and forth when measurements
+/// and cached lists lag by six seconds together.
+#[test]
+fn lagging_lists_do_not_oscillate() {
+    let mut ranking = EntryRanking::new(EntryPolicy::Headroom);
+    let north = Name::from("north");
+    let mut parts = vec![0.0; 7];
+    let mut loads = Vec::new();
+    for s in 10..130u64 {
+        let load = 130.0 * (1.0 - parts[parts.len() - 6]);
+        let at = s * 1_000;
+        let measures = [
+            headroom("north", load, at),
+            headroom("south", 150.0 - load, at),
+        ];
+        let south = RegionHeadroom {
+            capacity: 400.0,
+            ..measures[1].clone()
+        };
+        ranking.update(Millis(at), &[measures[0].clone(), south]);
+        parts.push(ranking.away(&north));
+        loads.push(load);
+    }
+    let settled = &loads[60..];
+    assert!(
+        settled.iter().all(|l| (90.0..=106.0).contains(l)),
+        "{settled:?}"
+    );
+    let turns = settled.windows(2).filter(|w| w[0] != w[1]).count();
+    assert!(turns <= 5, "{settled:?}");
+}
