--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -6,27 +6,18 @@
 use rand::{Rng, SeedableRng};
 
 use crate::baseline;
-use crate::ejection::{Ejection, Health, EJECTED_SHARE};
-use crate::evidence::Evidence;
+use crate::ejection::{Health, EJECTED_SHARE};
+use crate::server::Server;
 use crate::{AttemptEnd, Class};
 
 pub use crate::evidence::LoadReport;
 
-/// Round trip between failure domains of a region in milliseconds.
-const DOMAIN_RTT_MS: f64 = 3.0;
-
-/// Round trip between regions in milliseconds.
-const REGION_RTT_MS: f64 = 110.0;
-
-/// Time between two attempts at a server on probation, in milliseconds.
-const PROBE_INTERVAL_MS: u64 = 100;
-
 /// Age up to which a load report counts for its region, in milliseconds.
 const REPORT_FRESH_MS: u64 = 2_000;
 
-/// Part of the usual load that every server is assumed to have at least,
-/// whatever it reports. At 0.7 a server that reported zero got 44% more.
-const LEAST_USUAL: f64 = 1.0;
+/// The same for the load of a region. Raising every report to the mean would
+/// overstate the sum.
+const LEAST_IN_REGION: f64 = 0.5;
 
 /// How a server is selected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -109,17 +100,6 @@
     pub oldest_ms: Option<u64>,
 }
 
-#[derive(Clone, Debug)]
-struct Server {
-    info: ServerInfo,
-    evidence: Evidence,
-    ejection: Ejection,
-    probed: Millis,
-    share: u32,
-    most: u32,
-    distance_ms: f64,
-}
-
 /// Selects servers of one service for one entry.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -225,7 +205,9 @@
         let room = end == AttemptEnd::Complete || self.may_eject(now, server);
         let jitter = self.rng.random::<f64>();
         if let Some(s) = self.servers.get_mut(server) {
+            let silent = end == AttemptEnd::Cancelled && s.evidence.was_silent(now, latency_ms);
             s.evidence.finish(now, end, latency_ms);
+            let end = if silent { AttemptEnd::Failed } else { end };
             if s.ejection.record(now, end, room, jitter) {
                 s.evidence.start_ramp(now);
             }
@@ -248,19 +230,24 @@
     /// A server without a fresh report adds neither slots nor load while others
     /// have one, and a report far below its peers' counts as near them.
     pub fn region_loads(&self, now: Millis) -> Vec<RegionLoad> {
-        let mut loads: IndexMap<Name, RegionLoad> = IndexMap::new();
-        let all: Vec<usize> = (0..self.servers.len()).collect();
-        let usual = self.usual_load(now, &all);
-        for s in self.servers.values().filter(|s| s.takes_work(now)) {
-            let load = loads
-                .entry(s.info.region.clone())
-                .or_insert_with(|| RegionLoad::new(&s.info.region));
-            load.add(now, s, usual);
+        let mut regions: IndexMap<&Name, Vec<usize>> = IndexMap::new();
+        for (i, s) in self.servers.values().enumerate() {
+            if s.takes_work(now) {
+                regions.entry(&s.info.region).or_default().push(i);
+            }
         }
-        for load in loads.values_mut() {
-            load.wait_ms /= f64::from(load.slots.max(1));
+        let load = |(region, list): (&Name, Vec<usize>)| self.region_load(now, region, &list);
+        regions.into_iter().map(load).collect()
+    }
+
+    fn region_load(&self, now: Millis, region: &Name, list: &[usize]) -> RegionLoad {
+        let usual = self.usual_load(now, list);
+        let mut load = RegionLoad::new(region);
+        for &i in list {
+            load.add(now, &self.servers[i], usual);
         }
-        loads.into_values().collect()
+        load.wait_ms /= f64::from(load.slots.max(1));
+        load
     }
 
     fn choose_by_share(
@@ -384,17 +371,6 @@
     }
 }
 
-impl ServerInfo {
-    fn distance(&self, home: Option<&(Name, Name)>) -> f64 {
-        match home {
-            None => 0.0,
-            Some((region, _)) if region != &self.region => REGION_RTT_MS,
-            Some((_, domain)) if domain != &self.domain => DOMAIN_RTT_MS,
-            Some(_) => 0.0,
-        }
-    }
-}
-
 impl RegionLoad {
     fn new(region: &Name) -> RegionLoad {
         RegionLoad {
@@ -419,74 +395,8 @@
         self.load += server
             .evidence
             .reported_load()
-            .max(usual * f64::from(slots) * LEAST_USUAL);
+            .max(usual * f64::from(slots) * LEAST_IN_REGION);
         self.wait_ms += server.wait(now, usual) * f64::from(slots);
         self.oldest_ms = self.oldest_ms.max(Some(age));
     }
 }
-
-impl Server {
-    fn new(info: &ServerInfo) -> Server {
-        Server {
-            info: info.clone(),
-            evidence: Evidence::default(),
-            ejection: Ejection::default(),
-            probed: Millis(0),
-            share: info.slots,
-            most: info.connections.max(1),
-            distance_ms: 0.0,
-        }
-    }
-
-    fn is_allowed(&self, request: &Request<'_>) -> bool {
-        !self.info.leaving
-            && request.region.is_none_or(|r| r == &self.info.region)
-            && !request.exclude.contains(&self.info.name)
-            && self.evidence.outstanding() < self.most
-    }
-
-    fn takes_work(&self, now: Millis) -> bool {
-        !self.info.leaving && self.is_usable(now)
-    }
-
-    fn is_usable(&self, now: Millis) -> bool {
-        self.ejection.health(now) == Health::Serving
-            && !self.evidence.is_stalled(now)
-            && !self.evidence.is_paused(now)
-    }
-
-    fn is_probe_due(&self, now: Millis) -> bool {
-        matches!(self.ejection.health(now), Health::Probation { .. })
-            && self.evidence.outstanding() == 0
-            && now.since(self.probed) >= PROBE_INTERVAL_MS
-    }
-
-    fn slots(&self, now: Millis) -> f64 {
-        (f64::from(self.info.slots) * self.evidence.ramp(now)).max(1.0)
-    }
-
-    /// Expected requests at the server, own and others'.
-    fn load(&self, now: Millis, usual: f64) -> f64 {
-        let slots = f64::from(self.info.slots);
-        let weight = self.evidence.report_weight(now);
-        let reported = self.evidence.others().max(usual * slots * LEAST_USUAL);
-        f64::from(self.evidence.outstanding()) + weight * reported + (1.0 - weight) * usual * slots
-    }
-
-    fn wait(&self, now: Millis, usual: f64) -> f64 {
-        let slots = self.slots(now);
-        let over = (self.load(now, usual) + 1.0 - slots).max(0.0);
-        self.evidence.latency_ms() * over / slots
-    }
-
-    fn cost(&self, now: Millis, usual: f64) -> f64 {
-        let own = f64::from(self.evidence.outstanding());
-        let slots = self.slots(now);
-        let share = f64::from(self.share) * self.evidence.ramp(now);
-        if own < share {
-            return self.evidence.latency_ms() * (own + 1.0 - share) / slots;
-        }
-        let latency = self.evidence.latency_ms().max(1.0);
-        self.wait(now, usual) + latency * (own + 1.0 - share) / slots
-    }
-}
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -239,3 +239,58 @@
     let late = drive(&mut balancer, 7_000, 500, 30, |_| AttemptEnd::Complete);
     assert!(early[5] * 2 < late[5], "{early:?} then {late:?}");
 }
+
+/// Guards against a busy region that makes an idle one look busy, and so keeps
+/// requests from spilling there.
+#[test]
+fn region_loads_are_independent() {
+    let mut balancer = balancer(BalancerPolicy::SlotShares);
+    let mut list = servers();
+    list[3..]
+        .iter_mut()
+        .for_each(|s| s.region = Name::from("south"));
+    balancer.set_servers(Millis(0), &list);
+    for i in 0..COUNT {
+        let busy = if i < 3 { 6 } else { 1 };
+        let queued = if i < 3 { 20 } else { 0 };
+        balancer.report_load(
+            Millis(0),
+            &name(i),
+            LoadReport {
+                slots: 6,
+                busy,
+                queued,
+            },
+        );
+    }
+    let loads = balancer.region_loads(Millis(0));
+    let south = loads.iter().find(|l| l.region.as_str() == "south").unwrap();
+    assert_eq!((south.slots, south.load), (18, 3.0));
+}
+
+/// Guards against a silent server that keeps its requests because hedges cancel
+/// each attempt before it times out.
+#[test]
+fn silent_server_is_ejected_by_cancelled_attempts() {
+    let mut balancer = balancer(BalancerPolicy::SlotShares);
+    drive(&mut balancer, 0, 500, 12, |_| AttemptEnd::Complete);
+    for t in [500u64, 700, 900] {
+        balancer.start(Millis(t), &name(1));
+        balancer.finish(Millis(t + 130), &name(1), AttemptEnd::Cancelled, 130);
+    }
+    let health = balancer.health(Millis(1_030), &name(1));
+    assert!(matches!(health, Some(Health::Ejected { .. })));
+}
+
+/// Guards against ejecting servers whose callers went away.
+#[test]
+fn early_cancels_eject_nothing() {
+    let mut balancer = balancer(BalancerPolicy::SlotShares);
+    drive(&mut balancer, 0, 500, 12, |_| AttemptEnd::Complete);
+    for t in (500u64..1_500).step_by(20) {
+        balancer.start(Millis(t), &name(1));
+        balancer.finish(Millis(t + 10), &name(1), AttemptEnd::Cancelled, 10);
+    }
+    let health = balancer.health(Millis(1_500), &name(1));
+    assert_eq!(health, Some(Health::Serving));
+}
