Compare the entry with a relay that only copies bytes

Cause: latencies through the entry could not be told from disturbances. Change: the bench alternates with a stand-in relay on as many threads.

--- a/crates/daemon/benches/path.rs
+++ b/crates/daemon/benches/path.rs
@@ -1,8 +1,9 @@
 //! Latency that an entry instance adds, and requests a second on one core.
 //!
 //! Callers, entry and backend servers run in one process on loopback, each in
-//! threads of their own. Direct calls and calls through the entry alternate, so
-//! that both meet the same disturbances.
+//! threads of their own. Direct calls, calls through a relay that only copies
+//! bytes, and calls through the entry alternate, so that all meet the same
+//! disturbances. The relay shows what any further hop costs on this machine.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -65,6 +66,20 @@
     }
 }
 
+/// Copies bytes between each caller and a connection of its own.
+async fn relay(listener: TcpListener, backends: Vec<SocketAddr>) {
+    for n in 0.. {
+        let (mut caller, _) = listener.accept().await.unwrap();
+        let address = backends[n % backends.len()];
+        tokio::spawn(async move {
+            let mut server = TcpStream::connect(address).await.unwrap();
+            caller.set_nodelay(true).unwrap();
+            server.set_nodelay(true).unwrap();
+            let _ = tokio::io::copy_bidirectional(&mut caller, &mut server).await;
+        });
+    }
+}
+
 /// Sends one request and reads its answer, whose body has a known length.
 async fn call(stream: &mut TcpStream, request: &[u8], room: &mut [u8]) {
     stream.write_all(request).await.unwrap();
@@ -157,6 +172,13 @@
     (0..BACKENDS).map(|_| start()).collect()
 }
 
+fn start_relay(runtime: &Runtime, backends: &[SocketAddr]) -> SocketAddr {
+    let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let address = listener.local_addr().unwrap();
+    runtime.spawn(relay(listener, backends.to_vec()));
+    address
+}
+
 fn start_entry(runtime: &Runtime, backends: &[SocketAddr]) -> (Control, EntryHandle) {
     let start = async {
         let mut control = setup(&[]);
@@ -214,37 +236,45 @@
     histogram.value_at_quantile(quantile) as f64 / 1_000.0
 }
 
-fn print(name: &str, direct: &Histogram<u64>, entry: &Histogram<u64>) {
-    let (a, b) = (us(direct, 0.5), us(direct, 0.99));
-    let (c, d) = (us(entry, 0.5), us(entry, 0.99));
-    let (p50, p99) = (c - a, d - b);
-    println!("{name:>5}  {a:.0}/{b:.0}  {c:.0}/{d:.0}  {p50:.0}/{p99:.0}");
+fn print(name: &str, taken: &[Histogram<u64>; 3]) {
+    let row = taken.each_ref().map(|h| (us(h, 0.5), us(h, 0.99)));
+    let [(a, b), (c, d), (e, f)] = row;
+    let (p50, p99) = (e - a, f - b);
+    println!("{name:>5}  {a:.0}/{b:.0}  {c:.0}/{d:.0}  {e:.0}/{f:.0}  {p50:.0}/{p99:.0}");
 }
 
 fn main() {
     let servers = runtime("backends", 2);
     let callers = runtime("callers", 2);
     let backends = start_backends(&servers);
+    let relays = runtime("relay", 2);
+    let relayed = vec![start_relay(&relays, &backends)];
     let entries = runtime("entry", 2);
     let (_control, entry) = start_entry(&entries, &backends);
     let through = vec![entry.address()];
     callers.block_on(paced(through.clone(), ROUND));
-    let before = busy_ns("entry");
-    let mut direct = Histogram::new(3).unwrap();
-    let mut added = Histogram::new(3).unwrap();
+    let before = [busy_ns("relay"), busy_ns("entry")];
+    let mut all = [(); 3].map(|()| Histogram::new(3).unwrap());
     println!("load average at the start {}", load());
     println!("{CONNECTIONS} connections, {RATE} requests/s, {BACKENDS} backend servers, us");
-    println!("round  direct p50/p99  entry p50/p99  added p50/p99");
+    println!("round  direct p50/p99  relay p50/p99  entry p50/p99  added by entry");
     for round in 0..ROUNDS {
-        let a = callers.block_on(paced(backends.clone(), ROUND));
-        let b = callers.block_on(paced(through.clone(), ROUND));
-        print(&round.to_string(), &a, &b);
-        direct.add(a).unwrap();
-        added.add(b).unwrap();
+        let run = |to: &Vec<SocketAddr>| callers.block_on(paced(to.clone(), ROUND));
+        let taken = [run(&backends), run(&relayed), run(&through)];
+        print(&round.to_string(), &taken);
+        for (sum, one) in all.iter_mut().zip(taken) {
+            sum.add(one).unwrap();
+        }
     }
-    print("all", &direct, &added);
-    let busy = (busy_ns("entry") - before) as f64 / 1_000.0 / added.len() as f64;
-    println!("paced: {busy:.1} us of processor time a request");
+    print("all", &all);
+    let busy = |name, at: usize| {
+        let ns = busy_ns(name) - before[at];
+        ns as f64 / 1_000.0 / all[at + 1].len() as f64
+    };
+    let (relay, entry) = (busy("relay", 0), busy("entry", 1));
+    println!(
+        "paced: {relay:.1} us of processor time a request in the relay, {entry:.1} in the entry"
+    );
     let single = runtime("entry-1", 1);
     let (_control, one) = start_entry(&single, &backends);
     let (rate, busy) = callers.block_on(saturated(one.address(), ROUND));
@@ -252,7 +282,7 @@
     println!("saturated, one worker thread: {rate} requests/s, {busy:.1} us of processor time");
     println!("a request, which is {core:.0} requests/s on one core");
     println!("load average at the end {}", load());
-    for runtime in [single, entries, callers, servers] {
+    for runtime in [single, entries, relays, callers, servers] {
         runtime.shutdown_background();
     }
 }
