--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -47,8 +47,8 @@
     pub address: SocketAddr,
     /// Its region.
     pub region: Name,
-    /// Whether the budget would allow a retry after this attempt.
-    pub retry: bool,
+    /// Time for the attempt in milliseconds, if another one may follow it.
+    pub attempt: Option<u64>,
 }
 
 /// The decisions of one entry instance.
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -262,10 +262,10 @@
     }
     let id = shared.unique();
     let request = request(job, choice, trace, &id);
-    let more = progress.attempts < config.attempts && choice.retry;
-    let limit = match job.idempotent && more {
-        true => job.left().min(Duration::from_millis(config.attempt_ms)),
-        false => job.left(),
+    let followed = job.idempotent && progress.attempts < config.attempts;
+    let limit = match choice.attempt.filter(|_| followed) {
+        Some(ms) => job.left().min(Duration::from_millis(ms)),
+        None => job.left(),
     };
     let (start, span) = (Instant::now(), tracing::info_span!("backend"));
     let end = start + limit;
