Tell the leader that an instance stops before it leaves the list

Cause: the leader took a stopping instance back, as its last report still said that it served; the instance then exited while callers were sent to it. Change: a report with the leaving mark goes first; the change is proposed again if no leader answers.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -33,6 +33,10 @@
 use crash::Crashes;
 use decide::Decisions;
 
+// A new leader is elected within about 2 s.
+const LEAVE_TRIES: usize = 5;
+const LEAVE_PAUSE_MS: u64 = 500;
+
 /// What all requests of an entry instance share.
 #[derive(Debug)]
 pub struct Shared {
@@ -72,6 +76,27 @@
         proposed.await.unwrap_or(Err(ErrorKind::Unavailable))
     }
 
+    /// Records that callers are no longer sent here.
+    async fn leave(&self) {
+        let name = &self.config.instance;
+        let mut left = Err(ErrorKind::Unavailable);
+        for _ in 0..LEAVE_TRIES {
+            left = self
+                .propose(Command::SetInstance {
+                    name: name.clone(),
+                    state: MemberState::Away,
+                })
+                .await;
+            if left.is_ok() {
+                break;
+            }
+            tokio::time::sleep(Millis(LEAVE_PAUSE_MS).duration()).await;
+        }
+        if !matches!(left, Ok(Applied::Accepted { .. })) {
+            log::warn!("{name}: the leaving was not recorded: {left:?}");
+        }
+    }
+
     /// Runs work that a graceful stop waits for.
     fn spawn<F>(self: &Arc<Self>, work: F) -> JoinHandle<F::Output>
     where
@@ -167,17 +192,9 @@
         let config = &self.shared.config;
         self.shared.leaving.store(true, Ordering::Relaxed);
         log::info!("{} leaves the entry list", config.instance);
-        let leave = Command::SetInstance {
-            name: config.instance.clone(),
-            state: MemberState::Away,
-        };
-        let left = self.shared.propose(leave).await;
-        if !matches!(left, Ok(Applied::Accepted { .. })) {
-            log::warn!(
-                "{}: the leaving was not recorded: {left:?}",
-                config.instance
-            );
-        }
+        // The leader takes back an instance whose last report says that it serves.
+        poll::report(&self.shared);
+        self.shared.leave().await;
         let window = Millis(config.list_ms + config.spread_ms);
         tokio::time::sleep(window.duration()).await;
         self.server.stop().await;
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -53,7 +53,8 @@
     }
 }
 
-fn report(shared: &Shared) {
+/// Sends this instance's measurements to the leader.
+pub(super) fn report(shared: &Shared) {
     let services = shared.decisions.measure();
     let links = links(shared, &services);
     shared.control.report(Report {
