--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -21,7 +21,7 @@
 use super::config::EntryConfig;
 use super::rates::Rates;
 use super::refusal::Refusal;
-use super::service::{Admitted, Steering};
+use super::service::{Admitted, Steering, Waiter};
 
 /// What a decision is about.
 #[derive(Clone, Debug)]
@@ -68,12 +68,13 @@
 pub struct Permit {
     decisions: Arc<Decisions>,
     service: Name,
-    ticket: Ticket,
+    // None for a request that skipped admission here.
+    ticket: Option<Ticket>,
     last: Mutex<(AttemptEnd, u64)>,
 }
 
 impl Permit {
-    fn new(decisions: &Arc<Decisions>, service: &Name, ticket: Ticket) -> Permit {
+    fn new(decisions: &Arc<Decisions>, service: &Name, ticket: Option<Ticket>) -> Permit {
         Permit {
             decisions: decisions.clone(),
             service: service.clone(),
@@ -90,10 +91,13 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        let Some(ticket) = self.ticket else {
+            return;
+        };
         let (end, latency_ms) = *self.last.lock().expect("no panic while held");
         let now = self.decisions.clock.now();
         let ended = Ended {
-            ticket: self.ticket,
+            ticket,
             end,
             latency_ms,
         };
@@ -104,6 +108,13 @@
     }
 }
 
+/// What an entry does with a request.
+enum Offered {
+    Admitted,
+    Queued(oneshot::Receiver<Admitted>),
+    Spilled(Name),
+}
+
 /// A place in a queue; left when dropped before the request is admitted.
 struct Place<'a> {
     decisions: &'a Decisions,
@@ -170,16 +181,20 @@
         self.rates.admit(workspace).await
     }
 
-    /// Waits for room; `limit_ms` bounds the wait.
+    /// Waits for room; `limit_ms` bounds the wait. Also tells the region of a
+    /// request that another region takes instead.
     pub async fn enter(
         self: &Arc<Self>,
         subject: &Subject,
         limit_ms: u64,
-    ) -> Result<Permit, Refusal> {
+    ) -> Result<(Permit, Option<Name>), Refusal> {
         let next = &self.next;
         let ticket = Ticket(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
-        let Some(admitted) = self.offer(subject, ticket)? else {
-            return Ok(Permit::new(self, &subject.service, ticket));
+        let permit = |ticket| Permit::new(self, &subject.service, ticket);
+        let admitted = match self.offer(subject, ticket)? {
+            Offered::Admitted => return Ok((permit(Some(ticket)), None)),
+            Offered::Spilled(region) => return Ok((permit(None), Some(region))),
+            Offered::Queued(admitted) => admitted,
         };
         let mut place = Place {
             decisions: self,
@@ -189,9 +204,10 @@
         };
         let ended = timeout(Millis(limit_ms).duration(), admitted).await;
         match ended {
-            Ok(Ok(Ok(()))) => {
+            Ok(Ok(Ok(region))) => {
                 place.admitted = true;
-                Ok(Permit::new(self, &subject.service, ticket))
+                let ticket = region.is_none().then_some(ticket);
+                Ok((permit(ticket), region))
             }
             Ok(Ok(Err(retry_ms))) => Err(overloaded(retry_ms)),
             Ok(Err(_)) => Err(ErrorKind::Overloaded.into()),
@@ -199,24 +215,34 @@
         }
     }
 
-    #[allow(clippy::type_complexity)]
-    fn offer(
-        &self,
-        subject: &Subject,
-        ticket: Ticket,
-    ) -> Result<Option<oneshot::Receiver<Admitted>>, Refusal> {
+    fn offer(&self, subject: &Subject, ticket: Ticket) -> Result<Offered, Refusal> {
         let now = self.clock.now();
         let (workspace, class) = (&subject.workspace, subject.class);
         self.with(&subject.service, |s| {
+            let wait = s.admission.expected_wait_at(now, workspace);
+            let spilled = match class {
+                Class::Deferrable => None,
+                _ => s.spill(wait),
+            };
+            if let Some(region) = spilled {
+                return Ok(Offered::Spilled(region));
+            }
             let verdict = s.admission.offer(now, ticket, workspace, class);
             s.refuse_late(now);
             match verdict {
-                Verdict::Admitted => Ok(None),
+                Verdict::Admitted => Ok(Offered::Admitted),
                 Verdict::Refused { retry_after_ms } => Err(overloaded(retry_after_ms)),
                 Verdict::Queued => {
                     let (admit, admitted) = oneshot::channel();
-                    s.waiting.insert(ticket, admit);
-                    Ok(Some(admitted))
+                    s.waiting.insert(
+                        ticket,
+                        Waiter {
+                            admit,
+                            since: now,
+                            deferrable: class == Class::Deferrable,
+                        },
+                    );
+                    Ok(Offered::Queued(admitted))
                 }
             }
         })
@@ -240,10 +266,10 @@
 
     /// Counts an admitted request towards the retry budget and returns the only
     /// region allowed for it, if any. Call once for each request.
-    pub fn begin(&self, service: &Name) -> Option<Name> {
+    pub fn begin(&self, service: &Name, spilled: Option<Name>) -> Option<Name> {
         self.with(service, |s| {
             s.record_request();
-            s.region()
+            spilled.or_else(|| s.region())
         })
     }
 
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -258,7 +258,7 @@
     let entering = shared.decisions.enter(&subject, left);
     let permit = entering.instrument(tracing::info_span!("queue")).await;
     metrics::histogram!("entry_queue_seconds").record(since.elapsed());
-    let permit = permit?;
+    let (permit, spilled) = permit?;
     let mut job = Job {
         subject,
         method: parts.method,
@@ -273,7 +273,7 @@
         print: OnceLock::new(),
     };
     job.check(shared)?;
-    job.subject.region = shared.decisions.begin(&job.subject.service);
+    job.subject.region = shared.decisions.begin(&job.subject.service, spilled);
     match job.idempotent {
         // Dropped with the caller's connection, which cancels the attempt.
         true => forward(shared.clone(), job).await.map_err(Refusal::from),
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -26,8 +26,9 @@
 const PEAK_DECAY: u64 = 64;
 const BITS_PER_MBIT: f64 = 1e6;
 
-/// How a wait ends: admitted, or refused with the time of the next try.
-pub type Admitted = Result<(), u64>;
+/// How a wait ends: admitted here, sent to another region, or refused with the
+/// time of the next try.
+pub type Admitted = Result<Option<Name>, u64>;
 
 /// A move of the service that has begun.
 #[derive(Debug)]
@@ -37,6 +38,17 @@
     share: u16,
 }
 
+/// A request that waits for admission.
+#[derive(Debug)]
+pub struct Waiter {
+    /// Ends the wait.
+    pub admit: oneshot::Sender<Admitted>,
+    /// When it began.
+    pub since: Millis,
+    /// Whether it is deferrable, which never goes to another region.
+    pub deferrable: bool,
+}
+
 /// The decisions about one service.
 #[derive(Debug)]
 pub struct Steering {
@@ -47,7 +59,7 @@
     /// Retries allowed.
     pub budget: RetryBudget,
     /// Requests that wait.
-    pub waiting: HashMap<Ticket, oneshot::Sender<Admitted>>,
+    pub waiting: HashMap<Ticket, Waiter>,
     name: Name,
     home: Name,
     split: Split,
@@ -126,7 +138,6 @@
             })
             .collect();
         let entries = entries(document);
-        self.bound(&servers, entries.len());
         let at_home = |s: &ServerInfo| s.region == self.home && !s.leaving;
         self.local = servers.iter().any(at_home);
         self.balancer.set_servers(now, &servers);
@@ -135,18 +146,25 @@
             self.admission.set_weight(name, workspace.weight);
         }
         self.moved = self.find_move(document);
+        self.bound(&servers, &entries);
         if self.moved.is_none() {
             self.split.forget(&self.name);
         }
     }
 
-    // The limit never falls below this entry's share of the slots, nor rises
-    // above all of them.
-    fn bound(&mut self, servers: &[ServerInfo], entries: usize) {
-        let open = servers.iter().filter(|s| !s.leaving);
-        let slots: u32 = open.map(|s| s.slots).sum();
-        let share = slots.div_ceil(entries.max(1) as u32);
-        self.admission.set_bounds(share.max(2), slots.max(2));
+    // Requests that are admitted stay in this region, except while a move leaves
+    // it or without servers here.
+    fn bound(&mut self, servers: &[ServerInfo], entries: &[EntryInfo]) {
+        let leaving = self.moved.as_ref().is_some_and(|m| m.from == self.home);
+        let all = leaving || !self.local;
+        let open = servers
+            .iter()
+            .filter(|s| !s.leaving && (all || s.region == self.home));
+        let sharing = entries
+            .iter()
+            .filter(|e| !e.leaving && (all || e.region == self.home));
+        let slots = open.map(|s| s.slots).sum();
+        self.admission.set_shared(slots, sharing.count() as u32);
     }
 
     // The move out of this region goes first; others matter to requests that
@@ -166,7 +184,7 @@
     /// in this entry's region. Call once for each request.
     pub fn region(&mut self) -> Option<Name> {
         let Some(moved) = &self.moved else {
-            return self.local.then(|| self.regions.pick());
+            return self.local.then(|| self.home.clone());
         };
         let own = moved.from == self.home;
         if (own || !self.local) && self.split.pick(&self.name, moved.share) {
@@ -175,15 +193,30 @@
         if !self.local {
             return None;
         }
+        if !own {
+            return Some(self.home.clone());
+        }
         let picked = self.regions.pick();
-        match moved {
-            m if own && m.to == picked && !self.split.try_spill(&self.name) => {
-                Some(self.home.clone())
-            }
-            m if !own && m.from == picked && self.split.pick(&self.name, m.share) => {
+        match moved.to == picked && !self.split.try_spill(&self.name) {
+            true => Some(self.home.clone()),
+            false => Some(picked),
+        }
+    }
+
+    /// Another region for a request that would wait, or has waited, for
+    /// `wait_ms` here. Such a request skips admission, since the allowance
+    /// bounds it. While a move leaves this region, the split decides instead.
+    pub fn spill(&mut self, wait_ms: f64) -> Option<Name> {
+        let leaving = self.moved.as_ref().is_some_and(|m| m.from == self.home);
+        if leaving || !self.local {
+            return None;
+        }
+        let region = self.regions.try_spill(wait_ms)?;
+        match &self.moved {
+            Some(m) if m.from == region && self.split.pick(&self.name, m.share) => {
                 Some(m.to.clone())
             }
-            _ => Some(picked),
+            _ => Some(region),
         }
     }
 
@@ -260,7 +293,7 @@
     /// Ends the waits of admitted and refused requests.
     pub fn wake(&mut self, admitted: Vec<Ticket>) {
         for ticket in admitted {
-            match self.waiting.remove(&ticket).map(|w| w.send(Ok(()))) {
+            match self.waiting.remove(&ticket).map(|w| w.admit.send(Ok(None))) {
                 Some(Ok(())) => {}
                 Some(Err(_)) | None => {
                     let next = self.admission.cancel(ticket);
@@ -273,9 +306,16 @@
     /// Refuses the requests that have waited too long or were displaced.
     pub fn refuse_late(&mut self, now: Millis) {
         for refused in self.admission.take_refused(now) {
-            if let Some(waiter) = self.waiting.remove(&refused.ticket) {
-                let _ = waiter.send(Err(refused.retry_after_ms));
-            }
+            let Some(waiter) = self.waiting.remove(&refused.ticket) else {
+                continue;
+            };
+            let waited = now.since(waiter.since) as f64;
+            let spilled = match waiter.deferrable {
+                true => None,
+                false => self.spill(waited),
+            };
+            let ended = spilled.map(Some).ok_or(refused.retry_after_ms);
+            let _ = waiter.admit.send(ended);
         }
     }
 
@@ -286,6 +326,7 @@
         let rate = per_second(self.requests, passed);
         (self.updated, self.requests) = (now, 0);
         let loads = self.balancer.region_loads(now);
+        let queue_ms = self.admission.queue_wait();
         let bytes = document.services.get(&self.name).map_or(1, |s| s.bytes);
         let measured = loads.iter().filter_map(|l| Some((l, l.oldest_ms?)));
         let measures: Vec<RegionMeasure> = measured
@@ -294,7 +335,7 @@
                 region: l.region.clone(),
                 slots: f64::from(l.slots),
                 load: l.load,
-                wait_ms: l.wait_ms,
+                wait_ms: l.wait_ms + if l.region == self.home { queue_ms } else { 0.0 },
                 distance_ms: if l.region == self.home {
                     0.0
                 } else {
@@ -305,6 +346,9 @@
             })
             .collect();
         let entries = entries(document).len() as u32;
+        if self.admission.floor_ms() > 0.0 {
+            self.regions.set_request_ms(self.admission.floor_ms());
+        }
         self.regions.update(now, rate as f64, entries, &measures);
         let tallies = std::mem::take(&mut self.tallies);
         let rows = measured.map(|(l, age)| {
--- a/crates/daemon/tests/entry_moves.rs
+++ b/crates/daemon/tests/entry_moves.rs
@@ -3,10 +3,11 @@
 mod entry_support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use entry_support::{keyed, ok, setup, Caller, Control, Server};
+use entry_support::{keyed, ok, plain, setup, until, Act, Caller, Control, Server};
 use pomelovale_state::command::Command;
-use pomelovale_state::document::{Backend, MemberState, Region};
+use pomelovale_state::document::{Backend, Link, MemberState, Region};
 use pomelovale_state::moves::{MoveAction, Step};
 use pomelovaled::entry::EntryHandle;
 
@@ -108,3 +109,34 @@
     /// Entries of the destination send traffic back to the source.
     the_destination_keeps_its_own => ("south", &[1_000], 100, 100);
 }
+
+/// Guards against requests that wait in a full region, or are refused there,
+/// while another region has measured headroom.
+#[tokio::test]
+async fn waiting_requests_spill_into_headroom() {
+    let slow = Act::Late(400, plain("n"));
+    let north = Server::start(move |_, _| slow.clone()).await;
+    let south = Server::start(|_, _| ok("s")).await;
+    let control = setup(&[&north]);
+    add_server(&control, "s0", south.address);
+    let link = Link {
+        from: "north".into(),
+        to: "south".into(),
+        mbits: 4_000,
+    };
+    control.apply(Command::PutLinks(vec![link]));
+    control.run_clock();
+    let entry = Arc::new(control.entry(|c| c.poll_ms = 50).await);
+    let mut callers = Vec::new();
+    for _ in 0..60 {
+        let entry = Arc::clone(&entry);
+        callers.push(tokio::spawn(async move {
+            let mut caller = Caller::connect(entry.address()).await;
+            for _ in 0..20 {
+                let _ = caller.ask(&keyed("GET", "/catalogue/x", "", "")).await;
+            }
+        }));
+    }
+    until(|| !south.requests().is_empty()).await;
+    callers.iter().for_each(tokio::task::JoinHandle::abort);
+}
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -393,6 +393,20 @@
             .unwrap()
     }
 
+    /// Lets the manual clock follow real time.
+    pub fn run_clock(&self) {
+        let clock = self.clock.clone();
+        tokio::spawn(async move {
+            let mut last = tokio::time::Instant::now();
+            loop {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+                let passed = last.elapsed().as_millis() as u64;
+                last += Duration::from_millis(passed);
+                clock.advance(passed);
+            }
+        });
+    }
+
     pub fn add_server(&self, name: &str, address: SocketAddr) {
         self.apply(Command::PutBackend {
             name: Name::from(name),
