--- a/crates/daemon/src/entry/crash.rs
+++ b/crates/daemon/src/entry/crash.rs
@@ -1,14 +1,13 @@
 //! Requests that were in flight when a backend server crashed.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use pomelovale_state::command::{Applied, Command, CRASH_LIFE_MS, CRASH_LIMIT};
+use pomelovale_state::command::{Applied, Command, CRASH_LIMIT};
 use pomelovale_state::document::{Digest, Document};
 use pomelovale_state::{Millis, Name};
-use sha2::{Digest as _, Sha256};
+use pomelovale_steering::quarantine::Quarantine;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -18,23 +17,15 @@
 // A process that dies closes its connections and its listener one by one.
 const SETTLE_MS: u64 = 25;
 const VIEW_WAIT_MS: u64 = 5;
-// Most crashes remembered by this instance alone.
-const OWN_MAX: usize = 10_000;
 
 /// SHA-256 of method, path and body.
 pub fn fingerprint(method: &str, target: &str, body: &[u8]) -> Digest {
-    let mut hash = Sha256::new();
-    for part in [method.as_bytes(), target.as_bytes()] {
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    hash.update(body);
-    Digest(hash.finalize().into())
+    Digest::of(&[method.as_bytes(), target.as_bytes(), body])
 }
 
 #[derive(Debug, Default)]
 struct Inner {
-    own: HashMap<Digest, (Vec<Name>, Millis)>,
+    own: Quarantine,
     // The document's own time, and the local time at which it was first seen.
     log_time: Millis,
     seen: Millis,
@@ -69,43 +60,35 @@
             .get(&print)
             .filter(|b| log_now < b.until)
             .map_or(&[][..], |b| b.crashed.as_slice());
-        let own = inner
-            .own
-            .get(&print)
-            .filter(|(_, until)| now < *until)
-            .map_or(&[][..], |(crashed, _)| crashed.as_slice());
+        let own = inner.own.servers(now, &print);
         let more = own.iter().filter(|name| !shared.contains(name)).count();
         shared.len() + more >= CRASH_LIMIT
     }
 
     /// Remembers a crash until the control instances have recorded it.
     pub fn record(&self, now: Millis, print: Digest, server: &Name) {
-        let mut inner = self.lock();
-        inner.own.retain(|_, (_, until)| now < *until);
-        if inner.own.len() >= OWN_MAX && !inner.own.contains_key(&print) {
-            return;
-        }
-        let (crashed, until) = inner.own.entry(print).or_default();
-        *until = now.plus(CRASH_LIFE_MS);
-        if !crashed.contains(server) {
-            crashed.push(server.clone());
-        }
+        self.lock().own.record_crash(now, print, server);
     }
 
     /// Whether any crash is known of a request. The fingerprint is only
     /// computed when there is a crash to compare it with.
-    pub fn is_suspect(&self, document: &Document, print: impl FnOnce() -> Digest) -> bool {
+    pub fn is_suspect(
+        &self,
+        document: &Document,
+        now: Millis,
+        print: impl FnOnce() -> Digest,
+    ) -> bool {
         let inner = self.lock();
         if document.crashes.is_empty() && inner.own.is_empty() {
             return false;
         }
         let print = print();
-        document.crashes.contains_key(&print) || inner.own.contains_key(&print)
+        document.crashes.contains_key(&print) || inner.own.is_suspect(now, &print)
     }
 
     /// Forgets the crashes that only this instance knows of.
     pub fn forget(&self, print: &Digest) {
-        self.lock().own.remove(print);
+        self.lock().own.forget(print);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -159,7 +159,11 @@
             Outcome::Answer(response) => {
                 let complete = matches!(response.body(), CallerBody::Full(_));
                 let document = shared.view.document();
-                if complete && shared.crashes.is_suspect(&document, || job.fingerprint()) {
+                if complete
+                    && shared
+                        .crashes
+                        .is_suspect(&document, now, || job.fingerprint())
+                {
                     crash::clear(&shared, job.fingerprint());
                 }
                 return Ok(response);
--- a/crates/daemon/src/entry/intent.rs
+++ b/crates/daemon/src/entry/intent.rs
@@ -12,7 +12,6 @@
 };
 use pomelovale_state::{ErrorKind, Millis, Name};
 use pomelovale_transport::body::CallerBody;
-use sha2::{Digest as _, Sha256};
 
 use super::refusal::Refusal;
 use super::Shared;
@@ -50,14 +49,11 @@
     if key.is_empty() || key.len() > KEY_MAX_BYTES {
         return Err(ErrorKind::BadRequest.into());
     }
-    let mut hash = Sha256::new();
-    hash.update(service.as_bytes());
-    hash.update([0]);
-    hash.update(key.as_bytes());
+    let digest = Digest::of(&[service.as_bytes(), key.as_bytes()]);
     let intent = Intent {
         key: IntentKey {
             workspace: workspace.clone(),
-            key: Digest(hash.finalize().into()),
+            key: digest,
         },
         owner: Name::from(shared.unique()),
     };
--- a/crates/daemon/src/entry/keys.rs
+++ b/crates/daemon/src/entry/keys.rs
@@ -4,7 +4,6 @@
 use pomelovale_protocol::http::KeyText;
 use pomelovale_state::document::{Digest, Document, Key, KeyHolder};
 use pomelovale_state::{ErrorKind, Millis, Name};
-use subtle::ConstantTimeEq;
 
 /// A key that was accepted. It holds no secret, so that it can wait in queues.
 #[derive(Clone, Debug)]
@@ -52,7 +51,7 @@
 }
 
 fn holder<'a>(key: &'a Key, digest: &Digest) -> Option<&'a Name> {
-    let equal = bool::from(key.digest.0.ct_eq(&digest.0));
+    let equal = key.digest.matches(digest);
     match &key.holder {
         KeyHolder::Workspace(workspace) if equal && !key.revoked => Some(workspace),
         _ => None,
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -14,8 +14,6 @@
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use serde::Deserialize;
 use serde_json::{json, Value};
-use sha2::{Digest as _, Sha256};
-use subtle::ConstantTimeEq;
 use tiny_http::{Header, Method, Request, Response, Server};
 
 /// Requests served at a time.
@@ -165,8 +163,8 @@
     bootstrap: Option<&Digest>,
     text: &str,
 ) -> Result<Name, ErrorKind> {
-    let digest: [u8; 32] = Sha256::digest(text.as_bytes()).into();
-    let equals = |known: &Digest| bool::from(known.0.ct_eq(&digest));
+    let digest = Digest::of_key(text);
+    let equals = |known: &Digest| known.matches(&digest);
     let id = text.strip_prefix("pk.").and_then(|t| t.split('.').next());
     let key = id.and_then(|id| document.keys.get(id));
     let operated = document
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -14,12 +14,11 @@
 use pomelovale_protocol::messages::{
     Assembly, Chunk, Content, PeerMessage, Proof, Renew, Request, Response,
 };
-use pomelovale_state::document::Document;
+use pomelovale_state::document::{Digest, Document};
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::peer_client::{connect_once, PeerAddress};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerEvent, PeerLink, PeerTimings};
 use serde::Deserialize;
-use sha2::{Digest as _, Sha256};
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
@@ -117,13 +116,7 @@
         () if p.region == config.region => 1,
         () => 2,
     };
-    let hash = |p: &ControlPlace| {
-        let digest = Sha256::new()
-            .chain_update(config.name.as_bytes())
-            .chain_update([0])
-            .chain_update(p.name.as_bytes());
-        <[u8; 32]>::from(digest.finalize())
-    };
+    let hash = |p: &ControlPlace| Digest::of(&[config.name.as_bytes(), p.name.as_bytes()]);
     let mut places = config.controls.clone();
     places.sort_by_cached_key(|p| (distance(p), hash(p)));
     places
--- a/crates/daemon/tests/control_operators.rs
+++ b/crates/daemon/tests/control_operators.rs
@@ -11,7 +11,6 @@
 use pomelovale_state::{Clock, Name};
 use pomelovaled::operators::{Operators, OperatorsConfig, OperatorsSources};
 use serde_json::{json, Value};
-use sha2::{Digest as _, Sha256};
 
 const BOOTSTRAP: &str = "a bootstrap key of the tests";
 const OPERATOR: &str = "pk.op1.secret-of-op1";
@@ -19,7 +18,7 @@
 const WORKSPACE: &str = "pk.w1.secret-of-w1";
 
 fn digest(text: &str) -> Digest {
-    Digest(Sha256::digest(text.as_bytes()).into())
+    Digest::of_key(text)
 }
 
 fn put_key(text: &str, holder: KeyHolder) -> Command {
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -6,7 +6,6 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use pomelovale_state::document::Digest;
 use pomelovale_state::ErrorKind;
-use sha2::{Digest as _, Sha256};
 
 /// Header of a refusal or fault that tells what the caller may conclude.
 pub const OUTCOME: HeaderName = HeaderName::from_static("pomelovale-outcome");
@@ -73,7 +72,7 @@
 
     /// SHA-256 of the whole text.
     pub fn digest(&self) -> Digest {
-        Digest(Sha256::digest(self.0.as_bytes()).into())
+        Digest::of_key(&self.0)
     }
 }
 
--- a/crates/state/src/sheet.rs
+++ b/crates/state/src/sheet.rs
@@ -2,9 +2,9 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest as _, Sha256};
 
 use crate::command::{Change, Command};
+use crate::digest::Digest;
 use crate::moves::{Move, MoveAction, MoveState, Step};
 use crate::{Millis, Name};
 
@@ -368,13 +368,8 @@
         command,
     };
     let content = format!("{change:?}");
-    let digest = Sha256::digest(content.as_bytes());
-    let request = Name::from(
-        digest[..16]
-            .iter()
-            .map(|b| format!("{b:02x}"))
-            .collect::<String>(),
-    );
+    let digest = Digest::of(&[content.as_bytes()]).to_string();
+    let request = Name::from(&digest[..32]);
     RowChange {
         rows,
         change: Change { request, ..change },
--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -4,15 +4,10 @@
 //! before the record has been accepted and distributed.
 
 use indexmap::IndexMap;
+use pomelovale_state::command::{CRASH_LIFE_MS, CRASH_LIMIT};
 use pomelovale_state::document::Digest;
 use pomelovale_state::{Millis, Name};
 
-/// Crashes after which a fingerprint is blocked.
-pub const CRASH_LIMIT: usize = 2;
-
-/// How long a crash is remembered and a block lasts, in milliseconds.
-pub const QUARANTINE_MS: u64 = 600_000;
-
 /// Most fingerprints remembered; the oldest is dropped first.
 pub const QUARANTINE_MAX: usize = 4_096;
 
@@ -45,7 +40,7 @@
             servers: Vec::new(),
             until: now,
         });
-        record.until = now.plus(QUARANTINE_MS);
+        record.until = now.plus(CRASH_LIFE_MS);
         if !record.servers.contains(server) {
             record.servers.push(server.clone());
         }
@@ -54,19 +49,30 @@
 
     /// Whether the request must be refused.
     pub fn is_blocked(&self, now: Millis, fingerprint: &Digest) -> bool {
-        self.crashes(now, fingerprint) >= CRASH_LIMIT
+        self.servers(now, fingerprint).len() >= CRASH_LIMIT
     }
 
     /// Whether the request was in flight in a crash; such a request is tried
     /// at most once more and never hedged.
     pub fn is_suspect(&self, now: Millis, fingerprint: &Digest) -> bool {
-        self.crashes(now, fingerprint) > 0
+        !self.servers(now, fingerprint).is_empty()
     }
 
-    fn crashes(&self, now: Millis, fingerprint: &Digest) -> usize {
-        self.records
-            .get(fingerprint)
+    /// Backend servers that crashed while they ran the request.
+    pub fn servers(&self, now: Millis, fingerprint: &Digest) -> &[Name] {
+        let record = self.records.get(fingerprint);
+        record
             .filter(|r| now < r.until)
-            .map_or(0, |r| r.servers.len())
+            .map_or(&[], |r| r.servers.as_slice())
+    }
+
+    /// Forgets the crashes of a request.
+    pub fn forget(&mut self, fingerprint: &Digest) {
+        self.records.shift_remove(fingerprint);
+    }
+
+    /// Whether no crash is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
     }
 }
