--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -97,7 +97,7 @@
 struct Bucket {
     rate: u64,
     cap: u64,
-    /// Counted as leased by earlier epochs and not told yet.
+    /// Counted as leased by earlier epochs and not reported yet.
     unknown: Lease,
     leases: IndexMap<Name, Lease>,
     /// Sums over all leases, and a time before which none of them ends.
@@ -280,14 +280,14 @@
         let before = match self.leases.get(instance) {
             Some(lease) => *lease,
             None => {
-                let told = Lease {
+                let reported = Lease {
                     rate: want.rate.min(self.unknown.rate),
                     cap: cap.min(self.unknown.cap),
                     ..Lease::default()
                 };
-                self.unknown.rate -= told.rate;
-                self.unknown.cap -= told.cap;
-                told
+                self.unknown.rate -= reported.rate;
+                self.unknown.cap -= reported.cap;
+                reported
             }
         };
         let held = Lease {
@@ -307,7 +307,7 @@
     fn target(&self, config: &LedgerConfig, instance: &Name) -> Lease {
         let index = self.leases.get_index_of(instance).unwrap_or(0);
         let (claim, sum) = (self.leases[index].demand, self.sums.demand);
-        // A new leader keeps a pool of what was told, not of the whole limit.
+        // A new leader keeps a pool of what was reported, not of the whole limit.
         let known = self.cap.saturating_sub(self.unknown.cap);
         let leased = self.rate / 1_000 * config.rate_leased;
         let reserve = self.rate / 1_000 * RESERVE_PER_MILLE;
--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -62,7 +62,7 @@
 /// Requests are made more often by this factor while a pool is short.
 const SHORT_PART: u64 = 5;
 /// Time after an outage in which requests that waited longer than usual are
-/// kept: the holdings are told, then granted, then redistributed.
+/// kept: the holdings are reported, then granted, then redistributed.
 const RECOVERY_MS: u64 = 1_000;
 /// Standard deviations of a count of requests that chance explains.
 const NOISE_ROOTS: f64 = 2.0;
@@ -77,8 +77,8 @@
     /// May be above `cap` after a grant, and falls back by spending.
     level: u64,
     /// Level and capacity in the latest request.
-    told: u64,
-    told_cap: u64,
+    reported: u64,
+    reported_cap: u64,
     short: bool,
     surplus: u64,
     debt: u64,
@@ -238,7 +238,7 @@
         self.unanswered = None;
         let until = sent.plus(reply.life_ms);
         match reply.epoch > self.epoch {
-            // The holdings must be told to the new leader before it grants.
+            // The holdings must be reported to the new leader before it grants.
             true => {
                 self.epoch = reply.epoch;
                 self.urgent = true;
@@ -257,8 +257,8 @@
         let share = self.share(now, &grant.workspace);
         // What was refilled since the request may exceed what the ledger keeps
         // reserved; a returned surplus may not.
-        let kept = grant.cap.max(share.told + grant.tokens);
-        let reserved = kept.max(share.told_cap);
+        let kept = grant.cap.max(share.reported + grant.tokens);
+        let reserved = kept.max(share.reported_cap);
         let level = (share.level + grant.tokens).min(reserved);
         share.level = level.min(kept);
         share.surplus = level - share.level;
@@ -362,8 +362,8 @@
             self.surplus += self.level - keep;
             self.level = keep;
         }
-        self.told = self.level;
-        self.told_cap = self.cap.max(self.level);
+        self.reported = self.level;
+        self.reported_cap = self.cap.max(self.level);
         Want {
             workspace: workspace.clone(),
             rate: self.rate,
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -51,7 +51,7 @@
     counters: VecDeque<(u64, Millis)>,
     /// Proofs and the commit index that each needs.
     proofs: VecDeque<(LogIndex, Millis)>,
-    /// Last matched index that the leader was told.
+    /// Last matched index that the leader was reported.
     reported: LogIndex,
     /// Latest round of the leader.
     round: u64,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -22,7 +22,7 @@
 nothing. SIGTERM and SIGINT stop the instance gracefully.
 
 Exit codes:
-    0 stopped gracefully, or the settings are sound   2 bad arguments
+    0 stopped gracefully, or the settings are valid   2 bad arguments
     3 bad settings   70 the instance could not start or run
 
 Examples:
@@ -83,7 +83,7 @@
     match load(path) {
         Some(settings) => {
             println!(
-                "{}: the settings of {} are sound",
+                "{}: the settings of {} are valid",
                 path.display(),
                 settings.instance
             );
--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -27,7 +27,7 @@
     unknown_command: 2, ["fly"], "\"fly\" is not a command";
     missing_file: 3, ["check", "none.json"], "can't read none.json";
     missing_config: 3, ["--config", "none.json"], "can't read none.json";
-    sound_settings: 0, ["check", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/north.json")], "are sound";
+    valid_settings: 0, ["check", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/north.json")], "are valid";
 }
 
 /// Guards against keyed requests being refused because the leader was killed,
--- a/crates/protocol/src/grants.rs
+++ b/crates/protocol/src/grants.rs
@@ -59,7 +59,7 @@
     /// Time until tokens can be expected if the workspace has used its limit;
     /// zero while it is within its limit.
     pub retry_ms: u64,
-    /// Whether the pool is short, so that holdings should be told promptly.
+    /// Whether the pool is short, so that holdings should be reported promptly.
     pub short: bool,
 }
 
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -273,10 +273,10 @@
             () = slot.close.notified() => {}
         }
     });
-    let mut told = false;
+    let mut notified = false;
     let result = std::future::poll_fn(|cx| {
-        if !told && closing.as_mut().poll(cx).is_ready() {
-            told = true;
+        if !notified && closing.as_mut().poll(cx).is_ready() {
+            notified = true;
             Pin::new(&mut connection).graceful_shutdown();
         }
         connection.poll_without_shutdown(cx)
