--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -172,8 +172,8 @@
         Admit::Wait
     }
 
-    /// Whether the ledger has left requests unanswered for a time-out.
-    fn is_silent(&self, now: Millis) -> bool {
+    /// Whether the ledger has left requests unanswered for a timeout.
+    pub fn is_silent(&self, now: Millis) -> bool {
         self.unanswered
             .is_some_and(|at| now.since(at) >= self.config.timeout_ms)
     }
--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -229,6 +229,7 @@
         match (ready, led) {
             (true, Some(epoch)) if epoch == status.epoch => {}
             (true, _) => {
+                metrics::counter!("log_leaderships_total").increment(1);
                 log::info!("{} leads {}", self.config.name, status.epoch);
                 self.leader = Some(Leader::new(status.epoch, &self.machine.document, now));
                 self.attend();
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -88,7 +88,11 @@
         change: &Change,
         now: Millis,
     ) -> Result<(), Refusal> {
-        gate::check(document, &self.measures, now, change)
+        let checked = gate::check(document, &self.measures, now, change);
+        if checked.is_err() {
+            metrics::counter!("move_steps_held_total").increment(1);
+        }
+        checked
     }
 
     /// Takes the measurements of an instance.
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -56,11 +56,17 @@
 /// Sends this instance's measurements to the leader.
 pub(super) fn report(shared: &Shared) {
     let services = shared.decisions.measure();
+    let (version, view_ms) = (
+        shared.view.document().version,
+        shared.view.age(shared.clock.now()),
+    );
+    metrics::gauge!("document_version").set(version as f64);
+    metrics::gauge!("view_age_ms").set(view_ms as f64);
     let links = links(shared, &services);
     shared.control.report(Report {
         instance: shared.config.instance.clone(),
-        version: shared.view.document().version,
-        view_ms: shared.view.age(shared.clock.now()),
+        version,
+        view_ms,
         leaving: shared.leaving.load(Ordering::Relaxed),
         services,
         links,
--- a/crates/daemon/src/entry/rates.rs
+++ b/crates/daemon/src/entry/rates.rs
@@ -49,8 +49,7 @@
             match verdict {
                 Admit::Granted => return Ok(()),
                 Admit::Refused { retry_after_ms } => {
-                    let (kind, retry_ms) = (ErrorKind::LimitExceeded, retry_after_ms);
-                    return Err(Refusal { kind, retry_ms });
+                    return Err(self.refusal(retry_after_ms));
                 }
                 Admit::Wait => {}
             }
@@ -62,6 +61,15 @@
         }
     }
 
+    // Without answers of the ledger, nothing says that the limit is exceeded.
+    fn refusal(&self, retry_ms: u64) -> Refusal {
+        let kind = match self.lock().is_silent(self.clock.now()) {
+            true => ErrorKind::Unavailable,
+            false => ErrorKind::LimitExceeded,
+        };
+        Refusal { kind, retry_ms }
+    }
+
     /// Asks the ledger for tokens until the task is aborted.
     pub async fn run(&self, control: ControlHandle) {
         loop {
--- a/crates/daemon/tests/entry_keys.rs
+++ b/crates/daemon/tests/entry_keys.rs
@@ -123,3 +123,28 @@
     let got = caller.ask(&plain("/catalogue/public/x", "")).await.unwrap();
     assert_eq!((got.status, server.requests().len()), (200, 1));
 }
+
+/// A workspace within its rate is told that it exceeded the limit, although it
+/// was the ledger that did not answer.
+#[tokio::test]
+async fn a_silent_ledger_is_not_an_exceeded_limit() {
+    let server = Server::start(|_, _| ok("done")).await;
+    let control = setup(&[&server]);
+    control
+        .mute
+        .store(true, std::sync::atomic::Ordering::SeqCst);
+    control.run_clock();
+    let entry = control.entry(|_| {}).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let got = caller
+        .ask(&keyed("GET", "/catalogue/x", "", ""))
+        .await
+        .unwrap();
+    assert_eq!(
+        (got.status, got.outcome().as_deref()),
+        (503, Some("not-run")),
+        "{got:?}"
+    );
+    assert!(got.body.contains("unavailable"), "{got:?}");
+    assert!(server.requests().is_empty());
+}
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -1,8 +1,10 @@
 //! Stand-in backend servers, callers and control instances for entry tests.
 #![allow(dead_code)]
 
+mod server;
+
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,228 +20,14 @@
 use pomelovale_state::{Clock, Millis, Name};
 use pomelovaled::entry::config::EntryConfig;
 use pomelovaled::entry::{Entry, EntryHandle};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+pub use server::*;
 
 pub const KEY: &str = "pk.k1.secret-1";
 const CONTROL_QUEUE: usize = 1_024;
 
-/// What a stand-in server does with one request.
-#[derive(Clone, Debug)]
-pub enum Act {
-    /// Writes these bytes and reads the next request.
-    Say(Vec<u8>),
-    /// Writes these bytes and closes.
-    SayAndClose(Vec<u8>),
-    /// Waits, then writes these bytes.
-    Late(u64, Vec<u8>),
-    /// Keeps the connection open and says nothing.
-    Silent,
-    /// Closes this connection only.
-    Close,
-    /// Closes all connections and the listener, like a process that dies.
-    Crash,
-}
-
-pub fn ok(body: &str) -> Act {
-    Act::Say(plain(body))
-}
-
-pub fn plain(body: &str) -> Vec<u8> {
-    format!(
-        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-    .into_bytes()
-}
-
-pub fn raw(text: &str) -> Act {
-    Act::Say(text.as_bytes().to_vec())
-}
-
-/// A request as it came over the wire.
-#[derive(Clone, Debug)]
-pub struct Seen {
-    pub connection: usize,
-    pub head: String,
-    pub body: Vec<u8>,
-}
-
-type Script = Arc<dyn Fn(&Seen, usize) -> Act + Send + Sync>;
-
-/// A stand-in backend server.
-pub struct Server {
-    pub address: SocketAddr,
-    pub seen: Arc<Mutex<Vec<Seen>>>,
-    pub closed: Arc<AtomicUsize>,
-    task: tokio::task::JoinHandle<()>,
-}
-
-impl Server {
-    /// Runs `script` for each request; it gets the request and its number.
-    pub async fn start(script: impl Fn(&Seen, usize) -> Act + Send + Sync + 'static) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let closed = Arc::new(AtomicUsize::new(0));
-        let script: Script = Arc::new(script);
-        let (log, ends) = (seen.clone(), closed.clone());
-        let task = tokio::spawn(async move {
-            let (crash, mut crashed) = tokio::sync::mpsc::channel::<()>(1);
-            let mut connections = tokio::task::JoinSet::new();
-            for connection in 0.. {
-                let stream = tokio::select! {
-                    accepted = listener.accept() => accepted.unwrap().0,
-                    _ = crashed.recv() => return,
-                };
-                let (script, log, crash) = (script.clone(), log.clone(), crash.clone());
-                let ends = ends.clone();
-                connections.spawn(async move {
-                    if serve(stream, connection, &script, &log).await {
-                        let _ = crash.send(()).await;
-                    }
-                    ends.fetch_add(1, Ordering::SeqCst);
-                });
-            }
-        });
-        Server {
-            address,
-            seen,
-            closed,
-            task,
-        }
-    }
-
-    /// Requests received so far, other than load reports.
-    pub fn requests(&self) -> Vec<Seen> {
-        self.seen.lock().unwrap().clone()
-    }
-
-    pub fn is_down(&self) -> bool {
-        self.task.is_finished()
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn serve(
-    mut stream: TcpStream,
-    connection: usize,
-    script: &Script,
-    log: &Mutex<Vec<Seen>>,
-) -> bool {
-    let mut buffer = Vec::new();
-    while let Some((head, body)) = read_message(&mut stream, &mut buffer).await {
-        let seen = Seen {
-            connection,
-            head,
-            body,
-        };
-        if seen.head.starts_with("GET /load ") {
-            let report = plain("{\"slots\":6,\"busy\":0,\"queued\":0}");
-            stream.write_all(&report).await.unwrap();
-            continue;
-        }
-        let number = {
-            let mut log = log.lock().unwrap();
-            log.push(seen.clone());
-            log.len() - 1
-        };
-        match script(&seen, number) {
-            Act::Say(bytes) => drop(stream.write_all(&bytes).await),
-            Act::SayAndClose(bytes) => {
-                let _ = stream.write_all(&bytes).await;
-                return false;
-            }
-            Act::Late(ms, bytes) => {
-                // The end of the connection cuts the wait short.
-                let mut byte = [0];
-                let wait = tokio::time::sleep(Duration::from_millis(ms));
-                tokio::select! {
-                    () = wait => drop(stream.write_all(&bytes).await),
-                    n = stream.read(&mut byte) => if !matches!(n, Ok(1)) { return false },
-                }
-            }
-            Act::Silent => {
-                let mut byte = [0];
-                let _ = stream.read(&mut byte).await;
-                return false;
-            }
-            Act::Close => return false,
-            Act::Crash => return true,
-        }
-    }
-    false
-}
-
-/// Reads a head and a body of known or chunked length.
-pub async fn read_message(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-) -> Option<(String, Vec<u8>)> {
-    let end = loop {
-        match buffer.windows(4).position(|w| w == b"\r\n\r\n") {
-            Some(at) => break at + 4,
-            None => fill(stream, buffer).await?,
-        }
-    };
-    let head = String::from_utf8(buffer.drain(..end).collect()).unwrap();
-    let lower = head.to_ascii_lowercase();
-    if lower.contains("transfer-encoding: chunked") {
-        let mut body = Vec::new();
-        loop {
-            let line = take_line(stream, buffer).await?;
-            let size = usize::from_str_radix(line.trim(), 16).ok()?;
-            while buffer.len() < size + 2 {
-                fill(stream, buffer).await?;
-            }
-            body.extend(buffer.drain(..size));
-            buffer.drain(..2);
-            if size == 0 {
-                return Some((head, body));
-            }
-        }
-    }
-    let length = header(&lower, "content-length").map_or(0, |v| v.parse().unwrap());
-    while buffer.len() < length {
-        fill(stream, buffer).await?;
-    }
-    Some((head, buffer.drain(..length).collect()))
-}
-
-async fn take_line(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
-    loop {
-        match buffer.windows(2).position(|w| w == b"\r\n") {
-            Some(at) => {
-                let line: Vec<u8> = buffer.drain(..at + 2).collect();
-                return String::from_utf8(line).ok();
-            }
-            None => fill(stream, buffer).await?,
-        }
-    }
-}
-
-async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
-    match stream.read_buf(buffer).await {
-        Ok(0) | Err(_) => None,
-        Ok(_) => Some(()),
-    }
-}
-
-/// The value of a header in a head.
-pub fn header(head: &str, name: &str) -> Option<String> {
-    let matches = |line: &&str| {
-        line.split_once(':')
-            .is_some_and(|(n, _)| n.eq_ignore_ascii_case(name))
-    };
-    let line = head.lines().find(matches)?;
-    Some(line.split_once(':')?.1.trim().to_owned())
-}
-
 /// A complete answer, as a caller received it.
 #[derive(Clone, Debug)]
 pub struct Got {
@@ -310,6 +98,8 @@
     pub handle: ControlHandle,
     pub clock: Clock,
     pub proposed: Arc<Mutex<Vec<Command>>>,
+    /// Whether requests for tokens stay unanswered.
+    pub mute: Arc<AtomicBool>,
 }
 
 impl Control {
@@ -318,6 +108,8 @@
         let machine = Arc::new(Mutex::new(Machine::default()));
         let views: Arc<Mutex<Vec<Arc<View>>>> = Arc::default();
         let proposed: Arc<Mutex<Vec<Command>>> = Arc::default();
+        let mute: Arc<AtomicBool> = Arc::default();
+        let muted = mute.clone();
         let (applying, published, log) = (machine.clone(), views.clone(), proposed.clone());
         tokio::spawn(async move {
             while let Ok(call) = calls.recv_async().await {
@@ -328,6 +120,7 @@
                         publish(&applying, &published);
                         let _ = reply.send(Ok(applied));
                     }
+                    ControlCall::Grant(..) if muted.load(Ordering::SeqCst) => {}
                     ControlCall::Grant(request, reply) => {
                         let _ = reply.send(Ok(grant_all(request)));
                     }
@@ -341,6 +134,7 @@
             handle,
             clock: Clock::manual(),
             proposed,
+            mute,
         }
     }
 
