Keep drains through restarts, give a new leader's entries time, lock data folders

A drained entry that restarted came back into the entry list; a drained one that was down held every move; a new leader could take an entry out whose first report was late; two processes could open one data folder.

--- a/crates/coordination/src/gate.rs
+++ b/crates/coordination/src/gate.rs
@@ -284,7 +284,7 @@
         })
         .sum();
     // A reverse takes traffic off the link; the forward case adds to it.
-    let used = measures.link_kbits(document, &m.from, &m.to);
+    let used = measures.link_kbits(document, now, &m.from, &m.to);
     let after = if shift.to == &m.to {
         used + extra
     } else {
--- a/crates/coordination/src/log.rs
+++ b/crates/coordination/src/log.rs
@@ -10,7 +10,7 @@
 use pomelovale_state::{ErrorKind, Millis, Name};
 
 pub use crate::replica::Replica;
-pub use crate::storage::Storage;
+pub use crate::storage::{DirectoryLock, Storage};
 
 /// Longest time between two ticks, in milliseconds.
 pub const TICK_MS: u64 = 20;
--- a/crates/coordination/src/measures.rs
+++ b/crates/coordination/src/measures.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use pomelovale_protocol::report::{Report, ServiceLoad};
-use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::document::{Document, Instance, MemberState};
 use pomelovale_state::{Millis, Name};
 
 /// Oldest measurement that a decision may rest on.
@@ -35,10 +35,19 @@
 /// The last report of each entry.
 #[derive(Clone, Debug, Default)]
 pub struct Measures {
+    since: Millis,
     reports: IndexMap<Name, Received>,
 }
 
 impl Measures {
+    /// No measurements yet, from `now` on.
+    pub fn new(now: Millis) -> Measures {
+        Measures {
+            since: now,
+            reports: IndexMap::new(),
+        }
+    }
+
     /// Keeps a report in place of the entry's previous one.
     pub fn record(&mut self, now: Millis, report: &Report) {
         let received = Received {
@@ -66,7 +75,10 @@
             Some(r) => now.since(r.at) <= MEASURE_BOUND_MS && r.report.version >= version,
             None => false,
         };
-        entries(document).filter(|n| !proves(n)).cloned().collect()
+        self.counted(document, now)
+            .filter(|n| !proves(n))
+            .cloned()
+            .collect()
     }
 
     /// Load of a service in a region. An entry without a report makes it incomplete.
@@ -79,7 +91,7 @@
     ) -> RegionLoad {
         let mut sum = RegionLoad::default();
         let (mut outstanding, mut reported, mut freshest) = (0, 0, u64::MAX);
-        for name in entries(document) {
+        for name in self.counted(document, now) {
             let Some(r) = self.reports.get(name) else {
                 sum.oldest = u64::MAX;
                 continue;
@@ -103,8 +115,9 @@
     }
 
     /// Traffic between two regions in kbit/s, over all entries.
-    pub fn link_kbits(&self, document: &Document, from: &Name, to: &Name) -> u64 {
-        let rows = entries(document)
+    pub fn link_kbits(&self, document: &Document, now: Millis, from: &Name, to: &Name) -> u64 {
+        let rows = self
+            .counted(document, now)
             .filter_map(|n| self.reports.get(n))
             .flat_map(|r| &r.report.links);
         rows.filter(|l| (&l.from, &l.to) == (from, to) || (&l.from, &l.to) == (to, from))
@@ -113,34 +126,63 @@
     }
 
     /// Changes of state due to reports that stopped or came back, or that
-    /// announce a stop. Nothing is
-    /// taken out when most entries fall silent at once, since then the fault
-    /// is more likely between them and the leader.
+    /// announce a stop. Nothing is taken out when most entries fall silent at
+    /// once, since then the fault is more likely between them and the leader.
+    /// What an operator drained stays drained.
     pub fn membership(&self, document: &Document, now: Millis) -> Vec<(Name, MemberState)> {
-        let silent = |n: &Name| self.age(now, n) > LOST_AFTER_MS;
         let leaves = |n: &Name| self.reports.get(n).is_some_and(|r| r.report.leaving);
-        let serving: Vec<&Name> = entries(document).collect();
-        let lost: Vec<&Name> = serving.iter().copied().filter(|n| silent(n)).collect();
-        let back = document
+        let silent = |n: &Name| self.silence(now, n) > LOST_AFTER_MS;
+        let mut changes = Vec::new();
+        let (mut lost, mut serving) = (Vec::new(), 0);
+        for (name, instance) in document
             .instances
             .iter()
-            .filter(|(n, i)| i.state == MemberState::Away && !silent(n) && !leaves(n));
-        let mut changes: Vec<_> = back
-            .map(|(n, _)| (n.clone(), MemberState::Serving))
-            .collect();
-        let stopping = serving.iter().copied().filter(|n| !silent(n) && leaves(n));
-        let open = |n: &&Name| document.instances[*n].state == MemberState::Serving;
-        changes.extend(
-            stopping
-                .filter(open)
-                .map(|n| (n.clone(), MemberState::Away)),
-        );
-        if lost.len() * 2 <= serving.len() {
-            changes.extend(lost.into_iter().map(|n| (n.clone(), MemberState::Away)));
+            .filter(|(_, i)| i.callers.is_some())
+        {
+            serving += usize::from(instance.state == MemberState::Serving);
+            match instance.state {
+                MemberState::Away
+                    if self.reports.contains_key(name) && !silent(name) && !leaves(name) =>
+                {
+                    changes.push((name.clone(), MemberState::Serving));
+                }
+                MemberState::Serving if silent(name) => {
+                    lost.push((name.clone(), MemberState::Away))
+                }
+                MemberState::Serving if leaves(name) => {
+                    changes.push((name.clone(), MemberState::Away))
+                }
+                MemberState::Away | MemberState::Leaving | MemberState::Serving => {}
+            }
+        }
+        if lost.len() * 2 <= serving {
+            changes.extend(lost);
         }
         changes
     }
 
+    // A new leader gives every entry the full time for its first report.
+    fn silence(&self, now: Millis, instance: &Name) -> u64 {
+        let last = self.reports.get(instance).map_or(self.since, |r| r.at);
+        now.since(last)
+    }
+
+    /// The entries whose measurements count: those that are serving, and
+    /// drained ones for as long as they report.
+    fn counted<'a>(
+        &'a self,
+        document: &'a Document,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a Name> {
+        let counts = move |(name, i): &(&Name, &Instance)| match i.state {
+            _ if i.callers.is_none() => false,
+            MemberState::Away => false,
+            MemberState::Leaving => self.age(now, name) <= LOST_AFTER_MS,
+            MemberState::Serving => true,
+        };
+        document.instances.iter().filter(counts).map(|(n, _)| n)
+    }
+
     /// The entries that reported, with their last reports.
     pub fn reports(&self) -> impl Iterator<Item = &Report> {
         self.reports.values().map(|r| &r.report)
@@ -154,13 +196,6 @@
     }
 }
 
-fn entries(document: &Document) -> impl Iterator<Item = &Name> {
-    let serves = |(_, i): &(&Name, &pomelovale_state::document::Instance)| {
-        i.callers.is_some() && i.state != MemberState::Away
-    };
-    document.instances.iter().filter(serves).map(|(n, _)| n)
-}
-
 fn find<'a>(report: &'a Report, service: &Name, region: &Name) -> Option<&'a ServiceLoad> {
     report
         .services
--- a/crates/coordination/src/storage.rs
+++ b/crates/coordination/src/storage.rs
@@ -44,6 +44,30 @@
     tail: Vec<Entry>,
 }
 
+/// Keeps other processes out of a data directory until it is dropped. Two
+/// processes that write to one directory would destroy it.
+#[derive(Debug)]
+pub struct DirectoryLock {
+    _file: File,
+}
+
+impl DirectoryLock {
+    /// Locks a data directory, and creates it if there is none.
+    pub fn take(directory: impl AsRef<Path>) -> Result<DirectoryLock> {
+        let directory = directory.as_ref();
+        fs::create_dir_all(directory).map_err(|error| io_error(directory, &error))?;
+        let path = directory.join("lock");
+        let file = File::create(&path).map_err(|error| io_error(&path, &error))?;
+        match file.try_lock() {
+            Ok(()) => Ok(DirectoryLock { _file: file }),
+            Err(_) => {
+                let text = format!("{} is in use by another process", directory.display());
+                Err(Report::new(ErrorKind::BadSettings).attach(text))
+            }
+        }
+    }
+}
+
 impl Storage {
     /// Opens a data directory, or creates one under a new identity. A torn
     /// last frame is cut off; damage elsewhere gives [`ErrorKind::Corrupt`].
--- a/crates/coordination/tests/gate.rs
+++ b/crates/coordination/tests/gate.rs
@@ -191,6 +191,10 @@
         .plan(|m| (m.done, m.version) = (0, 0)).reported("e-south-1", 3_001, |_| {}) => Err("3001 ms old");
     advance_without_an_entry_that_is_away: case(10, 4, NEXT).reported("e-south-1", 60_000, |_| {})
         .edit(|d| d.instances["e-south-1"].state = MemberState::Away) => Ok(());
+    advance_without_a_drained_entry_that_is_down: case(10, 4, NEXT).reported("e-south-1", 60_000, |_| {})
+        .edit(|d| d.instances["e-south-1"].state = MemberState::Leaving) => Ok(());
+    advance_with_a_drained_entry_that_lags: case(10, 4, NEXT).reported("e-south-1", 0, |r| r.version = 4)
+        .edit(|d| d.instances["e-south-1"].state = MemberState::Leaving) => Err("e-south-1");
     advance_without_measurements: Case { measures: Measures::default(), ..case(10, 4, NEXT) }
         .plan(|m| m.version = 0) => Err("missing");
     advance_with_old_server_reports: (0..4).fold(case(10, 4, NEXT), |c, i| {
@@ -231,3 +235,23 @@
     let changes = case.measures.membership(&case.document, later);
     assert_eq!(changes, [("e-south-1".into(), MemberState::Serving)]);
 }
+
+/// Guards against a restart that undoes an operator's drain, and against a new
+/// leader that takes entries out before they had time to report.
+#[test]
+fn drains_and_new_leaders_change_no_membership() {
+    let mut case = case(10, 4, NEXT);
+    case.document.instances["e-south-1"].state = MemberState::Leaving;
+    let later = NOW.plus(LOST_AFTER_MS);
+    for name in ["e-north-0", "e-north-1", "e-south-0"] {
+        case.measures.record(later, &report(&name.into(), 1, 1));
+    }
+    assert_eq!(case.measures.membership(&case.document, later), []);
+    let mut fresh = Measures::new(NOW);
+    for name in ["e-north-0", "e-north-1"] {
+        fresh.record(NOW.plus(400), &report(&name.into(), 1, 1));
+    }
+    assert_eq!(fresh.membership(&case.document, NOW.plus(500)), []);
+    let lost = fresh.membership(&case.document, NOW.plus(5_001));
+    assert_eq!(lost, [("e-south-0".into(), MemberState::Away)]);
+}
--- a/crates/coordination/tests/log_storage.rs
+++ b/crates/coordination/tests/log_storage.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 
-use pomelovale_coordination::log::{HardState, Persist, Restored, Storage};
+use pomelovale_coordination::log::{DirectoryLock, HardState, Persist, Restored, Storage};
 use pomelovale_protocol::log::{Entry, EntryData, Epoch, LogIndex, Snapshot};
 use pomelovale_state::ErrorKind;
 
@@ -210,3 +210,15 @@
         assert_eq!(reopen(directory).entries, entries(3, 8..=9));
     };
 }
+
+/// Guards against two processes that write to one directory.
+#[test]
+fn a_directory_in_use_is_refused() {
+    let directory = tempfile::tempdir().unwrap();
+    let first = DirectoryLock::take(directory.path()).unwrap();
+    let error = DirectoryLock::take(directory.path()).err().unwrap();
+    assert_eq!(error.current_context(), &ErrorKind::BadSettings);
+    assert!(format!("{error:?}").contains("in use by another process"));
+    drop(first);
+    DirectoryLock::take(directory.path()).unwrap();
+}
--- a/crates/daemon/examples/quickstart.rs
+++ b/crates/daemon/examples/quickstart.rs
@@ -45,7 +45,7 @@
             continue;
         }
         let n = load.next.fetch_add(1, Ordering::Relaxed);
-        let booking = n % 5 == 0;
+        let booking = n.is_multiple_of(5);
         let path = if booking {
             "/desk/bookings".to_owned()
         } else {
--- a/crates/daemon/src/control/disk.rs
+++ b/crates/daemon/src/control/disk.rs
@@ -2,7 +2,7 @@
 
 use std::thread;
 
-use pomelovale_coordination::log::{Event, Persist, Storage};
+use pomelovale_coordination::log::{DirectoryLock, Event, Persist, Storage};
 
 /// Sends writes to the thread; the thread ends when this is dropped.
 pub(super) struct Disk {
@@ -13,13 +13,13 @@
 
 impl Disk {
     /// Also returns a channel that is disconnected when the thread ends.
-    pub(super) fn start(storage: Storage) -> (Disk, flume::Receiver<()>) {
+    pub(super) fn start(storage: Storage, lock: DirectoryLock) -> (Disk, flume::Receiver<()>) {
         let (writes, queued) = flume::unbounded();
         let (done, synced) = flume::unbounded();
         let (running, ended) = flume::bounded(0);
         thread::spawn(move || {
             write_all(storage, &queued, &done);
-            drop(running);
+            drop((lock, running));
         });
         (Disk { writes, synced }, ended)
     }
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -51,7 +51,7 @@
             since: now,
             ledger: Ledger::new(ledger_config(epoch, document), now),
             limits: IndexMap::new(),
-            measures: Measures::default(),
+            measures: Measures::new(now),
             checked: now,
         };
         leader.set_limits(document, now);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use pomelovale_coordination::control::ControlHandle;
-use pomelovale_coordination::log::{LogConfig, Replica, Role as LogRole, Storage};
+use pomelovale_coordination::log::{DirectoryLock, LogConfig, Replica, Role as LogRole, Storage};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::log::ReplicaId;
@@ -113,6 +113,8 @@
 impl Control {
     /// Opens the data directory, listens for peers and takes part in the log.
     pub async fn start(config: ControlConfig, clock: Clock) -> Result<ControlServer, ControlError> {
+        let lock = DirectoryLock::take(&config.directory)
+            .map_err(|e| ControlError::Storage(format!("{e:?}")))?;
         let opened = Storage::open(&config.directory);
         let (storage, restored) = opened.map_err(|e| ControlError::Storage(format!("{e:?}")))?;
         Saved::decode(&restored.snapshot)
@@ -145,7 +147,7 @@
         let (handle, calls) = ControlHandle::new(CALL_QUEUE);
         let (orders, ordered) = flume::unbounded();
         let outputs = Outputs::default();
-        let (disk, written) = Disk::start(storage);
+        let (disk, written) = Disk::start(storage, lock);
         let address = server.address();
         let core = Core::new(config, clock, replica, disk, outputs.clone());
         let inputs = Inputs {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -21,7 +21,7 @@
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
 use pomelovale_state::command::{Applied, Change, Command};
-use pomelovale_state::document::MemberState;
+use pomelovale_state::document::{Instance, MemberState};
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::http_server::{Handler, Server};
 use pomelovale_transport::pool::Pool;
@@ -76,9 +76,15 @@
         proposed.await.unwrap_or(Err(ErrorKind::Unavailable))
     }
 
-    /// Records that callers are no longer sent here.
+    /// Records that callers are no longer sent here. A drain by an operator is
+    /// left as it is, so that the next start does not end it.
     async fn leave(&self) {
         let name = &self.config.instance;
+        let document = self.view.document();
+        let drained = |i: &Instance| i.state == MemberState::Leaving;
+        if document.instances.get(name).is_some_and(drained) {
+            return;
+        }
         let mut left = Err(ErrorKind::Unavailable);
         for _ in 0..LEAVE_TRIES {
             left = self
--- a/crates/steering/benches/model/changes.rs
+++ b/crates/steering/benches/model/changes.rs
@@ -96,7 +96,7 @@
             s.mode = Mode::Gone;
         }
         for i in 0..self.entries.len() {
-            if self.entries[i].place % 3 == 0 {
+            if self.entries[i].place.is_multiple_of(3) {
                 self.entries[i].alive = false;
                 self.lives[i] += 1;
                 self.document.1[i].leaving = true;
@@ -173,7 +173,7 @@
         let now = self.millis();
         let entries = self.entries.len() as u32 * 2 / 3;
         let e = &mut self.entries[i];
-        let far = (self.now / (POLL_MS * MS)) % 4 == 0;
+        let far = (self.now / (POLL_MS * MS)).is_multiple_of(4);
         if !self.case.has(Fault::NoReports) || self.now < FAULT {
             for s in self
                 .servers
