Say in one line why the daemon can't start

Cause: a start that failed printed a report with backtraces, and its reason between them; the exit code was always 70. Change: the kind and the attached texts on one line, the exit code of the kind. Figures: the new test of a second process on one data folder gets one line and exit code 3; before, 40 lines and 70.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -28,6 +28,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::fault::describe;
+
 use self::config::ControlConfig;
 use self::core::{Core, Inputs, Order, Outputs, Saved};
 use self::disk::Disk;
@@ -114,9 +116,9 @@
     /// Opens the data directory, listens for peers and takes part in the log.
     pub async fn start(config: ControlConfig, clock: Clock) -> Result<ControlServer, ControlError> {
         let lock = DirectoryLock::take(&config.directory)
-            .map_err(|e| ControlError::Storage(format!("{e:?}")))?;
+            .map_err(|e| ControlError::Storage(describe(&e)))?;
         let opened = Storage::open(&config.directory);
-        let (storage, restored) = opened.map_err(|e| ControlError::Storage(format!("{e:?}")))?;
+        let (storage, restored) = opened.map_err(|e| ControlError::Storage(describe(&e)))?;
         Saved::decode(&restored.snapshot)
             .map_err(|_| ControlError::Storage("the snapshot can't be decoded".to_string()))?;
         let mut names: Vec<Name> = config.peers.iter().map(|p| p.name.clone()).collect();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod entry;
+pub mod fault;
 pub mod node;
 pub mod operators;
 pub mod schema;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,9 +3,11 @@
 use std::path::{Path, PathBuf};
 use std::process::exit;
 
+use error_stack::Report;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use pico_args::Arguments;
 use pomelovale_state::{Clock, ErrorKind};
+use pomelovaled::fault::describe;
 use pomelovaled::node::Node;
 use pomelovaled::settings::Settings;
 use tokio::signal::unix::{signal, SignalKind};
@@ -106,20 +108,19 @@
     };
     match runtime.block_on(serve(&settings)) {
         Ok(()) => 0,
-        Err(e) => {
-            eprintln!("pomelovaled: {e}");
-            ErrorKind::Internal.answer().exit
+        Err(report) => {
+            eprintln!("pomelovaled: {}", describe(&report));
+            report.current_context().answer().exit
         }
     }
 }
 
-async fn serve(settings: &Settings) -> Result<(), String> {
+async fn serve(settings: &Settings) -> Result<(), Report<ErrorKind>> {
+    let internal = |text: String| Report::new(ErrorKind::Internal).attach(text);
     let metrics = PrometheusBuilder::new()
         .install_recorder()
-        .map_err(|e| e.to_string())?;
-    let node = Node::start(settings, Clock::monotonic(), metrics)
-        .await
-        .map_err(|e| format!("{e:?}"))?;
+        .map_err(|e| internal(e.to_string()))?;
+    let node = Node::start(settings, Clock::monotonic(), metrics).await?;
     let callers = node.callers().map(|a| a.to_string()).unwrap_or_default();
     println!(
         "{} serves callers on {callers:?} and operators on {}",
@@ -135,7 +136,7 @@
             _ = term.recv() => {}
             _ = int.recv() => {}
         },
-        _ => return Err("can't listen for signals".to_owned()),
+        _ => return Err(internal("can't listen for signals".to_owned())),
     }
     node.stop().await;
     println!("{} stopped", settings.instance);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -162,7 +162,7 @@
     };
     let control = Control::start(config, clock)
         .await
-        .change_context(ErrorKind::BadSettings)?;
+        .map_err(|e| Report::new(ErrorKind::BadSettings).attach(e.to_string()))?;
     Ok(Arc::new(control))
 }
 
--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -100,3 +100,19 @@
         thread::sleep(Duration::from_millis(25));
     }
 }
+
+/// Guards against a second process on one data folder, and against a start that
+/// fails without a reason that an operator can read.
+#[test]
+fn a_second_process_on_a_data_folder_is_refused() {
+    let backend = Backend::start(Duration::ZERO);
+    let site = Workdir::start(&backend);
+    let path = site.dir.path().join("i0.json");
+    let output = run(&["--config", path.to_str().unwrap()]);
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(3), "{text}");
+    assert!(
+        text.contains("is in use by another process") && text.lines().count() == 1,
+        "{text}"
+    );
+}
