Give test processes ports that nothing else takes

Cause: a repeated run of the daemon tests did not end: a port found by binding port 0 was taken by an outgoing connection before the process bound it, and the test waited for a process that had exited. Change: ports from below the range of outgoing connections; a process that exits while it is waited for fails the test with its log. The quickstart does the same.

--- a/crates/daemon/examples/support/site.rs
+++ b/crates/daemon/examples/support/site.rs
@@ -50,8 +50,12 @@
     pub operator: Operator,
 }
 
-fn free_port() -> Result<u16, Failure> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+// Below the range of outgoing connections, which could take a port before the
+// instance binds it.
+fn free_ports(count: usize) -> Vec<u16> {
+    let first = 20_000 + std::process::id() as u16 % 10_000;
+    let is_free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    (first..32_000).filter(is_free).take(count).collect()
 }
 
 fn object<'a>(rows: impl Iterator<Item = (&'a str, Value)>) -> Value {
@@ -78,7 +82,7 @@
             }
         }
         std::fs::write(folder.join("secret"), "the secret of the quickstart\n")?;
-        let ports: Vec<u16> = (0..6).map(|_| free_port()).collect::<Result<_, _>>()?;
+        let ports = free_ports(6);
         let metrics = PrometheusBuilder::new().install_recorder()?;
         let mut nodes = Vec::new();
         for (i, (name, _, _)) in INSTANCES.iter().enumerate() {
--- a/crates/daemon/tests/process/mod.rs
+++ b/crates/daemon/tests/process/mod.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -17,6 +17,22 @@
 const NAMES: [&str; 3] = ["i0", "i1", "i2"];
 const POLL: Duration = Duration::from_millis(20);
 
+/// Ports below the range that the system gives to outgoing connections, one of
+/// which could otherwise take a port between the search and the start.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = std::process::id() as u16 % 100 * 100;
+    loop {
+        let step = first + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start + step % (PORTS.end - PORTS.start);
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
 /// Runs the daemon's binary with some words.
 pub fn run(words: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_pomelovaled"))
@@ -85,14 +101,7 @@
 impl Workdir {
     /// Starts a site and waits until every process serves keyed requests.
     pub fn start(backend: &Backend) -> Workdir {
-        let free = |_| {
-            TcpListener::bind("127.0.0.1:0")
-                .unwrap()
-                .local_addr()
-                .unwrap()
-                .port()
-        };
-        let ports = (0..9).map(free).collect();
+        let ports = (0..9).map(|_| free_port()).collect();
         let dir = TempDir::new().unwrap();
         std::fs::write(dir.path().join("secret"), "a secret of the tests").unwrap();
         let children = vec![None, None, None];
@@ -169,8 +178,10 @@
     }
 
     /// Waits until a process serves keyed requests.
-    pub fn wait(&self, i: usize) {
+    pub fn wait(&mut self, i: usize) {
         while self.status(i) != 200 {
+            let ended = self.children[i].as_mut().unwrap().try_wait().unwrap();
+            assert_eq!(ended, None, "{}", self.logged(i));
             thread::sleep(POLL);
         }
     }
