--- a/crates/coordination/src/gate.rs
+++ b/crates/coordination/src/gate.rs
@@ -199,7 +199,7 @@
     match m.services.iter().any(failing) {
         true => Ok(()),
         false => Err(held(format!(
-            "region {} is not measured as failing; reverse step by step",
+            "region {} is healthy by its measurements; reverse step by step",
             m.to
         ))),
     }
--- a/crates/coordination/tests/gate.rs
+++ b/crates/coordination/tests/gate.rs
@@ -206,7 +206,7 @@
     advance_without_a_link: case(10, 4, NEXT).edit(|d| d.links.clear()) => Err("no link");
     reverse_with_room: case(10, 4, BACK) => Ok(());
     reverse_into_a_full_region: case(18, 4, BACK) => Err("region north has headroom");
-    leave_a_healthy_region: case(10, 4, LEAVE) => Err("not measured as failing");
+    leave_a_healthy_region: case(10, 4, LEAVE) => Err("healthy by its measurements");
     leave_a_failing_region: case(10, 4, LEAVE).reported("e-south-1", 0, |r| r.services[1].failed = 40) => Ok(());
     leave_a_region_without_servers: case(10, 4, LEAVE).edit(|d| {
         d.backends.values_mut().filter(|b| &*b.region == "south").for_each(|b| b.state = MemberState::Leaving);
