--- a/crates/cli/src/backend.rs
+++ b/crates/cli/src/backend.rs
@@ -75,6 +75,7 @@
         domain: option::<String>(args, "--domain")?.into(),
         slots: option(args, "--slots")?,
         connections: option(args, "--connections")?,
+        cold_ms: 0,
         state: MemberState::Serving,
     })
 }
--- a/crates/coordination/src/log.rs
+++ b/crates/coordination/src/log.rs
@@ -21,6 +21,18 @@
 /// Shortest and longest election timeout, in milliseconds.
 pub const ELECTION_MS: (u64, u64) = (600, 1_200);
 
+/// Who may become a member.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Membership {
+    /// The peers of the settings, and replacements under their names.
+    Fixed,
+    /// Any replica that announces itself, up to a number of voters.
+    Open {
+        /// Most replicas that vote.
+        voters: usize,
+    },
+}
+
 /// Settings of a replica.
 #[derive(Clone, Debug)]
 pub struct LogConfig {
@@ -30,12 +42,17 @@
     pub election_ms: (u64, u64),
     /// Largest payload of a proposal, in bytes.
     pub entry_bytes: usize,
+    /// Whether this is the first start of the whole system. Otherwise an empty
+    /// disk is a lost one, and the replica never takes part in a founding.
+    pub founding: bool,
     /// Time between two heartbeat rounds, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Who may become a member.
+    pub membership: Membership,
     /// Name of this instance.
     pub name: Name,
-    /// Names of all control instances in the settings, this one included. The
-    /// first start needs all of them.
+    /// Names of the control instances in the settings, this one included if it
+    /// is one of them. The first start needs all of them.
     pub peers: Vec<Name>,
     /// Most entries kept in memory behind a snapshot, for replicas that lag.
     pub retain: usize,
@@ -50,7 +67,9 @@
             append_bytes: 256 * 1024,
             election_ms: ELECTION_MS,
             entry_bytes: 512 * 1024,
+            founding: true,
             heartbeat_ms: HEARTBEAT_MS,
+            membership: Membership::Fixed,
             name,
             peers,
             retain: 2_000,
--- a/crates/coordination/src/measures.rs
+++ b/crates/coordination/src/measures.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Measures {
     since: Millis,
+    lost_ms: u64,
+    lost_all_ms: u64,
     reports: IndexMap<Name, Received>,
 }
 
@@ -44,10 +46,18 @@
     pub fn new(now: Millis) -> Measures {
         Measures {
             since: now,
+            lost_ms: LOST_AFTER_MS,
+            lost_all_ms: 0,
             reports: IndexMap::new(),
         }
     }
 
+    /// Sets the time without a report after which an entry counts as lost, and
+    /// the time after which that holds also if most are silent (0: never).
+    pub fn set_lost(&mut self, lost_ms: u64, lost_all_ms: u64) {
+        (self.lost_ms, self.lost_all_ms) = (lost_ms, lost_all_ms);
+    }
+
     /// Keeps a report in place of the entry's previous one.
     pub fn record(&mut self, now: Millis, report: &Report) {
         let received = Received {
@@ -131,7 +141,7 @@
     /// What an operator drained stays drained.
     pub fn membership(&self, document: &Document, now: Millis) -> Vec<(Name, MemberState)> {
         let leaves = |n: &Name| self.reports.get(n).is_some_and(|r| r.report.leaving);
-        let silent = |n: &Name| self.silence(now, n) > LOST_AFTER_MS;
+        let silent = |n: &Name| self.silence(now, n) > self.lost_ms;
         let mut changes = Vec::new();
         let (mut lost, mut serving) = (Vec::new(), 0);
         for (name, instance) in document
@@ -155,9 +165,9 @@
                 MemberState::Away | MemberState::Leaving | MemberState::Serving => {}
             }
         }
-        if lost.len() * 2 <= serving {
-            changes.extend(lost);
-        }
+        let few = lost.len() * 2 <= serving;
+        let for_long = |n: &Name| self.lost_all_ms > 0 && self.silence(now, n) > self.lost_all_ms;
+        changes.extend(lost.into_iter().filter(|(n, _)| few || for_long(n)));
         changes
     }
 
@@ -177,7 +187,7 @@
         let counts = move |(name, i): &(&Name, &Instance)| match i.state {
             _ if i.callers.is_none() => false,
             MemberState::Away => false,
-            MemberState::Leaving => self.age(now, name) <= LOST_AFTER_MS,
+            MemberState::Leaving => self.age(now, name) <= self.lost_ms,
             MemberState::Serving => true,
         };
         document.instances.iter().filter(counts).map(|(n, _)| n)
--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -1,9 +1,11 @@
 //! Members: founding, changes through the log, and replaced disks.
 
 use pomelovale_protocol::log::{EntryData, Epoch, LogIndex, LogMessage, Members, ReplicaId};
-use pomelovale_state::{ErrorKind, Millis};
+use std::collections::BTreeSet;
 
-use crate::log::{HardState, MemberChange, Role};
+use pomelovale_state::{ErrorKind, Millis, Name};
+
+use crate::log::{HardState, MemberChange, Membership, Role};
 use crate::replica::Replica;
 use crate::replication::Lead;
 
@@ -14,6 +16,10 @@
 /// Age up to which an announcement counts, in milliseconds.
 const ANNOUNCED_MS: u64 = 2_000;
 
+/// Silence after which an open membership gives a voter's place to another
+/// replica, in milliseconds. Longer than a restart of a process takes.
+const REPLACE_MS: u64 = 2_500;
+
 /// The latest announcement under a name.
 #[derive(Debug)]
 pub(crate) struct Announced {
@@ -37,8 +43,11 @@
             return;
         }
         let vacant = self.is_vacant();
-        let mut peers = self.config.peers.clone();
-        peers.retain(|name| *name != self.id.name);
+        let members = self.entries.members();
+        let known = members.voters.iter().chain(&members.learners);
+        let mut peers: BTreeSet<Name> = known.map(|id| id.name.clone()).collect();
+        peers.extend(self.config.peers.iter().cloned());
+        peers.remove(&self.id.name);
         for name in peers {
             self.send(&ReplicaId::any(name), LogMessage::Announce { vacant });
         }
@@ -46,14 +55,17 @@
 
     pub(crate) fn on_announce(&mut self, id: ReplicaId, vacant: bool) {
         let at = self.now;
-        if self.config.peers.contains(&id.name) || self.announced.contains_key(&id.name) {
+        let open = matches!(self.config.membership, Membership::Open { .. });
+        if open || self.config.peers.contains(&id.name) || self.announced.contains_key(&id.name) {
             let announced = Announced { at, id, vacant };
             self.announced.insert(announced.id.name.clone(), announced);
         }
     }
 
     fn is_vacant(&self) -> bool {
-        self.hard.epoch == Epoch(0) && self.entries.last().index == LogIndex(0)
+        self.config.founding
+            && self.hard.epoch == Epoch(0)
+            && self.entries.last().index == LogIndex(0)
     }
 
     fn is_recent(&self, announced: &Announced) -> bool {
@@ -169,6 +181,20 @@
         progress.is_some_and(|p| self.now.since(p.seen()) > self.config.election_ms.0)
     }
 
+    /// Whether an open membership may give the place of a voter away.
+    fn is_lost(&self, id: &ReplicaId) -> bool {
+        let progress = self.lead.as_ref().and_then(|l| l.progress.get(id));
+        let long = progress.is_some_and(|p| self.now.since(p.seen()) > REPLACE_MS);
+        self.config.membership != Membership::Fixed && *id != self.id && long
+    }
+
+    fn voters_max(&self) -> usize {
+        match self.config.membership {
+            Membership::Fixed => usize::MAX,
+            Membership::Open { voters } => voters,
+        }
+    }
+
     /// Whether a quorum of `members` answers. The leader could not undo a
     /// change whose quorum it cannot reach.
     fn is_workable(&self, members: &Members) -> bool {
@@ -197,22 +223,29 @@
     fn next_change(&self) -> Option<MemberChange> {
         let members = self.entries.members();
         let caught_up = members.learners.iter().find(|id| self.is_caught_up(id));
+        let lost = members.voters.iter().find(|id| self.is_lost(id));
         let same_name = |id: &ReplicaId| members.voters.iter().find(|v| v.name == id.name);
         if let Some(learner) = caught_up {
-            return match same_name(learner) {
-                None => Some(MemberChange::Promote(learner.clone())),
-                Some(old) if self.is_silent(old) => Some(MemberChange::Remove(old.clone())),
-                Some(_) => None,
+            return match (same_name(learner), lost) {
+                (None, Some(lost)) => Some(MemberChange::Remove(lost.clone())),
+                (None, None) if members.voters.len() >= self.voters_max() => None,
+                (None, None) => Some(MemberChange::Promote(learner.clone())),
+                (Some(old), _) if self.is_silent(old) => Some(MemberChange::Remove(old.clone())),
+                (Some(_), _) => None,
             };
         }
+        // An even number of voters bears no more losses than one voter fewer.
+        if let Some(lost) = lost.filter(|_| members.voters.len().is_multiple_of(2)) {
+            return Some(MemberChange::Remove(lost.clone()));
+        }
         let recent = self.announced.values().filter(|a| self.is_recent(a));
         let strangers = recent.filter(|a| !self.entries.is_member(&a.id));
         strangers.map(|a| &a.id).find_map(|id| {
             let learner = members.learners.iter().find(|l| l.name == id.name);
             match (learner, same_name(id)) {
                 (None, Some(old)) if !self.is_silent(old) => None,
-                (None, None) => None,
-                (Some(_), _) | (None, Some(_)) => Some(MemberChange::AddLearner(id.clone())),
+                (None, None) if self.config.membership == Membership::Fixed => None,
+                (Some(_), _) | (None, _) => Some(MemberChange::AddLearner(id.clone())),
             }
         })
     }
--- a/crates/coordination/tests/gate.rs
+++ b/crates/coordination/tests/gate.rs
@@ -38,6 +38,7 @@
                 domain: domain.clone(),
                 slots: 20,
                 connections: 100,
+                cold_ms: 0,
                 state: MemberState::Serving,
             };
             d.backends.insert(format!("{region}-{i}").into(), backend);
--- a/crates/daemon/benches/path.rs
+++ b/crates/daemon/benches/path.rs
@@ -198,6 +198,7 @@
                     domain: Name::from("north-a"),
                     slots: 64,
                     connections: 400,
+                    cold_ms: 0,
                     state: MemberState::Serving,
                 },
             });
--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -17,7 +17,7 @@
 use pomelovale_protocol::messages::{
     chunks, Assembly, Content, Delta, Fleet, LogPacket, PeerMessage, Request, Response,
 };
-use pomelovale_state::command::{Applied, Change};
+use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::machine::Machine;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
@@ -26,6 +26,7 @@
 
 use super::calls::{Calls, Sink, Target};
 use super::config::ControlConfig;
+use super::dial::Dialer;
 use super::disk::Disk;
 use super::feed::{Feed, Standing};
 use super::leader::Leader;
@@ -52,10 +53,15 @@
 /// What the loop keeps current for the rest of the process.
 #[derive(Clone, Default)]
 pub(super) struct Outputs {
+    pub(super) source: Arc<ArcSwap<RoutingSource>>,
     pub(super) status: Arc<ArcSwap<ControlStatus>>,
     pub(super) view: Arc<View>,
 }
 
+/// The routing table as its operator sent it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RoutingSource(pub(super) Arc<str>);
+
 /// Content of a snapshot.
 #[derive(Default, Deserialize, Serialize)]
 pub(super) struct Saved {
@@ -63,6 +69,14 @@
     position: Position,
 }
 
+// Entries do not need the operator's text of the routing table.
+fn distributed(mut change: Change) -> Change {
+    if let Command::ReplaceRouting { source, .. } = &mut change.command {
+        *source = Arc::from("");
+    }
+    change
+}
+
 impl Saved {
     pub(super) fn decode(snapshot: &Snapshot) -> Result<Saved, ErrorKind> {
         match snapshot.payload.is_empty() {
@@ -92,6 +106,7 @@
     pub(super) calls: Calls,
     // Results of applied changes, until the view holds them.
     answers: Vec<(Name, Applied)>,
+    dialer: Option<Dialer>,
     pub(super) leader: Option<Leader>,
     stopping: bool,
     failed: bool,
@@ -103,6 +118,7 @@
         clock: Clock,
         replica: Replica,
         disk: Disk,
+        dialer: Option<Dialer>,
         outputs: Outputs,
     ) -> Core {
         Core {
@@ -123,6 +139,7 @@
             parts: HashMap::new(),
             calls: Calls::default(),
             answers: Vec::new(),
+            dialer,
             leader: None,
             stopping: false,
             failed: false,
@@ -177,11 +194,24 @@
     fn tick(&mut self) {
         self.step(Event::Tick);
         self.calls.expire(self.clock.now());
+        self.dial();
         self.attend();
         self.propose_initial();
         self.propose_membership();
     }
 
+    fn dial(&mut self) {
+        let Some(dialer) = &mut self.dialer else {
+            return;
+        };
+        let status = self.replica.status();
+        let seeds = self.config.peers.iter().map(|p| &p.name);
+        let members = status.voters.iter().chain(&status.learners);
+        let known = seeds.chain(members.map(|id| &id.name));
+        let connected = |name: &Name| self.controls.contains_key(name);
+        dialer.dial(self.clock.now(), known, connected);
+    }
+
     // Brings everything that others see up to date.
     fn settle(&mut self) -> LogStatus {
         let now = self.clock.now();
@@ -189,6 +219,11 @@
         self.follow_role(&status, now);
         let age = status.quorum_age(now);
         if self.machine.document.version > self.outputs.view.document().version {
+            let source = &self.machine.routing_source;
+            if !Arc::ptr_eq(source, &self.outputs.source.load_full().0) {
+                let kept = RoutingSource(source.clone());
+                self.outputs.source.store(Arc::new(kept));
+            }
             self.outputs.view.publish(self.machine.document.clone());
         }
         // Whoever gets an answer finds the change in the view.
@@ -231,7 +266,12 @@
             (true, _) => {
                 metrics::counter!("log_leaderships_total").increment(1);
                 log::info!("{} leads {}", self.config.name, status.epoch);
-                self.leader = Some(Leader::new(status.epoch, &self.machine.document, now));
+                self.leader = Some(Leader::new(
+                    status.epoch,
+                    &self.machine.document,
+                    &self.config.limits,
+                    now,
+                ));
                 self.attend();
             }
             (false, Some(_)) => {
@@ -293,7 +333,7 @@
             let delta = Delta {
                 position: entry.position(),
                 version,
-                change,
+                change: distributed(change),
             };
             self.feed.add(delta, payload.len());
             let (now, document) = (self.clock.now(), &self.machine.document);
@@ -379,7 +419,7 @@
     }
 
     fn opened(&mut self, link: PeerLink) {
-        let known = self.config.peers.iter().any(|p| p.name == link.peer);
+        let known = self.dialer.is_some() || self.config.peers.iter().any(|p| p.name == link.peer);
         match link.role {
             Role::Entry => self.feed.open(link.clone()),
             Role::Control if known => {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -14,6 +14,8 @@
 use pomelovale_state::sheet::{MoveStatus, NextStep};
 use pomelovale_state::{Millis, Name};
 
+use super::config::ControlLimits;
+
 /// Time between two checks of which instances still report.
 const MEMBERSHIP_MS: u64 = 500;
 
@@ -44,14 +46,21 @@
 }
 
 impl Leader {
-    pub(super) fn new(epoch: Epoch, document: &Document, now: Millis) -> Leader {
+    pub(super) fn new(
+        epoch: Epoch,
+        document: &Document,
+        limits: &ControlLimits,
+        now: Millis,
+    ) -> Leader {
+        let mut measures = Measures::new(now);
+        measures.set_lost(limits.lost_ms, limits.lost_all_ms);
         let mut leader = Leader {
             epoch,
             base: document.time,
             since: now,
             ledger: Ledger::new(ledger_config(epoch, document), now),
             limits: IndexMap::new(),
-            measures: Measures::new(now),
+            measures,
             checked: now,
         };
         leader.set_limits(document, now);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod calls;
 mod core;
+mod dial;
 mod disk;
 mod feed;
 mod leader;
@@ -15,13 +16,15 @@
 use std::time::Duration;
 
 use pomelovale_coordination::control::ControlHandle;
-use pomelovale_coordination::log::{DirectoryLock, LogConfig, Replica, Role as LogRole, Storage};
+use pomelovale_coordination::log::{
+    DirectoryLock, LogConfig, Membership, Replica, Role as LogRole, Storage,
+};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::log::ReplicaId;
 use pomelovale_protocol::messages::Fleet;
 use pomelovale_state::{Clock, Name};
-use pomelovale_transport::peer_client::PeerClient;
+use pomelovale_transport::peer_client::{PeerAddress, PeerClient};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters};
 use pomelovale_transport::peer_server::PeerServer;
 use serde::Serialize;
@@ -30,8 +33,9 @@
 
 use crate::fault::describe;
 
-use self::config::ControlConfig;
+use self::config::{ControlConfig, Joining};
 use self::core::{Core, Inputs, Order, Outputs, Saved};
+use self::dial::Dialer;
 use self::disk::Disk;
 
 /// Calls that may wait for the loop.
@@ -121,13 +125,7 @@
         let (storage, restored) = opened.map_err(|e| ControlError::Storage(describe(&e)))?;
         Saved::decode(&restored.snapshot)
             .map_err(|_| ControlError::Storage("the snapshot can't be decoded".to_string()))?;
-        let mut names: Vec<Name> = config.peers.iter().map(|p| p.name.clone()).collect();
-        names.push(config.name.clone());
-        names.sort();
-        let log = LogConfig {
-            retain: config.limits.retain,
-            ..LogConfig::new(config.name.clone(), names)
-        };
+        let log = log_config(&config);
         let replica = Replica::new(log, restored, rand::random(), clock.now());
         let counters = Arc::new(PeerCounters::default());
         let peering = PeerConfig {
@@ -143,15 +141,24 @@
         let server = server.await.map_err(ControlError::Listen)?;
         // One connection for each pair: the smaller name opens it.
         let larger = config.peers.iter().filter(|p| p.name > config.name);
-        let clients: Vec<PeerClient> = larger
-            .map(|p| PeerClient::start(peering.clone(), p.clone(), events.clone()))
-            .collect();
+        let client =
+            |p: &PeerAddress| PeerClient::start(peering.clone(), p.clone(), events.clone());
+        let clients: Vec<PeerClient> = match config.joining {
+            Joining::ByAddress { .. } => Vec::new(),
+            Joining::Fixed => larger.map(client).collect(),
+        };
+        let dialer = match config.joining {
+            Joining::ByAddress { .. } => {
+                Some(Dialer::new(peering, config.listen.port(), events.clone()))
+            }
+            Joining::Fixed => None,
+        };
         let (handle, calls) = ControlHandle::new(CALL_QUEUE);
         let (orders, ordered) = flume::unbounded();
         let outputs = Outputs::default();
         let (disk, written) = Disk::start(storage, lock);
         let address = server.address();
-        let core = Core::new(config, clock, replica, disk, outputs.clone());
+        let core = Core::new(config, clock, replica, disk, dialer, outputs.clone());
         let inputs = Inputs {
             calls,
             events: received,
@@ -173,6 +180,24 @@
     }
 }
 
+fn log_config(config: &ControlConfig) -> LogConfig {
+    let mut names: Vec<Name> = config.peers.iter().map(|p| p.name.clone()).collect();
+    let (founding, membership) = match config.joining {
+        Joining::ByAddress { founding, voters } => (founding, Membership::Open { voters }),
+        Joining::Fixed => {
+            names.push(config.name.clone());
+            (true, Membership::Fixed)
+        }
+    };
+    names.sort();
+    LogConfig {
+        founding,
+        membership,
+        retain: config.limits.retain,
+        ..LogConfig::new(config.name.clone(), names)
+    }
+}
+
 impl ControlServer {
     /// The bound address for peers.
     pub fn address(&self) -> SocketAddr {
@@ -194,6 +219,11 @@
         self.outputs.view.clone()
     }
 
+    /// The routing table as its operator sent it; empty if there is none.
+    pub fn routing_source(&self) -> Arc<str> {
+        self.outputs.source.load().0.clone()
+    }
+
     /// State of the log on this instance.
     pub fn status(&self) -> Arc<ControlStatus> {
         self.outputs.status.load_full()
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -64,6 +64,11 @@
         let Some(leader) = &self.leader else {
             return;
         };
+        // Nothing goes before the initial document, which other changes need.
+        let empty = self.machine.document.version == 0 && !self.config.initial.is_empty();
+        if empty && change.request.as_str() != INITIAL_REQUEST {
+            return;
+        }
         change.at = leader.log_time(now);
         if let Err(refusal) = leader.admit(&self.machine.document, &change, now) {
             let refused = Response::Applied(Applied::Refused(refusal));
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -273,7 +273,11 @@
     };
     let (start, span) = (Instant::now(), tracing::info_span!("backend"));
     let end = start + limit;
-    let result = match connection.send(request, &id, limit).instrument(span).await {
+    let result = match connection
+        .send(request, &REQUEST, id.as_bytes(), limit)
+        .instrument(span)
+        .await
+    {
         Ok(reply) => receive(shared, job, reply, end, running).await,
         Err(failure) => Err((failure, running)),
     };
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -13,6 +13,7 @@
 use pomelovale_transport::backend::Connection;
 use tokio::time::timeout;
 
+use pomelovale_protocol::http::REQUEST;
 use pomelovale_protocol::report::{LinkLoad, Report, ServiceLoad};
 
 use super::decide::LoadReport;
@@ -118,7 +119,7 @@
         .body(Full::new(Bytes::new()))
         .ok()?;
     let limit = Millis(shared.config.poll_ms).duration();
-    let mut reply = connection.send(request, "", limit).await.ok()?;
+    let mut reply = connection.send(request, &REQUEST, b"", limit).await.ok()?;
     let mut body = BytesMut::new();
     loop {
         let part = std::future::poll_fn(|cx| reply.body.poll_part(cx));
--- a/crates/daemon/src/entry/rates.rs
+++ b/crates/daemon/src/entry/rates.rs
@@ -29,8 +29,13 @@
 impl Rates {
     /// A limiter under a name that no other start of the process uses.
     pub fn new(instance: Name, clock: Clock) -> Rates {
+        Rates::with(LimiterConfig::new(instance), clock)
+    }
+
+    /// A limiter with settings of its own.
+    pub fn with(config: LimiterConfig, clock: Clock) -> Rates {
         Rates {
-            limiter: Mutex::new(Limiter::new(LimiterConfig::new(instance))),
+            limiter: Mutex::new(Limiter::new(config)),
             clock,
             wanted: Notify::new(),
             come: Notify::new(),
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -27,6 +27,16 @@
 }
 
 impl Refusal {
+    /// The answer to a caller that takes fractions of a second.
+    pub fn fractional_response(self) -> Response<CallerBody> {
+        let mut response = self.response();
+        if let Some(seconds) = response.headers_mut().get_mut(header::RETRY_AFTER) {
+            let text = format!("{:.3}", self.retry_ms as f64 / 1_000.0);
+            *seconds = HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"));
+        }
+        response
+    }
+
     /// The answer to the caller.
     pub fn response(self) -> Response<CallerBody> {
         let answer = self.kind.answer();
--- /dev/null
+++ b/crates/daemon/src/events.rs
@@ -0,0 +1,159 @@
+//! Structured log lines on standard output, bounded in volume.
+//!
+//! Lines are JSON objects. They are buffered in memory and written by a thread
+//! of their own, so that a reader that stalls stops nothing. When the buffer
+//! fills up, lines of ordinary decisions are dropped before warnings and
+//! errors, and the number of dropped lines is written.
+
+use std::io::{self, Write};
+use std::sync::{Condvar, Mutex, MutexGuard, OnceLock};
+use std::thread;
+use std::time::Duration;
+
+use tracing::{Level, Metadata};
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::EnvFilter;
+
+/// Bytes that wait for the writing thread at most.
+const BUFFER_BYTES: usize = 128 * 1024;
+/// Bytes above which only warnings and errors are taken.
+const ORDINARY_BYTES: usize = 96 * 1024;
+/// Time that lines are collected before they are written. Together with
+/// [`BUFFER_BYTES`] it bounds the bytes a second.
+const COLLECT: Duration = Duration::from_millis(500);
+/// Longest wait for the last lines when the process ends.
+const FLUSH: Duration = Duration::from_millis(200);
+/// Environment variable with the filter of log lines.
+const FILTER_VARIABLE: &str = "POMELOVALE_LOG";
+
+#[derive(Debug, Default)]
+struct Pending {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+#[derive(Debug, Default)]
+struct Buffer {
+    pending: Mutex<Pending>,
+    filled: Condvar,
+    written: Condvar,
+}
+
+impl Buffer {
+    fn lock(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().expect("no panic while held")
+    }
+
+    fn add(&self, line: &[u8], ordinary: bool) {
+        let mut pending = self.lock();
+        let most = if ordinary {
+            ORDINARY_BYTES
+        } else {
+            BUFFER_BYTES
+        };
+        if pending.bytes.len() + line.len() > most {
+            pending.dropped += 1;
+            metrics::counter!("log_lines_dropped_total").increment(1);
+            return;
+        }
+        let first = pending.bytes.is_empty();
+        pending.bytes.extend_from_slice(line);
+        if first {
+            self.filled.notify_one();
+        }
+    }
+
+    fn write_all(&self, mut out: impl Write) {
+        loop {
+            let pending = self.lock();
+            let ready = self.filled.wait_while(pending, |p| p.bytes.is_empty());
+            drop(ready.expect("no panic while held"));
+            thread::sleep(COLLECT);
+            let lines = std::mem::take(&mut *self.lock());
+            let mut written = out.write_all(&lines.bytes);
+            if lines.dropped > 0 {
+                let note = format!("{{\"event\":\"dropped\",\"lines\":{}}}\n", lines.dropped);
+                written = written.and_then(|()| out.write_all(note.as_bytes()));
+            }
+            // Without a reader there is nobody to tell.
+            let _ = written.and_then(|()| out.flush());
+            self.written.notify_all();
+        }
+    }
+}
+
+/// One log line on its way to the buffer.
+#[derive(Debug)]
+pub struct Line {
+    buffer: &'static Buffer,
+    ordinary: bool,
+}
+
+impl Write for Line {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.buffer.add(bytes, self.ordinary);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[derive(Debug)]
+struct Lines(&'static Buffer);
+
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Line;
+
+    fn make_writer(&'a self) -> Line {
+        Line {
+            buffer: self.0,
+            ordinary: true,
+        }
+    }
+
+    fn make_writer_for(&'a self, metadata: &Metadata<'_>) -> Line {
+        Line {
+            buffer: self.0,
+            ordinary: *metadata.level() > Level::WARN,
+        }
+    }
+}
+
+static BUFFER: OnceLock<&'static Buffer> = OnceLock::new();
+
+/// Starts to write log lines; later calls have no effect.
+pub fn start() {
+    let buffer: &'static Buffer = Box::leak(Box::default());
+    if BUFFER.set(buffer).is_err() {
+        return;
+    }
+    let filter =
+        EnvFilter::try_from_env(FILTER_VARIABLE).unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_env_filter(filter)
+        .with_writer(Lines(buffer))
+        .init();
+    thread::spawn(move || buffer.write_all(io::stdout()));
+}
+
+/// Waits a moment for the last lines to be written.
+pub fn flush() {
+    let Some(buffer) = BUFFER.get() else {
+        return;
+    };
+    let pending = buffer.lock();
+    if !pending.bytes.is_empty() {
+        let limit = COLLECT + FLUSH;
+        let waited = buffer
+            .written
+            .wait_timeout_while(pending, limit, |p| !p.bytes.is_empty());
+        drop(waited.expect("no panic while held"));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -0,0 +1,504 @@
+//! Attempts of one request on backend servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{HeaderMap, HeaderValue};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use pomelovale_protocol::http::strip_hop_by_hop;
+use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::routing::{HostRoute, Repeat};
+use pomelovale_state::{ErrorKind, Name};
+use pomelovale_steering::placement::{Chosen, Ended, LoadReport, Subject, Verdict};
+use pomelovale_transport::backend::{Connection, Failure, Fault, Reply, ReplyBody};
+use pomelovale_transport::body::{CallerBody, Passing};
+use tokio::time::{timeout_at, Instant};
+
+use super::Shared;
+use crate::entry::refusal::Refusal;
+
+/// Connections that may fail before a request is refused. Nothing was sent over
+/// them, so that they count as no attempt.
+const CONNECTS_MAX: usize = 3;
+/// Time kept for the answer to reach the caller, in milliseconds.
+const ANSWER_MS: u64 = 5;
+/// A server that has not answered an idempotent request within this many times
+/// the expected time is given up, if another attempt is allowed.
+const PATIENCE: u64 = 4;
+
+/// A request that was admitted.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) service: Name,
+    pub(super) route: HostRoute,
+    /// Hash of the object that it concerns.
+    pub(super) object: u64,
+    pub(super) priority: u32,
+    /// Regions that may serve it; all if empty.
+    pub(super) homes: Vec<Name>,
+    pub(super) method: Method,
+    pub(super) target: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) start: Instant,
+    pub(super) deadline: Instant,
+}
+
+impl Job {
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn is_idempotent(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+}
+
+/// One attempt, for the log.
+#[derive(Debug)]
+pub(super) struct Try {
+    server: Name,
+    expected_ms: u64,
+    spent_ms: u64,
+    end: &'static str,
+}
+
+/// What happened to a request, for the log.
+#[derive(Debug, Default)]
+pub(super) struct Story {
+    pub(super) version: u64,
+    pub(super) route: Name,
+    pub(super) workspace: Option<Name>,
+    pub(super) attempts: Vec<Try>,
+}
+
+impl Story {
+    fn note(&mut self, chosen: &Chosen, since: Instant, end: &'static str) {
+        self.attempts.push(Try {
+            server: chosen.server.clone(),
+            expected_ms: chosen.expected_ms,
+            spent_ms: since.elapsed().as_millis() as u64,
+            end,
+        });
+    }
+
+    /// Writes one line with everything that decided about the request.
+    pub(super) fn log(
+        &self,
+        id: Option<&HeaderValue>,
+        status: StatusCode,
+        refusal: Option<Refusal>,
+        spent_ms: u64,
+    ) {
+        let id = id.and_then(|v| v.to_str().ok()).unwrap_or("");
+        let tries: Vec<String> = self
+            .attempts
+            .iter()
+            .map(|t| format!("{}:{}:{}/{}ms", t.server, t.end, t.spent_ms, t.expected_ms))
+            .collect();
+        let workspace = self.workspace.as_ref().map_or("", Name::as_str);
+        let cause = refusal.map_or("", |r| r.kind.answer().code);
+        let retry_ms = refusal.map_or(0, |r| r.retry_ms);
+        tracing::info!(
+            event = "request",
+            id,
+            status = status.as_u16(),
+            cause,
+            retry_ms,
+            route = %self.route,
+            workspace,
+            version = self.version,
+            spent_ms,
+            attempts = tries.join(","),
+        );
+    }
+}
+
+/// What the attempts so far have come to.
+#[derive(Debug, Default)]
+struct Progress {
+    tried: Vec<Name>,
+    sent: u32,
+    connects: usize,
+    // A refusal in place of an answer, once a server may have run the request.
+    written: Option<ErrorKind>,
+}
+
+/// How one attempt ended.
+enum Outcome {
+    Answer(Response<CallerBody>),
+    /// No byte was sent.
+    Unsent,
+    /// The server states that it did not run the request.
+    NotRun,
+    /// The server may have run it.
+    Unknown(ErrorKind),
+}
+
+/// Counts an attempt until it ends; a dropped one was cancelled.
+struct Running {
+    shared: Arc<Shared>,
+    service: Name,
+    route: Name,
+    chosen: Chosen,
+    since: Instant,
+    report: Option<LoadReport>,
+    ended: bool,
+}
+
+impl Running {
+    fn end(&mut self, ended: Ended) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let now = self.shared.clock.now();
+        let latency_ms = self.since.elapsed().as_millis() as u64;
+        let document = self.shared.view.document();
+        let (chosen, route, report) = (&self.chosen, &self.route, self.report);
+        self.shared
+            .services
+            .with(now, &document, &self.service, |s| {
+                s.placement
+                    .finish(now, chosen, route, ended, latency_ms, report);
+            });
+        metrics::histogram!("gateway_attempt_seconds").record(self.since.elapsed());
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.end(Ended::Cancelled);
+    }
+}
+
+/// Sends a request until it is answered or must not be sent again.
+pub(super) async fn run(
+    shared: &Arc<Shared>,
+    job: Job,
+    story: &mut Story,
+) -> Result<Response<CallerBody>, Refusal> {
+    let mut progress = Progress::default();
+    loop {
+        if job.left() <= Duration::from_millis(ANSWER_MS) {
+            let kind = progress.written.unwrap_or(ErrorKind::DeadlineSpent);
+            return Err(kind.into());
+        }
+        let first = progress.sent == 0;
+        let chosen = choose(shared, &job, &progress.tried, first);
+        let chosen = match chosen {
+            Verdict::Send(chosen) => chosen,
+            Verdict::Refuse { retry_ms } => {
+                let kind = progress.written.unwrap_or(ErrorKind::Overloaded);
+                return Err(Refusal { kind, retry_ms });
+            }
+        };
+        let since = Instant::now();
+        let (outcome, end) = attempt(shared, &job, &chosen, &progress).await;
+        story.note(&chosen, since, end);
+        progress.tried.push(chosen.server.clone());
+        let again = match outcome {
+            Outcome::Answer(response) => return Ok(response),
+            Outcome::Unsent => {
+                progress.connects += 1;
+                progress.connects < CONNECTS_MAX
+            }
+            Outcome::NotRun => {
+                progress.sent += 1;
+                progress.sent < job.route.attempts && may_repeat(shared, &job)
+            }
+            Outcome::Unknown(kind) => {
+                progress.sent += 1;
+                progress.written = Some(kind);
+                job.is_idempotent()
+                    && progress.sent < job.route.attempts
+                    && may_repeat(shared, &job)
+            }
+        };
+        if !again {
+            let kind = progress.written.unwrap_or(ErrorKind::Unavailable);
+            return Err(kind.into());
+        }
+        metrics::counter!("gateway_repeats_total").increment(1);
+    }
+}
+
+fn choose(shared: &Shared, job: &Job, tried: &[Name], first: bool) -> Verdict {
+    let now = shared.clock.now();
+    let spent_ms = job.start.elapsed().as_millis() as u64;
+    let subject = Subject {
+        route: &job.route.name,
+        object: job.object,
+        priority: job.priority,
+        objective_ms: job.route.objective_ms.saturating_sub(spent_ms),
+        left_ms: (job.left().as_millis() as u64).saturating_sub(ANSWER_MS),
+        homes: &job.homes,
+        tried,
+    };
+    let document = shared.view.document();
+    let chosen = shared.services.with(now, &document, &job.service, |s| {
+        if first {
+            s.repeats.record_request();
+        }
+        s.placement.choose(now, &subject)
+    });
+    chosen.unwrap_or(Verdict::Refuse { retry_ms: 500 })
+}
+
+fn may_repeat(shared: &Shared, job: &Job) -> bool {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let spent = shared
+        .services
+        .with(now, &document, &job.service, |s| s.repeats.try_spend());
+    spent.unwrap_or(false)
+}
+
+// What may have changed while a connection was opened.
+fn may_write(document: &Document, chosen: &Chosen) -> bool {
+    let backend = document.backends.get(&chosen.server);
+    backend.is_some_and(|b| {
+        b.address == chosen.address
+            && b.state == MemberState::Serving
+            && !document.evacuated.contains(&b.domain)
+    })
+}
+
+async fn attempt(
+    shared: &Arc<Shared>,
+    job: &Job,
+    chosen: &Chosen,
+    progress: &Progress,
+) -> (Outcome, &'static str) {
+    let mut running = Running {
+        shared: shared.clone(),
+        service: job.service.clone(),
+        route: job.route.name.clone(),
+        chosen: chosen.clone(),
+        since: Instant::now(),
+        report: None,
+        ended: false,
+    };
+    let connection = match connect(shared, chosen.address, job.left()).await {
+        Ok(connection) => connection,
+        Err(_) => {
+            running.end(Ended::Unreachable);
+            return (Outcome::Unsent, "connect");
+        }
+    };
+    if !may_write(&shared.view.document(), chosen) {
+        shared.pool.put(chosen.address, connection);
+        running.end(Ended::Cancelled);
+        return (Outcome::Unsent, "left");
+    }
+    let dialect = &shared.config.dialect;
+    let id = job.headers.get(&dialect.request).cloned();
+    let id = id.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
+    let start = Instant::now();
+    let end = start + attempt_limit(job, chosen, progress);
+    let request = request(shared, job, chosen);
+    let limit = end.saturating_duration_since(start);
+    let sent = connection.send(request, &dialect.request, id, limit).await;
+    let result = match sent {
+        Ok(reply) => receive(shared, job, reply, end, running).await,
+        Err(failure) => Err((failure, running)),
+    };
+    match result {
+        Ok(outcome) => outcome,
+        Err((failure, mut running)) => failed(shared, chosen, failure, start, &mut running),
+    }
+}
+
+// An idempotent request leaves a silent server while another one has time.
+fn attempt_limit(job: &Job, chosen: &Chosen, progress: &Progress) -> Duration {
+    let left = job.left().saturating_sub(Duration::from_millis(ANSWER_MS));
+    let another = job.is_idempotent() && progress.sent + 1 < job.route.attempts;
+    if !another {
+        return left;
+    }
+    let patience = (chosen.expected_ms * PATIENCE).max(job.route.objective_ms * 3 / 2);
+    left.min(Duration::from_millis(patience))
+}
+
+fn failed(
+    shared: &Shared,
+    chosen: &Chosen,
+    failure: Failure,
+    start: Instant,
+    running: &mut Running,
+) -> (Outcome, &'static str) {
+    if failure.fault == Fault::Silent {
+        // Others that were open before may have gone silent with it.
+        shared.pool.purge(chosen.address, start);
+    }
+    let (ended, kind, text) = match failure.fault {
+        Fault::Connect => (Ended::Unreachable, ErrorKind::UnknownOutcome, "connect"),
+        Fault::Cut => (Ended::Unreachable, ErrorKind::UnknownOutcome, "cut"),
+        Fault::Foreign => (Ended::Failed, ErrorKind::UnknownOutcome, "foreign"),
+        Fault::Malformed => (Ended::Failed, ErrorKind::UnknownOutcome, "malformed"),
+        Fault::Silent => (Ended::TimedOut, ErrorKind::UnknownTimeout, "silent"),
+    };
+    running.end(ended);
+    match failure.written {
+        true => (Outcome::Unknown(kind), text),
+        false => (Outcome::Unsent, text),
+    }
+}
+
+async fn connect(
+    shared: &Shared,
+    address: SocketAddr,
+    left: Duration,
+) -> Result<Connection, Fault> {
+    let config = &shared.config;
+    match shared
+        .pool
+        .take(address, Duration::from_millis(config.idle_ms))
+    {
+        Some(connection) => Ok(connection),
+        None => {
+            metrics::counter!("gateway_connects_total").increment(1);
+            let limit = Duration::from_millis(config.connect_ms).min(left);
+            Connection::open(address, limit).await
+        }
+    }
+}
+
+fn request(shared: &Shared, job: &Job, chosen: &Chosen) -> Request<Full<Bytes>> {
+    let dialect = &shared.config.dialect;
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.target.parse().unwrap_or_default();
+    let mut headers = job.headers.clone();
+    let left = job.left().as_millis() as u64;
+    headers.insert(dialect.deadline.clone(), HeaderValue::from(left));
+    if let Ok(name) = HeaderValue::from_str(&chosen.server) {
+        headers.insert(dialect.expect.clone(), name);
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Reads an answer and decides what it means.
+async fn receive(
+    shared: &Arc<Shared>,
+    job: &Job,
+    reply: Reply,
+    end: Instant,
+    mut running: Running,
+) -> Result<(Outcome, &'static str), (Failure, Running)> {
+    let dialect = &shared.config.dialect;
+    let Reply { parts, mut body } = reply;
+    running.report = dialect
+        .load(&parts.headers)
+        .map(|[running, waiting, slots]| LoadReport {
+            running,
+            waiting,
+            slots,
+        });
+    let held = match hold(&mut body, shared.config.answer_bytes, end).await {
+        Ok(held) => held,
+        Err(fault) => {
+            let failure = Failure {
+                fault,
+                written: true,
+            };
+            return Err((failure, running));
+        }
+    };
+    let status = parts.status;
+    let moved = status == StatusCode::MISDIRECTED_REQUEST;
+    let refused = moved || parts.headers.contains_key(&dialect.refused);
+    // These statuses promise that the request was not run.
+    let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    let sound = !refused && !promises && parts.headers.contains_key(&dialect.proof);
+    let faulty = status.is_server_error();
+    let again = faulty && job.is_idempotent();
+    let body = match held {
+        Held::All(bytes) => {
+            shared.pool.put(running.chosen.address, body.finish());
+            running.end(match () {
+                () if moved => Ended::Moved,
+                () if refused => Ended::Shed,
+                () if !sound || faulty => Ended::Failed,
+                () => Ended::Answered,
+            });
+            CallerBody::Full(bytes)
+        }
+        Held::Part(prefix) if sound => {
+            let pause = Duration::from_millis(shared.config.pause_ms);
+            CallerBody::Stream(Box::new(pass_on(job, prefix, body, pause, running)))
+        }
+        Held::Part(_) => {
+            running.end(Ended::Failed);
+            CallerBody::Full(Bytes::new())
+        }
+    };
+    match () {
+        () if refused => return Ok((Outcome::NotRun, if moved { "moved" } else { "shed" })),
+        () if !sound => return Ok((Outcome::Unknown(ErrorKind::UnknownOutcome), "unproven")),
+        () if again && job.route.attempts > 1 && may_try_again(job) => {
+            return Ok((Outcome::Unknown(ErrorKind::UnknownOutcome), "fault"));
+        }
+        () => {}
+    }
+    let mut headers = parts.headers;
+    strip_hop_by_hop(&mut headers);
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok((Outcome::Answer(response), "answered"))
+}
+
+// A faulty answer of a server is better than none, unless there is time for
+// another one.
+fn may_try_again(job: &Job) -> bool {
+    job.left() > Duration::from_millis(job.route.objective_ms)
+}
+
+enum Held {
+    All(Bytes),
+    Part(Bytes),
+}
+
+async fn hold(body: &mut ReplyBody, limit: usize, end: Instant) -> Result<Held, Fault> {
+    let mut held = Bytes::new();
+    loop {
+        let part = std::future::poll_fn(|cx| body.poll_part(cx));
+        match timeout_at(end, part).await {
+            Err(_) => return Err(Fault::Silent),
+            Ok(None) => return Ok(Held::All(held)),
+            Ok(Some(Err(fault))) => return Err(fault),
+            Ok(Some(Ok(part))) if held.is_empty() => held = part,
+            Ok(Some(Ok(part))) => {
+                let mut joined = BytesMut::from(held);
+                joined.extend_from_slice(&part);
+                held = joined.freeze();
+            }
+        }
+        if held.len() > limit {
+            return Ok(Held::Part(held));
+        }
+    }
+}
+
+fn pass_on(
+    job: &Job,
+    prefix: Bytes,
+    body: ReplyBody,
+    pause: Duration,
+    mut running: Running,
+) -> Passing {
+    let on_end = move |result: Result<Connection, Fault>| match result {
+        Ok(connection) => {
+            let address = running.chosen.address;
+            running.shared.pool.put(address, connection);
+            running.end(Ended::Answered);
+        }
+        Err(Fault::Cut) => running.end(Ended::Cancelled),
+        Err(_) => running.end(Ended::Failed),
+    };
+    Passing::new(prefix, body, pause, !job.is_idempotent(), Box::new(on_end))
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/config.rs
@@ -0,0 +1,80 @@
+//! Settings of the gateway role.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use pomelovale_protocol::dialect::Dialect;
+use pomelovale_state::Name;
+use pomelovale_transport::http_server::ServerLimits;
+
+/// Settings of a gateway. Durations are in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewayConfig {
+    /// Name of the instance.
+    pub instance: Name,
+    /// Region that it runs in.
+    pub region: Name,
+    /// Failure domain that it runs in.
+    pub domain: Name,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Names of the headers on the wire.
+    pub dialect: Dialect,
+    /// Bounds of what callers can occupy.
+    pub server: ServerLimits,
+    /// Bytes of request bodies held at a time.
+    pub held_bytes: usize,
+    /// Bytes of an answer that are held back until it is complete.
+    pub answer_bytes: usize,
+    /// Time to open a connection to a backend server.
+    pub connect_ms: u64,
+    /// Longest pause between two parts of an answer that is passed on.
+    pub pause_ms: u64,
+    /// Age of the last answer up to which a connection is used again.
+    pub idle_ms: u64,
+    /// Interval between reports to the leader.
+    pub report_ms: u64,
+    /// Budget of repeats that all instances share.
+    pub repeats: RepeatBudget,
+    /// Time that an instance serves on after it has left the list.
+    pub leave_ms: u64,
+    /// Time from the begin of a stop until requests in flight are given up.
+    pub grace_ms: u64,
+}
+
+/// Repeats that all instances together may send within a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatBudget {
+    /// Repeats for each request, in per mille.
+    pub per_mille: u64,
+    /// Repeats beyond that share.
+    pub reserve: u64,
+}
+
+impl Default for GatewayConfig {
+    fn default() -> GatewayConfig {
+        GatewayConfig {
+            instance: Name::default(),
+            region: Name::default(),
+            domain: Name::default(),
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            dialect: Dialect::default(),
+            server: ServerLimits {
+                // Idle callers may return after 12 s of the usual 15 s.
+                head_ms: 16_000,
+                ..ServerLimits::default()
+            },
+            held_bytes: 64 * 1024 * 1024,
+            answer_bytes: 256 * 1024,
+            connect_ms: 400,
+            pause_ms: 5_000,
+            idle_ms: 6_000,
+            report_ms: 500,
+            repeats: RepeatBudget {
+                per_mille: 100,
+                reserve: 20,
+            },
+            leave_ms: 2_800,
+            grace_ms: 5_700,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,175 @@
+//! The gateway role: the path of requests under the routing table.
+//!
+//! It differs from the entry role in what it goes by: hosts and routes that
+//! operators replace as a whole, backend servers that are discovered, and
+//! header names of the deployment.
+
+pub mod config;
+pub mod directory;
+
+mod attempt;
+mod probe;
+mod request;
+mod services;
+mod upkeep;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use error_stack::{Report, ResultExt};
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::limiter::LimiterConfig;
+use pomelovale_coordination::view::View;
+use pomelovale_state::{Clock, ErrorKind, Millis};
+use pomelovale_transport::http_server::{Handler, Server};
+use pomelovale_transport::pool::Pool;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::entry::rates::Rates;
+
+use config::GatewayConfig;
+use services::Services;
+
+/// Longest time that a request waits for tokens of its workspace, in
+/// milliseconds: a round trip to a leader in another region and its jitter.
+const TOKEN_WAIT_MS: u64 = 250;
+
+/// What all requests of a gateway share.
+#[derive(Debug)]
+struct Shared {
+    config: GatewayConfig,
+    view: Arc<View>,
+    control: ControlHandle,
+    clock: Clock,
+    services: Services,
+    rates: Rates,
+    pool: Pool,
+    leaving: AtomicBool,
+    held: AtomicUsize,
+    running: AtomicU64,
+}
+
+/// Starts the gateway role.
+#[derive(Clone, Copy, Debug)]
+pub struct Gateway;
+
+impl Gateway {
+    /// Binds the callers' address and serves on it.
+    pub async fn start(
+        config: GatewayConfig,
+        view: Arc<View>,
+        control: ControlHandle,
+        clock: Clock,
+    ) -> Result<GatewayHandle, Report<ErrorKind>> {
+        let listener = TcpListener::bind(config.listen)
+            .await
+            .change_context(ErrorKind::BadSettings)
+            .attach_with(|| format!("can't listen on {}", config.listen))?;
+        // The ledger must not take this start for an earlier one.
+        let start: u64 = rand::random();
+        let limiter = LimiterConfig {
+            wait_ms: TOKEN_WAIT_MS,
+            outage_wait_ms: TOKEN_WAIT_MS,
+            ..LimiterConfig::new(format!("{}-{start:x}", config.instance).into())
+        };
+        let shared = Arc::new(Shared {
+            services: Services::new(&config, start),
+            rates: Rates::with(limiter, clock.clone()),
+            config,
+            view,
+            control,
+            clock,
+            pool: Pool::default(),
+            leaving: AtomicBool::new(false),
+            held: AtomicUsize::new(0),
+            running: AtomicU64::new(0),
+        });
+        let answering = shared.clone();
+        let handler: Handler = Arc::new(move |request, caller| {
+            let shared = answering.clone();
+            Box::pin(request::answer(shared, request, caller))
+        });
+        let limits = shared.config.server.clone();
+        let server =
+            Server::start(listener, limits, handler).change_context(ErrorKind::BadSettings)?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(upkeep::run(shared.clone()));
+        tasks.spawn(upkeep::register(shared.clone()));
+        let granting = shared.clone();
+        tasks.spawn(async move {
+            let control = granting.control.clone();
+            granting.rates.run(control).await;
+        });
+        Ok(GatewayHandle {
+            shared,
+            server,
+            tasks,
+        })
+    }
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct GatewayHandle {
+    shared: Arc<Shared>,
+    server: Server,
+    tasks: JoinSet<()>,
+}
+
+/// Tells whether a gateway may be sent callers.
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    shared: Arc<Shared>,
+}
+
+impl Readiness {
+    /// Whether the gateway has a routing table and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        !self.shared.leaving.load(Ordering::Relaxed) && self.shared.has_routing()
+    }
+}
+
+impl Shared {
+    /// Whether a proven document with a routing table has arrived.
+    fn has_routing(&self) -> bool {
+        let proven = self.view.age(self.clock.now()) != u64::MAX;
+        proven && self.view.document().routing.is_some()
+    }
+}
+
+impl GatewayHandle {
+    /// The bound address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Tells whether callers may be sent here.
+    pub fn readiness(&self) -> Readiness {
+        Readiness {
+            shared: self.shared.clone(),
+        }
+    }
+
+    /// Leaves the entry list, serves for as long as callers may still hold it,
+    /// finishes the requests in flight and ends.
+    pub async fn stop(mut self) {
+        let config = &self.shared.config;
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        tracing::info!(event = "leave", instance = %config.instance);
+        upkeep::report(&self.shared);
+        tokio::time::sleep(Millis(config.leave_ms).duration()).await;
+        let rest = Millis(config.grace_ms.saturating_sub(config.leave_ms)).duration();
+        if timeout(rest, self.server.stop()).await.is_err() {
+            let left = self.shared.running.load(Ordering::Relaxed);
+            tracing::warn!(
+                event = "stop",
+                unfinished = left,
+                "requests in flight are given up"
+            );
+        }
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/services.rs
@@ -0,0 +1,169 @@
+//! Placement, repeats and splits of all services, kept in step with the
+//! document.
+
+use std::sync::{Mutex, MutexGuard};
+
+use indexmap::{IndexMap, IndexSet};
+use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::routing::HostRoute;
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::placement::{Placement, ServerSpec, ServiceSpec};
+use pomelovale_steering::retry::{RetryBudget, RetryPolicy};
+
+use super::config::{GatewayConfig, RepeatBudget};
+
+/// Part of the shared budgets that is used, in per mille: the rest covers
+/// instances that restart and spend their part again.
+const BUDGET_USED: u64 = 600;
+/// Part of what a cold server bears that its region's instances send.
+const COLD_USED: f64 = 0.7;
+
+/// One service on this instance.
+#[derive(Debug)]
+pub(super) struct Service {
+    pub(super) placement: Placement,
+    pub(super) repeats: RetryBudget,
+    pub(super) probe: String,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    version: Option<u64>,
+    services: IndexMap<Name, Service>,
+    // Smooth weighted round robin of each split route: credit by service.
+    splits: IndexMap<Name, IndexMap<Name, i64>>,
+}
+
+/// All services on this instance.
+#[derive(Debug)]
+pub(super) struct Services {
+    inner: Mutex<Inner>,
+    region: Name,
+    domain: Name,
+    repeats: RepeatBudget,
+    seed: u64,
+}
+
+impl Services {
+    pub(super) fn new(config: &GatewayConfig, seed: u64) -> Services {
+        Services {
+            inner: Mutex::default(),
+            region: config.region.clone(),
+            domain: config.domain.clone(),
+            repeats: config.repeats,
+            seed,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic while held")
+    }
+
+    /// Runs `f` on a service, once it is in step with the document.
+    pub(super) fn with<R>(
+        &self,
+        now: Millis,
+        document: &Document,
+        name: &Name,
+        f: impl FnOnce(&mut Service) -> R,
+    ) -> Option<R> {
+        let mut inner = self.lock();
+        self.sync(&mut inner, now, document);
+        inner.services.get_mut(name).map(f)
+    }
+
+    /// Runs `f` on every service.
+    pub(super) fn each(
+        &self,
+        now: Millis,
+        document: &Document,
+        mut f: impl FnMut(&Name, &mut Service),
+    ) {
+        let mut inner = self.lock();
+        self.sync(&mut inner, now, document);
+        inner.services.iter_mut().for_each(|(name, s)| f(name, s));
+    }
+
+    /// The service of the next request on a route. Each service of a split
+    /// gets its weight's share of any run of requests, to within one.
+    pub(super) fn target(&self, route: &HostRoute) -> Option<Name> {
+        let weight: i64 = route.targets.iter().map(|t| i64::from(t.weight)).sum();
+        match route.targets.as_slice() {
+            [] => return None,
+            [only] => return Some(only.service.clone()),
+            [first, ..] if weight == 0 => return Some(first.service.clone()),
+            _ => {}
+        }
+        let mut inner = self.lock();
+        let credits = inner.splits.entry(route.name.clone()).or_default();
+        credits.retain(|name, _| route.targets.iter().any(|t| t.service == *name));
+        for target in &route.targets {
+            *credits.entry(target.service.clone()).or_default() += i64::from(target.weight);
+        }
+        let best = credits.iter_mut().max_by_key(|(_, credit)| **credit)?;
+        *best.1 -= weight;
+        Some(best.0.clone())
+    }
+
+    fn sync(&self, inner: &mut Inner, now: Millis, document: &Document) {
+        if inner.version == Some(document.version) {
+            return;
+        }
+        inner.version = Some(document.version);
+        let Some(routing) = &document.routing else {
+            return;
+        };
+        let gateways = || document.instances.values().filter(|i| i.callers.is_some());
+        let regions: IndexSet<Name> = gateways().map(|i| i.region.clone()).collect();
+        let regions: Vec<Name> = regions.into_iter().collect();
+        let here = gateways()
+            .filter(|i| i.region == self.region)
+            .count()
+            .max(1);
+        let all = gateways().count().max(1) as u64;
+        inner
+            .services
+            .retain(|name, _| routing.services.contains_key(name));
+        for (name, routed) in &routing.services {
+            let specs = specs(document, name);
+            let cold = routed.cold_rate as f64 / 1_000.0 * COLD_USED / here as f64;
+            let service = ServiceSpec {
+                cold_ms: routed.cold_ms,
+                cold_rate: (routed.cold_rate > 0).then_some(cold),
+            };
+            let policy = RetryPolicy::Fleet {
+                per_mille: self.repeats.per_mille * BUDGET_USED / 1_000,
+                burst: self.repeats.reserve * BUDGET_USED / 1_000 / all,
+            };
+            let known = inner
+                .services
+                .entry(name.clone())
+                .or_insert_with(|| Service {
+                    placement: Placement::new(&self.region, &self.domain, self.seed),
+                    repeats: RetryBudget::new(policy),
+                    probe: routed.probe.clone(),
+                });
+            known.placement.sync(now, &specs, service, &regions);
+            known.repeats.set_policy(policy);
+            known.probe.clone_from(&routed.probe);
+        }
+    }
+}
+
+// Servers that may get new work.
+fn specs(document: &Document, service: &Name) -> Vec<ServerSpec> {
+    let open = document.backends.iter().filter(|(_, b)| {
+        b.service == *service
+            && b.state == MemberState::Serving
+            && !document.evacuated.contains(&b.domain)
+    });
+    let spec = |(name, b): (&Name, &pomelovale_state::document::Backend)| ServerSpec {
+        name: name.clone(),
+        address: b.address,
+        region: b.region.clone(),
+        domain: b.domain.clone(),
+        slots: b.slots,
+        cold_ms: b.cold_ms,
+    };
+    open.map(spec).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/upkeep.rs
@@ -0,0 +1,96 @@
+//! Periodic work of a gateway: registration, reports, connections and probes.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+use pomelovale_protocol::report::Report;
+use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::document::{Instance, MemberState};
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::spread::STEP_MS;
+
+use super::{probe, Shared};
+
+/// Pause before a registration that failed is sent again, in milliseconds.
+const REGISTER_MS: u64 = 400;
+
+/// Announces this instance to the control instances.
+pub(super) async fn register(shared: Arc<Shared>) {
+    let config = &shared.config;
+    let instance = Instance {
+        callers: Some(config.listen),
+        peers: None,
+        region: config.region.clone(),
+        domain: config.domain.clone(),
+        state: MemberState::Serving,
+    };
+    let command = Command::PutInstance {
+        name: config.instance.clone(),
+        instance,
+    };
+    let start: u64 = rand::random();
+    for n in 0u64.. {
+        let change = Change {
+            request: Name::from(format!("register-{}-{start:x}-{n}", config.instance)),
+            sender: config.instance.clone(),
+            base: None,
+            at: Millis(0),
+            command: command.clone(),
+        };
+        match shared.control.propose(change).await {
+            Ok(Applied::Accepted { version, .. }) => {
+                tracing::info!(event = "register", instance = %config.instance, version);
+                return;
+            }
+            other => {
+                tracing::warn!(event = "register", instance = %config.instance, "not yet: {other:?}");
+                tokio::time::sleep(Millis(REGISTER_MS).duration()).await;
+            }
+        }
+    }
+}
+
+/// Reports, sweeps connections and sends probes until the task is aborted.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let mut reported = Millis(0);
+    loop {
+        tokio::time::sleep(Millis(STEP_MS).duration()).await;
+        let (now, document) = (shared.clock.now(), shared.view.document());
+        let mut due = Vec::new();
+        shared.services.each(now, &document, |name, service| {
+            service.placement.tick(now);
+            for (server, address) in service.placement.due_probes(now) {
+                due.push((name.clone(), server, address, service.probe.clone()));
+            }
+        });
+        for (service, server, address, path) in due {
+            tokio::spawn(probe::run(shared.clone(), service, server, address, path));
+        }
+        if now.since(reported) >= shared.config.report_ms {
+            reported = now;
+            report(&shared);
+            let used = document.backends.values().map(|b| b.address);
+            let used: IndexSet<SocketAddr> = used.collect();
+            let age = Millis(shared.config.idle_ms).duration();
+            shared.pool.sweep(age, &|a| used.contains(a));
+        }
+    }
+}
+
+/// Tells the leader that this instance lives, and whether it is stopping.
+pub(super) fn report(shared: &Shared) {
+    let document = shared.view.document();
+    let view_ms = shared.view.age(shared.clock.now());
+    metrics::gauge!("document_version").set(document.version as f64);
+    metrics::gauge!("view_age_ms").set(view_ms as f64);
+    shared.control.report(Report {
+        instance: shared.config.instance.clone(),
+        version: document.version,
+        view_ms,
+        leaving: shared.leaving.load(Ordering::Relaxed),
+        services: Vec::new(),
+        links: Vec::new(),
+    });
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,10 +1,14 @@
 //! The pomelovale daemon.
 
 pub mod control;
+pub mod discovery;
 pub mod entry;
+pub mod events;
 pub mod fault;
+pub mod gateway;
 pub mod node;
 pub mod operators;
+pub mod orders;
 pub mod schema;
 pub mod settings;
 pub mod subscriber;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -17,7 +17,7 @@
 use tokio::runtime::Handle;
 use tokio::time::timeout;
 
-use crate::control::config::ControlConfig;
+use crate::control::config::{ControlConfig, Joining};
 use crate::control::{Control, ControlServer};
 use crate::entry::{Entry, EntryHandle};
 use crate::operators::{Operators, OperatorsConfig, OperatorsSources, StatusSource};
@@ -156,6 +156,7 @@
             })
             .collect(),
         secret,
+        joining: Joining::Fixed,
         initial,
         timings: settings.peering,
         limits: settings.control,
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -14,7 +14,7 @@
 use pomelovale_protocol::messages::{
     Assembly, Chunk, Content, PeerMessage, Proof, Renew, Request, Response,
 };
-use pomelovale_state::document::{Digest, Document};
+use pomelovale_state::document::{Digest, Document, Instance, MemberState};
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::peer_client::{connect_once, PeerAddress};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerEvent, PeerLink, PeerTimings};
@@ -111,15 +111,40 @@
 /// failure domain, its region, then by a hash of both names, so that
 /// subscribers spread evenly.
 pub fn ranked(config: &SubscriberConfig) -> Vec<ControlPlace> {
+    let mut places = config.controls.clone();
+    rank(config, &mut places);
+    places
+}
+
+// The control instances of the settings and those that the document names.
+fn known(config: &SubscriberConfig, document: &Document) -> Vec<ControlPlace> {
+    let place = |(name, i): (&Name, &Instance)| {
+        let place = ControlPlace {
+            name: name.clone(),
+            address: i.peers?,
+            region: i.region.clone(),
+            domain: i.domain.clone(),
+        };
+        (i.state == MemberState::Serving).then_some(place)
+    };
+    let mut places: Vec<ControlPlace> = document.instances.iter().filter_map(place).collect();
+    for seed in &config.controls {
+        if !places.iter().any(|p| p.name == seed.name) {
+            places.push(seed.clone());
+        }
+    }
+    rank(config, &mut places);
+    places
+}
+
+fn rank(config: &SubscriberConfig, places: &mut [ControlPlace]) {
     let distance = |p: &ControlPlace| match () {
         () if p.region == config.region && p.domain == config.domain => 0,
         () if p.region == config.region => 1,
         () => 2,
     };
     let hash = |p: &ControlPlace| Digest::of(&[config.name.as_bytes(), p.name.as_bytes()]);
-    let mut places = config.controls.clone();
     places.sort_by_cached_key(|p| (distance(p), hash(p)));
-    places
 }
 
 /// Starts subscribers.
@@ -142,6 +167,7 @@
         let session = Session {
             places: ranked(&config),
             limits: config.limits,
+            config,
             peering,
             clock,
             view,
@@ -168,6 +194,7 @@
 struct Session {
     places: Vec<ControlPlace>,
     limits: SubscriberLimits,
+    config: SubscriberConfig,
     peering: PeerConfig,
     clock: Clock,
     view: Arc<View>,
@@ -343,7 +370,7 @@
             self.position = Some(delta.position);
         }
         if self.document.version > before {
-            self.view.publish(self.document.clone());
+            self.publish();
         }
         let complete = self
             .position
@@ -360,6 +387,11 @@
         Ok(())
     }
 
+    fn publish(&mut self) {
+        self.places = known(&self.config, &self.document);
+        self.view.publish(self.document.clone());
+    }
+
     fn sent_at(&self, seq: u64) -> Option<Millis> {
         let found = self.renewals.iter().find(|(s, _)| *s == seq);
         found.map(|(_, at)| *at)
@@ -377,7 +409,7 @@
         if !older {
             self.document = decode_large(&body).map_err(|_| ErrorKind::BadRequest)?;
             self.position = Some(position);
-            self.view.publish(self.document.clone());
+            self.publish();
         }
         // Asks for the changes since, without waiting for the next renewal.
         self.renew(self.clock.now());
--- a/crates/daemon/tests/control_kit/mod.rs
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -254,6 +254,7 @@
             address: address(name),
         });
         ControlConfig {
+            joining: Default::default(),
             name: self.names[i].clone(),
             directory: self.directories[i].path().join("control"),
             listen: "127.0.0.1:0".parse().unwrap(),
--- a/crates/daemon/tests/control_moves.rs
+++ b/crates/daemon/tests/control_moves.rs
@@ -40,6 +40,7 @@
             domain: domain.into(),
             slots: 10,
             connections: 10,
+            cold_ms: 0,
             state: MemberState::Serving,
         };
         commands.push(Command::PutBackend {
--- a/crates/daemon/tests/entry_crashes.rs
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -34,6 +34,7 @@
         domain: domain.into(),
         slots: 6,
         connections: 330,
+        cold_ms: 0,
         state: MemberState::Serving,
     };
     control.apply(Command::PutBackend {
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -211,6 +211,7 @@
                 domain: Name::from("north-a"),
                 slots: 6,
                 connections: 330,
+                cold_ms: 0,
                 state: MemberState::Serving,
             },
         });
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages and codecs between processes, and HTTP rules.
 
 pub mod auth;
+pub mod dialect;
 pub mod frame;
 pub mod grants;
 pub mod http;
--- a/crates/state/src/clock.rs
+++ b/crates/state/src/clock.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use rustix::time::{clock_gettime, ClockId};
 
 use serde::{Deserialize, Serialize};
 
@@ -48,14 +50,15 @@
 pub enum Clock {
     /// Advances only when told to; for tests and simulations.
     Manual(Arc<AtomicU64>),
-    /// Counts from the creation of the clock.
-    Monotonic(Instant),
+    /// Counts from the creation of the clock, also while the machine is
+    /// suspended: a lease or a proof must not outlive a suspension.
+    Monotonic(Duration),
 }
 
 impl Clock {
     /// A clock that follows the operating system's monotonic time.
     pub fn monotonic() -> Clock {
-        Clock::Monotonic(Instant::now())
+        Clock::Monotonic(since_boot())
     }
 
     /// A clock that starts at zero and is advanced by hand.
@@ -67,7 +70,9 @@
     pub fn now(&self) -> Millis {
         match self {
             Clock::Manual(at) => Millis(at.load(Ordering::SeqCst)),
-            Clock::Monotonic(start) => Millis(start.elapsed().as_millis() as u64),
+            Clock::Monotonic(start) => {
+                Millis(since_boot().saturating_sub(*start).as_millis() as u64)
+            }
         }
     }
 
@@ -78,3 +83,8 @@
         }
     }
 }
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,5 +1,7 @@
 //! Changes to the shared state, as operators and instances propose them.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +11,7 @@
 };
 use crate::intents::{IntentBegin, IntentEnd};
 use crate::moves::{MoveAction, Step};
+use crate::routing::Routing;
 use crate::{ErrorKind, Millis, Name};
 
 /// Crashed backend servers after which a request is quarantined.
@@ -28,6 +31,8 @@
     Blocks,
     /// The whole document, for batches.
     Document,
+    /// Whether a failure domain is evacuated.
+    Domain(Name),
     /// An instance.
     Instance(Name),
     /// A key.
@@ -38,6 +43,8 @@
     Move(Name),
     /// A region.
     Region(Name),
+    /// The routing table.
+    Routing,
     /// A service.
     Service(Name),
     /// A site.
@@ -60,6 +67,8 @@
     ClearCrash(Digest),
     /// Ends a request under an idempotency key.
     EndIntent(IntentEnd),
+    /// Takes new work from all backend servers of a failure domain.
+    EvacuateDomain(Name),
     /// Creates or replaces a backend server.
     PutBackend {
         /// Its name.
@@ -126,6 +135,8 @@
         /// Its description.
         workspace: Workspace,
     },
+    /// Ends the evacuation of a failure domain.
+    ReadmitDomain(Name),
     /// Records that a backend server crashed while it ran a request.
     RecordCrash {
         /// Fingerprint of the request.
@@ -137,6 +148,16 @@
     RemoveBackend(Name),
     /// Removes an instance.
     RemoveInstance(Name),
+    /// Replaces the routing table.
+    ReplaceRouting {
+        /// Version of the table that the new one builds on; 0 for none.
+        base: u64,
+        /// The new table.
+        routing: Arc<Routing>,
+        /// The text that the operator sent, kept for reading it back. Empty
+        /// in the copy that is distributed to entries.
+        source: Arc<str>,
+    },
     /// Changes whether a backend server takes new work.
     SetBackend {
         /// Its name.
@@ -181,6 +202,10 @@
             Command::PutBackend { name, .. }
             | Command::RemoveBackend(name)
             | Command::SetBackend { name, .. } => Some(Item::Backend(name.clone())),
+            Command::EvacuateDomain(name) | Command::ReadmitDomain(name) => {
+                Some(Item::Domain(name.clone()))
+            }
+            Command::ReplaceRouting { .. } => Some(Item::Routing),
             Command::PutInstance { name, .. }
             | Command::RemoveInstance(name)
             | Command::SetInstance { name, .. } => Some(Item::Instance(name.clone())),
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -1,13 +1,15 @@
 //! The replicated document: everything that all instances share.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::blocks::BlockTable;
 pub use crate::digest::Digest;
 use crate::moves::Move;
+use crate::routing::Routing;
 use crate::{Millis, Name};
 
 /// A region and its failure domains.
@@ -110,6 +112,9 @@
     pub slots: u32,
     /// Connections it accepts from all instances together.
     pub connections: u32,
+    /// Time that it stays cold from this change on, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Whether it takes new work.
     #[serde(default)]
     pub state: MemberState,
@@ -214,6 +219,10 @@
     /// Requests that crashed backend servers, by fingerprint.
     #[serde(with = "indexmap::map::serde_seq")]
     pub crashes: IndexMap<Digest, Block>,
+    /// The routing table, once there is one.
+    pub routing: Option<Arc<Routing>>,
+    /// Failure domains whose backend servers get no new work.
+    pub evacuated: IndexSet<Name>,
 }
 
 impl Document {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod machine;
 pub mod moves;
 pub mod name;
+pub mod routing;
 pub mod sheet;
 
 pub use clock::{Clock, Millis};
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -1,14 +1,17 @@
 //! The state machine that applies accepted changes in log order.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::command::{
     Applied, Change, Command, Item, Refusal, Scope, Winner, Winners, BATCH_MAX, CRASH_LIFE_MS,
 };
-use crate::document::{Block, Document, Key, KeyHolder, MemberState};
+use crate::document::{Block, Document, Key, KeyHolder, MemberState, Workspace};
 use crate::intents::Intents;
 use crate::moves::Move;
+use crate::routing::{RoutedWorkspace, Routing};
 use crate::{ErrorKind, Millis, Name};
 
 /// Answers of changes that are kept for resends.
@@ -23,6 +26,8 @@
     pub document: Document,
     /// Requests under an idempotency key.
     pub intents: Intents,
+    /// The routing table as its operator sent it; empty if there is none.
+    pub routing_source: Arc<str>,
     results: IndexMap<Name, Applied>,
     winners: Winners,
 }
@@ -73,6 +78,9 @@
                 let mut copy = self.document.clone();
                 copy.version = version;
                 for command in commands {
+                    if matches!(command, Command::ReplaceRouting { .. }) {
+                        return Err(bad("a routing table can't be part of a batch"));
+                    }
                     apply_command(&mut copy, command)?;
                     raise(&mut copy, command.item());
                 }
@@ -83,6 +91,9 @@
                 self.document.version = version;
             }
         }
+        if let Command::ReplaceRouting { source, .. } = &change.command {
+            self.routing_source = source.clone();
+        }
         let item_version = raise(&mut self.document, item.clone());
         if let Some(item) = item {
             let winner = Winner {
@@ -207,6 +218,16 @@
             document.crashes.shift_remove(fingerprint);
             Ok(())
         }
+        Command::EvacuateDomain(name) => {
+            check_name(name)?;
+            document.evacuated.insert(name.clone());
+            Ok(())
+        }
+        Command::ReadmitDomain(name) => {
+            document.evacuated.shift_remove(name);
+            Ok(())
+        }
+        Command::ReplaceRouting { base, routing, .. } => replace_routing(document, *base, routing),
         Command::PutBackend { name, backend } => {
             check_name(name)?;
             check_place(document, &backend.region, &backend.domain)?;
@@ -400,6 +421,40 @@
     }
 }
 
+fn replace_routing(document: &mut Document, base: u64, routing: &Arc<Routing>) -> Step {
+    let current = document.routing.as_ref().map_or(0, |r| r.version);
+    match routing.faults().first() {
+        _ if base != current => {
+            let text = format!("built on version {base}, but the version is {current}");
+            return Err(Refusal::new(ErrorKind::VersionConflict, text));
+        }
+        _ if routing.version <= current => {
+            return Err(bad(format!("the version must be above {current}")));
+        }
+        Some(fault) => return Err(bad(fault.clone())),
+        None => {}
+    }
+    for name in routing.services.keys() {
+        document.services.entry(name.clone()).or_default();
+    }
+    let limited = |w: &&RoutedWorkspace| w.rate > 0;
+    for (name, w) in &routing.workspaces {
+        match Some(w).filter(limited) {
+            None => drop(document.workspaces.shift_remove(name)),
+            Some(w) => {
+                let workspace = Workspace {
+                    rate: w.rate,
+                    burst: w.burst.max(1),
+                    weight: 1,
+                };
+                document.workspaces.insert(name.clone(), workspace);
+            }
+        }
+    }
+    document.routing = Some(routing.clone());
+    Ok(())
+}
+
 fn record_crash(document: &mut Document, fingerprint: crate::document::Digest, backend: &Name) {
     let now = document.time;
     document.crashes.retain(|_, b| now < b.until);
--- /dev/null
+++ b/crates/state/src/routing.rs
@@ -0,0 +1,192 @@
+//! The routing table: hosts, routes, workspaces with their keys, and services,
+//! replaced as a whole by compare-and-set on its version.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::digest::Digest;
+use crate::Name;
+
+/// Longest timeout of a route, in milliseconds.
+pub const TIMEOUT_MAX_MS: u64 = 600_000;
+/// How far the latency objective of a route may lie above its timeout, in
+/// milliseconds (exclusive).
+pub const OBJECTIVE_SLACK_MS: u64 = 60_000;
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Largest header section in bytes.
+    pub head_bytes: u64,
+    /// Largest body in bytes.
+    pub body_bytes: u64,
+    /// Longest time for a header section, in milliseconds.
+    pub head_ms: u64,
+    /// Longest time without a request on a connection, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> CallerLimits {
+        CallerLimits {
+            head_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            head_ms: 3_000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeat {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once for each attempt of its caller.
+    Once,
+}
+
+/// A service that a route sends requests to, and its part of them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// The service.
+    pub service: Name,
+    /// Part of the requests, relative to the other targets.
+    pub weight: u32,
+}
+
+/// A route below a host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostRoute {
+    /// Its name.
+    pub name: Name,
+    /// Prefix of the paths that it takes; begins and ends with a slash.
+    pub prefix: String,
+    /// Whether its requests may run more than once.
+    pub repeat: Repeat,
+    /// Longest time until the answer, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer has its full value, in milliseconds.
+    pub objective_ms: u64,
+    /// Rank under overload; 0 is the most urgent.
+    pub priority: u32,
+    /// Whether callers need no key.
+    pub open: bool,
+    /// Whether a backend server answers faster if it handled the same object
+    /// lately.
+    pub sticky: bool,
+    /// Most backend servers that one request is sent to.
+    pub attempts: u32,
+    /// Regions that may serve it; all if empty.
+    pub homes: Vec<Name>,
+    /// Services that share its requests.
+    pub targets: Vec<Target>,
+}
+
+/// A workspace in the routing table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoutedWorkspace {
+    /// Rank that replaces the rank of the route.
+    pub priority: Option<u32>,
+    /// Requests a second over all instances; 0 for no limit.
+    pub rate: u64,
+    /// Requests above the rate at one moment.
+    pub burst: u64,
+    /// Regions that may serve it; all if empty.
+    pub homes: Vec<Name>,
+}
+
+/// A service in the routing table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoutedService {
+    /// Path of the health probe.
+    pub probe: String,
+    /// Connections that a backend server accepts from all instances together.
+    pub connections: u32,
+    /// Time that a started backend server stays cold, in milliseconds.
+    pub cold_ms: u64,
+    /// Requests that a cold backend server bears from all instances together,
+    /// per 1,000 seconds; 0 for no limit.
+    pub cold_rate: u64,
+}
+
+/// All routes and what they need.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Routing {
+    /// Chosen by the operator; rises with each replacement.
+    pub version: u64,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    /// Workspaces by name.
+    pub workspaces: IndexMap<Name, RoutedWorkspace>,
+    /// Workspace of each key, by the key's digest.
+    #[serde(with = "indexmap::map::serde_seq")]
+    pub keys: IndexMap<Digest, Name>,
+    /// Routes by host, in lower case.
+    pub hosts: IndexMap<Name, Vec<HostRoute>>,
+    /// Services by name.
+    pub services: IndexMap<Name, RoutedService>,
+}
+
+impl Routing {
+    /// The route with the longest prefix of `path`. `host` may carry a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&HostRoute> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
+        };
+        let matching = routes.iter().filter(|r| path.starts_with(&r.prefix));
+        matching.max_by_key(|r| r.prefix.len())
+    }
+
+    /// Everything that makes the table unusable, each with its place.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        if self.version == 0 {
+            faults.push("version: must be above 0".to_owned());
+        }
+        for (host, routes) in &self.hosts {
+            for route in routes {
+                let place = format!("host {host}, route {}", route.name);
+                faults.extend(self.route_faults(route).map(|f| format!("{place}: {f}")));
+            }
+        }
+        let unowned = self
+            .keys
+            .values()
+            .find(|w| !self.workspaces.contains_key(*w));
+        faults.extend(unowned.map(|w| format!("a key belongs to the unknown workspace {w}")));
+        faults
+    }
+
+    fn route_faults<'a>(&'a self, route: &'a HostRoute) -> impl Iterator<Item = String> + 'a {
+        let unknown = route
+            .targets
+            .iter()
+            .filter(|t| !self.services.contains_key(&t.service))
+            .map(|t| format!("the service {} is unknown", t.service));
+        let late = route.objective_ms >= route.timeout_ms.saturating_add(OBJECTIVE_SLACK_MS);
+        let checks = [
+            (route.targets.is_empty(), "it names no service"),
+            (route.timeout_ms > TIMEOUT_MAX_MS, "its timeout is too long"),
+            (route.timeout_ms == 0, "its timeout is zero"),
+            (route.attempts == 0, "it allows no attempt"),
+            (late, "its latency objective is far above its timeout"),
+        ];
+        let failed = checks.into_iter().filter(|(failed, _)| *failed);
+        unknown.chain(failed.map(|(_, text)| text.to_owned()))
+    }
+
+    /// The workspace that a key belongs to.
+    pub fn workspace(&self, key: &Digest) -> Option<&Name> {
+        self.keys.get(key)
+    }
+}
--- a/crates/state/tests/machine.rs
+++ b/crates/state/tests/machine.rs
@@ -45,6 +45,7 @@
         domain: domain.into(),
         slots: 5,
         connections: 330,
+        cold_ms: 0,
         state: MemberState::Serving,
     };
     Command::PutBackend {
--- /dev/null
+++ b/crates/steering/src/estimate.rs
@@ -0,0 +1,254 @@
+//! What one instance believes of a backend server and of the work of a route.
+
+use pomelovale_state::{Millis, Name};
+
+use crate::placement::{Ended, LoadReport};
+use crate::spread::hash_bytes;
+
+/// Weight of a new sample in a moving mean.
+const SAMPLE: f64 = 0.1;
+/// Time over which what is believed without news fades, in milliseconds.
+const FADE_MS: f64 = 4_000.0;
+/// Time over which the load that others cause is forgotten, in milliseconds.
+const OTHERS_MS: f64 = 1_500.0;
+/// Consecutive failures after which a server is held back.
+const FAILURES_MAX: u32 = 2;
+/// Shortest and longest time between two probes of a server that is held back,
+/// in milliseconds.
+const PROBE_MS: (u64, u64) = (400, 1_600);
+/// Part of the objective that a holder is expected to need before anything is
+/// known, and any other server.
+const PRIOR: (f64, f64) = (0.4, 0.9);
+/// Bounds of a server's pace, so that a few odd samples do not rule it out.
+const PACE: (f64, f64) = (0.5, 6.0);
+/// Time that a server which shed a request counts as full, in milliseconds.
+const SHED_MS: u64 = 150;
+
+/// Time that a request of a route takes on a server that holds its object, and
+/// on another one.
+#[derive(Clone, Debug, Default)]
+pub struct WorkEstimate {
+    held: Option<f64>,
+    other: Option<f64>,
+}
+
+impl WorkEstimate {
+    /// Expected time in milliseconds.
+    pub fn expected(&self, holder: bool, objective_ms: u64) -> f64 {
+        let objective = objective_ms as f64;
+        match holder {
+            true => self.held.unwrap_or(objective * PRIOR.0),
+            false => self.other.unwrap_or(objective * PRIOR.1),
+        }
+    }
+
+    /// The measured time, if there is one.
+    pub fn known(&self, holder: bool) -> Option<f64> {
+        match holder {
+            true => self.held,
+            false => self.other,
+        }
+    }
+
+    /// Adds a sample in milliseconds.
+    pub fn note(&mut self, holder: bool, spent: f64) {
+        let slot = match holder {
+            true => &mut self.held,
+            false => &mut self.other,
+        };
+        *slot = Some(slot.map_or(spent, |old| old + SAMPLE * (spent - old)));
+    }
+}
+
+/// What one instance believes of a backend server.
+#[derive(Clone, Debug)]
+pub struct ServerState {
+    // Requests of this instance in flight there.
+    mine: u32,
+    // Requests of others, as of the last report.
+    others: f64,
+    reported: Millis,
+    pace: f64,
+    paced: Millis,
+    failed: f64,
+    faulted: Millis,
+    // Consecutive failures.
+    streak: u32,
+    // Held back until a probe finds it sound.
+    held: bool,
+    probe_at: Millis,
+    probe_ms: u64,
+    cold_until: Millis,
+    // Requests that a cold server may get now, and as of when.
+    tokens: f64,
+    filled: Millis,
+    full_until: Millis,
+    salt: u64,
+}
+
+impl ServerState {
+    /// Nothing is known yet.
+    pub fn new(now: Millis, name: &Name) -> ServerState {
+        ServerState {
+            mine: 0,
+            others: 0.0,
+            reported: now,
+            pace: 1.0,
+            paced: now,
+            failed: 0.0,
+            faulted: now,
+            streak: 0,
+            held: false,
+            probe_at: now,
+            probe_ms: PROBE_MS.0,
+            cold_until: Millis(0),
+            tokens: 1.0,
+            filled: now,
+            full_until: Millis(0),
+            salt: hash_bytes(name.as_bytes()),
+        }
+    }
+
+    /// A hash of the server's name.
+    pub fn salt(&self) -> u64 {
+        self.salt
+    }
+
+    /// Requests that the server is believed to have, its own and others'.
+    pub fn load(&self, now: Millis) -> f64 {
+        f64::from(self.mine) + self.others * fade(now, self.reported, OTHERS_MS)
+    }
+
+    /// How much longer than others the server takes; 1 for the usual pace.
+    pub fn pace(&self, now: Millis) -> f64 {
+        1.0 + (self.pace - 1.0) * fade(now, self.paced, FADE_MS)
+    }
+
+    /// Part of the requests that fail there.
+    pub fn failures(&self, now: Millis) -> f64 {
+        self.failed * fade(now, self.faulted, FADE_MS)
+    }
+
+    /// Whether the server may get requests at all.
+    pub fn is_usable(&self) -> bool {
+        !self.held
+    }
+
+    /// Whether the server is cold.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether a request may be sent now: a server that just shed one gets
+    /// none, and a cold one gets what it bears.
+    pub fn may_send(&self, now: Millis, cold_rate: Option<f64>) -> bool {
+        let bears = match cold_rate {
+            Some(rate) if self.is_cold(now) => self.tokens_at(now, rate) >= 1.0,
+            Some(_) | None => true,
+        };
+        now >= self.full_until && bears
+    }
+
+    fn tokens_at(&self, now: Millis, rate: f64) -> f64 {
+        (self.tokens + now.since(self.filled) as f64 * rate / 1_000.0).min(1.0)
+    }
+
+    /// Marks the server as cold; an earlier end is ignored.
+    pub fn set_cold(&mut self, now: Millis, until: Millis) {
+        if !self.is_cold(now) {
+            self.tokens = 1.0;
+            self.filled = now;
+        }
+        self.cold_until = self.cold_until.max(until);
+    }
+
+    /// Counts a request that is sent.
+    pub fn start(&mut self, now: Millis, cold_rate: Option<f64>) {
+        self.mine += 1;
+        if let Some(rate) = cold_rate.filter(|_| self.is_cold(now)) {
+            self.tokens = self.tokens_at(now, rate) - 1.0;
+            self.filled = now;
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn end(&mut self, now: Millis, ended: Ended) {
+        self.mine = self.mine.saturating_sub(1);
+        let bad = match ended {
+            Ended::Cancelled => return,
+            Ended::Answered => false,
+            Ended::Shed => {
+                self.full_until = now.plus(SHED_MS);
+                true
+            }
+            Ended::Failed | Ended::Moved | Ended::TimedOut | Ended::Unreachable => true,
+        };
+        let before = self.failures(now);
+        self.failed = before + SAMPLE * (f64::from(u8::from(bad)) - before);
+        self.faulted = now;
+        match ended {
+            Ended::Answered => self.streak = 0,
+            Ended::Moved => self.hold(now),
+            Ended::TimedOut | Ended::Unreachable => {
+                self.streak += 1;
+                if self.streak >= FAILURES_MAX {
+                    self.hold(now);
+                }
+            }
+            Ended::Cancelled | Ended::Failed | Ended::Shed => {}
+        }
+    }
+
+    fn hold(&mut self, now: Millis) {
+        if !self.held {
+            self.held = true;
+            self.probe_ms = PROBE_MS.0;
+            self.probe_at = now.plus(PROBE_MS.0);
+        }
+    }
+
+    /// Whether a probe is due; the next one is due later.
+    pub fn take_probe(&mut self, now: Millis) -> bool {
+        let due = self.held && now >= self.probe_at;
+        if due {
+            self.probe_at = now.plus(self.probe_ms);
+            self.probe_ms = (self.probe_ms * 2).min(PROBE_MS.1);
+        }
+        due
+    }
+
+    /// Takes the answer of a probe: how long the server stays cold, or nothing
+    /// if it is not sound.
+    pub fn probed(&mut self, now: Millis, cold_ms: Option<u64>) {
+        let Some(cold_ms) = cold_ms else {
+            return;
+        };
+        self.held = false;
+        self.streak = 0;
+        self.failed = 0.0;
+        if cold_ms > 0 {
+            self.set_cold(now, now.plus(cold_ms));
+        }
+    }
+
+    /// Takes the server's own account of its load.
+    pub fn report(&mut self, now: Millis, report: LoadReport) {
+        let total = f64::from(report.running + report.waiting);
+        let others = (total - f64::from(self.mine)).max(0.0);
+        let before = self.others * fade(now, self.reported, OTHERS_MS);
+        self.others = before + 0.6 * (others - before);
+        self.reported = now;
+    }
+
+    /// Adds a sample of how much longer than expected an answer took.
+    pub fn note_pace(&mut self, now: Millis, ratio: f64) {
+        let before = self.pace(now);
+        let sample = ratio.clamp(PACE.0, PACE.1);
+        self.pace = before + SAMPLE * (sample - before);
+        self.paced = now;
+    }
+}
+
+fn fade(now: Millis, at: Millis, over_ms: f64) -> f64 {
+    (-(now.since(at) as f64) / over_ms).exp()
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -9,14 +9,17 @@
 pub mod concurrency;
 pub mod ejection;
 pub mod entries;
+pub mod estimate;
 pub mod evidence;
 pub mod fair_queue;
 pub mod hedge;
+pub mod placement;
 pub mod quarantine;
 pub mod region;
 pub mod retry;
 mod server;
 pub mod split;
+pub mod spread;
 
 /// Kinds of request that steering treats differently.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- /dev/null
+++ b/crates/steering/src/placement.rs
@@ -0,0 +1,456 @@
+//! Placement of the requests of one service on its backend servers.
+//!
+//! Answers a load in which all slots of a region are contended by several
+//! instances that do not talk to each other, and in which a backend server
+//! answers much faster if it handled the same object lately. Every instance
+//! ranks the servers of its failure domain by a hash of the object, so that
+//! they agree on the few servers that hold it, and leaves those as soon as
+//! waiting there costs more than starting anew elsewhere. A request that can't
+//! be answered in a useful time is refused at once.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use pomelovale_state::{Millis, Name};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::estimate::{ServerState, WorkEstimate};
+use crate::spread::{hash, Spread};
+
+/// Extra cost of a server in another failure domain of the region, in
+/// milliseconds: the round trip, and the price of its traffic.
+const DOMAIN_COST_MS: f64 = 12.0;
+/// Extra cost of a server in another region, in milliseconds: the round trip.
+const REGION_COST_MS: f64 = 112.0;
+/// Part of the servers of a failure domain that hold one object, so that all
+/// objects together fit into what the servers remember.
+const HOLDER_PART: f64 = 0.4;
+/// Relative noise on costs, so that instances with equal views do not all pick
+/// the same idle server.
+const NOISE: f64 = 0.06;
+/// Shortest and longest time after which a refused caller is told to return,
+/// in milliseconds.
+const RETRY_MS: (u64, u64) = (60, 2_000);
+/// Part of the latency objective that a request of each priority may be
+/// expected to use while it would have to wait. The most urgent waits longest,
+/// so that the less urgent gives way under overload.
+const WAIT_PARTS: [f64; 3] = [1.0, 0.85, 0.7];
+
+/// A backend server as the shared document describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerSpec {
+    /// Its name.
+    pub name: Name,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Region it runs in.
+    pub region: Name,
+    /// Failure domain it runs in.
+    pub domain: Name,
+    /// Requests it can run at a time.
+    pub slots: u32,
+    /// Time that it stays cold, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// What all servers of a service have in common.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceSpec {
+    /// Time that a started server stays cold, in milliseconds.
+    pub cold_ms: u64,
+    /// Requests a second that this instance may send to a cold server; none
+    /// for no limit.
+    pub cold_rate: Option<f64>,
+}
+
+/// A request to place.
+#[derive(Clone, Debug)]
+pub struct Subject<'a> {
+    /// Route, whose requests take similar work.
+    pub route: &'a Name,
+    /// Hash of the object that it concerns; random if it concerns none.
+    pub object: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Time within which its answer has its full value, counted from now.
+    pub objective_ms: u64,
+    /// Time until it is given up, counted from now.
+    pub left_ms: u64,
+    /// Regions that may serve it; all if empty.
+    pub homes: &'a [Name],
+    /// Servers that were tried before.
+    pub tried: &'a [Name],
+}
+
+/// A server for a request, counted as busy with it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chosen {
+    /// Its name.
+    pub server: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Region it runs in.
+    pub region: Name,
+    /// Whether it is one of those that hold the object.
+    pub holder: bool,
+    /// Expected time until the answer, in milliseconds.
+    pub expected_ms: u64,
+    /// Whether it was expected to have a free slot.
+    pub idle: bool,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Refuse it.
+    Refuse {
+        /// When room can be expected.
+        retry_ms: u64,
+    },
+    /// Send it to a server.
+    Send(Chosen),
+}
+
+/// How an exchange with a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// A complete answer.
+    Answered,
+    /// The caller left, or the request was given up for a reason that says
+    /// nothing about the server.
+    Cancelled,
+    /// The server answered with a fault of its own.
+    Failed,
+    /// Another server has the address.
+    Moved,
+    /// The server refused to run the request.
+    Shed,
+    /// No connection could be made, or it was cut.
+    Unreachable,
+    /// No answer in time.
+    TimedOut,
+}
+
+/// A server's own account of its load.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests it can run at a time.
+    pub slots: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Server {
+    spec: ServerSpec,
+    state: ServerState,
+}
+
+/// The servers of one service as one instance sees them.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    domain: Name,
+    region: Name,
+    rng: SmallRng,
+    servers: IndexMap<Name, Server>,
+    service: ServiceSpec,
+    spread: Spread,
+    work: IndexMap<Name, WorkEstimate>,
+    // Mean work of all requests; what one waiting request costs the next.
+    mean: WorkEstimate,
+}
+
+struct Candidate {
+    index: usize,
+    holder: bool,
+    cost: f64,
+    idle: bool,
+}
+
+impl Placement {
+    /// Knows no server yet.
+    pub fn new(region: &Name, domain: &Name, seed: u64) -> Placement {
+        Placement {
+            domain: domain.clone(),
+            region: region.clone(),
+            rng: SmallRng::seed_from_u64(seed),
+            servers: IndexMap::new(),
+            service: ServiceSpec::default(),
+            spread: Spread::new(region),
+            work: IndexMap::new(),
+            mean: WorkEstimate::default(),
+        }
+    }
+
+    /// Takes over the servers that may get new work. `regions` are those that
+    /// have instances of the system. A server that comes later than the first
+    /// ones counts as cold: it has just started, or was left out for a while.
+    pub fn sync(
+        &mut self,
+        now: Millis,
+        specs: &[ServerSpec],
+        service: ServiceSpec,
+        regions: &[Name],
+    ) {
+        self.service = service;
+        let first = self.servers.is_empty();
+        let mut old = std::mem::take(&mut self.servers);
+        for spec in specs {
+            let known = old.swap_remove(&spec.name);
+            let same = known.filter(|s| s.spec.address == spec.address);
+            let mut state = match same {
+                Some(server) => server.state,
+                None if first => ServerState::new(now, &spec.name),
+                None => {
+                    let mut state = ServerState::new(now, &spec.name);
+                    state.set_cold(now, now.plus(service.cold_ms));
+                    state
+                }
+            };
+            if spec.cold_ms > 0 {
+                state.set_cold(now, now.plus(spec.cold_ms));
+            }
+            let server = Server {
+                spec: spec.clone(),
+                state,
+            };
+            self.servers.insert(spec.name.clone(), server);
+        }
+        let slots = |region: &Name| -> u32 {
+            let here = specs.iter().filter(|s| s.region == *region);
+            here.map(|s| s.slots).sum()
+        };
+        let rooms: Vec<(Name, u32)> = regions.iter().map(|r| (r.clone(), slots(r))).collect();
+        self.spread.set_rooms(&rooms, first);
+    }
+
+    /// Moves the share that goes to other regions a step on. Call it every
+    /// [`crate::spread::STEP_MS`].
+    pub fn tick(&mut self, now: Millis) {
+        let (local, remote) = self.utilization(now);
+        self.spread.step(local, remote);
+    }
+
+    // Busy slots over all slots, in this region and in the others.
+    fn utilization(&self, now: Millis) -> (f64, f64) {
+        let mut sums = [(0.0, 0.0); 2];
+        for server in self.servers.values().filter(|s| s.state.is_usable()) {
+            let sum = &mut sums[usize::from(server.spec.region != self.region)];
+            let slots = f64::from(server.spec.slots);
+            sum.0 += server.state.load(now).min(1.5 * slots);
+            sum.1 += slots;
+        }
+        let part = |(busy, slots): (f64, f64)| if slots > 0.0 { busy / slots } else { 2.0 };
+        (part(sums[0]), part(sums[1]))
+    }
+
+    /// Decides about a request. The chosen server counts as busy with it until
+    /// [`Placement::finish`].
+    pub fn choose(&mut self, now: Millis, subject: &Subject) -> Verdict {
+        let allowed = |r: &Name| subject.homes.is_empty() || subject.homes.contains(r);
+        let wanted = self.spread.region(subject.object);
+        let mut found = None;
+        if allowed(&wanted) {
+            found = self.best(now, subject, &|r| *r == wanted);
+        }
+        if found.is_none() && wanted != self.region && allowed(&self.region) {
+            let home = self.region.clone();
+            found = self.best(now, subject, &|r| *r == home);
+        }
+        if found.is_none() {
+            found = self.best(now, subject, &allowed);
+        }
+        let Some(best) = found else {
+            return Verdict::Refuse {
+                retry_ms: RETRY_MS.1 / 4,
+            };
+        };
+        match self.shortage(subject, &best) {
+            Some(short) => Verdict::Refuse {
+                retry_ms: (short as u64).clamp(RETRY_MS.0, RETRY_MS.1),
+            },
+            None => self.send(now, &best),
+        }
+    }
+
+    /// How many milliseconds too late a request would be answered, if it is not
+    /// worth sending. A free slot is never left empty unless the request would
+    /// be given up before its answer.
+    fn shortage(&self, subject: &Subject, best: &Candidate) -> Option<f64> {
+        let rank = (subject.priority as usize).min(WAIT_PARTS.len() - 1);
+        let limit = match best.idle {
+            true => subject.left_ms as f64,
+            false => {
+                let useful = subject.objective_ms as f64 * WAIT_PARTS[rank];
+                useful.min(subject.left_ms as f64)
+            }
+        };
+        (best.cost > limit).then_some(best.cost - limit)
+    }
+
+    fn best(
+        &mut self,
+        now: Millis,
+        subject: &Subject,
+        allowed: &dyn Fn(&Name) -> bool,
+    ) -> Option<Candidate> {
+        let fits = |s: &&Server| {
+            allowed(&s.spec.region) && s.state.is_usable() && !subject.tried.contains(&s.spec.name)
+        };
+        let open = self.servers.values().filter(fits);
+        // Holders are ranked per failure domain: the instance's own one where
+        // it has servers, since traffic between failure domains has a price.
+        let mut ranked: Vec<(u64, usize, &Server)> = open
+            .map(|s| {
+                let index = self.servers.get_index_of(&s.spec.name).unwrap_or(0);
+                (hash(&[subject.object, s.state.salt()]), index, s)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(h, ..)| std::cmp::Reverse(*h));
+        let mut ranks: IndexMap<&Name, (usize, usize)> = IndexMap::new();
+        for (_, _, s) in &ranked {
+            ranks.entry(&s.spec.domain).or_default().1 += 1;
+        }
+        let work = self.work.get(subject.route).cloned().unwrap_or_default();
+        let mut best: Option<Candidate> = None;
+        for (_, index, server) in &ranked {
+            let (rank, count) = &mut ranks[&server.spec.domain];
+            let holders = (*count as f64 * HOLDER_PART).ceil() as usize;
+            let holder = *rank < holders;
+            *rank += 1;
+            if !server.state.may_send(now, self.service.cold_rate) || !self.may_warm(now, server) {
+                continue;
+            }
+            let noise = 1.0 + NOISE * self.rng.random::<f64>();
+            let (cost, idle) = self.cost(now, subject, server, &work, holder);
+            let cost = cost * noise;
+            if best.as_ref().is_none_or(|b| cost < b.cost) {
+                best = Some(Candidate {
+                    index: *index,
+                    holder,
+                    cost,
+                    idle,
+                });
+            }
+        }
+        best
+    }
+
+    // Only instances of its own region send to a cold server, which keeps the
+    // number of those that share what it bears small.
+    fn may_warm(&self, now: Millis, server: &Server) -> bool {
+        let limited = self.service.cold_rate.is_some() && server.state.is_cold(now);
+        !limited || server.spec.region == self.region
+    }
+
+    fn cost(
+        &self,
+        now: Millis,
+        subject: &Subject,
+        server: &Server,
+        work: &WorkEstimate,
+        holder: bool,
+    ) -> (f64, bool) {
+        let way = match () {
+            () if server.spec.domain == self.domain => 0.0,
+            () if server.spec.region == self.region => DOMAIN_COST_MS,
+            () => REGION_COST_MS,
+        };
+        let pace = server.state.pace(now);
+        let run = work.expected(holder, subject.objective_ms) * pace;
+        let slots = f64::from(server.spec.slots.max(1));
+        let ahead = (server.state.load(now) + 1.0 - slots).max(0.0);
+        let mean = self.mean.expected(true, subject.objective_ms);
+        let wait = ahead / slots * mean * pace;
+        let risk = server.state.failures(now) * subject.objective_ms as f64;
+        (way + run + wait + risk, ahead < 0.5)
+    }
+
+    fn send(&mut self, now: Millis, best: &Candidate) -> Verdict {
+        let server = &mut self.servers[best.index];
+        server.state.start(now, self.service.cold_rate);
+        Verdict::Send(Chosen {
+            server: server.spec.name.clone(),
+            address: server.spec.address,
+            region: server.spec.region.clone(),
+            holder: best.holder,
+            expected_ms: best.cost as u64,
+            idle: best.idle,
+        })
+    }
+
+    /// Whether a chosen server may still get the request.
+    pub fn may_send(&self, chosen: &Chosen) -> bool {
+        let server = self.servers.get(&chosen.server);
+        server.is_some_and(|s| s.spec.address == chosen.address)
+    }
+
+    /// Takes the end of an exchange into account.
+    pub fn finish(
+        &mut self,
+        now: Millis,
+        chosen: &Chosen,
+        route: &Name,
+        ended: Ended,
+        latency_ms: u64,
+        report: Option<LoadReport>,
+    ) {
+        let Some(server) = self.servers.get_mut(&chosen.server) else {
+            return;
+        };
+        server.state.end(now, ended);
+        if let Some(report) = report {
+            server.state.report(now, report);
+        }
+        if ended != Ended::Answered {
+            return;
+        }
+        let way = match server.spec.region == self.region {
+            true => 0.0,
+            false => REGION_COST_MS,
+        };
+        let spent = (latency_ms as f64 - way).max(1.0);
+        if chosen.idle {
+            let pace = server.state.pace(now);
+            let work = self.work.entry(route.clone()).or_default();
+            if let Some(expected) = work.known(chosen.holder) {
+                server.state.note_pace(now, spent / expected);
+            }
+            work.note(chosen.holder, spent / pace);
+            self.mean.note(true, spent / pace);
+        }
+    }
+
+    /// Servers that are held back until a probe finds them sound, and are due
+    /// for one.
+    pub fn due_probes(&mut self, now: Millis) -> Vec<(Name, SocketAddr)> {
+        let due = self.servers.values_mut().filter_map(|s| {
+            let due = s.state.take_probe(now);
+            due.then(|| (s.spec.name.clone(), s.spec.address))
+        });
+        due.collect()
+    }
+
+    /// Takes the answer of a probe: how long the server stays cold, or nothing
+    /// if it is not sound.
+    pub fn probed(&mut self, now: Millis, name: &Name, cold_ms: Option<u64>) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        server.state.probed(now, cold_ms);
+    }
+
+    /// Load that a server is believed to have, and whether it is usable.
+    pub fn belief(&self, now: Millis, name: &Name) -> Option<(f64, bool)> {
+        let server = self.servers.get(name)?;
+        Some((server.state.load(now), server.state.is_usable()))
+    }
+
+    /// Part of the objects that go to other regions, from 0 to 1.
+    pub fn remote_part(&self) -> f64 {
+        self.spread.part()
+    }
+}
--- a/crates/steering/src/retry.rs
+++ b/crates/steering/src/retry.rs
@@ -14,12 +14,31 @@
 pub enum RetryPolicy {
     /// A share of the requests.
     Budget,
+    /// This instance's part of a budget that all instances share.
+    Fleet {
+        /// Retries for each request, in per mille.
+        per_mille: u64,
+        /// Most retries saved up.
+        burst: u64,
+    },
     /// Never; no request is sent again.
     Never,
     /// Without a limit; kept for comparison.
     Unlimited,
 }
 
+impl RetryPolicy {
+    // Retries for each request in per mille, and the most saved up.
+    fn limits(self) -> (u64, u64) {
+        match self {
+            RetryPolicy::Fleet { per_mille, burst } => (per_mille, burst),
+            RetryPolicy::Budget | RetryPolicy::Never | RetryPolicy::Unlimited => {
+                (RETRY_PER_MILLE, RETRY_BURST)
+            }
+        }
+    }
+}
+
 /// Retries and hedges allowed by the requests seen so far.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -32,13 +51,20 @@
     pub fn new(policy: RetryPolicy) -> RetryBudget {
         RetryBudget {
             policy,
-            credit: RETRY_BURST * REQUEST,
+            credit: policy.limits().1 * REQUEST,
         }
     }
 
+    /// Changes the policy; what is saved up is kept as far as it allows.
+    pub fn set_policy(&mut self, policy: RetryPolicy) {
+        self.policy = policy;
+        self.credit = self.credit.min(policy.limits().1 * REQUEST);
+    }
+
     /// Adds the share of one first attempt.
     pub fn record_request(&mut self) {
-        self.credit = (self.credit + RETRY_PER_MILLE).min(RETRY_BURST * REQUEST);
+        let (per_mille, burst) = self.policy.limits();
+        self.credit = (self.credit + per_mille).min(burst * REQUEST);
     }
 
     /// Takes one retry from the budget, if there is one.
@@ -46,8 +72,8 @@
         match self.policy {
             RetryPolicy::Never => false,
             RetryPolicy::Unlimited => true,
-            RetryPolicy::Budget if self.credit < REQUEST => false,
-            RetryPolicy::Budget => {
+            RetryPolicy::Budget | RetryPolicy::Fleet { .. } if self.credit < REQUEST => false,
+            RetryPolicy::Budget | RetryPolicy::Fleet { .. } => {
                 self.credit -= REQUEST;
                 true
             }
--- /dev/null
+++ b/crates/steering/src/spread.rs
@@ -0,0 +1,121 @@
+//! Division of one region's requests between its own and other regions.
+//!
+//! Answers a load that is unlike the room of its region: regions have unequal
+//! numbers of servers, and demand moves between them in waves. Objects are
+//! divided, not requests, so that an object stays where it is held, and the
+//! division moves in small steps, so that no region is hit by a sudden shift.
+
+use pomelovale_state::Name;
+
+/// Time between two steps, in milliseconds.
+pub const STEP_MS: u64 = 200;
+/// Most that one step shifts. Ten steps fit into 2 s, so that at most 0.06 of
+/// the requests change their region in that time.
+const STEP: f64 = 0.006;
+/// Utilization of the own region below which nothing more is sent away.
+const FULL: f64 = 0.85;
+/// Difference of utilizations that is worth a shift.
+const MARGIN: f64 = 0.15;
+/// Largest part of the requests that a region with servers sends away.
+const PART_MAX: f64 = 0.9;
+
+/// Mixes integers into a hash that is the same on all instances.
+pub fn hash(parts: &[u64]) -> u64 {
+    let mix = |h: u64, part: &u64| {
+        let mut z = (h ^ part).wrapping_add(0x9e37_79b9_7f4a_7c15);
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    };
+    parts.iter().fold(0, mix)
+}
+
+/// Hashes bytes, for objects and names.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    let words = bytes.chunks(8).map(|chunk| {
+        let mut word = [0; 8];
+        word[..chunk.len()].copy_from_slice(chunk);
+        u64::from_le_bytes(word)
+    });
+    words.fold(bytes.len() as u64, |h, word| hash(&[h, word]))
+}
+
+/// The regions that the objects of one region go to.
+#[derive(Clone, Debug)]
+pub struct Spread {
+    home: Name,
+    // Part of the objects that leave the region.
+    part: f64,
+    settled: bool,
+    // The other regions and their slots.
+    others: Vec<(Name, u32)>,
+    local: u32,
+}
+
+impl Spread {
+    /// Keeps everything at home until the rooms are known.
+    pub fn new(home: &Name) -> Spread {
+        Spread {
+            home: home.clone(),
+            part: 0.0,
+            settled: false,
+            others: Vec::new(),
+            local: 0,
+        }
+    }
+
+    /// Takes over the slots of all regions. With `first`, the division starts
+    /// where equal demand of all regions would be served evenly.
+    pub fn set_rooms(&mut self, rooms: &[(Name, u32)], first: bool) {
+        let total: u32 = rooms.iter().map(|(_, slots)| slots).sum();
+        let here = rooms.iter().find(|(name, _)| *name == self.home);
+        self.local = here.map_or(0, |(_, slots)| *slots);
+        let others = rooms
+            .iter()
+            .filter(|(n, slots)| *n != self.home && *slots > 0);
+        self.others = others.cloned().collect();
+        if (first || !self.settled) && total > 0 {
+            let fair = f64::from(total) / rooms.len() as f64;
+            self.part = (1.0 - f64::from(self.local) / fair).clamp(0.0, PART_MAX);
+            self.settled = true;
+        }
+    }
+
+    /// The region of an object.
+    pub fn region(&self, object: u64) -> Name {
+        let away = self.local == 0 || unit(hash(&[object, 1])) < self.part;
+        if !away || self.others.is_empty() {
+            return self.home.clone();
+        }
+        let total: u32 = self.others.iter().map(|(_, slots)| slots).sum();
+        let mut at = (unit(hash(&[object, 2])) * f64::from(total)) as u32;
+        for (name, slots) in &self.others {
+            match at < *slots {
+                true => return name.clone(),
+                false => at -= slots,
+            }
+        }
+        self.home.clone()
+    }
+
+    /// Takes a step towards the emptier side. `local` and `remote` are the
+    /// utilizations of this region and of the others.
+    pub fn step(&mut self, local: f64, remote: f64) {
+        let change = match () {
+            () if self.others.is_empty() => 0.0,
+            () if local > FULL && local > remote + MARGIN => STEP,
+            () if remote > local + MARGIN || local < FULL - MARGIN => -STEP,
+            () => 0.0,
+        };
+        self.part = (self.part + change).clamp(0.0, PART_MAX);
+    }
+
+    /// Part of the objects that go to other regions.
+    pub fn part(&self) -> f64 {
+        self.part
+    }
+}
+
+fn unit(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -14,17 +14,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{header, response, Request, Response};
+use http::{header, response, HeaderName, Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use pomelovale_protocol::http::REQUEST;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
 use crate::framing::{Direction, Framing, Verdicts, READ_BYTES};
+use crate::socket;
 
 // Most bytes of an answer's head.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
@@ -161,7 +161,7 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(Fault::Connect),
         };
-        let _ = stream.set_nodelay(true);
+        socket::tune(&stream);
         let verdicts = Verdicts::default();
         let framing = Framing::new(Direction::Answers, verdicts.clone());
         let watch = Arc::new(Watch {
@@ -212,12 +212,14 @@
         self.ended
     }
 
-    /// Sends a request and waits for the head of its answer. `id` is the value
-    /// of [`REQUEST`] in it. On failure the connection is closed.
+    /// Sends a request and waits for the head of its answer. `name` is the
+    /// header that identifies an exchange, and `id` its value in the request.
+    /// On failure the connection is closed.
     pub async fn send(
         mut self,
         request: Request<Full<Bytes>>,
-        id: &str,
+        name: &HeaderName,
+        id: &[u8],
         limit: Duration,
     ) -> Result<Reply, Failure> {
         let before = self.watch.written.load(Ordering::Relaxed);
@@ -226,7 +228,7 @@
             Err(_) => Err(Fault::Silent),
             Ok(Err(fault)) => Err(fault),
             Ok(Ok(_)) if !self.watch.verdicts.next() => Err(Fault::Malformed),
-            Ok(Ok(response)) => check(response, id),
+            Ok(Ok(response)) => check(response, name, id),
         };
         let written = self.watch.written.load(Ordering::Relaxed) != before;
         let (parts, body) = result
@@ -264,12 +266,13 @@
     }
 }
 
-fn check(response: Response<Incoming>, id: &str) -> Result<Response<Incoming>, Fault> {
+fn check(
+    response: Response<Incoming>,
+    name: &HeaderName,
+    id: &[u8],
+) -> Result<Response<Incoming>, Fault> {
     let headers = response.headers();
-    let foreign = headers
-        .get_all(REQUEST)
-        .iter()
-        .any(|v| v.as_bytes() != id.as_bytes());
+    let foreign = headers.get_all(name).iter().any(|v| v.as_bytes() != id);
     let counted = headers.contains_key(header::CONTENT_LENGTH);
     let chunked = headers
         .get(header::TRANSFER_ENCODING)
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -24,6 +24,7 @@
 
 use crate::body::CallerBody;
 use crate::framing::{CallerIo, Verdicts};
+use crate::socket;
 
 // How long the rest of a refused request is read, so that the refusal is not
 // lost with a connection reset.
@@ -174,7 +175,7 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
+        socket::tune(&stream);
         id += 1;
         let (shared, phase, alive) = (shared.clone(), phase.clone(), alive.clone());
         match shared.register(id) {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod peer_link;
 pub mod peer_server;
 pub mod pool;
+mod socket;
--- a/crates/transport/src/peer_client.rs
+++ b/crates/transport/src/peer_client.rs
@@ -18,6 +18,7 @@
 use crate::peer_link::{
     self, Counted, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS, WINDOW_BYTES,
 };
+use crate::socket;
 
 /// Path of the only stream of a connection.
 pub(crate) const STREAM_PATH: &str = "/peer";
@@ -85,7 +86,10 @@
 ) -> bool {
     let limit = Duration::from_millis(config.timings.connect_ms);
     let socket = match timeout(limit, TcpStream::connect(target.address)).await {
-        Ok(Ok(socket)) => Counted::new(socket, config.counters.clone()),
+        Ok(Ok(socket)) => {
+            socket::tune(&socket);
+            Counted::new(socket, config.counters.clone())
+        }
         _ => return false,
     };
     let mut builder = client::Builder::new();
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -20,6 +20,7 @@
 use crate::peer_link::{
     self, Counted, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS, WINDOW_BYTES,
 };
+use crate::socket;
 
 /// Most connections at a time; the design scale has 440 instances.
 const CONNECTION_MAX: usize = 1_024;
@@ -82,6 +83,7 @@
 }
 
 async fn serve(config: &PeerConfig, socket: TcpStream, events: &flume::Sender<PeerEvent>) {
+    socket::tune(&socket);
     let socket = Counted::new(socket, config.counters.clone());
     let limit = Duration::from_millis(config.timings.connect_ms);
     let mut builder = server::Builder::new();
