Keep an object on few servers, and count limits in windows

Cause: requests for an object went to too many servers (up to 133 objects on one, which remembers about 50), and the buckets of small workspaces had less than one token an instance, so that requests waited for the leader.

Change: an instance knows which objects it sent where; one server in each failure domain holds an object; limits are counted in the platform's window. Waiting requests leave a silent server only if a repeat is affordable.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,6 +1,9 @@
 //! Attempts of one request on backend servers.
 
+use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +18,7 @@
 use pomelovale_steering::placement::{Chosen, Ended, LoadReport, Subject, Verdict};
 use pomelovale_transport::backend::{Connection, Failure, Fault, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::Shared;
 use crate::entry::refusal::Refusal;
@@ -60,26 +63,43 @@
 /// One attempt, for the log.
 #[derive(Debug)]
 pub(super) struct Try {
-    server: Name,
-    expected_ms: u64,
+    chosen: Chosen,
     spent_ms: u64,
     end: &'static str,
 }
 
+impl fmt::Display for Try {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Chosen {
+            server,
+            expected_ms,
+            held,
+            idle,
+            load,
+            ..
+        } = &self.chosen;
+        let room = if *idle { "idle" } else { "full" };
+        let (end, spent) = (self.end, self.spent_ms);
+        write!(f, "{server} {held:?} {room} load={load:.1} expected_ms={expected_ms} {end} spent_ms={spent}")
+    }
+}
+
 /// What happened to a request, for the log.
 #[derive(Debug, Default)]
 pub(super) struct Story {
     pub(super) version: u64,
     pub(super) route: Name,
     pub(super) workspace: Option<Name>,
+    pub(super) object: u64,
+    /// Time until the whole request was here and within its rate.
+    pub(super) received_ms: u64,
     pub(super) attempts: Vec<Try>,
 }
 
 impl Story {
     fn note(&mut self, chosen: &Chosen, since: Instant, end: &'static str) {
         self.attempts.push(Try {
-            server: chosen.server.clone(),
-            expected_ms: chosen.expected_ms,
+            chosen: chosen.clone(),
             spent_ms: since.elapsed().as_millis() as u64,
             end,
         });
@@ -94,11 +114,7 @@
         spent_ms: u64,
     ) {
         let id = id.and_then(|v| v.to_str().ok()).unwrap_or("");
-        let tries: Vec<String> = self
-            .attempts
-            .iter()
-            .map(|t| format!("{}:{}:{}/{}ms", t.server, t.end, t.spent_ms, t.expected_ms))
-            .collect();
+        let tries: Vec<String> = self.attempts.iter().map(Try::to_string).collect();
         let workspace = self.workspace.as_ref().map_or("", Name::as_str);
         let cause = refusal.map_or("", |r| r.kind.answer().code);
         let retry_ms = refusal.map_or(0, |r| r.retry_ms);
@@ -111,6 +127,8 @@
             route = %self.route,
             workspace,
             version = self.version,
+            object = self.object,
+            received_ms = self.received_ms,
             spent_ms,
             attempts = tries.join(","),
         );
@@ -182,6 +200,7 @@
     story: &mut Story,
 ) -> Result<Response<CallerBody>, Refusal> {
     let mut progress = Progress::default();
+    story.object = job.object;
     loop {
         if job.left() <= Duration::from_millis(ANSWER_MS) {
             let kind = progress.written.unwrap_or(ErrorKind::DeadlineSpent);
@@ -248,6 +267,14 @@
     chosen.unwrap_or(Verdict::Refuse { retry_ms: 500 })
 }
 
+fn can_repeat(shared: &Shared, job: &Job) -> bool {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let left = shared
+        .services
+        .with(now, &document, &job.service, |s| s.repeats.left() > 0);
+    left.unwrap_or(false)
+}
+
 fn may_repeat(shared: &Shared, job: &Job) -> bool {
     let (now, document) = (shared.clock.now(), shared.view.document());
     let spent = shared
@@ -297,10 +324,11 @@
     let id = job.headers.get(&dialect.request).cloned();
     let id = id.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
     let start = Instant::now();
-    let end = start + attempt_limit(job, chosen, progress);
+    let end = start + job.left().saturating_sub(Duration::from_millis(ANSWER_MS));
     let request = request(shared, job, chosen);
     let limit = end.saturating_duration_since(start);
-    let sent = connection.send(request, &dialect.request, id, limit).await;
+    let sending = connection.send(request, &dialect.request, id, limit);
+    let sent = patient(shared, job, chosen, progress, sending).await;
     let result = match sent {
         Ok(reply) => receive(shared, job, reply, end, running).await,
         Err(failure) => Err((failure, running)),
@@ -311,15 +339,31 @@
     }
 }
 
-// An idempotent request leaves a silent server while another one has time.
-fn attempt_limit(job: &Job, chosen: &Chosen, progress: &Progress) -> Duration {
-    let left = job.left().saturating_sub(Duration::from_millis(ANSWER_MS));
+/// Waits for an answer. An idempotent request leaves a silent server if another
+/// attempt is allowed and affordable; an instance that stops waits on, since
+/// it may not be there for the other attempt.
+async fn patient(
+    shared: &Shared,
+    job: &Job,
+    chosen: &Chosen,
+    progress: &Progress,
+    sending: impl Future<Output = Result<Reply, Failure>>,
+) -> Result<Reply, Failure> {
+    let mut sending = std::pin::pin!(sending);
+    let patience = (chosen.expected_ms * PATIENCE).max(job.route.objective_ms * 2);
+    if let Ok(sent) = timeout(Duration::from_millis(patience), &mut sending).await {
+        return sent;
+    }
     let another = job.is_idempotent() && progress.sent + 1 < job.route.attempts;
-    if !another {
-        return left;
+    let stays = !shared.leaving.load(Ordering::Relaxed);
+    let time = job.left() > Duration::from_millis(job.route.objective_ms);
+    match another && stays && time && can_repeat(shared, job) {
+        true => Err(Failure {
+            fault: Fault::Silent,
+            written: true,
+        }),
+        false => sending.await,
     }
-    let patience = (chosen.expected_ms * PATIENCE).max(job.route.objective_ms * 3 / 2);
-    left.min(Duration::from_millis(patience))
 }
 
 fn failed(
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -35,6 +35,8 @@
     pub report_ms: u64,
     /// Budget of repeats that all instances share.
     pub repeats: RepeatBudget,
+    /// One in this many answered requests is logged.
+    pub log_one_in: u64,
     /// Time that an instance serves on after it has left the list.
     pub leave_ms: u64,
     /// Time from the begin of a stop until requests in flight are given up.
@@ -73,6 +75,7 @@
                 per_mille: 100,
                 reserve: 20,
             },
+            log_one_in: 16,
             leave_ms: 2_800,
             grace_ms: 5_700,
         }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -49,7 +49,9 @@
     pool: Pool,
     leaving: AtomicBool,
     held: AtomicUsize,
+    // Requests in flight, and all requests.
     running: AtomicU64,
+    seen: AtomicU64,
 }
 
 /// Starts the gateway role.
@@ -86,6 +88,7 @@
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             running: AtomicU64::new(0),
+            seen: AtomicU64::new(0),
         });
         let answering = shared.clone();
         let handler: Handler = Arc::new(move |request, caller| {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -28,8 +28,6 @@
 const BODY_MS: u64 = 10_000;
 /// Time limit of a request whose caller names none, in milliseconds.
 const DEADLINE_MS: u64 = 30_000;
-/// One in this many answered requests is logged.
-const LOG_ONE_IN: u64 = 16;
 
 /// Answers one request of a caller.
 pub(super) async fn answer(
@@ -38,7 +36,8 @@
     caller: Caller,
 ) -> Response<CallerBody> {
     let start = Instant::now();
-    let seq = shared.running.fetch_add(1, Ordering::Relaxed);
+    shared.running.fetch_add(1, Ordering::Relaxed);
+    let seq = shared.seen.fetch_add(1, Ordering::Relaxed);
     let guard = Running(&shared);
     let id = request
         .headers()
@@ -60,7 +59,8 @@
     drop(guard);
     metrics::counter!("gateway_requests_total").increment(1);
     metrics::histogram!("gateway_request_seconds").record(start.elapsed());
-    if refusal.is_some() || seq.is_multiple_of(LOG_ONE_IN) || story.attempts.len() > 1 {
+    if refusal.is_some() || seq.is_multiple_of(shared.config.log_one_in) || story.attempts.len() > 1
+    {
         story.log(id.as_ref(), response.status(), refusal, spent_ms);
     }
     response
@@ -112,6 +112,7 @@
     }
     let hold = Hold::take(shared, &routing, &body)?;
     let body = collect(&routing, body, deadline).await?;
+    story.received_ms = start.elapsed().as_millis() as u64;
     let job = job(
         shared, &document, route, workspace, parts, body, deadline, start,
     );
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -11,7 +11,7 @@
 use crate::document::{Block, Document, Key, KeyHolder, MemberState, Workspace};
 use crate::intents::Intents;
 use crate::moves::Move;
-use crate::routing::{RoutedWorkspace, Routing};
+use crate::routing::Routing;
 use crate::{ErrorKind, Millis, Name};
 
 /// Answers of changes that are kept for resends.
@@ -437,14 +437,13 @@
     for name in routing.services.keys() {
         document.services.entry(name.clone()).or_default();
     }
-    let limited = |w: &&RoutedWorkspace| w.rate > 0;
     for (name, w) in &routing.workspaces {
-        match Some(w).filter(limited) {
+        match w.bucket() {
             None => drop(document.workspaces.shift_remove(name)),
-            Some(w) => {
+            Some((rate, burst)) => {
                 let workspace = Workspace {
-                    rate: w.rate,
-                    burst: w.burst.max(1),
+                    rate,
+                    burst,
                     weight: 1,
                 };
                 document.workspaces.insert(name.clone(), workspace);
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -87,6 +87,19 @@
     pub targets: Vec<Target>,
 }
 
+/// How the requests of a workspace are counted against its limit, which is its
+/// rate times the window, and its burst.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Window {
+    /// Length of the window in milliseconds.
+    pub ms: u64,
+    /// Tolerance relative to the limit, in per mille.
+    pub overage: u64,
+    /// Requests tolerated beyond that.
+    pub slack: u64,
+}
+
 /// A workspace in the routing table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -97,10 +110,33 @@
     pub rate: u64,
     /// Requests above the rate at one moment.
     pub burst: u64,
+    /// How rate and burst are counted.
+    pub window: Window,
     /// Regions that may serve it; all if empty.
     pub homes: Vec<Name>,
 }
 
+/// Rate of the bucket of a workspace, relative to its nominal rate. A steady
+/// demand that uses the burst of every window as well is within the limit.
+const WINDOW_RATE: f64 = 1.1;
+/// Part of the tolerance that is used. The rest covers clocks that differ.
+const TOLERANCE_USED: f64 = 0.8;
+
+impl RoutedWorkspace {
+    /// Rate and capacity of a bucket that keeps the limit and its tolerance in
+    /// every window. None without a limit.
+    pub fn bucket(&self) -> Option<(u64, u64)> {
+        let (rate, window) = (self.rate as f64, self.window);
+        let seconds = window.ms as f64 / 1_000.0;
+        let limit = rate * seconds + self.burst as f64;
+        let over = limit * window.overage as f64 / 1_000.0 + window.slack as f64;
+        let total = limit + over * TOLERANCE_USED;
+        let refill = (rate * WINDOW_RATE).min(total / seconds).floor().max(1.0);
+        let capacity = (total - refill * seconds).floor().max(1.0);
+        (self.rate > 0).then_some((refill as u64, capacity as u64))
+    }
+}
+
 /// A service in the routing table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -1,5 +1,6 @@
 //! What one instance believes of a backend server and of the work of a route.
 
+use indexmap::IndexSet;
 use pomelovale_state::{Millis, Name};
 
 use crate::placement::{Ended, LoadReport};
@@ -24,6 +25,23 @@
 /// Time that a server which shed a request counts as full, in milliseconds.
 const SHED_MS: u64 = 150;
 
+/// Objects that a server is taken to remember of those that one instance sent.
+/// Other instances send it others, which push those out.
+const RECENT_MAX: usize = 32;
+/// Trust in what a server holds that this instance did not send itself.
+const HELD_TRUST: f64 = 0.6;
+
+/// What an instance knows of an object on a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Held {
+    /// Sent there by this instance lately.
+    Known,
+    /// Sent there by other instances, if any.
+    Likely,
+    /// Not expected there.
+    Unlikely,
+}
+
 /// Time that a request of a route takes on a server that holds its object, and
 /// on another one.
 #[derive(Clone, Debug, Default)]
@@ -34,27 +52,32 @@
 
 impl WorkEstimate {
     /// Expected time in milliseconds.
-    pub fn expected(&self, holder: bool, objective_ms: u64) -> f64 {
+    pub fn expected(&self, held: Held, objective_ms: u64) -> f64 {
         let objective = objective_ms as f64;
-        match holder {
-            true => self.held.unwrap_or(objective * PRIOR.0),
-            false => self.other.unwrap_or(objective * PRIOR.1),
+        let known = self.held.unwrap_or(objective * PRIOR.0);
+        let other = self.other.unwrap_or(objective * PRIOR.1);
+        match held {
+            Held::Known => known,
+            Held::Likely => known * HELD_TRUST + other * (1.0 - HELD_TRUST),
+            Held::Unlikely => other,
         }
     }
 
     /// The measured time, if there is one.
-    pub fn known(&self, holder: bool) -> Option<f64> {
-        match holder {
-            true => self.held,
-            false => self.other,
+    pub fn known(&self, held: Held) -> Option<f64> {
+        match held {
+            Held::Known => self.held,
+            Held::Likely => None,
+            Held::Unlikely => self.other,
         }
     }
 
     /// Adds a sample in milliseconds.
-    pub fn note(&mut self, holder: bool, spent: f64) {
-        let slot = match holder {
-            true => &mut self.held,
-            false => &mut self.other,
+    pub fn note(&mut self, held: Held, spent: f64) {
+        let slot = match held {
+            Held::Known => &mut self.held,
+            Held::Likely => return,
+            Held::Unlikely => &mut self.other,
         };
         *slot = Some(slot.map_or(spent, |old| old + SAMPLE * (spent - old)));
     }
@@ -84,6 +107,8 @@
     filled: Millis,
     full_until: Millis,
     salt: u64,
+    // Objects that this instance sent there, the latest one last.
+    recent: IndexSet<u64>,
 }
 
 impl ServerState {
@@ -106,6 +131,20 @@
             filled: now,
             full_until: Millis(0),
             salt: hash_bytes(name.as_bytes()),
+            recent: IndexSet::new(),
+        }
+    }
+
+    /// Whether this instance lately sent a request for the object there.
+    pub fn knows(&self, object: u64) -> bool {
+        self.recent.contains(&object)
+    }
+
+    fn remember(&mut self, object: u64) {
+        self.recent.shift_remove(&object);
+        self.recent.insert(object);
+        if self.recent.len() > RECENT_MAX {
+            self.recent.shift_remove_index(0);
         }
     }
 
@@ -163,8 +202,9 @@
     }
 
     /// Counts a request that is sent.
-    pub fn start(&mut self, now: Millis, cold_rate: Option<f64>) {
+    pub fn start(&mut self, now: Millis, object: u64, cold_rate: Option<f64>) {
         self.mine += 1;
+        self.remember(object);
         if let Some(rate) = cold_rate.filter(|_| self.is_cold(now)) {
             self.tokens = self.tokens_at(now, rate) - 1.0;
             self.filled = now;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -15,7 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::estimate::{ServerState, WorkEstimate};
+use crate::estimate::{Held, ServerState, WorkEstimate};
 use crate::spread::{hash, Spread};
 
 /// Extra cost of a server in another failure domain of the region, in
@@ -92,12 +92,14 @@
     pub address: SocketAddr,
     /// Region it runs in.
     pub region: Name,
-    /// Whether it is one of those that hold the object.
-    pub holder: bool,
+    /// What was known of the object there.
+    pub held: Held,
     /// Expected time until the answer, in milliseconds.
     pub expected_ms: u64,
     /// Whether it was expected to have a free slot.
     pub idle: bool,
+    /// Load that it was believed to have.
+    pub load: f64,
 }
 
 /// What to do with a request.
@@ -165,7 +167,7 @@
 
 struct Candidate {
     index: usize,
-    holder: bool,
+    held: Held,
     cost: f64,
     idle: bool,
 }
@@ -272,7 +274,7 @@
             Some(short) => Verdict::Refuse {
                 retry_ms: (short as u64).clamp(RETRY_MS.0, RETRY_MS.1),
             },
-            None => self.send(now, &best),
+            None => self.send(now, subject.object, &best),
         }
     }
 
@@ -318,19 +320,23 @@
         let mut best: Option<Candidate> = None;
         for (_, index, server) in &ranked {
             let (rank, count) = &mut ranks[&server.spec.domain];
-            let holders = (*count as f64 * HOLDER_PART).ceil() as usize;
-            let holder = *rank < holders;
+            let holders = ((*count as f64 * HOLDER_PART) as usize).max(1);
+            let held = match server.state.knows(subject.object) {
+                true => Held::Known,
+                false if *rank < holders => Held::Likely,
+                false => Held::Unlikely,
+            };
             *rank += 1;
             if !server.state.may_send(now, self.service.cold_rate) || !self.may_warm(now, server) {
                 continue;
             }
             let noise = 1.0 + NOISE * self.rng.random::<f64>();
-            let (cost, idle) = self.cost(now, subject, server, &work, holder);
+            let (cost, idle) = self.cost(now, subject, server, &work, held);
             let cost = cost * noise;
             if best.as_ref().is_none_or(|b| cost < b.cost) {
                 best = Some(Candidate {
                     index: *index,
-                    holder,
+                    held,
                     cost,
                     idle,
                 });
@@ -352,7 +358,7 @@
         subject: &Subject,
         server: &Server,
         work: &WorkEstimate,
-        holder: bool,
+        held: Held,
     ) -> (f64, bool) {
         let way = match () {
             () if server.spec.domain == self.domain => 0.0,
@@ -360,25 +366,27 @@
             () => REGION_COST_MS,
         };
         let pace = server.state.pace(now);
-        let run = work.expected(holder, subject.objective_ms) * pace;
+        let run = work.expected(held, subject.objective_ms) * pace;
         let slots = f64::from(server.spec.slots.max(1));
         let ahead = (server.state.load(now) + 1.0 - slots).max(0.0);
-        let mean = self.mean.expected(true, subject.objective_ms);
+        let mean = self.mean.expected(Held::Known, subject.objective_ms);
         let wait = ahead / slots * mean * pace;
         let risk = server.state.failures(now) * subject.objective_ms as f64;
         (way + run + wait + risk, ahead < 0.5)
     }
 
-    fn send(&mut self, now: Millis, best: &Candidate) -> Verdict {
+    fn send(&mut self, now: Millis, object: u64, best: &Candidate) -> Verdict {
         let server = &mut self.servers[best.index];
-        server.state.start(now, self.service.cold_rate);
+        let load = server.state.load(now);
+        server.state.start(now, object, self.service.cold_rate);
         Verdict::Send(Chosen {
             server: server.spec.name.clone(),
             address: server.spec.address,
             region: server.spec.region.clone(),
-            holder: best.holder,
+            held: best.held,
             expected_ms: best.cost as u64,
             idle: best.idle,
+            load,
         })
     }
 
@@ -416,11 +424,11 @@
         if chosen.idle {
             let pace = server.state.pace(now);
             let work = self.work.entry(route.clone()).or_default();
-            if let Some(expected) = work.known(chosen.holder) {
+            if let Some(expected) = work.known(chosen.held) {
                 server.state.note_pace(now, spent / expected);
             }
-            work.note(chosen.holder, spent / pace);
-            self.mean.note(true, spent / pace);
+            work.note(chosen.held, spent / pace);
+            self.mean.note(Held::Known, spent / pace);
         }
     }
 
