Prefer the first holder of an object, and divide regions by their room

Cause: an instance treated every server that it had sent an object to alike, so that all servers came to hold all objects and forgot them; the division between regions followed a load of remote servers that nobody had reported. Requests of small workspaces waited for tokens, since few were leased.

Change: a cost for servers other than the first holder; extra work weighs more in a busy region; the division returns to an even one; shares of workspaces are kept ready before the first request.

--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -24,6 +24,9 @@
     pub renew_ms: u64,
     /// Time after which a workspace without requests is given up.
     pub idle_ms: u64,
+    /// Whether a request is refused at once while the ledger has little left
+    /// to grant, instead of waiting for what others may return.
+    pub refuse_short: bool,
 }
 
 impl LimiterConfig {
@@ -36,6 +39,7 @@
             timeout_ms: 300,
             renew_ms: 250,
             idle_ms: 30_000,
+            refuse_short: false,
         }
     }
 }
@@ -55,6 +59,10 @@
     },
 }
 
+/// Longest time after which a caller is told to return while the ledger has
+/// little left.
+const SHORT_RETRY_MS: u64 = 1_000;
+
 /// Time over which demand is averaged.
 const DEMAND_MS: f64 = 1_000.0;
 /// Time over which a change of demand is noticed.
@@ -137,6 +145,7 @@
         let amount = cost.saturating_mul(TOKEN);
         let wait_ms = self.wait_ms(now);
         let outage_wait_ms = self.config.outage_wait_ms;
+        let refuse_short = self.config.refuse_short;
         let share = self.share(now, workspace);
         share.count(now, amount);
         let ahead: u64 = share.waiting.iter().map(|w| w.1).sum();
@@ -146,8 +155,12 @@
             return Admit::Granted;
         }
         let accrual = share.accrual_ms(amount.saturating_add(ahead));
-        if share.retry_ms > 0 && accrual > wait_ms {
-            let retry_after_ms = share.retry_ms.min(accrual);
+        let denied = share.retry_ms > 0 || (share.short && refuse_short);
+        if denied && accrual > wait_ms {
+            let retry_after_ms = match share.retry_ms {
+                0 => accrual.min(SHORT_RETRY_MS),
+                retry_ms => retry_ms.min(accrual),
+            };
             return Admit::Refused { retry_after_ms };
         }
         share.waiting.push_back((now.plus(outage_wait_ms), amount));
@@ -172,6 +185,14 @@
         Admit::Wait
     }
 
+    /// Keeps a share of a workspace ready before its first request.
+    pub fn prime(&mut self, now: Millis, workspace: &Name) {
+        let known = self.shares.contains_key(workspace);
+        let share = self.share(now, workspace);
+        share.used = now;
+        self.urgent |= !known;
+    }
+
     /// Whether the ledger has left requests unanswered for a timeout.
     pub fn is_silent(&self, now: Millis) -> bool {
         self.unanswered
--- a/crates/daemon/src/entry/rates.rs
+++ b/crates/daemon/src/entry/rates.rs
@@ -46,6 +46,13 @@
         self.limiter.lock().expect("no panic while held")
     }
 
+    /// Keeps shares of workspaces ready before their first requests.
+    pub fn prime<'a>(&self, workspaces: impl Iterator<Item = &'a Name>) {
+        let now = self.clock.now();
+        let mut limiter = self.lock();
+        workspaces.for_each(|name| limiter.prime(now, name));
+    }
+
     /// Whether a workspace is within its rate; waits for tokens on their way.
     pub async fn admit(&self, workspace: &Name) -> Result<(), Refusal> {
         let since = self.clock.now();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 
 /// Longest time that a request waits for tokens of its workspace, in
 /// milliseconds: a round trip to a leader in another region and its jitter.
-const TOKEN_WAIT_MS: u64 = 250;
+const TOKEN_WAIT_MS: u64 = 160;
 
 /// What all requests of a gateway share.
 #[derive(Debug)]
@@ -75,6 +75,7 @@
         let limiter = LimiterConfig {
             wait_ms: TOKEN_WAIT_MS,
             outage_wait_ms: TOKEN_WAIT_MS,
+            refuse_short: true,
             ..LimiterConfig::new(format!("{}-{start:x}", config.instance).into())
         };
         let shared = Arc::new(Shared {
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -116,9 +116,6 @@
     pub homes: Vec<Name>,
 }
 
-/// Rate of the bucket of a workspace, relative to its nominal rate. A steady
-/// demand that uses the burst of every window as well is within the limit.
-const WINDOW_RATE: f64 = 1.1;
 /// Part of the tolerance that is used. The rest covers clocks that differ.
 const TOLERANCE_USED: f64 = 0.8;
 
@@ -131,7 +128,7 @@
         let limit = rate * seconds + self.burst as f64;
         let over = limit * window.overage as f64 / 1_000.0 + window.slack as f64;
         let total = limit + over * TOLERANCE_USED;
-        let refill = (rate * WINDOW_RATE).min(total / seconds).floor().max(1.0);
+        let refill = rate.min(total / seconds).floor().max(1.0);
         let capacity = (total - refill * seconds).floor().max(1.0);
         (self.rate > 0).then_some((refill as u64, capacity as u64))
     }
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -12,6 +12,8 @@
 const FADE_MS: f64 = 4_000.0;
 /// Time over which the load that others cause is forgotten, in milliseconds.
 const OTHERS_MS: f64 = 1_500.0;
+/// Age up to which a server's account of its load counts, in milliseconds.
+const REPORTED_MS: u64 = 1_000;
 /// Consecutive failures after which a server is held back.
 const FAILURES_MAX: u32 = 2;
 /// Shortest and longest time between two probes of a server that is held back,
@@ -63,6 +65,12 @@
         }
     }
 
+    /// Extra time that a request takes because its object may not be there.
+    pub fn extra(&self, held: Held, objective_ms: u64) -> f64 {
+        let known = self.expected(Held::Known, objective_ms);
+        (self.expected(held, objective_ms) - known).max(0.0)
+    }
+
     /// The measured time, if there is one.
     pub fn known(&self, held: Held) -> Option<f64> {
         match held {
@@ -91,6 +99,7 @@
     // Requests of others, as of the last report.
     others: f64,
     reported: Millis,
+    told: bool,
     pace: f64,
     paced: Millis,
     failed: f64,
@@ -109,6 +118,8 @@
     salt: u64,
     // Objects that this instance sent there, the latest one last.
     recent: IndexSet<u64>,
+    // Joined later than the first servers and got no request of this instance.
+    fresh: bool,
 }
 
 impl ServerState {
@@ -118,6 +129,7 @@
             mine: 0,
             others: 0.0,
             reported: now,
+            told: false,
             pace: 1.0,
             paced: now,
             failed: 0.0,
@@ -132,6 +144,7 @@
             full_until: Millis(0),
             salt: hash_bytes(name.as_bytes()),
             recent: IndexSet::new(),
+            fresh: false,
         }
     }
 
@@ -140,6 +153,17 @@
         self.recent.contains(&object)
     }
 
+    /// Marks a server that joined later than the first ones.
+    pub fn set_fresh(&mut self) {
+        self.fresh = true;
+    }
+
+    /// Whether the server joined later than the first ones and has got no
+    /// request of this instance.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
     fn remember(&mut self, object: u64) {
         self.recent.shift_remove(&object);
         self.recent.insert(object);
@@ -205,6 +229,7 @@
     pub fn start(&mut self, now: Millis, object: u64, cold_rate: Option<f64>) {
         self.mine += 1;
         self.remember(object);
+        self.fresh = false;
         if let Some(rate) = cold_rate.filter(|_| self.is_cold(now)) {
             self.tokens = self.tokens_at(now, rate) - 1.0;
             self.filled = now;
@@ -271,6 +296,11 @@
         }
     }
 
+    /// Whether the server told its load lately.
+    pub fn is_reported(&self, now: Millis) -> bool {
+        self.told && now.since(self.reported) < REPORTED_MS
+    }
+
     /// Takes the server's own account of its load.
     pub fn report(&mut self, now: Millis, report: LoadReport) {
         let total = f64::from(report.running + report.waiting);
@@ -278,6 +308,7 @@
         let before = self.others * fade(now, self.reported, OTHERS_MS);
         self.others = before + 0.6 * (others - before);
         self.reported = now;
+        self.told = true;
     }
 
     /// Adds a sample of how much longer than expected an answer took.
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -20,12 +20,26 @@
 
 /// Extra cost of a server in another failure domain of the region, in
 /// milliseconds: the round trip, and the price of its traffic.
-const DOMAIN_COST_MS: f64 = 12.0;
+const DOMAIN_COST_MS: f64 = 25.0;
 /// Extra cost of a server in another region, in milliseconds: the round trip.
 const REGION_COST_MS: f64 = 112.0;
 /// Part of the servers of a failure domain that hold one object, so that all
 /// objects together fit into what the servers remember.
 const HOLDER_PART: f64 = 0.4;
+/// Cost of a server other than the first that holds an object, relative to the
+/// work there. Without it, all servers come to hold all objects, and forget
+/// them.
+const STRAY_PART: f64 = 0.5;
+/// Utilization of the own region up to which starting an object anew on another
+/// server takes nothing from others.
+const CALM: f64 = 0.4;
+/// Weight of the extra work of such a start when all slots are busy. Without
+/// it, objects leave a loaded holder, start anew everywhere, and the extra work
+/// keeps all servers loaded.
+const BURDEN: f64 = 2.0;
+/// One in this many remote servers must have reported lately for a judgement of
+/// the other regions.
+const KNOWN_PART: usize = 4;
 /// Relative noise on costs, so that instances with equal views do not all pick
 /// the same idle server.
 const NOISE: f64 = 0.06;
@@ -163,12 +177,16 @@
     work: IndexMap<Name, WorkEstimate>,
     // Mean work of all requests; what one waiting request costs the next.
     mean: WorkEstimate,
+    // Weight of the work that others lose when an object starts anew.
+    pressure: f64,
 }
 
 struct Candidate {
     index: usize,
     held: Held,
+    // What goes into the choice: the expected time and what others lose by it.
     cost: f64,
+    expected: f64,
     idle: bool,
 }
 
@@ -184,6 +202,7 @@
             spread: Spread::new(region),
             work: IndexMap::new(),
             mean: WorkEstimate::default(),
+            pressure: 0.0,
         }
     }
 
@@ -208,6 +227,7 @@
                 None if first => ServerState::new(now, &spec.name),
                 None => {
                     let mut state = ServerState::new(now, &spec.name);
+                    state.set_fresh();
                     state.set_cold(now, now.plus(service.cold_ms));
                     state
                 }
@@ -234,19 +254,35 @@
     pub fn tick(&mut self, now: Millis) {
         let (local, remote) = self.utilization(now);
         self.spread.step(local, remote);
+        let part = (local - CALM) / (1.0 - CALM);
+        self.pressure = BURDEN * part.clamp(0.0, 1.0);
     }
 
-    // Busy slots over all slots, in this region and in the others.
-    fn utilization(&self, now: Millis) -> (f64, f64) {
-        let mut sums = [(0.0, 0.0); 2];
-        for server in self.servers.values().filter(|s| s.state.is_usable()) {
-            let sum = &mut sums[usize::from(server.spec.region != self.region)];
+    // Busy slots over all slots, in this region and in the others. The others
+    // are only known as far as their servers reported lately.
+    fn utilization(&self, now: Millis) -> (f64, Option<f64>) {
+        let (mut local, mut remote, mut known) = ((0.0, 0.0), (0.0, 0.0), 0);
+        let usable = self.servers.values().filter(|s| s.state.is_usable());
+        let mut count = 0;
+        for server in usable {
             let slots = f64::from(server.spec.slots);
-            sum.0 += server.state.load(now).min(1.5 * slots);
-            sum.1 += slots;
+            let busy = server.state.load(now).min(1.5 * slots);
+            let sum = match server.spec.region == self.region {
+                true => &mut local,
+                false => {
+                    count += 1;
+                    if !server.state.is_reported(now) {
+                        continue;
+                    }
+                    known += 1;
+                    &mut remote
+                }
+            };
+            *sum = (sum.0 + busy, sum.1 + slots);
         }
         let part = |(busy, slots): (f64, f64)| if slots > 0.0 { busy / slots } else { 2.0 };
-        (part(sums[0]), part(sums[1]))
+        let enough = known > 0 && known * KNOWN_PART >= count;
+        (part(local), enough.then(|| part(remote)))
     }
 
     /// Decides about a request. The chosen server counts as busy with it until
@@ -265,6 +301,18 @@
         if found.is_none() {
             found = self.best(now, subject, &allowed);
         }
+        self.spread.note_request();
+        let lacks = |found: &Option<Candidate>| match found {
+            Some(best) => self.shortage(subject, best).is_some(),
+            None => true,
+        };
+        if lacks(&found) && self.spread.may_spill() {
+            let other = self.best(now, subject, &allowed);
+            if let Some(other) = other.filter(|o| self.shortage(subject, o).is_none()) {
+                self.spread.spill();
+                found = Some(other);
+            }
+        }
         let Some(best) = found else {
             return Verdict::Refuse {
                 retry_ms: RETRY_MS.1 / 4,
@@ -290,7 +338,7 @@
                 useful.min(subject.left_ms as f64)
             }
         };
-        (best.cost > limit).then_some(best.cost - limit)
+        (best.expected > limit).then_some(best.expected - limit)
     }
 
     fn best(
@@ -317,27 +365,38 @@
             ranks.entry(&s.spec.domain).or_default().1 += 1;
         }
         let work = self.work.get(subject.route).cloned().unwrap_or_default();
+        let near = ranks.contains_key(&self.domain);
+        let stray = STRAY_PART * work.expected(Held::Known, subject.objective_ms);
         let mut best: Option<Candidate> = None;
-        for (_, index, server) in &ranked {
+        for (place, (_, index, server)) in ranked.iter().enumerate() {
             let (rank, count) = &mut ranks[&server.spec.domain];
             let holders = ((*count as f64 * HOLDER_PART) as usize).max(1);
             let held = match server.state.knows(subject.object) {
                 true => Held::Known,
+                // A server that has just joined would get nothing otherwise.
+                false if *rank < holders && server.state.is_fresh() => Held::Known,
                 false if *rank < holders => Held::Likely,
                 false => Held::Unlikely,
             };
+            let first = match near {
+                true => *rank == 0 && server.spec.domain == self.domain,
+                false => place == 0,
+            };
             *rank += 1;
             if !server.state.may_send(now, self.service.cold_rate) || !self.may_warm(now, server) {
                 continue;
             }
             let noise = 1.0 + NOISE * self.rng.random::<f64>();
-            let (cost, idle) = self.cost(now, subject, server, &work, held);
-            let cost = cost * noise;
+            let (expected, idle) = self.expected(now, subject, server, &work, held);
+            let burden = self.pressure * work.extra(held, subject.objective_ms);
+            let astray = if first { 0.0 } else { stray };
+            let cost = (expected + burden + astray) * noise;
             if best.as_ref().is_none_or(|b| cost < b.cost) {
                 best = Some(Candidate {
                     index: *index,
                     held,
                     cost,
+                    expected,
                     idle,
                 });
             }
@@ -352,7 +411,9 @@
         !limited || server.spec.region == self.region
     }
 
-    fn cost(
+    // Expected time until the answer in milliseconds, and whether a slot is
+    // expected to be free.
+    fn expected(
         &self,
         now: Millis,
         subject: &Subject,
@@ -384,7 +445,7 @@
             address: server.spec.address,
             region: server.spec.region.clone(),
             held: best.held,
-            expected_ms: best.cost as u64,
+            expected_ms: best.expected as u64,
             idle: best.idle,
             load,
         })
--- a/crates/steering/src/spread.rs
+++ b/crates/steering/src/spread.rs
@@ -12,10 +12,13 @@
 /// Most that one step shifts. Ten steps fit into 2 s, so that at most 0.06 of
 /// the requests change their region in that time.
 const STEP: f64 = 0.006;
-/// Utilization of the own region below which nothing more is sent away.
-const FULL: f64 = 0.85;
-/// Difference of utilizations that is worth a shift.
-const MARGIN: f64 = 0.15;
+/// Utilization of the own region above which more is sent away.
+const BUSY: f64 = 0.9;
+/// Utilization of the other regions up to which they can take more.
+const ROOM: f64 = 0.6;
+/// Part of the requests that may leave their object's region because there is
+/// no room, and the most that is saved up for a moment.
+const SPILL: (f64, f64) = (0.04, 3.0);
 /// Largest part of the requests that a region with servers sends away.
 const PART_MAX: f64 = 0.9;
 
@@ -44,12 +47,16 @@
 #[derive(Clone, Debug)]
 pub struct Spread {
     home: Name,
-    // Part of the objects that leave the region.
+    // Part of the objects that leave the region, and the part that would serve
+    // equal demand of all regions evenly.
     part: f64,
+    fair: f64,
     settled: bool,
     // The other regions and their slots.
     others: Vec<(Name, u32)>,
     local: u32,
+    // Requests that may leave their region now.
+    spills: f64,
 }
 
 impl Spread {
@@ -58,9 +65,11 @@
         Spread {
             home: home.clone(),
             part: 0.0,
+            fair: 0.0,
             settled: false,
             others: Vec::new(),
             local: 0,
+            spills: 0.0,
         }
     }
 
@@ -74,9 +83,12 @@
             .iter()
             .filter(|(n, slots)| *n != self.home && *slots > 0);
         self.others = others.cloned().collect();
+        if total > 0 {
+            let even = f64::from(total) / rooms.len() as f64;
+            self.fair = (1.0 - f64::from(self.local) / even).clamp(0.0, PART_MAX);
+        }
         if (first || !self.settled) && total > 0 {
-            let fair = f64::from(total) / rooms.len() as f64;
-            self.part = (1.0 - f64::from(self.local) / fair).clamp(0.0, PART_MAX);
+            self.part = self.fair;
             self.settled = true;
         }
     }
@@ -98,16 +110,31 @@
         self.home.clone()
     }
 
-    /// Takes a step towards the emptier side. `local` and `remote` are the
+    /// Counts a request towards those that may leave their region.
+    pub fn note_request(&mut self) {
+        self.spills = (self.spills + SPILL.0).min(SPILL.1);
+    }
+
+    /// Whether one request may leave its region.
+    pub fn may_spill(&self) -> bool {
+        self.spills >= 1.0
+    }
+
+    /// Counts a request that left its region.
+    pub fn spill(&mut self) {
+        self.spills -= 1.0;
+    }
+
+    /// Takes a step: away from a busy region while the others are known to have
+    /// room, else towards an even division. `local` and `remote` are the
     /// utilizations of this region and of the others.
-    pub fn step(&mut self, local: f64, remote: f64) {
-        let change = match () {
-            () if self.others.is_empty() => 0.0,
-            () if local > FULL && local > remote + MARGIN => STEP,
-            () if remote > local + MARGIN || local < FULL - MARGIN => -STEP,
-            () => 0.0,
+    pub fn step(&mut self, local: f64, remote: Option<f64>) {
+        let room = remote.is_some_and(|r| r < ROOM);
+        let target = match local > BUSY && room && !self.others.is_empty() {
+            true => PART_MAX,
+            false => self.fair,
         };
-        self.part = (self.part + change).clamp(0.0, PART_MAX);
+        self.part += (target - self.part).clamp(-STEP, STEP);
     }
 
     /// Part of the objects that go to other regions.
