Bound what leaves a region, and divide regions evenly from the start

The division was settled while only one region had registered gateways, so that it moved when the others came; and requests left a region without any bound when all of its servers were full.

Change: the division counts all regions of the document and follows them until the first request; a full region keeps its requests, except for the bounded spill; remote regions are chosen by weighted rendezvous.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -72,6 +72,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Chosen {
             server,
+            region,
             expected_ms,
             held,
             idle,
@@ -80,7 +81,7 @@
         } = &self.chosen;
         let room = if *idle { "idle" } else { "full" };
         let (end, spent) = (self.end, self.spent_ms);
-        write!(f, "{server} {held:?} {room} load={load:.1} expected_ms={expected_ms} {end} spent_ms={spent}")
+        write!(f, "{server} {held:?} {room} region={region} load={load:.1} expected_ms={expected_ms} {end} spent_ms={spent}")
     }
 }
 
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Mutex, MutexGuard};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::routing::HostRoute;
 use pomelovale_state::{Millis, Name};
@@ -114,8 +114,7 @@
             return;
         };
         let gateways = || document.instances.values().filter(|i| i.callers.is_some());
-        let regions: IndexSet<Name> = gateways().map(|i| i.region.clone()).collect();
-        let regions: Vec<Name> = regions.into_iter().collect();
+        let regions: Vec<Name> = document.regions.keys().cloned().collect();
         let here = gateways()
             .filter(|i| i.region == self.region)
             .count()
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -206,8 +206,8 @@
         }
     }
 
-    /// Takes over the servers that may get new work. `regions` are those that
-    /// have instances of the system. A server that comes later than the first
+    /// Takes over the servers that may get new work. `regions` are all
+    /// regions. A server that comes later than the first
     /// ones counts as cold: it has just started, or was left out for a while.
     pub fn sync(
         &mut self,
@@ -246,7 +246,7 @@
             here.map(|s| s.slots).sum()
         };
         let rooms: Vec<(Name, u32)> = regions.iter().map(|r| (r.clone(), slots(r))).collect();
-        self.spread.set_rooms(&rooms, first);
+        self.spread.set_rooms(&rooms);
     }
 
     /// Moves the share that goes to other regions a step on. Call it every
@@ -290,17 +290,15 @@
     pub fn choose(&mut self, now: Millis, subject: &Subject) -> Verdict {
         let allowed = |r: &Name| subject.homes.is_empty() || subject.homes.contains(r);
         let wanted = self.spread.region(subject.object);
-        let mut found = None;
-        if allowed(&wanted) {
-            found = self.best(now, subject, &|r| *r == wanted);
-        }
-        if found.is_none() && wanted != self.region && allowed(&self.region) {
-            let home = self.region.clone();
-            found = self.best(now, subject, &|r| *r == home);
-        }
-        if found.is_none() {
-            found = self.best(now, subject, &allowed);
-        }
+        // A region whose servers are all full keeps its requests: what leaves
+        // it all the same is bounded below.
+        let home = self.region.clone();
+        let open = |r: &Name| allowed(r) && self.is_open(subject, r);
+        let target = [wanted, home].into_iter().find(|r| open(r));
+        let mut found = match &target {
+            Some(region) => self.best(now, subject, &|r| r == region),
+            None => self.best(now, subject, &allowed),
+        };
         self.spread.note_request();
         let lacks = |found: &Option<Candidate>| match found {
             Some(best) => self.shortage(subject, best).is_some(),
@@ -326,6 +324,14 @@
         }
     }
 
+    /// Whether a region has a server that is left for a request.
+    fn is_open(&self, subject: &Subject, region: &Name) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|s| {
+            s.spec.region == *region && s.state.is_usable() && !subject.tried.contains(&s.spec.name)
+        })
+    }
+
     /// How many milliseconds too late a request would be answered, if it is not
     /// worth sending. A free slot is never left empty unless the request would
     /// be given up before its answer.
--- a/crates/steering/src/spread.rs
+++ b/crates/steering/src/spread.rs
@@ -51,7 +51,7 @@
     // equal demand of all regions evenly.
     part: f64,
     fair: f64,
-    settled: bool,
+    used: bool,
     // The other regions and their slots.
     others: Vec<(Name, u32)>,
     local: u32,
@@ -66,16 +66,16 @@
             home: home.clone(),
             part: 0.0,
             fair: 0.0,
-            settled: false,
+            used: false,
             others: Vec::new(),
             local: 0,
             spills: 0.0,
         }
     }
 
-    /// Takes over the slots of all regions. With `first`, the division starts
-    /// where equal demand of all regions would be served evenly.
-    pub fn set_rooms(&mut self, rooms: &[(Name, u32)], first: bool) {
+    /// Takes over the slots of all regions. Up to the first request, the
+    /// division is the one that serves equal demand of all regions evenly.
+    pub fn set_rooms(&mut self, rooms: &[(Name, u32)]) {
         let total: u32 = rooms.iter().map(|(_, slots)| slots).sum();
         let here = rooms.iter().find(|(name, _)| *name == self.home);
         self.local = here.map_or(0, |(_, slots)| *slots);
@@ -87,9 +87,8 @@
             let even = f64::from(total) / rooms.len() as f64;
             self.fair = (1.0 - f64::from(self.local) / even).clamp(0.0, PART_MAX);
         }
-        if (first || !self.settled) && total > 0 {
+        if !self.used {
             self.part = self.fair;
-            self.settled = true;
         }
     }
 
@@ -99,19 +98,22 @@
         if !away || self.others.is_empty() {
             return self.home.clone();
         }
-        let total: u32 = self.others.iter().map(|(_, slots)| slots).sum();
-        let mut at = (unit(hash(&[object, 2])) * f64::from(total)) as u32;
-        for (name, slots) in &self.others {
-            match at < *slots {
-                true => return name.clone(),
-                false => at -= slots,
-            }
-        }
-        self.home.clone()
+        // Weighted rendezvous: when a region gains or loses room, only the
+        // objects that it gains or loses move.
+        let score = |(name, slots): &(Name, u32)| {
+            let draw = unit(hash(&[object, hash_bytes(name.as_bytes())]));
+            -draw.max(f64::MIN_POSITIVE).ln() / f64::from(*slots)
+        };
+        let best = self
+            .others
+            .iter()
+            .min_by(|a, b| score(a).total_cmp(&score(b)));
+        best.map_or_else(|| self.home.clone(), |(name, _)| name.clone())
     }
 
     /// Counts a request towards those that may leave their region.
     pub fn note_request(&mut self) {
+        self.used = true;
         self.spills = (self.spills + SPILL.0).min(SPILL.1);
     }
 
