Admit every learner that has caught up

Cause: on the grown sites the change of members stopped at the first learner that had caught up while enough replicas voted; 3 of 11 control machines had no document, and a third of the look-ups failed (9,354 of 27,798).

--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -222,17 +222,18 @@
     /// identity is removed, then it becomes a voter.
     fn next_change(&self) -> Option<MemberChange> {
         let members = self.entries.members();
-        let caught_up = members.learners.iter().find(|id| self.is_caught_up(id));
         let lost = members.voters.iter().find(|id| self.is_lost(id));
         let same_name = |id: &ReplicaId| members.voters.iter().find(|v| v.name == id.name);
-        if let Some(learner) = caught_up {
-            return match (same_name(learner), lost) {
-                (None, Some(lost)) => Some(MemberChange::Remove(lost.clone())),
-                (None, None) if members.voters.len() >= self.voters_max() => None,
-                (None, None) => Some(MemberChange::Promote(learner.clone())),
-                (Some(old), _) if self.is_silent(old) => Some(MemberChange::Remove(old.clone())),
-                (Some(_), _) => None,
-            };
+        let place = |learner: &ReplicaId| match (same_name(learner), lost) {
+            (None, Some(lost)) => Some(MemberChange::Remove(lost.clone())),
+            (None, None) if members.voters.len() >= self.voters_max() => None,
+            (None, None) => Some(MemberChange::Promote(learner.clone())),
+            (Some(old), _) if self.is_silent(old) => Some(MemberChange::Remove(old.clone())),
+            (Some(_), _) => None,
+        };
+        let mut caught_up = members.learners.iter().filter(|id| self.is_caught_up(id));
+        if let Some(change) = caught_up.find_map(place) {
+            return Some(change);
         }
         // An even number of voters bears no more losses than one voter fewer.
         if let Some(lost) = lost.filter(|_| members.voters.len().is_multiple_of(2)) {
