Count the limits of workspaces at the control instances

Cause: a small limit can't be divided among many gateways.

Change: gateways ask the control instance they subscribe to, which holds the leases; a gateway whose control instance is silent decides alone for a moment. Subscribers move to a control instance of their own region once they know one.

--- a/crates/coordination/src/control.rs
+++ b/crates/coordination/src/control.rs
@@ -1,13 +1,17 @@
 //! How other parts of a process reach the control instances.
 
 use pomelovale_protocol::grants::{GrantReply, GrantRequest};
+use pomelovale_protocol::messages::Admitted;
 use pomelovale_protocol::report::Report;
 use pomelovale_state::command::{Applied, Change};
-use pomelovale_state::ErrorKind;
+use pomelovale_state::{ErrorKind, Name};
 
 /// A call to the control instances and where its answer goes.
 #[derive(Debug)]
 pub enum ControlCall {
+    /// Asks the control instance that this one subscribes to whether a request
+    /// of a workspace is within its limit.
+    Admit(Name, flume::Sender<Result<Admitted, ErrorKind>>),
     /// Asks the leader for tokens.
     Grant(GrantRequest, flume::Sender<Result<GrantReply, ErrorKind>>),
     /// Proposes a change; answered once it is applied.
@@ -36,6 +40,11 @@
         self.ask(|reply| ControlCall::Propose(change, reply)).await
     }
 
+    /// Asks whether a request of a workspace is within its limit.
+    pub async fn admit(&self, workspace: Name) -> Result<Admitted, ErrorKind> {
+        self.ask(|reply| ControlCall::Admit(workspace, reply)).await
+    }
+
     /// Asks the leader for tokens.
     pub async fn grant(&self, request: GrantRequest) -> Result<GrantReply, ErrorKind> {
         self.ask(|reply| ControlCall::Grant(request, reply)).await
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -6,7 +6,7 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::grants::GrantReply;
 use pomelovale_protocol::log::Epoch;
-use pomelovale_protocol::messages::{Fleet, PeerMessage, Request, Response};
+use pomelovale_protocol::messages::{Admitted, Fleet, PeerMessage, Request, Response};
 use pomelovale_state::command::Applied;
 use pomelovale_state::{ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::PeerLink;
@@ -17,6 +17,8 @@
 /// Where an answer goes.
 #[derive(Debug)]
 pub(crate) enum Sink {
+    /// A question about a limit of this process.
+    Admitted(flume::Sender<Result<Admitted, ErrorKind>>),
     /// A proposal of this process.
     Applied(flume::Sender<Result<Applied, ErrorKind>>),
     /// A request for tokens of this process.
@@ -42,6 +44,9 @@
             (Sink::Peer { link, id }, response) => {
                 link.send(PeerMessage::Reply { id: *id, response });
             }
+            (Sink::Admitted(s), Response::Admitted(a)) => drop(s.try_send(Ok(a))),
+            (Sink::Admitted(s), Response::Failed(kind)) => drop(s.try_send(Err(kind))),
+            (Sink::Admitted(s), _) => drop(s.try_send(Err(ErrorKind::Internal))),
             (Sink::Applied(s), Response::Applied(a)) => drop(s.try_send(Ok(a))),
             (Sink::Applied(s), Response::Failed(kind)) => drop(s.try_send(Err(kind))),
             (Sink::Applied(s), _) => drop(s.try_send(Err(ErrorKind::Internal))),
@@ -93,7 +98,7 @@
     ) -> Option<u64> {
         let name = match &request {
             Request::Propose(change) => Some(change.request.clone()),
-            Request::Grant(_) | Request::Status => None,
+            Request::Admit(_) | Request::Grant(_) | Request::Status => None,
         };
         let known = name.as_ref().and_then(|n| self.proposals.get(n));
         if let Some(call) = known.and_then(|token| self.open.get_mut(token)) {
--- a/crates/daemon/src/control/core.rs
+++ b/crates/daemon/src/control/core.rs
@@ -30,6 +30,7 @@
 use super::disk::Disk;
 use super::feed::{Feed, Standing};
 use super::leader::Leader;
+use super::quota::Quota;
 use super::{role_name, ControlStatus};
 
 /// Inputs processed before changes are pushed and the status is updated.
@@ -107,6 +108,7 @@
     // Results of applied changes, until the view holds them.
     answers: Vec<(Name, Applied)>,
     dialer: Option<Dialer>,
+    quota: Quota,
     pub(super) leader: Option<Leader>,
     stopping: bool,
     failed: bool,
@@ -121,6 +123,7 @@
         dialer: Option<Dialer>,
         outputs: Outputs,
     ) -> Core {
+        let quota = Quota::new(&config.name);
         Core {
             feed: Feed::new(config.limits.recent, Position::default()),
             config,
@@ -140,6 +143,7 @@
             calls: Calls::default(),
             answers: Vec::new(),
             dialer,
+            quota,
             leader: None,
             stopping: false,
             failed: false,
@@ -156,6 +160,9 @@
                 Ok(event) = inputs.events.recv_async() => self.peer_event(event),
                 Ok(call) = inputs.calls.recv_async() => self.local_call(call),
                 Ok(event) = self.compacted.1.recv_async() => self.compact(event),
+                Ok(granted) = self.quota.replies.1.recv_async() => {
+                    self.quota.receive(self.clock.now(), granted);
+                }
                 synced = self.disk.synced.recv_async() => match synced {
                     Ok(event) => self.step(event),
                     Err(_) => return,
@@ -195,6 +202,9 @@
         self.step(Event::Tick);
         self.calls.expire(self.clock.now());
         self.dial();
+        let now = self.clock.now();
+        self.quota.tick(now, &self.machine.document);
+        self.ask_ledger(now);
         self.attend();
         self.propose_initial();
         self.propose_membership();
@@ -470,6 +480,13 @@
                 }
                 None => {}
             },
+            (
+                PeerMessage::Call {
+                    id,
+                    request: Request::Admit(workspace),
+                },
+                Role::Entry,
+            ) => self.admit(workspace, Sink::Peer { link, id }),
             (PeerMessage::Call { id, .. }, Role::Control) if self.leader.is_none() => {
                 let response = Response::Failed(ErrorKind::NotLeader);
                 link.send(PeerMessage::Reply { id, response });
@@ -500,6 +517,7 @@
 
     fn local_call(&mut self, call: ControlCall) {
         match call {
+            ControlCall::Admit(workspace, reply) => self.admit(workspace, Sink::Admitted(reply)),
             ControlCall::Grant(request, reply) => {
                 self.call(Request::Grant(request), Sink::Grant(reply));
             }
@@ -515,6 +533,19 @@
         }
     }
 
+    fn admit(&mut self, workspace: Name, sink: Sink) {
+        let now = self.clock.now();
+        self.quota.admit(now, workspace, sink);
+        self.ask_ledger(now);
+    }
+
+    fn ask_ledger(&mut self, now: Millis) {
+        if let Some(request) = self.quota.request(now) {
+            let reply = self.quota.replies.0.clone();
+            self.call(Request::Grant(request), Sink::Grant(reply));
+        }
+    }
+
     fn call(&mut self, request: Request, sink: Sink) {
         let until = self.clock.now().plus(self.config.limits.call_ms);
         if let Some(token) = self.calls.add(request, Some(sink), until) {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod disk;
 mod feed;
 mod leader;
+mod quota;
 mod serve;
 
 use std::fmt;
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -38,10 +38,15 @@
         };
         let known = match &request {
             Request::Propose(change) => self.machine.result(&change.request).cloned(),
-            Request::Grant(_) | Request::Status => None,
+            Request::Admit(_) | Request::Grant(_) | Request::Status => None,
         };
         let now = self.clock.now();
         match (known, &self.leader, request) {
+            // Answered where it arrives; see `Core::admit`.
+            (None, _, Request::Admit(_)) => {
+                self.calls
+                    .answer(token, &Response::Failed(ErrorKind::BadRequest));
+            }
             (Some(applied), _, _) => self.calls.answer(token, &Response::Applied(applied)),
             (None, None, request) => self.forward(token, request),
             (None, Some(_), Request::Propose(change)) => self.propose(token, change, now),
--- a/crates/daemon/src/entry/rates.rs
+++ b/crates/daemon/src/entry/rates.rs
@@ -29,13 +29,8 @@
 impl Rates {
     /// A limiter under a name that no other start of the process uses.
     pub fn new(instance: Name, clock: Clock) -> Rates {
-        Rates::with(LimiterConfig::new(instance), clock)
-    }
-
-    /// A limiter with settings of its own.
-    pub fn with(config: LimiterConfig, clock: Clock) -> Rates {
         Rates {
-            limiter: Mutex::new(Limiter::new(config)),
+            limiter: Mutex::new(Limiter::new(LimiterConfig::new(instance))),
             clock,
             wanted: Notify::new(),
             come: Notify::new(),
@@ -46,13 +41,6 @@
         self.limiter.lock().expect("no panic while held")
     }
 
-    /// Keeps shares of workspaces ready before their first requests.
-    pub fn prime<'a>(&self, workspaces: impl Iterator<Item = &'a Name>) {
-        let now = self.clock.now();
-        let mut limiter = self.lock();
-        workspaces.for_each(|name| limiter.prime(now, name));
-    }
-
     /// Whether a workspace is within its rate; waits for tokens on their way.
     pub async fn admit(&self, workspace: &Name) -> Result<(), Refusal> {
         let since = self.clock.now();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 
 mod attempt;
 mod probe;
+mod quota;
 mod request;
 mod services;
 mod upkeep;
@@ -19,7 +20,6 @@
 
 use error_stack::{Report, ResultExt};
 use pomelovale_coordination::control::ControlHandle;
-use pomelovale_coordination::limiter::LimiterConfig;
 use pomelovale_coordination::view::View;
 use pomelovale_state::{Clock, ErrorKind, Millis};
 use pomelovale_transport::http_server::{Handler, Server};
@@ -28,15 +28,10 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use crate::entry::rates::Rates;
-
 use config::GatewayConfig;
+use quota::Quota;
 use services::Services;
 
-/// Longest time that a request waits for tokens of its workspace, in
-/// milliseconds: a round trip to a leader in another region and its jitter.
-const TOKEN_WAIT_MS: u64 = 160;
-
 /// What all requests of a gateway share.
 #[derive(Debug)]
 struct Shared {
@@ -45,7 +40,7 @@
     control: ControlHandle,
     clock: Clock,
     services: Services,
-    rates: Rates,
+    quota: Quota,
     pool: Pool,
     leaving: AtomicBool,
     held: AtomicUsize,
@@ -70,17 +65,10 @@
             .await
             .change_context(ErrorKind::BadSettings)
             .attach_with(|| format!("can't listen on {}", config.listen))?;
-        // The ledger must not take this start for an earlier one.
         let start: u64 = rand::random();
-        let limiter = LimiterConfig {
-            wait_ms: TOKEN_WAIT_MS,
-            outage_wait_ms: TOKEN_WAIT_MS,
-            refuse_short: true,
-            ..LimiterConfig::new(format!("{}-{start:x}", config.instance).into())
-        };
         let shared = Arc::new(Shared {
             services: Services::new(&config, start),
-            rates: Rates::with(limiter, clock.clone()),
+            quota: Quota::new(control.clone(), clock.clone()),
             config,
             view,
             control,
@@ -102,11 +90,6 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(upkeep::run(shared.clone()));
         tasks.spawn(upkeep::register(shared.clone()));
-        let granting = shared.clone();
-        tasks.spawn(async move {
-            let control = granting.control.clone();
-            granting.rates.run(control).await;
-        });
         Ok(GatewayHandle {
             shared,
             server,
--- /dev/null
+++ b/crates/daemon/src/gateway/quota.rs
@@ -0,0 +1,104 @@
+//! Whether a request is within the limit of its workspace.
+
+use std::sync::{Mutex, MutexGuard};
+
+use indexmap::IndexMap;
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_protocol::messages::Admitted;
+use pomelovale_state::document::Document;
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use tokio::time::timeout;
+
+use crate::entry::refusal::Refusal;
+
+/// Longest wait for the control instance, in milliseconds. It includes the time
+/// that the control instance itself waits for tokens.
+const WAIT_MS: u64 = 180;
+/// After an answer that did not come, this instance decides alone for this
+/// long, in milliseconds.
+const ALONE_MS: u64 = 300;
+/// Requests that one workspace may send at one moment while this instance
+/// decides alone.
+const ALONE_BURST: f64 = 1.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    level: f64,
+    at: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Alone {
+    since: Option<Millis>,
+    buckets: IndexMap<Name, Bucket>,
+}
+
+/// Asks the control instance, and decides alone while that is silent.
+#[derive(Debug)]
+pub(super) struct Quota {
+    control: ControlHandle,
+    clock: Clock,
+    alone: Mutex<Alone>,
+}
+
+impl Quota {
+    pub(super) fn new(control: ControlHandle, clock: Clock) -> Quota {
+        Quota {
+            control,
+            clock,
+            alone: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Alone> {
+        self.alone.lock().expect("no panic while held")
+    }
+
+    /// Whether a request of a workspace may run.
+    pub(super) async fn admit(&self, document: &Document, name: &Name) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let silent = self.lock().since.is_some_and(|at| now.since(at) < ALONE_MS);
+        if silent {
+            return self.decide(now, document, name);
+        }
+        let limit = Millis(WAIT_MS).duration();
+        let asked = timeout(limit, self.control.admit(name.clone())).await;
+        match asked {
+            Ok(Ok(Admitted::Granted)) => Ok(()),
+            Ok(Ok(Admitted::Refused { retry_ms })) => Err(Refusal {
+                kind: ErrorKind::LimitExceeded,
+                retry_ms,
+            }),
+            Ok(Err(_)) | Err(_) => {
+                let now = self.clock.now();
+                metrics::counter!("gateway_quota_unanswered_total").increment(1);
+                self.lock().since = Some(now);
+                self.decide(now, document, name)
+            }
+        }
+    }
+
+    // An even part of the limit. Few instances are alone at a time, and what
+    // their control instance was leased lies idle meanwhile.
+    fn decide(&self, now: Millis, document: &Document, name: &Name) -> Result<(), Refusal> {
+        let gateways = document.instances.values().filter(|i| i.callers.is_some());
+        let count = gateways.count().max(1) as f64;
+        let limit = document.workspaces.get(name).map_or(0, |w| w.rate);
+        let rate = limit as f64 / count / 1_000.0;
+        let mut alone = self.lock();
+        let bucket = alone.buckets.entry(name.clone()).or_insert(Bucket {
+            level: ALONE_BURST,
+            at: now,
+        });
+        bucket.level = (bucket.level + now.since(bucket.at) as f64 * rate).min(ALONE_BURST);
+        bucket.at = now;
+        if bucket.level >= 1.0 {
+            bucket.level -= 1.0;
+            return Ok(());
+        }
+        Err(Refusal {
+            kind: ErrorKind::Unavailable,
+            retry_ms: ALONE_MS,
+        })
+    }
+}
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -108,7 +108,7 @@
         .as_ref()
         .filter(|n| document.workspaces.contains_key(*n))
     {
-        shared.rates.admit(name).await?;
+        shared.quota.admit(&document, name).await?;
     }
     let hold = Hold::take(shared, &routing, &body)?;
     let body = collect(&routing, body, deadline).await?;
--- a/crates/daemon/src/gateway/upkeep.rs
+++ b/crates/daemon/src/gateway/upkeep.rs
@@ -70,7 +70,6 @@
         }
         if now.since(reported) >= shared.config.report_ms {
             reported = now;
-            shared.rates.prime(document.workspaces.keys());
             report(&shared);
             let used = document.backends.values().map(|b| b.address);
             let used: IndexSet<SocketAddr> = used.collect();
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -32,6 +32,11 @@
 const EVENT_QUEUE: usize = 1_024;
 /// Doublings of the time that a control instance is given.
 const SETTLE_SHIFT_MAX: usize = 2;
+/// Shortest and longest time between two attempts to reach a control instance
+/// of the own region from one elsewhere, in milliseconds.
+const NEARER_MS: (u64, u64) = (2_000, 30_000);
+/// Distance of control instances in other regions.
+const FAR: u8 = 2;
 /// Renewals without an answer that are remembered.
 const RENEWALS_MAX: usize = 64;
 
@@ -137,14 +142,18 @@
     places
 }
 
-fn rank(config: &SubscriberConfig, places: &mut [ControlPlace]) {
-    let distance = |p: &ControlPlace| match () {
-        () if p.region == config.region && p.domain == config.domain => 0,
-        () if p.region == config.region => 1,
+// 0 in the same failure domain, 1 in the same region, 2 elsewhere.
+fn distance(config: &SubscriberConfig, place: &ControlPlace) -> u8 {
+    match () {
+        () if place.region == config.region && place.domain == config.domain => 0,
+        () if place.region == config.region => 1,
         () => 2,
-    };
+    }
+}
+
+fn rank(config: &SubscriberConfig, places: &mut [ControlPlace]) {
     let hash = |p: &ControlPlace| Digest::of(&[config.name.as_bytes(), p.name.as_bytes()]);
-    places.sort_by_cached_key(|p| (distance(p), hash(p)));
+    places.sort_by_cached_key(|p| (distance(config, p), hash(p)));
 }
 
 /// Starts subscribers.
@@ -177,6 +186,8 @@
             tried: None,
             link: None,
             since: Millis(0),
+            nearer_at: Millis(0),
+            nearer_ms: NEARER_MS.0,
             switches: 0,
             document: Document::default(),
             position: None,
@@ -205,6 +216,9 @@
     tried: Option<Millis>,
     link: Option<PeerLink>,
     since: Millis,
+    // When a nearer control instance is tried next, and the pause after that.
+    nearer_at: Millis,
+    nearer_ms: u64,
     // Connections left since the view was current.
     switches: usize,
     document: Document,
@@ -248,6 +262,7 @@
         let stale = old && now.since(self.since) > settle;
         match &self.link {
             Some(_) if stale => self.leave(),
+            Some(_) if now >= self.nearer_at && self.is_far() => self.move_nearer(now),
             Some(_) if self.is_due(self.renewed, self.limits.renew_ms, now) => self.renew(now),
             Some(_) => {}
             None => self.connect(now),
@@ -256,6 +271,25 @@
         self.attend();
     }
 
+    // Instances learn from the document where the control instances are.
+    fn is_far(&self) -> bool {
+        let name = self.link.as_ref().map(|l| &l.peer);
+        let here = self.places.iter().find(|p| Some(&p.name) == name);
+        let far = |p: &ControlPlace| distance(&self.config, p) == FAR;
+        here.is_none_or(far) && self.places.first().is_some_and(|p| !far(p))
+    }
+
+    // The pause grows while the nearer ones can't be reached.
+    fn move_nearer(&mut self, now: Millis) {
+        self.nearer_at = now.plus(self.nearer_ms);
+        self.nearer_ms = (self.nearer_ms * 2).min(NEARER_MS.1);
+        self.next = 0;
+        if let Some(link) = self.link.take() {
+            link.close();
+        }
+        self.lost();
+    }
+
     fn is_due(&self, last: Option<Millis>, pause: u64, now: Millis) -> bool {
         last.is_none_or(|at| now.since(at) >= pause)
     }
@@ -427,6 +461,7 @@
 
     fn call(&mut self, call: ControlCall) {
         let (request, sink) = match call {
+            ControlCall::Admit(name, reply) => (Request::Admit(name), Sink::Admitted(reply)),
             ControlCall::Grant(request, reply) => (Request::Grant(request), Sink::Grant(reply)),
             ControlCall::Propose(change, reply) => (Request::Propose(change), Sink::Applied(reply)),
             ControlCall::Report(report) => {
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -124,7 +124,7 @@
                     ControlCall::Grant(request, reply) => {
                         let _ = reply.send(Ok(grant_all(request)));
                     }
-                    ControlCall::Report(_) => {}
+                    ControlCall::Admit(..) | ControlCall::Report(_) => {}
                 }
             }
         });
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -82,6 +82,8 @@
 /// A request that is answered under the same identifier.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Request {
+    /// Whether one request of a workspace is within its limit.
+    Admit(Name),
     /// Tokens from the leader's ledger.
     Grant(GrantRequest),
     /// A change to propose.
@@ -110,9 +112,23 @@
     pub moves: Vec<MoveStatus>,
 }
 
+/// Answer to [`Request::Admit`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Admitted {
+    /// The request may run.
+    Granted,
+    /// The workspace has used its limit.
+    Refused {
+        /// When tokens can be expected, in milliseconds.
+        retry_ms: u64,
+    },
+}
+
 /// Answer to a [`Request`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Response {
+    /// Answer to [`Request::Admit`].
+    Admitted(Admitted),
     /// Answer to [`Request::Propose`].
     Applied(Applied),
     /// The request was not served.
