--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::{Role, Secret};
@@ -35,6 +36,9 @@
 /// Shortest and longest time between two attempts to reach a control instance
 /// of the own region from one elsewhere, in milliseconds.
 const NEARER_MS: (u64, u64) = (2_000, 30_000);
+/// Time for which a control instance that did not prove its document is left
+/// out, in milliseconds. An isolated one usually stays so for seconds.
+const STALE_MS: u64 = 4_000;
 /// Distance of control instances in other regions.
 const FAR: u8 = 2;
 /// Renewals without an answer that are remembered.
@@ -188,6 +192,7 @@
             since: Millis(0),
             nearer_at: Millis(0),
             nearer_ms: NEARER_MS.0,
+            stale: IndexMap::new(),
             switches: 0,
             document: Document::default(),
             position: None,
@@ -219,6 +224,9 @@
     // When a nearer control instance is tried next, and the pause after that.
     nearer_at: Millis,
     nearer_ms: u64,
+    // Control instances that did not prove their document, and until when they
+    // are left out.
+    stale: IndexMap<Name, Millis>,
     // Connections left since the view was current.
     switches: usize,
     document: Document,
@@ -262,7 +270,9 @@
         let stale = old && now.since(self.since) > settle;
         match &self.link {
             Some(_) if stale => self.leave(),
-            Some(_) if now >= self.nearer_at && self.is_far() => self.move_nearer(now),
+            Some(_) if !old && now >= self.nearer_at && self.is_far(now) => {
+                self.move_nearer(now);
+            }
             Some(_) if self.is_due(self.renewed, self.limits.renew_ms, now) => self.renew(now),
             Some(_) => {}
             None => self.connect(now),
@@ -272,11 +282,16 @@
     }
 
     // Instances learn from the document where the control instances are.
-    fn is_far(&self) -> bool {
+    fn is_far(&self, now: Millis) -> bool {
         let name = self.link.as_ref().map(|l| &l.peer);
         let here = self.places.iter().find(|p| Some(&p.name) == name);
         let far = |p: &ControlPlace| distance(&self.config, p) == FAR;
-        here.is_none_or(far) && self.places.first().is_some_and(|p| !far(p))
+        here.is_none_or(far) && self.places.iter().any(|p| !far(p) && self.is_fresh(p, now))
+    }
+
+    fn is_fresh(&self, place: &ControlPlace, now: Millis) -> bool {
+        let until = self.stale.get(&place.name);
+        until.is_none_or(|until| *until <= now)
     }
 
     // The pause grows while the nearer ones can't be reached.
@@ -287,7 +302,7 @@
         if let Some(link) = self.link.take() {
             link.close();
         }
-        self.lost();
+        self.lost("a nearer one is known");
     }
 
     fn is_due(&self, last: Option<Millis>, pause: u64, now: Millis) -> bool {
@@ -302,7 +317,12 @@
         if self.places.is_empty() || !(due || self.attempts.is_empty()) {
             return;
         }
-        let place = &self.places[self.next % self.places.len()];
+        let places = self.places.iter();
+        let fresh: Vec<&ControlPlace> = places.filter(|p| self.is_fresh(p, now)).collect();
+        let place = match fresh.as_slice() {
+            [] => &self.places[self.next % self.places.len()],
+            fresh => fresh[self.next % fresh.len()],
+        };
         self.next += 1;
         self.tried = Some(now);
         let target = PeerAddress {
@@ -320,6 +340,7 @@
             return link.close();
         }
         let now = self.clock.now();
+        tracing::info!(event = "dependency", name = "control", up = true, peer = %link.peer, view_ms = self.view_ms(now));
         self.since = now;
         self.renewals.clear();
         self.assembly = Assembly::default();
@@ -328,7 +349,20 @@
         self.attend();
     }
 
-    fn lost(&mut self) {
+    // Age of the view; nothing before the first proof.
+    fn view_ms(&self, now: Millis) -> Option<u64> {
+        Some(self.view.age(now)).filter(|age| *age != u64::MAX)
+    }
+
+    fn lost(&mut self, cause: &str) {
+        let now = self.clock.now();
+        tracing::info!(
+            event = "dependency",
+            name = "control",
+            up = false,
+            cause,
+            view_ms = self.view_ms(now)
+        );
         self.link = None;
         self.renewed = None;
         self.tried = None;
@@ -337,11 +371,14 @@
 
     fn leave(&mut self) {
         if let Some(link) = self.link.take() {
+            let until = self.clock.now().plus(STALE_MS);
+            self.stale.insert(link.peer.clone(), until);
+            self.next = 0;
             link.close();
             self.switches += 1;
             metrics::counter!("subscriber_switches_total").increment(1);
         }
-        self.lost();
+        self.lost("view too old");
     }
 
     fn renew(&mut self, now: Millis) {
@@ -364,7 +401,7 @@
         let current = self.link.as_ref().map(|l| l.id);
         match event {
             PeerEvent::Opened(link) => self.opened(link),
-            PeerEvent::Closed(id) if current == Some(id) => self.lost(),
+            PeerEvent::Closed(id) if current == Some(id) => self.lost("closed"),
             PeerEvent::Message(id, message) if current == Some(id) => self.message(message),
             PeerEvent::Closed(_) | PeerEvent::Message(..) => {}
         }
@@ -423,6 +460,17 @@
 
     fn publish(&mut self) {
         self.places = known(&self.config, &self.document);
+        let routing = self.document.routing.as_ref().map_or(0, |r| r.version);
+        let before = self
+            .view
+            .document()
+            .routing
+            .as_ref()
+            .map_or(0, |r| r.version);
+        if routing != before {
+            let version = self.document.version;
+            tracing::info!(event = "routing", routing, before, version);
+        }
         self.view.publish(self.document.clone());
     }
 
