Share over the fleet which servers are out of reach

Change: a gateway reports servers it can't connect to; the leader takes them out of the document and back, as cold as the probe found them; four gateways at most send to a cold server.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod measures;
 mod members;
+pub mod outages;
 mod replica;
 mod replication;
 mod snapshot;
--- /dev/null
+++ b/crates/coordination/src/outages.rs
@@ -0,0 +1,101 @@
+//! Backend servers that gateways can't reach, as the leader sees them.
+//!
+//! With many gateways each one sends a server few requests, so that most of
+//! them would neither notice that it was down nor that it came back cold.
+
+use indexmap::IndexMap;
+use pomelovale_state::command::Command;
+use pomelovale_state::document::{Backend, Document, MemberState};
+use pomelovale_state::{Millis, Name};
+
+use crate::measures::Measures;
+
+/// Age up to which a report of unreachable servers counts, in milliseconds.
+const REPORT_MS: u64 = 1_500;
+/// A gateway that can't reach more than one in this many servers of its region
+/// is believed only if another one agrees: the fault may be its own.
+const PART: usize = 4;
+
+/// The commands that take unreachable servers out, and take them back once no
+/// gateway of their region reports them any more. They are as cold as a gateway
+/// found them, since they may have started anew.
+pub fn changes(measures: &Measures, document: &Document, now: Millis) -> Vec<Command> {
+    let claims = claims(measures, document, now);
+    let mut commands = Vec::new();
+    for (name, backend) in &document.backends {
+        let down = claims.get(name).is_some_and(|c| c.is_believed());
+        match (backend.state, down) {
+            (MemberState::Serving, true) => commands.push(Command::SetBackend {
+                name: name.clone(),
+                state: MemberState::Away,
+            }),
+            (MemberState::Away, false) => commands.push(Command::PutBackend {
+                name: name.clone(),
+                backend: Backend {
+                    cold_ms: cold_ms(measures, document, now, name),
+                    state: MemberState::Serving,
+                    ..backend.clone()
+                },
+            }),
+            (MemberState::Away, true)
+            | (MemberState::Leaving, _)
+            | (MemberState::Serving, false) => {}
+        }
+    }
+    commands
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Claim {
+    gateways: usize,
+    // Whether one of them reaches most servers of its region.
+    sound: bool,
+}
+
+impl Claim {
+    fn is_believed(&self) -> bool {
+        self.sound || self.gateways > 1
+    }
+}
+
+fn claims<'a>(
+    measures: &'a Measures,
+    document: &Document,
+    now: Millis,
+) -> IndexMap<&'a Name, Claim> {
+    let mut claims: IndexMap<&Name, Claim> = IndexMap::new();
+    let recent = measures
+        .reports()
+        .filter(|r| !r.down.is_empty() && measures.age(now, &r.instance) <= REPORT_MS);
+    for report in recent {
+        let Some(instance) = document.instances.get(&report.instance) else {
+            continue;
+        };
+        let here = |b: &&Backend| b.region == instance.region;
+        let all = document.backends.values().filter(here).count();
+        let near = |name: &&Name| document.backends.get(*name).is_some_and(|b| here(&b));
+        let down: Vec<&Name> = report.down.iter().filter(near).collect();
+        let sound = down.len() * PART <= all;
+        for name in down {
+            let claim = claims.entry(name).or_default();
+            claim.gateways += 1;
+            claim.sound |= sound;
+        }
+    }
+    claims
+}
+
+// As a gateway found it; else it may have started just now.
+fn cold_ms(measures: &Measures, document: &Document, now: Millis, name: &Name) -> u64 {
+    let recent = measures
+        .reports()
+        .filter(|r| measures.age(now, &r.instance) <= REPORT_MS);
+    let found = recent.flat_map(|r| &r.back).filter(|(n, _)| n == name);
+    if let Some((_, cold_ms)) = found.max_by_key(|(_, cold_ms)| *cold_ms) {
+        return *cold_ms;
+    }
+    let routing = document.routing.as_ref();
+    let backend = document.backends.get(name);
+    let service = routing.and_then(|r| r.services.get(&backend?.service));
+    service.map_or(0, |s| s.cold_ms)
+}
--- a/crates/coordination/tests/gate.rs
+++ b/crates/coordination/tests/gate.rs
@@ -106,6 +106,8 @@
         version: 9,
         view_ms: 200,
         leaving: false,
+        down: Vec::new(),
+        back: Vec::new(),
         services: vec![row("north", 25, north), row("south", 10, south)],
         links: vec![LinkLoad {
             from: "north".into(),
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -4,6 +4,7 @@
 use pomelovale_coordination::gate;
 use pomelovale_coordination::ledger::{Ledger, LedgerConfig, Rate};
 use pomelovale_coordination::measures::Measures;
+use pomelovale_coordination::outages;
 use pomelovale_protocol::grants::{GrantReply, GrantRequest};
 use pomelovale_protocol::log::Epoch;
 use pomelovale_protocol::messages::{Fleet, InstanceStatus};
@@ -17,7 +18,7 @@
 use super::config::ControlLimits;
 
 /// Time between two checks of which instances still report.
-const MEMBERSHIP_MS: u64 = 500;
+const MEMBERSHIP_MS: u64 = 150;
 
 /// State of a leader, made anew in every epoch that this instance leads.
 pub(super) struct Leader {
@@ -122,16 +123,27 @@
         }
         self.checked = now;
         self.measures.retain(document, now);
+        let outages = outages::changes(&self.measures, document, now);
         let changes = self.measures.membership(document, now);
         let epoch = self.epoch;
-        let change = |(name, state): (Name, MemberState)| Change {
-            request: format!("member-{}-{}-{name}", epoch.0, now.0).into(),
+        let change = |(kind, command): (String, Command)| Change {
+            request: format!("{kind}-{}-{}", epoch.0, now.0).into(),
             sender: own.clone(),
             base: None,
             at: Millis(0),
-            command: Command::SetInstance { name, state },
+            command,
         };
-        changes.into_iter().map(change).collect()
+        let member = |(name, state): (Name, MemberState)| {
+            let kind = format!("member-{name}");
+            (kind, Command::SetInstance { name, state })
+        };
+        let members = changes.into_iter().map(member);
+        let mut commands: Vec<(String, Command)> = members.collect();
+        if !outages.is_empty() {
+            tracing::info!(event = "outages", "{outages:?}");
+            commands.push(("outages".to_owned(), Command::Batch(outages)));
+        }
+        commands.into_iter().map(change).collect()
     }
 
     /// What is known of the whole site.
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -110,6 +110,14 @@
     let mut commands: Vec<Command> = gone.cloned().map(Command::RemoveBackend).collect();
     for (name, backend) in wanted {
         let known = document.backends.get(name);
+        let backend = match known.map(|k| k.state) {
+            // Gateways tell when it is back.
+            Some(MemberState::Away) if backend.state == MemberState::Serving => Backend {
+                state: MemberState::Away,
+                ..backend
+            },
+            _ => backend,
+        };
         if known.is_none_or(|k| differs(k, &backend)) {
             commands.push(Command::PutBackend {
                 name: name.clone(),
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -69,6 +69,8 @@
         version,
         view_ms,
         leaving: shared.leaving.load(Ordering::Relaxed),
+        down: Vec::new(),
+        back: Vec::new(),
         services,
         links,
     });
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
 use pomelovale_transport::body::{CallerBody, Passing};
 use tokio::time::{timeout, timeout_at, Instant};
 
-use super::Shared;
+use super::{upkeep, Shared};
 use crate::entry::refusal::Refusal;
 
 /// Connections that may fail before a request is refused. Nothing was sent over
@@ -178,12 +178,18 @@
         let latency_ms = self.since.elapsed().as_millis() as u64;
         let document = self.shared.view.document();
         let (chosen, route, report) = (&self.chosen, &self.route, self.report);
-        self.shared
+        let held = self
+            .shared
             .services
             .with(now, &document, &self.service, |s| {
                 s.placement
-                    .finish(now, chosen, route, ended, latency_ms, report);
+                    .finish(now, chosen, route, ended, latency_ms, report)
             });
+        if held == Some(true) {
+            tracing::info!(event = "unreachable", service = %self.service,
+                server = %chosen.server, cause = ?ended);
+            upkeep::report(&self.shared);
+        }
         metrics::histogram!("gateway_attempt_seconds").record(self.since.elapsed());
     }
 }
@@ -380,7 +386,7 @@
     }
     let (ended, kind, text) = match failure.fault {
         Fault::Connect => (Ended::Unreachable, ErrorKind::UnknownOutcome, "connect"),
-        Fault::Cut => (Ended::Unreachable, ErrorKind::UnknownOutcome, "cut"),
+        Fault::Cut => (Ended::Cut, ErrorKind::UnknownOutcome, "cut"),
         Fault::Foreign => (Ended::Failed, ErrorKind::UnknownOutcome, "foreign"),
         Fault::Malformed => (Ended::Failed, ErrorKind::UnknownOutcome, "malformed"),
         Fault::Silent => (Ended::TimedOut, ErrorKind::UnknownTimeout, "silent"),
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -15,8 +15,6 @@
 /// Part of the shared budgets that is used, in per mille: the rest covers
 /// instances that restart and spend their part again.
 const BUDGET_USED: u64 = 600;
-/// Part of what a cold server bears that its region's instances send.
-const COLD_USED: f64 = 0.7;
 
 /// One service on this instance.
 #[derive(Debug)]
@@ -38,6 +36,7 @@
 #[derive(Debug)]
 pub(super) struct Services {
     inner: Mutex<Inner>,
+    instance: Name,
     region: Name,
     domain: Name,
     repeats: RepeatBudget,
@@ -48,6 +47,7 @@
     pub(super) fn new(config: &GatewayConfig, seed: u64) -> Services {
         Services {
             inner: Mutex::default(),
+            instance: config.instance.clone(),
             region: config.region.clone(),
             domain: config.domain.clone(),
             repeats: config.repeats,
@@ -115,20 +115,15 @@
         };
         let gateways = || document.instances.values().filter(|i| i.callers.is_some());
         let regions: Vec<Name> = document.regions.keys().cloned().collect();
-        let here = gateways()
-            .filter(|i| i.region == self.region)
-            .count()
-            .max(1);
         let all = gateways().count().max(1) as u64;
         inner
             .services
             .retain(|name, _| routing.services.contains_key(name));
         for (name, routed) in &routing.services {
             let specs = specs(document, name);
-            let cold = routed.cold_rate as f64 / 1_000.0 * COLD_USED / here as f64;
             let service = ServiceSpec {
                 cold_ms: routed.cold_ms,
-                cold_rate: (routed.cold_rate > 0).then_some(cold),
+                cold_rate: (routed.cold_rate > 0).then_some(routed.cold_rate as f64 / 1_000.0),
             };
             let policy = RetryPolicy::Fleet {
                 per_mille: self.repeats.per_mille * BUDGET_USED / 1_000,
@@ -138,10 +133,21 @@
                 .services
                 .entry(name.clone())
                 .or_insert_with(|| Service {
-                    placement: Placement::new(&self.region, &self.domain, self.seed),
+                    placement: Placement::new(
+                        &self.instance,
+                        &self.region,
+                        &self.domain,
+                        self.seed,
+                    ),
                     repeats: RetryBudget::new(policy),
                     probe: routed.probe.clone(),
                 });
+            let here = document.instances.iter().filter(|(_, i)| {
+                i.callers.is_some() && i.region == self.region && i.state == MemberState::Serving
+            });
+            known
+                .placement
+                .set_peers(here.map(|(name, _)| name.clone()));
             known.placement.sync(now, &specs, service, &regions);
             known.repeats.set_policy(policy);
             known.probe.clone_from(&routed.probe);
@@ -149,11 +155,11 @@
     }
 }
 
-// Servers that may get new work.
+// Servers that may get new work, now or once they can be reached.
 fn specs(document: &Document, service: &Name) -> Vec<ServerSpec> {
     let open = document.backends.iter().filter(|(_, b)| {
         b.service == *service
-            && b.state == MemberState::Serving
+            && b.state != MemberState::Leaving
             && !document.evacuated.contains(&b.domain)
     });
     let spec = |(name, b): (&Name, &pomelovale_state::document::Backend)| ServerSpec {
@@ -163,6 +169,7 @@
         domain: b.domain.clone(),
         slots: b.slots,
         cold_ms: b.cold_ms,
+        down: b.state == MemberState::Away,
     };
     open.map(spec).collect()
 }
--- a/crates/daemon/src/gateway/upkeep.rs
+++ b/crates/daemon/src/gateway/upkeep.rs
@@ -82,6 +82,12 @@
 /// Tells the leader that this instance lives, and whether it is stopping.
 pub(super) fn report(shared: &Shared) {
     let document = shared.view.document();
+    let now = shared.clock.now();
+    let (mut down, mut back) = (Vec::new(), Vec::new());
+    shared.services.each(now, &document, |_, service| {
+        down.extend(service.placement.unreachable().cloned());
+        back.extend(service.placement.recovered(now));
+    });
     let view_ms = shared.view.age(shared.clock.now());
     metrics::gauge!("document_version").set(document.version as f64);
     metrics::gauge!("view_age_ms").set(view_ms as f64);
@@ -90,6 +96,8 @@
         version: document.version,
         view_ms,
         leaving: shared.leaving.load(Ordering::Relaxed),
+        down,
+        back,
         services: Vec::new(),
         links: Vec::new(),
     });
--- a/crates/daemon/tests/control_moves.rs
+++ b/crates/daemon/tests/control_moves.rs
@@ -98,6 +98,8 @@
         version: entry.version(),
         view_ms: entry.age(),
         leaving,
+        down: Vec::new(),
+        back: Vec::new(),
         services: vec![row("north"), row("south")],
         links: Vec::new(),
     });
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -46,6 +46,11 @@
     pub view_ms: u64,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Backend servers that it can't reach now.
+    pub down: Vec<Name>,
+    /// Backend servers that it found sound again lately, and how long they stay
+    /// cold, in milliseconds.
+    pub back: Vec<(Name, u64)>,
     /// One row for each service and region.
     pub services: Vec<ServiceLoad>,
     /// One row for each pair of regions.
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -14,11 +14,12 @@
 const OTHERS_MS: f64 = 1_500.0;
 /// Age up to which a server's account of its load counts, in milliseconds.
 const REPORTED_MS: u64 = 1_000;
-/// Consecutive failures after which a server is held back.
-const FAILURES_MAX: u32 = 2;
+/// Consecutive answers that did not come in time after which a server is held
+/// back. One connection that fails is enough.
+const SILENCES_MAX: u32 = 2;
 /// Shortest and longest time between two probes of a server that is held back,
 /// in milliseconds.
-const PROBE_MS: (u64, u64) = (400, 1_600);
+const PROBE_MS: (u64, u64) = (150, 1_200);
 /// Part of the objective that a holder is expected to need before anything is
 /// known, and any other server.
 const PRIOR: (f64, f64) = (0.4, 0.9);
@@ -104,7 +105,7 @@
     paced: Millis,
     failed: f64,
     faulted: Millis,
-    // Consecutive failures.
+    // Consecutive answers that did not come in time.
     streak: u32,
     // Held back until a probe finds it sound.
     held: bool,
@@ -246,21 +247,23 @@
                 self.full_until = now.plus(SHED_MS);
                 true
             }
-            Ended::Failed | Ended::Moved | Ended::TimedOut | Ended::Unreachable => true,
+            Ended::Cut | Ended::Failed | Ended::Moved | Ended::TimedOut | Ended::Unreachable => {
+                true
+            }
         };
         let before = self.failures(now);
         self.failed = before + SAMPLE * (f64::from(u8::from(bad)) - before);
         self.faulted = now;
         match ended {
             Ended::Answered => self.streak = 0,
-            Ended::Moved => self.hold(now),
-            Ended::TimedOut | Ended::Unreachable => {
+            Ended::Moved | Ended::Unreachable => self.hold(now),
+            Ended::TimedOut => {
                 self.streak += 1;
-                if self.streak >= FAILURES_MAX {
+                if self.streak >= SILENCES_MAX {
                     self.hold(now);
                 }
             }
-            Ended::Cancelled | Ended::Failed | Ended::Shed => {}
+            Ended::Cancelled | Ended::Cut | Ended::Failed | Ended::Shed => {}
         }
     }
 
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::estimate::{Held, ServerState, WorkEstimate};
-use crate::spread::{hash, Spread};
+use crate::spread::{hash, hash_bytes, Spread};
 
 /// Extra cost of a server in another failure domain of the region, in
 /// milliseconds: the round trip, and the price of its traffic.
@@ -30,6 +30,14 @@
 /// work there. Without it, all servers come to hold all objects, and forget
 /// them.
 const STRAY_PART: f64 = 0.5;
+/// Instances that send to one cold server. Each of them may send one request
+/// ahead of its rate, so that many of them would be more than it bears.
+const WARMERS: usize = 4;
+/// Time for which others are told that a server is sound again, in
+/// milliseconds.
+const BACK_MS: u64 = 2_000;
+/// Part of what a cold server bears that is used.
+const COLD_USED: f64 = 0.8;
 /// Utilization of the own region up to which starting an object anew on another
 /// server takes nothing from others.
 const CALM: f64 = 0.4;
@@ -66,6 +74,14 @@
     pub slots: u32,
     /// Time that it stays cold, in milliseconds.
     pub cold_ms: u64,
+    /// Whether it is known to be out of reach.
+    pub down: bool,
+}
+
+impl Server {
+    fn is_usable(&self) -> bool {
+        !self.spec.down && self.state.is_usable()
+    }
 }
 
 /// What all servers of a service have in common.
@@ -73,8 +89,8 @@
 pub struct ServiceSpec {
     /// Time that a started server stays cold, in milliseconds.
     pub cold_ms: u64,
-    /// Requests a second that this instance may send to a cold server; none
-    /// for no limit.
+    /// Requests a second that a cold server bears from all instances together;
+    /// none for no limit.
     pub cold_rate: Option<f64>,
 }
 
@@ -140,9 +156,11 @@
     Failed,
     /// Another server has the address.
     Moved,
+    /// The connection ended before the answer was complete.
+    Cut,
     /// The server refused to run the request.
     Shed,
-    /// No connection could be made, or it was cut.
+    /// No connection could be made.
     Unreachable,
     /// No answer in time.
     TimedOut,
@@ -168,8 +186,13 @@
 /// The servers of one service as one instance sees them.
 #[derive(Clone, Debug)]
 pub struct Placement {
+    instance: Name,
     domain: Name,
     region: Name,
+    // The other instances of the region.
+    peers: Vec<Name>,
+    // Servers that a probe found sound again, when, and how long they stay cold.
+    back: Vec<(Name, Millis, u64)>,
     rng: SmallRng,
     servers: IndexMap<Name, Server>,
     service: ServiceSpec,
@@ -192,8 +215,11 @@
 
 impl Placement {
     /// Knows no server yet.
-    pub fn new(region: &Name, domain: &Name, seed: u64) -> Placement {
+    pub fn new(instance: &Name, region: &Name, domain: &Name, seed: u64) -> Placement {
         Placement {
+            instance: instance.clone(),
+            peers: Vec::new(),
+            back: Vec::new(),
             domain: domain.clone(),
             region: region.clone(),
             rng: SmallRng::seed_from_u64(seed),
@@ -206,6 +232,21 @@
         }
     }
 
+    /// Takes over the instances of the region, this one included or not.
+    pub fn set_peers(&mut self, peers: impl Iterator<Item = Name>) {
+        let own = &self.instance;
+        self.peers = peers.filter(|name| name != own).collect();
+    }
+
+    /// Servers of the own region that this instance can't reach.
+    pub fn unreachable(&self) -> impl Iterator<Item = &Name> {
+        let here = self
+            .servers
+            .values()
+            .filter(|s| s.spec.region == self.region);
+        here.filter(|s| !s.state.is_usable()).map(|s| &s.spec.name)
+    }
+
     /// Takes over the servers that may get new work. `regions` are all
     /// regions. A server that comes later than the first
     /// ones counts as cold: it has just started, or was left out for a while.
@@ -232,7 +273,7 @@
                     state
                 }
             };
-            if spec.cold_ms > 0 {
+            if spec.cold_ms > 0 && !spec.down {
                 state.set_cold(now, now.plus(spec.cold_ms));
             }
             let server = Server {
@@ -262,7 +303,7 @@
     // are only known as far as their servers reported lately.
     fn utilization(&self, now: Millis) -> (f64, Option<f64>) {
         let (mut local, mut remote, mut known) = ((0.0, 0.0), (0.0, 0.0), 0);
-        let usable = self.servers.values().filter(|s| s.state.is_usable());
+        let usable = self.servers.values().filter(|s| s.is_usable());
         let mut count = 0;
         for server in usable {
             let slots = f64::from(server.spec.slots);
@@ -389,7 +430,7 @@
                 false => place == 0,
             };
             *rank += 1;
-            if !server.state.may_send(now, self.service.cold_rate) || !self.may_warm(now, server) {
+            if !server.state.may_send(now, self.warm_rate()) || !self.may_warm(now, server) {
                 continue;
             }
             let noise = 1.0 + NOISE * self.rng.random::<f64>();
@@ -410,11 +451,23 @@
         best
     }
 
-    // Only instances of its own region send to a cold server, which keeps the
-    // number of those that share what it bears small.
+    // A few instances of its own region share what a cold server bears.
     fn may_warm(&self, now: Millis, server: &Server) -> bool {
-        let limited = self.service.cold_rate.is_some() && server.state.is_cold(now);
-        !limited || server.spec.region == self.region
+        if self.service.cold_rate.is_none() || !server.state.is_cold(now) {
+            return true;
+        }
+        let rank = |name: &Name| hash(&[hash_bytes(name.as_bytes()), server.state.salt()]);
+        let own = rank(&self.instance);
+        let before = self.peers.iter().filter(|p| rank(p) > own).count();
+        server.spec.region == self.region && before < WARMERS
+    }
+
+    // This instance's part of what a cold server bears.
+    fn warm_rate(&self) -> Option<f64> {
+        let warmers = (self.peers.len() + 1).min(WARMERS) as f64;
+        self.service
+            .cold_rate
+            .map(|rate| rate * COLD_USED / warmers)
     }
 
     // Expected time until the answer in milliseconds, and whether a slot is
@@ -443,9 +496,10 @@
     }
 
     fn send(&mut self, now: Millis, object: u64, best: &Candidate) -> Verdict {
+        let rate = self.warm_rate();
         let server = &mut self.servers[best.index];
         let load = server.state.load(now);
-        server.state.start(now, object, self.service.cold_rate);
+        server.state.start(now, object, rate);
         Verdict::Send(Chosen {
             server: server.spec.name.clone(),
             address: server.spec.address,
@@ -463,7 +517,8 @@
         server.is_some_and(|s| s.spec.address == chosen.address)
     }
 
-    /// Takes the end of an exchange into account.
+    /// Takes the end of an exchange into account. Returns whether the server is
+    /// held back from now on.
     pub fn finish(
         &mut self,
         now: Millis,
@@ -472,16 +527,18 @@
         ended: Ended,
         latency_ms: u64,
         report: Option<LoadReport>,
-    ) {
+    ) -> bool {
         let Some(server) = self.servers.get_mut(&chosen.server) else {
-            return;
+            return false;
         };
+        let before = server.state.is_usable();
         server.state.end(now, ended);
+        let held = before && !server.state.is_usable();
         if let Some(report) = report {
             server.state.report(now, report);
         }
         if ended != Ended::Answered {
-            return;
+            return held;
         }
         let way = match server.spec.region == self.region {
             true => 0.0,
@@ -497,6 +554,7 @@
             work.note(chosen.held, spent / pace);
             self.mean.note(Held::Known, spent / pace);
         }
+        held
     }
 
     /// Servers that are held back until a probe finds them sound, and are due
@@ -516,12 +574,25 @@
             return;
         };
         server.state.probed(now, cold_ms);
+        if let Some(cold_ms) = cold_ms {
+            self.back.push((name.clone(), now, cold_ms));
+        }
+    }
+
+    /// Servers that this instance found sound again lately, and how long they
+    /// stay cold, in milliseconds.
+    pub fn recovered(&mut self, now: Millis) -> impl Iterator<Item = (Name, u64)> + '_ {
+        self.back.retain(|(_, at, _)| now.since(*at) < BACK_MS);
+        let left = move |at: &Millis, cold_ms: &u64| cold_ms.saturating_sub(now.since(*at));
+        self.back
+            .iter()
+            .map(move |(name, at, cold_ms)| (name.clone(), left(at, cold_ms)))
     }
 
     /// Load that a server is believed to have, and whether it is usable.
     pub fn belief(&self, now: Millis, name: &Name) -> Option<(f64, bool)> {
         let server = self.servers.get(name)?;
-        Some((server.state.load(now), server.state.is_usable()))
+        Some((server.state.load(now), server.is_usable()))
     }
 
     /// Part of the objects that go to other regions, from 0 to 1.
