--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -210,7 +210,8 @@
     story.object = job.object;
     loop {
         if job.left() <= Duration::from_millis(ANSWER_MS) {
-            let kind = progress.written.unwrap_or(ErrorKind::DeadlineSpent);
+            // Nothing was sent: the caller may try again elsewhere.
+            let kind = progress.written.unwrap_or(ErrorKind::Overloaded);
             return Err(kind.into());
         }
         let first = progress.sent == 0;
