--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -12,9 +12,13 @@
 use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::document::{Backend, Document, MemberState};
 use pomelovale_state::{Clock, Millis, Name};
+use tokio::task::JoinSet;
 
 use crate::control::ControlServer;
 
+/// Calls in a row that a list may take before its failure domains are read one
+/// by one.
+const CALLS_MAX: usize = 2;
 /// Connections to a server whose service names no number.
 const CONNECTIONS: u32 = 256;
 
@@ -37,22 +41,58 @@
     pub cold_ms: u64,
 }
 
-/// The whole list, or why it can't be had.
-pub type Fetched = Pin<Box<dyn Future<Output = Result<Vec<Listed>, String>> + Send>>;
-/// Reads the whole list.
-pub type Fetch = Arc<dyn Fn() -> Fetched + Send + Sync>;
+/// A part of the list, read in a number of calls.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Part {
+    /// The servers in it.
+    pub servers: Vec<Listed>,
+    /// Calls that it took.
+    pub calls: usize,
+}
+
+/// A part of the list, or why it can't be had.
+pub type Fetched = Pin<Box<dyn Future<Output = Result<Part, String>> + Send>>;
+/// Reads the servers of one failure domain, or of all.
+pub type Fetch = Arc<dyn Fn(Option<Name>) -> Fetched + Send + Sync>;
+
+/// Reads the list. The pages of a long list follow each other, and each takes a
+/// round trip; its failure domains are read at the same time.
+async fn read(fetch: &Fetch, domains: &[Name], long: bool) -> Result<Part, String> {
+    if !long {
+        return fetch(None).await;
+    }
+    let mut reads = JoinSet::new();
+    for domain in domains {
+        reads.spawn(fetch(Some(domain.clone())));
+    }
+    let mut whole = Part::default();
+    while let Some(read) = reads.join_next().await {
+        let part = read.map_err(|e| e.to_string())??;
+        whole.servers.extend(part.servers);
+        whole.calls += part.calls;
+    }
+    Ok(whole)
+}
 
 /// Follows the list until the task is aborted.
 pub async fn run(control: Arc<ControlServer>, fetch: Fetch, clock: Clock, pause_ms: u64) {
-    let mut heard = true;
+    let (mut heard, mut long) = (true, false);
     loop {
-        tokio::time::sleep(Millis(pause_ms).duration()).await;
+        // Each read of a long list takes many calls, which have a price.
+        let pause = if long { 2 * pause_ms } else { pause_ms };
+        tokio::time::sleep(Millis(pause).duration()).await;
         if control.status().role != "leader" || control.view().document().version == 0 {
             continue;
         }
         let start = clock.now();
-        let listed = match fetch().await {
-            Ok(listed) => listed,
+        let document = control.view().document();
+        let regions = document.regions.values();
+        let domains: Vec<Name> = regions.flat_map(|r| r.domains.clone()).collect();
+        let listed = match read(&fetch, &domains, long).await {
+            Ok(part) => {
+                long |= part.calls > CALLS_MAX;
+                part.servers
+            }
             Err(cause) => {
                 metrics::counter!("discovery_failures_total").increment(1);
                 if std::mem::replace(&mut heard, false) {
