--- a/crates/coordination/src/measures.rs
+++ b/crates/coordination/src/measures.rs
@@ -33,7 +33,7 @@
 }
 
 /// The last report of each entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Measures {
     since: Millis,
     lost_ms: u64,
@@ -41,6 +41,12 @@
     reports: IndexMap<Name, Received>,
 }
 
+impl Default for Measures {
+    fn default() -> Measures {
+        Measures::new(Millis(0))
+    }
+}
+
 impl Measures {
     /// No measurements yet, from `now` on.
     pub fn new(now: Millis) -> Measures {
--- a/crates/coordination/tests/log_core.rs
+++ b/crates/coordination/tests/log_core.rs
@@ -4,6 +4,8 @@
 mod cases;
 #[path = "log_core/checks.rs"]
 mod checks;
+#[path = "log_core/open.rs"]
+mod open;
 #[path = "log_core/schedule.rs"]
 mod schedule;
 #[path = "log_core/sim.rs"]
--- /dev/null
+++ b/crates/coordination/tests/log_core/open.rs
@@ -0,0 +1,93 @@
+//! Groups whose members find each other from a few founders.
+
+use crate::sim::Sim;
+
+const FOUNDERS: usize = 3;
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident($size:expr, $seeds:expr) $case:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let case: fn(Sim) = $case;
+            (0..$seeds).for_each(|seed| case(Sim::open($size, FOUNDERS, seed)));
+        })*
+    };
+}
+
+fn voters(sim: &Sim) -> Vec<String> {
+    let leader = sim.current_leader().expect("a leader");
+    let status = sim.status(leader).expect("the leader runs");
+    status.voters.iter().map(|v| v.name.to_string()).collect()
+}
+
+fn settle(sim: &mut Sim, voters_wanted: usize) {
+    let done = |sim: &Sim| sim.current_leader().is_some() && voters(sim).len() == voters_wanted;
+    assert!(sim.run_until(20_000, done), "{:?}", voters(sim));
+    sim.run(500);
+}
+
+cases! {
+    /// Guards against instances beyond the founders that never vote.
+    others_join_and_vote(5, 10) |mut sim| {
+        settle(&mut sim, 5);
+        sim.propose();
+        sim.run(500);
+        assert_eq!(sim.accepted.len(), 1);
+    };
+
+    /// Guards against a change of members that stops at a learner for which
+    /// there is no place, so that later ones never get the state.
+    learners_beyond_the_voters_follow(8, 5) |mut sim| {
+        settle(&mut sim, 5);
+        sim.run(3_000);
+        let leader = sim.current_leader().expect("a leader");
+        let status = sim.status(leader).expect("the leader runs");
+        assert_eq!(status.learners.len(), 3);
+        sim.propose();
+        sim.run(1_000);
+        let commit = sim.status(leader).expect("the leader runs").commit;
+        assert!((0..8).all(|n| sim.status(n).is_some_and(|s| s.commit == commit)));
+    };
+
+    /// Guards against a machine that is gone for good and keeps its vote, while
+    /// its successor waits for a place.
+    successor_takes_the_place_of_a_lost_voter(6, 5) |mut sim| {
+        settle(&mut sim, 5);
+        let names = voters(&sim);
+        let leader = sim.current_leader().expect("a leader");
+        let voter = |n: &usize| names.contains(&format!("c{n}")) && *n != leader;
+        let lost = (0..6).find(voter).expect("a follower votes");
+        sim.crash(lost);
+        let gone = format!("c{lost}");
+        let done = |sim: &Sim| {
+            sim.current_leader().is_some()
+                && voters(sim).len() == 5
+                && !voters(sim).contains(&gone)
+        };
+        assert!(sim.run_until(20_000, done), "{:?}", voters(&sim));
+    };
+
+    /// Guards against a group of four voters, one of which is lost: it bears no
+    /// further loss, three voters bear one.
+    even_group_drops_a_lost_voter(4, 5) |mut sim| {
+        settle(&mut sim, 4);
+        let leader = sim.current_leader().expect("a leader");
+        let lost = (0..4).find(|n| *n != leader).expect("a follower");
+        sim.crash(lost);
+        assert!(sim.run_until(20_000, |sim| sim.current_leader().is_some() && voters(sim).len() == 3));
+    };
+}
+
+/// Guards against a second group: empty disks after the first start are lost
+/// ones, and instances that have them must not found anything.
+#[test]
+fn empty_disks_found_nothing_after_the_first_start() {
+    for seed in 0..5 {
+        let mut sim = Sim::open(3, FOUNDERS, seed);
+        (0..3).for_each(|n| sim.crash(n));
+        (0..3).for_each(|n| sim.wipe(n));
+        sim.founding = false;
+        (0..3).for_each(|n| sim.start(n));
+        sim.run(10_000);
+        assert_eq!(sim.current_leader(), None);
+    }
+}
--- a/crates/coordination/tests/log_core/sim.rs
+++ b/crates/coordination/tests/log_core/sim.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pomelovale_coordination::log::{
-    Action, Event, LogConfig, LogStatus, MemberChange, Persist, Replica, Restored, Role,
-    ELECTION_MS, TICK_MS,
+    Action, Event, LogConfig, LogStatus, MemberChange, Membership, Persist, Replica, Restored,
+    Role, ELECTION_MS, TICK_MS,
 };
 use pomelovale_protocol::log::{Entry, Epoch, LogIndex, LogMessage, Members, ReplicaId};
 use pomelovale_state::{Millis, Name};
@@ -61,6 +61,11 @@
     /// Members in entries that were written or sent.
     pub proposed: Vec<(LogIndex, Members)>,
     pub retain: usize,
+    /// Number of instances that found the log; the others join by themselves.
+    /// None for a fixed membership.
+    pub founders: Option<usize>,
+    /// Whether empty disks are those of a first start.
+    pub founding: bool,
     /// Longer syncs of single instances.
     pub slow: Vec<u64>,
     pub sync_ms: (u64, u64),
@@ -86,6 +91,15 @@
 impl Sim {
     /// Instances with empty disks, which found the log by themselves.
     pub fn new(size: usize, seed: u64) -> Sim {
+        Sim::with(size, seed, None)
+    }
+
+    /// Instances of which the first few found the log and the others join.
+    pub fn open(size: usize, founders: usize, seed: u64) -> Sim {
+        Sim::with(size, seed, Some(founders))
+    }
+
+    fn with(size: usize, seed: u64, founders: Option<usize>) -> Sim {
         let mut sim = Sim {
             accepted: Vec::new(),
             deaf: None,
@@ -99,6 +113,8 @@
             now: 10_000,
             proposed: Vec::new(),
             retain: 50,
+            founders,
+            founding: true,
             slow: vec![0; size],
             sync_ms: (1, 4),
             writes: 0,
@@ -150,8 +166,13 @@
 
     /// A replica that continues from the disk of an instance.
     pub fn replica(&mut self, node: usize) -> Replica {
-        let peers = (0..self.groups.len()).map(name);
+        let count = self.founders.unwrap_or(self.groups.len());
+        let peers = (0..count).map(name);
         let mut config = LogConfig::new(name(node), peers.collect());
+        if self.founders.is_some() {
+            config.membership = Membership::Open { voters: 5 };
+            config.founding = self.founding;
+        }
         config.append_bytes = 16;
         config.election_ms = self.election_ms;
         config.retain = self.retain;
--- /dev/null
+++ b/crates/coordination/tests/outages.rs
@@ -0,0 +1,108 @@
+//! When the leader takes backend servers out that gateways can't reach.
+
+use pomelovale_coordination::measures::Measures;
+use pomelovale_coordination::outages::changes;
+use pomelovale_protocol::report::Report;
+use pomelovale_state::command::Command;
+use pomelovale_state::document::{Backend, Document, Instance, MemberState};
+use pomelovale_state::{Millis, Name};
+
+const NOW: Millis = Millis(50_000);
+const SERVERS: usize = 8;
+
+fn document(state: MemberState) -> Document {
+    let mut d = Document::default();
+    for i in 0..SERVERS {
+        let backend = Backend {
+            address: "127.0.0.1:1".parse().unwrap(),
+            service: "s".into(),
+            region: "north".into(),
+            domain: "north-a".into(),
+            slots: 6,
+            connections: 100,
+            cold_ms: 0,
+            state: if i == 0 { state } else { MemberState::Serving },
+        };
+        d.backends.insert(format!("b{i}").into(), backend);
+    }
+    for (name, region) in [("g0", "north"), ("g1", "north"), ("far", "south")] {
+        let instance = Instance {
+            callers: Some("127.0.0.1:2".parse().unwrap()),
+            peers: None,
+            region: region.into(),
+            domain: format!("{region}-a").into(),
+            state: MemberState::Serving,
+        };
+        d.instances.insert(name.into(), instance);
+    }
+    d
+}
+
+fn report(instance: &str, down: &[usize], back: &[(usize, u64)]) -> Report {
+    let name = |i: &usize| Name::from(format!("b{i}"));
+    Report {
+        instance: instance.into(),
+        down: down.iter().map(name).collect(),
+        back: back.iter().map(|(i, ms)| (name(i), *ms)).collect(),
+        ..Report::default()
+    }
+}
+
+fn taken_out(state: MemberState, reports: &[Report], age: u64) -> Vec<Command> {
+    let mut measures = Measures::default();
+    for report in reports {
+        measures.record(NOW.minus(age), report);
+    }
+    changes(&measures, &document(state), NOW)
+}
+
+fn away(i: usize) -> Command {
+    Command::SetBackend {
+        name: format!("b{i}").into(),
+        state: MemberState::Away,
+    }
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident($state:ident, $reports:expr, $age:expr) => $expected:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            assert_eq!(taken_out(MemberState::$state, &$reports, $age), $expected);
+        })*
+    };
+}
+
+cases! {
+    /// Guards against most gateways sending to a server that one of them knows
+    /// to be down.
+    one_gateway_is_believed(Serving, [report("g0", &[0], &[])], 100) => vec![away(0)];
+
+    /// Guards against a gateway that is cut off taking all servers away.
+    gateway_without_any_server_is_not(Serving, [report("g0", &[0, 1, 2, 3, 4], &[])], 100) => vec![];
+
+    /// Guards against a lost failure domain that is never taken out.
+    two_gateways_are(Serving, [report("g0", &[0, 1, 2, 3], &[]), report("g1", &[0, 1, 2, 3], &[])], 100)
+        => (0..4).map(away).collect::<Vec<_>>();
+
+    /// Guards against a cut between regions taking servers away.
+    gateway_of_another_region_is_not(Serving, [report("far", &[0], &[])], 100) => vec![];
+
+    /// Guards against decisions on what was true seconds ago.
+    old_report_is_not(Serving, [report("g0", &[0], &[])], 5_000) => vec![];
+
+    /// Guards against a server that stays out although it is reported still.
+    stays_out_while_reported(Away, [report("g0", &[0], &[])], 100) => vec![];
+}
+
+/// Guards against a server that comes back and is sent more than it bears.
+#[test]
+fn returns_as_cold_as_the_probe_found_it() {
+    let commands = taken_out(MemberState::Away, &[report("g0", &[], &[(0, 2_400)])], 100);
+    let backend = match commands.as_slice() {
+        [Command::PutBackend { name, backend }] if name.as_str() == "b0" => backend.clone(),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(
+        (backend.state, backend.cold_ms),
+        (MemberState::Serving, 2_400)
+    );
+}
--- a/crates/daemon/tests/control_subscriber.rs
+++ b/crates/daemon/tests/control_subscriber.rs
@@ -308,3 +308,54 @@
     }
     assert!(far.iter().all(|n| (60..=140).contains(n)), "{far:?}");
 }
+
+async fn listen(name: &str) -> (PeerServer, flume::Receiver<PeerEvent>, String) {
+    let (sender, events) = flume::unbounded();
+    let peering = PeerConfig {
+        name: Name::from(name),
+        role: Role::Control,
+        secret: secret(),
+        timings: Default::default(),
+        delay_ms: 0,
+        counters: Default::default(),
+    };
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let server = PeerServer::start(peering, listen, sender).await.unwrap();
+    let address = server.address().to_string();
+    (server, events, address)
+}
+
+async fn opened(events: &flume::Receiver<PeerEvent>) {
+    loop {
+        let event = within("a connection", events.recv_async()).await.unwrap();
+        if matches!(event, PeerEvent::Opened(_)) {
+            return;
+        }
+    }
+}
+
+/// Guards against a gateway that goes back and forth between control instances
+/// of its region while these are cut off from the others: its view was 4.8 s
+/// old on the day that broke the bound of 2.5 s.
+#[tokio::test]
+async fn control_instance_without_proofs_is_left_out() {
+    let (_near, near, here) = listen("c1").await;
+    let (_far, far, there) = listen("c2").await;
+    let (clock, view) = (Clock::manual(), Arc::new(View::default()));
+    clock.advance(100_000);
+    let controls = vec![
+        place("c1", &here, "north", "north-a"),
+        place("c2", &there, "south", "south-a"),
+    ];
+    let config = config("e1", controls);
+    let _handle = Subscriber::start(config, view, clock.clone());
+    opened(&near).await;
+    clock.advance(2_500);
+    opened(&far).await;
+    // No proof comes from there either; the instance that was left first stays
+    // out, although it is nearer.
+    clock.advance(700);
+    opened(&far).await;
+    let again = near.drain().any(|e| matches!(e, PeerEvent::Opened(_)));
+    assert!(!again, "the silent control instance was tried again");
+}
--- /dev/null
+++ b/crates/daemon/tests/gateway.rs
@@ -0,0 +1,387 @@
+//! The gateway between callers and stand-in backend servers.
+
+mod entry_support;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use entry_support::{Act, Seen, Server};
+use pomelovale_coordination::control::{ControlCall, ControlHandle};
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::messages::Admitted;
+use pomelovale_state::command::Applied;
+use pomelovale_state::digest::Digest;
+use pomelovale_state::document::{Backend, Document, MemberState, Region, Workspace};
+use pomelovale_state::routing::{
+    CallerLimits, HostRoute, Repeat, RoutedService, RoutedWorkspace, Routing, Target, Window,
+};
+use pomelovale_state::{Clock, Millis};
+use pomelovaled::gateway::config::GatewayConfig;
+use pomelovaled::gateway::{Gateway, GatewayHandle};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const KEY: &str = "xd9dnn2ctnfz";
+
+fn route(name: &str, prefix: &str, repeat: Repeat) -> HostRoute {
+    HostRoute {
+        name: name.into(),
+        prefix: prefix.into(),
+        repeat,
+        timeout_ms: 1_500,
+        objective_ms: 400,
+        priority: 1,
+        open: false,
+        sticky: true,
+        attempts: 2,
+        homes: Vec::new(),
+        targets: vec![Target {
+            service: "s".into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn document(servers: &[&Server]) -> Document {
+    let workspace = RoutedWorkspace {
+        priority: None,
+        rate: 10,
+        burst: 10,
+        window: Window {
+            ms: 5_000,
+            overage: 0,
+            slack: 0,
+        },
+        homes: Vec::new(),
+    };
+    let service = RoutedService {
+        probe: "/health".into(),
+        connections: 100,
+        cold_ms: 0,
+        cold_rate: 0,
+    };
+    let routes = vec![
+        route("safe", "/safe/", Repeat::Idempotent),
+        route("once", "/once/", Repeat::Once),
+        HostRoute {
+            open: true,
+            ..route("open", "/open/", Repeat::Idempotent)
+        },
+    ];
+    let mut document = Document {
+        version: 1,
+        routing: Some(Arc::new(Routing {
+            version: 1,
+            limits: CallerLimits::default(),
+            workspaces: [("w".into(), workspace)].into(),
+            keys: [(Digest::of_key(KEY), "w".into())].into(),
+            hosts: [("shop.example".into(), routes)].into(),
+            services: [("s".into(), service)].into(),
+        })),
+        ..Document::default()
+    };
+    let limited = Workspace {
+        rate: 10,
+        burst: 10,
+        weight: 1,
+    };
+    document.workspaces.insert("w".into(), limited);
+    let domains = vec!["north-a".into()];
+    document.regions.insert("north".into(), Region { domains });
+    for (i, server) in servers.iter().enumerate() {
+        let backend = Backend {
+            address: server.address,
+            service: "s".into(),
+            region: "north".into(),
+            domain: "north-a".into(),
+            slots: 6,
+            connections: 100,
+            cold_ms: 0,
+            state: MemberState::Serving,
+        };
+        document.backends.insert(format!("b{i}").into(), backend);
+    }
+    document
+}
+
+/// Admits every request unless it is told otherwise.
+fn control(verdict: Arc<Mutex<Admitted>>) -> ControlHandle {
+    let (handle, calls) = ControlHandle::new(1_024);
+    tokio::spawn(async move {
+        while let Ok(call) = calls.recv_async().await {
+            match call {
+                ControlCall::Admit(_, reply) => {
+                    let _ = reply.send(Ok(*verdict.lock().unwrap()));
+                }
+                ControlCall::Propose(_, reply) => {
+                    let _ = reply.send(Ok(Applied::Accepted {
+                        version: 1,
+                        item: 1,
+                    }));
+                }
+                ControlCall::Grant(..) | ControlCall::Report(_) => {}
+            }
+        }
+    });
+    handle
+}
+
+struct Site {
+    gateway: GatewayHandle,
+    verdict: Arc<Mutex<Admitted>>,
+}
+
+async fn site(document: Option<Document>) -> Site {
+    let view = Arc::new(View::default());
+    if let Some(document) = document {
+        view.publish(document);
+        view.prove(Millis(0));
+    }
+    let verdict = Arc::new(Mutex::new(Admitted::Granted));
+    let config = GatewayConfig {
+        instance: "g".into(),
+        region: "north".into(),
+        domain: "north-a".into(),
+        leave_ms: 100,
+        grace_ms: 3_000,
+        ..GatewayConfig::default()
+    };
+    let control = control(verdict.clone());
+    let gateway = Gateway::start(config, view, control, Clock::monotonic()).await;
+    Site {
+        gateway: gateway.expect("the gateway starts"),
+        verdict,
+    }
+}
+
+async fn send(site: &Site, request: &str) -> String {
+    let mut stream = TcpStream::connect(site.gateway.address()).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let mut part = [0; 4_096];
+    loop {
+        let read = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut part));
+        match read.await {
+            Ok(Ok(0)) | Ok(Err(_)) | Err(_) => break,
+            Ok(Ok(n)) => answer.extend_from_slice(&part[..n]),
+        }
+        if String::from_utf8_lossy(&answer).contains("\r\n\r\n")
+            && !answer.starts_with(b"HTTP/1.1 1")
+        {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn request(method: &str, path: &str, headers: &str) -> String {
+    let length = if method == "POST" {
+        "content-length: 2\r\n"
+    } else {
+        ""
+    };
+    let body = if method == "POST" { "hi" } else { "" };
+    format!("{method} {path} HTTP/1.1\r\nhost: shop.example\r\npomelovale-request: q1\r\n{headers}{length}\r\n{body}")
+}
+
+fn keyed(method: &str, path: &str) -> String {
+    request(method, path, &format!("authorization: Bearer {KEY}\r\n"))
+}
+
+fn status(answer: &str) -> u16 {
+    answer
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0)
+}
+
+fn head(seen: &Seen, name: &str) -> Option<String> {
+    let mut lines = seen.head.lines().filter_map(|l| l.split_once(": "));
+    lines
+        .find(|(n, _)| n.eq_ignore_ascii_case(name))
+        .map(|(_, v)| v.to_owned())
+}
+
+fn answer(status: &str, headers: &str, body: &str) -> Act {
+    let length = body.len();
+    Act::Say(format!("HTTP/1.1 {status}\r\npomelovale-request: q1\r\n{headers}content-length: {length}\r\n\r\n{body}").into_bytes())
+}
+
+fn proven(status: &str, body: &str) -> Act {
+    answer(status, "pomelovale-proof: p\r\n", body)
+}
+
+/// Guards against a key, or a workspace that the caller chose itself, that
+/// reaches a backend server, and against a request without its guards.
+#[tokio::test]
+async fn forwards_what_a_server_may_see() {
+    let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let site = site(Some(document(&[&server]))).await;
+    let headers = format!("authorization: Bearer {KEY}\r\npomelovale-workspace: other\r\npomelovale-deadline-ms: 900\r\n");
+    let answer = send(&site, &request("GET", "/safe/x?y=1", &headers)).await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(answer.contains("pomelovale-proof: p"));
+    let seen = server.requests().remove(0);
+    assert!(seen.head.starts_with("GET /safe/x?y=1 HTTP/1.1"));
+    assert!(!seen.head.contains(KEY));
+    assert_eq!(head(&seen, "pomelovale-workspace").as_deref(), Some("w"));
+    assert_eq!(head(&seen, "pomelovale-expect").as_deref(), Some("b0"));
+    let left: u64 = head(&seen, "pomelovale-deadline-ms")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left <= 900);
+}
+
+macro_rules! refusals {
+    ($($(#[$doc:meta])* $name:ident($request:expr) => $status:expr;)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+            let site = site(Some(document(&[&server]))).await;
+            let answer = send(&site, &$request).await;
+            assert_eq!(status(&answer), $status, "{answer}");
+            assert!(server.requests().is_empty());
+        })*
+    };
+}
+
+refusals! {
+    /// Guards against requests that run without a key.
+    no_key(request("GET", "/safe/x", "")) => 401;
+    /// Guards against requests that run with a key nobody holds.
+    unknown_key(request("GET", "/safe/x", "authorization: Bearer nobody\r\n")) => 401;
+    /// Guards against paths that no route allows.
+    no_route(keyed("GET", "/other/x")) => 404;
+    /// Guards against a route of one host that serves another.
+    other_host(keyed("GET", "/safe/x").replace("shop.example", "x.example")) => 404;
+}
+
+/// Guards against a gateway that answers 401 or 404 before it knows any route.
+#[tokio::test]
+async fn refuses_as_not_run_without_routes() {
+    let site = site(None).await;
+    let answer = send(&site, &keyed("GET", "/safe/x")).await;
+    assert_eq!(status(&answer), 503);
+    assert!(answer.to_ascii_lowercase().contains("retry-after"));
+    assert!(!site.gateway.readiness().is_ready());
+}
+
+/// Guards against open routes that ask for a key.
+#[tokio::test]
+async fn open_route_needs_no_key() {
+    let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let site = site(Some(document(&[&server]))).await;
+    assert_eq!(
+        status(&send(&site, &request("GET", "/open/x", "")).await),
+        200
+    );
+}
+
+/// Guards against requests beyond a limit that run, and against a refusal that
+/// does not tell when to come back.
+#[tokio::test]
+async fn limit_is_answered_429() {
+    let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let site = site(Some(document(&[&server]))).await;
+    *site.verdict.lock().unwrap() = Admitted::Refused { retry_ms: 350 };
+    let answer = send(&site, &keyed("GET", "/safe/x")).await;
+    assert_eq!(status(&answer), 429);
+    assert!(
+        answer.to_ascii_lowercase().contains("retry-after: 0.350"),
+        "{answer}"
+    );
+    assert!(server.requests().is_empty());
+}
+
+/// Guards against a request that runs twice, and against an answer that
+/// promises that it did not run: the server's 503 lacks the mark.
+#[tokio::test]
+async fn unmarked_503_promises_nothing() {
+    let server = Server::start(|_, _| proven("503 Service Unavailable", "")).await;
+    let site = site(Some(document(&[&server]))).await;
+    let answer = send(&site, &keyed("POST", "/once/x")).await;
+    assert_eq!(status(&answer), 502, "{answer}");
+    assert!(!answer.contains("pomelovale-proof"));
+    assert_eq!(server.requests().len(), 1);
+}
+
+/// Guards against a refusal of one server that ends a request which another
+/// one has room for.
+#[tokio::test]
+async fn marked_refusal_goes_to_another_server() {
+    let count = Arc::new(AtomicUsize::new(0));
+    let script = |count: Arc<AtomicUsize>| {
+        move |_: &Seen, _: usize| match count.fetch_add(1, Ordering::SeqCst) {
+            0 => answer(
+                "503 Service Unavailable",
+                "pomelovale-shed: not-run\r\n",
+                "",
+            ),
+            _ => proven("200 OK", "fine"),
+        }
+    };
+    let (a, b) = (
+        Server::start(script(count.clone())).await,
+        Server::start(script(count.clone())).await,
+    );
+    let site = site(Some(document(&[&a, &b]))).await;
+    assert_eq!(status(&send(&site, &keyed("POST", "/once/x")).await), 200);
+    assert_eq!((a.requests().len(), b.requests().len()), (1, 1));
+}
+
+/// Guards against a request that runs at most once and is sent again after its
+/// connection was cut.
+#[tokio::test]
+async fn cut_request_is_not_sent_again() {
+    let a = Server::start(|_, _| Act::Close).await;
+    let b = Server::start(|_, _| Act::Close).await;
+    let site = site(Some(document(&[&a, &b]))).await;
+    assert_eq!(status(&send(&site, &keyed("POST", "/once/x")).await), 502);
+    assert_eq!(a.requests().len() + b.requests().len(), 1);
+}
+
+/// Guards against an answer that belongs to another request.
+#[tokio::test]
+async fn foreign_answer_is_not_passed_on() {
+    let foreign = "HTTP/1.1 200 OK\r\npomelovale-request: q9\r\npomelovale-proof: p\r\ncontent-length: 1\r\n\r\nx";
+    let server = Server::start(move |_, _| Act::Say(foreign.as_bytes().to_vec())).await;
+    let site = site(Some(document(&[&server]))).await;
+    assert_eq!(status(&send(&site, &keyed("POST", "/once/x")).await), 502);
+}
+
+/// Guards against callers kept waiting beyond the timeout of their route.
+#[tokio::test]
+async fn silent_server_ends_at_the_timeout() {
+    let server = Server::start(|_, _| Act::Silent).await;
+    let site = site(Some(document(&[&server]))).await;
+    assert_eq!(status(&send(&site, &keyed("POST", "/once/x")).await), 504);
+}
+
+/// Guards against a stop that cuts a request at which its server works.
+#[tokio::test]
+async fn stop_finishes_requests_in_flight() {
+    let whole = "HTTP/1.1 200 OK\r\npomelovale-request: q1\r\npomelovale-proof: p\r\ncontent-length: 4\r\n\r\nfine";
+    let server = Server::start(move |_, _| Act::Late(700, whole.as_bytes().to_vec())).await;
+    let site = site(Some(document(&[&server]))).await;
+    let mut stream = TcpStream::connect(site.gateway.address()).await.unwrap();
+    stream
+        .write_all(keyed("GET", "/safe/x").as_bytes())
+        .await
+        .unwrap();
+    while server.requests().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let ready = site.gateway.readiness();
+    let stopping = tokio::spawn(site.gateway.stop());
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.unwrap();
+    let text = String::from_utf8_lossy(&answer);
+    assert!(
+        text.starts_with("HTTP/1.1 200") && text.ends_with("fine"),
+        "{text}"
+    );
+    assert!(!ready.is_ready());
+    stopping.await.unwrap();
+}
--- /dev/null
+++ b/crates/steering/tests/placement.rs
@@ -0,0 +1,255 @@
+//! Placement under the loads that it answers.
+
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::placement::{
+    Chosen, Ended, Placement, ServerSpec, ServiceSpec, Subject, Verdict,
+};
+
+const COLD_RATE: f64 = 9.5;
+
+fn server(name: &str, region: &str, domain: &str) -> ServerSpec {
+    ServerSpec {
+        name: name.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: region.into(),
+        domain: domain.into(),
+        slots: 6,
+        cold_ms: 0,
+        down: false,
+    }
+}
+
+fn servers() -> Vec<ServerSpec> {
+    let mut all = Vec::new();
+    for (region, domain) in [
+        ("north", "north-a"),
+        ("north", "north-b"),
+        ("south", "south-a"),
+        ("south", "south-b"),
+    ] {
+        all.extend((0..3).map(|i| server(&format!("{domain}-{i}"), region, domain)));
+    }
+    all
+}
+
+fn service() -> ServiceSpec {
+    ServiceSpec {
+        cold_ms: 3_000,
+        cold_rate: Some(COLD_RATE),
+    }
+}
+
+fn regions() -> Vec<Name> {
+    vec!["north".into(), "south".into()]
+}
+
+fn placement(instance: &str, servers: &[ServerSpec]) -> Placement {
+    let mut p = Placement::new(&instance.into(), &"north".into(), &"north-a".into(), 7);
+    p.sync(Millis(0), servers, service(), &regions());
+    p
+}
+
+fn subject<'a>(route: &'a Name, object: u64, priority: u32) -> Subject<'a> {
+    Subject {
+        route,
+        object,
+        priority,
+        objective_ms: 400,
+        left_ms: 2_000,
+        homes: &[],
+        tried: &[],
+    }
+}
+
+fn choose(p: &mut Placement, now: u64, subject: &Subject) -> Option<Chosen> {
+    match p.choose(Millis(now), subject) {
+        Verdict::Send(chosen) => Some(chosen),
+        Verdict::Refuse { .. } => None,
+    }
+}
+
+/// Serves one request per step and returns the servers that it went to.
+fn serve(p: &mut Placement, route: &Name, objects: impl Iterator<Item = u64>) -> Vec<(u64, Name)> {
+    let mut served = Vec::new();
+    for (step, object) in objects.enumerate() {
+        let now = step as u64 * 50;
+        let chosen = choose(p, now, &subject(route, object, 1)).expect("room");
+        p.finish(Millis(now + 40), &chosen, route, Ended::Answered, 110, None);
+        served.push((object, chosen.server));
+    }
+    served
+}
+
+/// Guards against objects that wander: a server forgets the earlier ones, and
+/// each start anew takes three times as long.
+#[test]
+fn objects_stay_where_they_are_held() {
+    let route = Name::from("r");
+    let mut p = placement("g", &servers());
+    let served = serve(&mut p, &route, (0..400).map(|i| i % 20));
+    for object in 0..20 {
+        let mut places: Vec<&Name> = served
+            .iter()
+            .filter(|(o, _)| *o == object)
+            .map(|(_, s)| s)
+            .collect();
+        places.dedup();
+        assert_eq!(places.len(), 1, "object {object} went to {places:?}");
+    }
+}
+
+/// Guards against instances that disagree about where an object is held.
+#[test]
+fn instances_agree_on_the_holder() {
+    let route = Name::from("r");
+    let (mut one, mut two) = (placement("g1", &servers()), placement("g2", &servers()));
+    let first = serve(&mut one, &route, 0..40);
+    let second = serve(&mut two, &route, 0..40);
+    assert_eq!(first, second);
+}
+
+/// Guards against a holder that is kept although its queue costs more than
+/// starting the object anew.
+#[test]
+fn objects_leave_a_holder_that_is_full() {
+    let route = Name::from("r");
+    let mut p = placement("g", &servers());
+    let chosen: Vec<Chosen> = (0..24)
+        .filter_map(|_| choose(&mut p, 0, &subject(&route, 1, 0)))
+        .collect();
+    let first = chosen
+        .iter()
+        .filter(|c| c.server == chosen[0].server)
+        .count();
+    assert!(first < 24, "all 24 requests went to {}", chosen[0].server);
+}
+
+/// Guards against the urgent waiting as long as the rest under overload: with
+/// all servers full, the least urgent is refused first.
+#[test]
+fn urgent_requests_are_admitted_longest() {
+    let route = Name::from("r");
+    let admitted = |priority: u32| {
+        let mut p = placement("g", &servers());
+        (0..500)
+            .filter(|i| choose(&mut p, 0, &subject(&route, *i, priority)).is_some())
+            .count()
+    };
+    let (urgent, usual, late) = (admitted(0), admitted(1), admitted(2));
+    assert!(urgent > usual && usual > late, "{urgent} {usual} {late}");
+}
+
+/// Guards against a full region that sends everything to the others at once:
+/// at most 4 in 100 requests and a few more leave it.
+#[test]
+fn full_region_keeps_its_requests() {
+    let route = Name::from("r");
+    let mut p = placement("g", &servers());
+    let chosen: Vec<Chosen> = (0..600)
+        .filter_map(|i| choose(&mut p, 0, &subject(&route, i, 0)))
+        .collect();
+    let away = chosen
+        .iter()
+        .filter(|c| c.region.as_str() == "south")
+        .count();
+    assert!(away <= 600 * 4 / 100 + 3, "{away} requests left the region");
+}
+
+/// Guards against a cold server that gets more than it bears from all instances
+/// of its region together.
+#[test]
+fn cold_server_gets_what_it_bears() {
+    let route = Name::from("r");
+    let names: Vec<Name> = (0..20).map(|i| Name::from(format!("g{i}"))).collect();
+    let only = vec![ServerSpec {
+        cold_ms: 3_000,
+        ..server("s", "north", "north-a")
+    }];
+    let mut sent = 0;
+    for name in &names {
+        let mut p = placement(name, &only);
+        p.set_peers(names.iter().cloned());
+        for now in (0..1_000).step_by(10) {
+            let chosen = choose(&mut p, now, &subject(&route, now, 0));
+            sent += usize::from(chosen.is_some());
+            if let Some(chosen) = chosen {
+                p.finish(Millis(now), &chosen, &route, Ended::Answered, 5, None);
+            }
+        }
+    }
+    assert!(
+        sent as f64 <= COLD_RATE * 1.5 + 5.0,
+        "{sent} requests in one second"
+    );
+    assert!(sent > 0);
+}
+
+/// Guards against requests to a server that refuses connections, and against
+/// one that never gets requests again once it is sound.
+#[test]
+fn unreachable_server_is_held_until_a_probe() {
+    let route = Name::from("r");
+    let only = vec![server("s", "north", "north-a")];
+    let mut p = placement("g", &only);
+    let chosen = choose(&mut p, 0, &subject(&route, 1, 0)).expect("room");
+    assert!(p.finish(Millis(1), &chosen, &route, Ended::Unreachable, 1, None));
+    assert!(choose(&mut p, 2, &subject(&route, 1, 0)).is_none());
+    assert_eq!(p.unreachable().count(), 1);
+    assert_eq!(p.due_probes(Millis(500)).len(), 1);
+    p.probed(Millis(510), &"s".into(), Some(0));
+    assert!(choose(&mut p, 520, &subject(&route, 1, 0)).is_some());
+}
+
+/// Guards against one cut connection that takes a sound server out.
+#[test]
+fn cut_connection_is_no_outage() {
+    let route = Name::from("r");
+    let only = vec![server("s", "north", "north-a")];
+    let mut p = placement("g", &only);
+    for now in 0..5 {
+        let chosen = choose(&mut p, now, &subject(&route, 1, 0)).expect("room");
+        assert!(!p.finish(Millis(now), &chosen, &route, Ended::Cut, 1, None));
+    }
+}
+
+/// Guards against requests that leave the regions that may serve them.
+#[test]
+fn homes_bind() {
+    let route = Name::from("r");
+    let mut p = placement("g", &servers());
+    let homes = [Name::from("south")];
+    for object in 0..50 {
+        let subject = Subject {
+            homes: &homes,
+            ..subject(&route, object, 1)
+        };
+        let chosen = choose(&mut p, object, &subject).expect("room");
+        assert_eq!(chosen.region.as_str(), "south");
+        p.finish(Millis(object), &chosen, &route, Ended::Answered, 110, None);
+    }
+}
+
+/// Guards against a server that joins and is never sent anything.
+#[test]
+fn server_that_joins_gets_its_objects() {
+    let route = Name::from("r");
+    let mut p = placement("g", &servers());
+    serve(&mut p, &route, (0..400).map(|i| i % 40));
+    let mut more = servers();
+    more.push(server("north-a-9", "north", "north-a"));
+    p.sync(Millis(20_000), &more, service(), &regions());
+    let used = (0..80).filter_map(|i| {
+        let now = 24_000 + i * 50;
+        let chosen = choose(&mut p, now, &subject(&route, i % 40, 1))?;
+        p.finish(
+            Millis(now + 40),
+            &chosen,
+            &route,
+            Ended::Answered,
+            110,
+            None,
+        );
+        Some(chosen.server)
+    });
+    assert!(used.into_iter().any(|s| s.as_str() == "north-a-9"));
+}
--- /dev/null
+++ b/crates/steering/tests/spread.rs
@@ -0,0 +1,83 @@
+//! The division of a region's objects between its own and other regions.
+
+use pomelovale_state::Name;
+use pomelovale_steering::spread::{hash, Spread};
+
+const OBJECTS: u64 = 10_000;
+
+fn rooms(north: u32, south: u32, west: u32) -> Vec<(Name, u32)> {
+    vec![
+        ("north".into(), north),
+        ("south".into(), south),
+        ("west".into(), west),
+    ]
+}
+
+fn spread(north: u32, south: u32, west: u32) -> Spread {
+    let mut s = Spread::new(&"north".into());
+    s.set_rooms(&rooms(north, south, west));
+    s
+}
+
+fn part(s: &Spread, region: &str) -> f64 {
+    let here = (0..OBJECTS)
+        .filter(|o| s.region(hash(&[*o])).as_str() == region)
+        .count();
+    here as f64 / OBJECTS as f64
+}
+
+macro_rules! divisions {
+    ($($(#[$doc:meta])* $name:ident($north:expr, $south:expr, $west:expr) => $home:expr, $other:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let s = spread($north, $south, $west);
+            assert!((part(&s, "north") - $home).abs() < 0.02, "{}", part(&s, "north"));
+            assert!((part(&s, "south") - $other).abs() < 0.02, "{}", part(&s, "south"));
+        })*
+    };
+}
+
+divisions! {
+    /// Guards against a region with room that sends objects away.
+    enough_room(60, 60, 60) => 1.0, 0.0;
+    /// Guards against a small region that serves its equal demand alone.
+    small_region(20, 80, 80) => 1.0 / 3.0, 1.0 / 3.0;
+    /// Guards against requests that are refused because their region is gone.
+    no_server_at_home(0, 60, 60) => 0.0, 0.5;
+    /// Guards against a division by a region without room.
+    unequal_others(0, 90, 30) => 0.0, 0.75;
+}
+
+/// Guards against a sudden shift: in 2 s at most 15 in 100 of the requests may
+/// change their region, whatever the loads and rooms become.
+#[test]
+fn shifts_are_gradual() {
+    let mut s = spread(60, 60, 60);
+    s.note_request();
+    let before = part(&s, "north");
+    s.set_rooms(&rooms(10, 60, 60));
+    for _ in 0..10 {
+        s.step(2.0, Some(0.0));
+    }
+    let moved = before - part(&s, "north");
+    assert!(moved > 0.0 && moved < 0.1, "{moved}");
+}
+
+/// Guards against a division that follows loads nobody reported.
+#[test]
+fn unknown_load_shifts_nothing() {
+    let mut s = spread(60, 60, 60);
+    s.note_request();
+    (0..100).for_each(|_| s.step(2.0, None));
+    assert_eq!(part(&s, "north"), 1.0);
+}
+
+/// Guards against a change of one region's room that moves objects of others.
+#[test]
+fn rooms_move_only_their_own_objects() {
+    let (s, mut t) = (spread(0, 60, 60), spread(0, 60, 60));
+    t.set_rooms(&rooms(0, 60, 54));
+    let moved = (0..OBJECTS)
+        .map(|o| hash(&[o]))
+        .filter(|o| s.region(*o) != t.region(*o));
+    assert!(moved.count() < OBJECTS as usize / 20);
+}
