Correct the test of silent control instances

The test committed before expected that the second of two silent instances was connected again; both were left out by then, so that it failed. Three instances show the failure it guards against: the far one must come before the first.

--- a/crates/daemon/tests/control_subscriber.rs
+++ b/crates/daemon/tests/control_subscriber.rs
@@ -339,23 +339,24 @@
 /// old on the day that broke the bound of 2.5 s.
 #[tokio::test]
 async fn control_instance_without_proofs_is_left_out() {
-    let (_near, near, here) = listen("c1").await;
-    let (_far, far, there) = listen("c2").await;
+    let (_first, first, near) = listen("c1").await;
+    let (_second, second, next) = listen("c2").await;
+    let (_far, far, there) = listen("c3").await;
     let (clock, view) = (Clock::manual(), Arc::new(View::default()));
     clock.advance(100_000);
     let controls = vec![
-        place("c1", &here, "north", "north-a"),
-        place("c2", &there, "south", "south-a"),
+        place("c1", &near, "north", "north-a"),
+        place("c2", &next, "north", "north-b"),
+        place("c3", &there, "south", "south-a"),
     ];
     let config = config("e1", controls);
     let _handle = Subscriber::start(config, view, clock.clone());
-    opened(&near).await;
+    opened(&first).await;
     clock.advance(2_500);
-    opened(&far).await;
-    // No proof comes from there either; the instance that was left first stays
-    // out, although it is nearer.
+    opened(&second).await;
+    // Neither has proven anything: the third is next, although it is far.
     clock.advance(700);
     opened(&far).await;
-    let again = near.drain().any(|e| matches!(e, PeerEvent::Opened(_)));
+    let again = first.drain().any(|e| matches!(e, PeerEvent::Opened(_)));
     assert!(!again, "the silent control instance was tried again");
 }
