--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod blocks;
 mod client;
 mod error;
+mod explain;
 mod instance;
 mod key;
 mod moves;
@@ -34,6 +35,7 @@
     apply      Send a JSON list of commands as one change
     backend    List, add, drain and remove backend servers
     blocks     List and load client blocks
+    explain    Tell from log files what happened to a request
     instance   List, drain and remove instances
     key        Make, add, list and revoke keys
     move       Create, show, drive, export and apply moves
@@ -77,6 +79,7 @@
         "apply" => (apply::USAGE, apply::run),
         "backend" => (backend::USAGE, backend::run),
         "blocks" => (blocks::USAGE, blocks::run),
+        "explain" => (explain::USAGE, explain::run),
         "instance" => (instance::USAGE, instance::run),
         "key" => (key::USAGE, key::run),
         "move" => (moves::USAGE, moves::run),
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -176,3 +176,37 @@
         assert!(dir.expect(0, &[command, "--help"]).contains("Usage:"));
     }
 }
+
+const LOG: &str = r#"{"timestamp":"2026-12-04T05:00:00.000000Z","level":"INFO","event":"routing","routing":4,"before":3}
+  1.5 g1 {"timestamp":"2026-12-04T05:00:01.500000Z","level":"INFO","event":"unreachable","server":"b1","cause":"TimedOut"}
+{"timestamp":"2026-12-04T05:00:02.000000Z","level":"INFO","event":"request","id":"q1","status":503,"cause":"overloaded"}
+{"timestamp":"2026-12-04T05:00:02.100000Z","level":"INFO","event":"request","id":"q2","status":200,"cause":""}
+{"timestamp":"2026-12-04T05:00:09.000000Z","level":"INFO","event":"routing","routing":5,"before":4}
+half a li
+"#;
+
+/// Guards against a story that lacks what the instance believed, or that is
+/// full of other requests.
+#[test]
+fn explain_tells_one_request() {
+    let dir = site();
+    dir.file("g1.log", LOG);
+    let text = dir.expect(0, &["explain", "q1", "g1.log"]);
+    assert!(
+        text.contains("overloaded") && text.contains("unreachable"),
+        "{text}"
+    );
+    assert!(
+        text.contains("routing=4") && !text.contains("routing=5"),
+        "{text}"
+    );
+    assert!(!text.contains("q2"), "{text}");
+}
+
+/// Guards against an empty story for a request that no process logged.
+#[test]
+fn explain_knows_no_such_request() {
+    let dir = site();
+    dir.file("g1.log", LOG);
+    assert!(dir.expect(8, &["explain", "q9", "g1.log"]).contains("q9"));
+}
