Let two servers of a failure domain hold an object at most

Cause: with 28 servers in a failure domain, eleven counted as holders of each object, which together remember far fewer; under a burst objects wandered among them and all servers stayed cold.

--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -26,6 +26,9 @@
 /// Part of the servers of a failure domain that hold one object, so that all
 /// objects together fit into what the servers remember.
 const HOLDER_PART: f64 = 0.4;
+/// Most servers of a failure domain that hold one object. More would have to
+/// hold more objects than they remember, however many there are.
+const HOLDERS_MAX: usize = 2;
 /// Cost of a server other than the first that holds an object, relative to the
 /// work there. Without it, all servers come to hold all objects, and forget
 /// them.
@@ -417,7 +420,7 @@
         let mut best: Option<Candidate> = None;
         for (place, (_, index, server)) in ranked.iter().enumerate() {
             let (rank, count) = &mut ranks[&server.spec.domain];
-            let holders = ((*count as f64 * HOLDER_PART) as usize).max(1);
+            let holders = ((*count as f64 * HOLDER_PART) as usize).clamp(1, HOLDERS_MAX);
             let held = match server.state.knows(subject.object) {
                 true => Held::Known,
                 // A server that has just joined would get nothing otherwise.
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -1,6 +1,7 @@
 //! Placement under the loads that it answers.
 
 use pomelovale_state::{Millis, Name};
+use pomelovale_steering::estimate::Held;
 use pomelovale_steering::placement::{
     Chosen, Ended, Placement, ServerSpec, ServiceSpec, Subject, Verdict,
 };
@@ -253,3 +254,22 @@
     });
     assert!(used.into_iter().any(|s| s.as_str() == "north-a-9"));
 }
+
+/// Guards against objects that are expected on more servers than remember them:
+/// with 28 servers in a failure domain, eleven held each object.
+#[test]
+fn few_servers_hold_an_object() {
+    let route = Name::from("r");
+    let many: Vec<ServerSpec> = (0..28)
+        .map(|i| server(&format!("s{i}"), "north", "north-a"))
+        .collect();
+    let holders = (0..40u64).map(|object| {
+        let mut p = placement("g", &many);
+        let places = (0..60).filter_map(|_| choose(&mut p, 0, &subject(&route, object, 0)));
+        let held = places.filter(|c| c.held == Held::Likely);
+        held.map(|c| c.server)
+            .collect::<std::collections::HashSet<_>>()
+            .len()
+    });
+    assert!(holders.max() <= Some(2));
+}
