--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -379,12 +379,17 @@
     Ok(Outcome::Answer(response))
 }
 
-enum Held {
+/// The part of an answer that was held back.
+#[derive(Debug)]
+pub(crate) enum Held {
+    /// The whole body.
     All(Bytes),
+    /// The begin of a body that is over the limit.
     Part(Bytes),
 }
 
-async fn hold(body: &mut ReplyBody, limit: usize, end: Instant) -> Result<Held, Fault> {
+/// Reads a body until it is complete or over `limit` bytes, at most until `end`.
+pub(crate) async fn hold(body: &mut ReplyBody, limit: usize, end: Instant) -> Result<Held, Fault> {
     let mut held = Bytes::new();
     loop {
         let part = std::future::poll_fn(|cx| body.poll_part(cx));
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -18,9 +18,10 @@
 use pomelovale_steering::placement::{Chosen, Ended, LoadReport, Subject, Verdict};
 use pomelovale_transport::backend::{Connection, Failure, Fault, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 
 use super::{upkeep, Shared};
+use crate::entry::forward::{hold, Held};
 use crate::entry::refusal::Refusal;
 
 /// Connections that may fail before a request is refused. Nothing was sent over
@@ -510,32 +511,6 @@
     job.left() > Duration::from_millis(job.route.objective_ms)
 }
 
-enum Held {
-    All(Bytes),
-    Part(Bytes),
-}
-
-async fn hold(body: &mut ReplyBody, limit: usize, end: Instant) -> Result<Held, Fault> {
-    let mut held = Bytes::new();
-    loop {
-        let part = std::future::poll_fn(|cx| body.poll_part(cx));
-        match timeout_at(end, part).await {
-            Err(_) => return Err(Fault::Silent),
-            Ok(None) => return Ok(Held::All(held)),
-            Ok(Some(Err(fault))) => return Err(fault),
-            Ok(Some(Ok(part))) if held.is_empty() => held = part,
-            Ok(Some(Ok(part))) => {
-                let mut joined = BytesMut::from(held);
-                joined.extend_from_slice(&part);
-                held = joined.freeze();
-            }
-        }
-        if held.len() > limit {
-            return Ok(Held::Part(held));
-        }
-    }
-}
-
 fn pass_on(
     job: &Job,
     prefix: Bytes,
