Hold servers back only without a sign of life; restore the ledger's division

Two late answers in a row took an overloaded server for a lost one, so that its region sent everything away.

Change: the ledger is as before; a server is held back for late answers only after 1.5 s without any answer.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -59,15 +59,11 @@
             margin_ms: MARGIN_MS,
             wait_ms: LIFE_MS + MARGIN_MS,
             rate_leased: 1_000,
-            cap_leased: CAP_LEASED_PER_MILLE,
+            cap_leased: 700,
         }
     }
 }
 
-/// Part of a burst that is leased. The rest answers entries whose demand
-/// rises, after a round trip to the leader.
-const CAP_LEASED_PER_MILLE: u64 = 850;
-
 /// Life of a lease in milliseconds. It outlasts an interval without a leader
 /// (2 s) and the round trips after it.
 pub const LIFE_MS: u64 = 4_000;
@@ -321,13 +317,7 @@
                 let claims: Vec<u64> = self.leases.values().map(|l| l.demand).collect();
                 max_min(rest, &claims)[index]
             }
-            false => {
-                // What nobody asks for is kept ready on all entries alike, so
-                // that the next request of any of them need not wait.
-                let spare = rest - sum;
-                let even = spare / 2 / self.leases.len() as u64;
-                claim + even + proportional(spare - spare / 2, &[claim, sum - claim])[0]
-            }
+            false => proportional(rest, &[claim, sum - claim])[0],
         };
         let rate = share + reserve / self.leases.len() as u64;
         let cap = u128::from(known / 1_000 * config.cap_leased) * u128::from(rate);
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -17,6 +17,9 @@
 /// Consecutive answers that did not come in time after which a server is held
 /// back. One connection that fails is enough.
 const SILENCES_MAX: u32 = 2;
+/// Time without any sign of life before that, in milliseconds. A server that is
+/// merely overloaded answers some requests meanwhile.
+const SILENT_MS: u64 = 1_500;
 /// Shortest and longest time between two probes of a server that is held back,
 /// in milliseconds.
 const PROBE_MS: (u64, u64) = (150, 1_200);
@@ -105,6 +108,8 @@
     paced: Millis,
     failed: f64,
     faulted: Millis,
+    // Last sign of life.
+    heard: Millis,
     // Consecutive answers that did not come in time.
     streak: u32,
     // Held back until a probe finds it sound.
@@ -135,6 +140,7 @@
             paced: now,
             failed: 0.0,
             faulted: now,
+            heard: now,
             streak: 0,
             held: false,
             probe_at: now,
@@ -251,6 +257,9 @@
                 true
             }
         };
+        if matches!(ended, Ended::Answered | Ended::Failed | Ended::Shed) {
+            self.heard = now;
+        }
         let before = self.failures(now);
         self.failed = before + SAMPLE * (f64::from(u8::from(bad)) - before);
         self.faulted = now;
@@ -259,7 +268,8 @@
             Ended::Moved | Ended::Unreachable => self.hold(now),
             Ended::TimedOut => {
                 self.streak += 1;
-                if self.streak >= SILENCES_MAX {
+                let silent = now.since(self.heard) > SILENT_MS;
+                if self.streak >= SILENCES_MAX && silent {
                     self.hold(now);
                 }
             }
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -273,3 +273,35 @@
     });
     assert!(holders.max() <= Some(2));
 }
+
+/// Guards against an overloaded server that is taken for a lost one: its region
+/// sent everything to the others then.
+#[test]
+fn late_answers_are_no_outage() {
+    let route = Name::from("r");
+    let only = vec![server("s", "north", "north-a")];
+    let mut p = placement("g", &only);
+    for step in 0..6 {
+        let now = step * 400;
+        let ended = if step % 3 == 0 {
+            Ended::Answered
+        } else {
+            Ended::TimedOut
+        };
+        let chosen = choose(&mut p, now, &subject(&route, 1, 0)).expect("room");
+        assert!(!p.finish(Millis(now + 300), &chosen, &route, ended, 300, None));
+    }
+    let held = (6..12).any(|step| {
+        let now = step * 400;
+        let chosen = choose(&mut p, now, &subject(&route, 1, 0)).expect("room");
+        p.finish(
+            Millis(now + 300),
+            &chosen,
+            &route,
+            Ended::TimedOut,
+            300,
+            None,
+        )
+    });
+    assert!(held, "a silent server is never held back");
+}
