--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use pomelovale_protocol::http::strip_hop_by_hop;
 use pomelovale_state::document::{Document, MemberState};
@@ -44,7 +44,7 @@
     /// Regions that may serve it; all if empty.
     pub(super) homes: Vec<Name>,
     pub(super) method: Method,
-    pub(super) target: String,
+    pub(super) target: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) start: Instant,
@@ -423,7 +423,7 @@
     let dialect = &shared.config.dialect;
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
-    *request.uri_mut() = job.target.parse().unwrap_or_default();
+    *request.uri_mut() = job.target.clone();
     let mut headers = job.headers.clone();
     let left = job.left().as_millis() as u64;
     headers.insert(dialect.deadline.clone(), HeaderValue::from(left));
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderValue};
-use http::{request, Request, Response};
+use http::{request, Request, Response, Uri};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use pomelovale_protocol::dialect::Dialect;
@@ -172,7 +172,8 @@
         .as_ref()
         .and_then(|name| routed?.workspaces.get(name));
     let homes = homes(&route.homes, known.map_or(&[][..], |w| &w.homes));
-    let target = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    // Servers take the path alone, also of an absolute URI.
+    let target = parts.uri.path_and_query().ok_or(ErrorKind::BadRequest)?;
     Ok(Job {
         service,
         route: route.clone(),
@@ -180,7 +181,7 @@
         priority: known.and_then(|w| w.priority).unwrap_or(route.priority),
         homes: homes?,
         method: parts.method,
-        target: target.to_owned(),
+        target: Uri::from(target.clone()),
         headers: forwarded(dialect, parts.headers, body.len(), workspace.as_ref())?,
         body,
         start,
