--- a/crates/steering/tests/resending.rs
+++ b/crates/steering/tests/resending.rs
@@ -25,6 +25,23 @@
             retries <= requests / 10 + RETRY_BURST
         })
     }
+
+    /// An instance's part of the fleet's budget bounds its repeats likewise.
+    fn fleet_budget_bounds_retries(attempts: Vec<bool>, share: u8, burst: u8) -> bool {
+        let (per_mille, burst) = (u64::from(share), u64::from(burst));
+        let mut budget = RetryBudget::new(RetryPolicy::Fleet { per_mille, burst });
+        let (mut requests, mut retries) = (0u64, 0u64);
+        attempts.iter().all(|&retry| {
+            match retry {
+                true => retries += u64::from(budget.try_spend()),
+                false => {
+                    requests += 1;
+                    budget.record_request();
+                }
+            }
+            retries <= requests * per_mille / 1_000 + burst
+        })
+    }
 }
 
 const POISON: Digest = Digest([1; 32]);
