Place the requests of a failure domain by one gateway for each service

Cause: with 63 gateways for 198 servers, a gateway sends a server one request a second or less, learns of its load half a second late, and finds the same server idle as all others do.

Change: gateways connect to each other. One gateway of a failure domain, by a hash of the names, chooses the servers for all others there and counts what they run; a gateway that gets no answer in time decides alone, as before.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,6 +1,5 @@
 //! Attempts of one request on backend servers.
 
-use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -12,15 +11,18 @@
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use pomelovale_protocol::http::strip_hop_by_hop;
+use pomelovale_protocol::messages::PlaceRequest;
 use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::routing::{HostRoute, Repeat};
 use pomelovale_state::{ErrorKind, Name};
-use pomelovale_steering::placement::{Chosen, Ended, LoadReport, Subject, Verdict};
+use pomelovale_steering::placement::{Chosen, Ended, LoadReport, Verdict};
 use pomelovale_transport::backend::{Connection, Failure, Fault, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
 use tokio::time::{timeout, Instant};
 
-use super::{upkeep, Shared};
+use super::delegate::Place;
+use super::story::Story;
+use super::Shared;
 use crate::entry::forward::{hold, Held};
 use crate::entry::refusal::Refusal;
 
@@ -33,6 +35,10 @@
 /// the expected time is given up, if another attempt is allowed.
 const PATIENCE: u64 = 4;
 
+/// Time after which a caller whose service is not known yet may return, in
+/// milliseconds.
+const UNKNOWN_MS: u64 = 500;
+
 /// A request that was admitted.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -61,82 +67,6 @@
     }
 }
 
-/// One attempt, for the log.
-#[derive(Debug)]
-pub(super) struct Try {
-    chosen: Chosen,
-    spent_ms: u64,
-    end: &'static str,
-}
-
-impl fmt::Display for Try {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Chosen {
-            server,
-            region,
-            expected_ms,
-            held,
-            idle,
-            load,
-            ..
-        } = &self.chosen;
-        let room = if *idle { "idle" } else { "full" };
-        let (end, spent) = (self.end, self.spent_ms);
-        write!(f, "{server} {held:?} {room} region={region} load={load:.1} expected_ms={expected_ms} {end} spent_ms={spent}")
-    }
-}
-
-/// What happened to a request, for the log.
-#[derive(Debug, Default)]
-pub(super) struct Story {
-    pub(super) version: u64,
-    pub(super) route: Name,
-    pub(super) workspace: Option<Name>,
-    pub(super) object: u64,
-    /// Time until the whole request was here and within its rate.
-    pub(super) received_ms: u64,
-    pub(super) attempts: Vec<Try>,
-}
-
-impl Story {
-    fn note(&mut self, chosen: &Chosen, since: Instant, end: &'static str) {
-        self.attempts.push(Try {
-            chosen: chosen.clone(),
-            spent_ms: since.elapsed().as_millis() as u64,
-            end,
-        });
-    }
-
-    /// Writes one line with everything that decided about the request.
-    pub(super) fn log(
-        &self,
-        id: Option<&HeaderValue>,
-        status: StatusCode,
-        refusal: Option<Refusal>,
-        spent_ms: u64,
-    ) {
-        let id = id.and_then(|v| v.to_str().ok()).unwrap_or("");
-        let tries: Vec<String> = self.attempts.iter().map(Try::to_string).collect();
-        let workspace = self.workspace.as_ref().map_or("", Name::as_str);
-        let cause = refusal.map_or("", |r| r.kind.answer().code);
-        let retry_ms = refusal.map_or(0, |r| r.retry_ms);
-        tracing::info!(
-            event = "request",
-            id,
-            status = status.as_u16(),
-            cause,
-            retry_ms,
-            route = %self.route,
-            workspace,
-            version = self.version,
-            object = self.object,
-            received_ms = self.received_ms,
-            spent_ms,
-            attempts = tries.join(","),
-        );
-    }
-}
-
 /// What the attempts so far have come to.
 #[derive(Debug, Default)]
 struct Progress {
@@ -164,6 +94,7 @@
     service: Name,
     route: Name,
     chosen: Chosen,
+    place: Option<Place>,
     since: Instant,
     report: Option<LoadReport>,
     ended: bool,
@@ -186,10 +117,15 @@
                 s.placement
                     .finish(now, chosen, route, ended, latency_ms, report)
             });
-        if held == Some(true) {
-            tracing::info!(event = "unreachable", service = %self.service,
-                server = %chosen.server, cause = ?ended);
-            upkeep::report(&self.shared);
+        super::note_held(
+            &self.shared,
+            &self.service,
+            chosen,
+            ended,
+            held == Some(true),
+        );
+        if let Some(place) = self.place.take() {
+            place.end(ended, latency_ms, report);
         }
         metrics::histogram!("gateway_attempt_seconds").record(self.since.elapsed());
     }
@@ -216,8 +152,8 @@
             return Err(kind.into());
         }
         let first = progress.sent == 0;
-        let chosen = choose(shared, &job, &progress.tried, first);
-        let chosen = match chosen {
+        let (verdict, place) = choose(shared, &job, &progress.tried, first).await;
+        let chosen = match verdict {
             Verdict::Send(chosen) => chosen,
             Verdict::Refuse { retry_ms } => {
                 let kind = progress.written.unwrap_or(ErrorKind::Overloaded);
@@ -225,8 +161,9 @@
             }
         };
         let since = Instant::now();
-        let (outcome, end) = attempt(shared, &job, &chosen, &progress).await;
-        story.note(&chosen, since, end);
+        let asked = place.is_some();
+        let (outcome, end) = attempt(shared, &job, &chosen, place, &progress).await;
+        story.note(&chosen, asked, since, end);
         progress.tried.push(chosen.server.clone());
         let again = match outcome {
             Outcome::Answer(response) => return Ok(response),
@@ -254,26 +191,65 @@
     }
 }
 
-fn choose(shared: &Shared, job: &Job, tried: &[Name], first: bool) -> Verdict {
-    let now = shared.clock.now();
+/// Chooses a server, and asks the coordinator of the failure domain for it if
+/// that is another gateway. This instance counts the request as well, so that it
+/// can decide alone.
+async fn choose(
+    shared: &Shared,
+    job: &Job,
+    tried: &[Name],
+    first: bool,
+) -> (Verdict, Option<Place>) {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let known = shared.services.with(now, &document, &job.service, |s| {
+        if first {
+            s.repeats.record_request();
+        }
+        s.coordinator.clone()
+    });
+    let Some(coordinator) = known else {
+        return (
+            Verdict::Refuse {
+                retry_ms: UNKNOWN_MS,
+            },
+            None,
+        );
+    };
+    if let Some(peer) = coordinator {
+        let asked = shared.delegate.ask(&peer.name, place_request(job, tried));
+        if let Some(answer) = asked.await {
+            let now = shared.clock.now();
+            shared.services.with(now, &document, &job.service, |s| {
+                s.placement.set_remote_part(answer.part);
+                if let Verdict::Send(chosen) = &answer.verdict {
+                    s.placement.note_sent(now, job.object, chosen);
+                }
+            });
+            return (answer.verdict, answer.place);
+        }
+    }
+    let (now, request) = (shared.clock.now(), place_request(job, tried));
+    let verdict = shared.services.with(now, &document, &job.service, |s| {
+        s.placement.choose(now, &request.subject())
+    });
+    let unknown = Verdict::Refuse {
+        retry_ms: UNKNOWN_MS,
+    };
+    (verdict.unwrap_or(unknown), None)
+}
+
+fn place_request(job: &Job, tried: &[Name]) -> PlaceRequest {
     let spent_ms = job.start.elapsed().as_millis() as u64;
-    let subject = Subject {
-        route: &job.route.name,
+    PlaceRequest {
+        service: job.service.clone(),
+        route: job.route.name.clone(),
         object: job.object,
         priority: job.priority,
         objective_ms: job.route.objective_ms.saturating_sub(spent_ms),
         left_ms: (job.left().as_millis() as u64).saturating_sub(ANSWER_MS),
-        homes: &job.homes,
-        tried,
-    };
-    let document = shared.view.document();
-    let chosen = shared.services.with(now, &document, &job.service, |s| {
-        if first {
-            s.repeats.record_request();
-        }
-        s.placement.choose(now, &subject)
-    });
-    chosen.unwrap_or(Verdict::Refuse { retry_ms: 500 })
+        homes: job.homes.clone(),
+        tried: tried.to_vec(),
+    }
 }
 
 fn can_repeat(shared: &Shared, job: &Job) -> bool {
@@ -306,6 +282,7 @@
     shared: &Arc<Shared>,
     job: &Job,
     chosen: &Chosen,
+    place: Option<Place>,
     progress: &Progress,
 ) -> (Outcome, &'static str) {
     let mut running = Running {
@@ -313,6 +290,7 @@
         service: job.service.clone(),
         route: job.route.name.clone(),
         chosen: chosen.clone(),
+        place,
         since: Instant::now(),
         report: None,
         ended: false,
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -2,12 +2,22 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use pomelovale_protocol::auth::Secret;
 use pomelovale_protocol::dialect::Dialect;
 use pomelovale_state::Name;
 use pomelovale_transport::http_server::ServerLimits;
 
+/// How gateways reach each other.
+#[derive(Clone, Debug)]
+pub struct Peering {
+    /// Address for other gateways.
+    pub listen: SocketAddr,
+    /// Secret of the deployment.
+    pub secret: Secret,
+}
+
 /// Settings of a gateway. Durations are in milliseconds.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct GatewayConfig {
     /// Name of the instance.
     pub instance: Name,
@@ -17,6 +27,8 @@
     pub domain: Name,
     /// Address for callers.
     pub listen: SocketAddr,
+    /// Without it, the gateway places all requests itself.
+    pub peering: Option<Peering>,
     /// Names of the headers on the wire.
     pub dialect: Dialect,
     /// Bounds of what callers can occupy.
@@ -59,6 +71,7 @@
             region: Name::default(),
             domain: Name::default(),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            peering: None,
             dialect: Dialect::default(),
             server: ServerLimits {
                 // Idle callers may return after 12 s of the usual 15 s.
--- /dev/null
+++ b/crates/daemon/src/gateway/coordinator.rs
@@ -0,0 +1,147 @@
+//! Places requests for the other gateways of this failure domain.
+//!
+//! Answers a load in which many gateways share the same backend servers, each
+//! of them sends too little to know how busy those are, and all of them find
+//! the same server idle. The requests of one service in one failure domain are
+//! placed by one gateway, which counts them exactly.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use pomelovale_protocol::messages::{PeerMessage, PlaceRequest};
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::placement::{Chosen, Ended, LoadReport, Verdict};
+use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
+use tokio::time::MissedTickBehavior;
+
+use super::Shared;
+
+/// Time between two looks for requests whose end was not told.
+const EXPIRE: Duration = Duration::from_millis(500);
+/// Time after the end of a request within which its end is told, in
+/// milliseconds: the gateway that sent it may be slow.
+const END_MS: u64 = 500;
+
+/// A request that was given a server.
+struct Grant {
+    service: Name,
+    route: Name,
+    chosen: Chosen,
+    until: Millis,
+}
+
+struct Coordinator {
+    shared: Arc<Shared>,
+    links: IndexMap<u64, PeerLink>,
+    // By connection and identifier.
+    grants: IndexMap<(u64, u64), Grant>,
+}
+
+/// Serves the other gateways until the task is aborted.
+pub(super) async fn run(shared: Arc<Shared>, events: flume::Receiver<PeerEvent>) {
+    let mut coordinator = Coordinator {
+        shared,
+        links: IndexMap::new(),
+        grants: IndexMap::new(),
+    };
+    let mut ticks = tokio::time::interval(EXPIRE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = events.recv_async() => match event {
+                Ok(event) => coordinator.event(event),
+                Err(_) => return,
+            },
+            _ = ticks.tick() => coordinator.expire(),
+        }
+    }
+}
+
+impl Coordinator {
+    fn event(&mut self, event: PeerEvent) {
+        match event {
+            PeerEvent::Opened(link) => {
+                self.links.insert(link.id, link);
+            }
+            PeerEvent::Closed(id) => {
+                self.links.swap_remove(&id);
+                self.cancel(|link, _| link == id);
+            }
+            PeerEvent::Message(link, PeerMessage::Place { id, request }) => {
+                self.place(link, id, &request);
+            }
+            PeerEvent::Message(
+                link,
+                PeerMessage::Finished {
+                    id,
+                    ended,
+                    latency_ms,
+                    report,
+                },
+            ) => {
+                if let Some(grant) = self.grants.swap_remove(&(link, id)) {
+                    self.finish(&grant, ended, latency_ms, report);
+                }
+            }
+            PeerEvent::Message(id, _) => {
+                if let Some(link) = self.links.get(&id) {
+                    link.reject();
+                }
+            }
+        }
+    }
+
+    fn place(&mut self, link: u64, id: u64, request: &PlaceRequest) {
+        let shared = &self.shared;
+        let (now, document) = (shared.clock.now(), shared.view.document());
+        let placed = shared.services.with(now, &document, &request.service, |s| {
+            let verdict = s.placement.choose(now, &request.subject());
+            (verdict, s.placement.remote_part())
+        });
+        let (verdict, part) = match placed {
+            Some((verdict, part)) => (Some(verdict), part),
+            None => (None, 0.0),
+        };
+        if let Some(Verdict::Send(chosen)) = &verdict {
+            let grant = Grant {
+                service: request.service.clone(),
+                route: request.route.clone(),
+                chosen: chosen.clone(),
+                until: now.plus(request.left_ms + END_MS),
+            };
+            self.grants.insert((link, id), grant);
+        }
+        if let Some(link) = self.links.get(&link) {
+            link.send(PeerMessage::Placed { id, verdict, part });
+        }
+        metrics::counter!("gateway_placed_for_others_total").increment(1);
+    }
+
+    fn finish(&self, grant: &Grant, ended: Ended, latency_ms: u64, report: Option<LoadReport>) {
+        let shared = &self.shared;
+        let (now, document) = (shared.clock.now(), shared.view.document());
+        let (route, chosen) = (&grant.route, &grant.chosen);
+        let held = shared.services.with(now, &document, &grant.service, |s| {
+            s.placement
+                .finish(now, chosen, route, ended, latency_ms, report)
+        });
+        super::note_held(shared, &grant.service, chosen, ended, held == Some(true));
+    }
+
+    fn expire(&mut self) {
+        let now = self.shared.clock.now();
+        self.cancel(|_, grant| grant.until <= now);
+    }
+
+    fn cancel(&mut self, gone: impl Fn(u64, &Grant) -> bool) {
+        let over =
+            |((link, id), grant): (&(u64, u64), &Grant)| gone(*link, grant).then_some((*link, *id));
+        let keys: Vec<(u64, u64)> = self.grants.iter().filter_map(over).collect();
+        for key in keys {
+            if let Some(grant) = self.grants.swap_remove(&key) {
+                self.finish(&grant, Ended::Cancelled, 0, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/delegate.rs
@@ -0,0 +1,239 @@
+//! Asks the coordinators of this failure domain for servers.
+
+use std::sync::{Mutex, MutexGuard};
+
+use indexmap::IndexMap;
+use pomelovale_protocol::messages::{PeerMessage, PlaceRequest};
+use pomelovale_state::{Clock, Millis, Name};
+use pomelovale_steering::placement::{Ended, LoadReport, Verdict};
+use pomelovale_transport::peer_client::{connect_once, PeerAddress};
+use pomelovale_transport::peer_link::{PeerConfig, PeerEvent, PeerLink};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Longest wait for a coordinator, in milliseconds: a small part of the
+/// shortest latency objectives. It is in the same failure domain.
+const WAIT_MS: u64 = 40;
+/// After an answer that did not come in time, this instance places requests
+/// itself for this long, in milliseconds.
+const ALONE_MS: u64 = 400;
+/// Pause between two attempts to connect, in milliseconds.
+const RETRY_MS: u64 = 400;
+/// Events that may wait.
+const EVENT_QUEUE: usize = 1_024;
+
+/// A place that a coordinator keeps for a request. It is told how the request
+/// ended; a dropped place counts as cancelled.
+#[derive(Debug)]
+pub(super) struct Place {
+    link: PeerLink,
+    id: u64,
+    told: bool,
+}
+
+impl Place {
+    /// Tells the coordinator how the exchange with the server ended.
+    pub(super) fn end(mut self, ended: Ended, latency_ms: u64, report: Option<LoadReport>) {
+        self.tell(ended, latency_ms, report);
+    }
+
+    fn tell(&mut self, ended: Ended, latency_ms: u64, report: Option<LoadReport>) {
+        self.told = true;
+        self.link.send(PeerMessage::Finished {
+            id: self.id,
+            ended,
+            latency_ms,
+            report,
+        });
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.told {
+            self.tell(Ended::Cancelled, 0, None);
+        }
+    }
+}
+
+/// What a coordinator decided.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) verdict: Verdict,
+    /// Part of the objects that go to other regions, from 0 to 1.
+    pub(super) part: f64,
+    /// Kept there for a request that is sent.
+    pub(super) place: Option<Place>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    target: PeerAddress,
+    link: Option<PeerLink>,
+    session: Option<JoinHandle<bool>>,
+    tried: Option<Millis>,
+    // Until when it is not asked.
+    alone: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    last: u64,
+    peers: IndexMap<Name, Peer>,
+    waiting: IndexMap<u64, (PeerLink, oneshot::Sender<Option<Answer>>)>,
+}
+
+/// Connections to the coordinators that this gateway asks.
+#[derive(Debug)]
+pub(super) struct Delegate {
+    peering: Option<PeerConfig>,
+    clock: Clock,
+    events: (flume::Sender<PeerEvent>, flume::Receiver<PeerEvent>),
+    inner: Mutex<Inner>,
+}
+
+impl Delegate {
+    /// Without `peering` it asks nobody.
+    pub(super) fn new(peering: Option<PeerConfig>, clock: Clock) -> Delegate {
+        Delegate {
+            peering,
+            clock,
+            events: flume::bounded(EVENT_QUEUE),
+            inner: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic while held")
+    }
+
+    /// Keeps a connection to each of the wanted coordinators.
+    pub(super) fn keep(&self, wanted: &[PeerAddress]) {
+        let Some(peering) = &self.peering else {
+            return;
+        };
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.peers.retain(|_, peer| wanted.contains(&peer.target));
+        for target in wanted {
+            let peer = inner.peers.entry(target.name.clone()).or_insert(Peer {
+                target: target.clone(),
+                link: None,
+                session: None,
+                tried: None,
+                alone: Millis(0),
+            });
+            let ended = peer.session.as_ref().is_none_or(JoinHandle::is_finished);
+            let due = peer.tried.is_none_or(|at| now.since(at) >= RETRY_MS);
+            if peer.link.is_some() || !ended || !due {
+                continue;
+            }
+            peer.tried = Some(now);
+            let (peering, target) = (peering.clone(), target.clone());
+            let events = self.events.0.clone();
+            peer.session = Some(tokio::spawn(async move {
+                connect_once(&peering, &target, &events).await
+            }));
+        }
+    }
+
+    /// Asks a coordinator for a server. None if it does not answer in time: the
+    /// caller decides itself.
+    pub(super) async fn ask(&self, name: &Name, request: PlaceRequest) -> Option<Answer> {
+        let now = self.clock.now();
+        let (id, answer) = {
+            let mut inner = self.lock();
+            let peer = inner.peers.get(name).filter(|p| p.alone <= now)?;
+            let link = peer.link.clone()?;
+            inner.last += 1;
+            let id = inner.last;
+            let (reply, answer) = oneshot::channel();
+            if !link.send(PeerMessage::Place { id, request }) {
+                return None;
+            }
+            inner.waiting.insert(id, (link, reply));
+            (id, answer)
+        };
+        if let Ok(answered) = timeout(Millis(WAIT_MS).duration(), answer).await {
+            return answered.ok().flatten();
+        }
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.waiting.swap_remove(&id);
+        if let Some(peer) = inner.peers.get_mut(name) {
+            peer.alone = now.plus(ALONE_MS);
+        }
+        drop(inner);
+        metrics::counter!("gateway_coordinator_unanswered_total").increment(1);
+        tracing::info!(event = "dependency", name = "coordinator", up = false, peer = %name,
+            cause = "no answer in time", wait_ms = WAIT_MS);
+        None
+    }
+
+    /// Takes the answers of the coordinators until the task is aborted.
+    pub(super) async fn run(&self) {
+        while let Ok(event) = self.events.1.recv_async().await {
+            match event {
+                PeerEvent::Opened(link) => self.opened(link),
+                PeerEvent::Closed(id) => self.closed(id),
+                PeerEvent::Message(link, PeerMessage::Placed { id, verdict, part }) => {
+                    self.placed(link, id, verdict, part);
+                }
+                PeerEvent::Message(id, _) => {
+                    let inner = self.lock();
+                    let links = inner.peers.values().filter_map(|p| p.link.as_ref());
+                    links.filter(|l| l.id == id).for_each(PeerLink::reject);
+                }
+            }
+        }
+    }
+
+    fn opened(&self, link: PeerLink) {
+        tracing::info!(event = "dependency", name = "coordinator", up = true, peer = %link.peer);
+        let mut inner = self.lock();
+        // A coordinator that is not wanted any more is left with the link.
+        if let Some(peer) = inner.peers.get_mut(&link.peer) {
+            peer.link = Some(link);
+        }
+    }
+
+    fn closed(&self, id: u64) {
+        let mut inner = self.lock();
+        inner.waiting.retain(|_, (link, _)| link.id != id);
+        let mut peers = inner.peers.values_mut();
+        let peer = peers.find(|p| p.link.as_ref().is_some_and(|l| l.id == id));
+        if let Some(peer) = peer {
+            peer.link = None;
+            tracing::info!(event = "dependency", name = "coordinator", up = false,
+                peer = %peer.target.name, cause = "closed");
+        }
+    }
+
+    fn placed(&self, link: u64, id: u64, verdict: Option<Verdict>, part: f64) {
+        let mut inner = self.lock();
+        let waiting = inner.waiting.swap_remove(&id);
+        let links = inner.peers.values().filter_map(|p| p.link.clone());
+        let link = match &waiting {
+            Some((link, _)) => Some(link.clone()),
+            None => links.into_iter().find(|l| l.id == link),
+        };
+        drop(inner);
+        let place = link
+            .filter(|_| matches!(verdict, Some(Verdict::Send(_))))
+            .map(|link| Place {
+                link,
+                id,
+                told: false,
+            });
+        let answer = verdict.map(|verdict| Answer {
+            verdict,
+            part,
+            place,
+        });
+        if let Some((_, reply)) = waiting {
+            // The place of a request that was given up meanwhile is dropped.
+            drop(reply.send(answer));
+        }
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,10 +8,13 @@
 pub mod directory;
 
 mod attempt;
+mod coordinator;
+mod delegate;
 mod probe;
 mod quota;
 mod request;
 mod services;
+mod story;
 mod upkeep;
 
 use std::net::SocketAddr;
@@ -21,17 +24,25 @@
 use error_stack::{Report, ResultExt};
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
-use pomelovale_state::{Clock, ErrorKind, Millis};
+use pomelovale_protocol::auth::Role;
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use pomelovale_steering::placement::{Chosen, Ended};
 use pomelovale_transport::http_server::{Handler, Server};
+use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerTimings};
+use pomelovale_transport::peer_server::PeerServer;
 use pomelovale_transport::pool::Pool;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use config::GatewayConfig;
+use config::{GatewayConfig, Peering};
+use delegate::Delegate;
 use quota::Quota;
 use services::Services;
 
+/// Messages of other gateways that may wait; a full queue stops reading.
+const EVENT_QUEUE: usize = 1_024;
+
 /// What all requests of a gateway share.
 #[derive(Debug)]
 struct Shared {
@@ -41,6 +52,9 @@
     clock: Clock,
     services: Services,
     quota: Quota,
+    delegate: Delegate,
+    // Where other gateways ask this one for servers.
+    peers: Option<SocketAddr>,
     pool: Pool,
     leaving: AtomicBool,
     held: AtomicUsize,
@@ -66,9 +80,22 @@
             .change_context(ErrorKind::BadSettings)
             .attach_with(|| format!("can't listen on {}", config.listen))?;
         let start: u64 = rand::random();
+        let (events, received) = flume::bounded(EVENT_QUEUE);
+        let peering = config.peering.as_ref().map(|p| peer_config(&config, p));
+        let peers = match (&config.peering, &peering) {
+            (Some(settings), Some(peering)) => {
+                let server = PeerServer::start(peering.clone(), settings.listen, events);
+                let bound = server.await.change_context(ErrorKind::BadSettings);
+                let failed = || format!("can't listen on {}", settings.listen);
+                Some(bound.attach_with(failed)?)
+            }
+            _ => None,
+        };
         let shared = Arc::new(Shared {
             services: Services::new(&config, start),
             quota: Quota::new(control.clone(), clock.clone()),
+            delegate: Delegate::new(peering, clock.clone()),
+            peers: peers.as_ref().map(PeerServer::address),
             config,
             view,
             control,
@@ -90,9 +117,13 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(upkeep::run(shared.clone()));
         tasks.spawn(upkeep::register(shared.clone()));
+        tasks.spawn(coordinator::run(shared.clone(), received));
+        let asking = shared.clone();
+        tasks.spawn(async move { asking.delegate.run().await });
         Ok(GatewayHandle {
             shared,
             server,
+            peers,
             tasks,
         })
     }
@@ -103,9 +134,30 @@
 pub struct GatewayHandle {
     shared: Arc<Shared>,
     server: Server,
+    peers: Option<PeerServer>,
     tasks: JoinSet<()>,
 }
 
+fn peer_config(config: &GatewayConfig, peering: &Peering) -> PeerConfig {
+    PeerConfig {
+        name: config.instance.clone(),
+        role: Role::Entry,
+        secret: peering.secret.clone(),
+        timings: PeerTimings::default(),
+        delay_ms: 0,
+        counters: Arc::new(PeerCounters::default()),
+    }
+}
+
+// Logs and reports at once that a server is held back.
+fn note_held(shared: &Shared, service: &Name, chosen: &Chosen, ended: Ended, held: bool) {
+    if held {
+        tracing::info!(event = "unreachable", service = %service, server = %chosen.server,
+            cause = ?ended);
+        upkeep::report(shared);
+    }
+}
+
 /// Tells whether a gateway may be sent callers.
 #[derive(Clone, Debug)]
 pub struct Readiness {
@@ -133,6 +185,11 @@
         self.server.address()
     }
 
+    /// The bound address for other gateways.
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.shared.peers
+    }
+
     /// Tells whether callers may be sent here.
     pub fn readiness(&self) -> Readiness {
         Readiness {
@@ -158,5 +215,6 @@
             );
         }
         self.tasks.shutdown().await;
+        drop(self.peers);
     }
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -20,7 +20,8 @@
 use pomelovale_transport::http_server::Caller;
 use tokio::time::{timeout, Instant};
 
-use super::attempt::{self, Job, Story};
+use super::attempt::{self, Job};
+use super::story::Story;
 use super::Shared;
 use crate::entry::refusal::Refusal;
 
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -4,11 +4,13 @@
 use std::sync::{Mutex, MutexGuard};
 
 use indexmap::IndexMap;
-use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::document::{Document, Instance, MemberState};
 use pomelovale_state::routing::HostRoute;
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::placement::{Placement, ServerSpec, ServiceSpec};
 use pomelovale_steering::retry::{RetryBudget, RetryPolicy};
+use pomelovale_steering::spread::{hash, hash_bytes};
+use pomelovale_transport::peer_client::PeerAddress;
 
 use super::config::{GatewayConfig, RepeatBudget};
 
@@ -22,6 +24,9 @@
     pub(super) placement: Placement,
     pub(super) repeats: RetryBudget,
     pub(super) probe: String,
+    /// The gateway that places the requests of the service in this failure
+    /// domain; none if that is this one.
+    pub(super) coordinator: Option<PeerAddress>,
 }
 
 #[derive(Debug, Default)]
@@ -40,6 +45,8 @@
     region: Name,
     domain: Name,
     repeats: RepeatBudget,
+    // Whether this instance can ask others.
+    peered: bool,
     seed: u64,
 }
 
@@ -51,6 +58,7 @@
             region: config.region.clone(),
             domain: config.domain.clone(),
             repeats: config.repeats,
+            peered: config.peering.is_some(),
             seed,
         }
     }
@@ -84,6 +92,56 @@
         inner.services.iter_mut().for_each(|(name, s)| f(name, s));
     }
 
+    /// The other gateways that place requests in this failure domain.
+    pub(super) fn coordinators(&self) -> Vec<PeerAddress> {
+        let inner = self.lock();
+        let mut all: Vec<PeerAddress> = Vec::new();
+        for peer in inner
+            .services
+            .values()
+            .filter_map(|s| s.coordinator.as_ref())
+        {
+            if !all.contains(peer) {
+                all.push(peer.clone());
+            }
+        }
+        all
+    }
+
+    // The serving gateways of this region.
+    fn gateways_here<'a>(
+        &'a self,
+        document: &'a Document,
+    ) -> impl Iterator<Item = (&'a Name, &'a Instance)> {
+        document.instances.iter().filter(|(_, i)| {
+            i.callers.is_some() && i.region == self.region && i.state == MemberState::Serving
+        })
+    }
+
+    // The gateway that places the requests of a service, for each failure
+    // domain of this region. All gateways agree on it by a hash of the names.
+    fn coordinators_of(&self, document: &Document, service: &Name) -> IndexMap<Name, PeerAddress> {
+        let rank =
+            |name: &Name| hash(&[hash_bytes(service.as_bytes()), hash_bytes(name.as_bytes())]);
+        let mut best: IndexMap<Name, PeerAddress> = IndexMap::new();
+        for (name, instance) in self.gateways_here(document).filter(|_| self.peered) {
+            let Some(address) = instance.peers else {
+                continue;
+            };
+            let better = best
+                .get(&instance.domain)
+                .is_none_or(|b| rank(&b.name) < rank(name));
+            if better {
+                let peer = PeerAddress {
+                    name: name.clone(),
+                    address,
+                };
+                best.insert(instance.domain.clone(), peer);
+            }
+        }
+        best
+    }
+
     /// The service of the next request on a route. Each service of a split
     /// gets its weight's share of any run of requests, to within one.
     pub(super) fn target(&self, route: &HostRoute) -> Option<Name> {
@@ -141,13 +199,21 @@
                     ),
                     repeats: RetryBudget::new(policy),
                     probe: routed.probe.clone(),
+                    coordinator: None,
                 });
-            let here = document.instances.iter().filter(|(_, i)| {
-                i.callers.is_some() && i.region == self.region && i.state == MemberState::Serving
-            });
-            known
-                .placement
-                .set_peers(here.map(|(name, _)| name.clone()));
+            let leads = self.coordinators_of(document, name);
+            let own = leads.iter().find(|(domain, _)| **domain == self.domain);
+            known.coordinator = own
+                .map(|(_, peer)| peer.clone())
+                .filter(|peer| peer.name != self.instance);
+            let warm: Vec<Name> = match leads.is_empty() {
+                true => self
+                    .gateways_here(document)
+                    .map(|(n, _)| n.clone())
+                    .collect(),
+                false => leads.values().map(|peer| peer.name.clone()).collect(),
+            };
+            known.placement.set_peers(warm.into_iter());
             known.placement.sync(now, &specs, service, &regions);
             known.repeats.set_policy(policy);
             known.probe.clone_from(&routed.probe);
--- /dev/null
+++ b/crates/daemon/src/gateway/story.rs
@@ -0,0 +1,92 @@
+//! What is logged of a request.
+
+use std::fmt;
+
+use http::header::HeaderValue;
+use http::StatusCode;
+use pomelovale_state::Name;
+use pomelovale_steering::placement::Chosen;
+use tokio::time::Instant;
+
+use crate::entry::refusal::Refusal;
+
+/// One attempt, for the log.
+#[derive(Debug)]
+pub(super) struct Try {
+    chosen: Chosen,
+    // Whether a coordinator chose the server.
+    asked: bool,
+    spent_ms: u64,
+    end: &'static str,
+}
+
+impl fmt::Display for Try {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Chosen {
+            server,
+            region,
+            expected_ms,
+            held,
+            idle,
+            load,
+            ..
+        } = &self.chosen;
+        let room = if *idle { "idle" } else { "full" };
+        let (end, spent) = (self.end, self.spent_ms);
+        let by = if self.asked { "coordinator" } else { "self" };
+        write!(f, "{server} {held:?} {room} by={by} region={region} load={load:.1} expected_ms={expected_ms} {end} spent_ms={spent}")
+    }
+}
+
+/// What happened to a request, for the log.
+#[derive(Debug, Default)]
+pub(super) struct Story {
+    pub(super) version: u64,
+    pub(super) route: Name,
+    pub(super) workspace: Option<Name>,
+    pub(super) object: u64,
+    /// Time until the whole request was here and within its rate.
+    pub(super) received_ms: u64,
+    pub(super) attempts: Vec<Try>,
+}
+
+impl Story {
+    /// Adds an attempt that ended.
+    pub(super) fn note(&mut self, chosen: &Chosen, asked: bool, since: Instant, end: &'static str) {
+        self.attempts.push(Try {
+            chosen: chosen.clone(),
+            asked,
+            spent_ms: since.elapsed().as_millis() as u64,
+            end,
+        });
+    }
+
+    /// Writes one line with everything that decided about the request.
+    pub(super) fn log(
+        &self,
+        id: Option<&HeaderValue>,
+        status: StatusCode,
+        refusal: Option<Refusal>,
+        spent_ms: u64,
+    ) {
+        let id = id.and_then(|v| v.to_str().ok()).unwrap_or("");
+        let tries: Vec<String> = self.attempts.iter().map(Try::to_string).collect();
+        let workspace = self.workspace.as_ref().map_or("", Name::as_str);
+        let cause = refusal.map_or("", |r| r.kind.answer().code);
+        let retry_ms = refusal.map_or(0, |r| r.retry_ms);
+        tracing::info!(
+            event = "request",
+            id,
+            status = status.as_u16(),
+            cause,
+            retry_ms,
+            route = %self.route,
+            workspace,
+            version = self.version,
+            object = self.object,
+            received_ms = self.received_ms,
+            spent_ms,
+            attempts = tries.join(","),
+        );
+    }
+}
--- a/crates/daemon/src/gateway/upkeep.rs
+++ b/crates/daemon/src/gateway/upkeep.rs
@@ -21,7 +21,7 @@
     let config = &shared.config;
     let instance = Instance {
         callers: Some(config.listen),
-        peers: None,
+        peers: shared.peers,
         region: config.region.clone(),
         domain: config.domain.clone(),
         state: MemberState::Serving,
@@ -65,6 +65,7 @@
                 due.push((name.clone(), server, address, service.probe.clone()));
             }
         });
+        shared.delegate.keep(&shared.services.coordinators());
         for (service, server, address, path) in due {
             tokio::spawn(probe::run(shared.clone(), service, server, address, path));
         }
--- a/crates/daemon/src/subscriber.rs
+++ b/crates/daemon/src/subscriber.rs
@@ -134,7 +134,8 @@
             region: i.region.clone(),
             domain: i.domain.clone(),
         };
-        (i.state == MemberState::Serving).then_some(place)
+        // Gateways have an address for peers as well.
+        (i.state == MemberState::Serving && i.callers.is_none()).then_some(place)
     };
     let mut places: Vec<ControlPlace> = document.instances.iter().filter_map(place).collect();
     for seed in &config.controls {
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -5,6 +5,7 @@
 use pomelovale_state::command::{Applied, Change};
 use pomelovale_state::sheet::MoveStatus;
 use pomelovale_state::{ErrorKind, Name};
+use pomelovale_steering::placement::{Ended, LoadReport, Subject, Verdict};
 use serde::{Deserialize, Serialize};
 
 use crate::grants::{GrantReply, GrantRequest};
@@ -139,6 +140,43 @@
     Status(Fleet),
 }
 
+/// A request of a caller for which a gateway asks the coordinator of its failure
+/// domain for a server.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlaceRequest {
+    /// Service that it goes to.
+    pub service: Name,
+    /// Route, whose requests take similar work.
+    pub route: Name,
+    /// Hash of the object that it concerns.
+    pub object: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Time within which its answer has its full value, in milliseconds.
+    pub objective_ms: u64,
+    /// Time until it is given up, in milliseconds.
+    pub left_ms: u64,
+    /// Regions that may serve it; all if empty.
+    pub homes: Vec<Name>,
+    /// Servers that were tried before.
+    pub tried: Vec<Name>,
+}
+
+impl PlaceRequest {
+    /// What placement goes by.
+    pub fn subject(&self) -> Subject<'_> {
+        Subject {
+            route: &self.route,
+            object: self.object,
+            priority: self.priority,
+            objective_ms: self.objective_ms,
+            left_ms: self.left_ms,
+            homes: &self.homes,
+            tried: &self.tried,
+        }
+    }
+}
+
 /// A message of the replicated log with its ends.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LogPacket {
@@ -164,8 +202,36 @@
     Chunk(Chunk),
     /// A message of the replicated log.
     Log(LogPacket),
+    /// The end of a request that [`PeerMessage::Placed`] gave a server; not
+    /// answered.
+    Finished {
+        /// Identifier of the question.
+        id: u64,
+        /// How the exchange with the server ended.
+        ended: Ended,
+        /// Time that it took, in milliseconds.
+        latency_ms: u64,
+        /// The server's own account of its load.
+        report: Option<LoadReport>,
+    },
     /// Keeps an idle connection from being taken for a silent one.
     Ping,
+    /// Asks for a server for a request.
+    Place {
+        /// Unique for the connection.
+        id: u64,
+        /// The request.
+        request: PlaceRequest,
+    },
+    /// Answer to [`PeerMessage::Place`].
+    Placed {
+        /// Identifier of the question.
+        id: u64,
+        /// The decision; none if the service is not known yet.
+        verdict: Option<Verdict>,
+        /// Part of the objects that go to other regions, from 0 to 1.
+        part: f64,
+    },
     /// A proof, or changes.
     Proof(Proof),
     /// A renewal.
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexSet;
 use pomelovale_state::{Millis, Name};
+use serde::{Deserialize, Serialize};
 
 use crate::placement::{Ended, LoadReport};
 use crate::spread::hash_bytes;
@@ -38,7 +39,7 @@
 const HELD_TRUST: f64 = 0.6;
 
 /// What an instance knows of an object on a server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Held {
     /// Sent there by this instance lately.
     Known,
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -8,6 +8,8 @@
 //! waiting there costs more than starting anew elsewhere. A request that can't
 //! be answered in a useful time is refused at once.
 
+mod types;
+
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
@@ -18,6 +20,8 @@
 use crate::estimate::{Held, ServerState, WorkEstimate};
 use crate::spread::{hash, hash_bytes, Spread};
 
+pub use types::{Chosen, Ended, LoadReport, ServerSpec, ServiceSpec, Subject, Verdict};
+
 /// Extra cost of a server in another failure domain of the region, in
 /// milliseconds: the round trip, and the price of its traffic.
 const DOMAIN_COST_MS: f64 = 25.0;
@@ -62,23 +66,10 @@
 /// so that the less urgent gives way under overload.
 const WAIT_PARTS: [f64; 3] = [1.0, 0.85, 0.7];
 
-/// A backend server as the shared document describes it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ServerSpec {
-    /// Its name.
-    pub name: Name,
-    /// Address for requests.
-    pub address: SocketAddr,
-    /// Region it runs in.
-    pub region: Name,
-    /// Failure domain it runs in.
-    pub domain: Name,
-    /// Requests it can run at a time.
-    pub slots: u32,
-    /// Time that it stays cold, in milliseconds.
-    pub cold_ms: u64,
-    /// Whether it is known to be out of reach.
-    pub down: bool,
+#[derive(Clone, Debug)]
+struct Server {
+    spec: ServerSpec,
+    state: ServerState,
 }
 
 impl Server {
@@ -87,113 +78,16 @@
     }
 }
 
-/// What all servers of a service have in common.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ServiceSpec {
-    /// Time that a started server stays cold, in milliseconds.
-    pub cold_ms: u64,
-    /// Requests a second that a cold server bears from all instances together;
-    /// none for no limit.
-    pub cold_rate: Option<f64>,
-}
-
-/// A request to place.
-#[derive(Clone, Debug)]
-pub struct Subject<'a> {
-    /// Route, whose requests take similar work.
-    pub route: &'a Name,
-    /// Hash of the object that it concerns; random if it concerns none.
-    pub object: u64,
-    /// Rank; 0 is the most urgent.
-    pub priority: u32,
-    /// Time within which its answer has its full value, counted from now.
-    pub objective_ms: u64,
-    /// Time until it is given up, counted from now.
-    pub left_ms: u64,
-    /// Regions that may serve it; all if empty.
-    pub homes: &'a [Name],
-    /// Servers that were tried before.
-    pub tried: &'a [Name],
-}
-
-/// A server for a request, counted as busy with it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Chosen {
-    /// Its name.
-    pub server: Name,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Region it runs in.
-    pub region: Name,
-    /// What was known of the object there.
-    pub held: Held,
-    /// Expected time until the answer, in milliseconds.
-    pub expected_ms: u64,
-    /// Whether it was expected to have a free slot.
-    pub idle: bool,
-    /// Load that it was believed to have.
-    pub load: f64,
-}
-
-/// What to do with a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Verdict {
-    /// Refuse it.
-    Refuse {
-        /// When room can be expected.
-        retry_ms: u64,
-    },
-    /// Send it to a server.
-    Send(Chosen),
-}
-
-/// How an exchange with a server ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ended {
-    /// A complete answer.
-    Answered,
-    /// The caller left, or the request was given up for a reason that says
-    /// nothing about the server.
-    Cancelled,
-    /// The server answered with a fault of its own.
-    Failed,
-    /// Another server has the address.
-    Moved,
-    /// The connection ended before the answer was complete.
-    Cut,
-    /// The server refused to run the request.
-    Shed,
-    /// No connection could be made.
-    Unreachable,
-    /// No answer in time.
-    TimedOut,
-}
-
-/// A server's own account of its load.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LoadReport {
-    /// Requests it runs.
-    pub running: u32,
-    /// Requests that wait there.
-    pub waiting: u32,
-    /// Requests it can run at a time.
-    pub slots: u32,
-}
-
-#[derive(Clone, Debug)]
-struct Server {
-    spec: ServerSpec,
-    state: ServerState,
-}
-
 /// The servers of one service as one instance sees them.
 #[derive(Clone, Debug)]
 pub struct Placement {
     instance: Name,
     domain: Name,
     region: Name,
-    // The other instances of the region.
+    // The other instances of the region that send to cold servers, and whether
+    // this one does.
     peers: Vec<Name>,
+    warms: bool,
     // Servers that a probe found sound again, when, and how long they stay cold.
     back: Vec<(Name, Millis, u64)>,
     rng: SmallRng,
@@ -222,6 +116,7 @@
         Placement {
             instance: instance.clone(),
             peers: Vec::new(),
+            warms: true,
             back: Vec::new(),
             domain: domain.clone(),
             region: region.clone(),
@@ -235,10 +130,27 @@
         }
     }
 
-    /// Takes over the instances of the region, this one included or not.
+    /// Takes over the instances of the region that may send to cold servers.
+    /// Without this one among them, it sends them nothing.
     pub fn set_peers(&mut self, peers: impl Iterator<Item = Name>) {
         let own = &self.instance;
-        self.peers = peers.filter(|name| name != own).collect();
+        let all: Vec<Name> = peers.collect();
+        self.warms = all.is_empty() || all.contains(own);
+        self.peers = all.into_iter().filter(|name| name != own).collect();
+    }
+
+    /// Counts a server as busy with a request for an object that another
+    /// instance placed there.
+    pub fn note_sent(&mut self, now: Millis, object: u64, chosen: &Chosen) {
+        let rate = self.warm_rate();
+        if let Some(server) = self.servers.get_mut(&chosen.server) {
+            server.state.start(now, object, rate);
+        }
+    }
+
+    /// Takes over the division between regions of another instance.
+    pub fn set_remote_part(&mut self, part: f64) {
+        self.spread.set_part(part);
     }
 
     /// Servers of the own region that this instance can't reach.
@@ -462,7 +374,7 @@
         let rank = |name: &Name| hash(&[hash_bytes(name.as_bytes()), server.state.salt()]);
         let own = rank(&self.instance);
         let before = self.peers.iter().filter(|p| rank(p) > own).count();
-        server.spec.region == self.region && before < WARMERS
+        self.warms && server.spec.region == self.region && before < WARMERS
     }
 
     // This instance's part of what a cold server bears.
--- a/crates/steering/src/spread.rs
+++ b/crates/steering/src/spread.rs
@@ -139,6 +139,11 @@
         self.part += (target - self.part).clamp(-STEP, STEP);
     }
 
+    /// Takes over the part that another instance of the region arrived at.
+    pub fn set_part(&mut self, part: f64) {
+        self.part = part.clamp(0.0, PART_MAX);
+    }
+
     /// Part of the objects that go to other regions.
     pub fn part(&self) -> f64 {
         self.part
