Leave out servers that are known to be down; wait longer for a coordinator

Cause: placement looked only at what this gateway met itself, so that servers which the leader had marked as out of reach were chosen, connected to and given up before the first byte ("left" in up to 390 attempts a second). A coordinator that answered after 40 ms left its gateways alone for 400 ms; messages wait that long behind answers on a link of 2 Mbit/s.

Change: both are looked at; 90 ms, and alone only after three missed answers.

--- a/crates/daemon/src/gateway/delegate.rs
+++ b/crates/daemon/src/gateway/delegate.rs
@@ -12,12 +12,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Longest wait for a coordinator, in milliseconds: a small part of the
-/// shortest latency objectives. It is in the same failure domain.
-const WAIT_MS: u64 = 40;
-/// After an answer that did not come in time, this instance places requests
-/// itself for this long, in milliseconds.
-const ALONE_MS: u64 = 400;
+/// Longest wait for a coordinator, in milliseconds. It is in the same failure
+/// domain, but answers to callers may hold its messages up on a slow link.
+const WAIT_MS: u64 = 90;
+/// Consecutive answers that did not come in time after which this instance
+/// places requests itself, and for how long, in milliseconds.
+const ALONE: (u32, u64) = (3, 300);
 /// Pause between two attempts to connect, in milliseconds.
 const RETRY_MS: u64 = 400;
 /// Events that may wait.
@@ -73,7 +73,9 @@
     link: Option<PeerLink>,
     session: Option<JoinHandle<bool>>,
     tried: Option<Millis>,
-    // Until when it is not asked.
+    // Consecutive answers that did not come in time, and until when it is not
+    // asked.
+    missed: u32,
     alone: Millis,
 }
 
@@ -122,6 +124,7 @@
                 link: None,
                 session: None,
                 tried: None,
+                missed: 0,
                 alone: Millis(0),
             });
             let ended = peer.session.as_ref().is_none_or(JoinHandle::is_finished);
@@ -161,13 +164,15 @@
         let now = self.clock.now();
         let mut inner = self.lock();
         inner.waiting.swap_remove(&id);
+        metrics::counter!("gateway_coordinator_unanswered_total").increment(1);
         if let Some(peer) = inner.peers.get_mut(name) {
-            peer.alone = now.plus(ALONE_MS);
+            peer.missed += 1;
+            if peer.missed.is_multiple_of(ALONE.0) {
+                peer.alone = now.plus(ALONE.1);
+                tracing::info!(event = "dependency", name = "coordinator", up = false,
+                    peer = %name, cause = "no answer in time", missed = peer.missed);
+            }
         }
-        drop(inner);
-        metrics::counter!("gateway_coordinator_unanswered_total").increment(1);
-        tracing::info!(event = "dependency", name = "coordinator", up = false, peer = %name,
-            cause = "no answer in time", wait_ms = WAIT_MS);
         None
     }
 
@@ -213,6 +218,11 @@
     fn placed(&self, link: u64, id: u64, verdict: Option<Verdict>, part: f64) {
         let mut inner = self.lock();
         let waiting = inner.waiting.swap_remove(&id);
+        let mut peers = inner.peers.values_mut();
+        let peer = peers.find(|p| p.link.as_ref().is_some_and(|l| l.id == link));
+        if let Some(peer) = peer.filter(|_| waiting.is_some()) {
+            peer.missed = 0;
+        }
         let links = inner.peers.values().filter_map(|p| p.link.clone());
         let link = match &waiting {
             Some((link, _)) => Some(link.clone()),
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -284,7 +284,7 @@
     fn is_open(&self, subject: &Subject, region: &Name) -> bool {
         let mut servers = self.servers.values();
         servers.any(|s| {
-            s.spec.region == *region && s.state.is_usable() && !subject.tried.contains(&s.spec.name)
+            s.spec.region == *region && s.is_usable() && !subject.tried.contains(&s.spec.name)
         })
     }
 
@@ -310,7 +310,7 @@
         allowed: &dyn Fn(&Name) -> bool,
     ) -> Option<Candidate> {
         let fits = |s: &&Server| {
-            allowed(&s.spec.region) && s.state.is_usable() && !subject.tried.contains(&s.spec.name)
+            allowed(&s.spec.region) && s.is_usable() && !subject.tried.contains(&s.spec.name)
         };
         let open = self.servers.values().filter(fits);
         // Holders are ranked per failure domain: the instance's own one where
