Serve pipelined requests at the same time

Change: safe requests that arrive behind others are taken off the connection, served beside it and answered in the order of arrival. Requests with an effect, and those behind them, wait as before.

The new tests pass; without the rule about effects, effects_keep_their_order fails.

--- a/crates/transport/src/framing.rs
+++ b/crates/transport/src/framing.rs
@@ -4,14 +4,7 @@
 //! conflict can no longer be seen in the parsed headers.
 
 use std::collections::VecDeque;
-use std::io;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{ready, Context, Poll};
-
-use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 
 // Longest line that is kept to be looked at; hyper refuses such heads anyway.
 const LINE_MAX_BYTES: usize = 64 * 1024;
@@ -65,6 +58,8 @@
     lengths: usize,
     encodings: usize,
     length: Option<u64>,
+    // Whether a message has ended with the last step.
+    ended: bool,
     verdicts: Verdicts,
 }
 
@@ -80,6 +75,7 @@
             lengths: 0,
             encodings: 0,
             length: Some(0),
+            ended: false,
             verdicts,
         }
     }
@@ -102,14 +98,27 @@
 
     /// Follows the next bytes of the connection.
     pub fn feed(&mut self, mut bytes: &[u8]) {
-        while !bytes.is_empty() {
-            bytes = match self.state {
-                State::Broken => return,
-                State::Body(left) => self.skip(bytes, left, State::Body, State::Head),
-                State::ChunkData(left) => self.skip(bytes, left, State::ChunkData, State::ChunkEnd),
-                _ => self.take_line(bytes),
+        while let Some(n) = self.feed_message(bytes) {
+            bytes = &bytes[n..];
+        }
+    }
+
+    /// Follows the next bytes up to the end of a message. Returns how many of
+    /// them belong to it if it ends there.
+    pub fn feed_message(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            rest = match self.state {
+                State::Broken => return None,
+                State::Body(left) => self.skip(rest, left, State::Body, State::Head),
+                State::ChunkData(left) => self.skip(rest, left, State::ChunkData, State::ChunkEnd),
+                _ => self.take_line(rest),
             };
+            if std::mem::take(&mut self.ended) {
+                return Some(bytes.len() - rest.len());
+            }
         }
+        None
     }
 
     fn skip<'a>(
@@ -124,6 +133,7 @@
             0 => end,
             rest => more(rest),
         };
+        self.ended = self.state == State::Head;
         &bytes[n as usize..]
     }
 
@@ -153,7 +163,10 @@
             State::Head => self.read_header(line),
             State::ChunkSize => self.state = chunk(line),
             State::ChunkEnd if line.is_empty() => self.state = State::ChunkSize,
-            State::Trailer if line.is_empty() => self.state = State::Head,
+            State::Trailer if line.is_empty() => {
+                self.state = State::Head;
+                self.ended = true;
+            }
             State::Trailer => {}
             _ => self.state = State::Broken,
         }
@@ -197,6 +210,7 @@
         }
         self.begin_head();
         self.state = next;
+        self.ended = next == State::Head && self.direction == Direction::Requests;
     }
 }
 
@@ -214,79 +228,3 @@
         Some(n) => State::ChunkData(n),
     }
 }
-
-/// A caller's connection whose requests are watched.
-#[derive(Debug)]
-pub struct CallerIo {
-    io: TokioIo<TcpStream>,
-    framing: Framing,
-    // Kept, since clearing a buffer for each read costs more than the read.
-    room: Box<[u8]>,
-}
-
-impl CallerIo {
-    /// Watches a connection.
-    pub fn new(stream: TcpStream, verdicts: Verdicts) -> CallerIo {
-        CallerIo {
-            io: TokioIo::new(stream),
-            framing: Framing::new(Direction::Requests, verdicts),
-            room: vec![0; READ_BYTES].into(),
-        }
-    }
-
-    /// Whether a part of a head has arrived and its end has not.
-    pub fn in_head(&self) -> bool {
-        self.framing.in_head()
-    }
-
-    /// The connection itself.
-    pub fn into_stream(self) -> TcpStream {
-        self.io.into_inner()
-    }
-}
-
-impl Read for CallerIo {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut out: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = &mut *self;
-        let want = out.remaining().min(READ_BYTES);
-        let mut part = ReadBuf::new(&mut this.room[..want]);
-        ready!(Pin::new(&mut this.io).poll_read(cx, part.unfilled()))?;
-        this.framing.feed(part.filled());
-        out.put_slice(part.filled());
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for CallerIo {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, parts)
-    }
-}
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -11,7 +11,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{header, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,7 +23,8 @@
 use tokio::time::{timeout, Instant};
 
 use crate::body::CallerBody;
-use crate::framing::{CallerIo, Verdicts};
+use crate::framing::Verdicts;
+use crate::pipeline::{Answered, CallerIo, Mark, Marked, SideIo};
 use crate::socket;
 
 // How long the rest of a refused request is read, so that the refusal is not
@@ -97,6 +98,8 @@
 struct Slot {
     // Milliseconds since the start of the server, or BUSY.
     idle: AtomicU64,
+    // Requests in progress.
+    serving: AtomicU64,
     close: Notify,
 }
 
@@ -216,6 +219,7 @@
         }
         let slot = Arc::new(Slot {
             idle: AtomicU64::new(self.now()),
+            serving: AtomicU64::new(0),
             close: Notify::new(),
         });
         slots.insert(id, slot.clone());
@@ -228,16 +232,102 @@
     answer: Answering,
     shared: Arc<Shared>,
     slot: Arc<Slot>,
+    mark: Mark,
+    // Of a request that is served beside its connection.
+    answered: Option<Answered>,
+}
+
+impl Serving {
+    fn new(
+        service: &Service,
+        request: Request<Incoming>,
+        clear: bool,
+        mark: Mark,
+        answered: Option<Answered>,
+    ) -> Serving {
+        let (shared, slot) = (service.shared.clone(), service.slot.clone());
+        slot.serving.fetch_add(1, Ordering::Relaxed);
+        slot.idle.store(BUSY, Ordering::Relaxed);
+        let caller = Caller {
+            address: service.address,
+            clear,
+        };
+        Serving {
+            answer: (shared.handler)(request, caller),
+            shared,
+            slot,
+            mark,
+            answered,
+        }
+    }
 }
 
 impl Future for Serving {
-    type Output = Result<Response<CallerBody>, Infallible>;
+    type Output = Result<Response<Marked>, Infallible>;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         let answer = ready!(self.answer.as_mut().poll(cx));
-        let now = self.shared.now();
-        self.slot.idle.store(now, Ordering::Relaxed);
-        Poll::Ready(Ok(answer))
+        let closes = answer.headers().get(header::CONNECTION);
+        match &self.answered {
+            Some(answered) if closes.is_some_and(|v| v == "close") => answered.set_last(),
+            Some(_) | None => {}
+        }
+        let mark = self.mark.clone();
+        Poll::Ready(Ok(answer.map(|body| Marked::new(body, mark))))
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        if self.slot.serving.fetch_sub(1, Ordering::Relaxed) == 1 {
+            let now = self.shared.now();
+            self.slot.idle.store(now, Ordering::Relaxed);
+        }
+    }
+}
+
+/// What the requests of one connection have in common.
+#[derive(Clone)]
+struct Service {
+    shared: Arc<Shared>,
+    slot: Arc<Slot>,
+    address: SocketAddr,
+}
+
+impl Service {
+    fn builder(&self) -> http1::Builder {
+        let limits = &self.shared.limits;
+        let mut builder = http1::Builder::new();
+        builder
+            .max_buf_size(limits.head_bytes)
+            .max_headers(limits.headers);
+        builder
+    }
+
+    /// Serves one request beside its connection.
+    fn serve_side(
+        &self,
+        io: SideIo,
+        mark: Mark,
+        answered: Answered,
+    ) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+        let service = self.clone();
+        let call = service_fn(move |request| {
+            // Requests whose length is not clear stay on the connection.
+            Serving::new(
+                &service,
+                request,
+                true,
+                mark.clone(),
+                Some(answered.clone()),
+            )
+        });
+        let connection = self.builder().serve_connection(io, call);
+        Box::pin(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(event = "pipelined", "a request ended: {e}");
+            }
+        })
     }
 }
 
@@ -250,45 +340,82 @@
 ) {
     let verdicts = Verdicts::default();
     let io = CallerIo::new(stream, verdicts.clone());
-    let service = service_fn(move |request| {
-        let clear = verdicts.next();
-        let (shared, slot) = (shared.clone(), slot.clone());
-        slot.idle.store(BUSY, Ordering::Relaxed);
-        let answer = (shared.handler)(request, Caller { address, clear });
-        Serving {
-            answer,
-            shared,
-            slot,
-        }
+    let (mark, mut sides) = (io.mark(), io.sides());
+    let service = Service {
+        shared: shared.clone(),
+        slot: slot.clone(),
+        address,
+    };
+    let calls = service.clone();
+    let call = service_fn(move |request| {
+        Serving::new(&calls, request, verdicts.next(), mark.clone(), None)
     });
-    let limits = &shared.limits;
-    let mut connection = http1::Builder::new()
+    let mut connection = service
+        .builder()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.head_ms))
-        .max_buf_size(limits.head_bytes)
-        .max_headers(limits.headers)
-        .serve_connection(io, service);
+        .header_read_timeout(Duration::from_millis(shared.limits.head_ms))
+        .serve_connection(io, call);
     let mut closing = std::pin::pin!(async {
         tokio::select! {
             _ = phase.wait_for(|p| *p == Phase::Closing) => {}
             () = slot.close.notified() => {}
         }
     });
+    let serve_side = |io, mark, answered| service.serve_side(io, mark, answered);
     let mut notified = false;
+    // Whether it was told to close between two answers of its own, none of which
+    // announces the close.
+    let mut owing = false;
     let result = std::future::poll_fn(|cx| {
         if !notified && closing.as_mut().poll(cx).is_ready() {
             notified = true;
+            owing = sides.is_due();
             Pin::new(&mut connection).graceful_shutdown();
         }
-        connection.poll_without_shutdown(cx)
+        loop {
+            if let Poll::Ready(result) = connection.poll_without_shutdown(cx) {
+                return Poll::Ready(result.map_err(End::Connection));
+            }
+            match sides.poll(cx, &serve_side) {
+                // The connection may go on with its next request.
+                Ok(true) => continue,
+                Ok(false) => return Poll::Pending,
+                Err(e) => return Poll::Ready(Err(End::Side(e))),
+            }
+        }
     })
     .await;
+    let rest = std::future::poll_fn(|cx| match sides.poll(cx, &serve_side) {
+        Ok(_) if !sides.is_empty() => Poll::Pending,
+        Ok(_) => Poll::Ready(Ok(())),
+        Err(e) => Poll::Ready(Err(End::Side(e))),
+    });
+    let result = match result {
+        Ok(()) if owing => rest.await,
+        result => result,
+    };
+    if let Err(End::Side(e)) = &result {
+        tracing::debug!(
+            event = "pipelined",
+            "the connection ends with an answer: {e}"
+        );
+    }
+    drop(sides);
     let io = connection.into_parts().io;
     let answer = match result {
-        Err(e) if e.is_timeout() && io.in_head() => Some(OwnAnswer::HeadTimeout),
+        Err(End::Connection(e)) if e.is_timeout() && io.in_head() => Some(OwnAnswer::HeadTimeout),
         _ => None,
     };
-    close(io.into_stream(), answer).await;
+    if let Some(stream) = io.into_stream() {
+        close(stream, answer).await;
+    }
+}
+
+/// Why a connection can't go on.
+enum End {
+    Connection(hyper::Error),
+    // An answer beside it was the last, or is incomplete.
+    Side(io::Error),
 }
 
 async fn close(mut stream: TcpStream, answer: Option<OwnAnswer>) {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod peer_client;
 pub mod peer_link;
 pub mod peer_server;
+mod pipeline;
 pub mod pool;
 mod socket;
--- /dev/null
+++ b/crates/transport/src/pipeline.rs
@@ -0,0 +1,467 @@
+//! Requests that a caller sends before earlier ones are answered.
+//!
+//! hyper takes the requests of a connection one after another, so that a short
+//! request waits for the answer to a long one. Requests without a lasting
+//! effect that arrive meanwhile are taken off the connection and served beside
+//! it; their answers are written in the order of arrival.
+
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{ready, Context, Poll};
+
+use bytes::{Buf, Bytes, BytesMut};
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use tokio::net::TcpStream;
+
+use crate::body::CallerBody;
+use crate::framing::{Direction, Framing, Verdicts, READ_BYTES};
+
+/// Requests of one connection that are served beside it at a time.
+const SIDES_MAX: usize = 16;
+/// Bytes that a connection may be ahead of its answers.
+const PENDING_MAX: usize = 64 * 1024;
+/// Bytes of an answer that wait for the answers before it.
+const OUTPUT_MAX: usize = 256 * 1024;
+/// Requests with these methods have no lasting effect, so that their order among
+/// each other does not matter.
+const METHODS: [&[u8]; 2] = [b"GET ", b"HEAD "];
+
+/// Tells that the last part of an answer was taken from its body.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Mark(Arc<AtomicBool>);
+
+impl Mark {
+    fn take(&self) -> bool {
+        self.0.swap(false, Ordering::Relaxed)
+    }
+}
+
+/// A body that tells when hyper is done with it.
+#[derive(Debug)]
+pub(crate) struct Marked {
+    body: CallerBody,
+    mark: Mark,
+}
+
+impl Marked {
+    pub(crate) fn new(body: CallerBody, mark: Mark) -> Marked {
+        Marked { body, mark }
+    }
+}
+
+impl Drop for Marked {
+    fn drop(&mut self) {
+        self.mark.0.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Body for Marked {
+    type Data = <CallerBody as Body>::Data;
+    type Error = <CallerBody as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    // Whether hyper holds a request whose answer is not on the wire yet, and
+    // whether the end of that request is still to be handed on.
+    busy: bool,
+    passing: bool,
+    // Whether that request has no lasting effect.
+    safe: bool,
+    // Bytes that were received and not handed on.
+    pending: BytesMut,
+    // How much of the first pending request was followed.
+    scan: Framing,
+    scanned: usize,
+    // Requests to be served beside the connection, and all that are.
+    ready: VecDeque<Bytes>,
+    sides: usize,
+}
+
+impl State {
+    fn is_idle(&self) -> bool {
+        !self.busy && self.sides == 0
+    }
+
+    fn restart_scan(&mut self) {
+        self.scan = Framing::new(Direction::Requests, Verdicts::default());
+        self.scanned = 0;
+    }
+
+    // Takes complete requests off the front of the pending bytes.
+    fn split(&mut self) {
+        while self.safe && self.sides < SIDES_MAX && is_safe(&self.pending) {
+            let end = self.scan.feed_message(&self.pending[self.scanned..]);
+            let Some(end) = end else {
+                self.scanned = self.pending.len();
+                return;
+            };
+            let request = self.pending.split_to(self.scanned + end);
+            self.ready.push_back(request.freeze());
+            self.sides += 1;
+            self.restart_scan();
+        }
+    }
+}
+
+fn is_safe(request: &[u8]) -> bool {
+    METHODS.iter().any(|m| request.starts_with(m))
+}
+
+type Locked = Arc<Mutex<State>>;
+
+fn lock(state: &Locked) -> MutexGuard<'_, State> {
+    state.lock().expect("no panic while held")
+}
+
+/// A caller's connection as hyper reads it: one request at a time.
+#[derive(Debug)]
+pub(crate) struct CallerIo {
+    stream: Arc<TcpStream>,
+    framing: Framing,
+    // Kept, since clearing a buffer for each read costs more than the read.
+    room: Box<[u8]>,
+    state: Locked,
+    mark: Mark,
+}
+
+impl CallerIo {
+    /// Watches a connection.
+    pub(crate) fn new(stream: TcpStream, verdicts: Verdicts) -> CallerIo {
+        let state = State {
+            busy: false,
+            passing: false,
+            safe: true,
+            pending: BytesMut::new(),
+            scan: Framing::new(Direction::Requests, Verdicts::default()),
+            scanned: 0,
+            ready: VecDeque::new(),
+            sides: 0,
+        };
+        CallerIo {
+            stream: Arc::new(stream),
+            framing: Framing::new(Direction::Requests, verdicts),
+            room: vec![0; READ_BYTES].into(),
+            state: Arc::new(Mutex::new(state)),
+            mark: Mark::default(),
+        }
+    }
+
+    /// Marks the ends of answers on this connection.
+    pub(crate) fn mark(&self) -> Mark {
+        self.mark.clone()
+    }
+
+    /// The requests that are served beside this connection.
+    pub(crate) fn sides(&self) -> Sides {
+        Sides {
+            stream: self.stream.clone(),
+            state: self.state.clone(),
+            running: VecDeque::new(),
+        }
+    }
+
+    /// Whether a part of a head has arrived and its end has not.
+    pub(crate) fn in_head(&self) -> bool {
+        self.framing.in_head()
+    }
+
+    /// The connection itself, once its [`Sides`] are dropped.
+    pub(crate) fn into_stream(self) -> Option<TcpStream> {
+        Arc::into_inner(self.stream)
+    }
+
+    // Hands pending bytes on, up to the end of a request.
+    fn pass(&mut self, out: &mut ReadBufCursor<'_>) -> bool {
+        let mut state = lock(&self.state);
+        if state.pending.is_empty() {
+            return false;
+        }
+        if !state.passing {
+            if !state.is_idle() {
+                state.split();
+                return false;
+            }
+            (state.passing, state.busy) = (true, true);
+            state.safe = is_safe(&state.pending);
+            state.restart_scan();
+        }
+        let n = out.remaining().min(state.pending.len());
+        let end = self.framing.feed_message(&state.pending[..n]);
+        let n = end.unwrap_or(n);
+        out.put_slice(&state.pending[..n]);
+        state.pending.advance(n);
+        state.passing = end.is_none();
+        true
+    }
+}
+
+impl Read for CallerIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut out: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        loop {
+            if this.pass(&mut out) {
+                return Poll::Ready(Ok(()));
+            }
+            if lock(&this.state).pending.len() >= PENDING_MAX {
+                // Polled again once an answer is written.
+                return Poll::Pending;
+            }
+            ready!(this.stream.poll_read_ready(cx))?;
+            match this.stream.try_read(&mut this.room) {
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(n) => lock(&this.state).pending.extend_from_slice(&this.room[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl Write for CallerIo {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        poll_send(&self.stream, cx, |s| s.try_write(bytes))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once all of an answer is written.
+        if self.mark.take() {
+            let mut state = lock(&self.state);
+            state.busy = false;
+            if state.sides > 0 || !state.pending.is_empty() {
+                cx.waker().wake_by_ref();
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The server closes the stream itself.
+        Poll::Ready(Ok(()))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        poll_send(&self.stream, cx, |s| s.try_write_vectored(parts))
+    }
+}
+
+fn poll_send(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    send: impl Fn(&TcpStream) -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(cx))?;
+        match send(stream) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Output {
+    bytes: BytesMut,
+    done: bool,
+}
+
+/// Where the answer to a request that is served beside its connection goes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Answered {
+    output: Arc<Mutex<Output>>,
+    // Whether the answer ends the connection.
+    last: Arc<AtomicBool>,
+}
+
+impl Answered {
+    fn lock(&self) -> MutexGuard<'_, Output> {
+        self.output.lock().expect("no panic while held")
+    }
+
+    /// Ends the connection with this answer.
+    pub(crate) fn set_last(&self) {
+        self.last.store(true, Ordering::Relaxed);
+    }
+}
+
+/// One request in memory, and its answer.
+#[derive(Debug)]
+pub(crate) struct SideIo {
+    input: Bytes,
+    answered: Answered,
+    mark: Mark,
+}
+
+impl Read for SideIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        mut out: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.input.is_empty() {
+            // No other request comes, and an end would be told to the caller.
+            return Poll::Pending;
+        }
+        let n = out.remaining().min(self.input.len());
+        out.put_slice(&self.input.split_to(n));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for SideIo {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut output = self.answered.lock();
+        if output.bytes.len() >= OUTPUT_MAX {
+            // Polled again once some of it is written.
+            return Poll::Pending;
+        }
+        output.bytes.extend_from_slice(bytes);
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.mark.take() {
+            self.answered.lock().done = true;
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+type Serving = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+struct Side {
+    // None once it has ended.
+    serving: Option<Serving>,
+    answered: Answered,
+}
+
+/// The requests that are served beside a connection, in order of arrival.
+/// Dropping them cancels them.
+pub(crate) struct Sides {
+    stream: Arc<TcpStream>,
+    state: Locked,
+    running: VecDeque<Side>,
+}
+
+impl Sides {
+    /// Whether their answers may be written: the connection owes none before.
+    pub(crate) fn is_due(&self) -> bool {
+        !lock(&self.state).busy
+    }
+
+    /// Whether there is none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    /// Starts the requests that have arrived, drives all of them and writes what
+    /// is due. Returns whether some answer was completed.
+    ///
+    /// # Errors
+    /// The connection has to end: it failed, an answer is incomplete, or one
+    /// was the last.
+    pub(crate) fn poll(
+        &mut self,
+        cx: &mut Context<'_>,
+        serve: impl Fn(SideIo, Mark, Answered) -> Serving,
+    ) -> io::Result<bool> {
+        let mut completed = false;
+        loop {
+            let ready = std::mem::take(&mut lock(&self.state).ready);
+            for input in ready {
+                let (answered, mark) = (Answered::default(), Mark::default());
+                let io = SideIo {
+                    input,
+                    answered: answered.clone(),
+                    mark: mark.clone(),
+                };
+                let serving = Some(serve(io, mark, answered.clone()));
+                self.running.push_back(Side { serving, answered });
+            }
+            for side in &mut self.running {
+                let ended = side.serving.as_mut().map(|s| s.as_mut().poll(cx));
+                if ended.is_some_and(|p| p.is_ready()) || side.answered.lock().done {
+                    side.serving = None;
+                }
+            }
+            if !self.write(cx)? {
+                return Ok(completed);
+            }
+            completed = true;
+        }
+    }
+
+    // Writes what is due of the first answer. Returns whether it is complete.
+    fn write(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
+        let Some(side) = self.running.front() else {
+            return Ok(false);
+        };
+        if lock(&self.state).busy {
+            return Ok(false);
+        }
+        let mut output = side.answered.lock();
+        while !output.bytes.is_empty() {
+            match poll_send(&self.stream, cx, |s| s.try_write(&output.bytes)) {
+                Poll::Pending => return Ok(false),
+                Poll::Ready(sent) => output.bytes.advance(sent?),
+            }
+        }
+        match (output.done, &side.serving) {
+            (true, _) if side.answered.last.load(Ordering::Relaxed) => {
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+            (true, _) => {
+                drop(output);
+                self.running.pop_front();
+                lock(&self.state).sides -= 1;
+                Ok(true)
+            }
+            (false, None) => Err(io::ErrorKind::UnexpectedEof.into()),
+            (false, Some(_)) => Ok(false),
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/tests/pipelining.rs
@@ -0,0 +1,255 @@
+//! Requests that a caller sends before earlier ones are answered.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{header, Method, Response};
+use http_body_util::BodyExt;
+use pomelovale_transport::body::CallerBody;
+use pomelovale_transport::http_server::{Handler, Server, ServerLimits};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// What the handler has seen.
+#[derive(Debug, Default)]
+struct Seen {
+    running: AtomicUsize,
+    most: AtomicUsize,
+    ended: AtomicUsize,
+}
+
+struct Running(Arc<Seen>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Answers `/DELAY/TEXT` with the text and the body after the delay, and closes
+/// if the text is "close".
+async fn site() -> (Server, Arc<Seen>) {
+    let seen = Arc::new(Seen::default());
+    let counted = seen.clone();
+    let handler: Handler = Arc::new(move |request, _| {
+        let seen = counted.clone();
+        let running = seen.running.fetch_add(1, Ordering::SeqCst) + 1;
+        seen.most.fetch_max(running, Ordering::SeqCst);
+        Box::pin(async move {
+            let _running = Running(seen.clone());
+            let path = request.uri().path().to_owned();
+            let body = request.into_body().collect().await.unwrap().to_bytes();
+            let mut parts = path.split('/').skip(1);
+            let delay: u64 = parts.next().unwrap().parse().unwrap();
+            let text = parts.next().unwrap();
+            sleep(Duration::from_millis(delay)).await;
+            seen.ended.fetch_add(1, Ordering::SeqCst);
+            let all = [text.as_bytes(), &body].concat();
+            let mut response = Response::new(CallerBody::Full(Bytes::from(all)));
+            if text == "close" {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
+        })
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server = Server::start(listener, ServerLimits::default(), handler).unwrap();
+    (server, seen)
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// Reads answers until `count` of them are complete or the connection ends.
+async fn bodies(stream: &mut TcpStream, count: usize) -> Vec<String> {
+    let (mut held, mut bodies) = (Vec::new(), Vec::new());
+    let mut room = [0; 4_096];
+    while bodies.len() < count {
+        let text = String::from_utf8_lossy(&held).into_owned();
+        let head = text.find("\r\n\r\n").map(|n| n + 4);
+        let length = text
+            .lines()
+            .find_map(|l| l.strip_prefix("content-length: "));
+        if let (Some(head), Some(length)) = (head, length) {
+            let end = head + length.parse::<usize>().unwrap();
+            if held.len() >= end {
+                bodies.push(text[head..end].to_owned());
+                held.drain(..end);
+                continue;
+            }
+        }
+        match timeout(Duration::from_secs(5), stream.read(&mut room)).await {
+            Ok(Ok(0)) | Ok(Err(_)) | Err(_) => break,
+            Ok(Ok(n)) => held.extend_from_slice(&room[..n]),
+        }
+    }
+    bodies
+}
+
+async fn send(server: &Server, requests: &[String]) -> TcpStream {
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let all = requests.concat();
+    stream.write_all(all.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Guards against short requests that wait for the answer to a long one, and
+/// against answers out of order.
+#[tokio::test]
+async fn served_at_the_same_time_and_answered_in_order() {
+    let (server, seen) = site().await;
+    let start = Instant::now();
+    let requests = [get("/300/a"), get("/300/b"), get("/0/c"), get("/300/d")];
+    let mut stream = send(&server, &requests).await;
+    assert_eq!(bodies(&mut stream, 4).await, ["a", "b", "c", "d"]);
+    assert!(start.elapsed() < Duration::from_millis(800));
+    assert_eq!(seen.most.load(Ordering::SeqCst), 4);
+}
+
+/// Guards against a request with an effect that overtakes an earlier one.
+#[tokio::test]
+async fn effects_keep_their_order() {
+    let (server, seen) = site().await;
+    let requests = [
+        post("/100/a", "1"),
+        post("/0/b", "2"),
+        get("/50/c"),
+        get("/0/d"),
+    ];
+    let mut stream = send(&server, &requests).await;
+    assert_eq!(bodies(&mut stream, 4).await, ["a1", "b2", "c", "d"]);
+    assert!(seen.most.load(Ordering::SeqCst) <= 2);
+}
+
+/// Guards against work for a caller that has left.
+#[tokio::test]
+async fn caller_that_leaves_cancels_all() {
+    let (server, seen) = site().await;
+    let stream = send(&server, &[get("/2000/a"), get("/2000/b"), get("/2000/c")]).await;
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(seen.running.load(Ordering::SeqCst), 3);
+    drop(stream);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(seen.running.load(Ordering::SeqCst), 0);
+    assert_eq!(seen.ended.load(Ordering::SeqCst), 0);
+}
+
+macro_rules! closes {
+    ($($(#[$doc:meta])* $name:ident: $requests:expr => $bodies:expr;)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let (server, _) = site().await;
+            let mut stream = send(&server, &$requests).await;
+            assert_eq!(bodies(&mut stream, 9).await, $bodies);
+        })*
+    };
+}
+
+closes! {
+    /// Guards against an answer behind one that closes the connection: callers
+    /// take the requests behind it as not read.
+    first_answer_closes: [get("/50/close"), get("/0/b")] => ["close"];
+    /// The same for an answer to a request that was served beside its connection.
+    second_answer_closes: [get("/50/a"), get("/0/close"), get("/0/c")] => ["a", "close"];
+}
+
+/// Guards against answers that are lost when the server stops between two of
+/// them.
+#[tokio::test]
+async fn stop_finishes_all() {
+    let (server, seen) = site().await;
+    let mut stream = send(&server, &[get("/20/a"), get("/400/b"), get("/500/c")]).await;
+    assert_eq!(bodies(&mut stream, 1).await, ["a"]);
+    let stop = tokio::spawn(server.stop());
+    assert_eq!(bodies(&mut stream, 2).await, ["b", "c"]);
+    stop.await.unwrap();
+    assert_eq!(seen.ended.load(Ordering::SeqCst), 3);
+}
+
+/// Guards against a connection that stalls behind more requests than are served
+/// at a time, or behind a body that is larger than what is read ahead.
+#[tokio::test]
+async fn many_requests_and_large_bodies_pass() {
+    let (server, seen) = site().await;
+    let mut requests: Vec<String> = (0..100).map(|i| get(&format!("/5/{i}"))).collect();
+    let large = "x".repeat(300_000);
+    requests.insert(50, post("/5/large", &large));
+    let mut stream = send(&server, &requests).await;
+    let answers = bodies(&mut stream, 101).await;
+    assert_eq!(answers.len(), 101);
+    assert_eq!(answers[50], format!("large{large}"));
+    assert_eq!(answers[100], "99");
+    assert!(seen.most.load(Ordering::SeqCst) <= 17);
+}
+
+/// Guards against answers that are mixed up or lost, whatever the pieces in which
+/// requests arrive and the time that each takes.
+#[tokio::test]
+async fn any_pieces_and_delays() {
+    for seed in 0..40 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (server, _) = site().await;
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let (mut wire, mut expected) = (Vec::new(), Vec::new());
+        for i in 0..rng.random_range(2..20) {
+            let path = format!("/{}/{i}", rng.random_range(0..8));
+            match rng.random_range(0..5) {
+                0 => {
+                    wire.extend(post(&path, "body").into_bytes());
+                    expected.push(format!("{i}body"));
+                }
+                _ => {
+                    wire.extend(get(&path).into_bytes());
+                    expected.push(i.to_string());
+                }
+            }
+        }
+        let (mut read, mut write) = stream.split();
+        let _ = &mut read;
+        let mut rest = &wire[..];
+        while !rest.is_empty() {
+            let n = rng.random_range(1..=rest.len().min(90));
+            write.write_all(&rest[..n]).await.unwrap();
+            rest = &rest[n..];
+            sleep(Duration::from_millis(rng.random_range(0..3))).await;
+        }
+        assert_eq!(
+            bodies(&mut stream, expected.len()).await,
+            expected,
+            "seed {seed}"
+        );
+    }
+}
+
+/// The method of a request that is served beside its connection stays.
+#[tokio::test]
+async fn head_has_no_body() {
+    let (server, _) = site().await;
+    let head = get("/0/b").replace("GET", Method::HEAD.as_str());
+    let mut stream = send(&server, &[get("/30/a"), head, get("/0/c")]).await;
+    let mut all = Vec::new();
+    let mut room = [0; 4_096];
+    while !String::from_utf8_lossy(&all).ends_with("\r\n\r\nc") {
+        let n = timeout(Duration::from_secs(5), stream.read(&mut room)).await;
+        let n = n.expect("an answer").unwrap();
+        assert!(n > 0, "closed after {:?}", String::from_utf8_lossy(&all));
+        all.extend_from_slice(&room[..n]);
+    }
+    assert_eq!(
+        String::from_utf8_lossy(&all)
+            .matches("HTTP/1.1 200")
+            .count(),
+        3
+    );
+}
