--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -11,7 +11,6 @@
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use pomelovale_protocol::http::strip_hop_by_hop;
-use pomelovale_protocol::messages::PlaceRequest;
 use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::routing::{HostRoute, Repeat};
 use pomelovale_state::{ErrorKind, Name};
@@ -21,8 +20,8 @@
 use tokio::time::{timeout, Instant};
 
 use super::delegate::Place;
-use super::story::Story;
-use super::Shared;
+use super::story::{Story, Timing};
+use super::{placing, Shared};
 use crate::entry::forward::{hold, Held};
 use crate::entry::refusal::Refusal;
 
@@ -30,15 +29,11 @@
 /// them, so that they count as no attempt.
 const CONNECTS_MAX: usize = 3;
 /// Time kept for the answer to reach the caller, in milliseconds.
-const ANSWER_MS: u64 = 5;
+pub(super) const ANSWER_MS: u64 = 5;
 /// A server that has not answered an idempotent request within this many times
 /// the expected time is given up, if another attempt is allowed.
 const PATIENCE: u64 = 4;
 
-/// Time after which a caller whose service is not known yet may return, in
-/// milliseconds.
-const UNKNOWN_MS: u64 = 500;
-
 /// A request that was admitted.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -58,7 +53,7 @@
 }
 
 impl Job {
-    fn left(&self) -> Duration {
+    pub(super) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
@@ -152,7 +147,8 @@
             return Err(kind.into());
         }
         let first = progress.sent == 0;
-        let (verdict, place) = choose(shared, &job, &progress.tried, first).await;
+        let since = Instant::now();
+        let (verdict, place) = placing::choose(shared, &job, &progress.tried, first).await;
         let chosen = match verdict {
             Verdict::Send(chosen) => chosen,
             Verdict::Refuse { retry_ms } => {
@@ -160,10 +156,14 @@
                 return Err(Refusal { kind, retry_ms });
             }
         };
+        let mut timing = Timing {
+            asked: place.is_some(),
+            place_ms: since.elapsed().as_millis() as u64,
+            connect_ms: 0,
+        };
         let since = Instant::now();
-        let asked = place.is_some();
-        let (outcome, end) = attempt(shared, &job, &chosen, place, &progress).await;
-        story.note(&chosen, asked, since, end);
+        let (outcome, end) = attempt(shared, &job, &chosen, place, &progress, &mut timing).await;
+        story.note(&chosen, timing, since, end);
         progress.tried.push(chosen.server.clone());
         let again = match outcome {
             Outcome::Answer(response) => return Ok(response),
@@ -191,67 +191,6 @@
     }
 }
 
-/// Chooses a server, and asks the coordinator of the failure domain for it if
-/// that is another gateway. This instance counts the request as well, so that it
-/// can decide alone.
-async fn choose(
-    shared: &Shared,
-    job: &Job,
-    tried: &[Name],
-    first: bool,
-) -> (Verdict, Option<Place>) {
-    let (now, document) = (shared.clock.now(), shared.view.document());
-    let known = shared.services.with(now, &document, &job.service, |s| {
-        if first {
-            s.repeats.record_request();
-        }
-        s.coordinator.clone()
-    });
-    let Some(coordinator) = known else {
-        return (
-            Verdict::Refuse {
-                retry_ms: UNKNOWN_MS,
-            },
-            None,
-        );
-    };
-    if let Some(peer) = coordinator {
-        let asked = shared.delegate.ask(&peer.name, place_request(job, tried));
-        if let Some(answer) = asked.await {
-            let now = shared.clock.now();
-            shared.services.with(now, &document, &job.service, |s| {
-                s.placement.set_remote_part(answer.part);
-                if let Verdict::Send(chosen) = &answer.verdict {
-                    s.placement.note_sent(now, job.object, chosen);
-                }
-            });
-            return (answer.verdict, answer.place);
-        }
-    }
-    let (now, request) = (shared.clock.now(), place_request(job, tried));
-    let verdict = shared.services.with(now, &document, &job.service, |s| {
-        s.placement.choose(now, &request.subject())
-    });
-    let unknown = Verdict::Refuse {
-        retry_ms: UNKNOWN_MS,
-    };
-    (verdict.unwrap_or(unknown), None)
-}
-
-fn place_request(job: &Job, tried: &[Name]) -> PlaceRequest {
-    let spent_ms = job.start.elapsed().as_millis() as u64;
-    PlaceRequest {
-        service: job.service.clone(),
-        route: job.route.name.clone(),
-        object: job.object,
-        priority: job.priority,
-        objective_ms: job.route.objective_ms.saturating_sub(spent_ms),
-        left_ms: (job.left().as_millis() as u64).saturating_sub(ANSWER_MS),
-        homes: job.homes.clone(),
-        tried: tried.to_vec(),
-    }
-}
-
 fn can_repeat(shared: &Shared, job: &Job) -> bool {
     let (now, document) = (shared.clock.now(), shared.view.document());
     let left = shared
@@ -284,6 +223,7 @@
     chosen: &Chosen,
     place: Option<Place>,
     progress: &Progress,
+    timing: &mut Timing,
 ) -> (Outcome, &'static str) {
     let mut running = Running {
         shared: shared.clone(),
@@ -295,7 +235,9 @@
         report: None,
         ended: false,
     };
-    let connection = match connect(shared, chosen.address, job.left()).await {
+    let connected = connect(shared, chosen.address, job.left()).await;
+    timing.connect_ms = running.since.elapsed().as_millis() as u64;
+    let connection = match connected {
         Ok(connection) => connection,
         Err(_) => {
             running.end(Ended::Unreachable);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod coordinator;
 mod delegate;
+mod placing;
 mod probe;
 mod quota;
 mod request;
--- a/crates/daemon/src/gateway/story.rs
+++ b/crates/daemon/src/gateway/story.rs
@@ -10,12 +10,22 @@
 
 use crate::entry::refusal::Refusal;
 
+/// What an attempt waited for before it was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Timing {
+    /// Whether a coordinator chose the server.
+    pub(super) asked: bool,
+    /// Time to choose the server, in milliseconds.
+    pub(super) place_ms: u64,
+    /// Time to get a connection, in milliseconds.
+    pub(super) connect_ms: u64,
+}
+
 /// One attempt, for the log.
 #[derive(Debug)]
 pub(super) struct Try {
     chosen: Chosen,
-    // Whether a coordinator chose the server.
-    asked: bool,
+    timing: Timing,
     spent_ms: u64,
     end: &'static str,
 }
@@ -33,8 +43,13 @@
         } = &self.chosen;
         let room = if *idle { "idle" } else { "full" };
         let (end, spent) = (self.end, self.spent_ms);
-        let by = if self.asked { "coordinator" } else { "self" };
-        write!(f, "{server} {held:?} {room} by={by} region={region} load={load:.1} expected_ms={expected_ms} {end} spent_ms={spent}")
+        let Timing {
+            asked,
+            place_ms,
+            connect_ms,
+        } = self.timing;
+        let by = if asked { "coordinator" } else { "self" };
+        write!(f, "{server} {held:?} {room} by={by} place_ms={place_ms} connect_ms={connect_ms} region={region} load={load:.1} expected_ms={expected_ms} {end} spent_ms={spent}")
     }
 }
 
@@ -52,10 +67,16 @@
 
 impl Story {
     /// Adds an attempt that ended.
-    pub(super) fn note(&mut self, chosen: &Chosen, asked: bool, since: Instant, end: &'static str) {
+    pub(super) fn note(
+        &mut self,
+        chosen: &Chosen,
+        timing: Timing,
+        since: Instant,
+        end: &'static str,
+    ) {
         self.attempts.push(Try {
             chosen: chosen.clone(),
-            asked,
+            timing,
             spent_ms: since.elapsed().as_millis() as u64,
             end,
         });
