Let the failure domains of a busy region share the holder of an object

Change: while slots are scarce, the first server by hash in the whole region comes first; expected times of objects that others may have started are learnt.

--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -54,6 +54,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkEstimate {
     held: Option<f64>,
+    likely: Option<f64>,
     other: Option<f64>,
 }
 
@@ -65,7 +66,10 @@
         let other = self.other.unwrap_or(objective * PRIOR.1);
         match held {
             Held::Known => known,
-            Held::Likely => known * HELD_TRUST + other * (1.0 - HELD_TRUST),
+            Held::Likely => {
+                let mixed = known * HELD_TRUST + other * (1.0 - HELD_TRUST);
+                self.likely.unwrap_or(mixed)
+            }
             Held::Unlikely => other,
         }
     }
@@ -89,7 +93,7 @@
     pub fn note(&mut self, held: Held, spent: f64) {
         let slot = match held {
             Held::Known => &mut self.held,
-            Held::Likely => return,
+            Held::Likely => &mut self.likely,
             Held::Unlikely => &mut self.other,
         };
         *slot = Some(slot.map_or(spent, |old| old + SAMPLE * (spent - old)));
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -12,7 +12,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pomelovale_state::{Millis, Name};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -27,12 +27,9 @@
 const DOMAIN_COST_MS: f64 = 25.0;
 /// Extra cost of a server in another region, in milliseconds: the round trip.
 const REGION_COST_MS: f64 = 112.0;
-/// Part of the servers of a failure domain that hold one object, so that all
-/// objects together fit into what the servers remember.
-const HOLDER_PART: f64 = 0.4;
-/// Most servers of a failure domain that hold one object. More would have to
-/// hold more objects than they remember, however many there are.
-const HOLDERS_MAX: usize = 2;
+/// Servers of a failure domain among whose objects one that has just joined
+/// takes its place.
+const HOLDERS: usize = 2;
 /// Cost of a server other than the first that holds an object, relative to the
 /// work there. Without it, all servers come to hold all objects, and forget
 /// them.
@@ -322,27 +319,28 @@
             })
             .collect();
         ranked.sort_unstable_by_key(|(h, ..)| std::cmp::Reverse(*h));
-        let mut ranks: IndexMap<&Name, (usize, usize)> = IndexMap::new();
-        for (_, _, s) in &ranked {
-            ranks.entry(&s.spec.domain).or_default().1 += 1;
-        }
+        let mut ranks: IndexMap<&Name, usize> = IndexMap::new();
+        let mut primaries: IndexSet<&Name> = IndexSet::new();
         let work = self.work.get(subject.route).cloned().unwrap_or_default();
-        let near = ranks.contains_key(&self.domain);
+        let near = ranked.iter().any(|(_, _, s)| s.spec.domain == self.domain);
+        // While slots are scarce, the failure domains of a region share one
+        // holder, since each start of an object costs more than the way there.
+        let shared = !near || self.pressure > 0.0;
         let stray = STRAY_PART * work.expected(Held::Known, subject.objective_ms);
         let mut best: Option<Candidate> = None;
-        for (place, (_, index, server)) in ranked.iter().enumerate() {
-            let (rank, count) = &mut ranks[&server.spec.domain];
-            let holders = ((*count as f64 * HOLDER_PART) as usize).clamp(1, HOLDERS_MAX);
+        for (_, index, server) in &ranked {
+            let rank = ranks.entry(&server.spec.domain).or_default();
+            let primary = primaries.insert(&server.spec.region);
             let held = match server.state.knows(subject.object) {
                 true => Held::Known,
                 // A server that has just joined would get nothing otherwise.
-                false if *rank < holders && server.state.is_fresh() => Held::Known,
-                false if *rank < holders => Held::Likely,
+                false if *rank < HOLDERS && server.state.is_fresh() => Held::Known,
+                false if primary => Held::Likely,
                 false => Held::Unlikely,
             };
-            let first = match near {
-                true => *rank == 0 && server.spec.domain == self.domain,
-                false => place == 0,
+            let first = match shared {
+                true => primary,
+                false => *rank == 0 && server.spec.domain == self.domain,
             };
             *rank += 1;
             if !server.state.may_send(now, self.warm_rate()) || !self.may_warm(now, server) {
