Open connections to other regions ahead; decide with one pass over the servers

Cause: more than half of the requests to other regions opened a connection first (117 ms at the median); a look for room in other regions was repeated for every request that was refused; servers were sorted for each request.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,7 +1,6 @@
 //! Attempts of one request on backend servers.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +20,7 @@
 
 use super::delegate::Place;
 use super::story::{Story, Timing};
-use super::{placing, Shared};
+use super::{connections, placing, Shared};
 use crate::entry::forward::{hold, Held};
 use crate::entry::refusal::Refusal;
 
@@ -235,7 +234,7 @@
         report: None,
         ended: false,
     };
-    let connected = connect(shared, chosen.address, job.left()).await;
+    let connected = connections::connect(shared, chosen.address, job.left()).await;
     timing.connect_ms = running.since.elapsed().as_millis() as u64;
     let connection = match connected {
         Ok(connection) => connection,
@@ -245,7 +244,7 @@
         }
     };
     if !may_write(&shared.view.document(), chosen) {
-        shared.pool.put(chosen.address, connection);
+        shared.connections.pool.put(chosen.address, connection);
         running.end(Ended::Cancelled);
         return (Outcome::Unsent, "left");
     }
@@ -304,7 +303,7 @@
 ) -> (Outcome, &'static str) {
     if failure.fault == Fault::Silent {
         // Others that were open before may have gone silent with it.
-        shared.pool.purge(chosen.address, start);
+        shared.connections.pool.purge(chosen.address, start);
     }
     let (ended, kind, text) = match failure.fault {
         Fault::Connect => (Ended::Unreachable, ErrorKind::UnknownOutcome, "connect"),
@@ -320,25 +319,6 @@
     }
 }
 
-async fn connect(
-    shared: &Shared,
-    address: SocketAddr,
-    left: Duration,
-) -> Result<Connection, Fault> {
-    let config = &shared.config;
-    match shared
-        .pool
-        .take(address, Duration::from_millis(config.idle_ms))
-    {
-        Some(connection) => Ok(connection),
-        None => {
-            metrics::counter!("gateway_connects_total").increment(1);
-            let limit = Duration::from_millis(config.connect_ms).min(left);
-            Connection::open(address, limit).await
-        }
-    }
-}
-
 fn request(shared: &Shared, job: &Job, chosen: &Chosen) -> Request<Full<Bytes>> {
     let dialect = &shared.config.dialect;
     let mut request = Request::new(Full::new(job.body.clone()));
@@ -391,7 +371,10 @@
     let again = faulty && job.is_idempotent();
     let body = match held {
         Held::All(bytes) => {
-            shared.pool.put(running.chosen.address, body.finish());
+            shared
+                .connections
+                .pool
+                .put(running.chosen.address, body.finish());
             running.end(match () {
                 () if moved => Ended::Moved,
                 () if refused => Ended::Shed,
@@ -441,7 +424,7 @@
     let on_end = move |result: Result<Connection, Fault>| match result {
         Ok(connection) => {
             let address = running.chosen.address;
-            running.shared.pool.put(address, connection);
+            running.shared.connections.pool.put(address, connection);
             running.end(Ended::Answered);
         }
         Err(Fault::Cut) => running.end(Ended::Cancelled),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 
 mod attempt;
+mod connections;
 mod coordinator;
 mod delegate;
 mod placing;
@@ -31,12 +32,12 @@
 use pomelovale_transport::http_server::{Handler, Server};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerTimings};
 use pomelovale_transport::peer_server::PeerServer;
-use pomelovale_transport::pool::Pool;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use config::{GatewayConfig, Peering};
+use connections::Connections;
 use delegate::Delegate;
 use quota::Quota;
 use services::Services;
@@ -56,7 +57,7 @@
     delegate: Delegate,
     // Where other gateways ask this one for servers.
     peers: Option<SocketAddr>,
-    pool: Pool,
+    connections: Connections,
     leaving: AtomicBool,
     held: AtomicUsize,
     // Requests in flight, and all requests.
@@ -101,7 +102,7 @@
             view,
             control,
             clock,
-            pool: Pool::default(),
+            connections: Connections::default(),
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             running: AtomicU64::new(0),
--- a/crates/daemon/src/gateway/upkeep.rs
+++ b/crates/daemon/src/gateway/upkeep.rs
@@ -11,7 +11,7 @@
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::spread::STEP_MS;
 
-use super::{probe, Shared};
+use super::{connections, probe, Shared};
 
 /// Pause before a registration that failed is sent again, in milliseconds.
 const REGISTER_MS: u64 = 400;
@@ -65,6 +65,7 @@
                 due.push((name.clone(), server, address, service.probe.clone()));
             }
         });
+        connections::open_ahead(&shared);
         shared.delegate.keep(&shared.services.coordinators());
         for (service, server, address, path) in due {
             tokio::spawn(probe::run(shared.clone(), service, server, address, path));
@@ -75,7 +76,7 @@
             let used = document.backends.values().map(|b| b.address);
             let used: IndexSet<SocketAddr> = used.collect();
             let age = Millis(shared.config.idle_ms).duration();
-            shared.pool.sweep(age, &|a| used.contains(a));
+            shared.connections.pool.sweep(age, &|a| used.contains(a));
         }
     }
 }
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -12,7 +12,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use pomelovale_state::{Millis, Name};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -98,6 +98,17 @@
     pressure: f64,
 }
 
+struct Ranks {
+    // Servers that may get the request.
+    open: Vec<usize>,
+    // Whether some of them are in the own failure domain.
+    near: bool,
+    // Those of the own failure domain that come first, the first one first.
+    holders: [usize; HOLDERS],
+    // The first one of each region, with its draw.
+    primaries: Vec<(Name, u64, usize)>,
+}
+
 struct Candidate {
     index: usize,
     held: Held,
@@ -259,9 +270,12 @@
         };
         if lacks(&found) && self.spread.may_spill() {
             let other = self.best(now, subject, &allowed);
-            if let Some(other) = other.filter(|o| self.shortage(subject, o).is_none()) {
-                self.spread.spill();
-                found = Some(other);
+            match other.filter(|o| self.shortage(subject, o).is_none()) {
+                Some(other) => {
+                    self.spread.spill();
+                    found = Some(other);
+                }
+                None => self.spread.miss(),
             }
         }
         let Some(best) = found else {
@@ -306,54 +320,39 @@
         subject: &Subject,
         allowed: &dyn Fn(&Name) -> bool,
     ) -> Option<Candidate> {
-        let fits = |s: &&Server| {
-            allowed(&s.spec.region) && s.is_usable() && !subject.tried.contains(&s.spec.name)
-        };
-        let open = self.servers.values().filter(fits);
-        // Holders are ranked per failure domain: the instance's own one where
-        // it has servers, since traffic between failure domains has a price.
-        let mut ranked: Vec<(u64, usize, &Server)> = open
-            .map(|s| {
-                let index = self.servers.get_index_of(&s.spec.name).unwrap_or(0);
-                (hash(&[subject.object, s.state.salt()]), index, s)
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|(h, ..)| std::cmp::Reverse(*h));
-        let mut ranks: IndexMap<&Name, usize> = IndexMap::new();
-        let mut primaries: IndexSet<&Name> = IndexSet::new();
+        let ranks = self.rank(subject, allowed);
         let work = self.work.get(subject.route).cloned().unwrap_or_default();
-        let near = ranked.iter().any(|(_, _, s)| s.spec.domain == self.domain);
         // While slots are scarce, the failure domains of a region share one
         // holder, since each start of an object costs more than the way there.
-        let shared = !near || self.pressure > 0.0;
+        let shared = !ranks.near || self.pressure > 0.0;
         let stray = STRAY_PART * work.expected(Held::Known, subject.objective_ms);
+        let mean = self.mean.expected(Held::Known, subject.objective_ms);
         let mut best: Option<Candidate> = None;
-        for (_, index, server) in &ranked {
-            let rank = ranks.entry(&server.spec.domain).or_default();
-            let primary = primaries.insert(&server.spec.region);
+        for index in ranks.open {
+            let server = &self.servers[index];
+            if !server.state.may_send(now, self.warm_rate()) || !self.may_warm(now, server) {
+                continue;
+            }
+            let primary = ranks.primaries.iter().any(|(_, _, top)| *top == index);
             let held = match server.state.knows(subject.object) {
                 true => Held::Known,
                 // A server that has just joined would get nothing otherwise.
-                false if *rank < HOLDERS && server.state.is_fresh() => Held::Known,
+                false if server.state.is_fresh() && ranks.holders.contains(&index) => Held::Known,
                 false if primary => Held::Likely,
                 false => Held::Unlikely,
             };
             let first = match shared {
                 true => primary,
-                false => *rank == 0 && server.spec.domain == self.domain,
+                false => ranks.holders[0] == index,
             };
-            *rank += 1;
-            if !server.state.may_send(now, self.warm_rate()) || !self.may_warm(now, server) {
-                continue;
-            }
             let noise = 1.0 + NOISE * self.rng.random::<f64>();
-            let (expected, idle) = self.expected(now, subject, server, &work, held);
+            let (expected, idle) = self.expected(now, subject, server, &work, mean, held);
             let burden = self.pressure * work.extra(held, subject.objective_ms);
             let astray = if first { 0.0 } else { stray };
             let cost = (expected + burden + astray) * noise;
             if best.as_ref().is_none_or(|b| cost < b.cost) {
                 best = Some(Candidate {
-                    index: *index,
+                    index,
                     held,
                     cost,
                     expected,
@@ -364,6 +363,42 @@
         best
     }
 
+    // Which servers are open to a request, and which of them hold its object by
+    // a hash.
+    fn rank(&self, subject: &Subject, allowed: &dyn Fn(&Name) -> bool) -> Ranks {
+        let mut ranks = Ranks {
+            open: Vec::with_capacity(self.servers.len()),
+            near: false,
+            holders: [usize::MAX; HOLDERS],
+            primaries: Vec::new(),
+        };
+        let mut tops = [0; HOLDERS];
+        for (index, (name, server)) in self.servers.iter().enumerate() {
+            let spec = &server.spec;
+            if !server.is_usable() || !allowed(&spec.region) || subject.tried.contains(name) {
+                continue;
+            }
+            ranks.open.push(index);
+            let draw = hash(&[subject.object, server.state.salt()]);
+            match ranks.primaries.iter_mut().find(|(r, ..)| *r == spec.region) {
+                Some(top) if top.1 < draw => (top.1, top.2) = (draw, index),
+                Some(_) => {}
+                None => ranks.primaries.push((spec.region.clone(), draw, index)),
+            }
+            if spec.domain != self.domain {
+                continue;
+            }
+            ranks.near = true;
+            let place = tops.iter().position(|top| draw > *top);
+            if let Some(place) = place {
+                tops[place..].rotate_right(1);
+                ranks.holders[place..].rotate_right(1);
+                (tops[place], ranks.holders[place]) = (draw, index);
+            }
+        }
+        ranks
+    }
+
     // A few instances of its own region share what a cold server bears.
     fn may_warm(&self, now: Millis, server: &Server) -> bool {
         if self.service.cold_rate.is_none() || !server.state.is_cold(now) {
@@ -391,6 +426,7 @@
         subject: &Subject,
         server: &Server,
         work: &WorkEstimate,
+        mean: f64,
         held: Held,
     ) -> (f64, bool) {
         let way = match () {
@@ -402,7 +438,6 @@
         let run = work.expected(held, subject.objective_ms) * pace;
         let slots = f64::from(server.spec.slots.max(1));
         let ahead = (server.state.load(now) + 1.0 - slots).max(0.0);
-        let mean = self.mean.expected(Held::Known, subject.objective_ms);
         let wait = ahead / slots * mean * pace;
         let risk = server.state.failures(now) * subject.objective_ms as f64;
         (way + run + wait + risk, ahead < 0.5)
@@ -502,6 +537,15 @@
             .map(move |(name, at, cold_ms)| (name.clone(), left(at, cold_ms)))
     }
 
+    /// Usable servers of other regions, if a share of the objects goes there.
+    pub fn remote(&self) -> impl Iterator<Item = (&Name, SocketAddr)> {
+        let away = self.spread.part() > 0.0;
+        let usable = self.servers.values().filter(|s| s.is_usable());
+        usable
+            .filter(move |s| away && s.spec.region != self.region)
+            .map(|s| (&s.spec.name, s.spec.address))
+    }
+
     /// Load that a server is believed to have, and whether it is usable.
     pub fn belief(&self, now: Millis, name: &Name) -> Option<(f64, bool)> {
         let server = self.servers.get(name)?;
--- a/crates/steering/src/spread.rs
+++ b/crates/steering/src/spread.rs
@@ -19,6 +19,8 @@
 /// Part of the requests that may leave their object's region because there is
 /// no room, and the most that is saved up for a moment.
 const SPILL: (f64, f64) = (0.04, 3.0);
+/// What a look for room in other regions costs of that if there is none.
+const MISS: f64 = 0.5;
 /// Largest part of the requests that a region with servers sends away.
 const PART_MAX: f64 = 0.9;
 
@@ -127,6 +129,12 @@
         self.spills -= 1.0;
     }
 
+    /// Counts a request for which no other region had room. Looking for it costs
+    /// as much as all other decisions, so that it is not repeated for each.
+    pub fn miss(&mut self) {
+        self.spills -= MISS;
+    }
+
     /// Takes a step: away from a busy region while the others are known to have
     /// room, else towards an even division. `local` and `remote` are the
     /// utilizations of this region and of the others.
