Lean towards the regions with room

Change: the division among other regions follows their reported use, in the same small steps as what leaves the region.

--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -98,6 +98,24 @@
     pressure: f64,
 }
 
+/// Use of the slots of a region.
+#[derive(Default)]
+struct Used {
+    servers: usize,
+    known: usize,
+    busy: f64,
+    slots: f64,
+}
+
+impl Used {
+    fn part(&self) -> f64 {
+        match self.slots > 0.0 {
+            true => self.busy / self.slots,
+            false => 2.0,
+        }
+    }
+}
+
 struct Ranks {
     // Servers that may get the request.
     open: Vec<usize>,
@@ -217,36 +235,32 @@
     /// [`crate::spread::STEP_MS`].
     pub fn tick(&mut self, now: Millis) {
         let (local, remote) = self.utilization(now);
-        self.spread.step(local, remote);
+        self.spread.step(local, &remote);
         let part = (local - CALM) / (1.0 - CALM);
         self.pressure = BURDEN * part.clamp(0.0, 1.0);
     }
 
     // Busy slots over all slots, in this region and in the others. The others
     // are only known as far as their servers reported lately.
-    fn utilization(&self, now: Millis) -> (f64, Option<f64>) {
-        let (mut local, mut remote, mut known) = ((0.0, 0.0), (0.0, 0.0), 0);
-        let usable = self.servers.values().filter(|s| s.is_usable());
-        let mut count = 0;
-        for server in usable {
-            let slots = f64::from(server.spec.slots);
-            let busy = server.state.load(now).min(1.5 * slots);
-            let sum = match server.spec.region == self.region {
-                true => &mut local,
-                false => {
-                    count += 1;
-                    if !server.state.is_reported(now) {
-                        continue;
-                    }
-                    known += 1;
-                    &mut remote
-                }
-            };
-            *sum = (sum.0 + busy, sum.1 + slots);
+    fn utilization(&self, now: Millis) -> (f64, Vec<(Name, f64)>) {
+        let mut all: IndexMap<&Name, Used> = IndexMap::new();
+        for server in self.servers.values().filter(|s| s.is_usable()) {
+            let used = all.entry(&server.spec.region).or_default();
+            used.servers += 1;
+            if server.spec.region == self.region || server.state.is_reported(now) {
+                let slots = f64::from(server.spec.slots);
+                used.known += 1;
+                used.busy += server.state.load(now).min(1.5 * slots);
+                used.slots += slots;
+            }
         }
-        let part = |(busy, slots): (f64, f64)| if slots > 0.0 { busy / slots } else { 2.0 };
-        let enough = known > 0 && known * KNOWN_PART >= count;
-        (part(local), enough.then(|| part(remote)))
+        let local = all.swap_remove(&self.region);
+        let known = all
+            .iter()
+            .filter(|(_, u)| u.known * KNOWN_PART >= u.servers);
+        let remote = known.filter(|(_, u)| u.known > 0);
+        let remote = remote.map(|(name, u)| ((*name).clone(), u.part()));
+        (local.unwrap_or_default().part(), remote.collect())
     }
 
     /// Decides about a request. The chosen server counts as busy with it until
--- a/crates/steering/src/spread.rs
+++ b/crates/steering/src/spread.rs
@@ -16,6 +16,10 @@
 const BUSY: f64 = 0.9;
 /// Utilization of the other regions up to which they can take more.
 const ROOM: f64 = 0.6;
+/// Utilization at which another region counts as full, and the least part of its
+/// slots that counts nevertheless, so that its load stays known.
+const FULL: f64 = 1.1;
+const ROOM_MIN: f64 = 0.1;
 /// Part of the requests that may leave their object's region because there is
 /// no room, and the most that is saved up for a moment.
 const SPILL: (f64, f64) = (0.04, 3.0);
@@ -45,6 +49,22 @@
     words.fold(bytes.len() as u64, |h, word| hash(&[h, word]))
 }
 
+/// Another region.
+#[derive(Clone, Debug)]
+struct Other {
+    name: Name,
+    slots: u32,
+    // Part of the slots that counts, from 0 to 1: less for a region whose own
+    // demand is high.
+    room: f64,
+}
+
+impl Other {
+    fn weight(&self) -> f64 {
+        f64::from(self.slots) * self.room
+    }
+}
+
 /// The regions that the objects of one region go to.
 #[derive(Clone, Debug)]
 pub struct Spread {
@@ -54,8 +74,7 @@
     part: f64,
     fair: f64,
     used: bool,
-    // The other regions and their slots.
-    others: Vec<(Name, u32)>,
+    others: Vec<Other>,
     local: u32,
     // Requests that may leave their region now.
     spills: f64,
@@ -84,7 +103,16 @@
         let others = rooms
             .iter()
             .filter(|(n, slots)| *n != self.home && *slots > 0);
-        self.others = others.cloned().collect();
+        let known = std::mem::take(&mut self.others);
+        let other = |(name, slots): &(Name, u32)| {
+            let before = known.iter().find(|o| o.name == *name);
+            Other {
+                name: name.clone(),
+                slots: *slots,
+                room: before.map_or(1.0, |o| o.room),
+            }
+        };
+        self.others = others.map(other).collect();
         if total > 0 {
             let even = f64::from(total) / rooms.len() as f64;
             self.fair = (1.0 - f64::from(self.local) / even).clamp(0.0, PART_MAX);
@@ -102,15 +130,15 @@
         }
         // Weighted rendezvous: when a region gains or loses room, only the
         // objects that it gains or loses move.
-        let score = |(name, slots): &(Name, u32)| {
-            let draw = unit(hash(&[object, hash_bytes(name.as_bytes())]));
-            -draw.max(f64::MIN_POSITIVE).ln() / f64::from(*slots)
+        let score = |other: &Other| {
+            let draw = unit(hash(&[object, hash_bytes(other.name.as_bytes())]));
+            -draw.max(f64::MIN_POSITIVE).ln() / other.weight()
         };
         let best = self
             .others
             .iter()
             .min_by(|a, b| score(a).total_cmp(&score(b)));
-        best.map_or_else(|| self.home.clone(), |(name, _)| name.clone())
+        best.map_or_else(|| self.home.clone(), |other| other.name.clone())
     }
 
     /// Counts a request towards those that may leave their region.
@@ -136,15 +164,60 @@
     }
 
     /// Takes a step: away from a busy region while the others are known to have
-    /// room, else towards an even division. `local` and `remote` are the
-    /// utilizations of this region and of the others.
-    pub fn step(&mut self, local: f64, remote: Option<f64>) {
-        let room = remote.is_some_and(|r| r < ROOM);
+    /// room, else towards an even division, and among the others towards those
+    /// with room. `local` is the utilization of this region, `remote` those of
+    /// the other regions, as far as they are known.
+    pub fn step(&mut self, local: f64, remote: &[(Name, f64)]) {
+        let used = |o: &Other| {
+            let known = remote.iter().find(|(n, _)| *n == o.name);
+            known.map(|(_, used)| (f64::from(o.slots), *used))
+        };
+        let known: Vec<(f64, f64)> = self.others.iter().filter_map(used).collect();
+        let slots: f64 = known.iter().map(|(slots, _)| slots).sum();
+        let busy: f64 = known.iter().map(|(slots, used)| slots * used).sum();
+        let room = slots > 0.0 && busy / slots < ROOM;
         let target = match local > BUSY && room && !self.others.is_empty() {
             true => PART_MAX,
             false => self.fair,
         };
-        self.part += (target - self.part).clamp(-STEP, STEP);
+        let moved = (target - self.part).clamp(-STEP, STEP);
+        self.part += moved;
+        if known.len() == self.others.len() && self.part > 0.0 {
+            self.lean(remote, (STEP - moved.abs()) / self.part);
+        }
+    }
+
+    // Moves at most a part `most` of what leaves the region towards the regions
+    // with room.
+    fn lean(&mut self, remote: &[(Name, f64)], most: f64) {
+        let total: f64 = self.others.iter().map(Other::weight).sum();
+        let wanted = |o: &Other| {
+            let used = remote.iter().find(|(n, _)| *n == o.name);
+            let room = (FULL - used.map_or(0.0, |(_, used)| *used)).clamp(ROOM_MIN, 1.0);
+            f64::from(o.slots) * room
+        };
+        let target: Vec<f64> = self.others.iter().map(wanted).collect();
+        let sum: f64 = target.iter().sum();
+        let shares: Vec<(f64, f64)> = self
+            .others
+            .iter()
+            .zip(&target)
+            .map(|(o, t)| (o.weight() / total, t / sum))
+            .collect();
+        let apart: f64 = shares.iter().map(|(a, b)| (a - b).abs()).sum::<f64>() / 2.0;
+        if apart <= 0.0 {
+            return;
+        }
+        let step = (most / apart).min(1.0);
+        let moved = shares.iter().map(|(a, b)| a + step * (b - a));
+        let rooms: Vec<f64> = moved
+            .zip(&self.others)
+            .map(|(share, o)| share / f64::from(o.slots))
+            .collect();
+        let top = rooms.iter().copied().fold(f64::MIN_POSITIVE, f64::max);
+        for (other, room) in self.others.iter_mut().zip(rooms) {
+            other.room = room / top;
+        }
     }
 
     /// Takes over the part that another instance of the region arrived at.
--- a/crates/steering/tests/spread.rs
+++ b/crates/steering/tests/spread.rs
@@ -56,7 +56,7 @@
     let before = part(&s, "north");
     s.set_rooms(&rooms(10, 60, 60));
     for _ in 0..10 {
-        s.step(2.0, Some(0.0));
+        s.step(2.0, &[("south".into(), 0.0), ("west".into(), 0.0)]);
     }
     let moved = before - part(&s, "north");
     assert!(moved > 0.0 && moved < 0.1, "{moved}");
@@ -67,7 +67,7 @@
 fn unknown_load_shifts_nothing() {
     let mut s = spread(60, 60, 60);
     s.note_request();
-    (0..100).for_each(|_| s.step(2.0, None));
+    (0..100).for_each(|_| s.step(2.0, &[]));
     assert_eq!(part(&s, "north"), 1.0);
 }
 
@@ -81,3 +81,27 @@
         .filter(|o| s.region(*o) != t.region(*o));
     assert!(moved.count() < OBJECTS as usize / 20);
 }
+
+/// Guards against a region that sends what it can't serve to a region at the top
+/// of its own demand while another one has room, and against a sudden change.
+#[test]
+fn leaves_for_the_region_with_room() {
+    let mut s = spread(20, 80, 80);
+    s.note_request();
+    let loads = [("south".into(), 1.0), ("west".into(), 0.4)];
+    let objects: Vec<u64> = (0..OBJECTS).map(|o| hash(&[o])).collect();
+    let regions = |s: &Spread| -> Vec<Name> { objects.iter().map(|o| s.region(*o)).collect() };
+    let mut before = regions(&s);
+    for _ in 0..10 {
+        (0..10).for_each(|_| s.step(0.8, &loads));
+        let after = regions(&s);
+        let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
+        assert!(moved < objects.len() / 10, "{moved} objects moved in 2 s");
+        before = after;
+    }
+    assert!(
+        part(&s, "south") < 0.5 * part(&s, "west"),
+        "{}",
+        part(&s, "south")
+    );
+}
