--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -140,13 +140,25 @@
 
     /// Ends the wait for unknown leases if all `holders`, the instances that may
     /// hold one, have told in this epoch what they hold. An instance that has
-    /// restarted has lost its leases and tells that it holds none.
-    pub fn release<'a>(&mut self, now: Millis, mut holders: impl Iterator<Item = &'a Name>) {
-        if now < self.ready && holders.all(|name| self.told.contains(name)) {
+    /// restarted has lost its leases and tells that it holds none. Returns
+    /// whether this ends the wait.
+    pub fn release<'a>(
+        &mut self,
+        now: Millis,
+        mut holders: impl Iterator<Item = &'a Name>,
+    ) -> bool {
+        let released = now < self.ready && holders.all(|name| self.told.contains(name));
+        if released {
             self.ready = now;
             let buckets = self.buckets.values_mut();
             buckets.for_each(|b| b.advance(now, now));
         }
+        released
+    }
+
+    /// Whether an instance has told in this epoch what it holds.
+    pub fn has_told(&self, holder: &Name) -> bool {
+        self.told.contains(holder)
     }
 
     /// Sets the limit of a workspace. A lowered limit is in force once the
--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -27,6 +27,9 @@
     /// Whether a request is refused at once while the ledger has little left
     /// to grant, instead of waiting for what others may return.
     pub refuse_short: bool,
+    /// Whether the ledger is told as well that nothing is held. A new leader can
+    /// end its wait for unknown leases sooner.
+    pub tell_none: bool,
 }
 
 impl LimiterConfig {
@@ -40,6 +43,7 @@
             renew_ms: 250,
             idle_ms: 30_000,
             refuse_short: false,
+            tell_none: false,
         }
     }
 }
@@ -222,7 +226,7 @@
         let idle_ms = self.config.idle_ms;
         self.shares
             .retain(|_, s| now.since(s.used) < idle_ms || now < s.until);
-        if self.shares.is_empty() {
+        if self.shares.is_empty() && !self.config.tell_none {
             return None;
         }
         self.seq += 1;
--- a/crates/coordination/tests/limits_messages.rs
+++ b/crates/coordination/tests/limits_messages.rs
@@ -98,6 +98,23 @@
 }
 
 /// Guards against a lost reply whose grant is given again to others.
+/// Guards against a leader that waits for an instance which lost its disk, and
+/// with it the list of workspaces: it holds nothing and must tell so.
+#[test]
+fn limiter_without_shares_is_heard() {
+    let config = LimiterConfig {
+        tell_none: true,
+        ..LimiterConfig::new(Name::from("a-7f"))
+    };
+    let (mut limiter, mut ledger) = (Limiter::new(config), ledger(2));
+    for now in [Millis(1_000), Millis(2_000)] {
+        let request = limiter.next_request(now).expect("due");
+        limiter.receive(now, ledger.request(now, &request));
+    }
+    assert!(ledger.has_told(&Name::from("a")));
+    assert!(ledger.release(Millis(2_000), [Name::from("a")].iter()));
+}
+
 macro_rules! released {
     ($($(#[$doc:meta])* $name:ident: $told:expr => $granted:literal;)*) => {$(
         $(#[$doc])*
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -1,6 +1,6 @@
 //! What only the leader does: the ledger, the log's clock, measurements.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pomelovale_coordination::gate;
 use pomelovale_coordination::ledger::{Ledger, LedgerConfig, Rate};
 use pomelovale_coordination::measures::Measures;
@@ -20,6 +20,10 @@
 /// Time between two checks of which instances still report.
 const MEMBERSHIP_MS: u64 = 150;
 
+/// Time after the start of a leadership after which the holders of leases that
+/// are still to be heard are logged, in milliseconds.
+const HOLDERS_MS: u64 = 1_500;
+
 /// State of a leader, made anew in every epoch that this instance leads.
 pub(super) struct Leader {
     pub(super) epoch: Epoch,
@@ -31,6 +35,8 @@
     limits: IndexMap<Name, Rate>,
     measures: Measures,
     checked: Millis,
+    // Whether the holders that are not heard were logged.
+    complained: bool,
 }
 
 // On a new site no earlier leader can have granted anything, so that the first
@@ -68,6 +74,7 @@
             limits: IndexMap::new(),
             measures,
             checked: now,
+            complained: false,
         };
         leader.set_limits(document, now);
         leader
@@ -103,8 +110,19 @@
     ) -> GrantReply {
         let reply = self.ledger.request(now, request);
         let holders = document.instances.iter().filter(|(_, i)| !is_gateway(i));
-        let holders = holders.map(|(name, _)| name);
-        self.ledger.release(now, holders.chain(replicas));
+        let holders: IndexSet<&Name> = holders.map(|(name, _)| name).chain(replicas).collect();
+        let wait_ms = now.since(self.since);
+        if self.ledger.release(now, holders.iter().copied()) {
+            tracing::info!(event = "leases", wait_ms, "all holders have told");
+        }
+        if wait_ms >= HOLDERS_MS && !self.complained {
+            self.complained = true;
+            let silent = holders.iter().filter(|name| !self.ledger.has_told(name));
+            let silent: Vec<&str> = silent.map(|name| name.as_str()).collect();
+            if !silent.is_empty() {
+                tracing::info!(event = "leases", wait_ms, ?silent, "holders are not heard");
+            }
+        }
         reply
     }
 
--- a/crates/daemon/src/control/quota.rs
+++ b/crates/daemon/src/control/quota.rs
@@ -48,6 +48,7 @@
             outage_wait_ms: WAIT_MS,
             renew_ms: RENEW_MS,
             refuse_short: true,
+            tell_none: true,
             ..LimiterConfig::new(format!("{name}-{start:x}").into())
         };
         Quota {
