Pass announcements on to the leader

Cause: an instance with an empty disk announces itself to the founders, the only ones that it knows. When none of them led, it was never admitted: a wiped or new control instance stayed out until a founder happened to lead. Change: a follower passes the identity on to its leader.

--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -57,11 +57,31 @@
         let at = self.now;
         let open = matches!(self.config.membership, Membership::Open { .. });
         if open || self.config.peers.contains(&id.name) || self.announced.contains_key(&id.name) {
+            self.relay(&id);
             let announced = Announced { at, id, vacant };
             self.announced.insert(announced.id.name.clone(), announced);
         }
     }
 
+    /// Takes an identity that became known to a follower. It is no founder's:
+    /// there is a leader.
+    pub(crate) fn on_relay(&mut self, id: ReplicaId) {
+        if self.role == Role::Leader && id.name != self.id.name {
+            self.on_announce(id, false);
+        }
+    }
+
+    // A replica may know no other than the founders, none of which leads.
+    fn relay(&mut self, id: &ReplicaId) {
+        let leader = self.leader.clone().filter(|leader| *leader != self.id);
+        match leader {
+            Some(leader) if !self.entries.is_member(id) => {
+                self.send(&leader, LogMessage::Relay { id: id.clone() });
+            }
+            Some(_) | None => {}
+        }
+    }
+
     fn is_vacant(&self) -> bool {
         self.config.founding
             && self.hard.epoch == Epoch(0)
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -161,6 +161,7 @@
         }
         match message {
             LogMessage::Announce { vacant } => self.on_announce(from, vacant),
+            LogMessage::Relay { id } => self.on_relay(id),
             LogMessage::Append { .. } => self.on_append(from, message),
             LogMessage::AppendReply { epoch, .. } => {
                 if !self.adopt(&from, epoch) {
--- a/crates/coordination/tests/log_core/open.rs
+++ b/crates/coordination/tests/log_core/open.rs
@@ -77,6 +77,50 @@
     };
 }
 
+// Makes an instance lead that is not among the founders.
+fn lead_by_other(sim: &mut Sim) {
+    for _ in 0..30 {
+        let leader = sim.current_leader().expect("a leader");
+        if leader >= FOUNDERS {
+            return;
+        }
+        sim.crash(leader);
+        assert!(sim.run_until(20_000, |sim| sim.current_leader().is_some()));
+        sim.start(leader);
+        sim.run(1_500);
+        assert!(sim.run_until(20_000, |sim| sim.current_leader().is_some()));
+    }
+    panic!("a founder leads");
+}
+
+fn follows(sim: &Sim, n: usize) -> bool {
+    let commit = |n| sim.status(n).map(|s| s.commit);
+    let leader = sim.current_leader();
+    leader.is_some_and(|l| commit(n) == commit(l))
+}
+
+cases! {
+    /// Guards against a wiped founder that is never admitted again, because it
+    /// knows founders only and none of them leads.
+    wiped_founder_returns_to_another_leader(5, 5) |mut sim| {
+        settle(&mut sim, 5);
+        lead_by_other(&mut sim);
+        sim.crash(0);
+        sim.wipe(0);
+        sim.start(0);
+        assert!(sim.run_until(6_000, |sim| follows(sim, 0)));
+    };
+
+    /// The same for an instance that starts for the first time.
+    newcomer_finds_another_leader(6, 5) |mut sim| {
+        sim.crash(5);
+        settle(&mut sim, 5);
+        lead_by_other(&mut sim);
+        sim.start(5);
+        assert!(sim.run_until(6_000, |sim| follows(sim, 5)));
+    };
+}
+
 /// Guards against a second group: empty disks after the first start are lost
 /// ones, and instances that have them must not found anything.
 #[test]
--- a/crates/protocol/src/log.rs
+++ b/crates/protocol/src/log.rs
@@ -257,6 +257,12 @@
         /// Whether the vote is given.
         granted: bool,
     },
+    /// Another replica made its identity known to a follower, which tells the
+    /// leader.
+    Relay {
+        /// The identity.
+        id: ReplicaId,
+    },
 }
 
 /// Why entries were not taken.
