--- a/crates/daemon/tests/control_entries.rs
+++ b/crates/daemon/tests/control_entries.rs
@@ -265,3 +265,24 @@
     cluster.kill((leader + 1) % 3).await;
     assert_eq!(within("an answer", entry.handle.propose(sent)).await, first);
 }
+
+// Guards against an entry that is sent an empty document and then every change
+// since the first one, by a control instance that does not know yet which of
+// them were accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_instance_sends_the_document_not_its_history() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    propose_many(&cluster, leader, "many", 600).await;
+    for i in 0..3 {
+        cluster.kill(i).await;
+    }
+    cluster.restart(0).await;
+    let entry = cluster.entry("e1", 0).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(entry.version(), 0, "an unproven document was sent");
+    cluster.restart(1).await;
+    until("the entry has the document", || entry.version() >= 600).await;
+    let received = entry.counters.received.load(Ordering::SeqCst);
+    assert!(received < 20_000, "{received} bytes for one workspace");
+}
--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -2,25 +2,27 @@
 
 mod entry_support;
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use entry_support::{Act, Seen, Server};
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
 use pomelovale_coordination::view::View;
+use pomelovale_protocol::auth::Secret;
 use pomelovale_protocol::messages::Admitted;
 use pomelovale_state::command::Applied;
 use pomelovale_state::digest::Digest;
-use pomelovale_state::document::{Backend, Document, MemberState, Region, Workspace};
+use pomelovale_state::document::{Backend, Document, Instance, MemberState, Region, Workspace};
 use pomelovale_state::routing::{
     CallerLimits, HostRoute, Repeat, RoutedService, RoutedWorkspace, Routing, Target, Window,
 };
 use pomelovale_state::{Clock, Millis};
-use pomelovaled::gateway::config::GatewayConfig;
+use pomelovale_steering::spread::{hash, hash_bytes};
+use pomelovaled::gateway::config::{GatewayConfig, Peering};
 use pomelovaled::gateway::{Gateway, GatewayHandle};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 const KEY: &str = "xd9dnn2ctnfz";
 
@@ -105,8 +107,9 @@
     document
 }
 
-/// Admits every request unless it is told otherwise.
-fn control(verdict: Arc<Mutex<Admitted>>) -> ControlHandle {
+/// Admits every request unless it is told otherwise, and notes whether a server
+/// was reported out of reach.
+fn control(verdict: Arc<Mutex<Admitted>>, down: Arc<AtomicBool>) -> ControlHandle {
     let (handle, calls) = ControlHandle::new(1_024);
     tokio::spawn(async move {
         while let Ok(call) = calls.recv_async().await {
@@ -120,6 +123,9 @@
                         item: 1,
                     }));
                 }
+                ControlCall::Report(report) if !report.down.is_empty() => {
+                    down.store(true, Ordering::SeqCst);
+                }
                 ControlCall::Grant(..) | ControlCall::Report(_) => {}
             }
         }
@@ -130,29 +136,81 @@
 struct Site {
     gateway: GatewayHandle,
     verdict: Arc<Mutex<Admitted>>,
+    view: Arc<View>,
+    down: Arc<AtomicBool>,
 }
 
 async fn site(document: Option<Document>) -> Site {
-    let view = Arc::new(View::default());
+    let site = start("g", None).await;
     if let Some(document) = document {
-        view.publish(document);
-        view.prove(Millis(0));
+        site.show(document);
     }
+    site
+}
+
+async fn start(name: &str, peering: Option<Peering>) -> Site {
+    let view = Arc::new(View::default());
     let verdict = Arc::new(Mutex::new(Admitted::Granted));
     let config = GatewayConfig {
-        instance: "g".into(),
+        instance: name.into(),
         region: "north".into(),
         domain: "north-a".into(),
+        peering,
         leave_ms: 100,
         grace_ms: 3_000,
         ..GatewayConfig::default()
     };
-    let control = control(verdict.clone());
-    let gateway = Gateway::start(config, view, control, Clock::monotonic()).await;
+    let down = Arc::new(AtomicBool::new(false));
+    let control = control(verdict.clone(), down.clone());
+    let gateway = Gateway::start(config, view.clone(), control, Clock::monotonic()).await;
     Site {
         gateway: gateway.expect("the gateway starts"),
         verdict,
+        view,
+        down,
+    }
+}
+
+impl Site {
+    fn show(&self, document: Document) {
+        self.view.publish(document);
+        self.view.prove(Millis(0));
+    }
+}
+
+/// Gateways of one failure domain that reach each other. The first one places
+/// the requests.
+async fn peers(count: usize, mut document: Document) -> Vec<Site> {
+    let secret: Secret = String::from("a secret of the tests").try_into().unwrap();
+    let mut sites = Vec::new();
+    for i in 0..count {
+        let peering = Peering {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            secret: secret.clone(),
+        };
+        sites.push((
+            format!("g{i}"),
+            start(&format!("g{i}"), Some(peering)).await,
+        ));
+    }
+    for (name, site) in &sites {
+        let instance = Instance {
+            callers: Some(site.gateway.address()),
+            peers: site.gateway.peers(),
+            region: "north".into(),
+            domain: "north-a".into(),
+            state: MemberState::Serving,
+        };
+        document.instances.insert(name.as_str().into(), instance);
     }
+    let rank = |name: &str| hash(&[hash_bytes(b"s"), hash_bytes(name.as_bytes())]);
+    sites.sort_by_key(|(name, _)| std::cmp::Reverse(rank(name)));
+    sites
+        .iter()
+        .for_each(|(_, site)| site.show(document.clone()));
+    // Connections between gateways are opened with their upkeep.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    sites.into_iter().map(|(_, site)| site).collect()
 }
 
 async fn send(site: &Site, request: &str) -> String {
@@ -385,3 +443,47 @@
     assert!(!ready.is_ready());
     stopping.await.unwrap();
 }
+
+fn object(n: usize) -> String {
+    let headers = format!("authorization: Bearer {KEY}\r\ncookie: pomelovale-object=o{n}\r\n");
+    request("GET", "/safe/x", &headers)
+}
+
+/// Guards against gateways that each try a server which one of them has found out
+/// of reach.
+#[tokio::test]
+async fn gateways_share_what_one_of_them_knows() {
+    let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = gone.local_addr().unwrap();
+    drop(gone);
+    let sound = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let lost = |mut document: Document| {
+        document.backends[0].address = address;
+        document
+    };
+    let both = lost(document(&[&sound, &sound]));
+    let sites = peers(3, both).await;
+    for n in 0..12 {
+        assert_eq!(status(&send(&sites[0], &object(n)).await), 200);
+    }
+    for n in 20..40 {
+        assert_eq!(status(&send(&sites[1 + n % 2], &object(n)).await), 200);
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let down = |site: &Site| site.down.load(Ordering::SeqCst);
+    let all: Vec<bool> = sites.iter().map(down).collect();
+    assert_eq!(all, [true, false, false]);
+}
+
+/// Guards against requests that fail with the gateway that places them.
+#[tokio::test]
+async fn gateways_go_on_without_their_coordinator() {
+    let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let mut sites = peers(3, document(&[&server])).await;
+    drop(sites.remove(0));
+    for n in 0..10 {
+        let start = std::time::Instant::now();
+        assert_eq!(status(&send(&sites[n % 2], &object(n)).await), 200);
+        assert!(start.elapsed() < Duration::from_millis(400));
+    }
+}
