--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -201,6 +201,25 @@
     assert!(choose(&mut p, 520, &subject(&route, 1, 0)).is_some());
 }
 
+/// Guards against requests to a server that others found to be out of reach.
+#[test]
+fn server_known_to_be_down_gets_nothing() {
+    let route = Name::from("r");
+    let down = ServerSpec {
+        down: true,
+        ..server("s", "north", "north-a")
+    };
+    let both = vec![down, server("t", "north", "north-a")];
+    let mut p = placement("g", &both);
+    for object in 0..20 {
+        let chosen = choose(&mut p, 0, &subject(&route, object, 0)).expect("room");
+        assert_eq!(chosen.server.as_str(), "t");
+        p.finish(Millis(0), &chosen, &route, Ended::Answered, 5, None);
+    }
+    let mut p = placement("g", &both[..1]);
+    assert!(choose(&mut p, 0, &subject(&route, 1, 0)).is_none());
+}
+
 /// Guards against one cut connection that takes a sound server out.
 #[test]
 fn cut_connection_is_no_outage() {
