--- /dev/null
+++ b/crates/daemon/src/control/core/inbox.rs
@@ -0,0 +1,162 @@
+//! What a control instance does with the messages of peers and with calls.
+
+use pomelovale_coordination::control::ControlCall;
+use pomelovale_coordination::log::Event;
+use pomelovale_protocol::auth::Role;
+use pomelovale_protocol::frame::decode_large;
+use pomelovale_protocol::log::ReplicaId;
+use pomelovale_protocol::messages::{Content, LogPacket, PeerMessage, Request, Response};
+use pomelovale_state::{ErrorKind, Millis, Name};
+use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
+
+use crate::control::calls::{Sink, Target};
+use crate::control::feed::Standing;
+
+use super::Core;
+
+impl Core {
+    pub(super) fn peer_event(&mut self, event: PeerEvent) {
+        match event {
+            PeerEvent::Opened(link) => self.opened(link),
+            PeerEvent::Message(id, message) => self.peer_message(id, message),
+            PeerEvent::Closed(id) => {
+                self.links.remove(&id);
+                self.parts.remove(&id);
+                self.feed.close(id);
+                self.controls.retain(|_, link| *link != id);
+            }
+        }
+    }
+
+    fn opened(&mut self, link: PeerLink) {
+        let known = self.dialer.is_some() || self.config.peers.iter().any(|p| p.name == link.peer);
+        match link.role {
+            Role::Entry => self.feed.open(link.clone()),
+            Role::Control if known => {
+                let old = self.controls.insert(link.peer.clone(), link.id);
+                if let Some(old) = old.and_then(|id| self.links.get(&id)) {
+                    old.close();
+                }
+            }
+            Role::Control => {
+                log::warn!("{} is not a control instance of the settings", link.peer);
+                return link.close();
+            }
+        }
+        self.links.insert(link.id, link);
+    }
+
+    fn peer_message(&mut self, id: u64, message: PeerMessage) {
+        let Some(link) = self.links.get(&id).cloned() else {
+            return;
+        };
+        let now = self.clock.now();
+        match (message, link.role) {
+            (PeerMessage::Log(packet), Role::Control) => self.log_packet(packet, &link),
+            (PeerMessage::Chunk(chunk), Role::Control) => {
+                match self.parts.entry(id).or_default().push(chunk) {
+                    Ok(None) => {}
+                    Ok(Some((Content::Log, body))) => match decode_large(&body) {
+                        Ok(packet) => self.log_packet(packet, &link),
+                        Err(_) => link.reject(),
+                    },
+                    Ok(Some((Content::Document(_), _))) | Err(_) => link.reject(),
+                }
+            }
+            (PeerMessage::Renew(renew), Role::Entry) => {
+                let status = self.replica.status();
+                let standing = Standing {
+                    age_ms: status.quorum_age(now),
+                    leader: status.leader.map(|l| l.name),
+                    now,
+                };
+                self.feed
+                    .renew(id, &renew, &self.machine.document, &standing);
+            }
+            (PeerMessage::Report(report), _) => match self.leader.as_mut() {
+                Some(leader) => leader.record(&report, now),
+                None if link.role == Role::Entry => {
+                    self.to_leader(PeerMessage::Report(report));
+                }
+                None => {}
+            },
+            (
+                PeerMessage::Call {
+                    id,
+                    request: Request::Admit(workspace),
+                },
+                Role::Entry,
+            ) => self.admit(workspace, Sink::Peer { link, id }),
+            (PeerMessage::Call { id, .. }, Role::Control) if self.leader.is_none() => {
+                let response = Response::Failed(ErrorKind::NotLeader);
+                link.send(PeerMessage::Reply { id, response });
+            }
+            (PeerMessage::Call { id, request }, _) => {
+                self.call(request, Sink::Peer { link, id });
+            }
+            (PeerMessage::Reply { id, response }, Role::Control) => match response {
+                Response::Failed(ErrorKind::NotLeader | ErrorKind::Unavailable) => {
+                    self.calls.set_target(id, Target::Nobody);
+                }
+                response => self.calls.answer(id, &response),
+            },
+            (PeerMessage::Ping, _) => {}
+            _ => link.reject(),
+        }
+    }
+
+    fn log_packet(&mut self, packet: LogPacket, link: &PeerLink) {
+        let LogPacket { from, to, message } = packet;
+        match () {
+            () if from.name != link.peer || to.name != self.own.name => link.reject(),
+            // Meant for a data directory that is gone.
+            () if to != self.own && to.incarnation != ReplicaId::ANY => {}
+            () => self.step(Event::Receive { from, message }),
+        }
+    }
+
+    pub(super) fn local_call(&mut self, call: ControlCall) {
+        match call {
+            ControlCall::Admit(workspace, reply) => self.admit(workspace, Sink::Admitted(reply)),
+            ControlCall::Grant(request, reply) => {
+                self.call(Request::Grant(request), Sink::Grant(reply));
+            }
+            ControlCall::Propose(change, reply) => {
+                self.call(Request::Propose(change), Sink::Applied(reply));
+            }
+            ControlCall::Report(report) => match self.leader.as_mut() {
+                Some(leader) => leader.record(&report, self.clock.now()),
+                None => {
+                    self.to_leader(PeerMessage::Report(report));
+                }
+            },
+        }
+    }
+
+    fn admit(&mut self, workspace: Name, sink: Sink) {
+        let now = self.clock.now();
+        self.quota.admit(now, workspace, sink);
+        self.ask_ledger(now);
+    }
+
+    pub(super) fn ask_ledger(&mut self, now: Millis) {
+        if let Some(request) = self.quota.request(now) {
+            let reply = self.quota.replies.0.clone();
+            self.call(Request::Grant(request), Sink::Grant(reply));
+        }
+    }
+
+    pub(super) fn call(&mut self, request: Request, sink: Sink) {
+        let until = self.clock.now().plus(self.config.limits.call_ms);
+        if let Some(token) = self.calls.add(request, Some(sink), until) {
+            self.attempt(token);
+        }
+    }
+
+    pub(in crate::control) fn to_leader(&self, message: PeerMessage) -> Option<u64> {
+        let leader = self.replica.status().leader?;
+        let id = self.controls.get(&leader.name)?;
+        let sent = self.links.get(id)?.send(message);
+        sent.then_some(*id)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/subscriber/places.rs
@@ -0,0 +1,127 @@
+//! Settings of a subscriber, and the control instances that it may choose.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pomelovale_protocol::auth::Secret;
+use pomelovale_state::document::{Digest, Document, Instance, MemberState};
+use pomelovale_state::Name;
+use pomelovale_transport::peer_link::{PeerCounters, PeerTimings};
+use serde::Deserialize;
+
+/// A control instance and where it runs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ControlPlace {
+    /// Its instance name.
+    pub name: Name,
+    /// Its address for peers.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: Name,
+    /// Its failure domain.
+    pub domain: Name,
+}
+
+/// Settings of a subscriber.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubscriberConfig {
+    /// Name of this instance.
+    pub name: Name,
+    /// Region of this instance.
+    pub region: Name,
+    /// Failure domain of this instance.
+    pub domain: Name,
+    /// All control instances.
+    pub controls: Vec<ControlPlace>,
+    /// Secret of the deployment.
+    pub secret: Secret,
+    /// Time limits of connections.
+    #[serde(default)]
+    pub timings: PeerTimings,
+    /// Time limits of the subscription.
+    #[serde(default)]
+    pub limits: SubscriberLimits,
+    /// Counters of the connections.
+    #[serde(skip)]
+    pub counters: Arc<PeerCounters>,
+}
+
+/// Time limits of a subscription, in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct SubscriberLimits {
+    /// Longest time that a call waits for an answer.
+    pub call_ms: u64,
+    /// Delay added to each message sent, for tests of distant regions.
+    pub delay_ms: u64,
+    /// Time after which the next control instance is tried as well, while an
+    /// earlier one has not accepted the connection.
+    pub next_ms: u64,
+    /// Time between two renewals.
+    pub renew_ms: u64,
+    /// Time that a chosen control instance is given to prove its document.
+    pub settle_ms: u64,
+    /// Age of the view above which another control instance is chosen. Leaves
+    /// time for two more attempts before keyed requests are refused at 4 s.
+    pub switch_ms: u64,
+}
+
+impl Default for SubscriberLimits {
+    fn default() -> SubscriberLimits {
+        SubscriberLimits {
+            call_ms: 10_000,
+            delay_ms: 0,
+            next_ms: 400,
+            renew_ms: 500,
+            settle_ms: 600,
+            switch_ms: 1_800,
+        }
+    }
+}
+
+/// The control instances in the order in which an instance prefers them: its
+/// failure domain, its region, then by a hash of both names, so that
+/// subscribers spread evenly.
+pub fn ranked(config: &SubscriberConfig) -> Vec<ControlPlace> {
+    let mut places = config.controls.clone();
+    rank(config, &mut places);
+    places
+}
+
+// The control instances of the settings and those that the document names.
+pub(super) fn known(config: &SubscriberConfig, document: &Document) -> Vec<ControlPlace> {
+    let place = |(name, i): (&Name, &Instance)| {
+        let place = ControlPlace {
+            name: name.clone(),
+            address: i.peers?,
+            region: i.region.clone(),
+            domain: i.domain.clone(),
+        };
+        // Gateways have an address for peers as well.
+        (i.state == MemberState::Serving && i.callers.is_none()).then_some(place)
+    };
+    let mut places: Vec<ControlPlace> = document.instances.iter().filter_map(place).collect();
+    for seed in &config.controls {
+        if !places.iter().any(|p| p.name == seed.name) {
+            places.push(seed.clone());
+        }
+    }
+    rank(config, &mut places);
+    places
+}
+
+// 0 in the same failure domain, 1 in the same region, 2 elsewhere.
+pub(super) fn distance(config: &SubscriberConfig, place: &ControlPlace) -> u8 {
+    match () {
+        () if place.region == config.region && place.domain == config.domain => 0,
+        () if place.region == config.region => 1,
+        () => 2,
+    }
+}
+
+fn rank(config: &SubscriberConfig, places: &mut [ControlPlace]) {
+    let hash = |p: &ControlPlace| Digest::of(&[config.name.as_bytes(), p.name.as_bytes()]);
+    places.sort_by_cached_key(|p| (distance(config, p), hash(p)));
+}
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -8,6 +8,7 @@
 //! waiting there costs more than starting anew elsewhere. A request that can't
 //! be answered in a useful time is refused at once.
 
+mod choice;
 mod types;
 
 use std::net::SocketAddr;
@@ -15,33 +16,19 @@
 use indexmap::IndexMap;
 use pomelovale_state::{Millis, Name};
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 
 use crate::estimate::{Held, ServerState, WorkEstimate};
-use crate::spread::{hash, hash_bytes, Spread};
+use crate::spread::Spread;
 
+use choice::Candidate;
 pub use types::{Chosen, Ended, LoadReport, ServerSpec, ServiceSpec, Subject, Verdict};
 
-/// Extra cost of a server in another failure domain of the region, in
-/// milliseconds: the round trip, and the price of its traffic.
-const DOMAIN_COST_MS: f64 = 25.0;
 /// Extra cost of a server in another region, in milliseconds: the round trip.
 const REGION_COST_MS: f64 = 112.0;
-/// Servers of a failure domain among whose objects one that has just joined
-/// takes its place.
-const HOLDERS: usize = 2;
-/// Cost of a server other than the first that holds an object, relative to the
-/// work there. Without it, all servers come to hold all objects, and forget
-/// them.
-const STRAY_PART: f64 = 0.5;
-/// Instances that send to one cold server. Each of them may send one request
-/// ahead of its rate, so that many of them would be more than it bears.
-const WARMERS: usize = 4;
 /// Time for which others are told that a server is sound again, in
 /// milliseconds.
 const BACK_MS: u64 = 2_000;
-/// Part of what a cold server bears that is used.
-const COLD_USED: f64 = 0.8;
 /// Utilization of the own region up to which starting an object anew on another
 /// server takes nothing from others.
 const CALM: f64 = 0.4;
@@ -52,9 +39,6 @@
 /// One in this many remote servers must have reported lately for a judgement of
 /// the other regions.
 const KNOWN_PART: usize = 4;
-/// Relative noise on costs, so that instances with equal views do not all pick
-/// the same idle server.
-const NOISE: f64 = 0.06;
 /// Shortest and longest time after which a refused caller is told to return,
 /// in milliseconds.
 const RETRY_MS: (u64, u64) = (60, 2_000);
@@ -116,26 +100,6 @@
     }
 }
 
-struct Ranks {
-    // Servers that may get the request.
-    open: Vec<usize>,
-    // Whether some of them are in the own failure domain.
-    near: bool,
-    // Those of the own failure domain that come first, the first one first.
-    holders: [usize; HOLDERS],
-    // The first one of each region, with its draw.
-    primaries: Vec<(Name, u64, usize)>,
-}
-
-struct Candidate {
-    index: usize,
-    held: Held,
-    // What goes into the choice: the expected time and what others lose by it.
-    cost: f64,
-    expected: f64,
-    idle: bool,
-}
-
 impl Placement {
     /// Knows no server yet.
     pub fn new(instance: &Name, region: &Name, domain: &Name, seed: u64) -> Placement {
@@ -328,135 +292,6 @@
         (best.expected > limit).then_some(best.expected - limit)
     }
 
-    fn best(
-        &mut self,
-        now: Millis,
-        subject: &Subject,
-        allowed: &dyn Fn(&Name) -> bool,
-    ) -> Option<Candidate> {
-        let ranks = self.rank(subject, allowed);
-        let work = self.work.get(subject.route).cloned().unwrap_or_default();
-        // While slots are scarce, the failure domains of a region share one
-        // holder, since each start of an object costs more than the way there.
-        let shared = !ranks.near || self.pressure > 0.0;
-        let stray = STRAY_PART * work.expected(Held::Known, subject.objective_ms);
-        let mean = self.mean.expected(Held::Known, subject.objective_ms);
-        let mut best: Option<Candidate> = None;
-        for index in ranks.open {
-            let server = &self.servers[index];
-            if !server.state.may_send(now, self.warm_rate()) || !self.may_warm(now, server) {
-                continue;
-            }
-            let primary = ranks.primaries.iter().any(|(_, _, top)| *top == index);
-            let held = match server.state.knows(subject.object) {
-                true => Held::Known,
-                // A server that has just joined would get nothing otherwise.
-                false if server.state.is_fresh() && ranks.holders.contains(&index) => Held::Known,
-                false if primary => Held::Likely,
-                false => Held::Unlikely,
-            };
-            let first = match shared {
-                true => primary,
-                false => ranks.holders[0] == index,
-            };
-            let noise = 1.0 + NOISE * self.rng.random::<f64>();
-            let (expected, idle) = self.expected(now, subject, server, &work, mean, held);
-            let burden = self.pressure * work.extra(held, subject.objective_ms);
-            let astray = if first { 0.0 } else { stray };
-            let cost = (expected + burden + astray) * noise;
-            if best.as_ref().is_none_or(|b| cost < b.cost) {
-                best = Some(Candidate {
-                    index,
-                    held,
-                    cost,
-                    expected,
-                    idle,
-                });
-            }
-        }
-        best
-    }
-
-    // Which servers are open to a request, and which of them hold its object by
-    // a hash.
-    fn rank(&self, subject: &Subject, allowed: &dyn Fn(&Name) -> bool) -> Ranks {
-        let mut ranks = Ranks {
-            open: Vec::with_capacity(self.servers.len()),
-            near: false,
-            holders: [usize::MAX; HOLDERS],
-            primaries: Vec::new(),
-        };
-        let mut tops = [0; HOLDERS];
-        for (index, (name, server)) in self.servers.iter().enumerate() {
-            let spec = &server.spec;
-            if !server.is_usable() || !allowed(&spec.region) || subject.tried.contains(name) {
-                continue;
-            }
-            ranks.open.push(index);
-            let draw = hash(&[subject.object, server.state.salt()]);
-            match ranks.primaries.iter_mut().find(|(r, ..)| *r == spec.region) {
-                Some(top) if top.1 < draw => (top.1, top.2) = (draw, index),
-                Some(_) => {}
-                None => ranks.primaries.push((spec.region.clone(), draw, index)),
-            }
-            if spec.domain != self.domain {
-                continue;
-            }
-            ranks.near = true;
-            let place = tops.iter().position(|top| draw > *top);
-            if let Some(place) = place {
-                tops[place..].rotate_right(1);
-                ranks.holders[place..].rotate_right(1);
-                (tops[place], ranks.holders[place]) = (draw, index);
-            }
-        }
-        ranks
-    }
-
-    // A few instances of its own region share what a cold server bears.
-    fn may_warm(&self, now: Millis, server: &Server) -> bool {
-        if self.service.cold_rate.is_none() || !server.state.is_cold(now) {
-            return true;
-        }
-        let rank = |name: &Name| hash(&[hash_bytes(name.as_bytes()), server.state.salt()]);
-        let own = rank(&self.instance);
-        let before = self.peers.iter().filter(|p| rank(p) > own).count();
-        self.warms && server.spec.region == self.region && before < WARMERS
-    }
-
-    // This instance's part of what a cold server bears.
-    fn warm_rate(&self) -> Option<f64> {
-        let warmers = (self.peers.len() + 1).min(WARMERS) as f64;
-        self.service
-            .cold_rate
-            .map(|rate| rate * COLD_USED / warmers)
-    }
-
-    // Expected time until the answer in milliseconds, and whether a slot is
-    // expected to be free.
-    fn expected(
-        &self,
-        now: Millis,
-        subject: &Subject,
-        server: &Server,
-        work: &WorkEstimate,
-        mean: f64,
-        held: Held,
-    ) -> (f64, bool) {
-        let way = match () {
-            () if server.spec.domain == self.domain => 0.0,
-            () if server.spec.region == self.region => DOMAIN_COST_MS,
-            () => REGION_COST_MS,
-        };
-        let pace = server.state.pace(now);
-        let run = work.expected(held, subject.objective_ms) * pace;
-        let slots = f64::from(server.spec.slots.max(1));
-        let ahead = (server.state.load(now) + 1.0 - slots).max(0.0);
-        let wait = ahead / slots * mean * pace;
-        let risk = server.state.failures(now) * subject.objective_ms as f64;
-        (way + run + wait + risk, ahead < 0.5)
-    }
-
     fn send(&mut self, now: Millis, object: u64, best: &Candidate) -> Verdict {
         let rate = self.warm_rate();
         let server = &mut self.servers[best.index];
