--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -487,3 +487,27 @@
         assert!(start.elapsed() < Duration::from_millis(400));
     }
 }
+
+/// Guards against a second request that may have run twice or not at all because
+/// a server forgets idle connections: after the first loss, others that were
+/// idle as long are not used.
+#[tokio::test]
+async fn idle_connections_are_left_after_one_broke() {
+    // The first two connections are forgotten once they were idle.
+    let script = |seen: &Seen, _: usize| match proven("200 OK", "fine") {
+        _ if seen.connection < 2 && seen.head.contains("/once/late") => Act::Close,
+        Act::Say(bytes) => Act::Late(60, bytes),
+        act => act,
+    };
+    let server = Server::start(script).await;
+    let site = site(Some(document(&[&server]))).await;
+    let first = keyed("POST", "/once/x");
+    let (a, b) = tokio::join!(send(&site, &first), send(&site, &first));
+    assert_eq!((status(&a), status(&b)), (200, 200));
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    let late = keyed("POST", "/once/late");
+    assert_eq!(status(&send(&site, &late).await), 502);
+    assert_eq!(status(&send(&site, &late).await), 200);
+    let used = server.requests().last().map(|seen| seen.connection);
+    assert_eq!(used, Some(2));
+}
