--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -1,12 +1,16 @@
 //! Placement of the requests of one service on its backend servers.
 //!
-//! Answers a load in which all slots of a region are contended by several
-//! instances that do not talk to each other, and in which a backend server
-//! answers much faster if it handled the same object lately. Every instance
-//! ranks the servers of its failure domain by a hash of the object, so that
-//! they agree on the few servers that hold it, and leaves those as soon as
-//! waiting there costs more than starting anew elsewhere. A request that can't
-//! be answered in a useful time is refused at once.
+//! Answers a load in which all slots of a region are contended, and in which a
+//! backend server answers much faster from the moment on at which it began to
+//! handle the same object. Every instance ranks the servers of its failure
+//! domain, or of its region while that is busy, by a hash of the object, so that
+//! all agree on the server that holds it, and leaves that as soon as waiting
+//! there costs more than starting anew elsewhere. A request that can't be
+//! answered in a useful time is refused at once.
+//!
+//! An instance that places the requests of others as well is told how they end,
+//! so that it counts exactly what runs; one that decides alone goes by what
+//! servers report.
 
 mod choice;
 mod types;
