--- /dev/null
+++ b/crates/daemon/tests/gateway_support/fleet.rs
@@ -0,0 +1,130 @@
+//! Several gateways whose mock control instance applies changes to one document.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use pomelovale_coordination::control::{ControlCall, ControlHandle};
+use pomelovale_coordination::view::View;
+use pomelovale_protocol::messages::Admitted;
+use pomelovale_state::command::{Change, Command};
+use pomelovale_state::document::Document;
+use pomelovale_state::machine::StateMachine;
+use pomelovale_state::{Clock, ErrorKind, Millis};
+use pomelovaled::gateway::config::GatewayConfig;
+use pomelovaled::gateway::{Gateway, GatewayHandle};
+
+/// Time for a change to reach the gateways' views.
+const DISTRIBUTION: Duration = Duration::from_millis(20);
+
+#[derive(Default)]
+struct Replicated {
+    machine: Mutex<StateMachine>,
+    views: Mutex<Vec<Arc<View>>>,
+    proposed: Mutex<Vec<Command>>,
+    unreachable: AtomicBool,
+}
+
+impl Replicated {
+    fn publish(&self) {
+        let document = self.machine.lock().unwrap().document.clone();
+        for view in self.views.lock().unwrap().iter() {
+            view.publish(document.clone());
+        }
+    }
+}
+
+/// Gateways that share a document.
+pub struct Fleet {
+    replicated: Arc<Replicated>,
+    handle: ControlHandle,
+    pub gateways: Vec<GatewayHandle>,
+}
+
+impl Fleet {
+    pub async fn start(count: usize, document: Document) -> Fleet {
+        let (handle, calls) = ControlHandle::new(1_024);
+        let replicated = Arc::new(Replicated::default());
+        replicated.machine.lock().unwrap().document = document;
+        let control = replicated.clone();
+        tokio::spawn(async move {
+            while let Ok(call) = calls.recv_async().await {
+                match call {
+                    ControlCall::Admit(_, reply) => drop(reply.send(Ok(Admitted::Granted))),
+                    ControlCall::Propose(_, reply)
+                        if control.unreachable.load(Ordering::SeqCst) =>
+                    {
+                        drop(reply.send(Err(ErrorKind::NotLeader)));
+                    }
+                    ControlCall::Propose(change, reply) => {
+                        let command = change.command.clone();
+                        control.proposed.lock().unwrap().push(command);
+                        let applied = control.machine.lock().unwrap().apply(&change);
+                        let _ = reply.send(Ok(applied));
+                        let publishing = control.clone();
+                        tokio::spawn(async move {
+                            tokio::time::sleep(DISTRIBUTION).await;
+                            publishing.publish();
+                        });
+                    }
+                    ControlCall::Grant(..) | ControlCall::Report(_) => {}
+                }
+            }
+        });
+        let mut fleet = Fleet {
+            replicated,
+            handle,
+            gateways: Vec::new(),
+        };
+        for _ in 0..count {
+            fleet.add_gateway().await;
+        }
+        fleet
+    }
+
+    /// Starts one more gateway, which knows the document only.
+    pub async fn add_gateway(&mut self) {
+        let view = Arc::new(View::default());
+        self.replicated.views.lock().unwrap().push(view.clone());
+        self.replicated.publish();
+        view.prove(Millis(0));
+        let config = GatewayConfig {
+            instance: format!("g{}", self.gateways.len()).into(),
+            region: "north".into(),
+            domain: "north-a".into(),
+            ..GatewayConfig::default()
+        };
+        let gateway = Gateway::start(config, view, self.handle.clone(), Clock::monotonic()).await;
+        self.gateways.push(gateway.expect("the gateway starts"));
+    }
+
+    /// Whether the control instances accept changes.
+    pub fn set_reachable(&self, reachable: bool) {
+        self.replicated
+            .unreachable
+            .store(!reachable, Ordering::SeqCst);
+    }
+
+    /// Applies a command and distributes it.
+    pub fn apply(&self, command: Command) {
+        let change = Change {
+            request: format!("{command:?}").into(),
+            sender: "test".into(),
+            base: None,
+            at: Millis(1),
+            command,
+        };
+        let applied = self.replicated.machine.lock().unwrap().apply(&change);
+        assert!(!format!("{applied:?}").contains("Refused"), "{applied:?}");
+        self.replicated.publish();
+    }
+
+    pub fn proposed(&self, matches: impl Fn(&Command) -> bool) -> usize {
+        let proposed = self.replicated.proposed.lock().unwrap();
+        proposed.iter().filter(|c| matches(c)).count()
+    }
+
+    pub fn document(&self) -> Document {
+        self.replicated.machine.lock().unwrap().document.clone()
+    }
+}
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -25,6 +25,8 @@
 
 use crate::entry_support::{ReceivedRequest, Server, ServerAction};
 
+pub mod fleet;
+
 pub const KEY: &str = "xd9dnn2ctnfz";
 
 pub fn route(name: &str, prefix: &str, repeat: Repeat) -> HostRoute {
