Count servers that end together as one crash of a request

Callers saw: a lookup that several servers were running when they ended at the same moment (the loss of a failure domain) was answered 502, and refused by all instances for ten minutes.

Cause: crashes were counted by server. Two servers that end for one reason gave two crashes to every request that both were running. The records had no bound, and a proposal that failed during a leader change was forgotten by all but the instance that sent it.

Change: crashes of a request are numbered. A crash counts only if the run began after the last counted one was known, so that copies in flight together give the same number, on all instances. This also counts a server that crashes again under the name it had. Proposals are repeated until they are accepted, batched, and delayed at random for answers, which many instances may see at once. The document keeps at most 512 records, and those of quarantined requests longest. Runs that callers or timeouts abandoned, and streamed answers that were cut, count if their server turns out to have ended. The tracker is now a module of its own, so that the gateway role can use it.

entry_crashes::a_lookup_at_servers_that_end_together_is_served failed before (502 four times) and passes; state and steering have cases for the bound and the numbers.

--- /dev/null
+++ b/crates/daemon/src/crash/mod.rs
@@ -0,0 +1,309 @@
+//! Requests under which backend servers crashed.
+//!
+//! A request that crashes each server that runs it is quarantined on all instances.
+//! Instances recognize it by its fingerprint and record crashes in the document. A
+//! crash counts only if the run began after the previous counted crash was known,
+//! so that servers which end together count once, however many copies of a popular
+//! request they ran. An answer clears the record.
+
+mod reports;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use pomelovale_coordination::control::ControlHandle;
+use pomelovale_coordination::view::View;
+use pomelovale_state::command::{CRASH_RETENTION_MS, QUARANTINE_CRASHES};
+use pomelovale_state::document::{Digest, Document, MemberState};
+use pomelovale_state::{Clock, Millis, Name};
+use pomelovale_steering::quarantine::{self, Quarantine};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use reports::PendingChanges;
+
+/// Time for which a connection to a server must stay open: a terminating process closes
+/// its connections and its listener one by one. In milliseconds.
+const SETTLE_MS: u64 = 25;
+/// Time after a run was abandoned within which a crash of its server counts against
+/// the request, in milliseconds.
+const ABANDONED_RUN_MS: u64 = 3_000;
+/// Maximum number of abandoned runs; the oldest one is dropped first.
+const ABANDONED_RUNS_MAX: usize = 1_024;
+
+/// Settings of a [`CrashTracker`], in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashTimings {
+    /// Timeout for connecting to a server that may have crashed.
+    pub connect_ms: u64,
+    /// Timeout for a reply of the control instances.
+    pub control_ms: u64,
+    /// Longest wait until a recorded crash has reached this instance's view.
+    pub spread_ms: u64,
+}
+
+/// A request that was sent to a server.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Fingerprint of the request.
+    pub fingerprint: Digest,
+    /// The server.
+    pub server: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Number of the last crash that was known when the request was sent.
+    pub known: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Crashes that are not in the document yet.
+    own: Quarantine,
+    /// Time in the document, and the local time at which it was first seen.
+    log_time: Millis,
+    first_seen: Millis,
+    /// Changes of the crash records that are still to be proposed.
+    pending: PendingChanges,
+    /// Runs whose outcome nobody waits for any more.
+    abandoned: VecDeque<(Millis, Run)>,
+}
+
+impl Inner {
+    // Crashes counted for a request, and when their record expires on the local clock.
+    fn crashes(
+        &mut self,
+        document: &Document,
+        now: Millis,
+        fingerprint: &Digest,
+    ) -> (Vec<Name>, Millis) {
+        if document.time > self.log_time {
+            (self.log_time, self.first_seen) = (document.time, now);
+        }
+        let log_now = self.log_time.plus(now.since(self.first_seen));
+        let recorded = document.crashes.get(fingerprint);
+        let recorded = recorded.filter(|r| log_now < r.until);
+        let own = self.own.crashes(now, fingerprint);
+        let mut crashes: Vec<Name> = recorded.map_or_else(Vec::new, |r| r.crashed.clone());
+        let unrecorded = own.iter().filter(|crash| !crashes.contains(crash));
+        let unrecorded: Vec<Name> = unrecorded.cloned().collect();
+        let left_ms = match (recorded, unrecorded.is_empty()) {
+            (Some(record), true) => record.until.since(log_now),
+            _ => CRASH_RETENTION_MS,
+        };
+        crashes.extend(unrecorded);
+        (crashes, now.plus(left_ms))
+    }
+}
+
+/// Tracks crashes that this instance observed, besides those in the document, and
+/// records them with the control instances.
+#[derive(Debug)]
+pub struct CrashTracker {
+    instance: Name,
+    view: Arc<View>,
+    control: ControlHandle,
+    clock: Clock,
+    timings: CrashTimings,
+    /// Random for each start of the process, so that identifiers never repeat.
+    start: u64,
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+impl CrashTracker {
+    /// Creates a tracker without crashes. [`CrashTracker::run`] must be polled for the
+    /// crashes to be recorded.
+    pub fn new(
+        instance: Name,
+        view: Arc<View>,
+        control: ControlHandle,
+        clock: Clock,
+        timings: CrashTimings,
+    ) -> CrashTracker {
+        CrashTracker {
+            instance,
+            view,
+            control,
+            clock,
+            timings,
+            start: rand::random(),
+            inner: Mutex::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic while held")
+    }
+
+    // Runs `f` on the crashes of a request. The fingerprint is only computed if there
+    // is any record to compare it with.
+    fn with_crashes<R: Default>(
+        &self,
+        fingerprint: impl FnOnce() -> Digest,
+        f: impl FnOnce(&[Name], Millis) -> R,
+    ) -> R {
+        let document = self.view.document();
+        let mut inner = self.lock();
+        if document.crashes.is_empty() && inner.own.is_empty() {
+            return R::default();
+        }
+        let fingerprint = fingerprint();
+        // An answer has cleared the record, and the document doesn't show it yet.
+        if inner.pending.is_clearing(&fingerprint) {
+            return R::default();
+        }
+        let (crashes, until) = inner.crashes(&document, self.clock.now(), &fingerprint);
+        f(&crashes, until)
+    }
+
+    /// Returns the time until a quarantined request may run again, in milliseconds, or
+    /// `None` if it may run.
+    pub fn blocked_ms(&self, fingerprint: impl FnOnce() -> Digest) -> Option<u64> {
+        self.with_crashes(fingerprint, |crashes, until| {
+            let blocked = crashes.len() >= QUARANTINE_CRASHES;
+            blocked.then(|| until.since(self.clock.now()))
+        })
+    }
+
+    /// Number of the last crash known under a request, to be kept in its [`Run`].
+    pub fn last_crash(&self, fingerprint: impl FnOnce() -> Digest) -> u64 {
+        self.with_crashes(fingerprint, |crashes, _| quarantine::last_crash(crashes))
+    }
+
+    /// Checks whether the server of a run whose connection was cut has crashed, and
+    /// records that. Completes also if the returned future is dropped.
+    pub async fn check(self: &Arc<Self>, run: Run) -> bool {
+        let tracker = self.clone();
+        let check = tokio::spawn(async move {
+            let limit = Millis(tracker.timings.connect_ms).duration();
+            let crashed = is_down(run.address, limit).await;
+            if crashed {
+                tracker.record_crash(&run);
+            }
+            crashed
+        });
+        check.await.unwrap_or(false)
+    }
+
+    /// Keeps a run that ended without an answer and without a cut connection, in case
+    /// its server turns out to have crashed.
+    pub fn abandon(&self, run: Run) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner
+            .abandoned
+            .retain(|(at, _)| now.since(*at) < ABANDONED_RUN_MS);
+        if inner.abandoned.len() >= ABANDONED_RUNS_MAX {
+            inner.abandoned.pop_front();
+        }
+        inner.abandoned.push_back((now, run));
+    }
+
+    /// Checks the servers of abandoned runs that may have crashed: those in state
+    /// `Away`, and those for which `is_suspect` holds.
+    pub fn check_abandoned(self: &Arc<Self>, is_suspect: impl Fn(&Name) -> bool) {
+        let (now, document) = (self.clock.now(), self.view.document());
+        let is_away = |name: &Name| {
+            let backend = document.backends.get(name);
+            backend.is_some_and(|b| b.state == MemberState::Away)
+        };
+        let mut inner = self.lock();
+        if inner.abandoned.is_empty() {
+            return;
+        }
+        let all = std::mem::take(&mut inner.abandoned).into_iter();
+        let recent = all.filter(|(at, _)| now.since(*at) < ABANDONED_RUN_MS);
+        let (suspect, rest): (VecDeque<_>, VecDeque<_>) =
+            recent.partition(|(_, run)| is_away(&run.server) || is_suspect(&run.server));
+        inner.abandoned = rest;
+        drop(inner);
+        let mut by_address: IndexMap<SocketAddr, Vec<Run>> = IndexMap::new();
+        for (_, run) in suspect {
+            by_address.entry(run.address).or_default().push(run);
+        }
+        for (address, runs) in by_address {
+            let tracker = self.clone();
+            tokio::spawn(async move {
+                let limit = Millis(tracker.timings.connect_ms).duration();
+                if is_down(address, limit).await {
+                    runs.iter().for_each(|run| tracker.record_crash(run));
+                }
+            });
+        }
+    }
+
+    // Records that a server crashed under a run.
+    fn record_crash(&self, run: &Run) {
+        let (now, document) = (self.clock.now(), self.view.document());
+        let fingerprint = &run.fingerprint;
+        let mut inner = self.lock();
+        let (crashes, _) = inner.crashes(&document, now, fingerprint);
+        let crash = quarantine::next_crash(&crashes, run.known);
+        metrics::counter!("entry_backend_crashes_total").increment(1);
+        tracing::info!(event = "server-ended", server = %run.server, %fingerprint,
+            known = run.known, crash = crash.as_deref());
+        let Some(crash) = crash else {
+            return;
+        };
+        inner.own.record_crash(now, *fingerprint, &crash);
+        let request = self.request_id(fingerprint, &crash);
+        inner.pending.add_crash(*fingerprint, crash, request);
+        drop(inner);
+        self.wake.notify_one();
+    }
+
+    /// Clears the record of a request that a server has answered. Otherwise, popular
+    /// lookups that are in flight when a failure domain is lost would be refused by all
+    /// instances.
+    pub fn record_answer(&self, fingerprint: impl FnOnce() -> Digest) {
+        let document = self.view.document();
+        let mut inner = self.lock();
+        if document.crashes.is_empty() && inner.own.is_empty() {
+            return;
+        }
+        let fingerprint = fingerprint();
+        inner.own.forget(&fingerprint);
+        let recorded = document.crashes.contains_key(&fingerprint);
+        let known = recorded || inner.pending.contains(&fingerprint);
+        if inner.pending.is_clearing(&fingerprint) || !known {
+            return;
+        }
+        metrics::counter!("entry_crashes_cleared_total").increment(1);
+        tracing::info!(event = "crashes-cleared", %fingerprint);
+        let request = self.request_id(&fingerprint, "clear");
+        let instances = document.instances.len();
+        inner.pending.add_clear(fingerprint, request, instances);
+        drop(inner);
+        self.wake.notify_one();
+    }
+
+    fn request_id(&self, fingerprint: &Digest, change: &str) -> Name {
+        let nonce: u32 = rand::random();
+        let request = format!(
+            "{}-{:x}-{nonce:x}-{change}-{:.8}",
+            self.instance,
+            self.start,
+            fingerprint.to_string()
+        );
+        Name::from(request)
+    }
+}
+
+/// Whether a server whose connection was cut no longer accepts connections.
+pub(crate) async fn is_down(address: SocketAddr, limit: Duration) -> bool {
+    let settle = Millis(SETTLE_MS).duration();
+    match timeout(limit, TcpStream::connect(address)).await {
+        // The listener of a terminating process may still complete a handshake.
+        Ok(Ok(mut stream)) => {
+            let mut byte = [0];
+            timeout(settle, stream.read(&mut byte)).await.is_ok()
+        }
+        Ok(Err(_)) | Err(_) => true,
+    }
+}
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -20,7 +20,8 @@
 
 use super::keys::{self, VerifiedKey};
 use super::steering::{AttemptEnd, Choice, Permit, RequestInfo};
-use super::{crash, Shared};
+use super::Shared;
+use crate::crash::Run;
 
 const NOT_RUN: &[u8] = b"not-run";
 
@@ -54,8 +55,12 @@
 impl AdmittedRequest {
     /// Returns the SHA-256 of method, path with query, and body.
     pub fn fingerprint(&self) -> Digest {
-        let compute = || crash::fingerprint(self.method.as_str(), &self.target, &self.body);
-        *self.fingerprint.get_or_init(compute)
+        let parts = [
+            self.method.as_str().as_bytes(),
+            self.target.as_bytes(),
+            &self.body,
+        ];
+        *self.fingerprint.get_or_init(|| Digest::of(&parts))
     }
 
     fn left(&self) -> Duration {
@@ -69,12 +74,10 @@
         if let Some(verified_key) = &self.verified_key {
             keys::recheck(&shared.view, now, verified_key)?;
         }
-        let document = shared.view.document();
-        let fingerprint = || self.fingerprint();
-        match shared.crashes.is_blocked(&document, now, fingerprint) {
-            true => Err(ErrorKind::Quarantined),
-            false if self.left().is_zero() => Err(ErrorKind::DeadlineSpent),
-            false => Ok(()),
+        match shared.crashes.blocked_ms(|| self.fingerprint()) {
+            Some(_) => Err(ErrorKind::Quarantined),
+            None if self.left().is_zero() => Err(ErrorKind::DeadlineSpent),
+            None => Ok(()),
         }
     }
 }
@@ -89,9 +92,12 @@
 /// Records the end of an attempt; records it as cancelled if dropped before.
 struct AttemptGuard {
     shared: Arc<Shared>,
+    admitted: Arc<AdmittedRequest>,
     choice: Choice,
-    permit: Arc<Permit>,
+    // Last crash of the request that was known when the attempt began.
+    known: u64,
     since: Instant,
+    sent: bool,
     ended: bool,
 }
 
@@ -103,13 +109,26 @@
         self.ended = true;
         let now = self.shared.clock.now();
         let latency_ms = self.since.elapsed().as_millis() as u64;
-        self.permit.record(end, latency_ms);
+        self.admitted.permit.record(end, latency_ms);
+        if self.sent && matches!(end, AttemptEnd::Cancelled | AttemptEnd::TimedOut) {
+            let run = run(&self.admitted, &self.choice, self.known);
+            self.shared.crashes.abandon(run);
+        }
         let steering = &self.shared.steering;
         steering.finish(now, &self.choice, end, latency_ms);
         metrics::histogram!("entry_attempt_seconds").record(self.since.elapsed());
     }
 }
 
+fn run(admitted: &AdmittedRequest, choice: &Choice, known: u64) -> Run {
+    Run {
+        fingerprint: admitted.fingerprint(),
+        server: choice.server.clone(),
+        address: choice.address,
+        known,
+    }
+}
+
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.end(AttemptEnd::Cancelled);
@@ -122,6 +141,8 @@
     tried: Vec<Name>,
     attempts: usize,
     cut_connections: usize,
+    // Last crash of the request that was known when the last attempt began.
+    known_crash: u64,
     // Servers in the failure domain of the server that crashed last. They are
     // avoided if others are available.
     suspect_servers: Vec<Name>,
@@ -142,6 +163,7 @@
     shared: Arc<Shared>,
     admitted: AdmittedRequest,
 ) -> Result<Response<CallerBody>, ErrorKind> {
+    let admitted = Arc::new(admitted);
     let mut retries = RetryState::default();
     loop {
         admitted
@@ -160,6 +182,7 @@
             return Err(retries.final_error(kind));
         };
         retries.attempts += 1;
+        retries.known_crash = shared.crashes.last_crash(|| admitted.fingerprint());
         let trace = admitted.trace.child();
         let span = tracing::info_span!("attempt", server = %choice.server, trace = %trace);
         let outcome = attempt(&shared, &admitted, &choice, trace, &retries)
@@ -167,14 +190,8 @@
             .await;
         let failure = match outcome {
             AttemptOutcome::Answer(response) => {
-                let complete = matches!(response.body(), CallerBody::Full(_));
-                let document = shared.view.document();
-                if complete
-                    && shared
-                        .crashes
-                        .is_suspect(&document, now, || admitted.fingerprint())
-                {
-                    crash::clear(&shared, admitted.fingerprint());
+                if matches!(response.body(), CallerBody::Full(_)) {
+                    shared.crashes.record_answer(|| admitted.fingerprint());
                 }
                 return Ok(response);
             }
@@ -218,33 +235,22 @@
         ExchangeError::Silent => ErrorKind::UnknownTimeout,
         _ => ErrorKind::UnknownOutcome,
     });
-    let limit = Duration::from_millis(shared.config.connect_ms);
     if failure.fault == ExchangeError::Cut {
         retries.cut_connections += 1;
-        if crash::is_down(choice.address, limit).await {
+        let run = run(admitted, choice, retries.known_crash);
+        if shared.crashes.check(run).await {
             // The whole failure domain may be failing.
-            retries.suspect_servers = servers_in_domain_of(shared, &choice.server);
-            crash::report(shared, admitted.fingerprint(), &choice.server).await;
+            retries.suspect_servers = shared.view.document().domain_peers(&choice.server);
+            let fingerprint = admitted.fingerprint();
+            shared.crashes.wait_until_recorded(&fingerprint).await;
         }
     }
     admitted.idempotent && retries.cut_connections <= 1 && shared.steering.try_spend(service)
 }
 
-fn servers_in_domain_of(shared: &Shared, server: &Name) -> Vec<Name> {
-    let document = shared.view.document();
-    let Some(down) = document.backends.get(server) else {
-        return Vec::new();
-    };
-    let members = document
-        .backends
-        .iter()
-        .filter(|(_, b)| b.service == down.service && b.domain == down.domain);
-    members.map(|(name, _)| name.clone()).collect()
-}
-
 async fn attempt(
     shared: &Arc<Shared>,
-    admitted: &AdmittedRequest,
+    admitted: &Arc<AdmittedRequest>,
     choice: &Choice,
     trace: TraceContext,
     retries: &RetryState,
@@ -252,9 +258,11 @@
     let config = &shared.config;
     let mut running = AttemptGuard {
         shared: shared.clone(),
+        admitted: admitted.clone(),
         choice: choice.clone(),
-        permit: admitted.permit.clone(),
+        known: retries.known_crash,
         since: Instant::now(),
+        sent: false,
         ended: false,
     };
     let failed_before_write = |fault| {
@@ -267,6 +275,8 @@
         Ok(connection) => connection,
         Err(fault) => {
             running.end(AttemptEnd::Failed);
+            let unreachable = |name: &Name| *name == choice.server;
+            shared.crashes.check_abandoned(unreachable);
             return failed_before_write(fault);
         }
     };
@@ -277,6 +287,7 @@
         // Nothing was written, so this is reported like a failed connect.
         return failed_before_write(ExchangeError::Connect);
     }
+    running.sent = true;
     let id = shared.unique_id();
     let request = request(admitted, choice, trace, &id);
     let may_follow = admitted.idempotent && retries.attempts < config.attempts;
@@ -455,6 +466,10 @@
             let address = running.choice.address;
             running.shared.pool.put(address, connection);
             running.end(AttemptEnd::Complete);
+            let AttemptGuard {
+                shared, admitted, ..
+            } = &running;
+            shared.crashes.record_answer(|| admitted.fingerprint());
         }
         // `Cancelled` is not counted as a failure of the region.
         Err(ExchangeError::Cut) => running.end(AttemptEnd::Cancelled),
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -1,7 +1,6 @@
 //! The entry role: accepts requests of callers and forwards them to backend servers.
 
 pub mod config;
-pub mod crash;
 pub mod forward;
 pub mod intent;
 pub mod keys;
@@ -30,9 +29,10 @@
 use tokio::task::{JoinHandle, JoinSet};
 
 use config::EntryConfig;
-use crash::CrashTracker;
 use steering::EntrySteering;
 
+use crate::crash::{CrashTimings, CrashTracker};
+
 // Attempts to report that this instance leaves, and the pause between them. The
 // retries must outlast the election of a new leader, which takes about 2 s.
 const LEAVE_ATTEMPTS: usize = 5;
@@ -47,7 +47,7 @@
     clock: Clock,
     steering: Arc<EntrySteering>,
     pool: Pool,
-    crashes: CrashTracker,
+    crashes: Arc<CrashTracker>,
     leaving: AtomicBool,
     held: AtomicUsize,
     // Random for each start of the process, so that identifiers never repeat.
@@ -137,6 +137,17 @@
             .attach_with(|| format!("can't listen on {}", config.listen))?;
         let (task_guard, done) = mpsc::channel(1);
         let start = rand::random();
+        let crashes = CrashTracker::new(
+            config.instance.clone(),
+            view.clone(),
+            control.clone(),
+            clock.clone(),
+            CrashTimings {
+                connect_ms: config.connect_ms,
+                control_ms: config.control_ms,
+                spread_ms: config.spread_ms,
+            },
+        );
         let steering = EntrySteering::new(&config, view.clone(), clock.clone(), start);
         let shared = Arc::new(Shared {
             steering: Arc::new(steering),
@@ -145,7 +156,7 @@
             control,
             clock,
             pool: Pool::default(),
-            crashes: CrashTracker::default(),
+            crashes: Arc::new(crashes),
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             start,
@@ -163,6 +174,7 @@
         let (timeout_shared, limiter_shared) = (shared.clone(), shared.clone());
         let mut background_tasks = JoinSet::new();
         background_tasks.spawn(poll::run(shared.clone()));
+        background_tasks.spawn(shared.crashes.clone().run());
         background_tasks.spawn(async move { poll::run_queue_timeouts(&timeout_shared).await });
         background_tasks.spawn(async move {
             let control = limiter_shared.control.clone();
@@ -209,6 +221,8 @@
         self.server.stop().await;
         drop(self.task_guard);
         let _ = self.done.recv().await;
+        let limit = Millis(self.shared.config.control_ms).duration();
+        self.shared.crashes.flush(limit).await;
         self.background_tasks.shutdown().await;
         log::info!("{}: stopped", self.shared.config.instance);
     }
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -4,6 +4,7 @@
 use http::header::{self, HeaderValue};
 use http::{Response, StatusCode};
 use pomelovale_protocol::http::OUTCOME;
+use pomelovale_state::command::CRASH_RETENTION_MS;
 use pomelovale_state::ErrorKind;
 use pomelovale_transport::body::CallerBody;
 
@@ -21,7 +22,10 @@
 
 impl From<ErrorKind> for Refusal {
     fn from(kind: ErrorKind) -> Refusal {
-        let retry_ms = DEFAULT_RETRY_MS;
+        let retry_ms = match kind {
+            ErrorKind::Quarantined => CRASH_RETENTION_MS,
+            _ => DEFAULT_RETRY_MS,
+        };
         Refusal { kind, retry_ms }
     }
 }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
 use super::{connections, server_selection, Shared};
-use crate::entry::crash;
+use crate::crash;
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The pomelovale daemon.
 
 pub mod control;
+pub mod crash;
 pub mod discovery;
 pub mod entry;
 pub mod error_report;
--- a/crates/daemon/tests/entry_crashes.rs
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -89,3 +89,32 @@
     }
     assert_eq!(failing.iter().filter(|s| s.is_down()).count(), 1);
 }
+
+/// Guards against a popular lookup that is quarantined because servers that end
+/// together were all running it.
+#[tokio::test]
+async fn a_lookup_at_servers_that_end_together_is_served() {
+    let mut failing = Vec::new();
+    for _ in 0..4 {
+        failing.push(Server::start(|_, _| ServerAction::CrashAfter(100)).await);
+    }
+    let other = Server::start(|_, _| ok("done")).await;
+    let control = setup(&failing.iter().collect::<Vec<_>>());
+    let entries = [control.entry(|_| {}).await, control.entry(|_| {}).await];
+    let all = async {
+        tokio::join!(
+            lookup(&entries[0]),
+            lookup(&entries[1]),
+            lookup(&entries[0]),
+            lookup(&entries[1]),
+        )
+    };
+    let in_flight = async {
+        until(|| failing.iter().map(|s| s.requests().len()).sum::<usize>() == 4).await;
+        add_server(&control, "far", other.address, "north-b");
+    };
+    let (statuses, ()) = tokio::join!(all, in_flight);
+    assert!(failing.iter().filter(|s| s.is_down()).count() > 1);
+    assert_eq!(statuses, (200, 200, 200, 200));
+    assert_eq!(lookup(&entries[0]).await, 200);
+}
--- a/crates/daemon/tests/entry_support/server.rs
+++ b/crates/daemon/tests/entry_support/server.rs
@@ -23,6 +23,8 @@
     Close,
     /// Closes all connections and the listener, like a process that terminates.
     Crash,
+    /// Waits this many milliseconds, then does the same.
+    CrashAfter(u64),
 }
 
 pub fn ok(body: &str) -> ServerAction {
@@ -157,6 +159,10 @@
             }
             ServerAction::Close => return false,
             ServerAction::Crash => return true,
+            ServerAction::CrashAfter(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                return true;
+            }
         }
     }
     false
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -14,10 +14,13 @@
 use crate::routing::Routing;
 use crate::{ErrorKind, Millis, Name};
 
-/// Number of crashed backend servers after which a request is quarantined.
+/// Number of crashes after which a request is quarantined.
 pub const QUARANTINE_CRASHES: usize = 2;
 /// How long a crash record is kept after the latest crash.
 pub const CRASH_RETENTION_MS: u64 = 600_000;
+/// Maximum number of crash records. If it is reached, the record with the fewest
+/// crashes is dropped, and of those the oldest one.
+pub const CRASH_RECORDS_MAX: usize = 512;
 /// Maximum number of commands in a [`Command::Batch`].
 pub const BATCH_MAX: usize = 10_000;
 
@@ -141,8 +144,8 @@
     RecordCrash {
         /// Fingerprint of the request.
         fingerprint: Digest,
-        /// Backend server that crashed.
-        backend: Name,
+        /// Identifier of the crash. Crashes with the same one count once.
+        crash: Name,
     },
     /// Removes a backend server.
     RemoveBackend(Name),
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -184,7 +184,7 @@
 /// Record of a request that crashed backend servers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashRecord {
-    /// Backend servers that crashed while they ran the request.
+    /// Identifiers of the crashes of backend servers that ran the request.
     pub crashed: Vec<Name>,
     /// Expiry of the record, in log time.
     pub until: Millis,
@@ -249,8 +249,19 @@
         })
     }
 
-    /// Whether requests with a fingerprint are refused, because they crashed
-    /// [`crate::command::QUARANTINE_CRASHES`] backend servers.
+    /// Backend servers of the same service in the failure domain of a server, which is
+    /// one of them.
+    pub fn domain_peers(&self, server: &Name) -> Vec<Name> {
+        let Some(of) = self.backends.get(server) else {
+            return Vec::new();
+        };
+        let same = |b: &Backend| b.service == of.service && b.domain == of.domain;
+        let peers = self.backends.iter().filter(|(_, b)| same(b));
+        peers.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether requests with a fingerprint are refused, because backend servers
+    /// crashed under them [`crate::command::QUARANTINE_CRASHES`] times.
     pub fn is_quarantined(&self, fingerprint: &Digest, now: Millis) -> bool {
         self.crashes
             .get(fingerprint)
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -7,7 +7,7 @@
 
 use crate::command::{
     Applied, Change, Command, Item, Refusal, Scope, Winner, WinnersByItem, BATCH_MAX,
-    CRASH_RETENTION_MS,
+    CRASH_RECORDS_MAX, CRASH_RETENTION_MS,
 };
 use crate::document::{CrashRecord, Document, Key, KeyHolder, MemberState, Workspace};
 use crate::intents::Intents;
@@ -305,11 +305,8 @@
             document.workspaces.insert(name.clone(), workspace.clone());
             Ok(())
         }
-        Command::RecordCrash {
-            fingerprint,
-            backend,
-        } => {
-            record_crash(document, *fingerprint, backend);
+        Command::RecordCrash { fingerprint, crash } => {
+            record_crash(document, *fingerprint, crash);
             Ok(())
         }
         Command::RemoveBackend(name) => match document.backends.shift_remove(name) {
@@ -472,16 +469,25 @@
     Ok(())
 }
 
-fn record_crash(document: &mut Document, fingerprint: crate::document::Digest, backend: &Name) {
+fn record_crash(document: &mut Document, fingerprint: crate::document::Digest, crash: &Name) {
     let now = document.time;
-    document.crashes.retain(|_, b| now < b.until);
+    let crashes = &mut document.crashes;
+    crashes.retain(|_, b| now < b.until);
+    if crashes.len() >= CRASH_RECORDS_MAX && !crashes.contains_key(&fingerprint) {
+        let least = crashes
+            .iter()
+            .min_by_key(|(_, record)| (record.crashed.len(), record.until));
+        if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
+            crashes.shift_remove(&least);
+        }
+    }
     let until = now.plus(CRASH_RETENTION_MS);
-    let record = document.crashes.entry(fingerprint).or_insert(CrashRecord {
+    let record = crashes.entry(fingerprint).or_insert(CrashRecord {
         crashed: Vec::new(),
         until: Millis(0),
     });
     record.until = until;
-    if !record.crashed.contains(backend) {
-        record.crashed.push(backend.clone());
+    if !record.crashed.contains(crash) {
+        record.crashed.push(crash.clone());
     }
 }
--- a/crates/state/tests/machine.rs
+++ b/crates/state/tests/machine.rs
@@ -1,6 +1,8 @@
 //! The state machine: versions, conflicts, retries and references.
 
-use pomelovale_state::command::{Applied, Change, Command, Item, QUARANTINE_CRASHES};
+use pomelovale_state::command::{
+    Applied, Change, Command, Item, CRASH_RECORDS_MAX, QUARANTINE_CRASHES,
+};
 use pomelovale_state::digest::Digest;
 use pomelovale_state::document::{Backend, KeyHolder, MemberState, Region, Service, Workspace};
 use pomelovale_state::machine::StateMachine;
@@ -202,7 +204,7 @@
         }),
         Command::RecordCrash {
             fingerprint: Digest([7; 32]),
-            backend: "b".into(),
+            crash: "1".into(),
         },
         Command::SetBackend {
             name: "b".into(),
@@ -225,11 +227,8 @@
     let fingerprint = Digest([9; 32]);
     for i in 0..QUARANTINE_CRASHES {
         assert!(!machine.document.is_quarantined(&fingerprint, Millis(0)));
-        let backend = Name::from(format!("b{i}"));
-        let command = Command::RecordCrash {
-            fingerprint,
-            backend,
-        };
+        let crash = Name::from(i.to_string());
+        let command = Command::RecordCrash { fingerprint, crash };
         accepted(&machine.apply(&change(&format!("crash-{i}"), "e", None, 5, command)));
     }
     assert!(machine
@@ -240,6 +239,30 @@
         .is_quarantined(&fingerprint, Millis(600_005)));
 }
 
+/// Guards against crash records without a bound, and against dropping the record of a
+/// quarantined request when many servers end at once.
+#[test]
+fn crash_records_are_bounded_and_keep_quarantined_requests() {
+    let mut machine = machine();
+    let mut record = |n: u64, crash: &str| {
+        let mut fingerprint = Digest([0; 32]);
+        fingerprint.0[..8].copy_from_slice(&n.to_le_bytes());
+        let crash = Name::from(crash);
+        let request = format!("crash-{n}-{crash}");
+        let command = Command::RecordCrash { fingerprint, crash };
+        accepted(&machine.apply(&change(&request, "e", None, n, command)));
+        (fingerprint, machine.document.clone())
+    };
+    record(1, "1");
+    let (quarantined, _) = record(1, "2");
+    for n in 2..2 * CRASH_RECORDS_MAX as u64 {
+        let (latest, document) = record(n, "1");
+        assert!(document.crashes.len() <= CRASH_RECORDS_MAX);
+        assert!(document.crashes.contains_key(&latest));
+        assert!(document.is_quarantined(&quarantined, Millis(n)));
+    }
+}
+
 /// Guards against a step that is taken out of order or on a held move, and
 /// against a change of a step in force.
 #[test]
--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -1,7 +1,11 @@
-//! Quarantine of requests that crash backend servers, local to one entry.
+//! Quarantine of requests that crash backend servers, local to one instance.
 //!
-//! The replicated document holds the crashes that all entries have seen. This local
+//! The replicated document holds the crashes that all instances have seen. This local
 //! record takes effect at once, before the document has been updated.
+//!
+//! The crashes of a request are numbered, and their numbers identify them: all
+//! instances give the same number to crashes of which none was known when the others'
+//! runs began. Servers that end together thus count as one crash.
 
 use indexmap::IndexMap;
 use pomelovale_state::command::{CRASH_RETENTION_MS, QUARANTINE_CRASHES};
@@ -11,9 +15,23 @@
 /// Maximum number of fingerprints; the oldest one is dropped first.
 pub const QUARANTINE_MAX: usize = 4_096;
 
+/// Number of the last of a request's crashes; 0 if there is none.
+pub fn last_crash(crashes: &[Name]) -> u64 {
+    let numbers = crashes.iter().filter_map(|crash| crash.parse().ok());
+    numbers.fold(crashes.len() as u64, u64::max)
+}
+
+/// Identifier of a crash under a run that began when `known` was the last crash, or
+/// `None` if a later one has been counted since. Such a crash says nothing new: both
+/// servers may have ended for the same reason.
+pub fn next_crash(crashes: &[Name], known: u64) -> Option<Name> {
+    let last = last_crash(crashes);
+    (last <= known).then(|| Name::from((last + 1).to_string()))
+}
+
 #[derive(Clone, Debug)]
 struct Record {
-    servers: Vec<Name>,
+    crashes: Vec<Name>,
     until: Millis,
 }
 
@@ -29,42 +47,41 @@
         Quarantine::default()
     }
 
-    /// Records that a backend server crashed while it ran the request. Repeated
-    /// crashes of the same server count once. Returns whether the fingerprint is
-    /// now blocked.
-    pub fn record_crash(&mut self, now: Millis, fingerprint: Digest, server: &Name) -> bool {
+    /// Records a crash of a backend server while it ran the request. Crashes with the
+    /// same identifier count once. Returns whether the fingerprint is now blocked.
+    pub fn record_crash(&mut self, now: Millis, fingerprint: Digest, crash: &Name) -> bool {
         self.records.retain(|_, r| now < r.until);
         if self.records.len() >= QUARANTINE_MAX && !self.records.contains_key(&fingerprint) {
             self.records.shift_remove_index(0);
         }
         let record = self.records.entry(fingerprint).or_insert_with(|| Record {
-            servers: Vec::new(),
+            crashes: Vec::new(),
             until: now,
         });
         record.until = now.plus(CRASH_RETENTION_MS);
-        if !record.servers.contains(server) {
-            record.servers.push(server.clone());
+        if !record.crashes.contains(crash) {
+            record.crashes.push(crash.clone());
         }
-        record.servers.len() >= QUARANTINE_CRASHES
+        record.crashes.len() >= QUARANTINE_CRASHES
     }
 
     /// Whether the request must be refused.
     pub fn is_blocked(&self, now: Millis, fingerprint: &Digest) -> bool {
-        self.servers(now, fingerprint).len() >= QUARANTINE_CRASHES
+        self.crashes(now, fingerprint).len() >= QUARANTINE_CRASHES
     }
 
     /// Whether the request was in flight when a server crashed. Such a request is
     /// retried at most once and never hedged.
     pub fn is_suspect(&self, now: Millis, fingerprint: &Digest) -> bool {
-        !self.servers(now, fingerprint).is_empty()
+        !self.crashes(now, fingerprint).is_empty()
     }
 
-    /// Backend servers that crashed while they ran the request.
-    pub fn servers(&self, now: Millis, fingerprint: &Digest) -> &[Name] {
+    /// Identifiers of the crashes of backend servers that ran the request.
+    pub fn crashes(&self, now: Millis, fingerprint: &Digest) -> &[Name] {
         let record = self.records.get(fingerprint);
         record
             .filter(|r| now < r.until)
-            .map_or(&[], |r| r.servers.as_slice())
+            .map_or(&[], |r| r.crashes.as_slice())
     }
 
     /// Removes the record of a request.
--- a/crates/steering/tests/retries.rs
+++ b/crates/steering/tests/retries.rs
@@ -4,7 +4,7 @@
 use pomelovale_state::document::Digest;
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::hedge::{Hedge, HedgePolicy, HEDGE_MIN_SAMPLES};
-use pomelovale_steering::quarantine::Quarantine;
+use pomelovale_steering::quarantine::{last_crash, next_crash, Quarantine};
 use pomelovale_steering::retry::{RetryBudget, RetryPolicy, RETRY_BURST};
 use pomelovale_steering::Class;
 use quickcheck::quickcheck;
@@ -69,7 +69,7 @@
 quarantine! {
     request_without_crash_is_not_blocked: [], at 0 => blocked false, suspect false;
     one_crash_is_suspect: ["a"], at 1 => blocked false, suspect true;
-    one_server_counts_once: ["a", "a"], at 1 => blocked false, suspect true;
+    same_crash_counts_once: ["a", "a"], at 1 => blocked false, suspect true;
     two_crashes_block: ["a", "b"], at 1 => blocked true, suspect true;
     block_ends: ["a", "b"], at CRASH_RETENTION_MS => blocked false, suspect false;
 }
@@ -120,3 +120,24 @@
     assert!(late.0 >= 2 * early.0 - 1 && late.0 <= 2 * early.0 + 1);
     assert_eq!(hedge.delay(), Some(early));
 }
+
+macro_rules! next_crash {
+    ($($name:ident: $crashes:expr, known $known:literal => last $last:literal, next $next:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let crashes: Vec<Name> = $crashes.into_iter().map(Name::from).collect();
+            let next: Option<&str> = $next;
+            assert_eq!(last_crash(&crashes), $last);
+            assert_eq!(next_crash(&crashes, $known).as_deref(), next);
+        }
+    )*};
+}
+
+next_crash! {
+    first_crash: [""; 0], known 0 => last 0, next Some("1");
+    crash_after_a_known_one: ["1"], known 1 => last 1, next Some("2");
+    crash_of_a_run_beside_the_last_one: ["1"], known 0 => last 1, next None;
+    crash_after_the_record_was_cleared: [""; 0], known 2 => last 0, next Some("1");
+    crash_after_an_incomplete_record: ["2"], known 2 => last 2, next Some("3");
+    crash_recorded_by_server_name: ["b0"], known 1 => last 1, next Some("2");
+}
