Remove the ended servers before the last lookup of a test

a_lookup_at_servers_that_end_together_is_served failed in 8 of about 95 runs, each time at its last lookup: an entry gives up after three servers that it can't connect to (unavailable), or the lookup reached the one server that had not ended yet (unknown-outcome). Neither is a quarantine; both were traced by the servers chosen.

--- a/crates/daemon/tests/entry_crashes.rs
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -116,5 +116,9 @@
     let (statuses, ()) = tokio::join!(all, in_flight);
     assert!(failing.iter().filter(|s| s.is_down()).count() > 1);
     assert_eq!(statuses, (200, 200, 200, 200));
+    for n in 0..failing.len() {
+        control.apply(Command::RemoveBackend(format!("b{n}").into()));
+    }
     assert_eq!(lookup(&entries[0]).await, 200);
+    assert_eq!(lookup(&entries[1]).await, 200);
 }
