Quarantine requests that crash servers on the gateway

Cause: the entry role quarantines such requests, the gateway role did not. It kept nothing about a request beyond its attempts, so that each resend under a new identifier started from nothing. A missing mechanism on one of two paths.

Change: before each attempt, and again before its first byte, the gateway asks the crash tracker whether the request is quarantined; it is then refused as not run, with the time until the record ends as Retry-After. After a cut it checks whether the server has ended and records that; a retry avoids the failure domain, and a failure is answered once the record is known, 300 ms later at most. Answers clear the record.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -295,8 +295,8 @@
     }
 }
 
-/// Whether a server whose connection was cut no longer accepts connections.
-pub(crate) async fn is_down(address: SocketAddr, limit: Duration) -> bool {
+// Whether a server whose connection was cut no longer accepts connections.
+async fn is_down(address: SocketAddr, limit: Duration) -> bool {
     let settle = Millis(SETTLE_MS).duration();
     match timeout(limit, TcpStream::connect(address)).await {
         // The listener of a terminating process may still complete a handshake.
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
 use super::{connections, server_selection, Shared};
-use crate::crash;
+use crate::crash::Run;
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
 
@@ -73,6 +73,17 @@
         self.route.repeat == Repeat::Idempotent
     }
 
+    // The run of the request on a server. `known` is the last crash of the request that
+    // was known when the run began.
+    fn run_on(&self, chosen: &Chosen, known: u64) -> Run {
+        Run {
+            fingerprint: self.fingerprint(),
+            server: chosen.server.clone(),
+            address: chosen.address,
+            known,
+        }
+    }
+
     /// Returns the digest by which a resend of the request by its caller is
     /// recognized.
     pub(super) fn fingerprint(&self) -> Digest {
@@ -98,6 +109,11 @@
     tried: Vec<Name>,
     sent: u32,
     connect_failures: usize,
+    // Last crash of the request that was known when the last attempt began.
+    known_crash: u64,
+    // Servers in the failure domain of the server that crashed last. They are avoided
+    // if others are available.
+    avoided: Vec<Name>,
     // The error to return instead of a refusal, once a server may have run the
     // request.
     unknown_outcome: Option<ErrorKind>,
@@ -106,6 +122,8 @@
 /// How one attempt ended.
 enum Outcome {
     Answer(Response<CallerBody>),
+    /// The request was quarantined before it was sent.
+    Blocked,
     /// No byte of the request was sent.
     Unsent,
     /// The server states that it did not run the request.
@@ -132,12 +150,14 @@
 /// cancelled.
 struct AttemptGuard {
     shared: Arc<Shared>,
-    service: Name,
-    route: Name,
+    routed: Arc<RoutedRequest>,
     chosen: Chosen,
     place: Option<Place>,
     since: Instant,
     report: Option<LoadReport>,
+    // Last crash of the request that was known when the attempt began.
+    known_crash: u64,
+    sent: bool,
     ended: bool,
 }
 
@@ -150,22 +170,22 @@
         let now = self.shared.clock.now();
         let latency_ms = self.since.elapsed().as_millis() as u64;
         let document = self.shared.view.document();
-        let (chosen, route, report) = (&self.chosen, &self.route, self.report);
+        let (chosen, routed, report) = (&self.chosen, &self.routed, self.report);
         // Whether the end of the attempt has caused the server to be suspended.
         let held = self
             .shared
             .services
-            .with(now, &document, &self.service, |s| {
+            .with(now, &document, &routed.service, |s| {
+                let route = &routed.route.name;
                 s.placement
                     .finish(now, chosen, route, ended, latency_ms, report)
             });
-        super::report_suspended_server(
-            &self.shared,
-            &self.service,
-            chosen,
-            ended,
-            held == Some(true),
-        );
+        let held = held == Some(true);
+        super::report_suspended_server(&self.shared, &routed.service, chosen, ended, held);
+        if self.sent && matches!(ended, PlacementEnd::Cancelled | PlacementEnd::TimedOut) {
+            let run = routed.run_on(chosen, self.known_crash);
+            self.shared.crashes.abandon(run);
+        }
         if let Some(place) = self.place.take() {
             place.end(ended, latency_ms, report);
         }
@@ -186,6 +206,7 @@
     routed: RoutedRequest,
     request_log: &mut RequestLog,
 ) -> Result<Response<CallerBody>, Refusal> {
+    let routed = Arc::new(routed);
     let mut progress = Progress::default();
     request_log.object = routed.object;
     loop {
@@ -195,10 +216,15 @@
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Overloaded);
             return Err(kind.into());
         }
+        if let Some(retry_ms) = shared.crashes.blocked_ms(|| routed.fingerprint()) {
+            request_log.fingerprint = Some(routed.fingerprint());
+            let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Quarantined);
+            return Err(Refusal { kind, retry_ms });
+        }
+        progress.known_crash = shared.crashes.last_crash(|| routed.fingerprint());
         let first = progress.sent == 0;
         let since = Instant::now();
-        let (verdict, place) =
-            server_selection::choose(shared, &routed, &progress.tried, first).await;
+        let (verdict, place) = choose(shared, &routed, &progress, first).await;
         let chosen = match verdict {
             PlacementDecision::Send(chosen) => chosen,
             PlacementDecision::Refuse { retry_ms } => {
@@ -217,6 +243,8 @@
         progress.tried.push(chosen.server.clone());
         let retry = match outcome {
             Outcome::Answer(response) => return Ok(response),
+            // The next pass of the loop returns the refusal.
+            Outcome::Blocked => continue,
             Outcome::Unsent => {
                 metrics::counter!("gateway_unsent_attempts_total").increment(1);
                 progress.connect_failures += 1;
@@ -228,18 +256,27 @@
             }
             Outcome::Unknown { kind, cut } => {
                 progress.sent += 1;
+                progress.unknown_outcome = Some(kind);
                 request_log.fingerprint = Some(routed.fingerprint());
-                if cut {
-                    let check = log_server_end(shared.clone(), &routed, &chosen);
-                    tokio::spawn(check);
+                if cut
+                    && shared
+                        .crashes
+                        .check(routed.run_on(&chosen, progress.known_crash))
+                        .await
+                {
+                    // The whole failure domain may be failing.
+                    progress.avoided = shared.view.document().domain_peers(&chosen.server);
                 }
-                progress.unknown_outcome = Some(kind);
                 routed.is_idempotent()
                     && progress.sent < routed.route.attempts
                     && spend_retry(shared, &routed)
             }
         };
         if !retry {
+            if !progress.avoided.is_empty() {
+                let fingerprint = routed.fingerprint();
+                shared.crashes.wait_until_recorded(&fingerprint).await;
+            }
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Unavailable);
             return Err(kind.into());
         }
@@ -249,21 +286,21 @@
     }
 }
 
-/// Logs that a server whose connection was cut has ended under a request.
-fn log_server_end(
-    shared: Arc<Shared>,
+// Selects a server, outside of the avoided ones if there is one.
+async fn choose(
+    shared: &Shared,
     routed: &RoutedRequest,
-    chosen: &Chosen,
-) -> impl Future<Output = ()> + Send + 'static {
-    let (service, fingerprint) = (routed.service.clone(), routed.fingerprint());
-    let (server, address) = (chosen.server.clone(), chosen.address);
-    async move {
-        let limit = Duration::from_millis(shared.config.connect_ms);
-        if crash::is_down(address, limit).await {
-            metrics::counter!("gateway_server_ends_total").increment(1);
-            tracing::info!(event = "server-ended", %service, %server, %fingerprint);
+    progress: &Progress,
+    first: bool,
+) -> (PlacementDecision, Option<Place>) {
+    if !progress.avoided.is_empty() {
+        let avoid = [progress.tried.as_slice(), progress.avoided.as_slice()].concat();
+        let selected = server_selection::choose(shared, routed, &avoid, first).await;
+        if matches!(selected.0, PlacementDecision::Send(_)) {
+            return selected;
         }
     }
+    server_selection::choose(shared, routed, &progress.tried, first).await
 }
 
 fn has_retry_budget(shared: &Shared, routed: &RoutedRequest) -> bool {
@@ -295,7 +332,7 @@
 
 async fn attempt(
     shared: &Arc<Shared>,
-    routed: &RoutedRequest,
+    routed: &Arc<RoutedRequest>,
     chosen: &Chosen,
     place: Option<Place>,
     progress: &Progress,
@@ -303,12 +340,13 @@
 ) -> (Outcome, &'static str) {
     let mut running = AttemptGuard {
         shared: shared.clone(),
-        service: routed.service.clone(),
-        route: routed.route.name.clone(),
+        routed: routed.clone(),
         chosen: chosen.clone(),
         place,
         since: Instant::now(),
         report: None,
+        known_crash: progress.known_crash,
+        sent: false,
         ended: false,
     };
     let connected = connections::connect(shared, chosen.address, routed.left()).await;
@@ -317,9 +355,16 @@
         Ok(connection) => connection,
         Err(_) => {
             running.end(PlacementEnd::Unreachable);
+            let unreachable = |name: &Name| *name == chosen.server;
+            shared.crashes.check_abandoned(unreachable);
             return (Outcome::Unsent, "connect");
         }
     };
+    if shared.crashes.blocked_ms(|| routed.fingerprint()).is_some() {
+        shared.connections.pool.put(chosen.address, connection);
+        running.end(PlacementEnd::Cancelled);
+        return (Outcome::Blocked, "quarantined");
+    }
     if !is_still_eligible(&shared.view.document(), chosen) {
         shared.connections.pool.put(chosen.address, connection);
         running.end(PlacementEnd::Cancelled);
@@ -337,6 +382,7 @@
             .left()
             .saturating_sub(Duration::from_millis(RESPONSE_RESERVE_MS));
     let request = request(shared, routed, chosen);
+    running.sent = true;
     let limit = end.saturating_duration_since(start);
     let sending = connection.send(request, &header_names.request, id, limit);
     let sent = await_reply(shared, routed, chosen, progress, sending).await;
@@ -470,6 +516,10 @@
     // Without it, the server may or may not have run the request.
     let has_proof =
         !refused && !status_means_not_run && parts.headers.contains_key(&header_names.proof);
+    let complete = matches!(held, BufferedBody::All(_));
+    if has_proof && complete {
+        shared.crashes.record_answer(|| routed.fingerprint());
+    }
     let is_server_error = status.is_server_error();
     let is_retryable = is_server_error && routed.is_idempotent();
     let body = match held {
@@ -532,6 +582,8 @@
             let address = running.chosen.address;
             running.shared.connections.pool.put(address, connection);
             running.end(PlacementEnd::Answered);
+            let AttemptGuard { shared, routed, .. } = &running;
+            shared.crashes.record_answer(|| routed.fingerprint());
         }
         // The body also ends with this fault if the caller disconnects, which says
         // nothing about the server.
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -60,12 +60,15 @@
         tokio::time::sleep(Millis(STEP_MS).duration()).await;
         let (now, document) = (shared.clock.now(), shared.view.document());
         let mut due_probes = Vec::new();
+        let mut suspended: IndexSet<Name> = IndexSet::new();
         shared.services.for_each(now, &document, |name, service| {
             service.placement.tick(now);
+            suspended.extend(service.placement.suspended_servers().cloned());
             for (server, address) in service.placement.due_probes(now) {
                 due_probes.push((name.clone(), server, address, service.probe.clone()));
             }
         });
+        shared.crashes.check_abandoned(|s| suspended.contains(s));
         connections::preconnect(&shared);
         shared
             .coordinator_client
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -43,9 +43,18 @@
 use quota::Quota;
 use services::Services;
 
+use crate::crash::{CrashTimings, CrashTracker};
+
 /// Capacity of the queue of messages from other gateways. While it is full, no
 /// more messages are read.
 const EVENT_QUEUE: usize = 1_024;
+/// Timeout for a proposal that records a crash, in milliseconds. It is repeated.
+const CRASH_CONTROL_MS: u64 = 1_000;
+/// Longest wait for a recorded crash before a failed request is answered, in
+/// milliseconds.
+const CRASH_SPREAD_MS: u64 = 300;
+/// Longest wait at a stop for crashes that are not recorded yet, in milliseconds.
+const CRASH_FLUSH_MS: u64 = 300;
 
 /// State that all requests of a gateway share.
 #[derive(Debug)]
@@ -60,6 +69,7 @@
     // Listen address for other gateways, which ask this one to select servers.
     peers: Option<SocketAddr>,
     connections: Connections,
+    crashes: Arc<CrashTracker>,
     leaving: AtomicBool,
     // Bytes of request bodies that are reserved in memory.
     held: AtomicUsize,
@@ -97,6 +107,17 @@
             }
             _ => None,
         };
+        let crashes = CrashTracker::new(
+            config.instance.clone(),
+            view.clone(),
+            control.clone(),
+            clock.clone(),
+            CrashTimings {
+                connect_ms: config.connect_ms,
+                control_ms: CRASH_CONTROL_MS,
+                spread_ms: CRASH_SPREAD_MS,
+            },
+        );
         let shared = Arc::new(Shared {
             services: Services::new(&config, start),
             quota: Quota::new(control.clone(), clock.clone()),
@@ -107,6 +128,7 @@
             control,
             clock,
             connections: Connections::default(),
+            crashes: Arc::new(crashes),
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             running: AtomicU64::new(0),
@@ -124,6 +146,7 @@
         tasks.spawn(maintenance::run(shared.clone()));
         tasks.spawn(maintenance::register(shared.clone()));
         tasks.spawn(coordinator::run(shared.clone(), received));
+        tasks.spawn(shared.crashes.clone().run());
         let client_shared = shared.clone();
         tasks.spawn(async move { client_shared.coordinator_client.run().await });
         Ok(GatewayHandle {
@@ -235,6 +258,8 @@
                 "grace period is over; aborting requests in flight"
             );
         }
+        let limit = Millis(CRASH_FLUSH_MS).duration();
+        self.shared.crashes.flush(limit).await;
         self.tasks.shutdown().await;
         drop(self.peers);
     }
