Test crashes that nobody waited for, and innocent popular lookups

Cases on the gateway: popular lookups at servers that end together and in turn are served; a crash counts after its caller has left, in a streamed answer, under a name that the server had before, and once a leader is back; copies through all gateways at once end servers in two waves at most.

--- a/crates/daemon/tests/entry_support/server.rs
+++ b/crates/daemon/tests/entry_support/server.rs
@@ -25,6 +25,8 @@
     Crash,
     /// Waits this many milliseconds, then does the same.
     CrashAfter(u64),
+    /// Writes these bytes, then does the same once they have been sent.
+    WriteAndCrash(Vec<u8>),
 }
 
 pub fn ok(body: &str) -> ServerAction {
@@ -163,6 +165,11 @@
                 tokio::time::sleep(Duration::from_millis(ms)).await;
                 return true;
             }
+            ServerAction::WriteAndCrash(bytes) => {
+                let _ = stream.write_all(&bytes).await;
+                let _ = stream.shutdown().await;
+                return true;
+            }
         }
     }
     false
--- a/crates/daemon/tests/gateway_crashes.rs
+++ b/crates/daemon/tests/gateway_crashes.rs
@@ -3,16 +3,24 @@
 mod entry_support;
 mod gateway_support;
 
-use entry_support::{header, Server, ServerAction};
+use std::future::Future;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use entry_support::{header, until, ReceivedRequest, Server, ServerAction};
 use gateway_support::fleet::Fleet;
 use gateway_support::{document, keyed, proven, send_to, status};
 use pomelovale_state::command::QUARANTINE_CRASHES;
+use pomelovale_state::document::Backend;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Starts servers that end when they are sent a path with `poison`.
 async fn start_servers(count: usize) -> Vec<Server> {
     let mut servers = Vec::new();
     for _ in 0..count {
-        let script = |seen: &entry_support::ReceivedRequest, _| match seen.head.contains("poison") {
+        let script = |seen: &ReceivedRequest, _| match seen.head.contains("poison") {
             true => ServerAction::Crash,
             false => proven("200 OK", "fine"),
         };
@@ -35,6 +43,27 @@
     send_to(gateway.address(), request).await
 }
 
+/// Runs futures at the same time and returns their results in order.
+async fn join_all<F: Future>(futures: impl IntoIterator<Item = F>) -> Vec<F::Output> {
+    let mut tasks: Vec<_> = futures.into_iter().map(Box::pin).collect();
+    let mut results: Vec<Option<F::Output>> = tasks.iter().map(|_| None).collect();
+    std::future::poll_fn(|cx| {
+        for (task, result) in tasks.iter_mut().zip(&mut results) {
+            if result.is_none() {
+                if let std::task::Poll::Ready(output) = task.as_mut().poll(cx) {
+                    *result = Some(output);
+                }
+            }
+        }
+        match results.iter().all(Option::is_some) {
+            true => std::task::Poll::Ready(()),
+            false => std::task::Poll::Pending,
+        }
+    })
+    .await;
+    results.into_iter().flatten().collect()
+}
+
 macro_rules! resends {
     ($($(#[$doc:meta])* $name:ident($method:literal, $path:literal, $gateways:literal);)*) => {
         $($(#[$doc])* #[tokio::test] async fn $name() {
@@ -63,3 +92,218 @@
     /// Guards against a booking that ends servers through each gateway in turn.
     resent_booking_through_all_gateways("POST", "/once/poison", 4);
 }
+
+fn popular() -> String {
+    keyed("GET", "/safe/popular")
+}
+
+async fn send_popular(fleet: &Fleet, n: usize) -> u16 {
+    status(&send_through(fleet, n, &popular()).await)
+}
+
+/// Adds a server in a failure domain of its own.
+fn add_far_server(fleet: &Fleet, server: &Server) {
+    fleet.edit(|document| {
+        let backend = Backend {
+            address: server.address,
+            domain: "north-b".into(),
+            ..document.backends["b0"].clone()
+        };
+        document.backends.insert("far".into(), backend);
+    });
+}
+
+/// Guards against a popular lookup that is quarantined because servers that end
+/// together were all running it.
+#[tokio::test]
+async fn popular_lookup_at_servers_that_end_together_is_served() {
+    let mut failing = Vec::new();
+    for _ in 0..4 {
+        failing.push(Server::start(|_, _| ServerAction::CrashAfter(100)).await);
+    }
+    let other = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let fleet = start(&failing, 3).await;
+    let in_flight = async {
+        until(|| failing.iter().map(|s| s.requests().len()).sum::<usize>() == 6).await;
+        add_far_server(&fleet, &other);
+    };
+    let sends = (0..6).map(|n| send_popular(&fleet, n));
+    let (statuses, ()) = tokio::join!(join_all(sends), in_flight);
+    assert!(ended(&failing) > 1);
+    assert_eq!(statuses, [200; 6]);
+    fleet.edit(|document| document.backends.retain(|name, _| name.as_str() == "far"));
+    for n in 0..3 {
+        assert_eq!(send_popular(&fleet, n).await, 200);
+    }
+}
+
+/// Guards against a popular lookup that is quarantined because servers which run it end
+/// one after another.
+#[tokio::test]
+async fn popular_lookup_at_servers_that_end_in_turn_is_served() {
+    let armed: Vec<Arc<AtomicBool>> = (0..4).map(|_| Arc::default()).collect();
+    let mut servers = Vec::new();
+    for armed in &armed {
+        let armed = armed.clone();
+        let script = move |_: &ReceivedRequest, _: usize| match armed.load(Ordering::SeqCst) {
+            true => ServerAction::Crash,
+            false => proven("200 OK", "fine"),
+        };
+        servers.push(Server::start(script).await);
+    }
+    for _ in 0..4 {
+        servers.push(Server::start(|_, _| proven("200 OK", "fine")).await);
+    }
+    let fleet = start(&servers, 3).await;
+    let stopped = AtomicBool::new(false);
+    let callers = (0..6).map(|n| {
+        let (fleet, stopped) = (&fleet, &stopped);
+        async move {
+            let mut statuses = Vec::new();
+            while !stopped.load(Ordering::SeqCst) {
+                statuses.push(send_popular(fleet, n).await);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            statuses
+        }
+    });
+    let ends = async {
+        for armed in &armed {
+            armed.store(true, Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        stopped.store(true, Ordering::SeqCst);
+    };
+    let (statuses, ()) = tokio::join!(join_all(callers), ends);
+    assert_eq!(ended(&servers), 4);
+    let refused = statuses.iter().flatten().filter(|s| **s == 503).count();
+    assert_eq!(refused, 0, "{statuses:?}");
+    for n in 0..3 {
+        assert_eq!(send_popular(&fleet, n).await, 200);
+    }
+}
+
+/// Sends a request and closes the connection before it is answered.
+async fn send_and_leave(fleet: &Fleet, n: usize, request: &str, after_ms: u64) {
+    let gateway = &fleet.gateways[n % fleet.gateways.len()];
+    let mut stream = TcpStream::connect(gateway.address()).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(after_ms)).await;
+}
+
+/// Guards against a request whose caller leaves before the server ends, so that nobody
+/// sees its connection cut.
+#[tokio::test]
+async fn crash_after_the_caller_has_left_counts() {
+    let mut servers = Vec::new();
+    for _ in 0..8 {
+        let script = |seen: &ReceivedRequest, _| match seen.head.contains("poison") {
+            true => ServerAction::CrashAfter(150),
+            false => proven("200 OK", "fine"),
+        };
+        servers.push(Server::start(script).await);
+    }
+    let fleet = start(&servers, 2).await;
+    for n in 0..6 {
+        let before = ended(&servers);
+        send_and_leave(&fleet, n, &keyed("GET", "/safe/poison"), 60).await;
+        // Other requests find out which server has ended.
+        for turn in 0..60 {
+            send_through(&fleet, turn, &keyed("GET", &format!("/safe/other{turn}"))).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(ended(&servers) <= before + 1);
+    }
+    assert_eq!(ended(&servers), QUARANTINE_CRASHES);
+}
+
+/// Guards against a streamed answer that is cut by the end of its server and does not
+/// count, because its head has been passed on.
+#[tokio::test]
+async fn crash_in_a_streamed_answer_counts() {
+    let mut servers = Vec::new();
+    for _ in 0..8 {
+        let script = |seen: &ReceivedRequest, _| match seen.head.contains("poison") {
+            true => ServerAction::WriteAndCrash(started_answer()),
+            false => proven("200 OK", "fine"),
+        };
+        servers.push(Server::start(script).await);
+    }
+    let fleet = start(&servers, 2).await;
+    for n in 0..6 {
+        send_through(&fleet, n, &keyed("GET", "/safe/poison")).await;
+        for turn in 0..40 {
+            send_through(&fleet, turn, &keyed("GET", &format!("/safe/other{turn}"))).await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    assert_eq!(ended(&servers), QUARANTINE_CRASHES);
+}
+
+// The head of an answer and enough of its body that the gateway passes it on.
+fn started_answer() -> Vec<u8> {
+    let head = "HTTP/1.1 200 OK\r\npomelovale-request: q1\r\npomelovale-proof: p\r\ncontent-length: 900000\r\n\r\n";
+    [head.as_bytes(), &[b'x'; 500_000]].concat()
+}
+
+/// Guards against crashes that are forgotten because no leader accepts them at the time.
+#[tokio::test]
+async fn crashes_are_recorded_once_a_leader_is_back() {
+    let servers = start_servers(6).await;
+    let mut fleet = start(&servers, 1).await;
+    fleet.set_reachable(false);
+    send_through(&fleet, 0, &keyed("GET", "/safe/poison")).await;
+    assert_eq!(ended(&servers), QUARANTINE_CRASHES);
+    fleet.set_reachable(true);
+    until(|| {
+        fleet
+            .document()
+            .crashes
+            .values()
+            .any(|r| r.crashed.len() == QUARANTINE_CRASHES)
+    })
+    .await;
+    fleet.add_gateway().await;
+    let answer = send_through(&fleet, 1, &keyed("GET", "/safe/poison")).await;
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert_eq!(ended(&servers), QUARANTINE_CRASHES);
+}
+
+/// Guards against a server that comes back under its name and is ended by the same
+/// request again and again.
+#[tokio::test]
+async fn server_that_crashes_again_under_its_name_counts_again() {
+    let mut server = start_servers(1).await.remove(0);
+    let fleet = Fleet::start(2, document(&[&server])).await;
+    let mut crashes = 0;
+    for n in 0..6 {
+        send_through(&fleet, n, &keyed("POST", "/once/poison")).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        if server.is_down() {
+            crashes += 1;
+            server = start_servers(1).await.remove(0);
+            fleet.edit(|document| document.backends["b0"].address = server.address);
+        }
+    }
+    assert_eq!(crashes, QUARANTINE_CRASHES);
+}
+
+/// Guards against copies of a request that each gateway sends on because it only counts
+/// the crashes that it has seen itself.
+#[tokio::test]
+async fn copies_through_all_gateways_at_once_are_quarantined() {
+    let servers = start_servers(20).await;
+    let fleet = start(&servers, 4).await;
+    let request = keyed("POST", "/once/poison");
+    for _ in 0..QUARANTINE_CRASHES {
+        join_all((0..4).map(|n| send_through(&fleet, n, &request))).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let after_waves = ended(&servers);
+    assert!(after_waves <= 4 * QUARANTINE_CRASHES);
+    for n in 0..12 {
+        let answer = send_through(&fleet, n, &request).await;
+        assert_eq!(status(&answer), 503, "{answer}");
+    }
+    assert_eq!(ended(&servers), after_waves);
+}
--- a/crates/daemon/tests/gateway_support/fleet.rs
+++ b/crates/daemon/tests/gateway_support/fleet.rs
@@ -7,7 +7,7 @@
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::messages::Admitted;
-use pomelovale_state::command::{Change, Command};
+use pomelovale_state::command::Command;
 use pomelovale_state::document::Document;
 use pomelovale_state::machine::StateMachine;
 use pomelovale_state::{Clock, ErrorKind, Millis};
@@ -105,17 +105,12 @@
             .store(!reachable, Ordering::SeqCst);
     }
 
-    /// Applies a command and distributes it.
-    pub fn apply(&self, command: Command) {
-        let change = Change {
-            request: format!("{command:?}").into(),
-            sender: "test".into(),
-            base: None,
-            at: Millis(1),
-            command,
-        };
-        let applied = self.replicated.machine.lock().unwrap().apply(&change);
-        assert!(!format!("{applied:?}").contains("Refused"), "{applied:?}");
+    /// Changes the document and distributes it.
+    pub fn edit(&self, f: impl FnOnce(&mut Document)) {
+        let mut machine = self.replicated.machine.lock().unwrap();
+        f(&mut machine.document);
+        machine.document.version += 1;
+        drop(machine);
         self.replicated.publish();
     }
 
