End a connection after too many interim responses

A backend server in trouble may send bytes without end that are no answer, in a head or in a body, until its caller closes. Interim responses (100 Continue) without end were read until the timeout of the route, 504 after 1.5 s: the HTTP library skips them one by one.

A connection now ends with a malformed response after 16 interim responses. gateway_endless::interim_responses_without_end failed before (504) and passes.

--- a/crates/daemon/tests/entry_support/server.rs
+++ b/crates/daemon/tests/entry_support/server.rs
@@ -27,6 +27,8 @@
     CrashAfter(u64),
     /// Writes these bytes, then does the same once they have been sent.
     WriteAndCrash(Vec<u8>),
+    /// Writes the first bytes, then the second ones until the connection is closed.
+    WriteForever(Vec<u8>, Vec<u8>),
 }
 
 pub fn ok(body: &str) -> ServerAction {
@@ -165,6 +167,13 @@
                 tokio::time::sleep(Duration::from_millis(ms)).await;
                 return true;
             }
+            ServerAction::WriteForever(first, rest) => {
+                let mut written = stream.write_all(&first).await;
+                while written.is_ok() {
+                    written = stream.write_all(&rest).await;
+                }
+                return false;
+            }
             ServerAction::WriteAndCrash(bytes) => {
                 let _ = stream.write_all(&bytes).await;
                 let _ = stream.shutdown().await;
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -67,9 +67,19 @@
         framing.restart();
     }
 
-    fn inspect(&self, bytes: &[u8]) {
+    // Returns an error if the bytes continue an endless series of interim responses.
+    fn inspect(&self, bytes: &[u8]) -> io::Result<()> {
         let mut framing = self.framing.lock().expect("no panic while held");
         framing.feed(bytes);
+        match framing.has_excess_interim() {
+            true => Err(io::ErrorKind::InvalidData.into()),
+            false => Ok(()),
+        }
+    }
+
+    fn has_excess_interim(&self) -> bool {
+        let framing = self.framing.lock().expect("no panic while held");
+        framing.has_excess_interim()
     }
 }
 
@@ -89,7 +99,7 @@
         let want = out.remaining().min(READ_BYTES);
         let mut part = ReadBuf::new(&mut this.buffer[..want]);
         ready!(Pin::new(&mut this.io).poll_read(cx, part.unfilled()))?;
-        this.monitor.inspect(part.filled());
+        this.monitor.inspect(part.filled())?;
         out.put_slice(part.filled());
         Poll::Ready(Ok(()))
     }
@@ -228,6 +238,7 @@
         self.monitor.expect_head();
         let result = match timeout(limit, self.exchange(request)).await {
             Err(_) => Err(ExchangeError::Silent),
+            Ok(Err(_)) if self.monitor.has_excess_interim() => Err(ExchangeError::Malformed),
             Ok(Err(fault)) => Err(fault),
             Ok(Ok(_)) if !self.monitor.verdicts.next() => Err(ExchangeError::Malformed),
             Ok(Ok(response)) => check(response, name, id),
--- a/crates/transport/src/framing.rs
+++ b/crates/transport/src/framing.rs
@@ -8,6 +8,8 @@
 
 // Maximum length of a line that is buffered. hyper refuses heads of this size.
 const LINE_MAX_BYTES: usize = 64 * 1024;
+// Maximum number of interim responses before a response.
+const INTERIM_MAX: usize = 16;
 // Maximum number of bytes read from a connection at a time.
 pub(crate) const READ_BYTES: usize = 4 * 1024;
 
@@ -53,6 +55,8 @@
 pub struct Framing {
     direction: Direction,
     interim: bool,
+    // Interim responses since the last restart.
+    interim_count: usize,
     state: State,
     line: Vec<u8>,
     lines: usize,
@@ -70,6 +74,7 @@
         Framing {
             direction,
             interim: false,
+            interim_count: 0,
             state: State::Head,
             line: Vec::new(),
             lines: 0,
@@ -84,9 +89,15 @@
     /// Prepares for the head of the next response.
     pub fn restart(&mut self) {
         self.line.clear();
+        self.interim_count = 0;
         self.begin_head();
     }
 
+    /// Whether there were more interim responses than a server has a reason to send.
+    pub fn has_excess_interim(&self) -> bool {
+        self.interim_count > INTERIM_MAX
+    }
+
     fn begin_head(&mut self) {
         (self.lines, self.lengths, self.encodings) = (0, 0, 0);
         (self.state, self.length) = (State::Head, Some(0));
@@ -208,8 +219,9 @@
             (true, _, _) => State::ChunkSize,
             (false, _, _) => State::Invalid,
         };
-        if self.direction == Direction::Requests || !self.interim {
-            self.verdicts.push(clear);
+        match self.direction == Direction::Responses && self.interim {
+            true => self.interim_count += 1,
+            false => self.verdicts.push(clear),
         }
         self.begin_head();
         self.state = next;
