Credit the retry budget once for each request

Each attempt before the first byte added the credit of a request again, so that a request which found two closed ports added it three times: 180 per mille where 60 are meant, and 360 at most where the users allow 200 in all.

The credit is added once, before the first attempt. gateway::unsent_attempts_add_nothing_to_the_retry_budget had 12 retries of 20 requests before, 5 are allowed; it passes now.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -207,6 +207,7 @@
     request_log: &mut RequestLog,
 ) -> Result<Response<CallerBody>, Refusal> {
     let routed = Arc::new(routed);
+    add_retry_credit(shared, &routed);
     let mut progress = Progress::default();
     request_log.object = routed.object;
     loop {
@@ -222,9 +223,8 @@
             return Err(Refusal { kind, retry_ms });
         }
         progress.known_crash = shared.crashes.last_crash(|| routed.fingerprint());
-        let first = progress.sent == 0;
         let since = Instant::now();
-        let (verdict, place) = choose(shared, &routed, &progress, first).await;
+        let (verdict, place) = choose(shared, &routed, &progress).await;
         let chosen = match verdict {
             PlacementDecision::Send(chosen) => chosen,
             PlacementDecision::Refuse { retry_ms } => {
@@ -291,16 +291,22 @@
     shared: &Shared,
     routed: &RoutedRequest,
     progress: &Progress,
-    first: bool,
 ) -> (PlacementDecision, Option<Place>) {
     if !progress.avoided.is_empty() {
         let avoid = [progress.tried.as_slice(), progress.avoided.as_slice()].concat();
-        let selected = server_selection::choose(shared, routed, &avoid, first).await;
+        let selected = server_selection::choose(shared, routed, &avoid).await;
         if matches!(selected.0, PlacementDecision::Send(_)) {
             return selected;
         }
     }
-    server_selection::choose(shared, routed, &progress.tried, first).await
+    server_selection::choose(shared, routed, &progress.tried).await
+}
+
+fn add_retry_credit(shared: &Shared, routed: &RoutedRequest) {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    shared.services.with(now, &document, &routed.service, |s| {
+        s.retry_budget.record_request();
+    });
 }
 
 fn has_retry_budget(shared: &Shared, routed: &RoutedRequest) -> bool {
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -18,15 +18,11 @@
     shared: &Shared,
     routed: &RoutedRequest,
     tried: &[Name],
-    first: bool,
 ) -> (PlacementDecision, Option<Place>) {
     let (now, document) = (shared.clock.now(), shared.view.document());
-    let known = shared.services.with(now, &document, &routed.service, |s| {
-        if first {
-            s.retry_budget.record_request();
-        }
-        s.coordinator.clone()
-    });
+    let known = shared
+        .services
+        .with(now, &document, &routed.service, |s| s.coordinator.clone());
     let Some(coordinator) = known else {
         return (UNKNOWN_SERVICE, None);
     };
--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -3,8 +3,9 @@
 mod entry_support;
 mod gateway_support;
 
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use entry_support::{ReceivedRequest, Server, ServerAction};
@@ -12,6 +13,7 @@
     document, header_value, keyed, peers, proven, request, response, send, site, status, Site, KEY,
 };
 use pomelovale_protocol::messages::Admitted;
+use pomelovale_state::document::{Backend, Document};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -213,7 +215,7 @@
     let address = closed_listener.local_addr().unwrap();
     drop(closed_listener);
     let reachable = Server::start(|_, _| proven("200 OK", "fine")).await;
-    let with_unreachable_server = |mut document: pomelovale_state::document::Document| {
+    let with_unreachable_server = |mut document: Document| {
         document.backends[0].address = address;
         document
     };
@@ -267,3 +269,56 @@
     let used = server.requests().last().map(|seen| seen.connection);
     assert!(used.is_some_and(|connection| connection >= 2), "{used:?}");
 }
+
+/// Guards against a retry budget that grows with attempts that send nothing, while many
+/// servers can't be connected to.
+#[tokio::test]
+async fn unsent_attempts_add_nothing_to_the_retry_budget() {
+    // Each path is cut when it arrives first, and answered when it is retried.
+    let paths: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let mut servers = Vec::new();
+    for _ in 0..3 {
+        let paths = paths.clone();
+        let script = move |seen: &ReceivedRequest, _: usize| {
+            let path = seen.head.split(' ').nth(1).unwrap_or("").to_owned();
+            match paths.lock().unwrap().insert(path) {
+                true => ServerAction::Close,
+                false => proven("200 OK", "fine"),
+            }
+        };
+        servers.push(Server::start(script).await);
+    }
+    let open = document(&servers.iter().collect::<Vec<_>>());
+    let site = site(Some(open.clone())).await;
+    let count_retries = async |requests: std::ops::Range<u32>| {
+        let mut retries = 0;
+        for n in requests {
+            let answer = send(&site, &keyed("GET", &format!("/safe/{n}"))).await;
+            retries += u32::from(status(&answer) == 200);
+        }
+        retries
+    };
+    // Spends the initial budget of 12 retries.
+    assert!(count_retries(0..20).await >= 12);
+    // A closed port for each attempt, since a server is suspended after one.
+    let mut closed = open.clone();
+    let backend = closed.backends["b0"].clone();
+    closed.backends.clear();
+    closed.version = 2;
+    for n in 0..180u16 {
+        let backend = Backend {
+            address: ([127, 0, 0, 2], 1_000 + n).into(),
+            ..backend.clone()
+        };
+        closed
+            .backends
+            .insert(format!("closed-{n}").into(), backend);
+    }
+    site.show(closed);
+    count_retries(100..160).await;
+    site.show(Document { version: 3, ..open });
+    // 60 per mille of 80 requests, and what was left of a retry before.
+    let retries = count_retries(200..220).await;
+    assert!(retries <= 5, "{retries} retries");
+    assert!(retries >= 2, "{retries} retries");
+}
