Keep the cold time of a server when the document changes for another reason

Each version of the document set the cold time of a server anew while the document called it cold. Crash records add versions just when servers come back, so that these would have stayed cold for longer and taken fewer requests.

--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -186,6 +186,10 @@
         for spec in specs {
             let known = old.swap_remove(&spec.name);
             let same = known.filter(|s| s.spec.address == spec.address);
+            // Other changes don't restart the cold time.
+            let cold_is_known = same
+                .as_ref()
+                .is_some_and(|s| s.spec.cold_ms == spec.cold_ms && !s.spec.down);
             let mut state = match same {
                 Some(server) => server.state,
                 None if first => ServerState::new(now, &spec.name),
@@ -196,7 +200,7 @@
                     state
                 }
             };
-            if spec.cold_ms > 0 && !spec.down {
+            if spec.cold_ms > 0 && !spec.down && !cold_is_known {
                 state.set_cold(now, now.plus(spec.cold_ms));
             }
             let server = Server {
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -360,3 +360,29 @@
     });
     assert!(held, "a silent server was never suspended");
 }
+
+/// Guards against a server that stays cold because the document changes, for whatever
+/// reason, while its cold time runs.
+#[test]
+fn unrelated_changes_do_not_restart_the_cold_time() {
+    let route: Name = "lookup".into();
+    let cold = ServerSpec {
+        cold_ms: 3_000,
+        ..server("north-a-0", "north", "north-a")
+    };
+    let mut p = placement("g", std::slice::from_ref(&cold));
+    for now in (200..=3_000).step_by(200) {
+        let specs = std::slice::from_ref(&cold);
+        p.set_servers(Millis(now), specs, service(), &regions());
+    }
+    let sent = (0..5).filter(|n| choose(&mut p, 3_100, &request(&route, *n, 1)).is_some());
+    assert_eq!(sent.count(), 5);
+    let down = ServerSpec {
+        down: true,
+        ..cold.clone()
+    };
+    p.set_servers(Millis(3_200), &[down], service(), &regions());
+    p.set_servers(Millis(3_300), &[cold], service(), &regions());
+    let sent = (0..5).filter(|n| choose(&mut p, 3_400, &request(&route, *n, 1)).is_some());
+    assert!(sent.count() <= 2, "the server is cold again");
+}
