Try a quarantined request again, more and more rarely

A request that two waves of crashes have quarantined was refused everywhere for ten minutes. If it was innocent, nothing could clear it, since no server got to answer it: a popular lookup on a site with few servers would be lost for longer than the outage that caused it.

15 s after its last crash such a request is let through once more, 60 s after a third crash, 240 s after a fourth, and an answer clears it. Of the copies that arrive when a trial is due, one for each instance passes on average, without messages between instances. Retry-After is the time until then.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -10,13 +10,14 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
-use pomelovale_state::command::{CRASH_RETENTION_MS, QUARANTINE_CRASHES};
+use pomelovale_state::command::CRASH_RETENTION_MS;
 use pomelovale_state::document::{Digest, Document, MemberState};
 use pomelovale_state::{Clock, Millis, Name};
 use pomelovale_steering::quarantine::{self, Quarantine};
@@ -36,6 +37,10 @@
 /// Maximum number of abandoned runs; the oldest one is dropped first.
 const ABANDONED_RUNS_MAX: usize = 1_024;
 
+/// Time after which a quarantined request may come again if a trial was due but another
+/// one may have been let through, in milliseconds.
+const TRIAL_RETRY_MS: u64 = 1_000;
+
 /// Settings of a [`CrashTracker`], in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashTimings {
@@ -45,8 +50,15 @@
     pub control_ms: u64,
     /// Longest wait until a recorded crash has reached this instance's view.
     pub spread_ms: u64,
+    /// Time after the last crash until a quarantined request may be tried once more.
+    pub trial_ms: u64,
 }
 
+/// Whether a quarantined request is let through as a trial: the number of the last crash
+/// for which that was decided, or 0.
+#[derive(Debug, Default)]
+pub struct Trial(AtomicU64);
+
 /// A request that was sent to a server.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -74,13 +86,13 @@
 }
 
 impl Inner {
-    // Crashes counted for a request, and when their record expires on the local clock.
+    // Crashes counted for a request, and the time since the last one in milliseconds.
     fn crashes(
         &mut self,
         document: &Document,
         now: Millis,
         fingerprint: &Digest,
-    ) -> (Vec<Name>, Millis) {
+    ) -> (Vec<Name>, u64) {
         if document.time > self.log_time {
             (self.log_time, self.first_seen) = (document.time, now);
         }
@@ -91,12 +103,12 @@
         let mut crashes: Vec<Name> = recorded.map_or_else(Vec::new, |r| r.crashed.clone());
         let unrecorded = own.iter().filter(|crash| !crashes.contains(crash));
         let unrecorded: Vec<Name> = unrecorded.cloned().collect();
-        let left_ms = match (recorded, unrecorded.is_empty()) {
-            (Some(record), true) => record.until.since(log_now),
-            _ => CRASH_RETENTION_MS,
-        };
+        let recorded_ms =
+            recorded.map(|r| CRASH_RETENTION_MS.saturating_sub(r.until.since(log_now)));
+        let own_ms = self.own.since_last(now, fingerprint);
+        let since_ms = recorded_ms.into_iter().chain(own_ms).min();
         crashes.extend(unrecorded);
-        (crashes, now.plus(left_ms))
+        (crashes, since_ms.unwrap_or(u64::MAX))
     }
 }
 
@@ -146,7 +158,7 @@
     fn with_crashes<R: Default>(
         &self,
         fingerprint: impl FnOnce() -> Digest,
-        f: impl FnOnce(&[Name], Millis) -> R,
+        f: impl FnOnce(&[Name], u64) -> R,
     ) -> R {
         let document = self.view.document();
         let mut inner = self.lock();
@@ -158,16 +170,30 @@
         if inner.pending.is_clearing(&fingerprint) {
             return R::default();
         }
-        let (crashes, until) = inner.crashes(&document, self.clock.now(), &fingerprint);
-        f(&crashes, until)
+        let (crashes, since_ms) = inner.crashes(&document, self.clock.now(), &fingerprint);
+        f(&crashes, since_ms)
     }
 
-    /// Returns the time until a quarantined request may run again, in milliseconds, or
-    /// `None` if it may run.
-    pub fn blocked_ms(&self, fingerprint: impl FnOnce() -> Digest) -> Option<u64> {
-        self.with_crashes(fingerprint, |crashes, until| {
-            let blocked = crashes.len() >= QUARANTINE_CRASHES;
-            blocked.then(|| until.since(self.clock.now()))
+    /// Returns the time after which a quarantined request may be sent again, in
+    /// milliseconds, or `None` if it may be sent now. Of the requests that arrive when a
+    /// trial is due, one for each instance of the deployment is let through on average.
+    pub fn blocked_ms(&self, trial: &Trial, fingerprint: impl FnOnce() -> Digest) -> Option<u64> {
+        self.with_crashes(fingerprint, |crashes, since_ms| {
+            let delay_ms = quarantine::trial_delay(crashes.len(), self.timings.trial_ms)?;
+            let last = quarantine::last_crash(crashes);
+            if since_ms < delay_ms {
+                return Some(delay_ms - since_ms);
+            }
+            if trial.0.load(Ordering::Relaxed) == last {
+                return None;
+            }
+            let instances = self.view.document().instances.len().max(1);
+            if rand::random_range(0..instances) > 0 {
+                return Some(TRIAL_RETRY_MS);
+            }
+            trial.0.store(last, Ordering::Relaxed);
+            metrics::counter!("entry_crash_trials_total").increment(1);
+            None
         })
     }
 
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -21,7 +21,7 @@
 use super::keys::{self, VerifiedKey};
 use super::steering::{AttemptEnd, Choice, Permit, RequestInfo};
 use super::Shared;
-use crate::crash::Run;
+use crate::crash::{Run, Trial};
 
 const NOT_RUN: &[u8] = b"not-run";
 
@@ -50,6 +50,8 @@
     pub permit: Arc<Permit>,
     /// Fingerprint, computed on first use.
     pub fingerprint: OnceLock<Digest>,
+    /// Whether it is tried although it is quarantined.
+    pub trial: Trial,
 }
 
 impl AdmittedRequest {
@@ -74,7 +76,10 @@
         if let Some(verified_key) = &self.verified_key {
             keys::recheck(&shared.view, now, verified_key)?;
         }
-        match shared.crashes.blocked_ms(|| self.fingerprint()) {
+        match shared
+            .crashes
+            .blocked_ms(&self.trial, || self.fingerprint())
+        {
             Some(_) => Err(ErrorKind::Quarantined),
             None if self.left().is_zero() => Err(ErrorKind::DeadlineSpent),
             None => Ok(()),
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -146,6 +146,7 @@
                 connect_ms: config.connect_ms,
                 control_ms: config.control_ms,
                 spread_ms: config.spread_ms,
+                trial_ms: config.trial_ms,
             },
         );
         let steering = EntrySteering::new(&config, view.clone(), clock.clone(), start);
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -28,6 +28,7 @@
 use super::refusal::Refusal;
 use super::steering::{Class, RequestInfo};
 use super::{list, Shared};
+use crate::crash::Trial;
 
 // Methods that HTTP defines as idempotent and that are forwarded.
 const IDEMPOTENT_METHODS: [&str; 5] = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"];
@@ -271,6 +272,7 @@
         trace,
         permit: Arc::new(permit),
         fingerprint: OnceLock::new(),
+        trial: Trial::default(),
     };
     admitted.check(shared)?;
     admitted.info.region = shared
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -4,12 +4,14 @@
 use http::header::{self, HeaderValue};
 use http::{Response, StatusCode};
 use pomelovale_protocol::http::OUTCOME;
-use pomelovale_state::command::CRASH_RETENTION_MS;
 use pomelovale_state::ErrorKind;
 use pomelovale_transport::body::CallerBody;
 
 /// Default time after which to retry, in milliseconds.
 const DEFAULT_RETRY_MS: u64 = 1_000;
+/// Time after which to retry a quarantined request if nothing more exact is known, in
+/// milliseconds.
+const QUARANTINE_RETRY_MS: u64 = 15_000;
 
 /// Reason why a request gets no response of a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -23,7 +25,7 @@
 impl From<ErrorKind> for Refusal {
     fn from(kind: ErrorKind) -> Refusal {
         let retry_ms = match kind {
-            ErrorKind::Quarantined => CRASH_RETENTION_MS,
+            ErrorKind::Quarantined => QUARANTINE_RETRY_MS,
             _ => DEFAULT_RETRY_MS,
         };
         Refusal { kind, retry_ms }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
 use super::{connections, server_selection, Shared};
-use crate::crash::Run;
+use crate::crash::{Run, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
 
@@ -62,6 +62,8 @@
     pub(super) deadline: Instant,
     /// Fingerprint, computed on first use.
     pub(super) fingerprint: OnceLock<Digest>,
+    /// Whether it is tried although it is quarantined.
+    pub(super) trial: Trial,
 }
 
 impl RoutedRequest {
@@ -217,7 +219,7 @@
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Overloaded);
             return Err(kind.into());
         }
-        if let Some(retry_ms) = shared.crashes.blocked_ms(|| routed.fingerprint()) {
+        if let Some(retry_ms) = blocked_ms(shared, &routed) {
             request_log.fingerprint = Some(routed.fingerprint());
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Quarantined);
             return Err(Refusal { kind, retry_ms });
@@ -302,6 +304,11 @@
     server_selection::choose(shared, routed, &progress.tried).await
 }
 
+fn blocked_ms(shared: &Shared, routed: &RoutedRequest) -> Option<u64> {
+    let crashes = &shared.crashes;
+    crashes.blocked_ms(&routed.trial, || routed.fingerprint())
+}
+
 fn add_retry_credit(shared: &Shared, routed: &RoutedRequest) {
     let (now, document) = (shared.clock.now(), shared.view.document());
     shared.services.with(now, &document, &routed.service, |s| {
@@ -366,7 +373,7 @@
             return (Outcome::Unsent, "connect");
         }
     };
-    if shared.crashes.blocked_ms(|| routed.fingerprint()).is_some() {
+    if blocked_ms(shared, routed).is_some() {
         shared.connections.pool.put(chosen.address, connection);
         running.end(PlacementEnd::Cancelled);
         return (Outcome::Blocked, "quarantined");
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -47,6 +47,9 @@
     /// Time since its last response up to which a connection to a backend server
     /// is reused.
     pub idle_ms: u64,
+    /// Time after the last crash until a request that is quarantined for crashes of its
+    /// servers may be tried once more.
+    pub trial_ms: u64,
     /// Interval between reports to the leader.
     pub report_ms: u64,
     /// Retry budget of each service, which all instances share.
@@ -93,6 +96,7 @@
             connect_ms: 400,
             pause_ms: 5_000,
             idle_ms: 6_000,
+            trial_ms: 15_000,
             report_ms: 500,
             retry_budget: RetryBudgetConfig {
                 per_mille: 100,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -116,6 +116,7 @@
                 connect_ms: config.connect_ms,
                 control_ms: CRASH_CONTROL_MS,
                 spread_ms: CRASH_SPREAD_MS,
+                trial_ms: config.trial_ms,
             },
         );
         let shared = Arc::new(Shared {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -23,6 +23,7 @@
 use super::attempt::{self, RoutedRequest};
 use super::request_log::RequestLog;
 use super::Shared;
+use crate::crash::Trial;
 use crate::entry::refusal::Refusal;
 
 /// Timeout for reading the body of a request, in milliseconds.
@@ -199,6 +200,7 @@
         start,
         deadline,
         fingerprint: OnceLock::new(),
+        trial: Trial::default(),
     })
 }
 
--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -29,6 +29,19 @@
     (last <= known).then(|| Name::from((last + 1).to_string()))
 }
 
+/// Factor by which the time until the next trial of a quarantined request grows with
+/// each further crash.
+const TRIAL_FACTOR: u64 = 4;
+
+/// Time after the last crash of a request until it may be tried once more, in
+/// milliseconds; `None` if it is not quarantined. An innocent request that is refused by
+/// all instances can't be answered otherwise. `trial_ms` is the shortest such time.
+pub fn trial_delay(crashes: usize, trial_ms: u64) -> Option<u64> {
+    let further = crashes.checked_sub(QUARANTINE_CRASHES)?;
+    let factor = TRIAL_FACTOR.saturating_pow(further as u32);
+    Some(trial_ms.saturating_mul(factor))
+}
+
 #[derive(Clone, Debug)]
 struct Record {
     crashes: Vec<Name>,
@@ -84,6 +97,12 @@
             .map_or(&[], |r| r.crashes.as_slice())
     }
 
+    /// Time since the last crash of a request, in milliseconds.
+    pub fn since_last(&self, now: Millis, fingerprint: &Digest) -> Option<u64> {
+        let record = self.records.get(fingerprint)?;
+        Some(CRASH_RETENTION_MS.saturating_sub(record.until.since(now)))
+    }
+
     /// Removes the record of a request.
     pub fn forget(&mut self, fingerprint: &Digest) {
         self.records.shift_remove(fingerprint);
--- a/crates/steering/tests/retries.rs
+++ b/crates/steering/tests/retries.rs
@@ -4,7 +4,7 @@
 use pomelovale_state::document::Digest;
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::hedge::{Hedge, HedgePolicy, HEDGE_MIN_SAMPLES};
-use pomelovale_steering::quarantine::{last_crash, next_crash, Quarantine};
+use pomelovale_steering::quarantine::{last_crash, next_crash, trial_delay, Quarantine};
 use pomelovale_steering::retry::{RetryBudget, RetryPolicy, RETRY_BURST};
 use pomelovale_steering::Class;
 use quickcheck::quickcheck;
@@ -141,3 +141,13 @@
     crash_after_an_incomplete_record: ["2"], known 2 => last 2, next Some("3");
     crash_recorded_by_server_name: ["b0"], known 1 => last 1, next Some("2");
 }
+
+#[test]
+fn trials_of_a_quarantined_request_become_rarer() {
+    let delays: Vec<Option<u64>> = (0..6).map(|n| trial_delay(n, 15)).collect();
+    assert_eq!(
+        delays,
+        [None, None, Some(15), Some(60), Some(240), Some(960)]
+    );
+    assert_eq!(trial_delay(200, 15), Some(u64::MAX));
+}
