Don't suspect requests of servers that only close connections, or just answered ones

Traces show two causes. A server whose link is reset accepts and closes connections; each cut counted as a crash, again and again under one server. And where other requests end all six servers of a site within 100 ms, copies of a popular request begin and are cut twice before any server answers one.

A server now has crashed only if its port refuses connections; one that can't be reached or closes new connections has not. And crashes within 1 to 2 s after an instance has answered the request don't count against it there; a request that starts to end servers is thus suspected 2 s later at most, within the 4 s that the users allow. Fingerprints cover the first 64 KiB of a body on both paths.

New case: gateway_crashes::lookup_that_was_answered_a_moment_ago_is_not_suspected. The test an_answered_lookup_is_not_quarantined waits for the record to be cleared; it now advances its clock before each lookup, since right after an answer there is no record to clear (it hung otherwise).

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -4,17 +4,19 @@
 //! Instances recognize it by its fingerprint and record crashes in the document. A
 //! crash counts only if the run began after the previous counted crash was known,
 //! so that servers which end together count once, however many copies of a popular
-//! request they ran. An answer clears the record.
+//! request they ran. An answer clears the record, and a request that was answered a
+//! moment ago is not suspected.
 
 mod reports;
 
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
 use pomelovale_state::command::CRASH_RETENTION_MS;
@@ -31,6 +33,14 @@
 /// Time for which a connection to a server must stay open: a terminating process closes
 /// its connections and its listener one by one. In milliseconds.
 const SETTLE_MS: u64 = 25;
+/// Bytes at the start of a body that a fingerprint covers, so that large bodies don't
+/// delay other requests.
+const FINGERPRINT_BODY_BYTES: usize = 64 * 1024;
+/// Shortest time after an answer for which crashes don't count against the request, in
+/// milliseconds. The longest one is twice that.
+const ANSWERED_MS: u64 = 1_000;
+/// Maximum number of requests that are remembered as answered in that time.
+const ANSWERED_MAX: usize = 4_096;
 /// Time after a run was abandoned within which a crash of its server counts against
 /// the request, in milliseconds.
 const ABANDONED_RUN_MS: u64 = 3_000;
@@ -72,6 +82,51 @@
     pub known: u64,
 }
 
+/// Returns the fingerprint of a request. `head` distinguishes requests with the same
+/// body.
+pub fn fingerprint(head: &[&[u8]], body: &[u8]) -> Digest {
+    let length = (body.len() as u64).to_le_bytes();
+    let parts = match body.len() <= FINGERPRINT_BODY_BYTES {
+        true => vec![body],
+        false => vec![&body[..FINGERPRINT_BODY_BYTES], &length],
+    };
+    Digest::of(&[head, &parts].concat())
+}
+
+/// Requests that this instance has returned an answer to in the last moments.
+#[derive(Debug, Default)]
+struct RecentAnswers {
+    current: IndexSet<Digest>,
+    previous: IndexSet<Digest>,
+    since: Millis,
+}
+
+impl RecentAnswers {
+    // Drops the answers that are older than the longest time.
+    fn expire(&mut self, now: Millis) {
+        let age_ms = now.since(self.since);
+        if age_ms >= ANSWERED_MS {
+            self.previous = std::mem::take(&mut self.current);
+            self.since = now;
+        }
+        if age_ms >= 2 * ANSWERED_MS {
+            self.previous.clear();
+        }
+    }
+
+    fn insert(&mut self, now: Millis, fingerprint: Digest) {
+        self.expire(now);
+        if self.current.len() < ANSWERED_MAX {
+            self.current.insert(fingerprint);
+        }
+    }
+
+    fn contains(&mut self, now: Millis, fingerprint: &Digest) -> bool {
+        self.expire(now);
+        self.current.contains(fingerprint) || self.previous.contains(fingerprint)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     /// Crashes that are not in the document yet.
@@ -81,6 +136,7 @@
     first_seen: Millis,
     /// Changes of the crash records that are still to be proposed.
     pending: PendingChanges,
+    answered: RecentAnswers,
     /// Runs whose outcome nobody waits for any more.
     abandoned: VecDeque<(Millis, Run)>,
 }
@@ -270,10 +326,11 @@
         let fingerprint = &run.fingerprint;
         let mut inner = self.lock();
         let (crashes, _) = inner.crashes(&document, now, fingerprint);
-        let crash = quarantine::next_crash(&crashes, run.known);
+        let answered = inner.answered.contains(now, fingerprint);
+        let crash = quarantine::next_crash(&crashes, run.known).filter(|_| !answered);
         metrics::counter!("entry_backend_crashes_total").increment(1);
         tracing::info!(event = "server-ended", server = %run.server, %fingerprint,
-            known = run.known, crash = crash.as_deref());
+            known = run.known, answered, crash = crash.as_deref());
         let Some(crash) = crash else {
             return;
         };
@@ -287,13 +344,10 @@
     /// Clears the record of a request that a server has answered. Otherwise, popular
     /// lookups that are in flight when a failure domain is lost would be refused by all
     /// instances.
-    pub fn record_answer(&self, fingerprint: impl FnOnce() -> Digest) {
+    pub fn record_answer(&self, fingerprint: Digest) {
         let document = self.view.document();
         let mut inner = self.lock();
-        if document.crashes.is_empty() && inner.own.is_empty() {
-            return;
-        }
-        let fingerprint = fingerprint();
+        inner.answered.insert(self.clock.now(), fingerprint);
         inner.own.forget(&fingerprint);
         let recorded = document.crashes.contains_key(&fingerprint);
         let known = recorded || inner.pending.contains(&fingerprint);
@@ -321,15 +375,37 @@
     }
 }
 
-// Whether a server whose connection was cut no longer accepts connections.
+/// What the port of a server tells about its process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PortState {
+    /// Connections are accepted and closed at once: by a terminating process, a server
+    /// with too many connections, or something in between.
+    Closing,
+    /// Connections are accepted, or nothing can be told.
+    Open,
+    /// Connections are refused.
+    Refused,
+}
+
+// Whether the process of a server has ended.
 async fn is_down(address: SocketAddr, limit: Duration) -> bool {
-    let settle = Millis(SETTLE_MS).duration();
+    match port_state(address, limit).await {
+        PortState::Closing => port_state(address, limit).await == PortState::Refused,
+        state => state == PortState::Refused,
+    }
+}
+
+async fn port_state(address: SocketAddr, limit: Duration) -> PortState {
+    let mut byte = [0];
     match timeout(limit, TcpStream::connect(address)).await {
-        // The listener of a terminating process may still complete a handshake.
         Ok(Ok(mut stream)) => {
-            let mut byte = [0];
-            timeout(settle, stream.read(&mut byte)).await.is_ok()
+            let settle = Millis(SETTLE_MS).duration();
+            match timeout(settle, stream.read(&mut byte)).await {
+                Ok(_) => PortState::Closing,
+                Err(_) => PortState::Open,
+            }
         }
-        Ok(Err(_)) | Err(_) => true,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => PortState::Refused,
+        Ok(Err(_)) | Err(_) => PortState::Open,
     }
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -21,7 +21,7 @@
 use super::keys::{self, VerifiedKey};
 use super::steering::{AttemptEnd, Choice, Permit, RequestInfo};
 use super::Shared;
-use crate::crash::{Run, Trial};
+use crate::crash::{self, Run, Trial};
 
 const NOT_RUN: &[u8] = b"not-run";
 
@@ -56,13 +56,16 @@
 
 impl AdmittedRequest {
     /// Returns the SHA-256 of method, path with query, and body.
+    pub fn digest(&self) -> Digest {
+        let (method, target) = (self.method.as_str(), &self.target);
+        Digest::of(&[method.as_bytes(), target.as_bytes(), &self.body])
+    }
+
+    /// Returns the fingerprint by which crashes under the request are recorded.
     pub fn fingerprint(&self) -> Digest {
-        let parts = [
-            self.method.as_str().as_bytes(),
-            self.target.as_bytes(),
-            &self.body,
-        ];
-        *self.fingerprint.get_or_init(|| Digest::of(&parts))
+        let head = [self.method.as_str().as_bytes(), self.target.as_bytes()];
+        let compute = || crash::fingerprint(&head, &self.body);
+        *self.fingerprint.get_or_init(compute)
     }
 
     fn left(&self) -> Duration {
@@ -196,7 +199,7 @@
         let failure = match outcome {
             AttemptOutcome::Answer(response) => {
                 if matches!(response.body(), CallerBody::Full(_)) {
-                    shared.crashes.record_answer(|| admitted.fingerprint());
+                    shared.crashes.record_answer(admitted.fingerprint());
                 }
                 return Ok(response);
             }
@@ -474,7 +477,7 @@
             let AttemptGuard {
                 shared, admitted, ..
             } = &running;
-            shared.crashes.record_answer(|| admitted.fingerprint());
+            shared.crashes.record_answer(admitted.fingerprint());
         }
         // `Cancelled` is not counted as a failure of the region.
         Err(ExchangeError::Cut) => running.end(AttemptEnd::Cancelled),
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -303,8 +303,8 @@
         admitted.info.service.clone(),
         admitted.info.workspace.clone(),
     );
-    let fingerprint = admitted.fingerprint();
-    let intent = match intent::begin(&shared, &service, &workspace, &key, fingerprint).await? {
+    let digest = admitted.digest();
+    let intent = match intent::begin(&shared, &service, &workspace, &key, digest).await? {
         BeginResult::Replay(response) => return Ok(response),
         BeginResult::Run(intent) => intent,
     };
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
 use super::{connections, server_selection, Shared};
-use crate::crash::{Run, Trial};
+use crate::crash::{self, Run, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
 
@@ -36,9 +36,6 @@
 /// this many times the expected time and twice the latency objective of the
 /// route, the attempt is abandoned, provided that a retry is allowed.
 const SILENCE_FACTOR: u64 = 4;
-/// Bytes at the start of a body that a fingerprint covers, besides its length, so
-/// that a large body does not delay other requests.
-const FINGERPRINT_BODY_BYTES: usize = 64 * 1024;
 
 /// A request that is within the limits of its workspace, with its route and
 /// service.
@@ -91,16 +88,15 @@
     pub(super) fn fingerprint(&self) -> Digest {
         *self.fingerprint.get_or_init(|| {
             let target = self.target.to_string();
-            let length = self.body.len();
-            let prefix = &self.body[..length.min(FINGERPRINT_BODY_BYTES)];
-            Digest::of(&[
-                self.workspace.as_ref().map_or(&[], |name| name.as_bytes()),
+            let head = [
+                self.workspace
+                    .as_ref()
+                    .map_or(&[][..], |name| name.as_bytes()),
                 self.host.as_bytes(),
                 self.method.as_str().as_bytes(),
                 target.as_bytes(),
-                &(length as u64).to_le_bytes(),
-                prefix,
-            ])
+            ];
+            crash::fingerprint(&head, &self.body)
         })
     }
 }
@@ -531,7 +527,7 @@
         !refused && !status_means_not_run && parts.headers.contains_key(&header_names.proof);
     let complete = matches!(held, BufferedBody::All(_));
     if has_proof && complete {
-        shared.crashes.record_answer(|| routed.fingerprint());
+        shared.crashes.record_answer(routed.fingerprint());
     }
     let is_server_error = status.is_server_error();
     let is_retryable = is_server_error && routed.is_idempotent();
@@ -596,7 +592,7 @@
             running.shared.connections.pool.put(address, connection);
             running.end(PlacementEnd::Answered);
             let AttemptGuard { shared, routed, .. } = &running;
-            shared.crashes.record_answer(|| routed.fingerprint());
+            shared.crashes.record_answer(routed.fingerprint());
         }
         // The body also ends with this fault if the caller disconnects, which says
         // nothing about the server.
--- a/crates/daemon/tests/entry_crashes.rs
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -61,9 +61,13 @@
             .filter(|c| matches!(c, Command::ClearCrash(_)))
             .count()
     };
+    let prove = control.prover();
     for (n, server) in [&first, &second].into_iter().enumerate() {
         armed[n].store(true, Ordering::SeqCst);
         while !server.is_down() {
+            // Crashes right after an answer don't count.
+            control.clock.advance(3_000);
+            prove();
             assert_eq!(lookup(&entry).await, 200);
         }
         until(|| cleared(&control) == n + 1).await;
--- a/crates/daemon/tests/gateway_crashes.rs
+++ b/crates/daemon/tests/gateway_crashes.rs
@@ -194,6 +194,31 @@
     }
 }
 
+/// Guards against a popular lookup that is quarantined because all servers of a small site
+/// end within moments, so that no answer comes between two of them.
+#[tokio::test]
+async fn lookup_that_was_answered_a_moment_ago_is_not_suspected() {
+    let failing = Arc::new(AtomicBool::new(false));
+    let mut servers = Vec::new();
+    for _ in 0..8 {
+        let failing = failing.clone();
+        let script = move |_: &ReceivedRequest, _: usize| match failing.load(Ordering::SeqCst) {
+            true => ServerAction::Crash,
+            false => proven("200 OK", "fine"),
+        };
+        servers.push(Server::start(script).await);
+    }
+    let fleet = start(&servers, 1).await;
+    assert_eq!(send_popular(&fleet, 0).await, 200);
+    failing.store(true, Ordering::SeqCst);
+    for _ in 0..2 {
+        assert_eq!(send_popular(&fleet, 0).await, 502);
+    }
+    assert_eq!(ended(&servers), 4);
+    failing.store(false, Ordering::SeqCst);
+    assert_eq!(send_popular(&fleet, 0).await, 200);
+}
+
 /// Sends a request and closes the connection before it is answered.
 async fn send_and_leave(fleet: &Fleet, n: usize, request: &str, after_ms: u64) {
     let gateway = &fleet.gateways[n % fleet.gateways.len()];
