--- a/crates/daemon/benches/capacity.rs
+++ b/crates/daemon/benches/capacity.rs
@@ -1,10 +1,12 @@
 //! Measures each cost at several sizes and prints a linear fit. docs/CAPACITY.md
 //! extrapolates from the slopes.
 //!
-//! `cargo bench -p pomelovaled --bench capacity [-- blocks|limits|state]`
+//! `cargo bench -p pomelovaled --bench capacity [-- blocks|crashes|limits|state]`
 
 #[path = "capacity_blocks/mod.rs"]
 mod capacity_blocks;
+#[path = "capacity_crashes/mod.rs"]
+mod capacity_crashes;
 #[path = "capacity_limits/mod.rs"]
 mod capacity_limits;
 #[path = "capacity_state/mod.rs"]
@@ -76,6 +78,9 @@
     if is_selected("blocks") {
         capacity_blocks::measure();
     }
+    if is_selected("crashes") {
+        capacity_crashes::measure();
+    }
     if is_selected("limits") {
         capacity_limits::measure();
     }
--- a/crates/daemon/tests/entry_crashes.rs
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -5,8 +5,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
-use entry_support::{keyed, ok, setup, until, Caller, Control, Server, ServerAction};
+use entry_support::{
+    keyed, ok, setup, until, Caller, Control, ReceivedRequest, Server, ServerAction,
+};
 use pomelovale_state::command::Command;
 use pomelovale_state::document::{Backend, MemberState};
 use pomelovaled::entry::EntryHandle;
@@ -126,3 +129,40 @@
     assert_eq!(lookup(&entries[0]).await, 200);
     assert_eq!(lookup(&entries[1]).await, 200);
 }
+
+/// Guards against a request whose caller leaves before the server ends, so that nobody
+/// sees its connection cut.
+#[tokio::test]
+async fn a_crash_after_the_caller_has_left_is_recorded() {
+    let mut servers = Vec::new();
+    for _ in 0..3 {
+        let script = |seen: &ReceivedRequest, _| match seen.head.contains("poison") {
+            true => ServerAction::CrashAfter(100),
+            false => ok("done"),
+        };
+        servers.push(Server::start(script).await);
+    }
+    let control = setup(&servers.iter().collect::<Vec<_>>());
+    let entry = control.entry(|_| {}).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let poison = keyed("GET", "/catalogue/poison", "", "");
+    caller.write(&poison).await;
+    until(|| servers.iter().any(|s| !s.requests().is_empty())).await;
+    drop(caller);
+    until(|| servers.iter().any(Server::is_down)).await;
+    let recorded = |control: &Control| {
+        let proposed = control.proposed.lock().unwrap();
+        proposed
+            .iter()
+            .any(|c| matches!(c, Command::RecordCrash { .. }))
+    };
+    let found = async {
+        // A lookup that meets the ended server has it checked.
+        while !recorded(&control) {
+            lookup(&entry).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let limit = Duration::from_secs(10);
+    tokio::time::timeout(limit, found).await.unwrap();
+}
