Count crashes after bytes that are no answer, and end a stop within its grace

A server that sent bytes which are no answer and then ended was not suspected: the run had failed as malformed, and only cut, silent and cancelled runs were kept.

A stopping gateway waited up to 300 ms for crash reports after its grace period; it now does so within it.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -324,6 +324,13 @@
                 ExchangeError::Silent => AttemptEnd::TimedOut,
                 _ => AttemptEnd::Failed,
             });
+            if matches!(
+                failure.fault,
+                ExchangeError::Foreign | ExchangeError::Malformed
+            ) {
+                let run = run(admitted, choice, retries.known_crash);
+                shared.crashes.abandon(run);
+            }
             AttemptOutcome::Failed(failure)
         }
     }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -464,6 +464,13 @@
         ExchangeError::Silent => (PlacementEnd::TimedOut, ErrorKind::UnknownTimeout, "silent"),
     };
     running.end(ended);
+    if matches!(
+        failure.fault,
+        ExchangeError::Foreign | ExchangeError::Malformed
+    ) {
+        let run = running.routed.run_on(chosen, running.known_crash);
+        shared.crashes.abandon(run);
+    }
     match failure.written {
         true => {
             let cut = failure.fault == ExchangeError::Cut;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 use pomelovale_transport::peer_server::PeerServer;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
-use tokio::time::timeout;
+use tokio::time::{timeout_at, Instant};
 
 use config::{GatewayConfig, Peering};
 use connections::Connections;
@@ -245,13 +245,11 @@
         tracing::info!(event = "leave", instance = %config.instance);
         maintenance::report(&self.shared);
         tokio::time::sleep(Millis(config.deregistration_delay_ms).duration()).await;
-        let rest = Millis(
-            config
-                .grace_ms
-                .saturating_sub(config.deregistration_delay_ms),
-        )
-        .duration();
-        if timeout(rest, self.server.stop()).await.is_err() {
+        let rest_ms = config
+            .grace_ms
+            .saturating_sub(config.deregistration_delay_ms);
+        let end = Instant::now() + Millis(rest_ms).duration();
+        if timeout_at(end, self.server.stop()).await.is_err() {
             let left = self.shared.running.load(Ordering::Relaxed);
             tracing::warn!(
                 event = "stop",
@@ -259,7 +257,8 @@
                 "grace period is over; aborting requests in flight"
             );
         }
-        let limit = Millis(CRASH_FLUSH_MS).duration();
+        let left = end.saturating_duration_since(Instant::now());
+        let limit = left.min(Millis(CRASH_FLUSH_MS).duration());
         self.shared.crashes.flush(limit).await;
         self.tasks.shutdown().await;
         drop(self.peers);
--- a/crates/daemon/tests/gateway_crashes.rs
+++ b/crates/daemon/tests/gateway_crashes.rs
@@ -283,6 +283,26 @@
     assert_eq!(ended(&servers), QUARANTINE_CRASHES);
 }
 
+/// Guards against a crash that doesn't count because the server sent bytes that are no
+/// answer before it ended.
+#[tokio::test]
+async fn crash_after_bytes_that_are_no_answer_counts() {
+    let mut servers = Vec::new();
+    for _ in 0..8 {
+        let script = |seen: &ReceivedRequest, _| match seen.head.contains("poison") {
+            true => ServerAction::WriteAndCrash(b"no answer\r\n\r\n".to_vec()),
+            false => proven("200 OK", "fine"),
+        };
+        servers.push(Server::start(script).await);
+    }
+    let fleet = start(&servers, 2).await;
+    for n in 0..6 {
+        send_through(&fleet, n, &keyed("POST", "/once/poison")).await;
+        find_ended_servers(&fleet, &servers).await;
+    }
+    assert_eq!(ended(&servers), QUARANTINE_CRASHES);
+}
+
 // The head of an answer and enough of its body that the gateway passes it on.
 fn started_answer() -> Vec<u8> {
     let head = "HTTP/1.1 200 OK\r\npomelovale-request: q1\r\npomelovale-proof: p\r\ncontent-length: 900000\r\n\r\n";
