Try a quarantined request again after 3 s

What such a request loses is now bounded by 3 s; the next trials follow 24 and 192 s after further crashes, so that a harmful request ends one more server in that time and still fewer than three after its third. Retry-After says the same.

--- a/crates/daemon/src/entry/config.rs
+++ b/crates/daemon/src/entry/config.rs
@@ -86,7 +86,7 @@
             control_ms: 2_000,
             list_ms: 5_000,
             spread_ms: 2_000,
-            trial_ms: 15_000,
+            trial_ms: 3_000,
         }
     }
 }
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -11,7 +11,7 @@
 const DEFAULT_RETRY_MS: u64 = 1_000;
 /// Time after which to retry a quarantined request if nothing more exact is known, in
 /// milliseconds.
-const QUARANTINE_RETRY_MS: u64 = 15_000;
+const QUARANTINE_RETRY_MS: u64 = 3_000;
 
 /// Reason why a request gets no response of a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -96,7 +96,7 @@
             connect_ms: 400,
             pause_ms: 5_000,
             idle_ms: 6_000,
-            trial_ms: 15_000,
+            trial_ms: 3_000,
             report_ms: 500,
             retry_budget: RetryBudgetConfig {
                 per_mille: 100,
--- a/crates/daemon/tests/gateway_crashes.rs
+++ b/crates/daemon/tests/gateway_crashes.rs
@@ -14,8 +14,8 @@
 use pomelovale_state::command::QUARANTINE_CRASHES;
 use pomelovale_state::document::{Backend, Document, MemberState};
 use pomelovaled::gateway::config::GatewayConfig;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Starts servers that end when they are sent a path with `poison`.
 async fn start_servers(count: usize) -> Vec<Server> {
@@ -219,6 +219,32 @@
     assert_eq!(send_popular(&fleet, 0).await, 200);
 }
 
+/// Guards against counting connections that a full server closes, or something on the way
+/// to it, as crashes.
+#[tokio::test]
+async fn closed_connections_are_no_crashes() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepting = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut part = [0; 64];
+            let limit = Duration::from_millis(5);
+            let _ = tokio::time::timeout(limit, stream.read(&mut part)).await;
+        }
+    });
+    let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let mut document = document(&[&server]);
+    document.backends["b0"].address = address;
+    let fleet = Fleet::start(2, document).await;
+    for n in 0..6 {
+        let answer = send_through(&fleet, n, &keyed("POST", "/once/x")).await;
+        assert_ne!(status(&answer), 503, "{answer}");
+    }
+    assert!(fleet.document().crashes.is_empty());
+    accepting.abort();
+}
+
 /// Sends a request and closes the connection before it is answered.
 async fn send_and_leave(fleet: &Fleet, n: usize, request: &str, after_ms: u64) {
     let gateway = &fleet.gateways[n % fleet.gateways.len()];
@@ -409,7 +435,7 @@
     let servers = start_servers(20).await;
     let fleet = start_with_trials(&servers, 3).await;
     let start = Instant::now();
-    // Trials are due after 300, 1,200 and 4,800 ms.
+    // Trials are due 300, 2,400 and 19,200 ms after the last crash.
     let mut n = 0;
     while start.elapsed() < Duration::from_secs(4) {
         send_through(&fleet, n, &keyed("POST", "/once/poison")).await;
--- a/crates/steering/src/quarantine.rs
+++ b/crates/steering/src/quarantine.rs
@@ -31,7 +31,7 @@
 
 /// Factor by which the time until the next trial of a quarantined request grows with
 /// each further crash.
-const TRIAL_FACTOR: u64 = 4;
+const TRIAL_FACTOR: u64 = 8;
 
 /// Time after the last crash of a request until it may be tried once more, in
 /// milliseconds; `None` if it is not quarantined. An innocent request that is refused by
