Wait until a crash is recorded also if the request is refused before its next attempt

Where a route allows more attempts than crashes quarantine a request, the gateway refused it before the attempt after the second crash, and answered before other gateways knew of that crash: a resend through one of them ended another server.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -217,6 +217,7 @@
         }
         if let Some(retry_ms) = blocked_ms(shared, &routed) {
             request_log.fingerprint = Some(routed.fingerprint());
+            wait_until_recorded(shared, &routed, &progress).await;
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Quarantined);
             return Err(Refusal { kind, retry_ms });
         }
@@ -271,10 +272,7 @@
             }
         };
         if !retry {
-            if !progress.avoided.is_empty() {
-                let fingerprint = routed.fingerprint();
-                shared.crashes.wait_until_recorded(&fingerprint).await;
-            }
+            wait_until_recorded(shared, &routed, &progress).await;
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Unavailable);
             return Err(kind.into());
         }
@@ -284,6 +282,15 @@
     }
 }
 
+// Before a request under which a server crashed is answered with a failure, waits until
+// other instances know of the crash.
+async fn wait_until_recorded(shared: &Shared, routed: &RoutedRequest, progress: &Progress) {
+    if !progress.avoided.is_empty() {
+        let fingerprint = routed.fingerprint();
+        shared.crashes.wait_until_recorded(&fingerprint).await;
+    }
+}
+
 // Selects a server, outside of the avoided ones if there is one.
 async fn choose(
     shared: &Shared,
--- a/crates/daemon/tests/gateway_crashes.rs
+++ b/crates/daemon/tests/gateway_crashes.rs
@@ -112,6 +112,25 @@
     status(&send_through(fleet, n, &popular()).await)
 }
 
+/// Guards against a request that is refused by its own gateway before others know of the
+/// crash, since its route allows one more attempt.
+#[tokio::test]
+async fn resent_lookup_with_an_attempt_left() {
+    let servers = start_servers(10).await;
+    let all: Vec<&Server> = servers.iter().collect();
+    let mut document = document(&all);
+    let mut routing = (*document.routing.unwrap()).clone();
+    for route in routing.hosts.values_mut().flatten() {
+        route.attempts = 4;
+    }
+    document.routing = Some(Arc::new(routing));
+    let fleet = Fleet::start(4, document).await;
+    for turn in 0..8 {
+        send_through(&fleet, turn, &keyed("GET", "/safe/poison")).await;
+    }
+    assert_eq!(ended(&servers), QUARANTINE_CRASHES);
+}
+
 /// Adds a server in a failure domain of its own.
 fn add_far_server(fleet: &Fleet, server: &Server) {
     fleet.edit(|document| {
