--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -20,7 +20,7 @@
 use super::config::EntryConfig;
 use super::steering::Choice;
 
-/// Assumed round-trip time between regions in milliseconds; it is not measured.
+/// Assumed round-trip time between regions in milliseconds.
 pub const REGION_RTT_MS: f64 = 110.0;
 /// Responses after which the recorded peak latency has decayed by about two
 /// thirds. The integer division makes a peak below this many milliseconds stay
