Log what the port of a server did after it cut or dropped a run

A check that decided against a crash left no line, so that a server that ended behind an open port looked like one that was never checked. The counter and the line name the sign.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -264,7 +264,7 @@
         let tracker = self.clone();
         let check = tokio::spawn(async move {
             let limit = Millis(tracker.timings.connect_ms).duration();
-            let crashed = is_down(run.address, limit).await;
+            let crashed = is_down(&run.server, run.address, limit).await;
             if crashed {
                 tracker.record_crash(&run);
             }
@@ -313,7 +313,7 @@
             let tracker = self.clone();
             tokio::spawn(async move {
                 let limit = Millis(tracker.timings.connect_ms).duration();
-                if is_down(address, limit).await {
+                if is_down(&runs[0].server, address, limit).await {
                     runs.iter().for_each(|run| tracker.record_crash(run));
                 }
             });
@@ -388,11 +388,19 @@
 }
 
 // Whether the process of a server has ended.
-async fn is_down(address: SocketAddr, limit: Duration) -> bool {
-    match port_state(address, limit).await {
-        PortState::Closing => port_state(address, limit).await == PortState::Refused,
-        state => state == PortState::Refused,
-    }
+async fn is_down(server: &Name, address: SocketAddr, limit: Duration) -> bool {
+    let state = match port_state(address, limit).await {
+        PortState::Closing => port_state(address, limit).await,
+        state => state,
+    };
+    let label = match state {
+        PortState::Closing => "closing",
+        PortState::Open => "open",
+        PortState::Refused => "refused",
+    };
+    metrics::counter!("crash_checks_total", "port" => label).increment(1);
+    tracing::info!(event = "server-checked", %server, port = label);
+    state == PortState::Refused
 }
 
 async fn port_state(address: SocketAddr, limit: Duration) -> PortState {
