--- a/crates/daemon/tests/entry_support/server.rs
+++ b/crates/daemon/tests/entry_support/server.rs
@@ -1,7 +1,7 @@
 //! Mock backend servers, and parsing of HTTP messages from the wire.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -31,6 +31,18 @@
     WriteForever(Vec<u8>, Vec<u8>),
 }
 
+/// What the port of a mock server does after the server has crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PortAfterCrash {
+    /// Refuses connections for good.
+    Refuses,
+    /// Accepts connections and closes them, until the server is back after a time.
+    Closes(Duration),
+    /// Accepts connections and stays silent on all of them, until the server is back after
+    /// a time.
+    Hangs(Duration),
+}
+
 pub fn ok(body: &str) -> ServerAction {
     ServerAction::Write(ok_bytes(body))
 }
@@ -69,11 +81,20 @@
     /// Starts a server that reacts as `script` says for each request and its number.
     pub async fn start(
         script: impl Fn(&ReceivedRequest, usize) -> ServerAction + Send + Sync + 'static,
+    ) -> Server {
+        Server::start_behind(PortAfterCrash::Refuses, script).await
+    }
+
+    /// Likewise, with a port that may stay open after a crash.
+    pub async fn start_behind(
+        port: PortAfterCrash,
+        script: impl Fn(&ReceivedRequest, usize) -> ServerAction + Send + Sync + 'static,
     ) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let seen = Arc::new(Mutex::new(Vec::new()));
         let closed = Arc::new(AtomicUsize::new(0));
+        let hang = Arc::new(AtomicBool::new(false));
         let script: Script = Arc::new(script);
         let (log, ends) = (seen.clone(), closed.clone());
         let task = tokio::spawn(async move {
@@ -82,14 +103,34 @@
             for connection in 0.. {
                 let stream = tokio::select! {
                     accepted = listener.accept() => accepted.unwrap().0,
-                    _ = crashed.recv() => return,
+                    _ = crashed.recv() => match port {
+                        PortAfterCrash::Refuses => return,
+                        PortAfterCrash::Closes(time) => {
+                            connections.shutdown().await;
+                            let closing = async {
+                                while let Ok(accepted) = listener.accept().await {
+                                    drop(accepted);
+                                }
+                            };
+                            let _ = tokio::time::timeout(time, closing).await;
+                            continue;
+                        }
+                        PortAfterCrash::Hangs(time) => {
+                            tokio::time::sleep(time).await;
+                            connections.shutdown().await;
+                            hang.store(false, Ordering::SeqCst);
+                            continue;
+                        }
+                    },
+                };
+                let (script, log, ends) = (script.clone(), log.clone(), ends.clone());
+                let crash = Crash {
+                    port,
+                    signal: crash.clone(),
+                    hung: hang.clone(),
                 };
-                let (script, log, crash) = (script.clone(), log.clone(), crash.clone());
-                let ends = ends.clone();
                 connections.spawn(async move {
-                    if serve(stream, connection, &script, &log).await {
-                        let _ = crash.send(()).await;
-                    }
+                    serve(stream, connection, &script, &log, &crash).await;
                     ends.fetch_add(1, Ordering::SeqCst);
                 });
             }
@@ -118,12 +159,36 @@
     }
 }
 
+/// Crashes a server, as one of its connections sees it.
+struct Crash {
+    port: PortAfterCrash,
+    signal: tokio::sync::mpsc::Sender<()>,
+    hung: Arc<AtomicBool>,
+}
+
+impl Crash {
+    async fn trigger(&self) {
+        let hangs = matches!(self.port, PortAfterCrash::Hangs(_));
+        self.hung.store(hangs, Ordering::SeqCst);
+        let _ = self.signal.send(()).await;
+        self.wait_if_hung().await;
+    }
+
+    /// Never completes if the server hangs: its connections are closed when it is back.
+    async fn wait_if_hung(&self) {
+        if self.hung.load(Ordering::SeqCst) {
+            std::future::pending().await
+        }
+    }
+}
+
 async fn serve(
     mut stream: TcpStream,
     connection: usize,
     script: &Script,
     log: &Mutex<Vec<ReceivedRequest>>,
-) -> bool {
+    crash: &Crash,
+) {
     let mut buffer = Vec::new();
     while let Some((head, body)) = read_message(&mut stream, &mut buffer).await {
         let seen = ReceivedRequest {
@@ -136,6 +201,7 @@
             stream.write_all(&report).await.unwrap();
             continue;
         }
+        crash.wait_if_hung().await;
         let number = {
             let mut log = log.lock().unwrap();
             log.push(seen.clone());
@@ -145,43 +211,45 @@
             ServerAction::Write(bytes) => drop(stream.write_all(&bytes).await),
             ServerAction::WriteAndClose(bytes) => {
                 let _ = stream.write_all(&bytes).await;
-                return false;
+                return;
             }
             ServerAction::WriteAfter(ms, bytes) => {
                 // The wait ends early if the connection is closed.
                 let mut byte = [0];
                 let wait = tokio::time::sleep(Duration::from_millis(ms));
                 tokio::select! {
-                    () = wait => drop(stream.write_all(&bytes).await),
-                    n = stream.read(&mut byte) => if !matches!(n, Ok(1)) { return false },
+                    () = wait => {
+                        crash.wait_if_hung().await;
+                        drop(stream.write_all(&bytes).await);
+                    }
+                    n = stream.read(&mut byte) => if !matches!(n, Ok(1)) { return },
                 }
             }
             ServerAction::Silent => {
                 let mut byte = [0];
                 let _ = stream.read(&mut byte).await;
-                return false;
+                return;
             }
-            ServerAction::Close => return false,
-            ServerAction::Crash => return true,
+            ServerAction::Close => return,
+            ServerAction::Crash => return crash.trigger().await,
             ServerAction::CrashAfter(ms) => {
                 tokio::time::sleep(Duration::from_millis(ms)).await;
-                return true;
+                return crash.trigger().await;
             }
             ServerAction::WriteForever(first, rest) => {
                 let mut written = stream.write_all(&first).await;
                 while written.is_ok() {
                     written = stream.write_all(&rest).await;
                 }
-                return false;
+                return;
             }
             ServerAction::WriteAndCrash(bytes) => {
                 let _ = stream.write_all(&bytes).await;
                 let _ = stream.shutdown().await;
-                return true;
+                return crash.trigger().await;
             }
         }
     }
-    false
 }
 
 /// Reads a head and a body with a Content-Length or chunked encoding.
