--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod outages;
 mod replica;
 mod replication;
+pub mod server_limits;
 mod snapshot;
 mod storage;
 pub mod view;
--- /dev/null
+++ b/crates/coordination/src/server_limits.rs
@@ -0,0 +1,58 @@
+//! Limits that backend servers name, which the leader collects from the reports of the
+//! instances and records in the document.
+
+use indexmap::IndexMap;
+use pomelovale_protocol::report::LimitReport;
+use pomelovale_state::command::Command;
+use pomelovale_state::document::Document;
+use pomelovale_state::{Millis, Name};
+
+use crate::measurements::Measurements;
+
+/// Largest age at which what a server has named counts, in milliseconds.
+const NOTICE_AGE_MAX_MS: u64 = 3_000;
+/// A limit that differs from the recorded one by less than this percentage is not
+/// recorded, so that one which changes with each answer doesn't change the document each
+/// time.
+const CHANGE_PERCENT: u64 = 10;
+
+/// Returns the command that records the latest limits, if there are changes. The latest
+/// notice of a server counts, whichever instance reports it.
+pub fn changes(measurements: &Measurements, document: &Document, now: Millis) -> Option<Command> {
+    let mut latest: IndexMap<&Name, (u64, &LimitReport)> = IndexMap::new();
+    for report in measurements.reports() {
+        let received_ms = measurements.age(now, &report.instance);
+        for limit in &report.limits {
+            let age_ms = received_ms.saturating_add(limit.age_ms);
+            let is_later = |known: &(u64, &LimitReport)| age_ms < known.0;
+            if age_ms <= NOTICE_AGE_MAX_MS && latest.get(&limit.server).is_none_or(is_later) {
+                latest.insert(&limit.server, (age_ms, limit));
+            }
+        }
+    }
+    let changed = latest.into_iter().filter_map(|(server, (_, limit))| {
+        let recorded = document.limits.get(server).copied();
+        let known = document.backends.contains_key(server);
+        (known && differs(recorded, limit.rate)).then(|| (server.clone(), limit.rate))
+    });
+    let changed: Vec<(Name, Option<u64>)> = changed.collect();
+    (!changed.is_empty()).then_some(Command::SetServerLimits(changed))
+}
+
+/// Whether a command starts or ends a limit.
+pub fn is_start_or_end(document: &Document, command: &Command) -> bool {
+    let Command::SetServerLimits(limits) = command else {
+        return false;
+    };
+    let is_limited = |server| document.limits.contains_key(server);
+    limits
+        .iter()
+        .any(|(server, rate)| is_limited(server) != rate.is_some())
+}
+
+fn differs(recorded: Option<u64>, named: Option<u64>) -> bool {
+    match (recorded, named) {
+        (Some(recorded), Some(named)) => recorded.abs_diff(named) * 100 > recorded * CHANGE_PERCENT,
+        (recorded, named) => recorded != named,
+    }
+}
--- a/crates/coordination/tests/gate.rs
+++ b/crates/coordination/tests/gate.rs
@@ -108,6 +108,7 @@
         leaving: false,
         down: Vec::new(),
         back: Vec::new(),
+        limits: Vec::new(),
         services: vec![row("north", 25, north), row("south", 10, south)],
         links: vec![LinkLoad {
             from: "north".into(),
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -6,6 +6,7 @@
 use pomelovale_coordination::ledger::{Ledger, LedgerConfig, RateLimit};
 use pomelovale_coordination::measurements::Measurements;
 use pomelovale_coordination::outages;
+use pomelovale_coordination::server_limits;
 use pomelovale_protocol::grants::{GrantReply, GrantRequest};
 use pomelovale_protocol::log::Epoch;
 use pomelovale_protocol::messages::{ClusterStatus, InstanceStatus};
@@ -21,6 +22,10 @@
 /// Interval of the checks of which instances still report, in milliseconds.
 const MEMBERSHIP_CHECK_INTERVAL_MS: u64 = 150;
 
+/// Interval at which limits of servers that stay limited are recorded anew, in
+/// milliseconds.
+const LIMIT_CHANGE_INTERVAL_MS: u64 = 1_000;
+
 /// Time since the start of a leadership after which the lease holders that have
 /// not reported their leases yet are logged, in milliseconds.
 const SILENT_HOLDERS_LOG_DELAY_MS: u64 = 1_500;
@@ -36,6 +41,7 @@
     limits: IndexMap<Name, RateLimit>,
     measurements: Measurements,
     last_membership_check: Millis,
+    limits_changed: Millis,
     logged_silent_holders: bool,
 }
 
@@ -74,6 +80,7 @@
             limits: IndexMap::new(),
             measurements,
             last_membership_check: now,
+            limits_changed: now,
             logged_silent_holders: false,
         };
         leader.set_limits(document, now);
@@ -190,9 +197,24 @@
             tracing::info!(event = "outages", "{outages:?}");
             commands.push(("outages".to_owned(), Command::Batch(outages)));
         }
+        if let Some(limits) = self.limit_changes(document, now) {
+            tracing::info!(event = "server-limits", "{limits:?}");
+            commands.push(("limits".to_owned(), limits));
+        }
         commands.into_iter().map(change).collect()
     }
 
+    // Limits that start or end are recorded at once, others at a bounded rate.
+    fn limit_changes(&mut self, document: &Document, now: Millis) -> Option<Command> {
+        let command = server_limits::changes(&self.measurements, document, now)?;
+        let is_due = now.since(self.limits_changed) >= LIMIT_CHANGE_INTERVAL_MS;
+        if !is_due && !server_limits::is_start_or_end(document, &command) {
+            return None;
+        }
+        self.limits_changed = now;
+        Some(command)
+    }
+
     /// Status of all instances that report, and of all moves.
     pub(super) fn cluster_status(&self, document: &Document, now: Millis) -> ClusterStatus {
         let row = |report: &Report| {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderValue};
-use http::{Method, Request, Response, StatusCode};
+use http::{response, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use pomelovale_protocol::http::{
     strip_hop_by_hop, strip_internal_headers, DEADLINE, REQUEST, SHED,
@@ -13,6 +13,7 @@
 use pomelovale_protocol::trace::{TraceContext, TRACEPARENT};
 use pomelovale_state::document::Digest;
 use pomelovale_state::{ErrorKind, Name};
+use pomelovale_steering::server_limit::LimitNotice;
 use pomelovale_transport::backend::{Connection, ExchangeError, Failure, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
 use tokio::time::{timeout_at, Instant};
@@ -390,6 +391,21 @@
     request
 }
 
+// Records what an answer says about the limit of its server. Only an answer of a run shows
+// that a limit has ended.
+fn record_limit(shared: &Shared, choice: &Choice, parts: &response::Parts, shed: bool) {
+    let notice = match shared.header_names.limit(&parts.headers) {
+        LimitNotice::Unlimited if shed => LimitNotice::Unknown,
+        notice => notice,
+    };
+    if shared.steering.record_limit(choice, notice) {
+        metrics::counter!("server_limit_changes_total").increment(1);
+        tracing::info!(event = "server-limit", service = %choice.service,
+            server = %choice.server, notice = ?notice, source = "answer");
+        poll::report(shared);
+    }
+}
+
 /// Buffers a response until it is complete, or streams one that is larger than
 /// `answer_bytes`.
 async fn receive(
@@ -404,6 +420,7 @@
     let Reply { parts, mut body } = reply;
     let shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
         && parts.headers.get(SHED).is_some_and(|v| v == NOT_RUN);
+    record_limit(shared, &running.choice, &parts, shed);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -19,6 +19,7 @@
 use error_stack::{Report, ResultExt};
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
+use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::document::{Instance, MemberState};
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
@@ -47,6 +48,7 @@
     clock: Clock,
     steering: Arc<EntrySteering>,
     pool: Arc<Pool>,
+    header_names: HeaderNames,
     crashes: Arc<CrashTracker>,
     leaving: AtomicBool,
     held: AtomicUsize,
@@ -159,6 +161,7 @@
             control,
             clock,
             pool,
+            header_names: HeaderNames::default(),
             crashes: Arc::new(crashes),
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -22,6 +22,9 @@
 
 /// Path at which servers report their load.
 pub(super) const PATH: &str = "/load";
+/// Age of the view beyond which this instance may have been replaced in the shares of
+/// limited servers, in milliseconds: less than the time after which a silent one is.
+const VIEW_MAX_AGE_MS: u64 = 4_000;
 const REPORT_MAX_BYTES: usize = 4_096;
 const SWEEP_INTERVAL_MS: u64 = 500;
 const QUEUE_CHECK_INTERVAL_MS: u64 = 20;
@@ -48,9 +51,13 @@
         let age = Millis(shared.config.idle_ms).duration();
         let in_use = |address: &SocketAddr| servers.iter().any(|(_, _, a)| a == address);
         shared.pool.sweep(age, &in_use);
+        let is_isolated = shared.view.age(shared.clock.now()) > VIEW_MAX_AGE_MS;
+        shared.steering.set_isolated(is_isolated);
         report(&shared);
         if polling {
-            for (service, server, address) in servers {
+            // Polls would use up the limit of a server.
+            let unlimited = |s: &Name| !document.limits.contains_key(s);
+            for (service, server, address) in servers.into_iter().filter(|s| unlimited(&s.1)) {
                 tokio::spawn(poll(shared.clone(), service, server, address));
             }
         }
@@ -74,6 +81,7 @@
         leaving: shared.leaving.load(Ordering::Relaxed),
         down: Vec::new(),
         back: Vec::new(),
+        limits: shared.steering.limit_reports(),
         services,
         links,
     });
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -138,13 +138,14 @@
                 slots: b.slots,
                 connections: b.connections,
                 leaving: b.state != MemberState::Serving,
+                limit: document.limits.get(name).copied(),
             })
             .collect();
         let entries = entries(document);
         let is_local = |s: &ServerInfo| s.region == self.home && !s.leaving;
         self.has_local_servers = servers.iter().any(is_local);
         self.balancer.set_servers(now, &servers);
-        self.balancer.set_entries(own, &entries);
+        self.balancer.set_entries(now, own, &entries);
         for (name, workspace) in &document.workspaces {
             self.admission.set_weight(name, workspace.weight);
         }
--- a/crates/daemon/src/entry/steering.rs
+++ b/crates/daemon/src/entry/steering.rs
@@ -7,13 +7,14 @@
 use indexmap::IndexMap;
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
-use pomelovale_protocol::report::ServiceLoad;
+use pomelovale_protocol::report::{LimitReport, ServiceLoad};
 use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_steering::admission::{AdmissionDecision, RequestEnd, Ticket};
 use pomelovale_steering::balancer::EntryInfo;
 pub use pomelovale_steering::balancer::ServerLoad;
 use pomelovale_steering::entries::{EntryPolicy, EntryRanking, RegionHeadroom};
+use pomelovale_steering::server_limit::LimitNotice;
 pub use pomelovale_steering::{AttemptEnd, Class};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -303,6 +304,40 @@
         self.with_service(service, |s| s.report_load(at, server, report));
     }
 
+    /// Records what an answer of a server says about its limit. Returns whether a limit has
+    /// started or ended by it.
+    pub fn record_limit(&self, choice: &Choice, notice: LimitNotice) -> bool {
+        let now = self.clock.now();
+        self.with_service(&choice.service, |s| {
+            s.balancer.record_limit(now, &choice.server, notice)
+        })
+    }
+
+    /// Sets whether the view of this instance is out of date.
+    pub fn set_isolated(&self, is_isolated: bool) {
+        let now = self.clock.now();
+        for (_, service) in self.all_services() {
+            let mut steering = service.lock().expect("no panic while held");
+            steering.balancer.set_isolated(now, is_isolated);
+        }
+    }
+
+    /// What servers have recently said about their limits.
+    pub fn limit_reports(&self) -> Vec<LimitReport> {
+        let now = self.clock.now();
+        let mut reports = Vec::new();
+        for (_, service) in self.all_services() {
+            let steering = service.lock().expect("no panic while held");
+            let notices = steering.balancer.limit_notices(now);
+            reports.extend(notices.map(|(server, rate, age_ms)| LimitReport {
+                server: server.clone(),
+                rate,
+                age_ms,
+            }));
+        }
+        reports
+    }
+
     /// Takes one retry from a service's budget, if any is left.
     pub fn try_spend(&self, service: &Name) -> bool {
         self.with_service(service, |s| s.retry_budget.try_spend())
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -7,14 +7,18 @@
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{response, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
+use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_protocol::http::strip_hop_by_hop;
 use pomelovale_state::digest::Digest;
 use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::routing::{HostRoute, Repeat};
 use pomelovale_state::{ErrorKind, Millis, Name};
-use pomelovale_steering::placement::{Chosen, LoadReport, PlacementDecision, PlacementEnd};
+use pomelovale_steering::placement::{
+    Chosen, LoadReport, PlacementDecision, PlacementEnd, ServerReport,
+};
+use pomelovale_steering::server_limit::LimitNotice;
 use pomelovale_transport::backend::{Connection, ExchangeError, Failure, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
 use tokio::time::{timeout_at, Instant};
@@ -144,7 +148,7 @@
     chosen: Chosen,
     place: Option<Place>,
     since: Instant,
-    report: Option<LoadReport>,
+    report: ServerReport,
     // Set once the request is sent, until the attempt ends.
     run: Option<(Run, RunGuard)>,
     ended: bool,
@@ -160,17 +164,12 @@
         let latency_ms = self.since.elapsed().as_millis() as u64;
         let document = self.shared.view.document();
         let (chosen, routed, report) = (&self.chosen, &self.routed, self.report);
-        // Whether the end of the attempt has caused the server to be suspended.
-        let held = self
-            .shared
-            .services
-            .with(now, &document, &routed.service, |s| {
-                let route = &routed.route.name;
-                s.placement
-                    .finish(now, chosen, route, ended, latency_ms, report)
-            });
-        let held = held == Some(true);
-        super::report_suspended_server(&self.shared, &routed.service, chosen, ended, held);
+        let services = &self.shared.services;
+        let changed = services.with(now, &document, &routed.service, |s| {
+            s.finish(now, chosen, &routed.route.name, ended, latency_ms, report)
+        });
+        let changed = changed.unwrap_or_default();
+        super::report_changed_server(&self.shared, &routed.service, chosen, ended, changed);
         let lost = matches!(ended, PlacementEnd::Cancelled | PlacementEnd::TimedOut);
         if let Some((run, _)) = self.run.take().filter(|_| lost) {
             self.shared.crashes.abandon(run);
@@ -347,7 +346,7 @@
         chosen: chosen.clone(),
         place,
         since: Instant::now(),
-        report: None,
+        report: ServerReport::default(),
         run: None,
         ended: false,
     };
@@ -538,13 +537,7 @@
     let header_names = &shared.config.header_names;
     shared.crashes.record_reply(running.chosen.address);
     let Reply { parts, mut body } = reply;
-    running.report = header_names
-        .load(&parts.headers)
-        .map(|[running, waiting, slots]| LoadReport {
-            running,
-            waiting,
-            slots,
-        });
+    running.report = server_report(header_names, &parts);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
@@ -612,6 +605,26 @@
     Ok((Outcome::Answer(response), "answered"))
 }
 
+// Reads what an answer says about its server. Only an answer that proves to be the
+// server's own shows that a limit has ended; an answer of another server in its place says
+// nothing.
+fn server_report(names: &HeaderNames, parts: &response::Parts) -> ServerReport {
+    let load = names
+        .load(&parts.headers)
+        .map(|[running, waiting, slots]| LoadReport {
+            running,
+            waiting,
+            slots,
+        });
+    let is_own = parts.headers.contains_key(&names.proof);
+    let limit = match names.limit(&parts.headers) {
+        _ if parts.status == StatusCode::MISDIRECTED_REQUEST => LimitNotice::Unknown,
+        LimitNotice::Unlimited if !is_own => LimitNotice::Unknown,
+        limit => limit,
+    };
+    ServerReport { load, limit }
+}
+
 // Returns whether more time is left than the latency objective, within which a
 // retry should get its response.
 fn has_time_to_retry(routed: &RoutedRequest) -> bool {
--- a/crates/daemon/src/gateway/coordinator.rs
+++ b/crates/daemon/src/gateway/coordinator.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use pomelovale_protocol::messages::{PeerMessage, PlaceRequest};
 use pomelovale_state::{Millis, Name};
-use pomelovale_steering::placement::{Chosen, LoadReport, PlacementDecision, PlacementEnd};
+use pomelovale_steering::placement::{Chosen, PlacementDecision, PlacementEnd, ServerReport};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
 use tokio::time::MissedTickBehavior;
 
@@ -119,22 +119,15 @@
         metrics::counter!("gateway_placed_for_others_total").increment(1);
     }
 
-    fn finish(
-        &self,
-        grant: &Grant,
-        ended: PlacementEnd,
-        latency_ms: u64,
-        report: Option<LoadReport>,
-    ) {
+    fn finish(&self, grant: &Grant, ended: PlacementEnd, latency_ms: u64, report: ServerReport) {
         let shared = &self.shared;
         let (now, document) = (shared.clock.now(), shared.view.document());
         let (route, chosen) = (&grant.route, &grant.chosen);
-        // Whether the end of the request has caused the server to be suspended.
-        let held = shared.services.with(now, &document, &grant.service, |s| {
-            s.placement
-                .finish(now, chosen, route, ended, latency_ms, report)
+        let changed = shared.services.with(now, &document, &grant.service, |s| {
+            s.finish(now, chosen, route, ended, latency_ms, report)
         });
-        super::report_suspended_server(shared, &grant.service, chosen, ended, held == Some(true));
+        let changed = changed.unwrap_or_default();
+        super::report_changed_server(shared, &grant.service, chosen, ended, changed);
     }
 
     fn expire(&mut self) {
@@ -149,7 +142,7 @@
         let keys: Vec<(u64, u64)> = self.grants.iter().filter_map(matching_key).collect();
         for key in keys {
             if let Some(grant) = self.grants.swap_remove(&key) {
-                self.finish(&grant, PlacementEnd::Cancelled, 0, None);
+                self.finish(&grant, PlacementEnd::Cancelled, 0, ServerReport::default());
             }
         }
     }
--- a/crates/daemon/src/gateway/coordinator_client.rs
+++ b/crates/daemon/src/gateway/coordinator_client.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use pomelovale_protocol::messages::{PeerMessage, PlaceRequest};
 use pomelovale_state::{Clock, Millis, Name};
-use pomelovale_steering::placement::{LoadReport, PlacementDecision, PlacementEnd};
+use pomelovale_steering::placement::{PlacementDecision, PlacementEnd, ServerReport};
 use pomelovale_transport::peer_client::{connect_once, PeerAddress};
 use pomelovale_transport::peer_link::{PeerConfig, PeerEvent, PeerLink};
 use tokio::sync::oneshot;
@@ -38,11 +38,11 @@
 
 impl Place {
     /// Reports the end of the attempt to the coordinator.
-    pub(super) fn end(mut self, ended: PlacementEnd, latency_ms: u64, report: Option<LoadReport>) {
+    pub(super) fn end(mut self, ended: PlacementEnd, latency_ms: u64, report: ServerReport) {
         self.send_end(ended, latency_ms, report);
     }
 
-    fn send_end(&mut self, ended: PlacementEnd, latency_ms: u64, report: Option<LoadReport>) {
+    fn send_end(&mut self, ended: PlacementEnd, latency_ms: u64, report: ServerReport) {
         self.end_sent = true;
         self.link.send(PeerMessage::Finished {
             id: self.id,
@@ -56,7 +56,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         if !self.end_sent {
-            self.send_end(PlacementEnd::Cancelled, 0, None);
+            self.send_end(PlacementEnd::Cancelled, 0, ServerReport::default());
         }
     }
 }
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexSet;
-use pomelovale_protocol::report::Report;
+use pomelovale_protocol::report::{LimitReport, Report};
 use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::document::{Instance, MemberState};
 use pomelovale_state::{Millis, Name};
@@ -13,6 +13,9 @@
 
 use super::{connections, probe, Shared};
 
+/// Age of the view beyond which this instance may have been replaced in the shares of
+/// limited servers, in milliseconds: less than the time after which a silent one is.
+const VIEW_MAX_AGE_MS: u64 = 4_000;
 /// Pause before a failed registration is retried, in milliseconds.
 const REGISTER_RETRY_MS: u64 = 400;
 
@@ -61,7 +64,9 @@
         let (now, document) = (shared.clock.now(), shared.view.document());
         let mut due_probes = Vec::new();
         let mut suspended: IndexSet<Name> = IndexSet::new();
+        let is_isolated = shared.view.age(now) > VIEW_MAX_AGE_MS;
         shared.services.for_each(now, &document, |name, service| {
+            service.placement.set_isolated(now, is_isolated);
             service.placement.tick(now);
             suspended.extend(service.placement.suspended_servers().cloned());
             for (server, address) in service.placement.due_probes(now) {
@@ -95,14 +100,21 @@
 pub(super) fn report(shared: &Shared) {
     let document = shared.view.document();
     let now = shared.clock.now();
-    let (mut down, mut back) = (Vec::new(), Vec::new());
+    let (mut down, mut back, mut limits) = (Vec::new(), Vec::new(), Vec::new());
     shared.services.for_each(now, &document, |name, service| {
         let left = service.retry_budget.left() as f64;
         metrics::gauge!("gateway_retries_left", "service" => name.to_string()).set(left);
         down.extend(service.placement.suspended_servers().cloned());
         back.extend(service.placement.recovered(now));
+        let notices = service.placement.limit_notices(now);
+        limits.extend(notices.map(|(server, rate, age_ms)| LimitReport {
+            server: server.clone(),
+            rate,
+            age_ms,
+        }));
     });
     let view_ms = shared.view.age(shared.clock.now());
+    metrics::gauge!("server_limits").set(document.limits.len() as f64);
     metrics::gauge!("document_version").set(document.version as f64);
     metrics::gauge!("view_age_ms").set(view_ms as f64);
     shared.control.report(Report {
@@ -112,6 +124,7 @@
         leaving: shared.leaving.load(Ordering::Relaxed),
         down,
         back,
+        limits,
         services: Vec::new(),
         links: Vec::new(),
     });
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -41,7 +41,7 @@
 use connections::Connections;
 use coordinator_client::CoordinatorClient;
 use quota::Quota;
-use services::Services;
+use services::{ServerChange, Services};
 
 use crate::crash::{CrashTimings, CrashTracker};
 
@@ -181,18 +181,25 @@
     }
 }
 
-// If the placement has suspended a server (`held`), logs it and reports it to the
+// Logs that the end of a request has changed the state of a server, and reports it to the
 // leader without waiting for the next periodic report.
-fn report_suspended_server(
+fn report_changed_server(
     shared: &Shared,
     service: &Name,
     chosen: &Chosen,
     ended: PlacementEnd,
-    held: bool,
+    changed: ServerChange,
 ) {
-    if held {
+    if changed.suspended {
         tracing::info!(event = "unreachable", service = %service, server = %chosen.server,
             cause = ?ended);
+    }
+    if let Some((server, limit)) = &changed.limit {
+        metrics::counter!("server_limit_changes_total").increment(1);
+        tracing::info!(event = "server-limit", service = %service, %server, per_1000_s = limit,
+            source = "answer");
+    }
+    if changed.suspended || changed.limit.is_some() {
         maintenance::report(shared);
     }
 }
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -4,12 +4,15 @@
 use std::sync::{Mutex, MutexGuard};
 
 use indexmap::IndexMap;
-use pomelovale_state::document::{Document, Instance, MemberState};
+use pomelovale_state::document::{Backend, Document, Instance, MemberState};
 use pomelovale_state::routing::HostRoute;
 use pomelovale_state::{Millis, Name};
-use pomelovale_steering::placement::{Placement, ServerSpec, ServiceSpec};
+use pomelovale_steering::placement::{
+    Chosen, Placement, PlacementEnd, ServerReport, ServerSpec, ServiceSpec,
+};
 use pomelovale_steering::region_assignment::{hash, hash_bytes};
 use pomelovale_steering::retry::{RetryBudget, RetryPolicy};
+use pomelovale_steering::server_limit::LimitShare;
 use pomelovale_transport::peer_client::PeerAddress;
 
 use super::config::{GatewayConfig, RetryBudgetConfig};
@@ -30,6 +33,35 @@
     pub(super) coordinator: Option<PeerAddress>,
 }
 
+/// How the end of a request has changed the state of its server.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct ServerChange {
+    /// The server is suspended.
+    pub(super) suspended: bool,
+    /// Its limit has started or ended: the server, and the limit in thousandths of a request
+    /// per second.
+    pub(super) limit: Option<(Name, Option<u64>)>,
+}
+
+impl Service {
+    /// Records the end of a request.
+    pub(super) fn finish(
+        &mut self,
+        now: Millis,
+        chosen: &Chosen,
+        route: &Name,
+        ended: PlacementEnd,
+        latency_ms: u64,
+        report: ServerReport,
+    ) -> ServerChange {
+        let placement = &mut self.placement;
+        ServerChange {
+            suspended: placement.finish(now, chosen, route, ended, latency_ms, report),
+            limit: placement.take_limit_change(),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     version: Option<u64>,
@@ -115,9 +147,29 @@
         &'a self,
         document: &'a Document,
     ) -> impl Iterator<Item = (&'a Name, &'a Instance)> {
-        document.instances.iter().filter(|(_, i)| {
-            i.callers.is_some() && i.region == self.region && i.state == MemberState::Serving
-        })
+        serving_gateways(document).filter(|(_, i)| i.region == self.region)
+    }
+
+    // Returns the gateways that select servers for a service, each with its location:
+    // the coordinators of all failure domains, or all gateways if there are none.
+    fn selecting_gateways<'a>(
+        &self,
+        document: &'a Document,
+        service: &Name,
+    ) -> Vec<(&'a Name, &'a Instance)> {
+        let rank =
+            |name: &Name| hash(&[hash_bytes(service.as_bytes()), hash_bytes(name.as_bytes())]);
+        let mut best: IndexMap<&Name, (&Name, &Instance)> = IndexMap::new();
+        for (name, instance) in serving_gateways(document).filter(|(_, i)| i.peers.is_some()) {
+            let known = best.entry(&instance.domain).or_insert((name, instance));
+            if rank(known.0) < rank(name) {
+                *known = (name, instance);
+            }
+        }
+        match best.is_empty() || !self.has_peering {
+            true => serving_gateways(document).collect(),
+            false => best.into_values().collect(),
+        }
     }
 
     // Returns the gateway that selects the servers of a service for each
@@ -190,7 +242,7 @@
             .services
             .retain(|name, _| routing.services.contains_key(name));
         for (name, routed) in &routing.services {
-            let server_specs = server_specs(document, name);
+            let server_specs = self.server_specs(document, name);
             let service = ServiceSpec {
                 cold_ms: routed.cold_ms,
                 cold_rate: (routed.cold_rate > 0).then_some(routed.cold_rate as f64 / 1_000.0),
@@ -240,24 +292,47 @@
             service_state.probe.clone_from(&routed.probe);
         }
     }
+
+    // Returns the servers that may get new requests, including those that may get
+    // them only once they are reachable again.
+    fn server_specs(&self, document: &Document, service: &Name) -> Vec<ServerSpec> {
+        let open = document.backends.iter().filter(|(_, b)| {
+            b.service == *service
+                && b.state != MemberState::Leaving
+                && !document.evacuated.contains(&b.domain)
+        });
+        let gateways = self.selecting_gateways(document, service);
+        let spec = |(name, b): (&Name, &Backend)| ServerSpec {
+            name: name.clone(),
+            address: b.address,
+            region: b.region.clone(),
+            domain: b.domain.clone(),
+            slots: b.slots,
+            cold_ms: b.cold_ms,
+            down: b.state == MemberState::Away,
+            limit: document.limits.get(name).copied(),
+            share: self.limit_share(&gateways, b),
+        };
+        open.map(spec).collect()
+    }
+
+    // A limited server gets its requests from the gateways that are nearest to it.
+    fn limit_share(&self, gateways: &[(&Name, &Instance)], server: &Backend) -> LimitShare {
+        let nearness = |i: &Instance| match () {
+            () if i.domain == server.domain => 2,
+            () if i.region == server.region => 1,
+            () => 0,
+        };
+        let nearest = gateways.iter().map(|(_, i)| nearness(i)).max();
+        let users = gateways
+            .iter()
+            .map(|(name, i)| (*name, Some(nearness(i)) == nearest));
+        let users: Vec<(&Name, bool)> = users.collect();
+        LimitShare::of(&&self.instance, &users)
+    }
 }
 
-// Returns the servers that may get new requests, including those that may get
-// them only once they are reachable again.
-fn server_specs(document: &Document, service: &Name) -> Vec<ServerSpec> {
-    let open = document.backends.iter().filter(|(_, b)| {
-        b.service == *service
-            && b.state != MemberState::Leaving
-            && !document.evacuated.contains(&b.domain)
-    });
-    let spec = |(name, b): (&Name, &pomelovale_state::document::Backend)| ServerSpec {
-        name: name.clone(),
-        address: b.address,
-        region: b.region.clone(),
-        domain: b.domain.clone(),
-        slots: b.slots,
-        cold_ms: b.cold_ms,
-        down: b.state == MemberState::Away,
-    };
-    open.map(spec).collect()
+fn serving_gateways(document: &Document) -> impl Iterator<Item = (&Name, &Instance)> {
+    let serving = |i: &Instance| i.callers.is_some() && i.state == MemberState::Serving;
+    document.instances.iter().filter(move |(_, i)| serving(i))
 }
--- a/crates/daemon/tests/control_moves.rs
+++ b/crates/daemon/tests/control_moves.rs
@@ -100,6 +100,7 @@
         leaving,
         down: Vec::new(),
         back: Vec::new(),
+        limits: Vec::new(),
         services: vec![row("north"), row("south")],
         links: Vec::new(),
     });
--- a/crates/daemon/tests/gateway_support/fleet.rs
+++ b/crates/daemon/tests/gateway_support/fleet.rs
@@ -5,9 +5,12 @@
 use std::time::{Duration, Instant};
 
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
+use pomelovale_coordination::measurements::Measurements;
+use pomelovale_coordination::server_limits;
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::messages::Admitted;
-use pomelovale_state::command::Command;
+use pomelovale_protocol::report::Report;
+use pomelovale_state::command::{Change, Command};
 use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::machine::StateMachine;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
@@ -17,10 +20,16 @@
 /// Time for a change to reach the gateways' views.
 const DISTRIBUTION: Duration = Duration::from_millis(20);
 
+/// Interval at which the views are proven current, and reports are evaluated.
+const STEP: Duration = Duration::from_millis(100);
+
 #[derive(Default)]
 struct Replicated {
     machine: Mutex<StateMachine>,
     views: Mutex<Vec<Arc<View>>>,
+    measurements: Mutex<Measurements>,
+    // Gateways that can't reach the control instances, by number.
+    cut: Mutex<Vec<usize>>,
     proposed: Mutex<Vec<Command>>,
     unreachable: AtomicBool,
 }
@@ -44,12 +53,50 @@
         }
     }
 
+    fn connected_views(&self) -> Vec<Arc<View>> {
+        let cut = self.cut.lock().unwrap();
+        let views = self.views.lock().unwrap();
+        let connected = views.iter().enumerate().filter(|(n, _)| !cut.contains(n));
+        connected.map(|(_, view)| view.clone()).collect()
+    }
+
     fn publish(&self) {
         let document = self.machine.lock().unwrap().document.clone();
-        for view in self.views.lock().unwrap().iter() {
+        for view in self.connected_views() {
             view.publish(document.clone());
         }
     }
+
+    fn receive(&self, now: Millis, report: &Report) {
+        let cut = |n: &usize| report.instance == gateway_name(*n);
+        if !self.cut.lock().unwrap().iter().any(cut) {
+            self.measurements.lock().unwrap().record(now, report);
+            self.set_away(&report.down);
+        }
+    }
+
+    // Records the limits that gateways report, as the leader does.
+    fn record_limits(&self, now: Millis) {
+        let measurements = self.measurements.lock().unwrap().clone();
+        let mut machine = self.machine.lock().unwrap();
+        let Some(command) = server_limits::changes(&measurements, &machine.document, now) else {
+            return;
+        };
+        let change = Change {
+            request: format!("limits-{}", now.0).into(),
+            sender: "leader".into(),
+            base: None,
+            at: now,
+            command,
+        };
+        machine.apply(&change);
+        drop(machine);
+        self.publish();
+    }
+}
+
+fn gateway_name(n: usize) -> Name {
+    format!("g{n}").into()
 }
 
 /// Gateways that share a document.
@@ -57,6 +104,7 @@
     replicated: Arc<Replicated>,
     handle: ControlHandle,
     config: GatewayConfig,
+    clock: Clock,
     pub gateways: Vec<GatewayHandle>,
 }
 
@@ -71,6 +119,17 @@
         replicated.machine.lock().unwrap().document = document;
         let control = replicated.clone();
         let start = Instant::now();
+        let clock = Clock::monotonic();
+        let (proving, proofs) = (replicated.clone(), clock.clone());
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(STEP).await;
+                let views = proving.connected_views();
+                views.iter().for_each(|view| view.prove(proofs.now()));
+                proving.record_limits(proofs.now());
+            }
+        });
+        let reports = clock.clone();
         tokio::spawn(async move {
             while let Ok(call) = calls.recv_async().await {
                 match call {
@@ -92,7 +151,7 @@
                             publishing.publish();
                         });
                     }
-                    ControlCall::Report(report) => control.set_away(&report.down),
+                    ControlCall::Report(report) => control.receive(reports.now(), &report),
                     ControlCall::Grant(..) => {}
                 }
             }
@@ -101,6 +160,7 @@
             replicated,
             handle,
             config,
+            clock,
             gateways: Vec::new(),
         };
         for _ in 0..count {
@@ -114,14 +174,14 @@
         let view = Arc::new(View::default());
         self.replicated.views.lock().unwrap().push(view.clone());
         self.replicated.publish();
-        view.prove(Millis(0));
+        view.prove(self.clock.now());
         let config = GatewayConfig {
-            instance: format!("g{}", self.gateways.len()).into(),
+            instance: gateway_name(self.gateways.len()),
             region: "north".into(),
             domain: "north-a".into(),
             ..self.config.clone()
         };
-        let gateway = Gateway::start(config, view, self.handle.clone(), Clock::monotonic()).await;
+        let gateway = Gateway::start(config, view, self.handle.clone(), self.clock.clone()).await;
         self.gateways.push(gateway.expect("the gateway starts"));
     }
 
@@ -132,6 +192,11 @@
             .store(!reachable, Ordering::SeqCst);
     }
 
+    /// Cuts a gateway off from the control instances.
+    pub fn cut_off(&self, n: usize) {
+        self.replicated.cut.lock().unwrap().push(n);
+    }
+
     /// Changes the document and distributes it.
     pub fn edit(&self, f: impl FnOnce(&mut Document)) {
         let mut machine = self.replicated.machine.lock().unwrap();
--- a/crates/protocol/src/header_names.rs
+++ b/crates/protocol/src/header_names.rs
@@ -3,6 +3,8 @@
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
+use pomelovale_steering::server_limit::{LimitNotice, LIMIT_MAX};
+
 use crate::http::{DEADLINE, REQUEST, SHED};
 
 /// Header names of one deployment.
@@ -23,6 +25,8 @@
     pub refused: HeaderName,
     /// Load of a backend server: running and waiting requests, and its slots.
     pub load: HeaderName,
+    /// Requests a second that a backend server takes from all instances together.
+    pub limit: HeaderName,
     /// How long a backend server stays cold, in milliseconds; in answers to
     /// health probes.
     pub cold: HeaderName,
@@ -42,6 +46,7 @@
             proof: HeaderName::from_static("pomelovale-proof"),
             refused: SHED,
             load: HeaderName::from_static("pomelovale-load"),
+            limit: HeaderName::from_static("pomelovale-limit"),
             cold: HeaderName::from_static("pomelovale-cold-ms"),
             instance: HeaderName::from_static("pomelovale-backend"),
             object: "pomelovale-object",
@@ -69,6 +74,24 @@
         Some([parts.next()??, parts.next()??, parts.next()??])
     }
 
+    /// What an answer says about the limit of its server. A value that is not a decimal
+    /// number of at least zero says nothing; of several, the lowest one counts.
+    pub fn limit(&self, headers: &HeaderMap) -> LimitNotice {
+        let mut values = headers.get_all(&self.limit).iter().peekable();
+        if values.peek().is_none() {
+            return LimitNotice::Unlimited;
+        }
+        let numbers = values.filter_map(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
+        let valid = numbers.filter(|n| n.is_finite() && *n >= 0.0);
+        let lowest = valid.min_by(f64::total_cmp);
+        // The cast saturates.
+        match lowest.map(|n| (n * 1_000.0) as u64) {
+            None => LimitNotice::Unknown,
+            Some(rate) if rate > LIMIT_MAX => LimitNotice::Unlimited,
+            Some(rate) => LimitNotice::Limited(rate),
+        }
+    }
+
     /// The value of a header that holds an unsigned integer.
     pub fn parse_integer(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
         let text = headers.get(name)?.to_str().ok()?;
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -6,7 +6,7 @@
 use pomelovale_state::sheet::MoveStatus;
 use pomelovale_state::{ErrorKind, Name};
 use pomelovale_steering::placement::{
-    LoadReport, PlacementDecision, PlacementEnd, PlacementRequest,
+    PlacementDecision, PlacementEnd, PlacementRequest, ServerReport,
 };
 use serde::{Deserialize, Serialize};
 
@@ -215,8 +215,8 @@
         ended: PlacementEnd,
         /// Duration of the exchange, in milliseconds.
         latency_ms: u64,
-        /// The load that the server reported.
-        report: Option<LoadReport>,
+        /// What the answer said about the server.
+        report: ServerReport,
     },
     /// Sent on an idle connection, so that the peer does not treat it as silent.
     Ping,
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -36,6 +36,17 @@
     pub kbits: u64,
 }
 
+/// What a backend server has named as the limit for the requests of all instances.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LimitReport {
+    /// The server.
+    pub server: Name,
+    /// The limit in thousandths of a request per second; `None` if it has ended.
+    pub rate: Option<u64>,
+    /// Age of the answer that said so, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// One entry's measurements.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
@@ -52,6 +63,8 @@
     /// Backend servers that recently became healthy again, each with the time for
     /// which it stays cold, in milliseconds.
     pub back: Vec<(Name, u64)>,
+    /// Limits that backend servers have recently named or no longer name.
+    pub limits: Vec<LimitReport>,
     /// One row for each service and region.
     pub services: Vec<ServiceLoad>,
     /// One row for each pair of regions.
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -175,6 +175,9 @@
         /// Its new state.
         state: MemberState,
     },
+    /// Sets the limits that backend servers name for the requests of all instances
+    /// together, in thousandths of a request per second; `None` removes one.
+    SetServerLimits(Vec<(Name, Option<u64>)>),
     /// Applies an operator action to a move.
     StepMove {
         /// Name of the move.
@@ -224,7 +227,8 @@
             Command::BeginIntent(_)
             | Command::ClearCrash(_)
             | Command::EndIntent(_)
-            | Command::RecordCrash { .. } => None,
+            | Command::RecordCrash { .. }
+            | Command::SetServerLimits(_) => None,
         }
     }
 
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -228,6 +228,9 @@
     pub routing: Option<Arc<Routing>>,
     /// Evacuated failure domains, whose backend servers get no new work.
     pub evacuated: IndexSet<Name>,
+    /// Limits that backend servers name for the requests of all instances together, in
+    /// thousandths of a request per second.
+    pub limits: IndexMap<Name, u64>,
 }
 
 impl Document {
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -311,7 +311,10 @@
         }
         Command::RemoveBackend(name) => match document.backends.shift_remove(name) {
             None => Err(not_found("backend server", name)),
-            Some(_) => Ok(()),
+            Some(_) => {
+                document.limits.shift_remove(name);
+                Ok(())
+            }
         },
         Command::RemoveInstance(name) => match document.instances.shift_remove(name) {
             None => Err(not_found("instance", name)),
@@ -330,6 +333,10 @@
             "backend server",
             name,
         ),
+        Command::SetServerLimits(limits) => {
+            set_limits(document, limits);
+            Ok(())
+        }
         Command::SetInstance { name, state } => set_state(
             document.instances.get_mut(name).map(|i| &mut i.state),
             *state,
@@ -491,3 +498,16 @@
         record.crashed.push(crash.clone());
     }
 }
+
+// Limits of servers that were removed meanwhile are ignored.
+fn set_limits(document: &mut Document, limits: &[(Name, Option<u64>)]) {
+    for (name, limit) in limits {
+        match limit {
+            Some(rate) if document.backends.contains_key(name) => {
+                document.limits.insert(name.clone(), *rate);
+            }
+            Some(_) => {}
+            None => drop(document.limits.shift_remove(name)),
+        }
+    }
+}
--- a/crates/steering/benches/model/entry.rs
+++ b/crates/steering/benches/model/entry.rs
@@ -56,7 +56,7 @@
 
     /// Applies a new document.
     pub fn apply_document(&mut self, now: Millis, servers: &[ServerInfo], entries: &[EntryInfo]) {
-        self.balancer.set_entries(&self.info.name, entries);
+        self.balancer.set_entries(now, &self.info.name, entries);
         self.balancer.set_servers(now, servers);
         let home = |r: &Name| r == &self.info.region;
         let slots = servers
--- a/crates/steering/benches/model/faults.rs
+++ b/crates/steering/benches/model/faults.rs
@@ -38,6 +38,7 @@
         slots: size.slots[i % 2],
         connections: size.connections,
         leaving: false,
+        limit: None,
     };
     Server::new(info, i % 3)
 }
--- a/crates/steering/benches/policy.rs
+++ b/crates/steering/benches/policy.rs
@@ -202,7 +202,7 @@
         let servers: Vec<ServerInfo> = (0..36)
             .map(|i| model::faults::new_server(i, &size).info)
             .collect();
-        balancer.set_entries(&entries[0].name, &entries);
+        balancer.set_entries(Millis(0), &entries[0].name, &entries);
         balancer.set_servers(Millis(0), &servers);
         let home = Name::from("r0");
         for (label, region) in [("one region of 3", Some(&home)), ("all", None)] {
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -11,6 +11,7 @@
 use crate::baseline;
 use crate::ejection::{Health, EJECTED_SHARE_MAX};
 use crate::server::Server;
+use crate::server_limit::{LimitNotice, LimitShare};
 use crate::{AttemptEnd, Class};
 
 pub use crate::server_stats::ServerLoad;
@@ -53,6 +54,9 @@
     pub connections: u32,
     /// Whether it is being drained and gets no new requests.
     pub leaving: bool,
+    /// Limit that it names for all entries together, in thousandths of a request per
+    /// second.
+    pub limit: Option<u64>,
 }
 
 /// An entry that shares the servers.
@@ -136,12 +140,13 @@
     }
 
     /// Sets the entries that share the servers, and the name of this entry.
-    pub fn set_entries(&mut self, own: &Name, entries: &[EntryInfo]) {
+    pub fn set_entries(&mut self, now: Millis, own: &Name, entries: &[EntryInfo]) {
         self.own = own.clone();
         self.entries = entries.to_vec();
         self.entries
             .sort_by(|a, b| (&a.region, &a.domain, &a.name).cmp(&(&b.region, &b.domain, &b.name)));
         self.assign_shares();
+        self.assign_limits(now);
     }
 
     /// Replaces the list of servers. A server that is added to a non-empty list is
@@ -160,6 +165,29 @@
             self.servers.insert(info.name.clone(), server);
         }
         self.assign_shares();
+        self.assign_limits(now);
+    }
+
+    /// Records what an answer of a server says about its limit. Returns whether a limit has
+    /// started or ended by it.
+    pub fn record_limit(&mut self, now: Millis, server: &Name, notice: LimitNotice) -> bool {
+        let server = self.servers.get_mut(server);
+        server.is_some_and(|s| s.limit.record_notice(now, notice))
+    }
+
+    /// Sets whether the view of this entry is out of date.
+    pub fn set_isolated(&mut self, now: Millis, is_isolated: bool) {
+        let servers = self.servers.values_mut();
+        servers.for_each(|s| s.limit.set_isolated(now, is_isolated));
+    }
+
+    /// What servers have recently said about their limits: name, limit in thousandths of
+    /// a request per second, and the age of the answer in milliseconds.
+    pub fn limit_notices(&self, now: Millis) -> impl Iterator<Item = (&Name, Option<u64>, u64)> {
+        self.servers.iter().filter_map(move |(name, s)| {
+            let (rate, age_ms) = s.limit.notice(now)?;
+            Some((name, rate, age_ms))
+        })
     }
 
     /// Records a load report that was requested at `at`.
@@ -176,12 +204,12 @@
         let servers = self.servers.values().enumerate();
         match self.policy {
             BalancerPolicy::SlotShares => {
-                let usable = |s: &Server| s.is_allowed(request) && s.is_usable(now);
+                let usable = |s: &Server| s.is_allowed(now, request) && s.is_usable(now);
                 candidates.extend(servers.filter(|(_, s)| usable(s)).map(|(i, _)| i));
             }
             _ => candidates.extend(
                 servers
-                    .filter(|(_, s)| s.is_allowed(request))
+                    .filter(|(_, s)| s.is_allowed(now, request))
                     .map(|(i, _)| i),
             ),
         }
@@ -207,6 +235,7 @@
     pub fn start(&mut self, now: Millis, server: &Name) {
         if let Some(s) = self.servers.get_mut(server) {
             s.stats.start(now);
+            s.limit.record_send(now);
         }
     }
 
@@ -274,7 +303,7 @@
             let servers = self.servers.values().enumerate();
             candidates.extend(
                 servers
-                    .filter(|(_, s)| s.is_allowed(request))
+                    .filter(|(_, s)| s.is_allowed(now, request))
                     .map(|(i, _)| i),
             );
         }
@@ -289,7 +318,7 @@
         if request.class != Class::Idempotent {
             return None;
         }
-        let due = |s: &Server| s.is_probe_due(now) && s.is_allowed(request);
+        let due = |s: &Server| s.is_probe_due(now) && s.is_allowed(now, request);
         self.servers.values().position(due)
     }
 
@@ -379,6 +408,24 @@
         }
     }
 
+    /// Divides the limit of each server evenly among the entries that are nearest to it.
+    fn assign_limits(&mut self, now: Millis) {
+        let serving = || self.entries.iter().filter(|e| !e.leaving);
+        for s in self.servers.values_mut() {
+            let nearness = |e: &EntryInfo| match () {
+                () if e.domain == s.info.domain => 2,
+                () if e.region == s.info.region => 1,
+                () => 0,
+            };
+            let nearest = serving().map(nearness).max();
+            let users = serving().map(|e| (&e.name, Some(nearness(e)) == nearest));
+            let users: Vec<(&Name, bool)> = users.collect();
+            let share = LimitShare::of(&&self.own, &users);
+            s.limit.set_recorded(now, s.info.limit);
+            s.limit.set_share(now, share);
+        }
+    }
+
     /// Assigns all slots and connections to this entry, as long as it is not in the
     /// list of entries.
     fn assign_all_slots(&mut self) {
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -6,6 +6,7 @@
 
 use crate::placement::{LoadReport, PlacementEnd};
 use crate::region_assignment::hash_bytes;
+use crate::server_limit::ServerLimit;
 
 /// Weight of a new sample in an exponential moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
@@ -142,6 +143,8 @@
     recent_objects: IndexSet<u64>,
     // Joined later than the first servers; no request sent there yet.
     newly_joined: bool,
+    /// Limit that it names for all instances together.
+    pub limit: ServerLimit,
 }
 
 impl ServerState {
@@ -168,6 +171,7 @@
             name_hash: hash_bytes(name.as_bytes()),
             recent_objects: IndexSet::new(),
             newly_joined: false,
+            limit: ServerLimit::default(),
         }
     }
 
@@ -233,7 +237,7 @@
             Some(rate) if self.is_cold(now) => self.tokens_at(now, rate) >= 1.0,
             Some(_) | None => true,
         };
-        now >= self.paused_until && has_token
+        now >= self.paused_until && has_token && self.limit.may_send(now)
     }
 
     fn tokens_at(&self, now: Millis, rate: f64) -> f64 {
@@ -253,6 +257,7 @@
     /// Records that a request was sent.
     pub fn record_start(&mut self, now: Millis, object: u64, cold_rate: Option<f64>) {
         self.in_flight += 1;
+        self.limit.record_send(now);
         self.record_object(object);
         self.newly_joined = false;
         if let Some(rate) = cold_rate.filter(|_| self.is_cold(now)) {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod region_assignment;
 pub mod retry;
 mod server;
+pub mod server_limit;
 pub mod server_stats;
 pub mod split;
 
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -31,7 +31,8 @@
 
 use choice::Candidate;
 pub use types::{
-    Chosen, LoadReport, PlacementDecision, PlacementEnd, PlacementRequest, ServerSpec, ServiceSpec,
+    Chosen, LoadReport, PlacementDecision, PlacementEnd, PlacementRequest, ServerReport,
+    ServerSpec, ServiceSpec,
 };
 
 /// Extra cost of a server in another region, in milliseconds: the round trip.
@@ -92,6 +93,10 @@
     mean_work: WorkEstimate,
     // Weight of the extra work of loading an object, which delays other requests.
     miss_weight: f64,
+    // Whether the view of this instance is out of date.
+    is_isolated: bool,
+    // A server whose limit has started or ended by its last answer, and the limit.
+    limit_change: Option<(Name, Option<u64>)>,
 }
 
 /// Usage of the slots of a region.
@@ -130,6 +135,8 @@
             work: IndexMap::new(),
             mean_work: WorkEstimate::default(),
             miss_weight: 0.0,
+            is_isolated: false,
+            limit_change: None,
         }
     }
 
@@ -203,6 +210,9 @@
             if spec.cold_ms > 0 && !spec.down && !cold_is_known {
                 state.set_cold(now, now.plus(spec.cold_ms));
             }
+            state.limit.set_isolated(now, self.is_isolated);
+            state.limit.set_recorded(now, spec.limit);
+            state.limit.set_share(now, spec.share);
             let server = Server {
                 spec: spec.clone(),
                 state,
@@ -348,17 +358,21 @@
         route: &Name,
         ended: PlacementEnd,
         latency_ms: u64,
-        report: Option<LoadReport>,
+        report: impl Into<ServerReport>,
     ) -> bool {
+        let ServerReport { load, limit } = report.into();
         let Some(server) = self.servers.get_mut(&chosen.server) else {
             return false;
         };
         let before = server.state.is_usable();
         server.state.record_end(now, ended);
         let suspended = before && !server.state.is_usable();
-        if let Some(report) = report {
+        if let Some(report) = load {
             server.state.record_report(now, report);
         }
+        if server.state.limit.record_notice(now, limit) {
+            self.limit_change = Some((chosen.server.clone(), server.state.limit.rate(now)));
+        }
         if ended != PlacementEnd::Answered {
             return suspended;
         }
@@ -379,10 +393,38 @@
         suspended
     }
 
-    /// Suspended servers that are due for a probe.
+    /// Sets whether the view of this instance is out of date.
+    pub fn set_isolated(&mut self, now: Millis, is_isolated: bool) {
+        if self.is_isolated != is_isolated {
+            self.is_isolated = is_isolated;
+            let servers = self.servers.values_mut();
+            servers.for_each(|s| s.state.limit.set_isolated(now, is_isolated));
+        }
+    }
+
+    /// Returns the server whose limit has started or ended since the last call, and its
+    /// limit in thousandths of a request per second.
+    pub fn take_limit_change(&mut self) -> Option<(Name, Option<u64>)> {
+        self.limit_change.take()
+    }
+
+    /// What servers have recently said about their limits: name, limit in thousandths of
+    /// a request per second, and the age of the answer in milliseconds.
+    pub fn limit_notices(&self, now: Millis) -> impl Iterator<Item = (&Name, Option<u64>, u64)> {
+        self.servers.iter().filter_map(move |(name, s)| {
+            let (rate, age_ms) = s.state.limit.notice(now)?;
+            Some((name, rate, age_ms))
+        })
+    }
+
+    /// Suspended servers that are due for a probe. Probes count towards the limit of their
+    /// server.
     pub fn due_probes(&mut self, now: Millis) -> Vec<(Name, SocketAddr)> {
         let due = self.servers.values_mut().filter_map(|s| {
-            let due = s.state.take_probe(now);
+            let due = s.state.limit.may_send(now) && s.state.take_probe(now);
+            if due {
+                s.state.limit.record_send(now);
+            }
             due.then(|| (s.spec.name.clone(), s.spec.address))
         });
         due.collect()
--- a/crates/steering/src/placement/types.rs
+++ b/crates/steering/src/placement/types.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::estimate::Held;
+use crate::server_limit::{LimitNotice, LimitShare};
 
 /// A backend server as the shared document describes it.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,6 +27,11 @@
     pub cold_ms: u64,
     /// Whether the document lists it as unreachable.
     pub down: bool,
+    /// Limit that it names for all instances together, in thousandths of a request per
+    /// second.
+    pub limit: Option<u64>,
+    /// Shares of this instance in its limit.
+    pub share: LimitShare,
 }
 
 /// Settings that apply to all servers of a service.
@@ -122,3 +128,21 @@
     /// Requests it can run at a time.
     pub slots: u32,
 }
+
+/// What an answer says about the state of its server.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServerReport {
+    /// Its load.
+    pub load: Option<LoadReport>,
+    /// Its limit.
+    pub limit: LimitNotice,
+}
+
+impl From<Option<LoadReport>> for ServerReport {
+    fn from(load: Option<LoadReport>) -> ServerReport {
+        ServerReport {
+            load,
+            limit: LimitNotice::Unknown,
+        }
+    }
+}
--- a/crates/steering/src/server.rs
+++ b/crates/steering/src/server.rs
@@ -4,6 +4,7 @@
 
 use crate::balancer::{AttemptSpec, ServerInfo};
 use crate::ejection::{Ejection, Health};
+use crate::server_limit::ServerLimit;
 use crate::server_stats::ServerStats;
 
 /// Round trip between failure domains of a region, in milliseconds.
@@ -34,6 +35,7 @@
     pub(crate) share: u32,
     pub(crate) outstanding_max: u32,
     pub(crate) distance_ms: f64,
+    pub(crate) limit: ServerLimit,
 }
 
 impl ServerInfo {
@@ -57,11 +59,13 @@
             share: info.slots,
             outstanding_max: info.connections.max(1),
             distance_ms: 0.0,
+            limit: ServerLimit::default(),
         }
     }
 
-    pub(crate) fn is_allowed(&self, request: &AttemptSpec<'_>) -> bool {
+    pub(crate) fn is_allowed(&self, now: Millis, request: &AttemptSpec<'_>) -> bool {
         !self.info.leaving
+            && self.limit.may_send(now)
             && request.region.is_none_or(|r| r == &self.info.region)
             && !request.exclude.contains(&self.info.name)
             && self.stats.outstanding() < self.outstanding_max
--- /dev/null
+++ b/crates/steering/src/server_limit.rs
@@ -0,0 +1,179 @@
+//! Limit that a backend server in need names for the requests of all instances together.
+//!
+//! A server names its limit in its answers for as long as it applies, so that only
+//! instances that send to it learn of its start, its changes and its end. They report
+//! these to the leader, which records them in the document. For each limited server, all
+//! instances agree on the few that may send to it and on their shares, by its location and
+//! the list of instances. An instance without a current view can't know whether another
+//! one has taken its place; it uses an equal part, as if all instances were isolated.
+//!
+//! A share starts without tokens: otherwise each start of a share would add a burst.
+
+use pomelovale_state::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Limits above this are no restriction, in thousandths of a request per second.
+pub const LIMIT_MAX: u64 = 10_000_000;
+/// Lowest rate at which a limited server is sent requests, in thousandths of a request per
+/// second. Without any, the end of its limit would not be noticed.
+const TRIAL_RATE: u64 = 250;
+/// Part of a limit that is used.
+const UTILIZATION: f64 = 0.95;
+/// Time for which unused tokens are kept, in milliseconds.
+const BURST_MS: f64 = 500.0;
+/// Time for which an answer counts for more than the document, in milliseconds: longer
+/// than a report takes to get there and back.
+const NOTICE_MS: u64 = 3_000;
+
+/// What an answer of a server says about its limit.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LimitNotice {
+    /// A limit, in thousandths of a request per second.
+    Limited(u64),
+    /// Nothing, or nothing that can be understood.
+    #[default]
+    Unknown,
+    /// The server names no limit.
+    Unlimited,
+}
+
+/// Shares of one instance in the limit of a server, from 0 to 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitShare {
+    /// Share while the view of this instance is current.
+    pub current: f64,
+    /// Share otherwise.
+    pub isolated: f64,
+}
+
+impl LimitShare {
+    /// The shares of the instance `own`. `instances` lists those that may send requests,
+    /// each with whether it is one of those that use the limit.
+    pub fn of<T: PartialEq>(own: &T, instances: &[(T, bool)]) -> LimitShare {
+        let users = instances.iter().filter(|(_, uses)| *uses).count();
+        let uses = instances.iter().any(|(name, uses)| name == own && *uses);
+        LimitShare {
+            current: match uses {
+                true => 1.0 / users as f64,
+                false => 0.0,
+            },
+            isolated: 1.0 / instances.len().max(1) as f64,
+        }
+    }
+}
+
+/// Limit of one server, as one instance applies it.
+#[derive(Clone, Debug, Default)]
+pub struct ServerLimit {
+    recorded: Option<u64>,
+    // What the last answer said that counts, and when it came.
+    noticed: Option<(Millis, Option<u64>)>,
+    share: LimitShare,
+    is_isolated: bool,
+    tokens: f64,
+    refilled_at: Millis,
+}
+
+impl ServerLimit {
+    /// The limit in force, in thousandths of a request per second.
+    pub fn rate(&self, now: Millis) -> Option<u64> {
+        match self.noticed {
+            Some((at, rate)) if now.since(at) < NOTICE_MS => rate,
+            // The document may be older than the notice.
+            Some((_, rate)) if self.is_isolated => {
+                [rate, self.recorded].into_iter().flatten().min()
+            }
+            Some(_) | None => self.recorded,
+        }
+    }
+
+    fn share(&self) -> f64 {
+        match self.is_isolated {
+            true => self.share.isolated,
+            false => self.share.current,
+        }
+    }
+
+    // Applies a change. A share that starts with it has no tokens.
+    fn change(&mut self, now: Millis, apply: impl FnOnce(&mut ServerLimit)) {
+        let before = self.rate(now).map(|_| self.share());
+        self.tokens = self.tokens_at(now);
+        self.refilled_at = now;
+        apply(self);
+        let after = self.rate(now).map(|_| self.share());
+        if before != after {
+            self.tokens = 0.0;
+        }
+    }
+
+    /// Applies what an answer says. Returns whether a limit has started or ended by it.
+    pub fn record_notice(&mut self, now: Millis, notice: LimitNotice) -> bool {
+        let named = match notice {
+            LimitNotice::Unknown => return false,
+            LimitNotice::Limited(rate) => Some(rate),
+            LimitNotice::Unlimited => None,
+        };
+        let before = self.rate(now);
+        if named.is_none() && before.is_none() {
+            return false;
+        }
+        self.change(now, |l| l.noticed = Some((now, named)));
+        before.is_some() != named.is_some()
+    }
+
+    /// Sets the limit that the document holds.
+    pub fn set_recorded(&mut self, now: Millis, recorded: Option<u64>) {
+        if self.recorded != recorded {
+            self.change(now, |l| l.recorded = recorded);
+        }
+    }
+
+    /// Sets the shares of this instance.
+    pub fn set_share(&mut self, now: Millis, share: LimitShare) {
+        if self.share != share {
+            self.change(now, |l| l.share = share);
+        }
+    }
+
+    /// Sets whether the view of this instance is out of date.
+    pub fn set_isolated(&mut self, now: Millis, is_isolated: bool) {
+        if self.is_isolated != is_isolated {
+            self.change(now, |l| l.is_isolated = is_isolated);
+        }
+    }
+
+    // Requests a second that this instance may send, if the server is limited.
+    fn allowance(&self, now: Millis) -> Option<f64> {
+        let rate = self.rate(now)?.max(TRIAL_RATE) as f64 / 1_000.0;
+        Some(rate * UTILIZATION * self.share())
+    }
+
+    fn tokens_at(&self, now: Millis) -> f64 {
+        let Some(allowance) = self.allowance(now) else {
+            return 0.0;
+        };
+        let per_ms = allowance / 1_000.0;
+        let refilled = self.tokens + now.since(self.refilled_at) as f64 * per_ms;
+        refilled.min(1.0 + per_ms * BURST_MS)
+    }
+
+    /// Whether a request may be sent to the server now.
+    pub fn may_send(&self, now: Millis) -> bool {
+        self.rate(now).is_none() || self.share() > 0.0 && self.tokens_at(now) >= 1.0
+    }
+
+    /// Records that a request is sent.
+    pub fn record_send(&mut self, now: Millis) {
+        if self.rate(now).is_some() {
+            self.tokens = self.tokens_at(now) - 1.0;
+            self.refilled_at = now;
+        }
+    }
+
+    /// The last notice that counts and its age in milliseconds, for the leader.
+    pub fn notice(&self, now: Millis) -> Option<(Option<u64>, u64)> {
+        let (at, rate) = self.noticed?;
+        let age_ms = now.since(at);
+        (age_ms < NOTICE_MS).then_some((rate, age_ms))
+    }
+}
--- a/crates/steering/tests/balancer.rs
+++ b/crates/steering/tests/balancer.rs
@@ -21,6 +21,7 @@
         slots: 6,
         connections: 48,
         leaving: false,
+        limit: None,
     };
     (0..COUNT).map(server).collect()
 }
@@ -37,7 +38,7 @@
 
 fn balancer(policy: BalancerPolicy) -> Balancer {
     let mut balancer = Balancer::new(policy, 7);
-    balancer.set_entries(&Name::from("e0"), &entries());
+    balancer.set_entries(Millis(0), &Name::from("e0"), &entries());
     balancer.set_servers(Millis(0), &servers());
     balancer
 }
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -5,6 +5,7 @@
 use pomelovale_steering::placement::{
     Chosen, Placement, PlacementDecision, PlacementEnd, PlacementRequest, ServerSpec, ServiceSpec,
 };
+use pomelovale_steering::server_limit::LimitShare;
 
 const COLD_RATE: f64 = 9.5;
 
@@ -17,6 +18,8 @@
         slots: 6,
         cold_ms: 0,
         down: false,
+        limit: None,
+        share: LimitShare::default(),
     }
 }
 
