Order what a server names by when its requests were sent

An answer now counts only if its request was sent no earlier than that of the last one that counted, on each instance and at the leader.

--- a/crates/coordination/src/server_limits.rs
+++ b/crates/coordination/src/server_limits.rs
@@ -9,23 +9,26 @@
 
 use crate::measurements::Measurements;
 
-/// Largest age at which what a server has named counts, in milliseconds.
-const NOTICE_AGE_MAX_MS: u64 = 3_000;
+/// Largest age at which a report counts, in milliseconds.
+const REPORT_AGE_MAX_MS: u64 = 3_000;
 /// A limit that differs from the recorded one by less than this percentage is not
 /// recorded, so that one which changes with each answer doesn't change the document each
 /// time.
 const CHANGE_PERCENT: u64 = 10;
 
-/// Returns the command that records the latest limits, if there are changes. The latest
-/// notice of a server counts, whichever instance reports it.
+/// Returns the command that records the latest limits, if there are changes. The answer to
+/// the latest request of a server counts, whichever instance reports it.
 pub fn changes(measurements: &Measurements, document: &Document, now: Millis) -> Option<Command> {
     let mut latest: IndexMap<&Name, (u64, &LimitReport)> = IndexMap::new();
     for report in measurements.reports() {
         let received_ms = measurements.age(now, &report.instance);
+        if received_ms > REPORT_AGE_MAX_MS {
+            continue;
+        }
         for limit in &report.limits {
             let age_ms = received_ms.saturating_add(limit.age_ms);
             let is_later = |known: &(u64, &LimitReport)| age_ms < known.0;
-            if age_ms <= NOTICE_AGE_MAX_MS && latest.get(&limit.server).is_none_or(is_later) {
+            if latest.get(&limit.server).is_none_or(is_later) {
                 latest.insert(&limit.server, (age_ms, limit));
             }
         }
--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -46,7 +46,7 @@
 /// first.
 const ABANDONED_RUNS_MAX: usize = 1_024;
 /// Shortest time without a response after which a server is checked, in milliseconds.
-pub const SILENCE_CHECK_MS: u64 = 700;
+pub const SILENCE_CHECK_MS: u64 = 1_000;
 /// Longest wait for the result of a check before the run is retried, in milliseconds.
 const CHECK_WAIT_MS: u64 = 300;
 /// Number of servers from which the time of the last answer is kept; the oldest half is
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -393,12 +393,14 @@
 
 // Records what an answer says about the limit of its server. Only an answer of a run shows
 // that a limit has ended.
-fn record_limit(shared: &Shared, choice: &Choice, parts: &response::Parts, shed: bool) {
+fn record_limit(shared: &Shared, running: &AttemptGuard, parts: &response::Parts, shed: bool) {
+    let choice = &running.choice;
+    let spent_ms = running.since.elapsed().as_millis() as u64;
     let notice = match shared.header_names.limit(&parts.headers) {
         LimitNotice::Unlimited if shed => LimitNotice::Unknown,
         notice => notice,
     };
-    if shared.steering.record_limit(choice, notice) {
+    if shared.steering.record_limit(choice, spent_ms, notice) {
         metrics::counter!("server_limit_changes_total").increment(1);
         tracing::info!(event = "server-limit", service = %choice.service,
             server = %choice.server, notice = ?notice, source = "answer");
@@ -420,7 +422,7 @@
     let Reply { parts, mut body } = reply;
     let shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
         && parts.headers.get(SHED).is_some_and(|v| v == NOT_RUN);
-    record_limit(shared, &running.choice, &parts, shed);
+    record_limit(shared, &running, &parts, shed);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
--- a/crates/daemon/src/entry/steering.rs
+++ b/crates/daemon/src/entry/steering.rs
@@ -304,12 +304,13 @@
         self.with_service(service, |s| s.report_load(at, server, report));
     }
 
-    /// Records what an answer of a server says about its limit. Returns whether a limit has
-    /// started or ended by it.
-    pub fn record_limit(&self, choice: &Choice, notice: LimitNotice) -> bool {
+    /// Records what an answer of a server says about its limit, `spent_ms` milliseconds after
+    /// the request was sent. Returns whether a limit has started or ended by it.
+    pub fn record_limit(&self, choice: &Choice, spent_ms: u64, notice: LimitNotice) -> bool {
         let now = self.clock.now();
         self.with_service(&choice.service, |s| {
-            s.balancer.record_limit(now, &choice.server, notice)
+            let sent = now.minus(spent_ms);
+            s.balancer.record_limit(now, sent, &choice.server, notice)
         })
     }
 
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -43,7 +43,7 @@
     pub server: Name,
     /// The limit in thousandths of a request per second; `None` if it has ended.
     pub rate: Option<u64>,
-    /// Age of the answer that said so, in milliseconds.
+    /// Time since the request was sent whose answer said so, in milliseconds.
     pub age_ms: u64,
 }
 
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -168,11 +168,17 @@
         self.assign_limits(now);
     }
 
-    /// Records what an answer of a server says about its limit. Returns whether a limit has
-    /// started or ended by it.
-    pub fn record_limit(&mut self, now: Millis, server: &Name, notice: LimitNotice) -> bool {
+    /// Records what the answer to a request says about the limit of its server. Returns
+    /// whether a limit has started or ended by it.
+    pub fn record_limit(
+        &mut self,
+        now: Millis,
+        sent: Millis,
+        server: &Name,
+        notice: LimitNotice,
+    ) -> bool {
         let server = self.servers.get_mut(server);
-        server.is_some_and(|s| s.limit.record_notice(now, notice))
+        server.is_some_and(|s| s.limit.record_notice(now, sent, notice))
     }
 
     /// Sets whether the view of this entry is out of date.
@@ -182,7 +188,7 @@
     }
 
     /// What servers have recently said about their limits: name, limit in thousandths of
-    /// a request per second, and the age of the answer in milliseconds.
+    /// a request per second, and the time since the request was sent in milliseconds.
     pub fn limit_notices(&self, now: Millis) -> impl Iterator<Item = (&Name, Option<u64>, u64)> {
         self.servers.iter().filter_map(move |(name, s)| {
             let (rate, age_ms) = s.limit.notice(now)?;
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -370,7 +370,8 @@
         if let Some(report) = load {
             server.state.record_report(now, report);
         }
-        if server.state.limit.record_notice(now, limit) {
+        let sent = now.minus(latency_ms);
+        if server.state.limit.record_notice(now, sent, limit) {
             self.limit_change = Some((chosen.server.clone(), server.state.limit.rate(now)));
         }
         if ended != PlacementEnd::Answered {
@@ -409,7 +410,7 @@
     }
 
     /// What servers have recently said about their limits: name, limit in thousandths of
-    /// a request per second, and the age of the answer in milliseconds.
+    /// a request per second, and the time since the request was sent in milliseconds.
     pub fn limit_notices(&self, now: Millis) -> impl Iterator<Item = (&Name, Option<u64>, u64)> {
         self.servers.iter().filter_map(move |(name, s)| {
             let (rate, age_ms) = s.state.limit.notice(now)?;
--- a/crates/steering/src/server_limit.rs
+++ b/crates/steering/src/server_limit.rs
@@ -62,12 +62,22 @@
     }
 }
 
+/// What the answer to the latest request said.
+#[derive(Clone, Copy, Debug)]
+struct Noticed {
+    rate: Option<u64>,
+    /// When the request was sent. A server may decide what it names when it begins to work
+    /// on a request, and answers come out of order.
+    sent: Millis,
+    /// When the answer came.
+    at: Millis,
+}
+
 /// Limit of one server, as one instance applies it.
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimit {
     recorded: Option<u64>,
-    // What the last answer said that counts, and when it came.
-    noticed: Option<(Millis, Option<u64>)>,
+    noticed: Option<Noticed>,
     share: LimitShare,
     is_isolated: bool,
     tokens: f64,
@@ -78,9 +88,9 @@
     /// The limit in force, in thousandths of a request per second.
     pub fn rate(&self, now: Millis) -> Option<u64> {
         match self.noticed {
-            Some((at, rate)) if now.since(at) < NOTICE_MS => rate,
+            Some(notice) if now.since(notice.at) < NOTICE_MS => notice.rate,
             // The document may be older than the notice.
-            Some((_, rate)) if self.is_isolated => {
+            Some(Noticed { rate, .. }) if self.is_isolated => {
                 [rate, self.recorded].into_iter().flatten().min()
             }
             Some(_) | None => self.recorded,
@@ -106,19 +116,26 @@
         }
     }
 
-    /// Applies what an answer says. Returns whether a limit has started or ended by it.
-    pub fn record_notice(&mut self, now: Millis, notice: LimitNotice) -> bool {
-        let named = match notice {
+    /// Applies what the answer to a request says that was sent at `sent`. Returns whether a
+    /// limit has started or ended by it.
+    pub fn record_notice(&mut self, now: Millis, sent: Millis, notice: LimitNotice) -> bool {
+        let rate = match notice {
             LimitNotice::Unknown => return false,
             LimitNotice::Limited(rate) => Some(rate),
             LimitNotice::Unlimited => None,
         };
         let before = self.rate(now);
-        if named.is_none() && before.is_none() {
+        let is_later = self.noticed.is_none_or(|n| sent >= n.sent);
+        if !is_later || rate.is_none() && before.is_none() {
             return false;
         }
-        self.change(now, |l| l.noticed = Some((now, named)));
-        before.is_some() != named.is_some()
+        let noticed = Noticed {
+            rate,
+            sent,
+            at: now,
+        };
+        self.change(now, |l| l.noticed = Some(noticed));
+        before.is_some() != rate.is_some()
     }
 
     /// Sets the limit that the document holds.
@@ -170,10 +187,10 @@
         }
     }
 
-    /// The last notice that counts and its age in milliseconds, for the leader.
+    /// The limit by a recent answer, and the time since its request was sent in
+    /// milliseconds, for the leader.
     pub fn notice(&self, now: Millis) -> Option<(Option<u64>, u64)> {
-        let (at, rate) = self.noticed?;
-        let age_ms = now.since(at);
-        (age_ms < NOTICE_MS).then_some((rate, age_ms))
+        let notice = self.noticed?;
+        (now.since(notice.at) < NOTICE_MS).then_some((notice.rate, now.since(notice.sent)))
     }
 }
