Keep a limit that only some answers name

An answer without the field ended the limit at once, although a server need not name it in each answer, and answers to requests from before its start are late. A limit now ends if it was not named for 2.5 s and an answer then names none; for the leader, a recent notice of a limit counts for more than one of its end.

--- a/crates/coordination/src/server_limits.rs
+++ b/crates/coordination/src/server_limits.rs
@@ -2,7 +2,7 @@
 //! instances and records in the document.
 
 use indexmap::IndexMap;
-use pomelovale_protocol::report::LimitReport;
+use pomelovale_protocol::report::LIMIT_HOLD_MS;
 use pomelovale_state::command::Command;
 use pomelovale_state::document::Document;
 use pomelovale_state::{Millis, Name};
@@ -16,10 +16,11 @@
 /// time.
 const CHANGE_PERCENT: u64 = 10;
 
-/// Returns the command that records the latest limits, if there are changes. The answer to
-/// the latest request of a server counts, whichever instance reports it.
+/// Returns the command that records what the reports say about limits, if there are
+/// changes. The latest limit of a server counts, and its end only once no instance has been
+/// named a limit for a while.
 pub fn changes(measurements: &Measurements, document: &Document, now: Millis) -> Option<Command> {
-    let mut latest: IndexMap<&Name, (u64, &LimitReport)> = IndexMap::new();
+    let mut latest: IndexMap<&Name, (u64, Option<u64>)> = IndexMap::new();
     for report in measurements.reports() {
         let received_ms = measurements.age(now, &report.instance);
         if received_ms > REPORT_AGE_MAX_MS {
@@ -27,16 +28,22 @@
         }
         for limit in &report.limits {
             let age_ms = received_ms.saturating_add(limit.age_ms);
-            let is_later = |known: &(u64, &LimitReport)| age_ms < known.0;
-            if latest.get(&limit.server).is_none_or(is_later) {
-                latest.insert(&limit.server, (age_ms, limit));
+            let rate = limit.rate.filter(|_| age_ms < LIMIT_HOLD_MS);
+            // An old notice of a limit is no notice of its end.
+            if rate.is_none() && limit.rate.is_some() {
+                continue;
+            }
+            let known = latest.entry(&limit.server).or_insert((age_ms, rate));
+            let is_later = (rate.is_some(), known.0) > (known.1.is_some(), age_ms);
+            if is_later {
+                *known = (age_ms, rate);
             }
         }
     }
-    let changed = latest.into_iter().filter_map(|(server, (_, limit))| {
+    let changed = latest.into_iter().filter_map(|(server, (_, rate))| {
         let recorded = document.limits.get(server).copied();
         let known = document.backends.contains_key(server);
-        (known && differs(recorded, limit.rate)).then(|| (server.clone(), limit.rate))
+        (known && differs(recorded, rate)).then(|| (server.clone(), rate))
     });
     let changed: Vec<(Name, Option<u64>)> = changed.collect();
     (!changed.is_empty()).then_some(Command::SetServerLimits(changed))
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -1,6 +1,7 @@
 //! Load reports that entries send to the leader.
 
 use pomelovale_state::Name;
+pub use pomelovale_steering::server_limit::HOLD_MS as LIMIT_HOLD_MS;
 use serde::{Deserialize, Serialize};
 
 /// Load of one service in one region, as one entry sees it.
@@ -43,7 +44,7 @@
     pub server: Name,
     /// The limit in thousandths of a request per second; `None` if it has ended.
     pub rate: Option<u64>,
-    /// Time since the request was sent whose answer said so, in milliseconds.
+    /// Age of the answer that said so, in milliseconds.
     pub age_ms: u64,
 }
 
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -410,7 +410,7 @@
     }
 
     /// What servers have recently said about their limits: name, limit in thousandths of
-    /// a request per second, and the time since the request was sent in milliseconds.
+    /// a request per second, and the age of the answer in milliseconds.
     pub fn limit_notices(&self, now: Millis) -> impl Iterator<Item = (&Name, Option<u64>, u64)> {
         self.servers.iter().filter_map(move |(name, s)| {
             let (rate, age_ms) = s.state.limit.notice(now)?;
--- a/crates/steering/src/server_limit.rs
+++ b/crates/steering/src/server_limit.rs
@@ -24,6 +24,9 @@
 /// Time for which an answer counts for more than the document, in milliseconds: longer
 /// than a report takes to get there and back.
 const NOTICE_MS: u64 = 3_000;
+/// Time for which a limit is kept since it was last named, in milliseconds. A server need
+/// not name it in each answer, and answers to requests from before its start are late.
+pub const HOLD_MS: u64 = 2_500;
 
 /// What an answer of a server says about its limit.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -62,12 +65,11 @@
     }
 }
 
-/// What the answer to the latest request said.
+/// What an answer that counts said.
 #[derive(Clone, Copy, Debug)]
 struct Noticed {
     rate: Option<u64>,
-    /// When the request was sent. A server may decide what it names when it begins to work
-    /// on a request, and answers come out of order.
+    /// When the request was sent, since answers come out of order.
     sent: Millis,
     /// When the answer came.
     at: Millis,
@@ -78,6 +80,8 @@
 pub struct ServerLimit {
     recorded: Option<u64>,
     noticed: Option<Noticed>,
+    // When the limit in force started here or was last named.
+    named_at: Millis,
     share: LimitShare,
     is_isolated: bool,
     tokens: f64,
@@ -114,6 +118,9 @@
         if before != after {
             self.tokens = 0.0;
         }
+        if before.is_none() && after.is_some() {
+            self.named_at = now;
+        }
     }
 
     /// Applies what the answer to a request says that was sent at `sent`. Returns whether a
@@ -125,10 +132,19 @@
             LimitNotice::Unlimited => None,
         };
         let before = self.rate(now);
-        let is_later = self.noticed.is_none_or(|n| sent >= n.sent);
-        if !is_later || rate.is_none() && before.is_none() {
+        let counts = match rate {
+            // A request from before the end of a limit may still name it.
+            Some(_) => !self
+                .noticed
+                .is_some_and(|n| n.rate.is_none() && sent < n.sent),
+            None => before.is_some() && now.since(self.named_at) >= HOLD_MS,
+        };
+        if !counts {
             return false;
         }
+        if rate.is_some() {
+            self.named_at = now;
+        }
         let noticed = Noticed {
             rate,
             sent,
@@ -187,10 +203,11 @@
         }
     }
 
-    /// The limit by a recent answer, and the time since its request was sent in
-    /// milliseconds, for the leader.
+    /// The limit by a recent answer and the age of the answer in milliseconds, for the
+    /// leader.
     pub fn notice(&self, now: Millis) -> Option<(Option<u64>, u64)> {
         let notice = self.noticed?;
-        (now.since(notice.at) < NOTICE_MS).then_some((notice.rate, now.since(notice.sent)))
+        let age_ms = now.since(notice.at);
+        (age_ms < NOTICE_MS).then_some((notice.rate, age_ms))
     }
 }
