--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -192,6 +192,27 @@
     }
 }
 
+/// Guards against a gateway that is cut off and uses more than its part, and against one
+/// that joins with a burst.
+#[tokio::test]
+async fn limit_is_kept_while_a_gateway_is_cut_off_and_another_one_joins() {
+    let servers = start_servers().await;
+    let mut fleet = start_fleet(&servers, 4).await;
+    let callers = Callers::start(&fleet, 24);
+    sleep(Duration::from_secs(1)).await;
+    fleet.cut_off(0);
+    let named = Instant::now();
+    servers[0].name(Some("3.9"));
+    sleep(Duration::from_secs(6)).await;
+    fleet.add_gateway().await;
+    let joined = Callers::start(&fleet, 10);
+    sleep(Duration::from_secs(5)).await;
+    callers.stop().await;
+    joined.stop().await;
+    let most = servers[0].most(named + TOLD);
+    assert!(most <= allowed(LIMIT), "{most} requests");
+}
+
 macro_rules! values {
     ($($(#[$doc:meta])* $name:ident($value:literal, $limit:expr);)*) => {
         $($(#[$doc])* #[tokio::test] async fn $name() {
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -414,19 +414,20 @@
         }
     }
 
-    /// Divides the limit of each server evenly among the entries that are nearest to it.
+    /// Divides the limit of each server as its slots are divided among the entries of its
+    /// region, since these send it its requests. Without any, all entries have equal parts.
     fn assign_limits(&mut self, now: Millis) {
         let serving = || self.entries.iter().filter(|e| !e.leaving);
+        let equal = 1.0 / serving().count().max(1) as f64;
         for s in self.servers.values_mut() {
-            let nearness = |e: &EntryInfo| match () {
-                () if e.domain == s.info.domain => 2,
-                () if e.region == s.info.region => 1,
-                () => 0,
+            let has_entries = serving().any(|e| e.region == s.info.region);
+            let share = LimitShare {
+                current: match has_entries {
+                    true => f64::from(s.share) / f64::from(s.info.slots.max(1)),
+                    false => equal,
+                },
+                isolated: equal,
             };
-            let nearest = serving().map(nearness).max();
-            let users = serving().map(|e| (&e.name, Some(nearness(e)) == nearest));
-            let users: Vec<(&Name, bool)> = users.collect();
-            let share = LimitShare::of(&&self.own, &users);
             s.limit.set_recorded(now, s.info.limit);
             s.limit.set_share(now, share);
         }
