Don't suspect a request for longer after it was answered

A request that always ends its servers is never answered, so that the time for which an answer clears a request of suspicion on its instance can be longer: 5 to 10 s instead of 1 to 2 s.

entry_crashes::an_answered_lookup_is_not_quarantined waits for longer after an answer before its next crash, which must count, as before.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -36,9 +36,9 @@
 const FINGERPRINT_BODY_BYTES: usize = 64 * 1024;
 /// Shortest time after an answer for which crashes don't count against the request, in
 /// milliseconds. The longest one is twice that.
-const ANSWERED_MS: u64 = 1_000;
+const ANSWERED_MS: u64 = 5_000;
 /// Maximum number of requests that are remembered as answered in that time.
-const ANSWERED_MAX: usize = 4_096;
+const ANSWERED_MAX: usize = 8_192;
 /// Time after a run was abandoned within which a crash of its server counts against
 /// the request, in milliseconds.
 const ABANDONED_RUN_MS: u64 = 3_000;
