Elect coordinators in one place

The choice of the coordinator of a failure domain stood twice after the shares of limits were added. No change of behaviour: gateway and gateway_limits pass.

--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -150,59 +150,55 @@
         serving_gateways(document).filter(|(_, i)| i.region == self.region)
     }
 
-    // Returns the gateways that select servers for a service, each with its location:
-    // the coordinators of all failure domains, or all gateways if there are none.
-    fn selecting_gateways<'a>(
+    // Returns the gateway that selects the servers of a service for each failure
+    // domain. It is the one with the highest hash of service name and gateway name,
+    // so that all gateways with the same document agree on it.
+    fn elect_coordinators<'a>(
         &self,
         document: &'a Document,
         service: &Name,
-    ) -> Vec<(&'a Name, &'a Instance)> {
+    ) -> IndexMap<&'a Name, (&'a Name, &'a Instance)> {
         let rank =
             |name: &Name| hash(&[hash_bytes(service.as_bytes()), hash_bytes(name.as_bytes())]);
         let mut best: IndexMap<&Name, (&Name, &Instance)> = IndexMap::new();
-        for (name, instance) in serving_gateways(document).filter(|(_, i)| i.peers.is_some()) {
+        let connected = serving_gateways(document).filter(|(_, i)| i.peers.is_some());
+        for (name, instance) in connected.filter(|_| self.has_peering) {
             let known = best.entry(&instance.domain).or_insert((name, instance));
             if rank(known.0) < rank(name) {
                 *known = (name, instance);
             }
         }
-        match best.is_empty() || !self.has_peering {
-            true => serving_gateways(document).collect(),
-            false => best.into_values().collect(),
-        }
+        best
     }
 
-    // Returns the gateway that selects the servers of a service for each
-    // failure domain of this region. It is the one with the highest hash of
-    // service name and gateway name, so that all gateways with the same
-    // document agree on it.
+    // Likewise, with their addresses and for the failure domains of this region only.
     fn coordinators_by_domain(
         &self,
         document: &Document,
         service: &Name,
     ) -> IndexMap<Name, PeerAddress> {
-        let rank =
-            |name: &Name| hash(&[hash_bytes(service.as_bytes()), hash_bytes(name.as_bytes())]);
-        let mut best: IndexMap<Name, PeerAddress> = IndexMap::new();
-        for (name, instance) in self
-            .gateways_in_region(document)
-            .filter(|_| self.has_peering)
-        {
-            let Some(address) = instance.peers else {
-                continue;
-            };
-            let better = best
-                .get(&instance.domain)
-                .is_none_or(|b| rank(&b.name) < rank(name));
-            if better {
-                let peer = PeerAddress {
-                    name: name.clone(),
-                    address,
-                };
-                best.insert(instance.domain.clone(), peer);
-            }
+        let all = self.elect_coordinators(document, service).into_iter();
+        let here = all.filter(|(_, (_, i))| i.region == self.region);
+        let peer = |(domain, (name, instance)): (&Name, (&Name, &Instance))| {
+            let address = instance.peers?;
+            let name = name.clone();
+            Some((domain.clone(), PeerAddress { name, address }))
+        };
+        here.filter_map(peer).collect()
+    }
+
+    // Returns the gateways that select servers for a service: the coordinators of all
+    // failure domains, or all gateways if there are none.
+    fn selecting_gateways<'a>(
+        &self,
+        document: &'a Document,
+        service: &Name,
+    ) -> Vec<(&'a Name, &'a Instance)> {
+        let coordinators = self.elect_coordinators(document, service);
+        match coordinators.is_empty() {
+            true => serving_gateways(document).collect(),
+            false => coordinators.into_values().collect(),
         }
-        best
     }
 
     /// Returns the service for the next request on a route. If the route has
