Log whose attempts suspend a server, and whose reports take servers out

unreachable names the instance whose attempt it was, outages the instances whose reports name servers as down. Without that, what a partitioned gateway teaches others can't be told from what these find themselves.

--- a/crates/coordination/src/outages.rs
+++ b/crates/coordination/src/outages.rs
@@ -6,6 +6,7 @@
 //! has returned with cold caches.
 
 use indexmap::IndexMap;
+use pomelovale_protocol::report::Report;
 use pomelovale_state::command::Command;
 use pomelovale_state::document::{Backend, Document, MemberState};
 use pomelovale_state::{Millis, Name};
@@ -49,6 +50,20 @@
     commands
 }
 
+/// The instances whose recent reports name servers as down, and how many they name.
+pub fn reporters(measurements: &Measurements, now: Millis) -> Vec<(&Name, usize)> {
+    let reports = recent_reports(measurements, now);
+    reports.map(|r| (&r.instance, r.down.len())).collect()
+}
+
+// Recent reports that name servers as down.
+fn recent_reports(measurements: &Measurements, now: Millis) -> impl Iterator<Item = &Report> {
+    measurements
+        .reports()
+        .filter(|r| !r.down.is_empty())
+        .filter(move |r| measurements.age(now, &r.instance) <= REPORT_AGE_MAX_MS)
+}
+
 /// Reports that one server is down.
 #[derive(Clone, Copy, Debug, Default)]
 struct DownReports {
@@ -69,10 +84,7 @@
     now: Millis,
 ) -> IndexMap<&'a Name, DownReports> {
     let mut down_reports: IndexMap<&Name, DownReports> = IndexMap::new();
-    let recent = measurements
-        .reports()
-        .filter(|r| !r.down.is_empty() && measurements.age(now, &r.instance) <= REPORT_AGE_MAX_MS);
-    for report in recent {
+    for report in recent_reports(measurements, now) {
         let Some(instance) = document.instances.get(&report.instance) else {
             continue;
         };
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -194,7 +194,8 @@
         let members = changes.into_iter().map(member);
         let mut commands: Vec<(String, Command)> = members.collect();
         if !outages.is_empty() {
-            tracing::info!(event = "outages", "{outages:?}");
+            let reporters = outages::reporters(&self.measurements, now);
+            tracing::info!(event = "outages", ?reporters, "{outages:?}");
             commands.push(("outages".to_owned(), Command::Batch(outages)));
         }
         if let Some(limits) = self.limit_changes(document, now) {
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -169,7 +169,8 @@
             s.finish(now, chosen, &routed.route.name, ended, latency_ms, report)
         });
         let changed = changed.unwrap_or_default();
-        super::report_changed_server(&self.shared, &routed.service, chosen, ended, changed);
+        let own = &self.shared.config.instance;
+        super::report_changed_server(&self.shared, own, &routed.service, chosen, ended, changed);
         let lost = matches!(ended, PlacementEnd::Cancelled | PlacementEnd::TimedOut);
         if let Some((run, _)) = self.run.take().filter(|_| lost) {
             self.shared.crashes.abandon(run);
--- a/crates/daemon/src/gateway/coordinator.rs
+++ b/crates/daemon/src/gateway/coordinator.rs
@@ -26,6 +26,8 @@
 /// A request of another gateway that was placed on a server. It has nothing to do
 /// with the grants of rate limit leases.
 struct Grant {
+    /// The gateway.
+    source: Name,
     service: Name,
     route: Name,
     chosen: Chosen,
@@ -105,7 +107,9 @@
             None => (None, 0.0),
         };
         if let Some(PlacementDecision::Send(chosen)) = &verdict {
+            let source = self.links.get(&link).map(|l| l.peer.clone());
             let grant = Grant {
+                source: source.unwrap_or_default(),
                 service: request.service.clone(),
                 route: request.route.clone(),
                 chosen: chosen.clone(),
@@ -127,7 +131,8 @@
             s.finish(now, chosen, route, ended, latency_ms, report)
         });
         let changed = changed.unwrap_or_default();
-        super::report_changed_server(shared, &grant.service, chosen, ended, changed);
+        let (source, service) = (&grant.source, &grant.service);
+        super::report_changed_server(shared, source, service, chosen, ended, changed);
     }
 
     fn expire(&mut self) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -181,10 +181,11 @@
     }
 }
 
-// Logs that the end of a request has changed the state of a server, and reports it to the
-// leader without waiting for the next periodic report.
+// Logs that the end of a request of the instance `source` has changed the state of a server,
+// and reports it to the leader without waiting for the next periodic report.
 fn report_changed_server(
     shared: &Shared,
+    source: &Name,
     service: &Name,
     chosen: &Chosen,
     ended: PlacementEnd,
@@ -192,7 +193,7 @@
 ) {
     if changed.suspended {
         tracing::info!(event = "unreachable", service = %service, server = %chosen.server,
-            cause = ?ended);
+            cause = ?ended, %source);
     }
     if let Some((server, limit)) = &changed.limit {
         metrics::counter!("server_limit_changes_total").increment(1);
