--- a/crates/daemon/tests/gateway_support/fleet.rs
+++ b/crates/daemon/tests/gateway_support/fleet.rs
@@ -1,17 +1,19 @@
 //! Several gateways whose mock control instance applies changes to one document.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
 use pomelovale_coordination::measurements::Measurements;
-use pomelovale_coordination::server_limits;
 use pomelovale_coordination::view::View;
+use pomelovale_coordination::{outages, server_limits};
 use pomelovale_protocol::messages::Admitted;
 use pomelovale_protocol::report::Report;
 use pomelovale_state::command::{Change, Command};
-use pomelovale_state::document::{Document, MemberState};
+use pomelovale_state::document::Document;
 use pomelovale_state::machine::StateMachine;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovaled::gateway::config::GatewayConfig;
@@ -23,10 +25,13 @@
 /// Interval at which the views are proven current, and reports are evaluated.
 const STEP: Duration = Duration::from_millis(100);
 
+pub type Addresses = HashMap<SocketAddr, SocketAddr>;
+
 #[derive(Default)]
 struct Replicated {
     machine: Mutex<StateMachine>,
-    views: Mutex<Vec<Arc<View>>>,
+    // The view of each gateway, and the addresses at which it finds servers, by their own.
+    views: Mutex<Vec<(Arc<View>, Addresses)>>,
     measurements: Mutex<Measurements>,
     // Gateways that can't reach the control instances, by number.
     cut: Mutex<Vec<usize>>,
@@ -35,35 +40,49 @@
 }
 
 impl Replicated {
-    // Takes servers out that gateways report as unreachable, as the leader does.
-    fn set_away(&self, down: &[Name]) {
+    // Takes servers and gateways out and back as the leader does.
+    fn apply_reports(&self, now: Millis) {
+        let measurements = self.measurements.lock().unwrap().clone();
         let mut machine = self.machine.lock().unwrap();
-        let backends = &mut machine.document.backends;
-        let mut changed = false;
-        for name in down {
-            if let Some(backend) = backends.get_mut(name) {
-                changed |= backend.state != MemberState::Away;
-                backend.state = MemberState::Away;
-            }
+        let document = &machine.document;
+        let mut commands = outages::changes(&measurements, document, now);
+        let members = measurements.membership_changes(document, now);
+        commands.extend(
+            members
+                .into_iter()
+                .map(|(name, state)| Command::SetInstance { name, state }),
+        );
+        if commands.is_empty() {
+            return;
         }
-        machine.document.version += u64::from(changed);
+        let version = machine.document.version;
+        machine.apply(&Change {
+            request: format!("reports-{}-{version}", now.0).into(),
+            sender: "leader".into(),
+            base: None,
+            at: now,
+            command: Command::Batch(commands),
+        });
         drop(machine);
-        if changed {
-            self.publish();
-        }
+        self.publish();
     }
 
-    fn connected_views(&self) -> Vec<Arc<View>> {
+    fn connected_views(&self) -> Vec<(Arc<View>, Addresses)> {
         let cut = self.cut.lock().unwrap();
         let views = self.views.lock().unwrap();
         let connected = views.iter().enumerate().filter(|(n, _)| !cut.contains(n));
-        connected.map(|(_, view)| view.clone()).collect()
+        connected.map(|(_, known)| known.clone()).collect()
     }
 
     fn publish(&self) {
         let document = self.machine.lock().unwrap().document.clone();
-        for view in self.connected_views() {
-            view.publish(document.clone());
+        for (view, addresses) in self.connected_views() {
+            let mut document = document.clone();
+            for backend in document.backends.values_mut() {
+                let address = addresses.get(&backend.address);
+                backend.address = address.copied().unwrap_or(backend.address);
+            }
+            view.publish(document);
         }
     }
 
@@ -71,7 +90,7 @@
         let cut = |n: &usize| report.instance == gateway_name(*n);
         if !self.cut.lock().unwrap().iter().any(cut) {
             self.measurements.lock().unwrap().record(now, report);
-            self.set_away(&report.down);
+            self.apply_reports(now);
         }
     }
 
@@ -114,6 +133,15 @@
     }
 
     pub async fn start_with(config: GatewayConfig, count: usize, document: Document) -> Fleet {
+        Fleet::start_behind(config, vec![Addresses::new(); count], document).await
+    }
+
+    /// Starts one gateway for each entry of `addresses`, which finds the servers there.
+    pub async fn start_behind(
+        config: GatewayConfig,
+        addresses: Vec<Addresses>,
+        document: Document,
+    ) -> Fleet {
         let (handle, calls) = ControlHandle::new(1_024);
         let replicated = Arc::new(Replicated::default());
         replicated.machine.lock().unwrap().document = document;
@@ -125,8 +153,9 @@
             loop {
                 tokio::time::sleep(STEP).await;
                 let views = proving.connected_views();
-                views.iter().for_each(|view| view.prove(proofs.now()));
+                views.iter().for_each(|(view, _)| view.prove(proofs.now()));
                 proving.record_limits(proofs.now());
+                proving.apply_reports(proofs.now());
             }
         });
         let reports = clock.clone();
@@ -163,16 +192,21 @@
             clock,
             gateways: Vec::new(),
         };
-        for _ in 0..count {
-            fleet.add_gateway().await;
+        for addresses in addresses {
+            fleet.add_gateway_behind(addresses).await;
         }
         fleet
     }
 
     /// Starts one more gateway, which knows the document only.
     pub async fn add_gateway(&mut self) {
+        self.add_gateway_behind(Addresses::new()).await;
+    }
+
+    async fn add_gateway_behind(&mut self, addresses: Addresses) {
         let view = Arc::new(View::default());
-        self.replicated.views.lock().unwrap().push(view.clone());
+        let known = (view.clone(), addresses);
+        self.replicated.views.lock().unwrap().push(known);
         self.replicated.publish();
         view.prove(self.clock.now());
         let config = GatewayConfig {
