Tell an instance's own partition from outages of servers

Cause: an instance took each failure for one of the server, and told it on: ends of attempts to the coordinator of its failure domain, servers out of reach to the leader, crashes to the document.

Change: a failure counts as the server's only once another server has shown life on a new connection after it (daemon::reach). Without contact, the way to the servers is blocked, or they are lost if nothing comes back on old connections either. Such an instance tells nothing about servers, selects none for others, is taken out of the list of entries, and forgets the failures of that time when it is back.

--- a/crates/daemon/src/crash/check.rs
+++ b/crates/daemon/src/crash/check.rs
@@ -5,21 +5,15 @@
 //! new ones as well, and an overloaded one answers late, so that these signs count only
 //! if the server shows no life on any connection of this instance.
 
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use pomelovale_state::Millis;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
 use super::{CrashTracker, Run};
+use crate::reach::{look_at_port, probe, LinkFault, Port, Reaction, SETTLE_MS};
 
-/// Time for which a connection to a server must stay open: a terminating process closes
-/// its connections and its listener one by one. In milliseconds.
-const SETTLE_MS: u64 = 25;
 /// Pauses before each look at a port that closes connections, in milliseconds.
 const CLOSING_PAUSES_MS: [u64; 3] = [0, 50, 100];
 /// Time within which connections are lost together if their process ends, in
@@ -81,6 +75,16 @@
         !matches!(self, Sign::Answers | Sign::Full)
     }
 
+    /// The failure that another server has to confirm.
+    pub(super) fn link_fault(self) -> LinkFault {
+        match self {
+            Sign::Hangs | Sign::Unreachable => LinkFault::Silent,
+            Sign::Answers | Sign::Full | Sign::Refuses | Sign::Closes | Sign::Restarted => {
+                LinkFault::Closed
+            }
+        }
+    }
+
     /// Whether the server can't be used until it is back.
     pub(super) fn is_down(self) -> bool {
         matches!(self, Sign::Refuses | Sign::Closes)
@@ -97,52 +101,6 @@
     }
 }
 
-enum Port {
-    Open(TcpStream),
-    Closes,
-    Refuses,
-    Unreachable,
-}
-
-async fn look_at_port(address: SocketAddr, limit: Duration) -> Port {
-    let mut byte = [0];
-    match timeout(limit, TcpStream::connect(address)).await {
-        Ok(Ok(mut stream)) => {
-            let settle = Millis(SETTLE_MS).duration();
-            match timeout(settle, stream.read(&mut byte)).await {
-                Ok(_) => Port::Closes,
-                Err(_) => Port::Open(stream),
-            }
-        }
-        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Port::Refuses,
-        Ok(Err(_)) | Err(_) => Port::Unreachable,
-    }
-}
-
-/// How a server reacts to a probe.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Reaction {
-    Answers,
-    /// Closes the connection without an answer, after this time.
-    ClosesAfter(Duration),
-    Silent,
-}
-
-// Sends a probe. Any byte counts as an answer.
-async fn probe(stream: &mut TcpStream, path: &str, limit: Duration) -> Reaction {
-    let request = format!("GET {path} HTTP/1.1\r\nhost: server\r\nconnection: close\r\n\r\n");
-    let (mut byte, start) = ([0], Instant::now());
-    let exchange = async {
-        stream.write_all(request.as_bytes()).await?;
-        stream.read(&mut byte).await
-    };
-    match timeout(limit, exchange).await {
-        Ok(Ok(1..)) => Reaction::Answers,
-        Ok(Ok(0) | Err(_)) => Reaction::ClosesAfter(start.elapsed()),
-        Err(_) => Reaction::Silent,
-    }
-}
-
 impl CrashTracker {
     /// Looks for signs that the server of a lost run has ended.
     pub(super) async fn find_sign(self: &Arc<Self>, run: &Run, loss: RunLoss) -> Sign {
@@ -180,7 +138,10 @@
             let reaction = probe(&mut stream, &run.probe, hung_limit(run)).await;
             let lasting = Millis(LASTING_MS).duration();
             match reaction {
-                Reaction::Answers => return Sign::Answers,
+                Reaction::Answers => {
+                    self.reach.record_answer(true);
+                    return Sign::Answers;
+                }
                 _ if self.heard_since(run.address, quiet_since) => return Sign::Answers,
                 Reaction::Silent => return Sign::Hangs,
                 Reaction::ClosesAfter(time) if time >= lasting => return Sign::Restarted,
--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -25,8 +25,9 @@
 use pomelovale_steering::quarantine::{self, Quarantine};
 use pomelovale_transport::pool::Pool;
 use tokio::sync::Notify;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
+use crate::reach::{Reach, State};
 pub use check::RunLoss;
 use check::Sign;
 use reports::PendingChanges;
@@ -47,6 +48,8 @@
 const ABANDONED_RUNS_MAX: usize = 1_024;
 /// Shortest time without a response after which a server is checked, in milliseconds.
 pub const SILENCE_CHECK_MS: u64 = 1_000;
+/// Interval at which runs that stay without an answer are looked for, in milliseconds.
+const SILENCE_INTERVAL_MS: u64 = 100;
 /// Longest wait for the result of a check before the run is retried, in milliseconds.
 const CHECK_WAIT_MS: u64 = 300;
 /// Number of servers from which the time of the last answer is kept; the oldest half is
@@ -236,6 +239,7 @@
     clock: Clock,
     timings: CrashTimings,
     pool: Arc<Pool>,
+    reach: Arc<Reach>,
     /// Random for each start of the process, so that identifiers never repeat.
     start: u64,
     inner: Mutex<Inner>,
@@ -243,8 +247,9 @@
 }
 
 impl CrashTracker {
-    /// Creates a tracker without crashes. `pool` holds the idle connections to servers. [`CrashTracker::run`] must be polled for the
-    /// crashes to be recorded.
+    /// Creates a tracker without crashes. `pool` holds the idle connections to servers.
+    /// Crashes count once `reach` has confirmed them. [`CrashTracker::run`] must be polled for
+    /// them to be recorded.
     pub fn new(
         instance: Name,
         view: Arc<View>,
@@ -252,6 +257,7 @@
         clock: Clock,
         timings: CrashTimings,
         pool: Arc<Pool>,
+        reach: Arc<Reach>,
     ) -> CrashTracker {
         CrashTracker {
             instance,
@@ -260,6 +266,7 @@
             clock,
             timings,
             pool,
+            reach,
             start: rand::random(),
             inner: Mutex::default(),
             wake: Notify::new(),
@@ -331,8 +338,19 @@
         }
     }
 
-    /// Records that a server has answered, whatever the answer says.
-    pub fn record_reply(&self, address: SocketAddr) {
+    /// Looks for the cause if all runs stay without an answer, until the task is aborted.
+    pub async fn watch_silence(self: Arc<Self>) {
+        loop {
+            sleep(Millis(SILENCE_INTERVAL_MS).duration()).await;
+            let oldest = self.lock().running.values().map(|run| run.since).min();
+            self.reach.check_silence(oldest);
+        }
+    }
+
+    /// Records that a server has answered, whatever the answer says. `fresh` tells whether
+    /// the connection was new.
+    pub fn record_reply(&self, address: SocketAddr, fresh: bool) {
+        self.reach.record_answer(fresh);
         let mut inner = self.lock();
         if inner.heard.len() >= HEARD_MAX {
             inner.heard.sort_by(|_, a, _, b| b.cmp(a));
@@ -393,9 +411,14 @@
     async fn check_lost(self: &Arc<Self>, run: Run, loss: RunLoss) -> ServerCheck {
         let start = Instant::now();
         let sign = self.find_sign(&run, loss).await;
+        let confirmed = !sign.is_end() || self.reach.confirm(sign.link_fault(), start).await;
         metrics::counter!("crash_checks_total", "sign" => sign.label()).increment(1);
         tracing::info!(event = "server-checked", server = %run.server, loss = ?loss,
-            sign = sign.label());
+            sign = sign.label(), confirmed);
+        if !confirmed {
+            self.abandon(run);
+            return ServerCheck::default();
+        }
         match sign.is_end() {
             true => self.record_end(run, sign, start),
             // Another run may show that the server has ended.
@@ -455,7 +478,7 @@
             backend.is_some_and(|b| b.state == MemberState::Away)
         };
         let mut inner = self.lock();
-        if inner.abandoned.is_empty() {
+        if inner.abandoned.is_empty() || self.reach.state() != State::Reached {
             return;
         }
         let all = std::mem::take(&mut inner.abandoned).into_iter();
@@ -471,9 +494,10 @@
         for mut runs in by_address.into_values() {
             let tracker = self.clone();
             tokio::spawn(async move {
-                let first = runs.swap_remove(0);
+                let (first, start) = (runs.swap_remove(0), Instant::now());
                 let sign = tracker.find_sign(&first, RunLoss::Abandoned).await;
-                if sign.is_end() {
+                let reach = &tracker.reach;
+                if sign.is_end() && reach.confirm(sign.link_fault(), start).await {
                     runs.push(first);
                     runs.iter().for_each(|run| tracker.record_crash(run, sign));
                 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -23,6 +23,7 @@
 use super::steering::{AttemptEnd, Choice, Permit, RequestInfo};
 use super::{poll, Shared};
 use crate::crash::{self, Run, RunGuard, Trial};
+use crate::reach::{LinkFault, State};
 
 const NOT_RUN: &[u8] = b"not-run";
 
@@ -282,6 +283,7 @@
         Ok(connection) => connection,
         Err(fault) => {
             running.end(AttemptEnd::Failed);
+            shared.reach.record_failure(LinkFault::Closed);
             let unreachable = |name: &Name| *name == choice.server;
             shared.crashes.check_abandoned(unreachable);
             return failed_before_write(fault);
@@ -324,6 +326,7 @@
         Ok(outcome) => outcome,
         Err((failure, mut running)) => {
             if failure.fault == ExchangeError::Silent {
+                shared.reach.record_failure(LinkFault::Silent);
                 // Connections without a response since the attempt began may be dead too.
                 shared.pool.purge(choice.address, start);
             }
@@ -334,6 +337,10 @@
             if let Some((run, _)) = running.run.take_if(|_| malformed) {
                 shared.crashes.abandon(run);
             }
+            if failure.fault == ExchangeError::Cut && run.connect_ms.is_some() {
+                // Connections may be reset before they get through.
+                shared.reach.record_failure(LinkFault::Closed);
+            }
             let cut = failure.fault == ExchangeError::Cut && failure.written;
             running.run.take_if(|_| cut);
             let ended = cut && shared.crashes.check(run).await.ended;
@@ -358,6 +365,7 @@
     };
     match shared.pool.take(choice.address, Duration::from_millis(age)) {
         Some(connection) => Ok(connection),
+        None if shared.reach.state() != State::Reached => Err(ExchangeError::Connect),
         None => {
             let limit = Duration::from_millis(config.connect_ms).min(admitted.left());
             Connection::open(choice.address, limit).await
@@ -418,7 +426,8 @@
     mut running: AttemptGuard,
 ) -> Result<AttemptOutcome, (Failure, AttemptGuard)> {
     let address = running.choice.address;
-    shared.crashes.record_reply(address);
+    let is_fresh = matches!(&running.run, Some((run, _)) if run.connect_ms.is_some());
+    shared.crashes.record_reply(address, is_fresh);
     let Reply { parts, mut body } = reply;
     let shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
         && parts.headers.get(SHED).is_some_and(|v| v == NOT_RUN);
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -33,6 +33,7 @@
 use steering::EntrySteering;
 
 use crate::crash::{CrashTimings, CrashTracker};
+use crate::reach::{ProbePath, Reach};
 
 // Attempts to report that this instance leaves, and the pause between them. The
 // retries must outlast the election of a new leader, which takes about 2 s.
@@ -50,6 +51,7 @@
     pool: Arc<Pool>,
     header_names: HeaderNames,
     crashes: Arc<CrashTracker>,
+    reach: Arc<Reach>,
     leaving: AtomicBool,
     held: AtomicUsize,
     // Random for each start of the process, so that identifiers never repeat.
@@ -140,6 +142,10 @@
         let (task_guard, done) = mpsc::channel(1);
         let start = rand::random();
         let pool = Arc::new(Pool::default());
+        let reach = Arc::new(Reach::new(
+            view.clone(),
+            ProbePath::Fixed(poll::PATH.into()),
+        ));
         let crashes = CrashTracker::new(
             config.instance.clone(),
             view.clone(),
@@ -152,6 +158,7 @@
                 trial_ms: config.trial_ms,
             },
             pool.clone(),
+            reach.clone(),
         );
         let steering = EntrySteering::new(&config, view.clone(), clock.clone(), start);
         let shared = Arc::new(Shared {
@@ -163,6 +170,7 @@
             pool,
             header_names: HeaderNames::default(),
             crashes: Arc::new(crashes),
+            reach,
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             start,
@@ -181,6 +189,8 @@
         let mut background_tasks = JoinSet::new();
         background_tasks.spawn(poll::run(shared.clone()));
         background_tasks.spawn(shared.crashes.clone().run());
+        background_tasks.spawn(shared.crashes.clone().watch_silence());
+        background_tasks.spawn(poll::follow_reach(shared.clone()));
         background_tasks.spawn(async move { poll::run_queue_timeouts(&timeout_shared).await });
         background_tasks.spawn(async move {
             let control = limiter_shared.control.clone();
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -19,6 +19,7 @@
 
 use super::steering::ServerLoad;
 use super::Shared;
+use crate::reach::State;
 
 /// Path at which servers report their load.
 pub(super) const PATH: &str = "/load";
@@ -54,7 +55,7 @@
         let is_isolated = shared.view.age(shared.clock.now()) > VIEW_MAX_AGE_MS;
         shared.steering.set_isolated(is_isolated);
         report(&shared);
-        if polling {
+        if polling && shared.reach.state() == State::Reached {
             // Polls would use up the limit of a server.
             let unlimited = |s: &Name| !document.limits.contains_key(s);
             for (service, server, address) in servers.into_iter().filter(|s| unlimited(&s.1)) {
@@ -64,6 +65,21 @@
     }
 }
 
+/// Follows whether this instance reaches the servers, until the task is aborted. What it
+/// has met while it lost them says nothing about them.
+pub async fn follow_reach(shared: Arc<Shared>) {
+    let mut state = State::Reached;
+    loop {
+        state = shared.reach.changed(state).await;
+        shared.steering.forget_failures();
+        if state == State::Reached {
+            // Servers may have ended meanwhile.
+            shared.crashes.check_abandoned(|_| true);
+        }
+        report(&shared);
+    }
+}
+
 /// Sends this instance's measurements to the leader.
 pub(super) fn report(shared: &Shared) {
     let services = shared.steering.measure();
@@ -78,7 +94,7 @@
         instance: shared.config.instance.clone(),
         version,
         view_ms,
-        leaving: shared.leaving.load(Ordering::Relaxed),
+        leaving: shared.leaving.load(Ordering::Relaxed) || shared.reach.state() != State::Reached,
         down: Vec::new(),
         back: Vec::new(),
         limits: shared.steering.limit_reports(),
@@ -132,9 +148,10 @@
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .ok()?;
+    let is_fresh = connection.is_fresh();
     let limit = Millis(shared.config.poll_ms).duration();
     let mut reply = connection.send(request, &REQUEST, b"", limit).await.ok()?;
-    shared.crashes.record_reply(address);
+    shared.crashes.record_reply(address, is_fresh);
     let mut body = BytesMut::new();
     loop {
         let part = std::future::poll_fn(|cx| reply.body.poll_part(cx));
--- a/crates/daemon/src/entry/steering.rs
+++ b/crates/daemon/src/entry/steering.rs
@@ -323,6 +323,14 @@
         }
     }
 
+    /// Ends all ejections, because this instance itself was their cause.
+    pub fn forget_failures(&self) {
+        for (_, service) in self.all_services() {
+            let mut steering = service.lock().expect("no panic while held");
+            steering.balancer.forget_failures();
+        }
+    }
+
     /// What servers have recently said about their limits.
     pub fn limit_reports(&self) -> Vec<LimitReport> {
         let now = self.clock.now();
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -29,6 +29,7 @@
 use crate::crash::{self, Run, RunGuard, ServerCheck, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
+use crate::reach::LinkFault;
 
 /// Number of attempts that sent no byte after which a request is refused, for
 /// example because the connection failed, or the server became ineligible while
@@ -160,6 +161,9 @@
             return;
         }
         self.ended = true;
+        if let Some(fault) = link_fault(ended) {
+            self.shared.reach.record_failure(fault);
+        }
         let now = self.shared.clock.now();
         let latency_ms = self.since.elapsed().as_millis() as u64;
         let document = self.shared.view.document();
@@ -176,12 +180,45 @@
             self.shared.crashes.abandon(run);
         }
         if let Some(place) = self.place.take() {
-            place.end(ended, latency_ms, report);
+            self.tell_coordinator(place, ended, latency_ms);
         }
         metrics::histogram!("gateway_attempt_seconds").record(self.since.elapsed());
     }
 }
 
+impl AttemptGuard {
+    // Tells the coordinator how the attempt has ended. A failure is the server's only once
+    // another server has been reached after it.
+    fn tell_coordinator(&self, place: Place, ended: PlacementEnd, latency_ms: u64) {
+        let report = self.report;
+        let Some(fault) = link_fault(ended) else {
+            return place.end(ended, latency_ms, report);
+        };
+        let (reach, since) = (self.shared.reach.clone(), Instant::now());
+        tokio::spawn(async move {
+            let ended = match reach.confirm(fault, since).await {
+                true => ended,
+                false => PlacementEnd::Cancelled,
+            };
+            place.end(ended, latency_ms, report);
+        });
+    }
+}
+
+/// The failure to reach a server that an attempt has met.
+pub(super) fn link_fault(ended: PlacementEnd) -> Option<LinkFault> {
+    match ended {
+        PlacementEnd::TimedOut => Some(LinkFault::Silent),
+        PlacementEnd::Unreachable => Some(LinkFault::Closed),
+        PlacementEnd::Answered
+        | PlacementEnd::Cancelled
+        | PlacementEnd::Cut
+        | PlacementEnd::Failed
+        | PlacementEnd::Moved
+        | PlacementEnd::Shed => None,
+    }
+}
+
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.end(PlacementEnd::Cancelled);
@@ -406,6 +443,10 @@
         Err((failure, mut running)) => {
             let mut found = ServerCheck::default();
             if failure.fault == ExchangeError::Cut {
+                if run.connect_ms.is_some() {
+                    // Connections may be reset before they get through.
+                    shared.reach.record_failure(LinkFault::Closed);
+                }
                 let now = shared.clock.now();
                 shared
                     .connections
@@ -536,7 +577,10 @@
     mut running: AttemptGuard,
 ) -> Result<(Outcome, &'static str), (Failure, AttemptGuard)> {
     let header_names = &shared.config.header_names;
-    shared.crashes.record_reply(running.chosen.address);
+    let is_fresh = matches!(&running.run, Some((run, _)) if run.connect_ms.is_some());
+    shared
+        .crashes
+        .record_reply(running.chosen.address, is_fresh);
     let Reply { parts, mut body } = reply;
     running.report = server_report(header_names, &parts);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
--- a/crates/daemon/src/gateway/connections.rs
+++ b/crates/daemon/src/gateway/connections.rs
@@ -16,6 +16,7 @@
 use pomelovale_transport::pool::Pool;
 
 use super::Shared;
+use crate::reach::State;
 
 /// Assumed round trip to another region, in milliseconds.
 const REGION_RTT_MS: u64 = 110;
@@ -94,6 +95,7 @@
     let idle = connections.idle_ms(shared.clock.now(), address, config.idle_ms);
     match connections.pool.take(address, Duration::from_millis(idle)) {
         Some(connection) => Ok(connection),
+        None if shared.reach.state() != State::Reached => Err(ExchangeError::Connect),
         None => {
             metrics::counter!("gateway_connects_total").increment(1);
             let limit = Duration::from_millis(config.connect_ms).min(left);
--- a/crates/daemon/src/gateway/coordinator.rs
+++ b/crates/daemon/src/gateway/coordinator.rs
@@ -16,6 +16,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::Shared;
+use crate::reach::State;
 
 /// Interval between two checks for expired placements.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
@@ -98,10 +99,14 @@
     fn place(&mut self, link: u64, id: u64, request: &PlaceRequest) {
         let shared = &self.shared;
         let (now, document) = (shared.clock.now(), shared.view.document());
-        let placed = shared.services.with(now, &document, &request.service, |s| {
-            let verdict = s.placement.choose(now, &request.subject());
-            (verdict, s.placement.remote_share())
-        });
+        let placed = match shared.reach.state() {
+            // The other gateway selects the server itself.
+            State::Blocked | State::Lost => None,
+            State::Reached => shared.services.with(now, &document, &request.service, |s| {
+                let verdict = s.placement.choose(now, &request.subject());
+                (verdict, s.placement.remote_share())
+            }),
+        };
         let (verdict, part) = match placed {
             Some((verdict, part)) => (Some(verdict), part),
             None => (None, 0.0),
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -12,6 +12,7 @@
 use pomelovale_steering::region_assignment::STEP_MS;
 
 use super::{connections, probe, Shared};
+use crate::reach::State;
 
 /// Age of the view beyond which this instance may have been replaced in the shares of
 /// limited servers, in milliseconds: less than the time after which a silent one is.
@@ -23,7 +24,7 @@
 pub(super) async fn register(shared: Arc<Shared>) {
     let config = &shared.config;
     let instance = Instance {
-        callers: Some(config.listen),
+        callers: Some(shared.callers),
         peers: shared.peers,
         region: config.region.clone(),
         domain: config.domain.clone(),
@@ -64,17 +65,24 @@
         let (now, document) = (shared.clock.now(), shared.view.document());
         let mut due_probes = Vec::new();
         let mut suspended: IndexSet<Name> = IndexSet::new();
+        let is_reached = shared.reach.state() == State::Reached;
         let is_isolated = shared.view.age(now) > VIEW_MAX_AGE_MS;
         shared.services.for_each(now, &document, |name, service| {
             service.placement.set_isolated(now, is_isolated);
             service.placement.tick(now);
-            suspended.extend(service.placement.suspended_servers().cloned());
+            let found = service.placement.suspended_servers();
+            suspended.extend(found.map(|(server, _)| server.clone()));
+            if !is_reached {
+                return;
+            }
             for (server, address) in service.placement.due_probes(now) {
                 due_probes.push((name.clone(), server, address, service.probe.clone()));
             }
         });
         shared.crashes.check_abandoned(|s| suspended.contains(s));
-        connections::preconnect(&shared);
+        if is_reached {
+            connections::preconnect(&shared);
+        }
         shared
             .coordinator_client
             .connect_wanted(&shared.services.coordinators());
@@ -95,16 +103,37 @@
     }
 }
 
-/// Sends a report to the leader: that this instance is alive, whether it is
-/// stopping, and which servers it finds unreachable or recovered.
+/// Follows whether this instance reaches the servers, until the task is aborted. What it
+/// has met while it lost them says nothing about them.
+pub(super) async fn follow_reach(shared: Arc<Shared>) {
+    let mut state = State::Reached;
+    loop {
+        state = shared.reach.changed(state).await;
+        let (now, document) = (shared.clock.now(), shared.view.document());
+        shared.services.for_each(now, &document, |_, service| {
+            service.placement.forget_failures();
+        });
+        if state == State::Reached {
+            // Servers may have ended meanwhile.
+            shared.crashes.check_abandoned(|_| true);
+        }
+        report(&shared);
+    }
+}
+
+/// Sends a report to the leader: that this instance is alive, whether callers should use
+/// others, and which servers it finds unreachable or recovered.
 pub(super) fn report(shared: &Shared) {
     let document = shared.view.document();
     let now = shared.clock.now();
+    let contact_ms = shared.reach.contact_ms();
     let (mut down, mut back, mut limits) = (Vec::new(), Vec::new(), Vec::new());
     shared.services.for_each(now, &document, |name, service| {
         let left = service.retry_budget.left() as f64;
         metrics::gauge!("gateway_retries_left", "service" => name.to_string()).set(left);
-        down.extend(service.placement.suspended_servers().cloned());
+        let suspended = service.placement.suspended_servers();
+        let confirmed = suspended.filter(|(_, at)| now.since(*at) >= contact_ms);
+        down.extend(confirmed.map(|(server, _)| server.clone()));
         back.extend(service.placement.recovered(now));
         let notices = service.placement.limit_notices(now);
         limits.extend(notices.map(|(server, rate, age_ms)| LimitReport {
@@ -121,7 +150,7 @@
         instance: shared.config.instance.clone(),
         version: document.version,
         view_ms,
-        leaving: shared.leaving.load(Ordering::Relaxed),
+        leaving: shared.leaving.load(Ordering::Relaxed) || shared.reach.state() != State::Reached,
         down,
         back,
         limits,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 use services::{ServerChange, Services};
 
 use crate::crash::{CrashTimings, CrashTracker};
+use crate::reach::{LinkFault, ProbePath, Reach};
 
 /// Capacity of the queue of messages from other gateways. While it is full, no
 /// more messages are read.
@@ -70,6 +71,9 @@
     peers: Option<SocketAddr>,
     connections: Connections,
     crashes: Arc<CrashTracker>,
+    reach: Arc<Reach>,
+    // Bound address for callers.
+    callers: SocketAddr,
     leaving: AtomicBool,
     // Bytes of request bodies that are reserved in memory.
     held: AtomicUsize,
@@ -95,6 +99,9 @@
             .await
             .change_context(ErrorKind::BadSettings)
             .attach_with(|| format!("can't listen on {}", config.listen))?;
+        let callers = listener
+            .local_addr()
+            .change_context(ErrorKind::BadSettings)?;
         let start: u64 = rand::random();
         let (events, received) = flume::bounded(EVENT_QUEUE);
         let peering = config.peering.as_ref().map(|p| peer_config(&config, p));
@@ -108,6 +115,7 @@
             _ => None,
         };
         let connections = Connections::default();
+        let reach = Arc::new(Reach::new(view.clone(), ProbePath::Routed));
         let crashes = CrashTracker::new(
             config.instance.clone(),
             view.clone(),
@@ -120,6 +128,7 @@
                 trial_ms: config.trial_ms,
             },
             connections.pool.clone(),
+            reach.clone(),
         );
         let shared = Arc::new(Shared {
             services: Services::new(&config, start),
@@ -132,6 +141,8 @@
             clock,
             connections,
             crashes: Arc::new(crashes),
+            reach,
+            callers,
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             running: AtomicU64::new(0),
@@ -148,8 +159,10 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(maintenance::run(shared.clone()));
         tasks.spawn(maintenance::register(shared.clone()));
+        tasks.spawn(maintenance::follow_reach(shared.clone()));
         tasks.spawn(coordinator::run(shared.clone(), received));
         tasks.spawn(shared.crashes.clone().run());
+        tasks.spawn(shared.crashes.clone().watch_silence());
         let client_shared = shared.clone();
         tasks.spawn(async move { client_shared.coordinator_client.run().await });
         Ok(GatewayHandle {
@@ -182,9 +195,10 @@
 }
 
 // Logs that the end of a request of the instance `source` has changed the state of a server,
-// and reports it to the leader without waiting for the next periodic report.
+// and reports it to the leader without waiting for the next periodic report. That a server is
+// out of reach is reported once it is known not to be this instance's own fault.
 fn report_changed_server(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     source: &Name,
     service: &Name,
     chosen: &Chosen,
@@ -200,9 +214,18 @@
         tracing::info!(event = "server-limit", service = %service, %server, per_1000_s = limit,
             source = "answer");
     }
-    if changed.suspended || changed.limit.is_some() {
+    if changed.limit.is_some() {
         maintenance::report(shared);
     }
+    if changed.suspended {
+        let (shared, since) = (shared.clone(), Instant::now());
+        let fault = attempt::link_fault(ended).unwrap_or(LinkFault::Closed);
+        tokio::spawn(async move {
+            if shared.reach.confirm(fault, since).await {
+                maintenance::report(&shared);
+            }
+        });
+    }
 }
 
 /// The readiness check of a gateway.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod operator_commands;
 pub mod operators;
+pub mod reach;
 pub mod schema;
 pub mod settings;
 pub mod subscriber;
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 mod server;
+pub mod way;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -24,6 +25,7 @@
 use tokio::net::TcpStream;
 
 pub use server::*;
+use way::Addresses;
 
 pub const KEY: &str = "pk.k1.secret-1";
 const CONTROL_QUEUE: usize = 1_024;
@@ -91,10 +93,13 @@
     )
 }
 
+/// The view of each entry, and where it finds the servers.
+type Views = Arc<Mutex<Vec<(Arc<View>, Addresses)>>>;
+
 /// A mock control instance that applies changes at once, and its entries' views.
 pub struct Control {
     machine: Arc<Mutex<StateMachine>>,
-    views: Arc<Mutex<Vec<Arc<View>>>>,
+    views: Views,
     pub handle: ControlHandle,
     pub clock: Clock,
     pub proposed: Arc<Mutex<Vec<Command>>>,
@@ -106,7 +111,7 @@
     pub fn start() -> Control {
         let (handle, calls) = ControlHandle::new(CONTROL_QUEUE);
         let machine = Arc::new(Mutex::new(StateMachine::default()));
-        let views: Arc<Mutex<Vec<Arc<View>>>> = Arc::default();
+        let views = Views::default();
         let proposed: Arc<Mutex<Vec<Command>>> = Arc::default();
         let ignore_grants: Arc<AtomicBool> = Arc::default();
         let ignoring = ignore_grants.clone();
@@ -142,7 +147,7 @@
     pub fn prover(&self) -> impl Fn() + Send + 'static {
         let (views, clock) = (self.views.clone(), self.clock.clone());
         move || {
-            for view in views.lock().unwrap().iter() {
+            for (view, _) in views.lock().unwrap().iter() {
                 view.prove(clock.now());
             }
         }
@@ -164,11 +169,20 @@
 
     /// Starts an entry instance with a view of the control instance's document.
     pub async fn entry(&self, edit: impl FnOnce(&mut EntryConfig)) -> EntryHandle {
+        self.entry_behind(Addresses::new(), edit).await
+    }
+
+    /// Likewise; the entry finds the servers at other addresses.
+    pub async fn entry_behind(
+        &self,
+        addresses: Addresses,
+        edit: impl FnOnce(&mut EntryConfig),
+    ) -> EntryHandle {
         let view = Arc::new(View::default());
         view.prove(self.clock.now());
         let count = {
             let mut views = self.views.lock().unwrap();
-            views.push(view.clone());
+            views.push((view.clone(), addresses));
             views.len()
         };
         publish(&self.machine, &self.views);
@@ -251,10 +265,10 @@
     }
 }
 
-fn publish(machine: &Mutex<StateMachine>, views: &Mutex<Vec<Arc<View>>>) {
+fn publish(machine: &Mutex<StateMachine>, views: &Views) {
     let document = machine.lock().unwrap().document.clone();
-    for view in views.lock().unwrap().iter() {
-        view.publish(document.clone());
+    for (view, addresses) in views.lock().unwrap().iter() {
+        view.publish(way::rewrite(document.clone(), addresses));
     }
 }
 
--- a/crates/daemon/tests/gateway_support/way.rs
+++ b/crates/daemon/tests/entry_support/way.rs
@@ -1,19 +1,32 @@
-//! Ways of one gateway to the backend servers, which can be cut off for it alone.
+//! Ways of one instance to the backend servers, which can be cut off for it alone.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pomelovale_state::document::Document;
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
+/// Addresses at which an instance finds the servers, by their own.
+pub type Addresses = HashMap<SocketAddr, SocketAddr>;
+
 /// Pause before a port is bound again after that failed.
 const BIND_RETRY: Duration = Duration::from_millis(5);
 
-/// What happens to the connections of a gateway to the servers.
+/// Replaces the addresses of servers in a document.
+pub fn rewrite(mut document: Document, addresses: &Addresses) -> Document {
+    for backend in document.backends.values_mut() {
+        let address = addresses.get(&backend.address);
+        backend.address = address.copied().unwrap_or(backend.address);
+    }
+    document
+}
+
+/// What happens to the connections of an instance to the servers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Way {
     Open,
@@ -29,7 +42,7 @@
 pub struct Ways {
     state: watch::Sender<Way>,
     /// Address of each way, by the address of its server.
-    pub addresses: HashMap<SocketAddr, SocketAddr>,
+    pub addresses: Addresses,
     tasks: Vec<JoinHandle<()>>,
 }
 
--- a/crates/daemon/tests/gateway_partition.rs
+++ b/crates/daemon/tests/gateway_partition.rs
@@ -10,9 +10,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use entry_support::way::{Way, Ways};
 use entry_support::{header, Caller, ReceivedRequest, ReceivedResponse, Server, ServerAction};
 use gateway_support::fleet::Fleet;
-use gateway_support::way::{Way, Ways};
 use gateway_support::{document, KEY};
 use pomelovale_state::document::MemberState;
 use pomelovaled::gateway::config::GatewayConfig;
--- a/crates/daemon/tests/gateway_support/fleet.rs
+++ b/crates/daemon/tests/gateway_support/fleet.rs
@@ -1,7 +1,5 @@
 //! Several gateways whose mock control instance applies changes to one document.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -19,14 +17,14 @@
 use pomelovaled::gateway::config::GatewayConfig;
 use pomelovaled::gateway::{Gateway, GatewayHandle};
 
+use crate::entry_support::way::{rewrite, Addresses};
+
 /// Time for a change to reach the gateways' views.
 const DISTRIBUTION: Duration = Duration::from_millis(20);
 
 /// Interval at which the views are proven current, and reports are evaluated.
 const STEP: Duration = Duration::from_millis(100);
 
-pub type Addresses = HashMap<SocketAddr, SocketAddr>;
-
 #[derive(Default)]
 struct Replicated {
     machine: Mutex<StateMachine>,
@@ -77,12 +75,7 @@
     fn publish(&self) {
         let document = self.machine.lock().unwrap().document.clone();
         for (view, addresses) in self.connected_views() {
-            let mut document = document.clone();
-            for backend in document.backends.values_mut() {
-                let address = addresses.get(&backend.address);
-                backend.address = address.copied().unwrap_or(backend.address);
-            }
-            view.publish(document);
+            view.publish(rewrite(document.clone(), &addresses));
         }
     }
 
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -26,7 +26,6 @@
 use crate::entry_support::{ReceivedRequest, Server, ServerAction};
 
 pub mod fleet;
-pub mod way;
 
 pub const KEY: &str = "xd9dnn2ctnfz";
 
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -231,7 +231,8 @@
     Placed {
         /// Identifier of the [`PeerMessage::Place`].
         id: u64,
-        /// The decision; `None` if the service is not known yet.
+        /// The decision; `None` if the service is not known yet, or the coordinator has lost
+        /// the servers.
         verdict: Option<PlacementDecision>,
         /// Fraction of the objects that go to other regions, from 0 to 1.
         part: f64,
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -57,7 +57,8 @@
     pub version: u64,
     /// Age of its view in milliseconds.
     pub view_ms: u64,
-    /// Whether the instance is stopping.
+    /// Whether callers should use other instances: this one is stopping, or has lost the
+    /// servers.
     pub leaving: bool,
     /// Backend servers that are unreachable from it.
     pub down: Vec<Name>,
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::baseline;
-use crate::ejection::{Health, EJECTED_SHARE_MAX};
+use crate::ejection::{Ejection, Health, EJECTED_SHARE_MAX};
 use crate::server::Server;
 use crate::server_limit::{LimitNotice, LimitShare};
 use crate::{AttemptEnd, Class};
@@ -196,6 +196,12 @@
         })
     }
 
+    /// Ends all ejections, and forgets the failures that led to them.
+    pub fn forget_failures(&mut self) {
+        let servers = self.servers.values_mut();
+        servers.for_each(|s| s.ejection = Ejection::default());
+    }
+
     /// Records a load report that was requested at `at`.
     pub fn report_load(&mut self, at: Millis, server: &Name, report: ServerLoad) {
         if let Some(s) = self.servers.get_mut(server) {
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -130,6 +130,7 @@
     consecutive_timeouts: u32,
     // Gets no requests until a probe succeeds.
     suspended: bool,
+    suspended_at: Millis,
     probe_at: Millis,
     probe_interval_ms: u64,
     cold_until: Millis,
@@ -162,6 +163,7 @@
             responded_at: now,
             consecutive_timeouts: 0,
             suspended: false,
+            suspended_at: now,
             probe_at: now,
             probe_interval_ms: PROBE_INTERVAL_MS.0,
             cold_until: Millis(0),
@@ -225,6 +227,19 @@
         !self.suspended
     }
 
+    /// When the server was suspended, if it is.
+    pub fn suspended_at(&self) -> Option<Millis> {
+        self.suspended.then_some(self.suspended_at)
+    }
+
+    /// Ends a suspension and forgets failures and slowdowns.
+    pub fn forget_failures(&mut self) {
+        self.suspended = false;
+        self.consecutive_timeouts = 0;
+        self.failure_rate = 0.0;
+        self.slowdown = 1.0;
+    }
+
     /// Whether the server is cold; see [`crate::placement`].
     pub fn is_cold(&self, now: Millis) -> bool {
         now < self.cold_until
@@ -311,6 +326,7 @@
     fn suspend(&mut self, now: Millis) {
         if !self.suspended {
             self.suspended = true;
+            self.suspended_at = now;
             self.probe_interval_ms = PROBE_INTERVAL_MS.0;
             self.probe_at = now.plus(PROBE_INTERVAL_MS.0);
         }
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -166,13 +166,20 @@
 
     /// Servers of the own region that this instance has suspended, because they
     /// could not be reached, timed out or were replaced by another server at the
-    /// same address.
-    pub fn suspended_servers(&self) -> impl Iterator<Item = &Name> {
+    /// same address, and since when.
+    pub fn suspended_servers(&self) -> impl Iterator<Item = (&Name, Millis)> {
         let here = self
             .servers
             .values()
             .filter(|s| s.spec.region == self.region);
-        here.filter(|s| !s.state.is_usable()).map(|s| &s.spec.name)
+        here.filter_map(|s| Some((&s.spec.name, s.state.suspended_at()?)))
+    }
+
+    /// Ends all suspensions, and forgets failures and slowdowns of servers, because this
+    /// instance itself was their cause.
+    pub fn forget_failures(&mut self) {
+        let servers = self.servers.values_mut();
+        servers.for_each(|s| s.state.forget_failures());
     }
 
     /// Replaces the list of servers that may get new requests. `regions` lists
