Relay requests of an instance that has lost its way to the servers

Cause: there was no way round. An instance that can't reach servers could only refuse.

One hop, at most once, with the time, the attempts and the homes of the request; what no instance takes is refused. Both request paths use daemon::relay.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -16,14 +16,15 @@
 use pomelovale_steering::server_limit::LimitNotice;
 use pomelovale_transport::backend::{Connection, ExchangeError, Failure, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 use tracing::Instrument;
 
 use super::keys::{self, VerifiedKey};
+use super::relaying::{self, OriginalRequest, RelayTerms};
 use super::steering::{AttemptEnd, Choice, Permit, RequestInfo};
 use super::{poll, Shared};
 use crate::crash::{self, Run, RunGuard, Trial};
-use crate::reach::{LinkFault, State};
+use crate::reach::{self, State};
 
 const NOT_RUN: &[u8] = b"not-run";
 
@@ -54,6 +55,10 @@
     pub fingerprint: OnceLock<Digest>,
     /// Whether it is tried although it is quarantined.
     pub trial: Trial,
+    /// Maximum number of attempts.
+    pub attempts: usize,
+    /// The request as it came, to be relayed; `None` if another instance relays it here.
+    pub original: Option<OriginalRequest>,
 }
 
 impl AdmittedRequest {
@@ -152,6 +157,8 @@
     suspect_servers: Vec<Name>,
     error_after_write: Option<ErrorKind>,
     error_before_write: Option<ErrorKind>,
+    // Whether the last attempt failed because the way to the servers is blocked.
+    is_blocked: bool,
 }
 
 impl RetryState {
@@ -173,6 +180,18 @@
         admitted
             .check(&shared)
             .map_err(|kind| retries.final_error(kind))?;
+        let is_relay_due = match shared.reach.state() {
+            State::Reached => false,
+            // Old connections may live on.
+            State::Blocked => retries.is_blocked,
+            State::Lost => true,
+        };
+        let may_relay = retries.error_after_write.is_none() || admitted.idempotent;
+        if is_relay_due && may_relay {
+            if let Some(original) = &admitted.original {
+                return relay_rest(&shared, &admitted, original, &retries).await;
+            }
+        }
         let now = shared.clock.now();
         let avoid = [retries.tried.as_slice(), retries.suspect_servers.as_slice()].concat();
         let chosen = match shared.steering.choose(now, &admitted.info, &avoid) {
@@ -182,6 +201,9 @@
             chosen => chosen,
         };
         let Some(choice) = chosen else {
+            if is_own_failure(&shared, &admitted, &mut retries).await {
+                continue;
+            }
             let kind = retries.error_before_write.unwrap_or(ErrorKind::Unavailable);
             return Err(retries.final_error(kind));
         };
@@ -211,7 +233,11 @@
             }
         };
         let may_retry = handle_failure(&shared, &admitted, &mut retries, &choice, failure);
-        if !may_retry || retries.attempts >= shared.config.attempts {
+        let may_retry = may_retry && retries.attempts < admitted.attempts;
+        if !may_retry && is_own_failure(&shared, &admitted, &mut retries).await {
+            continue;
+        }
+        if !may_retry {
             let kind = retries.error_before_write.unwrap_or(ErrorKind::Unavailable);
             return Err(retries.final_error(kind));
         }
@@ -219,6 +245,45 @@
     }
 }
 
+async fn relay_rest(
+    shared: &Arc<Shared>,
+    admitted: &AdmittedRequest,
+    original: &OriginalRequest,
+    retries: &RetryState,
+) -> Result<Response<CallerBody>, ErrorKind> {
+    let sent = retries.attempts.min(admitted.attempts.saturating_sub(1));
+    let terms = RelayTerms {
+        deadline: admitted.deadline,
+        idempotent: admitted.idempotent,
+        attempts: (admitted.attempts - sent) as u32,
+        may_have_run: retries.error_after_write.is_some(),
+        trace: admitted.trace,
+    };
+    let may_repeat = || shared.steering.try_spend(&admitted.info.service);
+    let relayed = relaying::relay(shared, original, &admitted.body, terms, may_repeat);
+    relaying::result(relayed.await).map_err(|kind| retries.final_error(kind))
+}
+
+// Waits until it is known whether the way to the servers is blocked, if that is suspected and a
+// request that no server has run fails. It is relayed then.
+async fn is_own_failure(
+    shared: &Arc<Shared>,
+    admitted: &AdmittedRequest,
+    retries: &mut RetryState,
+) -> bool {
+    if retries.error_after_write.is_some()
+        || admitted.original.is_none()
+        || !shared.reach.is_checking()
+    {
+        return false;
+    }
+    let confirmed = shared
+        .reach
+        .confirm(reach::LinkFault::Closed, Instant::now());
+    retries.is_blocked = matches!(timeout(admitted.left(), confirmed).await, Ok(false));
+    retries.is_blocked
+}
+
 /// Updates the retry state after a failed attempt; returns whether a retry is
 /// allowed.
 fn handle_failure(
@@ -263,7 +328,6 @@
     trace: TraceContext,
     retries: &RetryState,
 ) -> AttemptOutcome {
-    let config = &shared.config;
     let mut running = AttemptGuard {
         shared: shared.clone(),
         admitted: admitted.clone(),
@@ -283,7 +347,7 @@
         Ok(connection) => connection,
         Err(fault) => {
             running.end(AttemptEnd::Failed);
-            shared.reach.record_failure(LinkFault::Closed);
+            shared.reach.record_failure(reach::LinkFault::Closed);
             let unreachable = |name: &Name| *name == choice.server;
             shared.crashes.check_abandoned(unreachable);
             return failed_before_write(fault);
@@ -309,7 +373,7 @@
     running.run = Some((run.clone(), shared.crashes.start_run(run.clone())));
     let id = shared.unique_id();
     let request = request(admitted, choice, trace, &id);
-    let may_follow = admitted.idempotent && retries.attempts < config.attempts;
+    let may_follow = admitted.idempotent && retries.attempts < admitted.attempts;
     let limit = match choice.attempt.filter(|_| may_follow) {
         Some(ms) => admitted.left().min(Duration::from_millis(ms)),
         None => admitted.left(),
@@ -326,7 +390,7 @@
         Ok(outcome) => outcome,
         Err((failure, mut running)) => {
             if failure.fault == ExchangeError::Silent {
-                shared.reach.record_failure(LinkFault::Silent);
+                shared.reach.record_failure(reach::LinkFault::Silent);
                 // Connections without a response since the attempt began may be dead too.
                 shared.pool.purge(choice.address, start);
             }
@@ -339,7 +403,7 @@
             }
             if failure.fault == ExchangeError::Cut && run.connect_ms.is_some() {
                 // Connections may be reset before they get through.
-                shared.reach.record_failure(LinkFault::Closed);
+                shared.reach.record_failure(reach::LinkFault::Closed);
             }
             let cut = failure.fault == ExchangeError::Cut && failure.written;
             running.run.take_if(|_| cut);
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub mod poll;
 pub mod rates;
 pub mod refusal;
+pub mod relaying;
 pub mod service;
 pub mod steering;
 
@@ -34,6 +35,7 @@
 
 use crate::crash::{CrashTimings, CrashTracker};
 use crate::reach::{ProbePath, Reach};
+use crate::relay::{RelayConfig, Relays};
 
 // Attempts to report that this instance leaves, and the pause between them. The
 // retries must outlast the election of a new leader, which takes about 2 s.
@@ -52,6 +54,7 @@
     header_names: HeaderNames,
     crashes: Arc<CrashTracker>,
     reach: Arc<Reach>,
+    relays: Arc<Relays>,
     leaving: AtomicBool,
     held: AtomicUsize,
     // Random for each start of the process, so that identifiers never repeat.
@@ -160,6 +163,7 @@
             pool.clone(),
             reach.clone(),
         );
+        let relays = Relays::new(relay_config(&config));
         let steering = EntrySteering::new(&config, view.clone(), clock.clone(), start);
         let shared = Arc::new(Shared {
             steering: Arc::new(steering),
@@ -171,6 +175,7 @@
             header_names: HeaderNames::default(),
             crashes: Arc::new(crashes),
             reach,
+            relays: Arc::new(relays),
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
             start,
@@ -206,6 +211,17 @@
     }
 }
 
+fn relay_config(config: &EntryConfig) -> RelayConfig {
+    RelayConfig {
+        instance: config.instance.clone(),
+        region: config.region.clone(),
+        header_names: HeaderNames::default(),
+        connect_ms: config.connect_ms,
+        answer_bytes: config.answer_bytes,
+        pause_ms: config.pause_ms,
+    }
+}
+
 /// A running entry role.
 #[derive(Debug)]
 pub struct EntryHandle {
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -26,9 +26,11 @@
 use super::intent::{self, BeginResult};
 use super::keys::{self, VerifiedKey};
 use super::refusal::Refusal;
+use super::relaying::{self, OriginalRequest, RelayTerms};
 use super::steering::{Class, RequestInfo};
 use super::{list, Shared};
 use crate::crash::Trial;
+use crate::relay::{self, Acceptance, RelayEnd};
 
 // Methods that HTTP defines as idempotent and that are forwarded.
 const IDEMPOTENT_METHODS: [&str; 5] = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"];
@@ -53,9 +55,18 @@
     let trace = TraceContext::from_headers(request.headers());
     let span = tracing::info_span!("request", caller = %caller.address, parent = trace.map(tracing::field::display));
     let trace = trace.map_or_else(TraceContext::root, |t| t.child());
-    let result = handle(&shared, request, caller, trace)
+    let is_lost = shared.reach.is_lost();
+    let accepted = shared.relays.accept(request.headers(), || 0, is_lost);
+    let relayed = match accepted.await {
+        Acceptance::Direct => None,
+        Acceptance::Relayed(relayed) => Some(relayed),
+        Acceptance::Refused => return shared.relays.refusal(),
+    };
+    let attempts = relayed.as_ref().map(|r| r.attempts);
+    let result = handle(&shared, request, caller, trace, attempts)
         .instrument(span)
         .await;
+    drop(relayed);
     let mut response = result.unwrap_or_else(Refusal::response);
     if shared.leaving.load(Ordering::Relaxed) {
         // Makes the caller fetch the entry list again before its next request.
@@ -67,11 +78,13 @@
     response
 }
 
+// `relayed` holds the attempts that are left of a request that another instance relays.
 async fn handle(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
     caller: Caller,
     trace: TraceContext,
+    relayed: Option<u32>,
 ) -> Result<Response<CallerBody>, Refusal> {
     let (parts, body) = request.into_parts();
     let refuse_and_close = |refusal: Refusal| Ok(closed(refusal.response()));
@@ -94,8 +107,11 @@
         None => policy.timeout,
     };
     let deadline = Instant::now() + limit;
-    if let Some(verified_key) = &verified_key {
-        shared.steering.admit(&verified_key.workspace).await?;
+    // The instance that serves a relayed request charges its workspace.
+    let relay_due = relayed.is_none() && shared.reach.is_relay_due();
+    let workspace = verified_key.as_ref().map(|key| key.workspace.clone());
+    if let Some(workspace) = workspace.as_ref().filter(|_| !relay_due) {
+        shared.steering.admit(workspace).await?;
     }
     let hold = match BodyReservation::take(shared, &body) {
         Ok(hold) => hold,
@@ -105,7 +121,34 @@
         Ok(body) => body,
         Err(kind) => return refuse_and_close(kind.into()),
     };
-    let result = run(shared, policy, parts, body, verified_key, deadline, trace).await;
+    let attempts = shared.config.attempts as u32;
+    let attempts = relayed.map_or(attempts, |left| left.min(attempts));
+    let original = relayed.is_none().then(|| OriginalRequest::of(&parts));
+    if let Some(original) = original.as_ref().filter(|_| relay_due) {
+        let terms = RelayTerms {
+            deadline,
+            idempotent: policy.idempotent,
+            attempts,
+            may_have_run: false,
+            trace,
+        };
+        let may_repeat = || shared.steering.try_spend(&policy.service);
+        match relaying::relay(shared, original, &body, terms, may_repeat).await {
+            // The servers may be within reach again.
+            RelayEnd::NotTaken if shared.reach.recheck(relay::RECHECK).await => {}
+            ended => return Ok(relaying::result(ended)?),
+        }
+        if let Some(workspace) = &workspace {
+            shared.steering.admit(workspace).await?;
+        }
+    }
+    let arrival = Arrival {
+        deadline,
+        trace,
+        attempts: attempts as usize,
+        original,
+    };
+    let result = run(shared, policy, parts, body, verified_key, arrival).await;
     drop(hold);
     result
 }
@@ -235,15 +278,28 @@
     Ok(headers)
 }
 
+/// What is known of a request from its arrival.
+struct Arrival {
+    deadline: Instant,
+    trace: TraceContext,
+    attempts: usize,
+    original: Option<OriginalRequest>,
+}
+
 async fn run(
     shared: &Arc<Shared>,
     policy: RoutePolicy,
     parts: request::Parts,
     body: Bytes,
     verified_key: Option<VerifiedKey>,
-    deadline: Instant,
-    trace: TraceContext,
+    arrival: Arrival,
 ) -> Result<Response<CallerBody>, Refusal> {
+    let Arrival {
+        deadline,
+        trace,
+        attempts,
+        original,
+    } = arrival;
     let info = RequestInfo {
         service: policy.service,
         workspace: verified_key
@@ -273,6 +329,8 @@
         permit: Arc::new(permit),
         fingerprint: OnceLock::new(),
         trial: Trial::default(),
+        attempts,
+        original,
     };
     admitted.check(shared)?;
     admitted.info.region = shared
@@ -304,6 +362,10 @@
         admitted.info.workspace.clone(),
     );
     let digest = admitted.digest();
+    let mut admitted = admitted;
+    if let Some(original) = &mut admitted.original {
+        original.remove_idempotency_key();
+    }
     let intent = match intent::begin(&shared, &service, &workspace, &key, digest).await? {
         BeginResult::Replay(response) => return Ok(response),
         BeginResult::Run(intent) => intent,
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -52,6 +52,7 @@
         let age = Millis(shared.config.idle_ms).duration();
         let in_use = |address: &SocketAddr| servers.iter().any(|(_, _, a)| a == address);
         shared.pool.sweep(age, &in_use);
+        shared.relays.sweep();
         let is_isolated = shared.view.age(shared.clock.now()) > VIEW_MAX_AGE_MS;
         shared.steering.set_isolated(is_isolated);
         report(&shared);
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -21,15 +21,16 @@
 use pomelovale_steering::server_limit::LimitNotice;
 use pomelovale_transport::backend::{Connection, ExchangeError, Failure, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
-use super::{connections, server_selection, Shared};
+use super::{connections, relaying, server_selection, Shared};
 use crate::crash::{self, Run, RunGuard, ServerCheck, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
-use crate::reach::LinkFault;
+use crate::reach::{LinkFault, State};
+use crate::relay::RelayEnd;
 
 /// Number of attempts that sent no byte after which a request is refused, for
 /// example because the connection failed, or the server became ineligible while
@@ -65,6 +66,12 @@
     pub(super) body: Bytes,
     pub(super) start: Instant,
     pub(super) deadline: Instant,
+    /// Whether another instance relays it.
+    pub(super) is_relayed: bool,
+    /// Header with the key of its caller, which no server gets.
+    pub(super) authorization: Option<HeaderValue>,
+    /// Version of the routing table that it was routed by.
+    pub(super) version: u64,
     /// Fingerprint, computed on first use.
     pub(super) fingerprint: OnceLock<Digest>,
     /// Whether it is tried although it is quarantined.
@@ -76,7 +83,7 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn is_idempotent(&self) -> bool {
+    pub(super) fn is_idempotent(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
     }
 
@@ -229,11 +236,12 @@
 /// the outcome of the last attempt allow.
 pub(super) async fn run(
     shared: &Arc<Shared>,
-    routed: RoutedRequest,
+    routed: Arc<RoutedRequest>,
     request_log: &mut RequestLog,
 ) -> Result<Response<CallerBody>, Refusal> {
-    let routed = Arc::new(routed);
-    add_retry_credit(shared, &routed);
+    if !routed.is_relayed {
+        add_retry_credit(shared, &routed);
+    }
     let mut progress = Progress::default();
     request_log.object = routed.object;
     loop {
@@ -249,11 +257,33 @@
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Quarantined);
             return Err(Refusal { kind, retry_ms });
         }
+        let is_relay_due = match shared.reach.state() {
+            State::Reached => false,
+            // Old connections may live on.
+            State::Blocked => progress.connect_failures >= CONNECT_FAILURES_MAX,
+            State::Lost => true,
+        };
+        if is_relay_due && may_relay(&routed, &progress) {
+            let may_have_run = progress.unknown_outcome.is_some();
+            let sent = progress.sent;
+            let ended = relaying::relay_rest(shared, &routed, sent, may_have_run, request_log);
+            let ended = ended.await;
+            let unknown = progress.unknown_outcome.map(RelayEnd::Unknown);
+            return relaying::result(match ended {
+                RelayEnd::NotTaken => unknown.unwrap_or(RelayEnd::NotTaken),
+                ended => ended,
+            });
+        }
         progress.known_crash = shared.crashes.last_crash(|| routed.fingerprint());
         let since = Instant::now();
         let (verdict, place) = choose(shared, &routed, &progress).await;
         let chosen = match verdict {
             PlacementDecision::Send(chosen) => chosen,
+            PlacementDecision::Refuse { .. }
+                if is_own_failure(shared, &routed, &mut progress).await =>
+            {
+                continue;
+            }
             PlacementDecision::Refuse { retry_ms } => {
                 let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Overloaded);
                 return Err(Refusal { kind, retry_ms });
@@ -295,6 +325,9 @@
                     && spend_retry(shared, &routed)
             }
         };
+        if !retry && is_own_failure(shared, &routed, &mut progress).await {
+            continue;
+        }
         if !retry {
             wait_until_recorded(shared, &routed, &progress).await;
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Unavailable);
@@ -306,6 +339,28 @@
     }
 }
 
+fn may_relay(routed: &RoutedRequest, progress: &Progress) -> bool {
+    !routed.is_relayed && (progress.unknown_outcome.is_none() || routed.is_idempotent())
+}
+
+// Waits until it is known whether the way to the servers is blocked, if that is suspected and a
+// request that no server has run fails. It is relayed then.
+async fn is_own_failure(
+    shared: &Arc<Shared>,
+    routed: &RoutedRequest,
+    progress: &mut Progress,
+) -> bool {
+    if progress.unknown_outcome.is_some() || routed.is_relayed || !shared.reach.is_checking() {
+        return false;
+    }
+    let confirmed = shared.reach.confirm(LinkFault::Closed, Instant::now());
+    let is_blocked = matches!(timeout(routed.left(), confirmed).await, Ok(false));
+    if is_blocked {
+        progress.connect_failures = CONNECT_FAILURES_MAX;
+    }
+    is_blocked
+}
+
 // Before a request under which a server crashed is answered with a failure, waits until
 // other instances know of the crash.
 async fn wait_until_recorded(shared: &Shared, routed: &RoutedRequest, progress: &Progress) {
@@ -336,7 +391,7 @@
     crashes.blocked_ms(&routed.trial, || routed.fingerprint())
 }
 
-fn add_retry_credit(shared: &Shared, routed: &RoutedRequest) {
+pub(super) fn add_retry_credit(shared: &Shared, routed: &RoutedRequest) {
     let (now, document) = (shared.clock.now(), shared.view.document());
     shared.services.with(now, &document, &routed.service, |s| {
         s.retry_budget.record_request();
@@ -351,7 +406,7 @@
     left.unwrap_or(false)
 }
 
-fn spend_retry(shared: &Shared, routed: &RoutedRequest) -> bool {
+pub(super) fn spend_retry(shared: &Shared, routed: &RoutedRequest) -> bool {
     let (now, document) = (shared.clock.now(), shared.view.document());
     let spent = shared.services.with(now, &document, &routed.service, |s| {
         s.retry_budget.try_spend()
@@ -473,6 +528,25 @@
     run: &Run,
     sending: impl Future<Output = Result<Reply, Failure>>,
 ) -> Result<Reply, Failure> {
+    let abandoned = async {
+        shared.reach.lost().await;
+        let allowed = routed.is_idempotent()
+            && !routed.trial.is_taken()
+            && progress.sent + 1 < routed.route.attempts;
+        if !allowed || !has_retry_budget(shared, routed) {
+            std::future::pending::<()>().await;
+        }
+        Err(Failure {
+            fault: ExchangeError::Silent,
+            written: true,
+        })
+    };
+    let sending = async {
+        tokio::select! {
+            sent = sending => sent,
+            lost = abandoned => lost,
+        }
+    };
     let mut sending = std::pin::pin!(sending);
     let silence_ms = (chosen.expected_ms * SILENCE_FACTOR).max(routed.route.objective_ms * 2);
     let check_ms = (chosen.expected_ms * CHECK_FACTOR).max(crash::SILENCE_CHECK_MS);
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -99,6 +99,7 @@
                 .connections
                 .pool
                 .sweep(age, &|a| server_addresses.contains(a));
+            shared.relays.sweep();
         }
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod maintenance;
 mod probe;
 mod quota;
+mod relaying;
 mod request;
 mod request_log;
 mod server_selection;
@@ -45,6 +46,7 @@
 
 use crate::crash::{CrashTimings, CrashTracker};
 use crate::reach::{LinkFault, ProbePath, Reach};
+use crate::relay::{RelayConfig, Relays};
 
 /// Capacity of the queue of messages from other gateways. While it is full, no
 /// more messages are read.
@@ -72,6 +74,7 @@
     connections: Connections,
     crashes: Arc<CrashTracker>,
     reach: Arc<Reach>,
+    relays: Arc<Relays>,
     // Bound address for callers.
     callers: SocketAddr,
     leaving: AtomicBool,
@@ -130,6 +133,7 @@
             connections.pool.clone(),
             reach.clone(),
         );
+        let relays = Relays::new(relay_config(&config));
         let shared = Arc::new(Shared {
             services: Services::new(&config, start),
             quota: Quota::new(control.clone(), clock.clone()),
@@ -142,6 +146,7 @@
             connections,
             crashes: Arc::new(crashes),
             reach,
+            relays: Arc::new(relays),
             callers,
             leaving: AtomicBool::new(false),
             held: AtomicUsize::new(0),
@@ -183,6 +188,17 @@
     tasks: JoinSet<()>,
 }
 
+fn relay_config(config: &GatewayConfig) -> RelayConfig {
+    RelayConfig {
+        instance: config.instance.clone(),
+        region: config.region.clone(),
+        header_names: config.header_names.clone(),
+        connect_ms: config.connect_ms,
+        answer_bytes: config.answer_bytes,
+        pause_ms: config.pause_ms,
+    }
+}
+
 fn peer_config(config: &GatewayConfig, peering: &Peering) -> PeerConfig {
     PeerConfig {
         name: config.instance.clone(),
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -22,9 +22,10 @@
 
 use super::attempt::{self, RoutedRequest};
 use super::request_log::RequestLog;
-use super::Shared;
+use super::{relaying, Shared};
 use crate::crash::Trial;
 use crate::entry::refusal::Refusal;
+use crate::relay::{self, Acceptance, RelayEnd};
 
 /// Timeout for reading the body of a request, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
@@ -46,7 +47,20 @@
         .get(&shared.config.header_names.request)
         .cloned();
     let mut request_log = RequestLog::default();
-    let result = handle(&shared, request, caller, start, &mut request_log).await;
+    let version = || {
+        let document = shared.view.document();
+        document.routing.as_ref().map_or(0, |r| r.version)
+    };
+    let is_lost = shared.reach.is_lost();
+    let accepted = shared.relays.accept(request.headers(), version, is_lost);
+    let relayed = match accepted.await {
+        Acceptance::Direct => None,
+        Acceptance::Relayed(relayed) => Some(relayed),
+        Acceptance::Refused => return shared.relays.refusal(),
+    };
+    let attempts = relayed.as_ref().map(|r| r.attempts);
+    let result = handle(&shared, request, caller, start, attempts, &mut request_log).await;
+    drop(relayed);
     let spent_ms = start.elapsed().as_millis() as u64;
     let refusal = result.as_ref().err().copied();
     let mut response = match result {
@@ -79,11 +93,13 @@
     }
 }
 
+// `relayed` holds the attempts that are left of a request that another instance relays.
 async fn handle(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
     caller: Caller,
     start: Instant,
+    relayed: Option<u32>,
     request_log: &mut RequestLog,
 ) -> Result<Response<CallerBody>, Refusal> {
     let (parts, body) = request.into_parts();
@@ -109,19 +125,33 @@
     let limit = HeaderNames::parse_integer(&parts.headers, &header_names.deadline)
         .unwrap_or(DEFAULT_TIMEOUT_MS);
     let deadline = start + Duration::from_millis(limit.min(route.timeout_ms));
-    if let Some(name) = workspace
-        .as_ref()
-        .filter(|n| document.workspaces.contains_key(*n))
-    {
+    let relay_due = relayed.is_none() && shared.reach.is_relay_due();
+    let limited = workspace
+        .clone()
+        .filter(|name| document.workspaces.contains_key(name));
+    // The instance that serves a relayed request charges its workspace.
+    if let Some(name) = limited.as_ref().filter(|_| !relay_due) {
         shared.quota.admit(&document, name).await?;
     }
     let hold = Hold::acquire(shared, &routing, &body)?;
     let body = read_body(&routing, body, deadline).await?;
     request_log.received_ms = start.elapsed().as_millis() as u64;
     let routed = route_request(
-        shared, &document, route, workspace, host, parts, body, deadline, start,
+        shared, &document, route, workspace, host, parts, body, deadline, start, relayed,
     );
-    let result = attempt::run(shared, routed?, request_log).await;
+    let routed = Arc::new(routed?);
+    if relay_due {
+        let ended = relaying::relay(shared, &routed, request_log).await;
+        match ended {
+            // The servers may be within reach again.
+            RelayEnd::NotTaken if shared.reach.recheck(relay::RECHECK).await => {}
+            ended => return relaying::result(ended),
+        }
+        if let Some(name) = &limited {
+            shared.quota.admit(&document, name).await?;
+        }
+    }
+    let result = attempt::run(shared, routed, request_log).await;
     drop(hold);
     result
 }
@@ -165,6 +195,7 @@
     body: Bytes,
     deadline: Instant,
     start: Instant,
+    relayed: Option<u32>,
 ) -> Result<RoutedRequest, Refusal> {
     let header_names = &shared.config.header_names;
     let object = match header_names.object(&parts.headers).filter(|_| route.sticky) {
@@ -183,13 +214,18 @@
     // Only the path and the query are sent to servers, also if the URI is
     // absolute.
     let target = parts.uri.path_and_query().ok_or(ErrorKind::BadRequest)?;
+    let mut route = route.clone();
+    route.attempts = relayed.map_or(route.attempts, |left| left.min(route.attempts));
     Ok(RoutedRequest {
         service,
-        route: route.clone(),
+        is_relayed: relayed.is_some(),
+        authorization: parts.headers.get(header::AUTHORIZATION).cloned(),
+        version: routing.map_or(0, |r| r.version),
         object,
         priority: routed_workspace
             .and_then(|w| w.priority)
             .unwrap_or(route.priority),
+        route,
         homes: homes?,
         host,
         method: parts.method,
@@ -236,6 +272,7 @@
         &header::CONTENT_LENGTH,
         &header_names.workspace,
         &header_names.expect,
+        &header_names.relay,
     ] {
         headers.remove(name);
     }
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::entry::refusal::Refusal;
+use crate::relay::RelayEnd;
 
 /// Time that an attempt took before the request was sent.
 #[derive(Clone, Copy, Debug, Default)]
@@ -71,6 +72,8 @@
     /// milliseconds.
     pub(super) received_ms: u64,
     pub(super) attempts: Vec<AttemptLog>,
+    // How a relay ended, and the time that it took in milliseconds.
+    relay: Option<(&'static str, u64)>,
 }
 
 impl RequestLog {
@@ -90,6 +93,16 @@
         });
     }
 
+    /// Records how the relay of the request through other gateways has ended.
+    pub(super) fn add_relay(&mut self, ended: &RelayEnd, since: Instant) {
+        let end = match ended {
+            RelayEnd::Answer(_) => "answered",
+            RelayEnd::NotTaken => "not-taken",
+            RelayEnd::Unknown(_) => "unknown",
+        };
+        self.relay = Some((end, since.elapsed().as_millis() as u64));
+    }
+
     /// Logs one line about the request: its route, workspace and object, the version
     /// of the document, the attempts, and the status or refusal. Priority,
     /// deadline, latency objective and home regions are not logged.
@@ -120,6 +133,8 @@
             received_ms = self.received_ms,
             spent_ms,
             attempts = attempts.join(","),
+            relay = self.relay.map(|(end, _)| end),
+            relay_ms = self.relay.map(|(_, ms)| ms),
         );
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod operator_commands;
 pub mod operators;
 pub mod reach;
+pub mod relay;
 pub mod schema;
 pub mod settings;
 pub mod subscriber;
--- a/crates/daemon/src/reach/mod.rs
+++ b/crates/daemon/src/reach/mod.rs
@@ -3,7 +3,8 @@
 //! A partition between one instance and the servers looks to it like an outage of each
 //! server. A failure therefore counts as the server's only once another server has shown
 //! life on a new connection after it. An instance that finds no server alive tells others
-//! nothing about servers.
+//! nothing about servers, and relays its requests: all of them once nothing comes back on old
+//! connections either.
 
 mod probe;
 
@@ -35,6 +36,9 @@
 const ROUND_SERVERS: (usize, usize) = (3, 8);
 /// Time limits of a probe, in milliseconds: for its connection, and for its answer.
 const PROBE_LIMITS_MS: (u64, u64) = (350, 250);
+/// Time after a return within which a falling share of requests is still relayed, in
+/// milliseconds.
+const RAMP_MS: u64 = 1_000;
 /// Time without an answer of any server after which servers are probed if requests wait, and
 /// are lost if no new connection can be opened; and the shortest time between two such probes,
 /// in milliseconds.
@@ -97,6 +101,8 @@
     silent: Instant,
     checking: bool,
     silence_checked: Instant,
+    // When the servers were last reached again.
+    returned: Option<Instant>,
 }
 
 /// Tracks whether this instance reaches the servers.
@@ -138,6 +144,7 @@
                 silent: now,
                 checking: false,
                 silence_checked: now,
+                returned: None,
             }),
             wake: Notify::new(),
         }
@@ -216,6 +223,19 @@
         self.lock().checking
     }
 
+    /// Whether the next request is to be relayed: all while the servers are lost, and fewer
+    /// and fewer after that.
+    pub fn is_relay_due(&self) -> bool {
+        if self.is_lost() {
+            return true;
+        }
+        let Some(returned) = self.lock().returned else {
+            return false;
+        };
+        let since_ms = returned.elapsed().as_millis() as u64;
+        since_ms < rand::random_range(0..RAMP_MS)
+    }
+
     /// Waits until it is known whether a failure at `since` was the server's: another server
     /// has been reached after it. Otherwise, the way to the servers is blocked.
     pub async fn confirm(self: &Arc<Self>, fault: LinkFault, since: Instant) -> bool {
@@ -291,6 +311,9 @@
                 () = self.wake.notified() => {}
             }
             if self.probe_servers(fault, ROUND_SERVERS.1).await != Round::Silent {
+                if self.is_lost() {
+                    self.lock().returned = Some(Instant::now());
+                }
                 self.record_contact(fault);
             }
         }
--- a/crates/protocol/src/header_names.rs
+++ b/crates/protocol/src/header_names.rs
@@ -5,7 +5,7 @@
 
 use pomelovale_steering::server_limit::{LimitNotice, LIMIT_MAX};
 
-use crate::http::{DEADLINE, REQUEST, SHED};
+use crate::http::{DEADLINE, RELAY, REQUEST, SHED};
 
 /// Header names of one deployment.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,6 +32,8 @@
     pub cold: HeaderName,
     /// Name of the backend server that answers a health probe.
     pub instance: HeaderName,
+    /// Marks a request that another instance relays, and the refusal of one.
+    pub relay: HeaderName,
     /// Cookie that names the object of a request.
     pub object: &'static str,
 }
@@ -49,6 +51,7 @@
             limit: HeaderName::from_static("pomelovale-limit"),
             cold: HeaderName::from_static("pomelovale-cold-ms"),
             instance: HeaderName::from_static("pomelovale-backend"),
+            relay: RELAY,
             object: "pomelovale-object",
         }
     }
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -16,6 +16,8 @@
 /// Header that names one attempt; an answer that echoes another value belongs
 /// to another request.
 pub const REQUEST: HeaderName = HeaderName::from_static("pomelovale-request");
+/// Marks a request that another instance relays, and the refusal of one.
+pub const RELAY: HeaderName = HeaderName::from_static("pomelovale-relay");
 /// Header with the idempotency key, which lets a caller retry a request that is
 /// not idempotent.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
