Give backend servers the rest that they ask an instance for

Cause: nobody read Retry-After. A refusing server was left out for 150 ms by whoever had chosen it.

Change: an instance sends a server nothing until its rest is over, neither requests and retries nor probes, polls and checks after lost runs; it looks again right before it writes. Since a server tells each instance by itself, a gateway names its resting servers as tried when it asks a coordinator. Rest counts as no failure and no crash. If all servers rest, requests are refused at once with the earliest end.

--- a/crates/daemon/src/crash/check.rs
+++ b/crates/daemon/src/crash/check.rs
@@ -135,6 +135,9 @@
                 () if self.shows_life(run, loss, quiet_since) => return Sign::Answers,
                 () => {}
             }
+            if self.reach.is_resting(run.address) {
+                return Sign::Full;
+            }
             let reaction = probe(&mut stream, &run.probe, hung_limit(run)).await;
             let lasting = Millis(LASTING_MS).duration();
             match reaction {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -1,12 +1,13 @@
 //! Forwarding of requests to backend servers, with retries.
 
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::{Bytes, BytesMut};
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{response, Method, Request, Response, StatusCode};
 use http_body_util::Full;
+use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_protocol::http::{
     strip_hop_by_hop, strip_internal_headers, DEADLINE, REQUEST, SHED,
 };
@@ -355,7 +356,9 @@
     };
     // The key may have been revoked and the server may have left while the
     // connection was opened.
-    if admitted.check(shared).is_err() || !shared.steering.is_serving(&choice.server) {
+    let may_send = shared.steering.is_serving(&choice.server)
+        && shared.steering.is_open(&choice.service, &choice.server);
+    if admitted.check(shared).is_err() || !may_send {
         shared.pool.put(choice.address, connection);
         // Nothing was written, so this is reported like a failed connect.
         return failed_before_write(ExchangeError::Connect);
@@ -480,6 +483,25 @@
     }
 }
 
+// Records for how long the server of a refusal wants no requests. Returns whether it rests.
+fn record_rest(shared: &Shared, choice: &Choice, parts: &response::Parts) -> bool {
+    let rest_ms = match parts.status {
+        StatusCode::SERVICE_UNAVAILABLE => HeaderNames::rest_ms(&parts.headers, SystemTime::now()),
+        _ => None,
+    };
+    let Some(rest_ms) = rest_ms else {
+        return false;
+    };
+    shared.reach.record_rest(choice.address, rest_ms);
+    let steering = &shared.steering;
+    if steering.record_rest(&choice.service, &choice.server, rest_ms) {
+        metrics::counter!("server_rests_total").increment(1);
+        tracing::info!(event = "server-rest", service = %choice.service,
+            server = %choice.server, rest_ms);
+    }
+    true
+}
+
 /// Buffers a response until it is complete, or streams one that is larger than
 /// `answer_bytes`.
 async fn receive(
@@ -496,6 +518,7 @@
     let shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
         && parts.headers.get(SHED).is_some_and(|v| v == NOT_RUN);
     record_limit(shared, &running, &parts, shed);
+    let rests = record_rest(shared, &running.choice, &parts);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
@@ -512,7 +535,12 @@
     let body = match held {
         BufferedBody::All(bytes) => {
             shared.pool.put(address, body.finish());
+            if rests {
+                // Rest is no failure of the server.
+                running.run = None;
+            }
             running.end(match parts.status {
+                _ if rests => AttemptEnd::Cancelled,
                 _ if shed => AttemptEnd::Shed,
                 status if status.is_server_error() => AttemptEnd::Failed,
                 _ => AttemptEnd::Complete,
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -310,6 +310,7 @@
     };
     let target = strip_query_keys(parts.uri.path(), parts.uri.query()).into_owned();
     let headers = end_to_end_headers(parts.headers, body.len())?;
+    shared.steering.refuse_if_all_rest(&info.service)?;
     let queued_at = Instant::now();
     let left = deadline.saturating_duration_since(queued_at).as_millis() as u64;
     let admission = shared.steering.acquire_permit(&info, left);
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -59,7 +59,11 @@
         if polling && shared.reach.state() == State::Reached {
             // Polls would use up the limit of a server.
             let unlimited = |s: &Name| !document.limits.contains_key(s);
-            for (service, server, address) in servers.into_iter().filter(|s| unlimited(&s.1)) {
+            let wants = |a: SocketAddr| !shared.reach.is_resting(a);
+            let polled = servers
+                .into_iter()
+                .filter(|s| unlimited(&s.1) && wants(s.2));
+            for (service, server, address) in polled {
                 tokio::spawn(poll(shared.clone(), service, server, address));
             }
         }
--- a/crates/daemon/src/entry/steering.rs
+++ b/crates/daemon/src/entry/steering.rs
@@ -323,6 +323,29 @@
         }
     }
 
+    /// Records that a server wants no requests of this entry for a time in milliseconds.
+    /// Returns whether that is new.
+    pub fn record_rest(&self, service: &Name, server: &Name, rest_ms: u64) -> bool {
+        let now = self.clock.now();
+        self.with_service(service, |s| s.balancer.record_rest(now, server, rest_ms))
+    }
+
+    /// Whether a server wants requests of this entry, as far as is known.
+    pub fn is_open(&self, service: &Name, server: &Name) -> bool {
+        let now = self.clock.now();
+        self.with_service(service, |s| s.balancer.is_open(now, server))
+    }
+
+    /// If all servers of a service want no requests of this entry, the refusal of one with the
+    /// time until the first server does.
+    pub fn refuse_if_all_rest(&self, service: &Name) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        match self.with_service(service, |s| s.balancer.all_rest_ms(now)) {
+            Some(retry_ms) => Err(overloaded(retry_ms)),
+            None => Ok(()),
+        }
+    }
+
     /// Ends all ejections, because this instance itself was their cause.
     pub fn forget_failures(&self) {
         for (_, service) in self.all_services() {
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
@@ -425,6 +425,42 @@
     })
 }
 
+// Whether the server has not asked for rest meanwhile.
+fn is_open(shared: &Shared, routed: &RoutedRequest, chosen: &Chosen) -> bool {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let open = shared.services.with(now, &document, &routed.service, |s| {
+        s.placement.is_open(now, &chosen.server)
+    });
+    open.unwrap_or(true)
+}
+
+// Records what an answer says about sending its server requests. Returns whether it rests.
+fn record_availability(
+    shared: &Shared,
+    routed: &RoutedRequest,
+    chosen: &Chosen,
+    parts: &response::Parts,
+) -> bool {
+    let rest_ms = match parts.status {
+        StatusCode::SERVICE_UNAVAILABLE => HeaderNames::rest_ms(&parts.headers, SystemTime::now()),
+        _ => None,
+    };
+    let Some(rest_ms) = rest_ms else {
+        return false;
+    };
+    shared.reach.record_rest(chosen.address, rest_ms);
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let began = shared.services.with(now, &document, &routed.service, |s| {
+        s.placement.record_rest(now, &chosen.server, rest_ms)
+    });
+    if began == Some(true) {
+        metrics::counter!("server_rests_total").increment(1);
+        tracing::info!(event = "server-rest", service = %routed.service,
+            server = %chosen.server, rest_ms);
+    }
+    true
+}
+
 async fn attempt(
     shared: &Arc<Shared>,
     routed: &Arc<RoutedRequest>,
@@ -459,7 +495,7 @@
         running.end(PlacementEnd::Cancelled);
         return (Outcome::Blocked, "quarantined");
     }
-    if !is_still_eligible(&shared.view.document(), chosen) {
+    if !is_still_eligible(&shared.view.document(), chosen) || !is_open(shared, routed, chosen) {
         shared.connections.pool.put(chosen.address, connection);
         running.end(PlacementEnd::Cancelled);
         return (Outcome::Unsent, "left");
@@ -656,6 +692,7 @@
         .crashes
         .record_reply(running.chosen.address, is_fresh);
     let Reply { parts, mut body } = reply;
+    let rests = record_availability(shared, routed, &running.chosen, &parts);
     running.report = server_report(header_names, &parts);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
@@ -688,8 +725,13 @@
                 .connections
                 .pool
                 .put(running.chosen.address, body.finish());
+            if rests {
+                // Rest is no failure of the server.
+                running.run = None;
+            }
             running.end(match () {
                 () if moved => PlacementEnd::Moved,
+                () if rests => PlacementEnd::Cancelled,
                 () if refused => PlacementEnd::Shed,
                 () if !has_proof || is_server_error => PlacementEnd::Failed,
                 () => PlacementEnd::Answered,
@@ -708,6 +750,7 @@
         }
     };
     match () {
+        () if refused && rests => return Ok((Outcome::NotRun, "rest")),
         () if refused => return Ok((Outcome::NotRun, if moved { "moved" } else { "shed" })),
         () if !has_proof => return Ok((Outcome::unproven(), "unproven")),
         // A server error is returned to the caller unless a retry is possible.
--- a/crates/daemon/src/gateway/probe.rs
+++ b/crates/daemon/src/gateway/probe.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use http::{header, Request, StatusCode};
+use http::{header, HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_state::Name;
@@ -25,7 +25,7 @@
     address: SocketAddr,
     path: String,
 ) {
-    let cold_ms = probe(&shared, &server, address, &path).await;
+    let cold_ms = probe(&shared, &service, &server, address, &path).await;
     let (now, document) = (shared.clock.now(), shared.view.document());
     tracing::info!(event = "probe", service = %service, server = %server, ok = cold_ms.is_some(),
         cold_ms = cold_ms.unwrap_or(0));
@@ -35,9 +35,33 @@
     });
 }
 
+// A server that refuses a probe may ask for rest, too.
+fn record_rest(
+    shared: &Shared,
+    service: &Name,
+    server: &Name,
+    address: SocketAddr,
+    headers: &HeaderMap,
+) {
+    let Some(rest_ms) = HeaderNames::rest_ms(headers, SystemTime::now()) else {
+        return;
+    };
+    shared.reach.record_rest(address, rest_ms);
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    shared.services.with(now, &document, service, |s| {
+        s.placement.record_rest(now, server, rest_ms)
+    });
+}
+
 // Returns how long the server stays cold, in milliseconds, or `None` if it is
 // unhealthy or another backend server has responded.
-async fn probe(shared: &Shared, server: &Name, address: SocketAddr, path: &str) -> Option<u64> {
+async fn probe(
+    shared: &Shared,
+    service: &Name,
+    server: &Name,
+    address: SocketAddr,
+    path: &str,
+) -> Option<u64> {
     let limit = Duration::from_millis(shared.config.connect_ms);
     let connection = Connection::open(address, limit).await.ok()?;
     let request = Request::get(path)
@@ -51,6 +75,9 @@
         .await;
     let reply = sent.ok()?;
     let headers = &reply.parts.headers;
+    if reply.parts.status == StatusCode::SERVICE_UNAVAILABLE {
+        record_rest(shared, service, server, address, headers);
+    }
     let is_expected_server = headers
         .get(&header_names.instance)
         .is_some_and(|v| v.as_bytes() == server.as_bytes());
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -20,12 +20,23 @@
     tried: &[Name],
 ) -> (PlacementDecision, Option<Place>) {
     let (now, document) = (shared.clock.now(), shared.view.document());
-    let known = shared
-        .services
-        .with(now, &document, &routed.service, |s| s.coordinator.clone());
-    let Some(coordinator) = known else {
+    let known = shared.services.with(now, &document, &routed.service, |s| {
+        let rest_ms = s.placement.all_rest_ms(now, &routed.homes);
+        let closed = s.placement.closed_servers(now).cloned();
+        (
+            s.coordinator.clone(),
+            rest_ms,
+            closed.collect::<Vec<Name>>(),
+        )
+    });
+    let Some((coordinator, rest_ms, closed)) = known else {
         return (UNKNOWN_SERVICE, None);
     };
+    if let Some(retry_ms) = rest_ms {
+        return (PlacementDecision::Refuse { retry_ms }, None);
+    }
+    // What a server has told this instance, the coordinator doesn't know.
+    let tried = &[tried, closed.as_slice()].concat();
     if let Some(peer) = coordinator {
         let reply = shared
             .coordinator_client
--- a/crates/daemon/src/reach/mod.rs
+++ b/crates/daemon/src/reach/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use pomelovale_coordination::view::View;
 use pomelovale_state::document::{Backend, Document, MemberState};
 use pomelovale_state::{Millis, Name};
@@ -101,6 +101,8 @@
     silent: Instant,
     checking: bool,
     silence_checked: Instant,
+    // Servers that want no requests of this instance, and until when.
+    resting: IndexMap<SocketAddr, Instant>,
     // When the servers were last reached again.
     returned: Option<Instant>,
 }
@@ -144,6 +146,7 @@
                 silent: now,
                 checking: false,
                 silence_checked: now,
+                resting: IndexMap::new(),
                 returned: None,
             }),
             wake: Notify::new(),
@@ -173,6 +176,23 @@
         });
     }
 
+    /// Records that a server wants no requests for a time in milliseconds. It gets no probes.
+    pub fn record_rest(&self, address: SocketAddr, rest_ms: u64) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.resting.retain(|_, until| *until > now);
+        let until = now + Millis(rest_ms).duration();
+        let known = inner.resting.entry(address).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Whether a server wants no requests.
+    pub fn is_resting(&self, address: SocketAddr) -> bool {
+        let inner = self.lock();
+        let until = inner.resting.get(&address);
+        until.is_some_and(|until| *until > Instant::now())
+    }
+
     /// Records a failure of a server or of the way to it, and looks for its cause.
     pub fn record_failure(self: &Arc<Self>, fault: LinkFault) {
         let mut inner = self.lock();
@@ -351,6 +371,9 @@
         let Some(mut servers) = sample(&document, &self.path, count) else {
             return Round::TooFew;
         };
+        for server in servers.iter_mut().filter(|s| self.is_resting(s.address)) {
+            server.path = None;
+        }
         // A port that accepts connections may belong to a relay on the way.
         if fault == LinkFault::Silent && servers.iter().any(|s| s.path.is_some()) {
             servers.retain(|s| s.path.is_some());
--- a/crates/protocol/src/header_names.rs
+++ b/crates/protocol/src/header_names.rs
@@ -1,6 +1,8 @@
 //! Names of the headers that callers, instances and backend servers exchange,
 //! which a deployment can replace by its own.
 
+use std::time::SystemTime;
+
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
 use pomelovale_steering::server_limit::{LimitNotice, LIMIT_MAX};
@@ -57,6 +59,15 @@
     }
 }
 
+// A decimal number of seconds, in milliseconds.
+fn seconds(value: &HeaderValue) -> Option<u64> {
+    let text = value.to_str().ok()?.trim();
+    let is_decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let number: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    // The cast saturates.
+    Some((number * 1_000.0) as u64)
+}
+
 impl HeaderNames {
     /// The object that a request concerns, from its cookies.
     pub fn object<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
@@ -95,6 +106,21 @@
         }
     }
 
+    /// The time for which a server that refuses a request wants none, from `Retry-After`, in
+    /// milliseconds. Seconds may have fractions; a date counts from the `Date` of the answer, or
+    /// from `now`. Values that are no such time say nothing; of several, the longest one counts.
+    pub fn rest_ms(headers: &HeaderMap, now: SystemTime) -> Option<u64> {
+        let date = |value: &HeaderValue| httpdate::parse_http_date(value.to_str().ok()?).ok();
+        let sent = headers.get(http::header::DATE).and_then(date);
+        let until = |value: &HeaderValue| {
+            let left = date(value)?.duration_since(sent.unwrap_or(now)).ok()?;
+            u64::try_from(left.as_millis()).ok()
+        };
+        let values = headers.get_all(http::header::RETRY_AFTER).iter();
+        let times = values.filter_map(|value| seconds(value).or_else(|| until(value)));
+        times.max().filter(|ms| *ms > 0)
+    }
+
     /// The value of a header that holds an unsigned integer.
     pub fn parse_integer(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
         let text = headers.get(name)?.to_str().ok()?;
--- /dev/null
+++ b/crates/protocol/tests/header_names.rs
@@ -0,0 +1,55 @@
+//! What answers of backend servers say about sending them requests.
+
+use std::time::{Duration, SystemTime};
+
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use pomelovale_protocol::header_names::HeaderNames;
+
+/// 21 October 2015, 07:28:00 UTC.
+const NOW_S: u64 = 1_445_412_480;
+
+fn headers(lines: &[(&str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in lines {
+        let name = HeaderName::from_bytes(name.as_bytes()).unwrap();
+        headers.append(name, HeaderValue::from_str(value).unwrap());
+    }
+    headers
+}
+
+macro_rules! rests {
+    ($($(#[$doc:meta])* $name:ident: $values:expr, $dates:expr => $expected:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let values: &[&str] = &$values;
+            let dates: &[&str] = &$dates;
+            let values = values.iter().map(|v| ("retry-after", *v));
+            let lines: Vec<_> = values.chain(dates.iter().map(|v| ("date", *v))).collect();
+            let now = SystemTime::UNIX_EPOCH + Duration::from_secs(NOW_S);
+            assert_eq!(HeaderNames::rest_ms(&headers(&lines), now), $expected);
+        })*
+    };
+}
+
+rests! {
+    no_value: [], [] => None;
+    whole_seconds: ["3"], [] => Some(3_000);
+    fraction_of_a_second: ["0.25"], [] => Some(250);
+    surrounding_space: [" 2 "], [] => Some(2_000);
+    zero: ["0"], [] => None;
+    below_zero: ["-2"], [] => None;
+    words: ["soon"], [] => None;
+    empty: [""], [] => None;
+    infinite: ["inf"], [] => None;
+    no_number: ["NaN"], [] => None;
+    exponent: ["1e9"], [] => None;
+    two_points: ["1.2.3"], [] => None;
+    /// Guards against a number whose conversion wraps around.
+    huge: ["99999999999999999999999999"], [] => Some(u64::MAX);
+    longest_of_several: ["1", "4", "2"], [] => Some(4_000);
+    valid_one_of_several: ["soon", "-1", "2"], [] => Some(2_000);
+    date: ["Wed, 21 Oct 2015 07:28:05 GMT"], [] => Some(5_000);
+    /// Guards against a date that is taken by the clock of this machine, which may differ.
+    date_by_the_clock_of_the_server: ["Wed, 21 Oct 2015 07:28:05 GMT"], ["Wed, 21 Oct 2015 07:28:03 GMT"] => Some(2_000);
+    past_date: ["Wed, 21 Oct 2015 07:27:00 GMT"], [] => None;
+    broken_date: ["Wed, 42 Oct 2015 07:28:05 GMT"], [] => None;
+}
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -196,6 +196,27 @@
         })
     }
 
+    /// Records that a server wants no requests of this entry for a time in milliseconds.
+    /// Returns whether that is new.
+    pub fn record_rest(&mut self, now: Millis, server: &Name, rest_ms: u64) -> bool {
+        let server = self.servers.get_mut(server);
+        server.is_some_and(|s| s.availability.record_rest(now, rest_ms))
+    }
+
+    /// Whether a server wants requests of this entry, as far as is known.
+    pub fn is_open(&self, now: Millis, server: &Name) -> bool {
+        let server = self.servers.get(server);
+        server.is_none_or(|s| s.availability.is_open(now))
+    }
+
+    /// If all servers want no requests of this entry, the time until the first one does, in
+    /// milliseconds.
+    pub fn all_rest_ms(&self, now: Millis) -> Option<u64> {
+        let serving = self.servers.values().filter(|s| !s.info.leaving);
+        let rests = serving.map(|s| s.availability.rest_ms(now));
+        rests.min().filter(|ms| *ms > 0)
+    }
+
     /// Ends all ejections, and forgets the failures that led to them.
     pub fn forget_failures(&mut self) {
         let servers = self.servers.values_mut();
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -4,6 +4,7 @@
 use pomelovale_state::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
+use crate::availability::Availability;
 use crate::placement::{LoadReport, PlacementEnd};
 use crate::region_assignment::hash_bytes;
 use crate::server_limit::ServerLimit;
@@ -146,6 +147,8 @@
     newly_joined: bool,
     /// Limit that it names for all instances together.
     pub limit: ServerLimit,
+    /// Whether it wants requests of this instance.
+    pub availability: Availability,
 }
 
 impl ServerState {
@@ -174,6 +177,7 @@
             recent_objects: IndexSet::new(),
             newly_joined: false,
             limit: ServerLimit::default(),
+            availability: Availability::default(),
         }
     }
 
@@ -227,6 +231,11 @@
         !self.suspended
     }
 
+    /// Whether the server is not suspended, and wants requests.
+    pub fn takes_requests(&self, now: Millis) -> bool {
+        self.is_usable() && self.availability.is_open(now)
+    }
+
     /// When the server was suspended, if it is.
     pub fn suspended_at(&self) -> Option<Millis> {
         self.suspended.then_some(self.suspended_at)
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -5,12 +5,14 @@
 //! [`estimate`] and [`region_assignment`]. An entry is an instance that fills its
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
-//! [`region`], [`entries`] and [`split`]. Both use [`retry`].
+//! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
+//! [`server_limit`].
 //!
 //! Functions that depend on the time take it as an argument, and policies that
 //! use random numbers have a seeded generator, so that runs are reproducible.
 
 pub mod admission;
+pub mod availability;
 pub mod balancer;
 pub mod baseline;
 pub mod concurrency;
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -55,7 +55,7 @@
         request: &PlacementRequest,
         allowed: &dyn Fn(&Name) -> bool,
     ) -> Option<Candidate> {
-        let ranking = self.rank_servers(request, allowed);
+        let ranking = self.rank_servers(now, request, allowed);
         let work = self.work.get(request.route).cloned().unwrap_or_default();
         // While slots are scarce, only one server of the region should hold an
         // object instead of one for each failure domain, since loading an object
@@ -117,7 +117,12 @@
 
     // Lists the servers that may get a request, and ranks them by rendezvous
     // hashing of its object.
-    fn rank_servers(&self, request: &PlacementRequest, allowed: &dyn Fn(&Name) -> bool) -> Ranking {
+    fn rank_servers(
+        &self,
+        now: Millis,
+        request: &PlacementRequest,
+        allowed: &dyn Fn(&Name) -> bool,
+    ) -> Ranking {
         let mut ranking = Ranking {
             candidates: Vec::with_capacity(self.servers.len()),
             has_local: false,
@@ -127,7 +132,8 @@
         let mut top_scores = [0; PRIMARIES_PER_DOMAIN];
         for (index, (name, server)) in self.servers.iter().enumerate() {
             let spec = &server.spec;
-            if !server.is_usable() || !allowed(&spec.region) || request.tried.contains(name) {
+            let may_get = server.takes_requests(now) && allowed(&spec.region);
+            if !may_get || request.tried.contains(name) {
                 continue;
             }
             ranking.candidates.push(index);
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -68,6 +68,10 @@
     fn is_usable(&self) -> bool {
         !self.spec.down && self.state.is_usable()
     }
+
+    fn takes_requests(&self, now: Millis) -> bool {
+        !self.spec.down && self.state.takes_requests(now)
+    }
 }
 
 /// Places the requests of one service for one instance.
@@ -275,7 +279,7 @@
         // A region keeps its requests even if all its servers are full; the
         // spill budget below bounds how many leave it.
         let home = self.region.clone();
-        let can_serve = |r: &Name| allowed(r) && self.has_candidate(request, r);
+        let can_serve = |r: &Name| allowed(r) && self.has_candidate(now, request, r);
         let target = [object_region, home].into_iter().find(|r| can_serve(r));
         let mut found = match &target {
             Some(region) => self.best_candidate(now, request, &|r| r == region),
@@ -297,8 +301,9 @@
             }
         }
         let Some(best) = found else {
+            let retry_ms = self.all_rest_ms(now, request.homes);
             return PlacementDecision::Refuse {
-                retry_ms: RETRY_AFTER_MS.1 / 4,
+                retry_ms: retry_ms.unwrap_or(RETRY_AFTER_MS.1 / 4),
             };
         };
         match self.lateness_ms(request, &best) {
@@ -309,11 +314,44 @@
         }
     }
 
+    /// Records that a server wants no requests of this instance for a time in milliseconds.
+    /// Returns whether that is new.
+    pub fn record_rest(&mut self, now: Millis, name: &Name, rest_ms: u64) -> bool {
+        let server = self.servers.get_mut(name);
+        server.is_some_and(|s| s.state.availability.record_rest(now, rest_ms))
+    }
+
+    /// Whether a server wants requests of this instance, as far as is known.
+    pub fn is_open(&self, now: Millis, name: &Name) -> bool {
+        let server = self.servers.get(name);
+        server.is_none_or(|s| s.state.availability.is_open(now))
+    }
+
+    /// Servers that want no requests of this instance.
+    pub fn closed_servers(&self, now: Millis) -> impl Iterator<Item = &Name> {
+        let servers = self.servers.iter();
+        let closed = servers.filter(move |(_, s)| !s.state.availability.is_open(now));
+        closed.map(|(name, _)| name)
+    }
+
+    /// If all usable servers in these regions want no requests of this instance, the time
+    /// until the first one does, in milliseconds.
+    pub fn all_rest_ms(&self, now: Millis, homes: &[Name]) -> Option<u64> {
+        let allowed = |s: &&Server| homes.is_empty() || homes.contains(&s.spec.region);
+        let usable = self.servers.values().filter(|s| s.is_usable());
+        let rests = usable
+            .filter(allowed)
+            .map(|s| s.state.availability.rest_ms(now));
+        rests.min().filter(|ms| *ms > 0)
+    }
+
     /// Whether a region has a usable server that the request has not tried.
-    fn has_candidate(&self, request: &PlacementRequest, region: &Name) -> bool {
+    fn has_candidate(&self, now: Millis, request: &PlacementRequest, region: &Name) -> bool {
         let mut servers = self.servers.values();
         servers.any(|s| {
-            s.spec.region == *region && s.is_usable() && !request.tried.contains(&s.spec.name)
+            s.spec.region == *region
+                && s.takes_requests(now)
+                && !request.tried.contains(&s.spec.name)
         })
     }
 
@@ -429,7 +467,8 @@
     /// server.
     pub fn due_probes(&mut self, now: Millis) -> Vec<(Name, SocketAddr)> {
         let due = self.servers.values_mut().filter_map(|s| {
-            let due = s.state.limit.may_send(now) && s.state.take_probe(now);
+            let may_send = s.state.limit.may_send(now) && s.state.availability.is_open(now);
+            let due = may_send && s.state.take_probe(now);
             if due {
                 s.state.limit.record_send(now);
             }
--- a/crates/steering/src/server.rs
+++ b/crates/steering/src/server.rs
@@ -2,6 +2,7 @@
 
 use pomelovale_state::{Millis, Name};
 
+use crate::availability::Availability;
 use crate::balancer::{AttemptSpec, ServerInfo};
 use crate::ejection::{Ejection, Health};
 use crate::server_limit::ServerLimit;
@@ -36,6 +37,7 @@
     pub(crate) outstanding_max: u32,
     pub(crate) distance_ms: f64,
     pub(crate) limit: ServerLimit,
+    pub(crate) availability: Availability,
 }
 
 impl ServerInfo {
@@ -60,12 +62,14 @@
             outstanding_max: info.connections.max(1),
             distance_ms: 0.0,
             limit: ServerLimit::default(),
+            availability: Availability::default(),
         }
     }
 
     pub(crate) fn is_allowed(&self, now: Millis, request: &AttemptSpec<'_>) -> bool {
         !self.info.leaving
             && self.limit.may_send(now)
+            && self.availability.is_open(now)
             && request.region.is_none_or(|r| r == &self.info.region)
             && !request.exclude.contains(&self.info.name)
             && self.stats.outstanding() < self.outstanding_max
--- /dev/null
+++ b/crates/steering/tests/availability.rs
@@ -0,0 +1,25 @@
+//! Rest that a backend server asks one instance for.
+
+use pomelovale_state::Millis;
+use pomelovale_steering::availability::{Availability, REST_MAX_MS};
+
+const NOW: Millis = Millis(50_000);
+
+/// Guards against a shorter rest that ends a longer one.
+#[test]
+fn longer_rest_outlasts_a_shorter_one() {
+    let mut server = Availability::default();
+    assert!(server.record_rest(NOW, 4_000));
+    assert!(!server.record_rest(NOW.plus(100), 1_000));
+    assert_eq!(server.rest_ms(NOW.plus(2_000)), 2_000);
+    assert!(server.is_open(NOW.plus(4_000)));
+}
+
+/// Guards against a server that is never asked again because of a value without measure.
+#[test]
+fn rest_without_measure_ends() {
+    let mut server = Availability::default();
+    server.record_rest(NOW, u64::MAX);
+    assert!(!server.is_open(NOW.plus(REST_MAX_MS - 1)));
+    assert!(server.is_open(NOW.plus(REST_MAX_MS)));
+}
