Send nothing to backend servers that say in their answers that they leave

Cause: the field was not read.

It probes the server every 5 s, since one that starts again may keep its name; entries look at the polls. Answers with status 421 say nothing, since another server gives them.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -483,8 +483,11 @@
     }
 }
 
-// Records for how long the server of a refusal wants no requests. Returns whether it rests.
-fn record_rest(shared: &Shared, choice: &Choice, parts: &response::Parts) -> bool {
+// Records what an answer says about sending its server requests. Returns whether it rests.
+fn record_availability(shared: &Shared, choice: &Choice, parts: &response::Parts) -> bool {
+    if shared.header_names.says_leaving(&parts.headers) {
+        record_leaving(shared, &choice.service, &choice.server, true);
+    }
     let rest_ms = match parts.status {
         StatusCode::SERVICE_UNAVAILABLE => HeaderNames::rest_ms(&parts.headers, SystemTime::now()),
         _ => None,
@@ -502,6 +505,14 @@
     true
 }
 
+/// Records whether a server says that it leaves.
+pub(super) fn record_leaving(shared: &Shared, service: &Name, server: &Name, leaving: bool) {
+    if shared.steering.record_leaving(service, server, leaving) {
+        metrics::counter!("servers_leaving_total").increment(1);
+        tracing::info!(event = "server-leaving", service = %service, server = %server);
+    }
+}
+
 /// Buffers a response until it is complete, or streams one that is larger than
 /// `answer_bytes`.
 async fn receive(
@@ -518,7 +529,7 @@
     let shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
         && parts.headers.get(SHED).is_some_and(|v| v == NOT_RUN);
     record_limit(shared, &running, &parts, shed);
-    let rests = record_rest(shared, &running.choice, &parts);
+    let rests = record_availability(shared, &running.choice, &parts);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -18,7 +18,7 @@
 use pomelovale_protocol::report::{LinkLoad, Report, ServiceLoad};
 
 use super::steering::ServerLoad;
-use super::Shared;
+use super::{forward, Shared};
 use crate::reach::State;
 
 /// Path at which servers report their load.
@@ -136,14 +136,15 @@
 async fn poll(shared: Arc<Shared>, service: Name, server: Name, address: SocketAddr) {
     let limit = Millis(shared.config.poll_ms).duration();
     let at = shared.clock.now();
-    if let Ok(Some(load)) = timeout(limit, fetch_load(&shared, address)).await {
+    if let Ok(Some((load, leaving))) = timeout(limit, fetch_load(&shared, address)).await {
+        forward::record_leaving(&shared, &service, &server, leaving);
         shared.steering.report_load(at, &service, &server, load);
     }
 }
 
-// Uses the oldest idle connection, so that each poll also confirms that one
+// Also returns whether the server says that it leaves. Uses the oldest idle connection, so that each poll also confirms that one
 // more connection is alive.
-async fn fetch_load(shared: &Shared, address: SocketAddr) -> Option<ServerLoad> {
+async fn fetch_load(shared: &Shared, address: SocketAddr) -> Option<(ServerLoad, bool)> {
     let limit = Millis(shared.config.connect_ms).duration();
     let connection = match shared.pool.take_oldest(address) {
         Some(connection) => connection,
@@ -157,6 +158,7 @@
     let limit = Millis(shared.config.poll_ms).duration();
     let mut reply = connection.send(request, &REQUEST, b"", limit).await.ok()?;
     shared.crashes.record_reply(address, is_fresh);
+    let leaving = shared.header_names.says_leaving(&reply.parts.headers);
     let mut body = BytesMut::new();
     loop {
         let part = std::future::poll_fn(|cx| reply.body.poll_part(cx));
@@ -169,5 +171,6 @@
         }
     }
     shared.pool.put(address, reply.body.finish());
-    serde_json::from_slice(&body).ok()
+    let load = serde_json::from_slice(&body).ok()?;
+    Some((load, leaving))
 }
--- a/crates/daemon/src/entry/steering.rs
+++ b/crates/daemon/src/entry/steering.rs
@@ -330,6 +330,13 @@
         self.with_service(service, |s| s.balancer.record_rest(now, server, rest_ms))
     }
 
+    /// Records whether a server says that it leaves. Returns whether it does so for the first
+    /// time.
+    pub fn record_leaving(&self, service: &Name, server: &Name, leaving: bool) -> bool {
+        let now = self.clock.now();
+        self.with_service(service, |s| s.balancer.record_leaving(now, server, leaving))
+    }
+
     /// Whether a server wants requests of this entry, as far as is known.
     pub fn is_open(&self, service: &Name, server: &Name) -> bool {
         let now = self.clock.now();
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -425,7 +425,7 @@
     })
 }
 
-// Whether the server has not asked for rest meanwhile.
+// Whether the server has not asked for rest or said that it leaves meanwhile.
 fn is_open(shared: &Shared, routed: &RoutedRequest, chosen: &Chosen) -> bool {
     let (now, document) = (shared.clock.now(), shared.view.document());
     let open = shared.services.with(now, &document, &routed.service, |s| {
@@ -441,6 +441,19 @@
     chosen: &Chosen,
     parts: &response::Parts,
 ) -> bool {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    // Another server may answer in its place.
+    let is_own = parts.status != StatusCode::MISDIRECTED_REQUEST;
+    if is_own && shared.config.header_names.says_leaving(&parts.headers) {
+        let is_new = shared.services.with(now, &document, &routed.service, |s| {
+            s.placement.record_leaving(now, &chosen.server)
+        });
+        if is_new == Some(true) {
+            metrics::counter!("servers_leaving_total").increment(1);
+            tracing::info!(event = "server-leaving", service = %routed.service,
+                server = %chosen.server);
+        }
+    }
     let rest_ms = match parts.status {
         StatusCode::SERVICE_UNAVAILABLE => HeaderNames::rest_ms(&parts.headers, SystemTime::now()),
         _ => None,
@@ -449,7 +462,6 @@
         return false;
     };
     shared.reach.record_rest(chosen.address, rest_ms);
-    let (now, document) = (shared.clock.now(), shared.view.document());
     let began = shared.services.with(now, &document, &routed.service, |s| {
         s.placement.record_rest(now, &chosen.server, rest_ms)
     });
--- a/crates/daemon/src/gateway/probe.rs
+++ b/crates/daemon/src/gateway/probe.rs
@@ -81,6 +81,8 @@
     let is_expected_server = headers
         .get(&header_names.instance)
         .is_some_and(|v| v.as_bytes() == server.as_bytes());
-    let healthy = reply.parts.status == StatusCode::OK && is_expected_server;
+    let healthy = reply.parts.status == StatusCode::OK
+        && is_expected_server
+        && !header_names.says_leaving(headers);
     healthy.then(|| HeaderNames::parse_integer(headers, &header_names.cold).unwrap_or(0))
 }
--- a/crates/daemon/tests/entry_rest.rs
+++ b/crates/daemon/tests/entry_rest.rs
@@ -1,4 +1,4 @@
-//! Backend servers that ask for rest, behind an entry.
+//! Backend servers that ask for rest or leave, behind an entry.
 
 mod entry_support;
 
@@ -124,3 +124,45 @@
     assert!(status == 503 && (8..=9).contains(&after), "{head}");
     assert!(servers.iter().all(|s| s.arrived_since(begin) == 1));
 }
+
+/// Guards against an entry that sends requests to a server that says that it leaves.
+#[tokio::test]
+async fn server_that_says_it_leaves_gets_no_requests_of_an_entry() {
+    let leaving = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let says = leaving.clone();
+    let server = Server::start(move |_, _| {
+        let line = if says.load(Ordering::SeqCst) {
+            "pomelovale-leaving: 1\r\n"
+        } else {
+            ""
+        };
+        write_text(&format!(
+            "HTTP/1.1 200 OK\r\n{line}content-length: 4\r\n\r\ndone"
+        ))
+    })
+    .await;
+    let other = Server::start(|_, _| ok_bytes_after("done")).await;
+    let control = setup(&[&server, &other]);
+    control.run_clock();
+    let prove = control.prover();
+    tokio::spawn(async move {
+        loop {
+            prove();
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    let entry = control.entry(|_| {}).await;
+    for n in 0..10 {
+        assert_eq!(send(&entry, n).await.0, 200);
+    }
+    leaving.store(true, Ordering::SeqCst);
+    let before = server.requests().len();
+    for n in 0..40 {
+        assert_eq!(send(&entry, n).await.0, 200);
+    }
+    assert_eq!(server.requests().len(), before + 1);
+}
+
+fn ok_bytes_after(body: &str) -> ServerAction {
+    ServerAction::WriteAfter(2, ok_bytes(body))
+}
--- a/crates/protocol/src/header_names.rs
+++ b/crates/protocol/src/header_names.rs
@@ -29,6 +29,8 @@
     pub load: HeaderName,
     /// Requests a second that a backend server takes from all instances together.
     pub limit: HeaderName,
+    /// States that a backend server leaves and wants no more requests.
+    pub leaving: HeaderName,
     /// How long a backend server stays cold, in milliseconds; in answers to
     /// health probes.
     pub cold: HeaderName,
@@ -51,6 +53,7 @@
             refused: SHED,
             load: HeaderName::from_static("pomelovale-load"),
             limit: HeaderName::from_static("pomelovale-limit"),
+            leaving: HeaderName::from_static("pomelovale-leaving"),
             cold: HeaderName::from_static("pomelovale-cold-ms"),
             instance: HeaderName::from_static("pomelovale-backend"),
             relay: RELAY,
@@ -106,6 +109,12 @@
         }
     }
 
+    /// Whether an answer says that its server leaves.
+    pub fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        let mut values = headers.get_all(&self.leaving).iter();
+        values.any(|v| v.as_bytes().trim_ascii() == b"1")
+    }
+
     /// The time for which a server that refuses a request wants none, from `Retry-After`, in
     /// milliseconds. Seconds may have fractions; a date counts from the `Date` of the answer, or
     /// from `now`. Values that are no such time say nothing; of several, the longest one counts.
--- a/crates/protocol/tests/header_names.rs
+++ b/crates/protocol/tests/header_names.rs
@@ -53,3 +53,22 @@
     past_date: ["Wed, 21 Oct 2015 07:27:00 GMT"], [] => None;
     broken_date: ["Wed, 42 Oct 2015 07:28:05 GMT"], [] => None;
 }
+
+macro_rules! leaving {
+    ($($name:ident: $values:expr => $expected:expr;)*) => {
+        $(#[test] fn $name() {
+            let values: &[&str] = &$values;
+            let lines: Vec<_> = values.iter().map(|v| ("pomelovale-leaving", *v)).collect();
+            assert_eq!(HeaderNames::default().says_leaving(&headers(&lines)), $expected);
+        })*
+    };
+}
+
+leaving! {
+    leaving_without_a_value: [] => false;
+    leaving_one: ["1"] => true;
+    leaving_one_with_space: [" 1 "] => true;
+    leaving_zero: ["0"] => false;
+    leaving_word: ["yes"] => false;
+    leaving_one_of_several: ["0", "1"] => true;
+}
--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -6,17 +6,23 @@
 /// that, whatever it said.
 pub const REST_MAX_MS: u64 = 600_000;
 
+/// Interval at which a server that has said that it leaves is probed, in milliseconds: one
+/// that starts again may keep its name.
+const LEAVING_PROBE_MS: u64 = 5_000;
+
 /// Whether a server wants requests of this instance. It tells each instance by itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Availability {
     rest_until: Millis,
+    // When the server last said that it leaves, or was probed since.
+    leaving: Option<Millis>,
 }
 
 impl Availability {
     /// Records that the server wants nothing for a time in milliseconds. Returns whether it
     /// had wanted requests until now.
     pub fn record_rest(&mut self, now: Millis, rest_ms: u64) -> bool {
-        let began = self.is_open(now) && rest_ms > 0;
+        let began = self.rest_ms(now) == 0 && rest_ms > 0;
         let until = now.plus(rest_ms.min(REST_MAX_MS));
         self.rest_until = self.rest_until.max(until);
         began
@@ -27,8 +33,34 @@
         self.rest_until.since(now)
     }
 
+    /// Records that the server says that it leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self, now: Millis) -> bool {
+        self.leaving.replace(now).is_none()
+    }
+
+    /// Records that the server doesn't say that it leaves any more.
+    pub fn record_back(&mut self) {
+        self.leaving = None;
+    }
+
+    /// Whether the server has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Returns true if a leaving server is due for a probe, and schedules the next one.
+    pub fn take_probe(&mut self, now: Millis) -> bool {
+        let due = self
+            .leaving
+            .is_some_and(|at| now.since(at) >= LEAVING_PROBE_MS);
+        if due {
+            self.leaving = Some(now);
+        }
+        due
+    }
+
     /// Whether the server may be sent requests.
     pub fn is_open(&self, now: Millis) -> bool {
-        self.rest_ms(now) == 0
+        self.rest_ms(now) == 0 && !self.is_leaving()
     }
 }
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -203,6 +203,18 @@
         server.is_some_and(|s| s.availability.record_rest(now, rest_ms))
     }
 
+    /// Records whether a server says that it leaves. Returns whether it does so for the first
+    /// time.
+    pub fn record_leaving(&mut self, now: Millis, server: &Name, leaving: bool) -> bool {
+        let Some(server) = self.servers.get_mut(server) else {
+            return false;
+        };
+        if !leaving {
+            server.availability.record_back();
+        }
+        leaving && server.availability.record_leaving(now)
+    }
+
     /// Whether a server wants requests of this entry, as far as is known.
     pub fn is_open(&self, now: Millis, server: &Name) -> bool {
         let server = self.servers.get(server);
@@ -213,7 +225,8 @@
     /// milliseconds.
     pub fn all_rest_ms(&self, now: Millis) -> Option<u64> {
         let serving = self.servers.values().filter(|s| !s.info.leaving);
-        let rests = serving.map(|s| s.availability.rest_ms(now));
+        let staying = serving.filter(|s| !s.availability.is_leaving());
+        let rests = staying.map(|s| s.availability.rest_ms(now));
         rests.min().filter(|ms| *ms > 0)
     }
 
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -321,6 +321,12 @@
         server.is_some_and(|s| s.state.availability.record_rest(now, rest_ms))
     }
 
+    /// Records that a server says that it leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self, now: Millis, name: &Name) -> bool {
+        let server = self.servers.get_mut(name);
+        server.is_some_and(|s| s.state.availability.record_leaving(now))
+    }
+
     /// Whether a server wants requests of this instance, as far as is known.
     pub fn is_open(&self, now: Millis, name: &Name) -> bool {
         let server = self.servers.get(name);
@@ -339,7 +345,8 @@
     pub fn all_rest_ms(&self, now: Millis, homes: &[Name]) -> Option<u64> {
         let allowed = |s: &&Server| homes.is_empty() || homes.contains(&s.spec.region);
         let usable = self.servers.values().filter(|s| s.is_usable());
-        let rests = usable
+        let staying = usable.filter(|s| !s.state.availability.is_leaving());
+        let rests = staying
             .filter(allowed)
             .map(|s| s.state.availability.rest_ms(now));
         rests.min().filter(|ms| *ms > 0)
@@ -463,12 +470,13 @@
         })
     }
 
-    /// Suspended servers that are due for a probe. Probes count towards the limit of their
+    /// Suspended and leaving servers that are due for a probe. Probes count towards the limit of their
     /// server.
     pub fn due_probes(&mut self, now: Millis) -> Vec<(Name, SocketAddr)> {
         let due = self.servers.values_mut().filter_map(|s| {
-            let may_send = s.state.limit.may_send(now) && s.state.availability.is_open(now);
-            let due = may_send && s.state.take_probe(now);
+            let rests = s.state.availability.rest_ms(now) > 0;
+            let may_send = s.state.limit.may_send(now) && !rests;
+            let due = may_send && (s.state.availability.take_probe(now) || s.state.take_probe(now));
             if due {
                 s.state.limit.record_send(now);
             }
@@ -485,6 +493,7 @@
         };
         server.state.record_probe(now, cold_ms);
         if let Some(cold_ms) = cold_ms {
+            server.state.availability.record_back();
             self.recoveries.push((name.clone(), now, cold_ms));
         }
     }
--- a/crates/steering/tests/availability.rs
+++ b/crates/steering/tests/availability.rs
@@ -15,6 +15,20 @@
     assert!(server.is_open(NOW.plus(4_000)));
 }
 
+/// Guards against a leaving server that is sent requests, or never looked at again.
+#[test]
+fn leaving_server_is_probed_until_it_is_back() {
+    let mut server = Availability::default();
+    assert!(server.record_leaving(NOW));
+    assert!(!server.record_leaving(NOW.plus(50)));
+    assert!(!server.is_open(NOW.plus(60_000)));
+    assert!(!server.take_probe(NOW.plus(4_000)));
+    assert!(server.take_probe(NOW.plus(6_000)));
+    assert!(!server.take_probe(NOW.plus(7_000)));
+    server.record_back();
+    assert!(server.is_open(NOW.plus(7_000)));
+}
+
 /// Guards against a server that is never asked again because of a value without measure.
 #[test]
 fn rest_without_measure_ends() {
