Keep what a server has told an instance while it is not listed

Cause, by reading: the state of a server was dropped while its failure domain was evacuated, and with it the rest that it had asked for.

Change: a placement keeps it for as long as the server rests, or for a minute if it leaves. rest_outlasts_an_evacuation guards it.

--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -10,6 +10,9 @@
 /// that starts again may keep its name.
 const LEAVING_PROBE_MS: u64 = 5_000;
 
+/// Time for which it is kept that a server leaves that is not listed, in milliseconds.
+const UNLISTED_MS: u64 = 60_000;
+
 /// Whether a server wants requests of this instance. It tells each instance by itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Availability {
@@ -59,6 +62,13 @@
         due
     }
 
+    /// Whether this is still worth knowing if the server is not listed: it rests, or has said
+    /// recently that it leaves.
+    pub fn is_remembered(&self, now: Millis) -> bool {
+        let left = |at: Millis| now.since(at) < UNLISTED_MS;
+        self.rest_ms(now) > 0 || self.leaving.is_some_and(left)
+    }
+
     /// Whether the server may be sent requests.
     pub fn is_open(&self, now: Millis) -> bool {
         self.rest_ms(now) == 0 && !self.is_leaving()
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -26,6 +26,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use crate::availability::Availability;
 use crate::estimate::{Held, ServerState, WorkEstimate};
 use crate::region_assignment::RegionAssignment;
 
@@ -89,6 +90,8 @@
     recoveries: Vec<(Name, Millis, u64)>,
     rng: SmallRng,
     servers: IndexMap<Name, Server>,
+    // What servers that are not listed at the moment have told this instance.
+    unlisted: IndexMap<(Name, SocketAddr), Availability>,
     service: ServiceSpec,
     assignment: RegionAssignment,
     work: IndexMap<Name, WorkEstimate>,
@@ -134,6 +137,7 @@
             region: region.clone(),
             rng: SmallRng::seed_from_u64(seed),
             servers: IndexMap::new(),
+            unlisted: IndexMap::new(),
             service: ServiceSpec::default(),
             assignment: RegionAssignment::new(region),
             work: IndexMap::new(),
@@ -218,6 +222,10 @@
                     state
                 }
             };
+            let key = (spec.name.clone(), spec.address);
+            if let Some(availability) = self.unlisted.swap_remove(&key) {
+                state.availability = availability;
+            }
             if spec.cold_ms > 0 && !spec.down && !cold_is_known {
                 state.set_cold(now, now.plus(spec.cold_ms));
             }
@@ -230,6 +238,13 @@
             };
             self.servers.insert(spec.name.clone(), server);
         }
+        // A server may be left out for a moment, as its failure domain is evacuated.
+        let closed = old.into_iter().map(|(name, s)| {
+            let key = (name, s.spec.address);
+            (key, s.state.availability)
+        });
+        self.unlisted.extend(closed);
+        self.unlisted.retain(|_, a| a.is_remembered(now));
         let slots = |region: &Name| -> u32 {
             let here = specs.iter().filter(|s| s.region == *region);
             here.map(|s| s.slots).sum()
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -389,3 +389,25 @@
     let sent = (0..5).filter(|n| choose(&mut p, 3_400, &request(&route, *n, 1)).is_some());
     assert!(sent.count() <= 2, "the server is cold again");
 }
+
+/// Guards against a resting server that gets requests because its failure domain was
+/// evacuated for a moment.
+#[test]
+fn rest_outlasts_an_evacuation() {
+    let route = Name::from("r");
+    let all = servers();
+    let (resting, others): (Vec<_>, Vec<_>) = all
+        .iter()
+        .cloned()
+        .partition(|s| s.domain.as_str() == "north-a");
+    let mut p = placement("g", &all);
+    for server in &resting {
+        p.record_rest(Millis(100), &server.name, 4_000);
+    }
+    p.set_servers(Millis(200), &others, service(), &regions());
+    p.set_servers(Millis(300), &all, service(), &regions());
+    for object in 0..8 {
+        let chosen = choose(&mut p, 1_000, &request(&route, object, 1)).unwrap();
+        assert!(resting.iter().all(|s| s.name != chosen.server));
+    }
+}
