Count only silent rounds of probes that follow each other

By reading: an answered round did not reset the count, so that two silent ones of different failures could make the way to the servers count as blocked.

--- a/crates/daemon/src/reach/mod.rs
+++ b/crates/daemon/src/reach/mod.rs
@@ -295,8 +295,7 @@
 
     // Ends once contact has confirmed all failures.
     async fn check(self: Arc<Self>) {
-        let start = Instant::now();
-        let mut silent_rounds = 0;
+        let (mut start, mut silent_rounds) = (Instant::now(), 0);
         sleep(Millis(GRACE_MS).duration()).await;
         loop {
             let Some(fault) = self.next_unconfirmed() else {
@@ -309,6 +308,7 @@
             match self.probe_servers(fault, servers).await {
                 Round::Answered | Round::TooFew => {
                     self.record_contact(fault);
+                    (start, silent_rounds) = (Instant::now(), 0);
                     continue;
                 }
                 Round::Silent => silent_rounds += 1,
