--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -488,11 +488,7 @@
     if shared.header_names.says_leaving(&parts.headers) {
         record_leaving(shared, &choice.service, &choice.server, true);
     }
-    let rest_ms = match parts.status {
-        StatusCode::SERVICE_UNAVAILABLE => HeaderNames::rest_ms(&parts.headers, SystemTime::now()),
-        _ => None,
-    };
-    let Some(rest_ms) = rest_ms else {
+    let Some(rest_ms) = HeaderNames::rest_ms(parts, SystemTime::now()) else {
         return false;
     };
     shared.reach.record_rest(choice.address, rest_ms);
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
@@ -25,7 +25,7 @@
 
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
-use super::{connections, relaying, server_selection, Shared};
+use super::{availability, connections, relaying, server_selection, Shared};
 use crate::crash::{self, Run, RunGuard, ServerCheck, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
@@ -425,54 +425,6 @@
     })
 }
 
-// Whether the server has not asked for rest or said that it leaves meanwhile.
-fn is_open(shared: &Shared, routed: &RoutedRequest, chosen: &Chosen) -> bool {
-    let (now, document) = (shared.clock.now(), shared.view.document());
-    let open = shared.services.with(now, &document, &routed.service, |s| {
-        s.placement.is_open(now, &chosen.server)
-    });
-    open.unwrap_or(true)
-}
-
-// Records what an answer says about sending its server requests. Returns whether it rests.
-fn record_availability(
-    shared: &Shared,
-    routed: &RoutedRequest,
-    chosen: &Chosen,
-    parts: &response::Parts,
-) -> bool {
-    let (now, document) = (shared.clock.now(), shared.view.document());
-    // Another server may answer in its place.
-    let is_own = parts.status != StatusCode::MISDIRECTED_REQUEST;
-    if is_own && shared.config.header_names.says_leaving(&parts.headers) {
-        let is_new = shared.services.with(now, &document, &routed.service, |s| {
-            s.placement.record_leaving(now, &chosen.server)
-        });
-        if is_new == Some(true) {
-            metrics::counter!("servers_leaving_total").increment(1);
-            tracing::info!(event = "server-leaving", service = %routed.service,
-                server = %chosen.server);
-        }
-    }
-    let rest_ms = match parts.status {
-        StatusCode::SERVICE_UNAVAILABLE => HeaderNames::rest_ms(&parts.headers, SystemTime::now()),
-        _ => None,
-    };
-    let Some(rest_ms) = rest_ms else {
-        return false;
-    };
-    shared.reach.record_rest(chosen.address, rest_ms);
-    let began = shared.services.with(now, &document, &routed.service, |s| {
-        s.placement.record_rest(now, &chosen.server, rest_ms)
-    });
-    if began == Some(true) {
-        metrics::counter!("server_rests_total").increment(1);
-        tracing::info!(event = "server-rest", service = %routed.service,
-            server = %chosen.server, rest_ms);
-    }
-    true
-}
-
 async fn attempt(
     shared: &Arc<Shared>,
     routed: &Arc<RoutedRequest>,
@@ -507,7 +459,8 @@
         running.end(PlacementEnd::Cancelled);
         return (Outcome::Blocked, "quarantined");
     }
-    if !is_still_eligible(&shared.view.document(), chosen) || !is_open(shared, routed, chosen) {
+    let is_open = availability::is_open(shared, &routed.service, &chosen.server);
+    if !is_open || !is_still_eligible(&shared.view.document(), chosen) {
         shared.connections.pool.put(chosen.address, connection);
         running.end(PlacementEnd::Cancelled);
         return (Outcome::Unsent, "left");
@@ -704,7 +657,8 @@
         .crashes
         .record_reply(running.chosen.address, is_fresh);
     let Reply { parts, mut body } = reply;
-    let rests = record_availability(shared, routed, &running.chosen, &parts);
+    let server = (&running.chosen.server, running.chosen.address);
+    let rests = availability::record(shared, &routed.service, server, &parts);
     running.report = server_report(header_names, &parts);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
--- /dev/null
+++ b/crates/daemon/src/gateway/availability.rs
@@ -0,0 +1,52 @@
+//! What backend servers tell this gateway about sending them requests.
+
+use std::net::SocketAddr;
+use std::time::SystemTime;
+
+use http::{response, StatusCode};
+use pomelovale_protocol::header_names::HeaderNames;
+use pomelovale_state::Name;
+
+use super::Shared;
+
+/// Whether a server wants requests of this gateway, as far as is known.
+pub(super) fn is_open(shared: &Shared, service: &Name, server: &Name) -> bool {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let open = shared.services.with(now, &document, service, |s| {
+        s.placement.is_open(now, server)
+    });
+    open.unwrap_or(true)
+}
+
+/// Records what an answer says. Returns whether its server asks for rest.
+pub(super) fn record(
+    shared: &Shared,
+    service: &Name,
+    (server, address): (&Name, SocketAddr),
+    parts: &response::Parts,
+) -> bool {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    // Another server may answer in its place.
+    let is_own = parts.status != StatusCode::MISDIRECTED_REQUEST;
+    if is_own && shared.config.header_names.says_leaving(&parts.headers) {
+        let is_new = shared.services.with(now, &document, service, |s| {
+            s.placement.record_leaving(now, server)
+        });
+        if is_new == Some(true) {
+            metrics::counter!("servers_leaving_total").increment(1);
+            tracing::info!(event = "server-leaving", %service, %server);
+        }
+    }
+    let Some(rest_ms) = HeaderNames::rest_ms(parts, SystemTime::now()) else {
+        return false;
+    };
+    shared.reach.record_rest(address, rest_ms);
+    let began = shared.services.with(now, &document, service, |s| {
+        s.placement.record_rest(now, server, rest_ms)
+    });
+    if began == Some(true) {
+        metrics::counter!("server_rests_total").increment(1);
+        tracing::info!(event = "server-rest", %service, %server, rest_ms);
+    }
+    true
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 
 mod attempt;
+mod availability;
 mod connections;
 mod coordinator;
 mod coordinator_client;
--- a/crates/daemon/src/gateway/probe.rs
+++ b/crates/daemon/src/gateway/probe.rs
@@ -2,16 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::{header, HeaderMap, Request, StatusCode};
+use http::{header, Request, StatusCode};
 use http_body_util::Full;
 use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_state::Name;
 use pomelovale_transport::backend::Connection;
 
-use super::Shared;
+use super::{availability, Shared};
 
 /// Timeout of a probe, in milliseconds. On the server, probes wait for a slot
 /// like other requests.
@@ -35,24 +35,6 @@
     });
 }
 
-// A server that refuses a probe may ask for rest, too.
-fn record_rest(
-    shared: &Shared,
-    service: &Name,
-    server: &Name,
-    address: SocketAddr,
-    headers: &HeaderMap,
-) {
-    let Some(rest_ms) = HeaderNames::rest_ms(headers, SystemTime::now()) else {
-        return;
-    };
-    shared.reach.record_rest(address, rest_ms);
-    let (now, document) = (shared.clock.now(), shared.view.document());
-    shared.services.with(now, &document, service, |s| {
-        s.placement.record_rest(now, server, rest_ms)
-    });
-}
-
 // Returns how long the server stays cold, in milliseconds, or `None` if it is
 // unhealthy or another backend server has responded.
 async fn probe(
@@ -74,10 +56,9 @@
         .send(request, &header_names.request, b"", limit)
         .await;
     let reply = sent.ok()?;
+    // A server that refuses a probe may ask for rest, too.
+    availability::record(shared, service, (server, address), &reply.parts);
     let headers = &reply.parts.headers;
-    if reply.parts.status == StatusCode::SERVICE_UNAVAILABLE {
-        record_rest(shared, service, server, address, headers);
-    }
     let is_expected_server = headers
         .get(&header_names.instance)
         .is_some_and(|v| v.as_bytes() == server.as_bytes());
--- a/crates/protocol/src/header_names.rs
+++ b/crates/protocol/src/header_names.rs
@@ -4,6 +4,7 @@
 use std::time::SystemTime;
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{response, StatusCode};
 
 use pomelovale_steering::server_limit::{LimitNotice, LIMIT_MAX};
 
@@ -115,10 +116,14 @@
         values.any(|v| v.as_bytes().trim_ascii() == b"1")
     }
 
-    /// The time for which a server that refuses a request wants none, from `Retry-After`, in
-    /// milliseconds. Seconds may have fractions; a date counts from the `Date` of the answer, or
+    /// The time for which a server wants no requests, from `Retry-After` of an answer with
+    /// status 503, in milliseconds. Seconds may have fractions; a date counts from the `Date` of the answer, or
     /// from `now`. Values that are no such time say nothing; of several, the longest one counts.
-    pub fn rest_ms(headers: &HeaderMap, now: SystemTime) -> Option<u64> {
+    pub fn rest_ms(parts: &response::Parts, now: SystemTime) -> Option<u64> {
+        if parts.status != StatusCode::SERVICE_UNAVAILABLE {
+            return None;
+        }
+        let headers = &parts.headers;
         let date = |value: &HeaderValue| httpdate::parse_http_date(value.to_str().ok()?).ok();
         let sent = headers.get(http::header::DATE).and_then(date);
         let until = |value: &HeaderValue| {
--- a/crates/protocol/tests/header_names.rs
+++ b/crates/protocol/tests/header_names.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Response, StatusCode};
 use pomelovale_protocol::header_names::HeaderNames;
 
 /// 21 October 2015, 07:28:00 UTC.
@@ -25,7 +26,13 @@
             let values = values.iter().map(|v| ("retry-after", *v));
             let lines: Vec<_> = values.chain(dates.iter().map(|v| ("date", *v))).collect();
             let now = SystemTime::UNIX_EPOCH + Duration::from_secs(NOW_S);
-            assert_eq!(HeaderNames::rest_ms(&headers(&lines), now), $expected);
+            let mut answer = Response::new(());
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            *answer.headers_mut() = headers(&lines);
+            let (mut parts, ()) = answer.into_parts();
+            assert_eq!(HeaderNames::rest_ms(&parts, now), $expected);
+            parts.status = StatusCode::OK;
+            assert_eq!(HeaderNames::rest_ms(&parts, now), None);
         })*
     };
 }
