--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -8,7 +8,8 @@
 
 /// Value of `TCP_USER_TIMEOUT`: how long written bytes may stay unacknowledged
 /// before the connection is closed. Round trips between regions take 110 ms; the
-/// rest of the time covers the loss of two packets.
+/// rest of the time covers the loss of two packets. Keep-alive probes, which are not
+/// enabled here, would give up after it, too, whatever their count.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Disables Nagle's algorithm and limits the time to detect an unreachable peer.
