Notice that no new connection can be opened before a request needs one

Cause: an instance looks for a partition only after a failure. Where old connections live on and new ones are refused, nothing fails while the idle connections suffice for its callers, so it stays listed, and the callers that the list sends there are refused as soon as it needs a new connection. Whether the test met that depended on the timing of its four callers.

A failure is followed up like that of a request. Success confirms no failures, since a relay on the way may have accepted the connection.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -169,6 +169,7 @@
         tasks.spawn(coordinator::run(shared.clone(), received));
         tasks.spawn(shared.crashes.clone().run());
         tasks.spawn(shared.crashes.clone().watch_silence());
+        tasks.spawn(shared.reach.clone().watch_contact());
         let client_shared = shared.clone();
         tasks.spawn(async move { client_shared.coordinator_client.run().await });
         Ok(GatewayHandle {
--- a/crates/daemon/src/reach/mod.rs
+++ b/crates/daemon/src/reach/mod.rs
@@ -44,6 +44,10 @@
 /// in milliseconds.
 const SILENCE_MS: (u64, u64) = (300, 1_500);
 
+/// Time without a new connection to any server after which one is opened to see whether that
+/// works, and the interval at which this is checked, in milliseconds.
+const CONTACT_AGE_MS: (u64, u64) = (500, 100);
+
 /// Where servers answer health probes.
 #[derive(Clone, Debug)]
 pub enum ProbePath {
@@ -223,6 +227,26 @@
         }
     }
 
+    /// Opens a connection to a server whenever none has been opened for a while, until the task
+    /// is aborted. While old connections suffice for the requests, nothing else tells that no
+    /// new one can be opened.
+    pub async fn watch_contact(self: Arc<Self>) {
+        let (age_ms, interval_ms) = CONTACT_AGE_MS;
+        let mut opened = Instant::now();
+        loop {
+            sleep(Millis(interval_ms).duration()).await;
+            opened = opened.max(self.contact.borrow().opened);
+            if opened.elapsed() < Millis(age_ms).duration() || self.is_checking() {
+                continue;
+            }
+            match self.probe_servers(LinkFault::Closed, 1).await {
+                // Failures are not confirmed by it: a relay on the way may have accepted it.
+                Round::Answered | Round::TooFew => opened = Instant::now(),
+                Round::Silent => self.record_failure(LinkFault::Closed),
+            }
+        }
+    }
+
     /// Time since a server was last reached on a new connection, in milliseconds.
     pub fn contact_ms(&self) -> u64 {
         self.contact.borrow().opened.elapsed().as_millis() as u64
--- a/crates/daemon/tests/gateway_partition.rs
+++ b/crates/daemon/tests/gateway_partition.rs
@@ -26,6 +26,8 @@
 const CUT: [usize; 2] = [0, 1];
 /// Callers of each gateway.
 const CALLERS: usize = 4;
+/// Time for which callers send requests before a cut.
+const WARM_UP: Duration = Duration::from_millis(500);
 /// Time from the start of a cut until it is known everywhere, and its whole duration.
 const CUT_TIME: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(5));
 /// Time after the end of a cut until its effects must be gone, and for which requests are
@@ -63,7 +65,7 @@
 }
 
 impl Site {
-    async fn start() -> Site {
+    async fn start(callers: usize) -> Site {
         let mut servers = Vec::new();
         for _ in 0..SERVERS {
             servers.push(Server::start(|seen, _| answer(seen)).await);
@@ -85,14 +87,14 @@
             callers: JoinSet::new(),
         };
         let next = Arc::new(AtomicU64::new(0));
-        for n in 0..GATEWAYS * CALLERS {
+        for n in 0..GATEWAYS * callers {
             let gateway = n % GATEWAYS;
             let address = site.fleet.gateways[gateway].address();
             let (tries, stopped) = (site.tries.clone(), site.stopped.clone());
             let caller = call(gateway, address, next.clone(), tries, stopped);
             site.callers.spawn(caller);
         }
-        sleep(Duration::from_millis(500)).await;
+        sleep(WARM_UP).await;
         site
     }
 
@@ -172,14 +174,14 @@
     }
 }
 
-async fn cut_off(way: Way) {
-    let mut site = Site::start().await;
+async fn cut_off(way: Way, callers: usize) {
+    let mut site = Site::start(callers).await;
     let is_cut = |n: usize| CUT.contains(&n);
     let start = Instant::now();
     site.set(way);
     sleep(CUT_TIME.0).await;
     let known = Instant::now();
-    let callers: Vec<SocketAddr> = directory::addresses(&site.fleet.document(), "north", "x", 64);
+    let listed: Vec<SocketAddr> = directory::addresses(&site.fleet.document(), "north", "x", 64);
     sleep(CUT_TIME.1 - CUT_TIME.0).await;
     let document = site.fleet.document();
     let end = Instant::now();
@@ -203,24 +205,26 @@
     assert!(document.crashes.is_empty(), "{:?}", document.crashes);
     assert_eq!(site.repeated_bookings(), Vec::<String>::new());
     for n in 0..GATEWAYS {
-        let named = callers.contains(&site.fleet.gateways[n].address());
-        assert_eq!(named, !is_cut(n), "gateway {n} in {callers:?}");
+        let named = listed.contains(&site.fleet.gateways[n].address());
+        assert_eq!(named, !is_cut(n), "gateway {n} in {listed:?}");
     }
 }
 
 macro_rules! partitions {
-    ($($(#[$doc:meta])* $name:ident($way:expr);)*) => {
+    ($($(#[$doc:meta])* $name:ident($way:expr, $callers:expr);)*) => {
         $($(#[$doc])* #[tokio::test(flavor = "multi_thread", worker_threads = 2)] async fn $name() {
-            cut_off($way).await;
+            cut_off($way, $callers).await;
         })*
     };
 }
 
 partitions! {
     /// Guards against gateways that refuse all requests while their connections are reset.
-    callers_of_gateways_with_reset_connections_are_served(Way::Resets);
+    callers_of_gateways_with_reset_connections_are_served(Way::Resets, CALLERS);
     /// Guards against gateways that hold all requests while their connections hang.
-    callers_of_gateways_with_hanging_connections_are_served(Way::Hangs);
+    callers_of_gateways_with_hanging_connections_are_served(Way::Hangs, CALLERS);
     /// Guards against gateways that refuse all requests while no new connection is accepted.
-    callers_of_gateways_with_refused_connections_are_served(Way::RefusesNew);
+    callers_of_gateways_with_refused_connections_are_served(Way::RefusesNew, CALLERS);
+    /// Guards against gateways that stay listed until a request needs a new connection.
+    gateways_whose_old_connections_suffice_are_not_listed(Way::RefusesNew, 1);
 }
