Notice that nothing is answered while no request waits for a server

Every refusal was "overloaded" without an attempt, and the logs show no loss of the servers. All six servers had ended or asked for rest when the connections began to hang, so the gateways had suspended all of them. When the servers came back, only the probes of suspended servers reached out, with growing pauses, and their failures are not looked at as a cut; silence counts only while requests wait.

Change: after 500 ms without any answer, both roles probe one server for its health, within the loop that looks for new connections. A failure is followed up like that of a request. Servers that rest, leave or are limited are asked nothing.

--- a/crates/daemon/src/reach/mod.rs
+++ b/crates/daemon/src/reach/mod.rs
@@ -44,8 +44,8 @@
 /// in milliseconds.
 const SILENCE_MS: (u64, u64) = (300, 1_500);
 
-/// Time without a new connection to any server after which one is opened to see whether that
-/// works, and the interval at which this is checked, in milliseconds.
+/// Time without an answer of any server, or without a new connection, after which one is
+/// probed, and the interval at which this is checked, in milliseconds.
 const CONTACT_AGE_MS: (u64, u64) = (500, 100);
 
 /// Where servers answer health probes.
@@ -227,22 +227,25 @@
         }
     }
 
-    /// Opens a connection to a server whenever none has been opened for a while, until the task
-    /// is aborted. While old connections suffice for the requests, nothing else tells that no
-    /// new one can be opened.
+    /// Probes a server whenever none has answered, or no connection has been opened, for a
+    /// while, until the task is aborted. While old connections suffice for the requests, or no
+    /// request is sent to a server, nothing else tells that the servers are lost.
     pub async fn watch_contact(self: Arc<Self>) {
         let (age_ms, interval_ms) = CONTACT_AGE_MS;
-        let mut opened = Instant::now();
+        let mut probed = Instant::now();
         loop {
             sleep(Millis(interval_ms).duration()).await;
-            opened = opened.max(self.contact.borrow().opened);
-            if opened.elapsed() < Millis(age_ms).duration() || self.is_checking() {
-                continue;
-            }
-            match self.probe_servers(LinkFault::Closed, 1).await {
+            let is_old = |at: Instant| at.max(probed).elapsed() >= Millis(age_ms).duration();
+            let (heard, opened) = (self.lock().heard, self.contact.borrow().opened);
+            let fault = match self.is_checking() {
+                false if is_old(heard) => LinkFault::Silent,
+                false if is_old(opened) => LinkFault::Closed,
+                false | true => continue,
+            };
+            match self.probe_servers(fault, 1).await {
                 // Failures are not confirmed by it: a relay on the way may have accepted it.
-                Round::Answered | Round::TooFew => opened = Instant::now(),
-                Round::Silent => self.record_failure(LinkFault::Closed),
+                Round::Answered | Round::TooFew => probed = Instant::now(),
+                Round::Silent => self.record_failure(fault),
             }
         }
     }
--- a/crates/daemon/tests/gateway_partition.rs
+++ b/crates/daemon/tests/gateway_partition.rs
@@ -120,6 +120,19 @@
         (share, tries.iter().filter(quarantined).count())
     }
 
+    /// Addresses of gateways that the directory names.
+    fn listed(&self) -> Vec<SocketAddr> {
+        directory::addresses(&self.fleet.document(), "north", "x", 64)
+    }
+
+    /// Asserts that of all gateways those that are cut off are not listed.
+    fn assert_cut_unlisted(&self, listed: &[SocketAddr]) {
+        for n in 0..GATEWAYS {
+            let is_listed = listed.contains(&self.fleet.gateways[n].address());
+            assert_eq!(is_listed, !CUT.contains(&n), "gateway {n} in {listed:?}");
+        }
+    }
+
     /// Requests that ran more than once, by their identifiers.
     fn repeated_bookings(&self) -> Vec<String> {
         let mut runs: HashMap<String, usize> = HashMap::new();
@@ -181,7 +194,7 @@
     site.set(way);
     sleep(CUT_TIME.0).await;
     let known = Instant::now();
-    let listed: Vec<SocketAddr> = directory::addresses(&site.fleet.document(), "north", "x", 64);
+    let listed = site.listed();
     sleep(CUT_TIME.1 - CUT_TIME.0).await;
     let document = site.fleet.document();
     let end = Instant::now();
@@ -204,10 +217,14 @@
     assert!(states.all(|b| b.state == MemberState::Serving), "{summary}");
     assert!(document.crashes.is_empty(), "{:?}", document.crashes);
     assert_eq!(site.repeated_bookings(), Vec::<String>::new());
-    for n in 0..GATEWAYS {
-        let named = listed.contains(&site.fleet.gateways[n].address());
-        assert_eq!(named, !is_cut(n), "gateway {n} in {listed:?}");
-    }
+    site.assert_cut_unlisted(&listed);
+}
+
+async fn cut_off_without_callers(way: Way) {
+    let site = Site::start(0).await;
+    site.set(way);
+    sleep(CUT_TIME.0).await;
+    site.assert_cut_unlisted(&site.listed());
 }
 
 macro_rules! partitions {
@@ -228,3 +245,9 @@
     /// Guards against gateways that stay listed until a request needs a new connection.
     gateways_whose_old_connections_suffice_are_not_listed(Way::RefusesNew, 1);
 }
+
+/// Guards against gateways that find out that they are cut off only by requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_gateways_with_hanging_connections_are_not_listed() {
+    cut_off_without_callers(Way::Hangs).await;
+}
