Don't suspect a request that another instance has just answered

A crash record of a popular request is cleared by the first answer, but only the instance that answered remembers this for 5 to 10 s. All others count the next crash again, and where servers end in turn, one instance or another always has the run that makes two.

Change: an instance that sees a record disappear from the document before it expires exempts the request for the same time, forgets the crashes it has counted itself, and doesn't propose those that wait. A full set of records, which drops some that nobody has answered, exempts none. A request that is never answered is counted as before.

Before: request_that_another_gateway_has_answered_is_not_suspected fails in 2 of 2. After: it passes in 7 of 7. Mock servers of gateway_crashes end only under the request in question now, not under health probes as well.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -19,8 +19,8 @@
 use indexmap::{IndexMap, IndexSet};
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
-use pomelovale_state::command::CRASH_RETENTION_MS;
-use pomelovale_state::document::{Digest, Document, MemberState};
+use pomelovale_state::command::{CRASH_RECORDS_MAX, CRASH_RETENTION_MS};
+use pomelovale_state::document::{CrashRecord, Digest, Document, MemberState};
 use pomelovale_state::{Clock, Millis, Name};
 use pomelovale_steering::quarantine::{self, Quarantine};
 use pomelovale_transport::pool::Pool;
@@ -48,8 +48,9 @@
 const ABANDONED_RUNS_MAX: usize = 1_024;
 /// Shortest time without a response after which a server is checked, in milliseconds.
 pub const SILENCE_CHECK_MS: u64 = 1_000;
-/// Interval at which runs that stay without an answer are looked for, in milliseconds.
-const SILENCE_INTERVAL_MS: u64 = 100;
+/// Interval at which runs that stay without an answer and cleared records are looked for, in
+/// milliseconds.
+const WATCH_INTERVAL_MS: u64 = 25;
 /// Longest wait for the result of a check before the run is retried, in milliseconds.
 const CHECK_WAIT_MS: u64 = 300;
 /// Number of servers from which the time of the last answer is kept; the oldest half is
@@ -182,6 +183,8 @@
     /// Changes of the crash records that are still to be proposed.
     pending: PendingChanges,
     answered: RecentAnswers,
+    /// Document in which the records were last compared.
+    compared: Arc<Document>,
     /// Runs whose outcome nobody waits for any more.
     abandoned: VecDeque<(Millis, Run)>,
     /// Runs in flight, by the number of their start.
@@ -203,6 +206,27 @@
         self.cuts.push_back((Instant::now(), address));
     }
 
+    // Requests whose record another instance has cleared, since it has answered them, are not
+    // suspected here either.
+    fn follow_clears(&mut self, document: &Arc<Document>, now: Millis) {
+        if Arc::ptr_eq(&self.compared, document) {
+            return;
+        }
+        let before = std::mem::replace(&mut self.compared, document.clone());
+        // A full set of records drops some that nobody has answered.
+        if document.crashes.len() + 1 >= CRASH_RECORDS_MAX {
+            return;
+        }
+        let gone = |(f, r): &(&Digest, &CrashRecord)| {
+            document.time < r.until && !document.crashes.contains_key(*f)
+        };
+        for (fingerprint, _) in before.crashes.iter().filter(gone) {
+            self.answered.insert(now, *fingerprint);
+            self.own.forget(fingerprint);
+            self.pending.drop_crashes(fingerprint);
+        }
+    }
+
     // Crashes counted for a request, and the time since the last one in milliseconds.
     fn crashes(
         &mut self,
@@ -286,6 +310,7 @@
     ) -> R {
         let document = self.view.document();
         let mut inner = self.lock();
+        inner.follow_clears(&document, self.clock.now());
         if document.crashes.is_empty() && inner.own.is_empty() {
             return R::default();
         }
@@ -338,11 +363,16 @@
         }
     }
 
-    /// Looks for the cause if all runs stay without an answer, until the task is aborted.
-    pub async fn watch_silence(self: Arc<Self>) {
+    /// Looks for the cause if all runs stay without an answer, and follows the records that
+    /// other instances clear, until the task is aborted.
+    pub async fn run_watch(self: Arc<Self>) {
         loop {
-            sleep(Millis(SILENCE_INTERVAL_MS).duration()).await;
-            let oldest = self.lock().running.values().map(|run| run.since).min();
+            sleep(Millis(WATCH_INTERVAL_MS).duration()).await;
+            let document = self.view.document();
+            let mut inner = self.lock();
+            inner.follow_clears(&document, self.clock.now());
+            let oldest = inner.running.values().map(|run| run.since).min();
+            drop(inner);
             self.reach.check_silence(oldest);
         }
     }
--- a/crates/daemon/src/crash/reports.rs
+++ b/crates/daemon/src/crash/reports.rs
@@ -60,6 +60,13 @@
         self.add(fingerprint, RecordChange::Clear, request, delay_ms);
     }
 
+    /// Drops the crashes of a request whose record was cleared.
+    pub(super) fn drop_crashes(&mut self, fingerprint: &Digest) {
+        let is_crash = |change: &RecordChange| matches!(change, RecordChange::Crash(_));
+        self.0
+            .retain(|(f, change), _| f != fingerprint || !is_crash(change));
+    }
+
     fn add(&mut self, fingerprint: Digest, change: RecordChange, request: Name, delay_ms: u64) {
         if self.0.len() >= PENDING_MAX {
             metrics::counter!("crash_reports_dropped_total").increment(1);
--- a/crates/daemon/tests/gateway_crashes.rs
+++ b/crates/daemon/tests/gateway_crashes.rs
@@ -30,6 +30,17 @@
     servers
 }
 
+/// Starts a server that ends under popular requests while `failing` is set.
+async fn start_failing(failing: Arc<AtomicBool>) -> Server {
+    let script = move |seen: &ReceivedRequest, _: usize| match failing.load(Ordering::SeqCst)
+        && seen.head.contains("popular")
+    {
+        true => ServerAction::Crash,
+        false => proven("200 OK", "fine"),
+    };
+    Server::start(script).await
+}
+
 async fn start(servers: &[Server], gateways: usize) -> Fleet {
     let all: Vec<&Server> = servers.iter().collect();
     Fleet::start(gateways, document(&all)).await
@@ -149,7 +160,11 @@
 async fn popular_lookup_at_servers_that_end_together_is_served() {
     let mut failing = Vec::new();
     for _ in 0..4 {
-        failing.push(Server::start(|_, _| ServerAction::CrashAfter(100)).await);
+        let script = |seen: &ReceivedRequest, _| match seen.head.contains("popular") {
+            true => ServerAction::CrashAfter(100),
+            false => proven("200 OK", "fine"),
+        };
+        failing.push(Server::start(script).await);
     }
     let other = Server::start(|_, _| proven("200 OK", "fine")).await;
     let fleet = start(&failing, 3).await;
@@ -174,12 +189,7 @@
     let armed: Vec<Arc<AtomicBool>> = (0..4).map(|_| Arc::default()).collect();
     let mut servers = Vec::new();
     for armed in &armed {
-        let armed = armed.clone();
-        let script = move |_: &ReceivedRequest, _: usize| match armed.load(Ordering::SeqCst) {
-            true => ServerAction::Crash,
-            false => proven("200 OK", "fine"),
-        };
-        servers.push(Server::start(script).await);
+        servers.push(start_failing(armed.clone()).await);
     }
     for _ in 0..4 {
         servers.push(Server::start(|_, _| proven("200 OK", "fine")).await);
@@ -231,12 +241,7 @@
     let failing = Arc::new(AtomicBool::new(false));
     let mut servers = Vec::new();
     for _ in 0..8 {
-        let failing = failing.clone();
-        let script = move |_: &ReceivedRequest, _: usize| match failing.load(Ordering::SeqCst) {
-            true => ServerAction::Crash,
-            false => proven("200 OK", "fine"),
-        };
-        servers.push(Server::start(script).await);
+        servers.push(start_failing(failing.clone()).await);
     }
     let fleet = start(&servers, 1).await;
     assert_eq!(send_popular(&fleet, 0).await, 200);
@@ -250,6 +255,35 @@
     assert_eq!(send_popular(&fleet, 0).await, 200);
 }
 
+/// Guards against a request that is quarantined although another gateway has just answered
+/// it.
+#[tokio::test]
+async fn request_that_another_gateway_has_answered_is_not_suspected() {
+    let failing = Arc::new(AtomicBool::new(true));
+    let mut servers = Vec::new();
+    for _ in 0..8 {
+        servers.push(start_failing(failing.clone()).await);
+    }
+    let fleet = start(&servers, 2).await;
+    let request = keyed("POST", "/once/popular");
+    let send = async |n| status(&send_through(&fleet, n, &request).await);
+    assert_eq!(send(1).await, 502);
+    until(|| !fleet.document().crashes.is_empty()).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    failing.store(false, Ordering::SeqCst);
+    assert_eq!(send(0).await, 200);
+    until(|| fleet.document().crashes.is_empty()).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    failing.store(true, Ordering::SeqCst);
+    for _ in 0..QUARANTINE_CRASHES {
+        assert_eq!(send(1).await, 502);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    failing.store(false, Ordering::SeqCst);
+    remove_ended_servers(&fleet, &servers);
+    assert_eq!(send(1).await, 200);
+}
+
 /// Guards against counting connections that a full server closes, or something on the way
 /// to it, as crashes.
 #[tokio::test]
@@ -438,12 +472,7 @@
     let failing = Arc::new(AtomicBool::new(true));
     let mut servers = Vec::new();
     for _ in 0..6 {
-        let failing = failing.clone();
-        let script = move |_: &ReceivedRequest, _: usize| match failing.load(Ordering::SeqCst) {
-            true => ServerAction::Crash,
-            false => proven("200 OK", "fine"),
-        };
-        servers.push(Server::start(script).await);
+        servers.push(start_failing(failing.clone()).await);
     }
     let fleet = start_with_trials(&servers, 3).await;
     while send_popular(&fleet, 0).await != 503 {}
