Wait for a cleared record in a test before its clock goes on

It advances a mock clock by 11 s as soon as the clear is proposed. The entry then saw the record disappear after the jump, exempted the lookup from suspicion once more, and the crash for which the test waits never counted. With a real clock the two are milliseconds apart.

The test now waits 300 ms before it moves its clock. What it asserts is unchanged.

--- a/crates/daemon/tests/entry_crashes.rs
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -74,6 +74,8 @@
             assert_eq!(lookup(&entry).await, 200);
         }
         until(|| cleared(&control) == n + 1).await;
+        // The entry has seen the record disappear before its clock goes on.
+        tokio::time::sleep(Duration::from_millis(300)).await;
     }
     assert_eq!(lookup(&entry).await, 200);
 }
