Count the end of a server that closes one connection and hangs on the others

The server had closed the connection of the request and was silent on all others until it was back.

Cause: after a cut connection, any other open one counted as a sign of life, and a connection that was cut within a round trip ended the check without a probe although the port kept a new connection open.

Change: an open port is probed unless the server has answered since. An open connection counts only where new ones are closed at once. Resting servers are not probed.

Before: server_that_closes_one_connection_and_hangs_has_ended fails in 3 of 3 (no crash recorded). After: passes in 3 of 3.

--- a/crates/daemon/src/crash/check.rs
+++ b/crates/daemon/src/crash/check.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use pomelovale_state::Millis;
+use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
 use super::{CrashTracker, Run};
@@ -113,13 +114,17 @@
         if loss == RunLoss::Cut && !run.was_at_work(lost) {
             return match look_at_port(run.address, limit).await {
                 Port::Refuses => Sign::Refuses,
-                Port::Closes | Port::Open(_) | Port::Unreachable => Sign::Full,
+                Port::Closes | Port::Unreachable => Sign::Full,
+                Port::Open(stream) => {
+                    let sign = self.probe_open_port(run, stream, quiet_since).await;
+                    sign.unwrap_or(Sign::Full)
+                }
             };
         }
         let mut unreachable = 0;
         for pause_ms in CLOSING_PAUSES_MS {
             sleep(Millis(pause_ms).duration()).await;
-            let mut stream = match look_at_port(run.address, limit).await {
+            let stream = match look_at_port(run.address, limit).await {
                 Port::Refuses => return Sign::Refuses,
                 Port::Closes => continue,
                 Port::Unreachable => {
@@ -128,31 +133,17 @@
                 }
                 Port::Open(stream) => stream,
             };
-            match () {
-                () if loss == RunLoss::Cut && self.lost_all_connections(run, lost) => {
-                    return Sign::Restarted;
-                }
-                () if self.shows_life(run, loss, quiet_since) => return Sign::Answers,
-                () => {}
+            if loss == RunLoss::Cut && self.lost_all_connections(run, lost) {
+                return Sign::Restarted;
             }
-            if self.reach.is_resting(run.address) {
-                return Sign::Full;
-            }
-            let reaction = probe(&mut stream, &run.probe, hung_limit(run)).await;
-            let lasting = Millis(LASTING_MS).duration();
-            match reaction {
-                Reaction::Answers => {
-                    self.reach.record_answer(true);
-                    return Sign::Answers;
-                }
-                _ if self.heard_since(run.address, quiet_since) => return Sign::Answers,
-                Reaction::Silent => return Sign::Hangs,
-                Reaction::ClosesAfter(time) if time >= lasting => return Sign::Restarted,
-                Reaction::ClosesAfter(_) => {}
+            if let Some(sign) = self.probe_open_port(run, stream, quiet_since).await {
+                return sign;
             }
         }
         match loss {
-            _ if self.shows_life(run, loss, lost) => Sign::Answers,
+            // After a connection was closed by the server, another one that is open shows life.
+            RunLoss::Cut if self.pool.connections(run.address).open > 0 => Sign::Answers,
+            _ if self.heard_since(run.address, lost) => Sign::Answers,
             _ if unreachable == CLOSING_PAUSES_MS.len() => Sign::Unreachable,
             // The connection of the run is still open.
             RunLoss::Silent => Sign::Full,
@@ -160,11 +151,32 @@
         }
     }
 
-    // Whether an answer has come from the server. After a connection was closed by the
-    // server, another one that is open shows as much.
-    fn shows_life(&self, run: &Run, loss: RunLoss, since: Instant) -> bool {
-        let open = || self.pool.connections(run.address).open > 0;
-        self.heard_since(run.address, since) || loss == RunLoss::Cut && open()
+    // What a server shows on a new connection that stays open; `None` if it closes that once
+    // it is probed.
+    async fn probe_open_port(
+        &self,
+        run: &Run,
+        mut stream: TcpStream,
+        quiet_since: Instant,
+    ) -> Option<Sign> {
+        if self.heard_since(run.address, quiet_since) {
+            return Some(Sign::Answers);
+        }
+        if self.reach.is_resting(run.address) {
+            return Some(Sign::Full);
+        }
+        let reaction = probe(&mut stream, &run.probe, hung_limit(run)).await;
+        let lasting = Millis(LASTING_MS).duration();
+        match reaction {
+            Reaction::Answers => {
+                self.reach.record_answer(true);
+                Some(Sign::Answers)
+            }
+            _ if self.heard_since(run.address, quiet_since) => Some(Sign::Answers),
+            Reaction::Silent => Some(Sign::Hangs),
+            Reaction::ClosesAfter(time) if time >= lasting => Some(Sign::Restarted),
+            Reaction::ClosesAfter(_) => None,
+        }
     }
 
     // Whether all connections of this instance to the server were lost with that of the
--- a/crates/daemon/tests/entry_support/server.rs
+++ b/crates/daemon/tests/entry_support/server.rs
@@ -41,6 +41,8 @@
     /// Accepts connections and stays silent on all of them, until the server is back after
     /// a time.
     Hangs(Duration),
+    /// Closes the connection of the request, and does the same on all others.
+    ClosesAndHangs(Duration),
 }
 
 pub fn ok(body: &str) -> ServerAction {
@@ -119,7 +121,7 @@
                             let _ = tokio::time::timeout(time, closing).await;
                             continue;
                         }
-                        PortAfterCrash::Hangs(time) => {
+                        PortAfterCrash::Hangs(time) | PortAfterCrash::ClosesAndHangs(time) => {
                             let mut held = Vec::new();
                             let holding = async {
                                 while let Ok(accepted) = listener.accept().await {
@@ -181,10 +183,16 @@
 
 impl Crash {
     async fn trigger(&self) {
-        let hangs = matches!(self.port, PortAfterCrash::Hangs(_));
+        let (hangs, closes) = match self.port {
+            PortAfterCrash::Hangs(_) => (true, false),
+            PortAfterCrash::ClosesAndHangs(_) => (true, true),
+            PortAfterCrash::Closes(_) | PortAfterCrash::Refuses => (false, true),
+        };
         self.hung.store(hangs, Ordering::SeqCst);
         let _ = self.signal.send(()).await;
-        self.wait_if_hung().await;
+        if !closes {
+            self.wait_if_hung().await;
+        }
     }
 
     /// Never completes if the server hangs: its connections are closed when it is back.
--- a/crates/daemon/tests/gateway_crash_signs.rs
+++ b/crates/daemon/tests/gateway_crash_signs.rs
@@ -131,3 +131,25 @@
     /// Guards against a booking under which servers fall silent again and again.
     booking_under_which_servers_hang("POST", "/once/poison", 3, PortAfterCrash::Hangs(RESTART));
 }
+
+/// Guards against an end that is taken for a single closed connection, since the server keeps
+/// others open while it is silent.
+#[tokio::test]
+async fn server_that_closes_one_connection_and_hangs_has_ended() {
+    let (servers, runs) = start_servers(3, PortAfterCrash::ClosesAndHangs(RESTART)).await;
+    let all: Vec<&Server> = servers.iter().collect();
+    let fleet = Fleet::start(1, document(&all)).await;
+    let address = fleet.gateways[0].address();
+    // Leaves several idle connections to each server.
+    let mut others = JoinSet::new();
+    for n in 0..24 {
+        let request = keyed("GET", &format!("/safe/other{n}"));
+        others.spawn(async move { send_to(address, &request).await });
+    }
+    others.join_all().await;
+    let answer = send_to(address, &keyed("POST", "/once/poison")).await;
+    assert_eq!(status(&answer), 502, "{answer}");
+    sleep(RESTART + Duration::from_millis(500)).await;
+    assert_eq!(runs.lock().unwrap().len(), 1);
+    assert_eq!(fleet.document().crashes.len(), 1);
+}
