Wait between two probes for contact also if the first one fails

A probe of a server that is down is followed up by others, which show that the way is open. The next probe then came 100 ms later instead of 500 ms, as long as no request was answered. Found by reading. The task that watches runs gets a name that says so.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -365,7 +365,7 @@
 
     /// Looks for the cause if all runs stay without an answer, and follows the records that
     /// other instances clear, until the task is aborted.
-    pub async fn run_watch(self: Arc<Self>) {
+    pub async fn watch_runs(self: Arc<Self>) {
         loop {
             sleep(Millis(WATCH_INTERVAL_MS).duration()).await;
             let document = self.view.document();
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -194,7 +194,7 @@
         let mut background_tasks = JoinSet::new();
         background_tasks.spawn(poll::run(shared.clone()));
         background_tasks.spawn(shared.crashes.clone().run());
-        background_tasks.spawn(shared.crashes.clone().run_watch());
+        background_tasks.spawn(shared.crashes.clone().watch_runs());
         background_tasks.spawn(shared.reach.clone().watch_contact());
         background_tasks.spawn(poll::follow_reach(shared.clone()));
         background_tasks.spawn(async move { poll::run_queue_timeouts(&timeout_shared).await });
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -168,7 +168,7 @@
         tasks.spawn(maintenance::follow_reach(shared.clone()));
         tasks.spawn(coordinator::run(shared.clone(), received));
         tasks.spawn(shared.crashes.clone().run());
-        tasks.spawn(shared.crashes.clone().run_watch());
+        tasks.spawn(shared.crashes.clone().watch_runs());
         tasks.spawn(shared.reach.clone().watch_contact());
         let client_shared = shared.clone();
         tasks.spawn(async move { client_shared.coordinator_client.run().await });
--- a/crates/daemon/src/reach/mod.rs
+++ b/crates/daemon/src/reach/mod.rs
@@ -43,7 +43,6 @@
 /// are lost if no new connection can be opened; and the shortest time between two such probes,
 /// in milliseconds.
 const SILENCE_MS: (u64, u64) = (300, 1_500);
-
 /// Time without an answer of any server, or without a new connection, after which one is
 /// probed, and the interval at which this is checked, in milliseconds.
 const CONTACT_AGE_MS: (u64, u64) = (500, 100);
@@ -242,11 +241,11 @@
                 false if is_old(opened) => LinkFault::Closed,
                 false | true => continue,
             };
-            match self.probe_servers(fault, 1).await {
-                // Failures are not confirmed by it: a relay on the way may have accepted it.
-                Round::Answered | Round::TooFew => probed = Instant::now(),
-                Round::Silent => self.record_failure(fault),
+            // Contact is not recorded: a relay on the way may have accepted the connection.
+            if self.probe_servers(fault, 1).await == Round::Silent {
+                self.record_failure(fault);
             }
+            probed = Instant::now();
         }
     }
 
