Try one copy of a quarantined request at a time

When a trial of a quarantined request is due, an instance let every copy through that came before the end of the server under the first one was known: up to 1.5 s if the server falls silent. Each copy can end one more server. Seen in a trial with one gateway and a booking sent every 400 ms: three copies in 1.2 s.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -60,6 +60,9 @@
 /// Time after which a quarantined request may come again if a trial was due but another
 /// one may have been let through, in milliseconds.
 const TRIAL_RETRY_MS: u64 = 1_000;
+/// Time in which the outcome of a trial becomes known, also if its server falls silent, in
+/// milliseconds.
+const TRIAL_MS: u64 = 3_000;
 
 /// Settings of a [`CrashTracker`], in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -194,6 +197,8 @@
     cuts: VecDeque<(Instant, SocketAddr)>,
     /// When an answer last came from a server.
     heard: IndexMap<SocketAddr, Instant>,
+    /// When quarantined requests were last let through as trials.
+    trials: IndexMap<Digest, Instant>,
     /// Servers that are being checked since a run on them went silent.
     checking: IndexSet<SocketAddr>,
 }
@@ -206,6 +211,13 @@
         self.cuts.push_back((Instant::now(), address));
     }
 
+    // Whether the outcome of a trial of a request may not be known yet.
+    fn is_on_trial(&mut self, fingerprint: &Digest) -> bool {
+        let limit = Millis(TRIAL_MS).duration();
+        self.trials.retain(|_, at| at.elapsed() < limit);
+        self.trials.contains_key(fingerprint)
+    }
+
     // Requests whose record another instance has cleared, since it has answered them, are not
     // suspected here either.
     fn follow_clears(&mut self, document: &Arc<Document>, now: Millis) {
@@ -306,7 +318,7 @@
     fn with_crashes<R: Default>(
         &self,
         fingerprint: impl FnOnce() -> Digest,
-        f: impl FnOnce(&[Name], u64) -> R,
+        f: impl FnOnce(&mut Inner, Digest, &[Name], u64) -> R,
     ) -> R {
         let document = self.view.document();
         let mut inner = self.lock();
@@ -320,14 +332,14 @@
             return R::default();
         }
         let (crashes, since_ms) = inner.crashes(&document, self.clock.now(), &fingerprint);
-        f(&crashes, since_ms)
+        f(&mut inner, fingerprint, &crashes, since_ms)
     }
 
     /// Returns the time after which a quarantined request may be sent again, in
     /// milliseconds, or `None` if it may be sent now. Of the requests that arrive when a
     /// trial is due, one for each instance of the deployment is let through on average.
     pub fn blocked_ms(&self, trial: &Trial, fingerprint: impl FnOnce() -> Digest) -> Option<u64> {
-        self.with_crashes(fingerprint, |crashes, since_ms| {
+        self.with_crashes(fingerprint, |inner, fingerprint, crashes, since_ms| {
             let delay_ms = quarantine::trial_delay(crashes.len(), self.timings.trial_ms)?;
             let last = quarantine::last_crash(crashes);
             if since_ms < delay_ms {
@@ -337,9 +349,10 @@
                 return None;
             }
             let instances = self.view.document().instances.len().max(1);
-            if rand::random_range(0..instances) > 0 {
+            if inner.is_on_trial(&fingerprint) || rand::random_range(0..instances) > 0 {
                 return Some(TRIAL_RETRY_MS);
             }
+            inner.trials.insert(fingerprint, Instant::now());
             trial.0.store(last, Ordering::Relaxed);
             metrics::counter!("entry_crash_trials_total").increment(1);
             None
@@ -348,7 +361,9 @@
 
     /// Number of the last crash known under a request, to be kept in its [`Run`].
     pub fn last_crash(&self, fingerprint: impl FnOnce() -> Digest) -> u64 {
-        self.with_crashes(fingerprint, |crashes, _| quarantine::last_crash(crashes))
+        self.with_crashes(fingerprint, |_, _, crashes, _| {
+            quarantine::last_crash(crashes)
+        })
     }
 
     /// Registers a run for as long as the returned guard lives.
--- a/crates/daemon/tests/gateway_crash_signs.rs
+++ b/crates/daemon/tests/gateway_crash_signs.rs
@@ -10,6 +10,7 @@
 use entry_support::{PortAfterCrash, ReceivedRequest, Server, ServerAction};
 use gateway_support::fleet::Fleet;
 use gateway_support::{document, keyed, proven, send_to, status};
+use pomelovaled::gateway::config::GatewayConfig;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -153,3 +154,29 @@
     assert_eq!(runs.lock().unwrap().len(), 1);
     assert_eq!(fleet.document().crashes.len(), 1);
 }
+
+/// Guards against copies of a quarantined request that are let through while the end of the
+/// server under the first one is not known yet.
+#[tokio::test]
+async fn one_copy_of_a_quarantined_request_is_tried_at_a_time() {
+    let (servers, runs) = start_servers(6, PortAfterCrash::Hangs(RESTART)).await;
+    let all: Vec<&Server> = servers.iter().collect();
+    let config = GatewayConfig {
+        trial_ms: 300,
+        ..GatewayConfig::default()
+    };
+    let fleet = Fleet::start_with(config, 1, document(&all)).await;
+    let address = fleet.gateways[0].address();
+    let request = keyed("POST", "/once/poison");
+    while status(&send_to(address, &request).await) != 503 {}
+    let before = runs.lock().unwrap().len();
+    sleep(Duration::from_millis(500)).await;
+    let mut copies = JoinSet::new();
+    for _ in 0..5 {
+        let request = request.clone();
+        copies.spawn(async move { status(&send_to(address, &request).await) });
+    }
+    let statuses = copies.join_all().await;
+    let tried = runs.lock().unwrap().len() - before;
+    assert_eq!(tried, 1, "{statuses:?}");
+}
