Let requests wait for another look at the servers also if the way is only blocked

A request that no instance takes waits 60 ms for another look at the servers, as docs/partition.md says, but only where the servers are lost. Where the way to them is blocked (no new connection, a server was heard of in the last 300 ms), it was refused without waking the probes, and up to 200 ms of requests fail although the servers are back. Before the servers were always lost at that moment of the test; the probe after a cut connection is an answer, so that they are only blocked now.

Change: on both request paths, such a request waits once, and starts over if the servers are reached again.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -26,6 +26,7 @@
 use super::{poll, Shared};
 use crate::crash::{self, Run, RunGuard, Trial};
 use crate::reach::{self, State};
+use crate::relay::RECHECK;
 
 const NOT_RUN: &[u8] = b"not-run";
 
@@ -160,9 +161,18 @@
     error_before_write: Option<ErrorKind>,
     // Whether the last attempt failed because the way to the servers is blocked.
     is_blocked: bool,
+    // Whether the request has waited for another look at servers out of reach.
+    rechecked: bool,
 }
 
 impl RetryState {
+    // Starts over with servers that are within reach again.
+    fn restart(&mut self) {
+        self.tried.clear();
+        self.is_blocked = false;
+        self.rechecked = true;
+    }
+
     // Once a byte was written, no later error may claim that the request did not
     // run.
     fn final_error(&self, kind: ErrorKind) -> ErrorKind {
@@ -190,7 +200,13 @@
         let may_relay = retries.error_after_write.is_none() || admitted.idempotent;
         if is_relay_due && may_relay {
             if let Some(original) = &admitted.original {
-                return relay_rest(&shared, &admitted, original, &retries).await;
+                let ended = relay_rest(&shared, &admitted, original, &retries).await;
+                let is_not_taken = matches!(ended, Err(ErrorKind::Unavailable));
+                if is_not_taken && !retries.rechecked && shared.reach.recheck(RECHECK).await {
+                    retries.restart();
+                    continue;
+                }
+                return ended;
             }
         }
         let now = shared.clock.now();
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -30,7 +30,7 @@
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
 use crate::reach::{LinkFault, State};
-use crate::relay::RelayEnd;
+use crate::relay::{self, RelayEnd};
 
 /// Number of attempts that sent no byte after which a request is refused, for
 /// example because the connection failed, or the server became ineligible while
@@ -119,6 +119,17 @@
     // The error to return instead of a refusal, once a server may have run the
     // request.
     unknown_outcome: Option<ErrorKind>,
+    // Whether the request has waited for another look at servers out of reach.
+    rechecked: bool,
+}
+
+impl Progress {
+    // Starts over with servers that are within reach again.
+    fn restart(&mut self) {
+        self.tried.clear();
+        self.connect_failures = 0;
+        self.rechecked = true;
+    }
 }
 
 /// How one attempt ended.
@@ -269,6 +280,14 @@
             let ended = relaying::relay_rest(shared, &routed, sent, may_have_run, request_log);
             let ended = ended.await;
             let unknown = progress.unknown_outcome.map(RelayEnd::Unknown);
+            let may_wait = unknown.is_none() && !progress.rechecked;
+            if matches!(ended, RelayEnd::NotTaken)
+                && may_wait
+                && shared.reach.recheck(relay::RECHECK).await
+            {
+                progress.restart();
+                continue;
+            }
             return relaying::result(match ended {
                 RelayEnd::NotTaken => unknown.unwrap_or(RelayEnd::NotTaken),
                 ended => ended,
