Add a handle that changes the timeouts of a running server

Server::timeouts returns a handle that sets the head and idle timeouts. So far only connections accepted after a change use the new values, and hyper's single timer applies the longer of the two to both phases. The gateway names its 16 s idle_ms; its effective timeout is unchanged.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -84,11 +84,10 @@
             peering: None,
             header_names: HeaderNames::default(),
             server: ServerLimits {
-                // The server also applies this timeout to the time between two
-                // requests on a connection. Callers may send the next request on
-                // a connection that was idle for up to 12 s; the idle timeout of
-                // the routing table is 15 s by default. 16 s exceeds both.
-                head_ms: 16_000,
+                // Callers may send the next request on a connection that was idle
+                // for up to 12 s; the idle timeout of the routing table is 15 s by
+                // default. 16 s exceeds both.
+                idle_ms: 16_000,
                 ..ServerLimits::default()
             },
             held_bytes: 64 * 1024 * 1024,
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -44,11 +44,12 @@
     pub connections: usize,
     /// Maximum size of a request head in bytes, at least 8192.
     pub head_bytes: usize,
-    /// Timeout for receiving a request head, including the idle time before it, in
-    /// milliseconds.
+    /// Timeout for receiving a request head from its first byte on, in milliseconds.
     pub head_ms: u64,
     /// Maximum number of header fields of a request.
     pub headers: usize,
+    /// Time without a request after which a connection is closed, in milliseconds.
+    pub idle_ms: u64,
 }
 
 impl Default for ServerLimits {
@@ -58,10 +59,44 @@
             head_bytes: 32 * 1024,
             head_ms: 10_000,
             headers: 100,
+            idle_ms: 10_000,
         }
     }
 }
 
+/// Timeouts that can be changed while a server runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timeouts {
+    /// Timeout for receiving a request head from its first byte on, in milliseconds.
+    pub head_ms: u64,
+    /// Time without a request after which a connection is closed, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl From<&ServerLimits> for Timeouts {
+    fn from(limits: &ServerLimits) -> Timeouts {
+        Timeouts {
+            head_ms: limits.head_ms,
+            idle_ms: limits.idle_ms,
+        }
+    }
+}
+
+/// Changes the timeouts of a server.
+#[derive(Clone, Debug)]
+pub struct TimeoutsHandle(Arc<watch::Sender<Timeouts>>);
+
+impl TimeoutsHandle {
+    /// Sets the timeouts of all connections, also of those that are open.
+    pub fn set(&self, timeouts: Timeouts) {
+        self.0.send_if_modified(|t| {
+            let changed = *t != timeouts;
+            *t = timeouts;
+            changed
+        });
+    }
+}
+
 /// Connection-level information about a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Caller {
@@ -119,11 +154,13 @@
 pub struct Server {
     address: SocketAddr,
     phase: watch::Sender<Phase>,
+    timeouts: TimeoutsHandle,
     done: mpsc::Receiver<()>,
 }
 
 struct Shared {
     limits: ServerLimits,
+    timeouts: TimeoutsHandle,
     handler: Handler,
     start: Instant,
     slots: Mutex<HashMap<u64, Arc<Slot>>>,
@@ -139,8 +176,11 @@
         let address = listener.local_addr()?;
         let (phase, watched) = watch::channel(Phase::Serving);
         let (connection_guard, done) = mpsc::channel(1);
+        let timeouts = watch::Sender::new(Timeouts::from(&limits));
+        let timeouts = TimeoutsHandle(Arc::new(timeouts));
         let shared = Arc::new(Shared {
             limits,
+            timeouts: timeouts.clone(),
             handler,
             start: Instant::now(),
             slots: Mutex::default(),
@@ -149,6 +189,7 @@
         Ok(Server {
             address,
             phase,
+            timeouts,
             done,
         })
     }
@@ -158,6 +199,11 @@
         self.address
     }
 
+    /// A handle that changes the timeouts of this server.
+    pub fn timeouts(&self) -> TimeoutsHandle {
+        self.timeouts.clone()
+    }
+
     /// Stops accepting connections, finishes the requests in flight and closes all
     /// connections.
     pub async fn stop(mut self) {
@@ -360,10 +406,13 @@
     let call = service_fn(move |request| {
         Serving::new(&calls, request, verdicts.next(), body_end.clone(), None)
     });
+    let timeouts = *shared.timeouts.0.borrow();
+    // hyper's timeout covers the idle time before a head.
+    let head_timeout = Duration::from_millis(timeouts.head_ms.max(timeouts.idle_ms));
     let mut connection = service
         .builder()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(shared.limits.head_ms))
+        .header_read_timeout(head_timeout)
         .serve_connection(io, call);
     let mut closing = std::pin::pin!(async {
         tokio::select! {
