Run the timeouts of a connection only while it waits for a request

Callers that pipeline requests lost all that were in progress, up to 17, when no head had arrived for the head timeout: hyper sees only the first request of a connection, its timer ran from the end of that response on, and the connection was dropped when it fired.

Replaces hyper's timer by one of the connection. It runs from the first byte of a head (head_ms) or from the end of the last response (idle_ms), never while a request is in progress, and is re-armed only when it fires or has to fire earlier. A head that times out behind requests in progress is answered 408 after them. Both timeouts bind on open connections; after a shorter idle timeout the previous one holds for up to a second, since callers go on to reuse connections by it until they learn of the change.

The code that drives a connection moves to connection.rs, and the calls of the handler to serving.rs.

The entry's test of idle connections sets idle_ms beside head_ms, as the idle time has a timeout of its own.

--- a/crates/daemon/tests/entry_callers.rs
+++ b/crates/daemon/tests/entry_callers.rs
@@ -14,6 +14,7 @@
 
 fn strict_limits(config: &mut EntryConfig) {
     config.server.head_ms = 100;
+    config.server.idle_ms = 100;
     config.server.head_bytes = 8_192;
     config.body_ms = 100;
     config.body_bytes = 1_000;
--- a/crates/transport/src/framing.rs
+++ b/crates/transport/src/framing.rs
@@ -108,6 +108,11 @@
         self.state == State::Head && (self.lines > 0 || !self.line.is_empty())
     }
 
+    /// Whether the body of a message is partially received.
+    pub fn in_body(&self) -> bool {
+        !matches!(self.state, State::Head | State::Invalid)
+    }
+
     /// Parses the next bytes of the connection.
     pub fn feed(&mut self, mut bytes: &[u8]) {
         while let Some(n) = self.feed_message(bytes) {
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -1,37 +1,26 @@
 //! HTTP/1 server for callers, based on hyper, with limits on connections and heads.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use http::{header, Request, Response};
+use http::{Request, Response};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioTimer;
+use pomelovale_state::clock::Millis;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch, Notify};
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 
 use crate::body::CallerBody;
-use crate::framing::Verdicts;
-use crate::pipeline::{Answered, BodyEnd, CallerIo, PipelinedIo, TrackedBody};
+use crate::connection::{self, BuiltinResponse};
 use crate::socket;
 
-// Limits on the time and the bytes for which a connection is read after its last
-// response. Closing a socket with unread data resets the connection, and the caller
-// may lose the response.
-const LINGER_MS: u64 = 500;
-const LINGER_MAX_BYTES: usize = 1024 * 1024;
 // Value of `Slot::idle_since` while a request is in progress.
 const BUSY: u64 = u64::MAX;
 
@@ -111,40 +100,26 @@
 /// Handles requests. The future is dropped when the caller closes the connection.
 pub type Handler = Arc<dyn Fn(Request<Incoming>, Caller) -> ResponseFuture + Send + Sync>;
 
-/// Complete responses that the server sends without calling the handler.
-#[derive(Clone, Copy, Debug)]
-enum BuiltinResponse {
-    Full,
-    HeadTimeout,
-}
-
-impl BuiltinResponse {
-    fn bytes(self) -> &'static [u8] {
-        match self {
-            BuiltinResponse::Full => {
-                b"HTTP/1.1 503 Service Unavailable\r\npomelovale-outcome: not-run\r\n\
-                retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
-            }
-            BuiltinResponse::HeadTimeout => {
-                b"HTTP/1.1 408 Request Timeout\r\npomelovale-outcome: not-run\r\n\
-                connection: close\r\ncontent-length: 0\r\n\r\n"
-            }
-        }
-    }
-}
-
+/// A connection, as the server sees it.
 #[derive(Debug)]
-struct Slot {
+pub(crate) struct Slot {
     // Since when the connection is idle, in milliseconds after the start of the
     // server, or BUSY.
     idle_since: AtomicU64,
-    // Number of requests in progress.
-    serving: AtomicU64,
-    close: Notify,
+    /// Notified when the connection is evicted.
+    pub(crate) close: Notify,
+}
+
+impl Slot {
+    /// Records since when the connection is idle, or that it has requests in progress.
+    pub(crate) fn set_idle(&self, since: Option<Millis>) {
+        self.idle_since
+            .store(since.map_or(BUSY, |t| t.0), Ordering::Relaxed);
+    }
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Phase {
+pub(crate) enum Phase {
     Closing,
     Serving,
 }
@@ -158,11 +133,13 @@
     done: mpsc::Receiver<()>,
 }
 
-struct Shared {
-    limits: ServerLimits,
+/// State that all connections of a server share.
+pub(crate) struct Shared {
+    pub(crate) limits: ServerLimits,
     timeouts: TimeoutsHandle,
-    handler: Handler,
-    start: Instant,
+    pub(crate) handler: Handler,
+    /// Origin of the times of this server.
+    pub(crate) start: Instant,
     slots: Mutex<HashMap<u64, Arc<Slot>>>,
 }
 
@@ -236,10 +213,13 @@
         let (shared, phase, connection_guard) =
             (shared.clone(), phase.clone(), connection_guard.clone());
         match shared.register(id) {
-            None => drop(tokio::spawn(close(stream, Some(BuiltinResponse::Full)))),
+            None => drop(tokio::spawn(connection::close(
+                stream,
+                Some(BuiltinResponse::Full),
+            ))),
             Some(slot) => {
                 tokio::spawn(async move {
-                    serve(stream, address, &shared, &slot, phase).await;
+                    connection::serve(stream, address, &shared, &slot, phase).await;
                     shared.slots().remove(&id);
                     drop(connection_guard);
                 });
@@ -253,8 +233,13 @@
         self.slots.lock().expect("no panic while held")
     }
 
-    fn now(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
+    pub(crate) fn now(&self) -> Millis {
+        Millis(self.start.elapsed().as_millis() as u64)
+    }
+
+    /// The timeouts in force and their changes.
+    pub(crate) fn timeouts(&self) -> watch::Receiver<Timeouts> {
+        self.timeouts.0.subscribe()
     }
 
     // Adds a connection. At the limit, evicts the one that has been idle for longest;
@@ -273,227 +258,10 @@
             slots.remove(&oldest);
         }
         let slot = Arc::new(Slot {
-            idle_since: AtomicU64::new(self.now()),
-            serving: AtomicU64::new(0),
+            idle_since: AtomicU64::new(self.now().0),
             close: Notify::new(),
         });
         slots.insert(id, slot.clone());
         Some(slot)
     }
 }
-
-/// A request in progress. The connection is marked idle when its last one is
-/// dropped.
-struct Serving {
-    answer: ResponseFuture,
-    shared: Arc<Shared>,
-    slot: Arc<Slot>,
-    body_end: BodyEnd,
-    // `Some` for a pipelined request.
-    answered: Option<Answered>,
-}
-
-impl Serving {
-    fn new(
-        service: &Service,
-        request: Request<Incoming>,
-        clear: bool,
-        body_end: BodyEnd,
-        answered: Option<Answered>,
-    ) -> Serving {
-        let (shared, slot) = (service.shared.clone(), service.slot.clone());
-        slot.serving.fetch_add(1, Ordering::Relaxed);
-        slot.idle_since.store(BUSY, Ordering::Relaxed);
-        let caller = Caller {
-            address: service.address,
-            length_is_clear: clear,
-        };
-        Serving {
-            answer: (shared.handler)(request, caller),
-            shared,
-            slot,
-            body_end,
-            answered,
-        }
-    }
-}
-
-impl Future for Serving {
-    type Output = Result<Response<TrackedBody>, Infallible>;
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
-        let answer = ready!(self.answer.as_mut().poll(cx));
-        let closes = answer.headers().get(header::CONNECTION);
-        match &self.answered {
-            Some(answered) if closes.is_some_and(|v| v == "close") => answered.set_last(),
-            Some(_) | None => {}
-        }
-        let body_end = self.body_end.clone();
-        Poll::Ready(Ok(answer.map(|body| TrackedBody::new(body, body_end))))
-    }
-}
-
-impl Drop for Serving {
-    fn drop(&mut self) {
-        if self.slot.serving.fetch_sub(1, Ordering::Relaxed) == 1 {
-            let now = self.shared.now();
-            self.slot.idle_since.store(now, Ordering::Relaxed);
-        }
-    }
-}
-
-/// State shared by the requests of one connection.
-#[derive(Clone)]
-struct Service {
-    shared: Arc<Shared>,
-    slot: Arc<Slot>,
-    address: SocketAddr,
-}
-
-impl Service {
-    fn builder(&self) -> http1::Builder {
-        let limits = &self.shared.limits;
-        let mut builder = http1::Builder::new();
-        builder
-            .max_buf_size(limits.head_bytes)
-            .max_headers(limits.headers);
-        builder
-    }
-
-    /// Serves one pipelined request.
-    fn serve_pipelined(
-        &self,
-        io: PipelinedIo,
-        body_end: BodyEnd,
-        answered: Answered,
-    ) -> Pin<Box<dyn Future<Output = ()> + Send>> {
-        let service = self.clone();
-        let call = service_fn(move |request| {
-            // Requests with an ambiguous length are never pipelined.
-            Serving::new(
-                &service,
-                request,
-                true,
-                body_end.clone(),
-                Some(answered.clone()),
-            )
-        });
-        let connection = self.builder().serve_connection(io, call);
-        Box::pin(async move {
-            if let Err(e) = connection.await {
-                tracing::debug!(event = "pipelined", "pipelined request failed: {e}");
-            }
-        })
-    }
-}
-
-async fn serve(
-    stream: TcpStream,
-    address: SocketAddr,
-    shared: &Arc<Shared>,
-    slot: &Arc<Slot>,
-    mut phase: watch::Receiver<Phase>,
-) {
-    let verdicts = Verdicts::default();
-    let io = CallerIo::new(stream, verdicts.clone());
-    let (body_end, mut pipelined) = (io.body_end(), io.pipelined());
-    let service = Service {
-        shared: shared.clone(),
-        slot: slot.clone(),
-        address,
-    };
-    let calls = service.clone();
-    let call = service_fn(move |request| {
-        Serving::new(&calls, request, verdicts.next(), body_end.clone(), None)
-    });
-    let timeouts = *shared.timeouts.0.borrow();
-    // hyper's timeout covers the idle time before a head.
-    let head_timeout = Duration::from_millis(timeouts.head_ms.max(timeouts.idle_ms));
-    let mut connection = service
-        .builder()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .serve_connection(io, call);
-    let mut closing = std::pin::pin!(async {
-        tokio::select! {
-            _ = phase.wait_for(|p| *p == Phase::Closing) => {}
-            () = slot.close.notified() => {}
-        }
-    });
-    let serve_pipelined = |io, body_end, answered| service.serve_pipelined(io, body_end, answered);
-    let mut notified = false;
-    // Whether the shutdown began while hyper had no request of its own in progress.
-    // It then ends the connection without announcing this in a response, and the
-    // pipelined requests are finished afterwards.
-    let mut finish_pipelined = false;
-    let result = std::future::poll_fn(|cx| {
-        if !notified && closing.as_mut().poll(cx).is_ready() {
-            notified = true;
-            finish_pipelined = pipelined.may_write();
-            Pin::new(&mut connection).graceful_shutdown();
-        }
-        loop {
-            if let Poll::Ready(result) = connection.poll_without_shutdown(cx) {
-                return Poll::Ready(result.map_err(ConnectionError::Http));
-            }
-            match pipelined.poll(cx, serve_pipelined) {
-                // hyper may be able to read the next request now.
-                Ok(true) => continue,
-                Ok(false) => return Poll::Pending,
-                Err(e) => return Poll::Ready(Err(ConnectionError::Pipelined(e))),
-            }
-        }
-    })
-    .await;
-    let rest = std::future::poll_fn(|cx| match pipelined.poll(cx, serve_pipelined) {
-        Ok(_) if !pipelined.is_empty() => Poll::Pending,
-        Ok(_) => Poll::Ready(Ok(())),
-        Err(e) => Poll::Ready(Err(ConnectionError::Pipelined(e))),
-    });
-    let result = match result {
-        Ok(()) if finish_pipelined => rest.await,
-        result => result,
-    };
-    if let Err(ConnectionError::Pipelined(e)) = &result {
-        tracing::debug!(
-            event = "pipelined",
-            "connection closed after a pipelined response: {e}"
-        );
-    }
-    drop(pipelined);
-    let io = connection.into_parts().io;
-    let answer = match result {
-        Err(ConnectionError::Http(e)) if e.is_timeout() && io.in_head() => {
-            Some(BuiltinResponse::HeadTimeout)
-        }
-        _ => None,
-    };
-    if let Some(stream) = io.into_stream() {
-        close(stream, answer).await;
-    }
-}
-
-/// Why a connection must be closed.
-enum ConnectionError {
-    Http(hyper::Error),
-    // A pipelined response was the last one, or is incomplete.
-    Pipelined(io::Error),
-}
-
-async fn close(mut stream: TcpStream, answer: Option<BuiltinResponse>) {
-    let lingering = async {
-        if let Some(answer) = answer {
-            stream.write_all(answer.bytes()).await?;
-        }
-        stream.shutdown().await?;
-        let (mut buffer, mut left) = ([0; 4096], LINGER_MAX_BYTES);
-        while left > 0 {
-            match stream.read(&mut buffer).await? {
-                0 => break,
-                n => left = left.saturating_sub(n),
-            }
-        }
-        Ok::<_, io::Error>(())
-    };
-    let _ = timeout(Duration::from_millis(LINGER_MS), lingering).await;
-}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod body;
+mod connection;
 pub mod framing;
 pub mod http_server;
 pub mod peer_client;
@@ -9,4 +10,6 @@
 pub mod peer_server;
 mod pipeline;
 pub mod pool;
+mod serving;
 mod socket;
+mod timers;
--- a/crates/transport/src/pipeline.rs
+++ b/crates/transport/src/pipeline.rs
@@ -96,10 +96,61 @@
     // Parser of the first pending request, and how much of it was parsed.
     scan: Framing,
     scanned: usize,
+    // Parser of the requests that are forwarded to hyper.
+    framing: Framing,
     // Pipelined requests that are not started yet, and the number of all pipelined
     // requests that are not answered.
     ready: VecDeque<Bytes>,
     pipelined: usize,
+    // Number of requests that were completely received, started and answered.
+    received: u64,
+    started: u64,
+    answered: u64,
+}
+
+/// What has happened on a connection.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Progress {
+    received: u64,
+    started: u64,
+    answered: u64,
+    in_body: bool,
+    /// Whether a part of a request head was received.
+    pub(crate) in_head: bool,
+}
+
+impl Progress {
+    /// Whether a request is in progress.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.started != self.answered || self.in_body
+    }
+
+    /// Whether another head has begun since `earlier`.
+    pub(crate) fn has_new_head(&self, earlier: &Progress) -> bool {
+        self.in_head && (!earlier.in_head || self.received != earlier.received)
+    }
+}
+
+/// Follows the requests of a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestMark(SharedState);
+
+impl RequestMark {
+    /// Records the start of a request that is not pipelined.
+    pub(crate) fn start(&self) {
+        lock(&self.0).started += 1;
+    }
+
+    pub(crate) fn progress(&self) -> Progress {
+        let state = lock(&self.0);
+        Progress {
+            received: state.received,
+            started: state.started,
+            answered: state.answered,
+            in_body: state.framing.in_body(),
+            in_head: !state.pending.is_empty() || state.framing.in_head(),
+        }
+    }
 }
 
 impl State {
@@ -123,6 +174,8 @@
             let request = self.pending.split_to(self.scanned + end);
             self.ready.push_back(request.freeze());
             self.pipelined += 1;
+            self.received += 1;
+            self.started += 1;
             self.restart_scan();
         }
     }
@@ -142,7 +195,6 @@
 #[derive(Debug)]
 pub(crate) struct CallerIo {
     stream: Arc<TcpStream>,
-    framing: Framing,
     // Reused, since zeroing a buffer for each read costs more than the read.
     buffer: Box<[u8]>,
     state: SharedState,
@@ -160,12 +212,15 @@
             pending: BytesMut::new(),
             scan: Framing::new(Direction::Requests, Verdicts::default()),
             scanned: 0,
+            framing: Framing::new(Direction::Requests, verdicts),
             ready: VecDeque::new(),
             pipelined: 0,
+            received: 0,
+            started: 0,
+            answered: 0,
         };
         CallerIo {
             stream: Arc::new(stream),
-            framing: Framing::new(Direction::Requests, verdicts),
             buffer: vec![0; READ_BYTES].into(),
             state: Arc::new(Mutex::new(state)),
             body_end: BodyEnd::default(),
@@ -186,9 +241,9 @@
         }
     }
 
-    /// Whether a request head is partially received.
-    pub(crate) fn in_head(&self) -> bool {
-        self.framing.in_head()
+    /// The requests of this connection, for its timeouts.
+    pub(crate) fn mark(&self) -> RequestMark {
+        RequestMark(self.state.clone())
     }
 
     /// Returns the socket if its [`PipelinedRequests`] are dropped.
@@ -200,6 +255,7 @@
     // there are none to forward now.
     fn forward_pending(&mut self, out: &mut ReadBufCursor<'_>) -> bool {
         let mut state = lock(&self.state);
+        let state = &mut *state;
         if state.pending.is_empty() {
             return false;
         }
@@ -213,11 +269,12 @@
             state.restart_scan();
         }
         let n = out.remaining().min(state.pending.len());
-        let end = self.framing.feed_message(&state.pending[..n]);
+        let end = state.framing.feed_message(&state.pending[..n]);
         let n = end.unwrap_or(n);
         out.put_slice(&state.pending[..n]);
         state.pending.advance(n);
         state.forwarding = end.is_none();
+        state.received += u64::from(end.is_some());
         true
     }
 }
@@ -264,6 +321,7 @@
         if self.body_end.take() {
             let mut state = lock(&self.state);
             state.busy = false;
+            state.answered += 1;
             if state.pipelined > 0 || !state.pending.is_empty() {
                 cx.waker().wake_by_ref();
             }
@@ -468,7 +526,9 @@
             (true, _) => {
                 drop(output);
                 self.running.pop_front();
-                lock(&self.state).pipelined -= 1;
+                let mut state = lock(&self.state);
+                state.pipelined -= 1;
+                state.answered += 1;
                 Ok(true)
             }
             (false, None) => Err(io::ErrorKind::UnexpectedEof.into()),
