Answer 500 when the handler of a request panics

A panic in a handler unwound the task of the connection: the caller got no answer to that request, nor to the up to 16 others in progress, and the entry of the connection stayed in the server's table, where it counted towards the limit on connections for good.

A panic in the call of the handler, in its future or in the body of its response is caught, counted (caller_handler_panics_total) and logged. In the first two cases the request is answered 500 with an unknown outcome and the connection goes on; a body that panics is incomplete. The entry in the table is removed when it is dropped.

--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -219,16 +219,29 @@
                 });
             }
             Some(slot) => {
+                let entry = SlotEntry { shared, id, slot };
                 tokio::spawn(async move {
-                    connection::serve(stream, address, &shared, &slot, phase).await;
-                    shared.slots().remove(&id);
-                    drop(connection_guard);
+                    connection::serve(stream, address, &entry.shared, &entry.slot, phase).await;
+                    drop((entry, connection_guard));
                 });
             }
         }
     }
 }
 
+/// Entry of a connection in the slots of its server, removed when it is dropped.
+struct SlotEntry {
+    shared: Arc<Shared>,
+    id: u64,
+    slot: Arc<Slot>,
+}
+
+impl Drop for SlotEntry {
+    fn drop(&mut self) {
+        self.shared.slots().remove(&self.id);
+    }
+}
+
 impl Shared {
     fn slots(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Arc<Slot>>> {
         self.slots.lock().expect("no panic while held")
--- a/crates/transport/src/serving.rs
+++ b/crates/transport/src/serving.rs
@@ -2,17 +2,22 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::header::{self, HeaderValue};
+use http::{Request, Response, StatusCode};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::rt::{Read, Write};
 use hyper::server::conn::http1;
 use hyper::service::Service;
+use pomelovale_protocol::http::OUTCOME;
+use pomelovale_state::ErrorKind;
 
 use crate::body::CallerBody;
 use crate::caller_io::CallerIo;
@@ -42,7 +47,8 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let failed = || Poll::Ready(Some(Err(io::Error::other("the body panicked"))));
+        catch(|| Pin::new(&mut self.body).poll_frame(cx)).unwrap_or_else(failed)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -54,6 +60,38 @@
     }
 }
 
+// Runs code of a handler. A panic in it ends neither the connection nor the other
+// requests on it.
+fn catch<T>(run: impl FnOnce() -> T) -> Option<T> {
+    let result = catch_unwind(AssertUnwindSafe(run));
+    if let Err(panic) = &result {
+        let text = panic.downcast_ref::<&str>().copied();
+        let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+        metrics::counter!("caller_handler_panics_total").increment(1);
+        tracing::error!(
+            event = "handler-panicked",
+            "the handler of a request panicked: {}",
+            text.unwrap_or("no message")
+        );
+    }
+    result.ok()
+}
+
+// The response to a request whose handler has panicked.
+fn panicked() -> Response<CallerBody> {
+    let answer = ErrorKind::Internal.answer();
+    let body = format!("{{\"code\":\"{}\"}}", answer.code);
+    let mut response = Response::new(CallerBody::Full(Bytes::from(body)));
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json);
+    let no_store = HeaderValue::from_static("no-store");
+    headers.insert(header::CACHE_CONTROL, no_store);
+    response
+}
+
 enum Answer {
     Running(ResponseFuture),
     // Held until the responses before it are written.
@@ -73,7 +111,8 @@
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         let this = &mut *self;
         if let Answer::Running(future) = &mut this.answer {
-            let response = ready!(future.as_mut().poll(cx));
+            let polled = catch(|| future.as_mut().poll(cx));
+            let response = ready!(polled.unwrap_or_else(|| Poll::Ready(panicked())));
             this.answer = Answer::Held(Some(response));
         }
         let held = match &mut this.answer {
@@ -109,8 +148,9 @@
             address: self.requests.address,
             length_is_clear: self.verdicts.as_ref().is_none_or(Verdicts::next),
         };
+        let future = catch(|| (self.requests.shared.handler)(request, caller));
         Serving {
-            answer: Answer::Running((self.requests.shared.handler)(request, caller)),
+            answer: future.map_or_else(|| Answer::Held(Some(panicked())), Answer::Running),
             link: self.link.clone(),
             place: self.place,
         }
--- a/crates/transport/tests/connection_ends.rs
+++ b/crates/transport/tests/connection_ends.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use support::{all_answers, bodies, closed_bodies, get, post, send, start_server, start_timed};
+use support::{
+    all_answers, answers, bodies, closed_bodies, get, post, send, start_server, start_timed,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::time::{sleep, timeout};
 
@@ -151,3 +153,37 @@
     assert_eq!(closed_bodies(&got), ["a", ""]);
     assert_eq!(stats.started.load(Ordering::SeqCst), 1);
 }
+
+// Sends requests at once, of which those that panic must be answered 500 and all
+// others 200, and checks that the connection can be used on.
+macro_rules! panics {
+    ($($(#[$doc:meta])* $name:ident: $requests:expr => $statuses:expr;)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let (server, _) = start_server().await;
+            let mut stream = send(&server, &$requests).await;
+            let got = answers(&mut stream, $requests.len()).await;
+            let statuses: Vec<u16> = got.iter().map(|a| a.status).collect();
+            assert_eq!(statuses, $statuses);
+            for answer in got {
+                let unknown = answer.head.contains("\r\npomelovale-outcome: unknown\r\n");
+                assert_eq!((unknown, answer.closes()), (answer.status == 500, false));
+            }
+            stream.write_all(get("/0/next").as_bytes()).await.unwrap();
+            assert_eq!(bodies(&mut stream, 1).await, ["next"]);
+        })*
+    };
+}
+
+panics! {
+    /// Guards against a panic of a handler that ends the connection without an answer.
+    panic_in_a_handler: [get("/50/panic")] => [500];
+    /// The same in the call of the handler, before it returns a future.
+    panic_in_the_call_of_a_handler: [get("/0/panic-at-once")] => [500];
+    /// Guards against a panic that ends the connection under other requests.
+    panic_before_others: [get("/50/panic"), get("/100/b"), get("/0/c")] => [500, 200, 200];
+    /// The same if the panic is in the handler of a pipelined request.
+    panic_between_others: [get("/50/a"), get("/0/panic"), get("/0/panic-at-once"), get("/100/d")]
+        => [200, 500, 500, 200];
+    /// The same with requests that are not pipelined.
+    panic_in_an_unsafe_request: [post("/0/panic", "x"), post("/0/b", "x")] => [500, 200];
+}
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -47,7 +47,8 @@
 }
 
 /// Starts a server that answers `/DELAY/TEXT` after the delay, in milliseconds, with
-/// the text and the request body. If the text is "close", it closes the connection.
+/// the text and the request body. If the text is "close", it closes the connection; if
+/// it is "panic" or "panic-at-once", the handler panics after the delay or in its call.
 pub async fn start_with(limits: ServerLimits) -> (Server, Arc<HandlerStats>) {
     let stats = Arc::new(HandlerStats::default());
     let counted = stats.clone();
@@ -56,14 +57,17 @@
         let running = stats.running.fetch_add(1, Ordering::SeqCst) + 1;
         stats.started.fetch_add(1, Ordering::SeqCst);
         stats.max_running.fetch_max(running, Ordering::SeqCst);
+        let guard = RunningGuard(stats.clone());
+        assert!(!request.uri().path().ends_with("/panic-at-once"));
         Box::pin(async move {
-            let _running = RunningGuard(stats.clone());
+            let _running = guard;
             let path = request.uri().path().to_owned();
             let body = request.into_body().collect().await.unwrap().to_bytes();
             let mut parts = path.split('/').skip(1);
             let delay: u64 = parts.next().unwrap().parse().unwrap();
             let text = parts.next().unwrap();
             sleep(Duration::from_millis(delay)).await;
+            assert!(text != "panic");
             stats.ended.fetch_add(1, Ordering::SeqCst);
             let all = [text.as_bytes(), &body].concat();
             let mut response = Response::new(CallerBody::Full(Bytes::from(all)));
