Don't cut a streamed response before the deadline of its request

Callers saw the connection end in the middle of a response of more than 256 KiB (64 KiB at an entry) whose server had been silent for 5 s, though their request had time left. `Passing` ended a response after a fixed silence, in both request paths and in relays. The time for which the caller itself took no part counted as silence as well.

A response now ends for silence only after the deadline of its request, the smaller of its caller's and its route's, and the silence begins when the next part is waited for. After the deadline 0.4 s without a part end it.

Before, both tests of entry_streams failed (a silence limit of 150 ms cut a response whose server paused for 700 ms of 2 s, and ended a silent one before its deadline).

--- a/crates/daemon/src/entry/config.rs
+++ b/crates/daemon/src/entry/config.rs
@@ -36,7 +36,8 @@
     pub attempts: usize,
     /// Timeout for connecting to a backend server.
     pub connect_ms: u64,
-    /// Maximum time between two parts of a streamed response.
+    /// Maximum time between two parts of a streamed response after the deadline of
+    /// its request.
     pub pause_ms: u64,
     /// Maximum time since the last response on a connection that is reused for
     /// a non-idempotent request.
@@ -77,7 +78,7 @@
             attempt_ms: 1_000,
             attempts: 3,
             connect_ms: 300,
-            pause_ms: 5_000,
+            pause_ms: 400,
             proven_ms: 1_000,
             idle_ms: 3_000,
             poll_ms: 400,
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -643,5 +643,12 @@
         Err(ExchangeError::Cut) => running.end(AttemptEnd::Cancelled),
         Err(_) => running.end(AttemptEnd::Failed),
     };
-    Passing::new(prefix, body, pause, !admitted.idempotent, Box::new(on_end))
+    Passing::new(
+        prefix,
+        body,
+        pause,
+        admitted.deadline,
+        !admitted.idempotent,
+        Box::new(on_end),
+    )
 }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -802,6 +802,7 @@
         prefix,
         body,
         pause,
+        routed.deadline,
         !routed.is_idempotent(),
         Box::new(on_end),
     )
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -42,7 +42,9 @@
     pub answer_bytes: usize,
     /// Timeout for opening a connection to a backend server.
     pub connect_ms: u64,
-    /// Timeout between two parts of a response that is streamed to the caller.
+    /// Timeout between two parts of a response that is streamed to the caller. It
+    /// applies after the deadline of the request; until then, silence of the server
+    /// is no reason to end a response.
     pub pause_ms: u64,
     /// Time since its last response up to which a connection to a backend server
     /// is reused.
@@ -93,7 +95,7 @@
             held_bytes: 64 * 1024 * 1024,
             answer_bytes: 256 * 1024,
             connect_ms: 400,
-            pause_ms: 5_000,
+            pause_ms: 400,
             idle_ms: 6_000,
             trial_ms: 3_000,
             report_ms: 500,
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -61,7 +61,8 @@
     pub connect_ms: u64,
     /// Size in bytes up to which a response is buffered.
     pub answer_bytes: usize,
-    /// Timeout between two parts of a response that is streamed, in milliseconds.
+    /// Timeout between two parts of a response that is streamed, in milliseconds. It
+    /// applies after the deadline of the request.
     pub pause_ms: u64,
 }
 
@@ -386,7 +387,8 @@
             Ok(BufferedBody::Part(prefix)) => {
                 let pause = Millis(self.config.pause_ms).duration();
                 let on_end = Box::new(drop);
-                let rest = Passing::new(prefix, body, pause, !request.idempotent, on_end);
+                let (deadline, drain) = (request.deadline, !request.idempotent);
+                let rest = Passing::new(prefix, body, pause, deadline, drain, on_end);
                 CallerBody::Stream(Box::new(rest))
             }
             Err(fault) => return TargetEnd::Lost(unknown(fault)),
--- /dev/null
+++ b/crates/daemon/tests/entry_streams.rs
@@ -0,0 +1,57 @@
+//! Responses that an entry forwards while it receives them, from servers that pause.
+
+mod entry_support;
+
+use std::time::{Duration, Instant};
+
+use entry_support::{keyed, setup, Caller, Server, ServerAction};
+use pomelovaled::entry::config::EntryConfig;
+use pomelovaled::entry::EntryHandle;
+
+/// Silence that ends a response after the deadline of its request.
+const PAUSE_MS: u64 = 150;
+/// Timeout of the service.
+const TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Allowance for a busy machine.
+const SLACK: Duration = Duration::from_millis(700);
+
+async fn entry(server: &Server) -> EntryHandle {
+    let edit = |c: &mut EntryConfig| (c.pause_ms, c.answer_bytes) = (PAUSE_MS, 8);
+    setup(&[server]).entry(edit).await
+}
+
+async fn paused_server(ms: u64) -> Server {
+    let head = b"HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\n0123456789abcdefghij";
+    let rest = b"klmnopqrstuvwxyz0123";
+    let parts = vec![(0, head.to_vec()), (ms, rest.to_vec())];
+    Server::start(move |_, _| ServerAction::WriteParts(parts.clone())).await
+}
+
+/// Guards against a response that is cut because its server pauses within the time that
+/// its caller grants.
+#[tokio::test]
+async fn pause_before_the_deadline_does_not_cut_a_response() {
+    let server = paused_server(700).await;
+    let entry = entry(&server).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let request = keyed("GET", "/catalogue/x", "", "");
+    let answer = caller.round_trip(&request).await;
+    assert_eq!(answer.expect("a whole response").body.len(), 40);
+}
+
+/// Guards against a caller that waits on for a silent server after its deadline.
+#[tokio::test]
+async fn silent_response_ends_after_the_deadline() {
+    let server = paused_server(60_000).await;
+    let entry = entry(&server).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let start = Instant::now();
+    let request = keyed("GET", "/catalogue/x", "", "");
+    assert!(caller.round_trip(&request).await.is_none());
+    let spent = start.elapsed();
+    assert!(spent >= TIMEOUT, "{spent:?}");
+    assert!(
+        spent < TIMEOUT + Duration::from_millis(PAUSE_MS) + SLACK,
+        "{spent:?}"
+    );
+}
--- a/crates/daemon/tests/entry_support/server.rs
+++ b/crates/daemon/tests/entry_support/server.rs
@@ -17,6 +17,8 @@
     WriteAndClose(Vec<u8>),
     /// Waits this many milliseconds, then writes these bytes.
     WriteAfter(u64, Vec<u8>),
+    /// Writes each of these parts after a wait of so many milliseconds.
+    WriteParts(Vec<(u64, Vec<u8>)>),
     /// Keeps the connection open without a response.
     Silent,
     /// Closes this connection only.
@@ -248,6 +250,12 @@
                     n = stream.read(&mut byte) => if !matches!(n, Ok(1)) { return },
                 }
             }
+            ServerAction::WriteParts(parts) => {
+                for (ms, bytes) in parts {
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    let _ = stream.write_all(&bytes).await;
+                }
+            }
             ServerAction::Silent => {
                 let mut byte = [0];
                 let _ = stream.read(&mut byte).await;
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -152,9 +152,17 @@
 }
 
 pub async fn start(name: &str, peering: Option<Peering>) -> Site {
+    start_with(name, peering, |_| {}).await
+}
+
+pub async fn start_with(
+    name: &str,
+    peering: Option<Peering>,
+    edit: impl FnOnce(&mut GatewayConfig),
+) -> Site {
     let view = Arc::new(View::default());
     let verdict = Arc::new(Mutex::new(Admitted::Granted));
-    let config = GatewayConfig {
+    let mut config = GatewayConfig {
         instance: name.into(),
         region: "north".into(),
         domain: "north-a".into(),
@@ -163,6 +171,7 @@
         grace_ms: 3_000,
         ..GatewayConfig::default()
     };
+    edit(&mut config);
     let down = Arc::new(AtomicBool::new(false));
     let control = control(verdict.clone(), down.clone());
     let gateway = Gateway::start(config, view.clone(), control, Clock::monotonic()).await;
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -33,7 +33,11 @@
     rest: Option<ReplyBody>,
     on_end: Option<OnEnd>,
     idle_timeout: Duration,
+    deadline: Instant,
+    // Ends the wait for the next part. Set when the wait begins, so that the time for
+    // which the caller takes no part does not count.
     silent: Pin<Box<Sleep>>,
+    waiting: bool,
     drain_on_drop: bool,
 }
 
@@ -45,12 +49,14 @@
 
 impl Passing {
     /// Forwards `prefix` and then `rest`. Fails if no part of `rest` is received for
-    /// `idle_timeout`. With `drain_on_drop`, the rest is read even if the caller
-    /// disconnects, so that the backend server is not interrupted.
+    /// `idle_timeout`, but not before `deadline`, that of the request. With
+    /// `drain_on_drop`, the rest is read even if the caller disconnects, so that the
+    /// backend server is not interrupted.
     pub fn new(
         prefix: Bytes,
         rest: ReplyBody,
         idle_timeout: Duration,
+        deadline: Instant,
         drain_on_drop: bool,
         on_end: OnEnd,
     ) -> Passing {
@@ -59,7 +65,9 @@
             rest: Some(rest),
             on_end: Some(on_end),
             idle_timeout,
+            deadline,
             silent: Box::pin(sleep(idle_timeout)),
+            waiting: false,
             drain_on_drop,
         }
     }
@@ -74,15 +82,16 @@
         let part = match rest.poll_part(cx) {
             Poll::Ready(part) => part,
             Poll::Pending => {
+                if !std::mem::replace(&mut self.waiting, true) {
+                    let end = (Instant::now() + self.idle_timeout).max(self.deadline);
+                    self.silent.as_mut().reset(end);
+                }
                 ready!(self.silent.as_mut().poll(cx));
                 Some(Err(ExchangeError::Silent))
             }
         };
         match &part {
-            Some(Ok(_)) => self
-                .silent
-                .as_mut()
-                .reset(Instant::now() + self.idle_timeout),
+            Some(Ok(_)) => self.waiting = false,
             Some(Err(fault)) => self.end(Err(*fault)),
             None => {
                 if let Some(rest) = self.rest.take() {
@@ -105,7 +114,8 @@
     fn drop(&mut self) {
         match (self.rest.take(), self.on_end.take()) {
             (Some(rest), Some(on_end)) if self.drain_on_drop => {
-                let rest = Passing::new(Bytes::new(), rest, self.idle_timeout, false, on_end);
+                let (idle_timeout, deadline) = (self.idle_timeout, self.deadline);
+                let rest = Passing::new(Bytes::new(), rest, idle_timeout, deadline, false, on_end);
                 tokio::spawn(drain(rest));
             }
             (rest, Some(on_end)) => {
