Answer every request before the grace period of a gateway ends

Callers saw their connection end without an answer when the grace period of a stopping gateway was over: whatever still waited for its body, a server, a relay or the record of a crash was dropped with the process, as was a request that a server had refused late and that was sent to another one.

After five sixths of the grace period no request is sent to a server any more: what no server has run is refused (503, not run, Retry-After 0.1 s, since other instances serve it). What a server is at work on is waited for until 100 ms before the end and then answered as unknown. The line at the end of a stop says how many requests were refused, answered as unknown, or cut all the same.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -25,6 +25,7 @@
 
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
+use super::stopping::Sent;
 use super::{availability, connections, relaying, server_selection, Shared};
 use crate::crash::{self, Run, RunGuard, ServerCheck, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
@@ -76,6 +77,7 @@
     pub(super) fingerprint: OnceLock<Digest>,
     /// Whether it is tried although it is quarantined.
     pub(super) trial: Trial,
+    pub(super) sent: Arc<Sent>,
 }
 
 impl RoutedRequest {
@@ -262,6 +264,10 @@
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Overloaded);
             return Err(kind.into());
         }
+        if shared.stopping.is_late() {
+            let unknown = progress.unknown_outcome.map(Refusal::from);
+            return Err(unknown.unwrap_or_else(|| shared.stopping.refusal()));
+        }
         if let Some(retry_ms) = blocked_ms(shared, &routed) {
             request_log.fingerprint = Some(routed.fingerprint());
             wait_until_recorded(shared, &routed, &progress).await;
@@ -317,6 +323,9 @@
         let (outcome, end) = attempt(shared, &routed, &chosen, place, &progress, &mut timing).await;
         request_log.add_attempt(&chosen, timing, since, end);
         progress.tried.push(chosen.server.clone());
+        let may_have_run = matches!(outcome, Outcome::Unknown { .. });
+        let sent = progress.unknown_outcome.is_some() || may_have_run;
+        routed.sent.set(sent);
         let retry = match outcome {
             Outcome::Answer(response) => return Ok(response),
             // The next pass of the loop returns the refusal.
@@ -506,6 +515,7 @@
         connect_ms: connection.is_fresh().then_some(timing.connect_ms),
     };
     running.run = Some((run.clone(), shared.crashes.start_run(run.clone())));
+    routed.sent.set(true);
     let limit = end.saturating_duration_since(start);
     let sending = connection.send(request, &header_names.request, id, limit);
     let sent = await_reply(shared, routed, chosen, progress, &run, sending).await;
@@ -785,18 +795,22 @@
     pause: Duration,
     mut running: AttemptGuard,
 ) -> Passing {
-    let on_end = move |result: Result<Connection, ExchangeError>| match result {
-        Ok(connection) => {
-            let address = running.chosen.address;
-            running.shared.connections.pool.put(address, connection);
-            running.end(PlacementEnd::Answered);
-            let AttemptGuard { shared, routed, .. } = &running;
-            shared.crashes.record_answer(routed.fingerprint());
+    running.shared.streaming.fetch_add(1, Ordering::Relaxed);
+    let on_end = move |result: Result<Connection, ExchangeError>| {
+        running.shared.streaming.fetch_sub(1, Ordering::Relaxed);
+        match result {
+            Ok(connection) => {
+                let address = running.chosen.address;
+                running.shared.connections.pool.put(address, connection);
+                running.end(PlacementEnd::Answered);
+                let AttemptGuard { shared, routed, .. } = &running;
+                shared.crashes.record_answer(routed.fingerprint());
+            }
+            // The body also ends with this fault if the caller disconnects, which says
+            // nothing about the server.
+            Err(ExchangeError::Cut) => running.end(PlacementEnd::Cancelled),
+            Err(_) => running.end(PlacementEnd::Failed),
         }
-        // The body also ends with this fault if the caller disconnects, which says
-        // nothing about the server.
-        Err(ExchangeError::Cut) => running.end(PlacementEnd::Cancelled),
-        Err(_) => running.end(PlacementEnd::Failed),
     };
     Passing::new(
         prefix,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod request_log;
 mod server_selection;
 mod services;
+mod stopping;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -44,6 +45,7 @@
 use coordinator_client::CoordinatorClient;
 use quota::Quota;
 use services::{ServerChange, Services};
+use stopping::Stopping;
 
 use crate::crash::{CrashTimings, CrashTracker};
 use crate::reach::{LinkFault, ProbePath, Reach};
@@ -79,10 +81,13 @@
     // Bound address for callers.
     callers: SocketAddr,
     leaving: AtomicBool,
+    stopping: Stopping,
     // Bytes of request bodies that are reserved in memory.
     held: AtomicUsize,
-    // Requests in flight, and requests received since the start.
+    // Requests in flight, streamed responses in flight, and requests received since the
+    // start.
     running: AtomicU64,
+    streaming: AtomicU64,
     request_count: AtomicU64,
 }
 
@@ -150,8 +155,10 @@
             relays: Arc::new(relays),
             callers,
             leaving: AtomicBool::new(false),
+            stopping: Stopping::new(),
             held: AtomicUsize::new(0),
             running: AtomicU64::new(0),
+            streaming: AtomicU64::new(0),
             request_count: AtomicU64::new(0),
         });
         let handler_shared = shared.clone();
@@ -266,6 +273,28 @@
         let proven = self.view.age(self.clock.now()) != u64::MAX;
         proven && self.view.document().routing.is_some()
     }
+
+    fn log_stop(&self, finished: bool) {
+        let (refused, unknown) = self.stopping.counts();
+        let unfinished = self.running.load(Ordering::Relaxed);
+        let streams = self.streaming.load(Ordering::Relaxed);
+        match finished {
+            true => tracing::info!(
+                event = "stop",
+                refused,
+                unknown,
+                "all connections are closed"
+            ),
+            false => tracing::warn!(
+                event = "stop",
+                refused,
+                unknown,
+                unfinished,
+                streams,
+                "grace period is over; aborting requests in flight"
+            ),
+        }
+    }
 }
 
 impl GatewayHandle {
@@ -288,26 +317,22 @@
 
     /// Stops the gateway: removes it from the entry list, serves on until
     /// callers have refreshed their copies of the list, then finishes the
-    /// requests in flight. Those that are unfinished after the grace period are
-    /// aborted.
+    /// requests in flight. Towards the end of the grace period, those that no
+    /// server was sent are refused; those that a server still runs at its end are
+    /// answered as unknown.
     pub async fn stop(mut self) {
         let config = &self.shared.config;
+        let (start, grace) = (Instant::now(), Millis(config.grace_ms).duration());
+        let stopping = self.shared.clone();
+        self.tasks
+            .spawn(async move { stopping.stopping.run(start, grace).await });
         self.shared.leaving.store(true, Ordering::Relaxed);
         tracing::info!(event = "leave", instance = %config.instance);
         maintenance::report(&self.shared);
         tokio::time::sleep(Millis(config.deregistration_delay_ms).duration()).await;
-        let rest_ms = config
-            .grace_ms
-            .saturating_sub(config.deregistration_delay_ms);
-        let end = Instant::now() + Millis(rest_ms).duration();
-        if timeout_at(end, self.server.stop()).await.is_err() {
-            let left = self.shared.running.load(Ordering::Relaxed);
-            tracing::warn!(
-                event = "stop",
-                unfinished = left,
-                "grace period is over; aborting requests in flight"
-            );
-        }
+        let end = start + grace;
+        let finished = timeout_at(end, self.server.stop()).await.is_ok();
+        self.shared.log_stop(finished);
         let left = end.saturating_duration_since(Instant::now());
         let limit = left.min(Millis(CRASH_FLUSH_MS).duration());
         self.shared.crashes.flush(limit).await;
--- a/crates/daemon/src/gateway/relaying.rs
+++ b/crates/daemon/src/gateway/relaying.rs
@@ -50,7 +50,11 @@
     let since = Instant::now();
     let document = shared.view.document();
     let may_repeat = || attempt::spend_retry(shared, routed);
+    routed.sent.set(true);
     let ended = shared.relays.send(&document, request, may_repeat).await;
+    routed
+        .sent
+        .set(may_have_run || matches!(ended, RelayEnd::Unknown(_)));
     request_log.add_relay(&ended, since);
     ended
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -22,6 +22,7 @@
 
 use super::attempt::{self, RoutedRequest};
 use super::request_log::RequestLog;
+use super::stopping::Sent;
 use super::{relaying, Shared};
 use crate::crash::Trial;
 use crate::entry::refusal::Refusal;
@@ -59,7 +60,10 @@
         Acceptance::Refused => return shared.relays.refusal(),
     };
     let attempts = relayed.as_ref().map(|r| r.attempts);
-    let result = handle(&shared, request, caller, start, attempts, &mut request_log).await;
+    let sent = Arc::new(Sent::default());
+    let log = &mut request_log;
+    let handling = handle(&shared, request, caller, start, attempts, &sent, log);
+    let result = shared.stopping.limit(&sent, handling).await;
     drop(relayed);
     let spent_ms = start.elapsed().as_millis() as u64;
     let refusal = result.as_ref().err().copied();
@@ -100,6 +104,7 @@
     caller: Caller,
     start: Instant,
     relayed: Option<u32>,
+    sent: &Arc<Sent>,
     request_log: &mut RequestLog,
 ) -> Result<Response<CallerBody>, Refusal> {
     let (parts, body) = request.into_parts();
@@ -137,7 +142,17 @@
     let body = read_body(&routing, body, deadline).await?;
     request_log.received_ms = start.elapsed().as_millis() as u64;
     let routed = route_request(
-        shared, &document, route, workspace, host, parts, body, deadline, start, relayed,
+        shared,
+        &document,
+        route,
+        workspace,
+        host,
+        parts,
+        body,
+        deadline,
+        start,
+        relayed,
+        sent.clone(),
     );
     let routed = Arc::new(routed?);
     if relay_due {
@@ -196,6 +211,7 @@
     deadline: Instant,
     start: Instant,
     relayed: Option<u32>,
+    sent: Arc<Sent>,
 ) -> Result<RoutedRequest, Refusal> {
     let header_names = &shared.config.header_names;
     let object = match header_names.object(&parts.headers).filter(|_| route.sticky) {
@@ -237,6 +253,7 @@
         deadline,
         fingerprint: OnceLock::new(),
         trial: Trial::default(),
+        sent,
     })
 }
 
--- /dev/null
+++ b/crates/daemon/tests/gateway_stop.rs
@@ -0,0 +1,117 @@
+//! The end of the grace period of a gateway that stops.
+
+mod entry_support;
+mod gateway_support;
+
+use std::time::Duration;
+
+use entry_support::{header, until, Caller, ReceivedResponse, Server, ServerAction};
+use gateway_support::{document, keyed, response, start_with, Site, KEY};
+use tokio::time::{timeout, Instant};
+
+const GRACE_MS: u64 = 1_200;
+/// Part of the grace period in which requests that a server runs may be answered without
+/// its response.
+const LAST_SIXTH_MS: u64 = GRACE_MS / 6;
+const SHED: &str = "pomelovale-shed: not-run\r\n";
+
+async fn site(servers: &[&Server]) -> Site {
+    let site = start_with("g", None, |config| {
+        config.deregistration_delay_ms = 100;
+        config.grace_ms = GRACE_MS;
+    });
+    let site = site.await;
+    site.show(document(servers));
+    site
+}
+
+/// Stops a gateway while it handles a request. Returns the response, which must arrive
+/// before the gateway has stopped, and when it arrived.
+async fn answer_in_stop(
+    site: Site,
+    mut caller: Caller,
+    stop: Instant,
+) -> (ReceivedResponse, Duration) {
+    let stopping = tokio::spawn(site.gateway.stop());
+    let grace = Duration::from_millis(GRACE_MS);
+    let answer = timeout(grace, caller.read()).await;
+    let spent = stop.elapsed();
+    stopping.await.unwrap();
+    let answer = answer.expect("a response within the grace period");
+    (answer.expect("a whole response"), spent)
+}
+
+async fn send_and_stop(servers: &[&Server], request: &str) -> (ReceivedResponse, Duration) {
+    let site = site(servers).await;
+    let mut caller = Caller::connect(site.gateway.address()).await;
+    caller.write(request).await;
+    let arrived = || servers.iter().any(|s| !s.requests().is_empty());
+    until(arrived).await;
+    answer_in_stop(site, caller, Instant::now()).await
+}
+
+/// Guards against a caller whose connection ends because a server is still at work on its
+/// request at the end of a stop, and against breaking the request off earlier.
+#[tokio::test]
+async fn request_at_a_server_is_answered_as_unknown_at_the_end() {
+    let server = Server::start(|_, _| ServerAction::Silent).await;
+    let (answer, spent) = send_and_stop(&[&server], &keyed("POST", "/once/x")).await;
+    assert_eq!(
+        (answer.status, answer.outcome().as_deref()),
+        (502, Some("unknown"))
+    );
+    assert!(
+        spent >= Duration::from_millis(GRACE_MS - LAST_SIXTH_MS),
+        "{spent:?}"
+    );
+}
+
+/// Guards against a response that comes in the last moments of a stop and is dropped.
+#[tokio::test]
+async fn late_response_of_a_server_is_returned() {
+    let fine = "HTTP/1.1 200 OK\r\npomelovale-request: q1\r\npomelovale-proof: p\r\ncontent-length: 4\r\n\r\nfine";
+    let after_ms = GRACE_MS - LAST_SIXTH_MS + 20;
+    let react = move |_: &_, _| ServerAction::WriteAfter(after_ms, fine.into());
+    let server = Server::start(react).await;
+    let (answer, _) = send_and_stop(&[&server], &keyed("POST", "/once/x")).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "fine"));
+}
+
+/// Guards against sending a request to another server when there is no time left to wait
+/// for its response.
+#[tokio::test]
+async fn refused_request_is_not_sent_again_at_the_end() {
+    let after_ms = GRACE_MS - LAST_SIXTH_MS + 20;
+    let react = move |_: &_, _| match response("503 Service Unavailable", SHED, "") {
+        ServerAction::Write(bytes) => ServerAction::WriteAfter(after_ms, bytes),
+        other => other,
+    };
+    let servers = [Server::start(react).await, Server::start(react).await];
+    let (answer, _) = send_and_stop(&[&servers[0], &servers[1]], &keyed("GET", "/safe/x")).await;
+    assert_eq!(
+        (answer.status, answer.outcome().as_deref()),
+        (503, Some("not-run"))
+    );
+    assert_eq!(servers.iter().map(|s| s.requests().len()).sum::<usize>(), 1);
+}
+
+/// Guards against a request that is neither sent to a server nor answered when the stop
+/// ends.
+#[tokio::test]
+async fn request_without_a_server_is_refused_at_the_end() {
+    let server = Server::start(|_, _| ServerAction::Silent).await;
+    let site = site(&[&server]).await;
+    let mut caller = Caller::connect(site.gateway.address()).await;
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\ncontent-length: 9\r\n\r\nhalf"
+    );
+    caller.write(&head).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (answer, _) = answer_in_stop(site, caller, Instant::now()).await;
+    assert_eq!(
+        (answer.status, answer.outcome().as_deref()),
+        (503, Some("not-run"))
+    );
+    assert!(header(&answer.head, "retry-after").is_some());
+    assert!(server.requests().is_empty());
+}
