Keep the connection of a request that is refused before its body is read

Callers saw a kept connection end without a sign after a 401, 404, 429 or 503 to a request with a body, and the next request on it was lost: it was read and dropped. hyper closes a connection if the body of its request was not read, after the response has said nothing of it. Beside a new routing table there are many such refusals at once: withdrawn keys, routes that are gone, lower limits. Relayed requests that another instance refused ended the same way, so that a large one could look as if it may have run.

Reading bodies moves to a module that both paths use.

--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -4,10 +4,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{request, Method, Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use pomelovale_protocol::http::{
     check_path, deadline_ms, find_key, strip_hop_by_hop, strip_internal_headers, strip_keys,
@@ -19,7 +18,7 @@
 use pomelovale_state::{ErrorKind, Name, Outcome};
 use pomelovale_transport::body::CallerBody;
 use pomelovale_transport::http_server::Caller;
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 use tracing::Instrument;
 
 use super::forward::{forward, AdmittedRequest};
@@ -29,6 +28,7 @@
 use super::relaying::{self, OriginalRequest, RelayTerms};
 use super::steering::{Class, RequestInfo};
 use super::{list, Shared};
+use crate::caller_body;
 use crate::crash::Trial;
 use crate::relay::{self, Acceptance, RelayEnd};
 
@@ -52,42 +52,50 @@
     caller: Caller,
 ) -> Response<CallerBody> {
     let start = Instant::now();
-    let trace = TraceContext::from_headers(request.headers());
+    let (parts, mut body) = request.into_parts();
+    let waits_for_continue = parts.headers.contains_key(header::EXPECT);
+    let trace = TraceContext::from_headers(&parts.headers);
     let span = tracing::info_span!("request", caller = %caller.address, parent = trace.map(tracing::field::display));
     let trace = trace.map_or_else(TraceContext::root, |t| t.child());
     let is_lost = shared.reach.is_lost();
-    let accepted = shared.relays.accept(request.headers(), || 0, is_lost);
+    let accepted = shared.relays.accept(&parts.headers, || 0, is_lost);
     let relayed = match accepted.await {
         Acceptance::Direct => None,
         Acceptance::Relayed(relayed) => Some(relayed),
-        Acceptance::Refused => return shared.relays.refusal(),
+        Acceptance::Refused => {
+            return caller_body::finish(shared.relays.refusal(), &mut body).await
+        }
     };
     let attempts = relayed.as_ref().map(|r| r.attempts);
-    let result = handle(&shared, request, caller, trace, attempts)
+    let result = handle(&shared, parts, &mut body, caller, trace, attempts)
         .instrument(span)
         .await;
     drop(relayed);
-    let mut response = result.unwrap_or_else(Refusal::response);
-    if shared.leaving.load(Ordering::Relaxed) {
-        // Makes the caller fetch the entry list again before its next request.
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
     metrics::counter!("entry_requests_total").increment(1);
     metrics::histogram!("entry_request_seconds").record(start.elapsed());
-    response
+    // A leaving instance closes its connections, so that callers fetch the entry list
+    // again before their next request.
+    let leaving = shared.leaving.load(Ordering::Relaxed);
+    match result {
+        Ok(response) if leaving => caller_body::close(response),
+        Ok(response) => response,
+        Err(refusal) if leaving || waits_for_continue && !body.is_end_stream() => {
+            caller_body::close(refusal.response())
+        }
+        Err(refusal) => caller_body::finish(refusal.response(), &mut body).await,
+    }
 }
 
 // `relayed` holds the attempts that are left of a request that another instance relays.
 async fn handle(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    parts: request::Parts,
+    body: &mut Incoming,
     caller: Caller,
     trace: TraceContext,
     relayed: Option<u32>,
 ) -> Result<Response<CallerBody>, Refusal> {
-    let (parts, body) = request.into_parts();
-    let refuse_and_close = |refusal: Refusal| Ok(closed(refusal.response()));
+    let refuse_and_close = |refusal: Refusal| Ok(caller_body::close(refusal.response()));
     if !caller.length_is_clear || matches!(parts.method, Method::CONNECT | Method::TRACE) {
         return refuse_and_close(ErrorKind::BadRequest.into());
     }
@@ -113,11 +121,12 @@
     if let Some(workspace) = workspace.as_ref().filter(|_| !relay_due) {
         shared.steering.admit(workspace).await?;
     }
-    let hold = match BodyReservation::take(shared, &body) {
+    let hold = match BodyReservation::take(shared, body) {
         Ok(hold) => hold,
         Err(kind) => return refuse_and_close(kind.into()),
     };
-    let body = match read_body(shared, body).await {
+    let limit = Duration::from_millis(shared.config.body_ms);
+    let body = match caller_body::read(body, shared.config.body_bytes, limit).await {
         Ok(body) => body,
         Err(kind) => return refuse_and_close(kind.into()),
     };
@@ -153,12 +162,6 @@
     result
 }
 
-fn closed(mut response: Response<CallerBody>) -> Response<CallerBody> {
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(header::CONNECTION, close);
-    response
-}
-
 fn route_policy(shared: &Shared, parts: &request::Parts) -> Result<RoutePolicy, ErrorKind> {
     let path = parts.uri.path();
     check_path(path)?;
@@ -232,30 +235,6 @@
     }
 }
 
-async fn read_body(shared: &Shared, mut body: Incoming) -> Result<Bytes, ErrorKind> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let max_bytes = shared.config.body_bytes;
-    let all = async {
-        let mut held = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            // Trailers are dropped, since they could contain a key.
-            let Ok(data) = frame.map_err(|_| ErrorKind::BadRequest)?.into_data() else {
-                continue;
-            };
-            if held.len() + data.len() > max_bytes {
-                return Err(ErrorKind::TooLarge);
-            }
-            held.extend_from_slice(&data);
-        }
-        Ok(held.freeze())
-    };
-    let limit = Duration::from_millis(shared.config.body_ms);
-    let collected = timeout(limit, all).await;
-    collected.unwrap_or(Err(ErrorKind::RequestTimeout))
-}
-
 /// Returns the headers that are forwarded to a backend server.
 fn end_to_end_headers(mut headers: HeaderMap, length: usize) -> Result<HeaderMap, ErrorKind> {
     if headers.get_all(header::HOST).iter().count() > 1 {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -4,10 +4,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{request, Request, Response, Uri};
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_protocol::http::strip_hop_by_hop;
@@ -18,12 +17,13 @@
 use pomelovale_steering::region_assignment::hash_bytes;
 use pomelovale_transport::body::CallerBody;
 use pomelovale_transport::http_server::Caller;
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 
 use super::attempt::{self, RoutedRequest};
 use super::request_log::RequestLog;
 use super::stopping::Sent;
 use super::{relaying, Shared};
+use crate::caller_body;
 use crate::crash::Trial;
 use crate::entry::refusal::Refusal;
 use crate::relay::{self, Acceptance, RelayEnd};
@@ -43,39 +43,41 @@
     shared.running.fetch_add(1, Ordering::Relaxed);
     let seq = shared.request_count.fetch_add(1, Ordering::Relaxed);
     let guard = InFlightGuard(&shared);
-    let id = request
-        .headers()
+    let (parts, mut body) = request.into_parts();
+    let id = parts
+        .headers
         .get(&shared.config.header_names.request)
         .cloned();
+    let waits_for_continue = parts.headers.contains_key(header::EXPECT);
     let mut request_log = RequestLog::default();
     let version = || {
         let document = shared.view.document();
         document.routing.as_ref().map_or(0, |r| r.version)
     };
     let is_lost = shared.reach.is_lost();
-    let accepted = shared.relays.accept(request.headers(), version, is_lost);
+    let accepted = shared.relays.accept(&parts.headers, version, is_lost);
     let relayed = match accepted.await {
         Acceptance::Direct => None,
         Acceptance::Relayed(relayed) => Some(relayed),
-        Acceptance::Refused => return shared.relays.refusal(),
+        Acceptance::Refused => {
+            return caller_body::finish(shared.relays.refusal(), &mut body).await
+        }
+    };
+    let arrival = Arrival {
+        start,
+        length_is_clear: caller.length_is_clear,
+        relayed: relayed.as_ref().map(|r| r.attempts),
+        sent: Arc::default(),
     };
-    let attempts = relayed.as_ref().map(|r| r.attempts);
-    let sent = Arc::new(Sent::default());
-    let log = &mut request_log;
-    let handling = handle(&shared, request, caller, start, attempts, &sent, log);
-    let result = shared.stopping.limit(&sent, handling).await;
+    let handling = handle(&shared, parts, &mut body, &arrival, &mut request_log);
+    let result = shared.stopping.limit(&arrival.sent, handling).await;
     drop(relayed);
     let spent_ms = start.elapsed().as_millis() as u64;
     let refusal = result.as_ref().err().copied();
-    let mut response = match result {
+    let response = match result {
         Ok(response) => response,
         Err(refusal) => refusal.fractional_response(),
     };
-    if shared.leaving.load(Ordering::Relaxed) {
-        // Makes the caller fetch the list of gateways before its next request.
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
     drop(guard);
     metrics::counter!("gateway_requests_total").increment(1);
     metrics::histogram!("gateway_request_seconds").record(start.elapsed());
@@ -85,7 +87,25 @@
     {
         request_log.log(id.as_ref(), response.status(), refusal, spent_ms);
     }
-    response
+    // A leaving instance closes its connections, so that callers fetch the list of
+    // gateways before their next request.
+    let leaving = shared.leaving.load(Ordering::Relaxed);
+    let closes = leaving || waits_for_continue && !body.is_end_stream();
+    match (refusal, closes) {
+        (Some(_), false) => caller_body::finish(response, &mut body).await,
+        (Some(_), true) => caller_body::close(response),
+        (None, _) if leaving => caller_body::close(response),
+        (None, _) => response,
+    }
+}
+
+/// What is known of a request besides its message.
+struct Arrival {
+    start: Instant,
+    length_is_clear: bool,
+    // Attempts that are left of a request that another instance relays.
+    relayed: Option<u32>,
+    sent: Arc<Sent>,
 }
 
 /// Counts a request in flight.
@@ -97,19 +117,16 @@
     }
 }
 
-// `relayed` holds the attempts that are left of a request that another instance relays.
 async fn handle(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
-    caller: Caller,
-    start: Instant,
-    relayed: Option<u32>,
-    sent: &Arc<Sent>,
+    parts: request::Parts,
+    body: &mut Incoming,
+    arrival: &Arrival,
     request_log: &mut RequestLog,
 ) -> Result<Response<CallerBody>, Refusal> {
-    let (parts, body) = request.into_parts();
     let header_names = &shared.config.header_names;
-    if !caller.length_is_clear {
+    let start = arrival.start;
+    if !arrival.length_is_clear {
         return Err(ErrorKind::BadRequest.into());
     }
     if !shared.has_routing() {
@@ -130,7 +147,7 @@
     let limit = HeaderNames::parse_integer(&parts.headers, &header_names.deadline)
         .unwrap_or(DEFAULT_TIMEOUT_MS);
     let deadline = start + Duration::from_millis(limit.min(route.timeout_ms));
-    let relay_due = relayed.is_none() && shared.reach.is_relay_due();
+    let relay_due = arrival.relayed.is_none() && shared.reach.is_relay_due();
     let limited = workspace
         .clone()
         .filter(|name| document.workspaces.contains_key(name));
@@ -138,21 +155,13 @@
     if let Some(name) = limited.as_ref().filter(|_| !relay_due) {
         shared.quota.admit(&document, name).await?;
     }
-    let hold = Hold::acquire(shared, &routing, &body)?;
-    let body = read_body(&routing, body, deadline).await?;
+    let hold = Hold::acquire(shared, &routing, body)?;
+    let left = deadline.saturating_duration_since(Instant::now());
+    let limit = left.min(Duration::from_millis(BODY_TIMEOUT_MS));
+    let body = caller_body::read(body, routing.limits.body_bytes as usize, limit).await?;
     request_log.received_ms = start.elapsed().as_millis() as u64;
     let routed = route_request(
-        shared,
-        &document,
-        route,
-        workspace,
-        host,
-        parts,
-        body,
-        deadline,
-        start,
-        relayed,
-        sent.clone(),
+        shared, &document, route, workspace, host, parts, body, deadline, arrival,
     );
     let routed = Arc::new(routed?);
     if relay_due {
@@ -209,9 +218,7 @@
     parts: request::Parts,
     body: Bytes,
     deadline: Instant,
-    start: Instant,
-    relayed: Option<u32>,
-    sent: Arc<Sent>,
+    arrival: &Arrival,
 ) -> Result<RoutedRequest, Refusal> {
     let header_names = &shared.config.header_names;
     let object = match header_names.object(&parts.headers).filter(|_| route.sticky) {
@@ -231,10 +238,12 @@
     // absolute.
     let target = parts.uri.path_and_query().ok_or(ErrorKind::BadRequest)?;
     let mut route = route.clone();
-    route.attempts = relayed.map_or(route.attempts, |left| left.min(route.attempts));
+    route.attempts = arrival
+        .relayed
+        .map_or(route.attempts, |left| left.min(route.attempts));
     Ok(RoutedRequest {
         service,
-        is_relayed: relayed.is_some(),
+        is_relayed: arrival.relayed.is_some(),
         authorization: parts.headers.get(header::AUTHORIZATION).cloned(),
         version: routing.map_or(0, |r| r.version),
         object,
@@ -249,11 +258,11 @@
         headers: forwarded_headers(header_names, parts.headers, body.len(), workspace.as_ref())?,
         workspace,
         body,
-        start,
+        start: arrival.start,
         deadline,
         fingerprint: OnceLock::new(),
         trial: Trial::default(),
-        sent,
+        sent: arrival.sent.clone(),
     })
 }
 
@@ -335,31 +344,3 @@
         self.shared.held.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
-
-async fn read_body(
-    routing: &Routing,
-    mut body: Incoming,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let max_bytes = routing.limits.body_bytes as usize;
-    let all = async {
-        let mut held = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| ErrorKind::BadRequest)?.into_data() else {
-                continue;
-            };
-            if held.len() + data.len() > max_bytes {
-                return Err(ErrorKind::TooLarge);
-            }
-            held.extend_from_slice(&data);
-        }
-        Ok(held.freeze())
-    };
-    let left = deadline.saturating_duration_since(Instant::now());
-    let limit = left.min(Duration::from_millis(BODY_TIMEOUT_MS));
-    let collected = timeout(limit, all).await;
-    Ok(collected.unwrap_or(Err(ErrorKind::RequestTimeout))?)
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The pomelovale daemon.
 
+mod caller_body;
 pub mod control;
 pub mod crash;
 pub mod discovery;
