Take the timeouts of callers' connections from the routing table

Callers whose routing table grants a long idle timeout met connections that the gateway closed after 16 s, whatever the table said: head_ms and idle_ms of the table had no reader. A request on a connection that is being closed is lost to its caller.

The gateway now gives both to its server with the 200 ms step of its maintenance, also for open connections, with 1 s more for the way of a request. A longer idle timeout applies at once; a shorter one when the time of the longer one has passed, since a caller whose connection became idle before may reuse it for four fifths of that time. Until there is a table its defaults apply.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -32,7 +32,8 @@
     pub peering: Option<Peering>,
     /// Names of the HTTP headers.
     pub header_names: HeaderNames,
-    /// Limits of the server for callers.
+    /// Limits of the server for callers. Those of the routing table replace its
+    /// timeouts.
     pub server: ServerLimits,
     /// Limit on the bytes of request bodies in memory, by their declared lengths. A
     /// body of unknown length reserves none.
@@ -85,13 +86,7 @@
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             peering: None,
             header_names: HeaderNames::default(),
-            server: ServerLimits {
-                // Callers may send the next request on a connection that was idle
-                // for up to 12 s; the idle timeout of the routing table is 15 s by
-                // default. 16 s exceeds both.
-                idle_ms: 16_000,
-                ..ServerLimits::default()
-            },
+            server: ServerLimits::default(),
             held_bytes: 64 * 1024 * 1024,
             answer_bytes: 256 * 1024,
             connect_ms: 400,
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -11,6 +11,7 @@
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::region_assignment::STEP_MS;
 
+use super::caller_timeouts::CallerTimeouts;
 use super::{connections, probe, Shared};
 use crate::reach::State;
 
@@ -58,11 +59,14 @@
 
 /// Sends reports and probes and maintains the connections to servers and
 /// coordinators until the task is aborted.
-pub(super) async fn run(shared: Arc<Shared>) {
+pub(super) async fn run(shared: Arc<Shared>, mut timeouts: CallerTimeouts) {
     let mut last_report = Millis(0);
     loop {
         tokio::time::sleep(Millis(STEP_MS).duration()).await;
         let (now, document) = (shared.clock.now(), shared.view.document());
+        if let Some(routing) = &document.routing {
+            timeouts.follow(now, &routing.limits);
+        }
         let mut due_probes = Vec::new();
         let mut suspended: IndexSet<Name> = IndexSet::new();
         let is_reached = shared.reach.state() == State::Reached;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 mod availability;
+mod caller_timeouts;
 mod connections;
 mod coordinator;
 mod coordinator_client;
@@ -40,6 +41,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{timeout_at, Instant};
 
+use caller_timeouts::CallerTimeouts;
 use config::{GatewayConfig, Peering};
 use connections::Connections;
 use coordinator_client::CoordinatorClient;
@@ -170,7 +172,8 @@
         let server =
             Server::start(listener, limits, handler).change_context(ErrorKind::BadSettings)?;
         let mut tasks = JoinSet::new();
-        tasks.spawn(maintenance::run(shared.clone()));
+        let timeouts = CallerTimeouts::new(server.timeouts());
+        tasks.spawn(maintenance::run(shared.clone(), timeouts));
         tasks.spawn(maintenance::register(shared.clone()));
         tasks.spawn(maintenance::follow_reach(shared.clone()));
         tasks.spawn(coordinator::run(shared.clone(), received));
