Apply a shorter idle timeout to connections that are idle already

An open connection that was idle when a routing table shortened the idle timeout was closed only after the previous timeout, 20 s later in the test, though the table is in force within 2.5 s. The gateway now hands the timeouts to its server as they are; the server keeps the previous one for a second, in which callers learn of the change.

The test of the spared connection is replaced by one that asks for both: a connection that is reused half a second after the change is served, one that stays idle is closed within 2 s. With the previous code the latter stayed open.

--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -10,9 +10,9 @@
 use pomelovale_state::document::{Instance, MemberState};
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::region_assignment::STEP_MS;
+use pomelovale_transport::http_server::TimeoutsHandle;
 
-use super::caller_timeouts::CallerTimeouts;
-use super::{connections, probe, Shared};
+use super::{caller_timeouts, connections, probe, Shared};
 use crate::reach::State;
 
 /// Age of the view beyond which this instance may have been replaced in the shares of
@@ -59,13 +59,13 @@
 
 /// Sends reports and probes and maintains the connections to servers and
 /// coordinators until the task is aborted.
-pub(super) async fn run(shared: Arc<Shared>, mut timeouts: CallerTimeouts) {
+pub(super) async fn run(shared: Arc<Shared>, timeouts: TimeoutsHandle) {
     let mut last_report = Millis(0);
     loop {
         tokio::time::sleep(Millis(STEP_MS).duration()).await;
         let (now, document) = (shared.clock.now(), shared.view.document());
         if let Some(routing) = &document.routing {
-            timeouts.follow(now, &routing.limits);
+            timeouts.set(caller_timeouts::of(&routing.limits));
         }
         let mut due_probes = Vec::new();
         let mut suspended: IndexSet<Name> = IndexSet::new();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Role;
+use pomelovale_state::routing::CallerLimits;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_steering::placement::{Chosen, PlacementEnd};
 use pomelovale_transport::http_server::{Handler, Server};
@@ -41,7 +42,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{timeout_at, Instant};
 
-use caller_timeouts::CallerTimeouts;
 use config::{GatewayConfig, Peering};
 use connections::Connections;
 use coordinator_client::CoordinatorClient;
@@ -172,7 +172,8 @@
         let server =
             Server::start(listener, limits, handler).change_context(ErrorKind::BadSettings)?;
         let mut tasks = JoinSet::new();
-        let timeouts = CallerTimeouts::new(server.timeouts());
+        let timeouts = server.timeouts();
+        timeouts.set(caller_timeouts::of(&CallerLimits::default()));
         tasks.spawn(maintenance::run(shared.clone(), timeouts));
         tasks.spawn(maintenance::register(shared.clone()));
         tasks.spawn(maintenance::follow_reach(shared.clone()));
--- a/crates/daemon/tests/gateway_timeouts.rs
+++ b/crates/daemon/tests/gateway_timeouts.rs
@@ -79,21 +79,19 @@
     assert!(is_served(&mut caller).await);
 }
 
-/// Guards against closing a connection by a new table while its caller, who relies on the
-/// old one, sends a request.
+/// Guards against a shorter idle timeout that does not apply to connections which are idle
+/// already, and against one that closes them while their callers still rely on the old one.
 #[tokio::test]
-async fn shorter_idle_timeout_spares_connections_that_are_idle() {
-    let (server, site) = start(4_000, 3_000).await;
-    let mut caller = open(&site).await;
-    sleep(Duration::from_millis(300)).await;
+async fn shorter_idle_timeout_applies_to_open_connections() {
+    let (server, site) = start(20_000, 3_000).await;
+    let mut reused = open(&site).await;
+    let mut idle = open(&site).await;
+    sleep(Duration::from_millis(500)).await;
     site.show(limited(&server, 2, 100, 3_000));
-    sleep(Duration::from_millis(2_900)).await;
-    assert!(is_served(&mut caller).await);
-    let idle = Duration::from_millis(4_000);
-    assert!(idle_time(&mut caller, idle + SLACK).await.is_some());
-    let mut later = open(&site).await;
-    let idle = Duration::from_millis(100);
-    assert!(idle_time(&mut later, idle + SLACK).await.is_some());
+    sleep(Duration::from_millis(500)).await;
+    assert!(is_served(&mut reused).await);
+    assert!(idle_time(&mut idle, SLACK).await.is_some());
+    assert!(idle_time(&mut reused, SLACK).await.is_some());
 }
 
 /// Guards against a head that may take longer than the table says.
