--- a/crates/coordination/src/frame.rs
+++ b/crates/coordination/src/frame.rs
@@ -26,14 +26,27 @@
     Ok(frame)
 }
 
+/// Why there is no value at an offset of a file.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fault {
+    /// There is no frame with intact checksums.
+    Damaged,
+    /// The frame is intact, but its body is not a value of the expected type.
+    Unknown,
+}
+
 /// Decodes the frame at `offset`. Returns its value and the offset of the next
-/// frame, or `None` if there is no intact frame.
-pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8], offset: usize) -> Option<(T, usize)> {
-    let body = body(bytes, offset)?;
-    let (value, used) =
-        bincode::serde::decode_from_slice(body, bincode::config::standard()).ok()?;
+/// frame.
+pub(crate) fn decode<T: DeserializeOwned>(
+    bytes: &[u8],
+    offset: usize,
+) -> Result<(T, usize), Fault> {
+    let body = body(bytes, offset).ok_or(Fault::Damaged)?;
     let end = offset + HEADER_BYTES + body.len();
-    (used == body.len()).then_some((value, end))
+    match bincode::serde::decode_from_slice(body, bincode::config::standard()) {
+        Ok((value, used)) if used == body.len() => Ok((value, end)),
+        _ => Err(Fault::Unknown),
+    }
 }
 
 /// Returns whether a frame with intact checksums starts at `offset` or later.
--- a/crates/coordination/src/snapshot.rs
+++ b/crates/coordination/src/snapshot.rs
@@ -11,7 +11,10 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use crate::frame;
+use crate::frame::{self, Fault};
+
+/// Description of an intact frame that can't be decoded.
+pub(crate) const UNKNOWN_FORMAT: &str = "an intact frame has a format that this build can't read";
 
 /// Extension of the temporary file that is written before the rename.
 const TEMP_EXTENSION: &str = "tmp";
@@ -54,7 +57,8 @@
         return Ok(None);
     };
     match frame::decode(&bytes, 0) {
-        Some((value, end)) if end == bytes.len() => Ok(Some(value)),
+        Ok((value, end)) if end == bytes.len() => Ok(Some(value)),
+        Err(Fault::Unknown) => Err(corrupt(path, 0, UNKNOWN_FORMAT)),
         _ => Err(corrupt(path, 0, "the file is not a single intact frame")),
     }
 }
--- a/crates/coordination/src/storage.rs
+++ b/crates/coordination/src/storage.rs
@@ -23,9 +23,9 @@
 use pomelovale_protocol::log::{Entry, Epoch, Position, Snapshot};
 use pomelovale_state::ErrorKind;
 
-use crate::frame;
+use crate::frame::{self, Fault};
 use crate::log::{HardState, Persist, RestoredState};
-use crate::snapshot::{self, corrupt, io_error};
+use crate::snapshot::{self, corrupt, io_error, UNKNOWN_FORMAT};
 
 /// Payload size from which on a frame is written out, in bytes. The last entry of
 /// a frame may exceed it.
@@ -76,6 +76,15 @@
     /// Opens a data directory, or creates one with a new incarnation. An incomplete
     /// last frame is truncated; other damage is an [`ErrorKind::Corrupt`] error.
     pub fn open(directory: impl AsRef<Path>) -> Result<(Storage, RestoredState)> {
+        Storage::open_checked(directory, |_| Ok(()))
+    }
+
+    /// Like [`Storage::open`], but passes what was read to `check` first. If that
+    /// fails, the files are left as they are.
+    pub fn open_checked(
+        directory: impl AsRef<Path>,
+        check: impl FnOnce(&RestoredState) -> Result<()>,
+    ) -> Result<(Storage, RestoredState)> {
         let directory = directory.as_ref().to_path_buf();
         fs::create_dir_all(&directory).map_err(|error| io_error(&directory, &error))?;
         snapshot::sync_directory(&directory)?;
@@ -101,6 +110,16 @@
         }
         let rewrite_needed = contents.base != stored.position();
         advance_base(&mut contents.tail, &mut contents.base, stored.position());
+        let restored = RestoredState {
+            entries: contents.tail.clone(),
+            hard_state,
+            incarnation,
+            snapshot: stored,
+        };
+        check(&restored)?;
+        if contents.length < contents.file_length {
+            cut(&path, contents.length, contents.file_length)?;
+        }
         let mut storage = Storage {
             base: contents.base,
             directory,
@@ -114,12 +133,6 @@
             storage.rewrite()?;
         }
         storage.sync_existing()?;
-        let restored = RestoredState {
-            entries: storage.tail.clone(),
-            hard_state,
-            incarnation,
-            snapshot: stored,
-        };
         Ok((storage, restored))
     }
 
@@ -257,6 +270,8 @@
 
 struct LogContents {
     base: Position,
+    file_length: usize,
+    /// Length without an incomplete last frame.
     length: usize,
     tail: Vec<Entry>,
 }
@@ -265,18 +280,23 @@
     let Some(bytes) = snapshot::read_bytes(path)? else {
         return Err(corrupt(path, 0, "the file is missing"));
     };
-    let Some((base, mut offset)) = frame::decode::<Position>(&bytes, 0) else {
-        return Err(corrupt(path, 0, "the first frame is incomplete or damaged"));
+    let (base, mut offset) = match frame::decode::<Position>(&bytes, 0) {
+        Ok(first) => first,
+        Err(Fault::Unknown) => return Err(corrupt(path, 0, UNKNOWN_FORMAT)),
+        Err(Fault::Damaged) => {
+            return Err(corrupt(path, 0, "the first frame is incomplete or damaged"));
+        }
     };
     let mut tail = Vec::new();
     while offset < bytes.len() {
-        let Some((entries, end)) = frame::decode::<Vec<Entry>>(&bytes, offset) else {
-            if frame::contains_frame(&bytes, offset) {
+        let (entries, end) = match frame::decode::<Vec<Entry>>(&bytes, offset) {
+            Ok(next) => next,
+            Err(Fault::Unknown) => return Err(corrupt(path, offset, UNKNOWN_FORMAT)),
+            Err(Fault::Damaged) if frame::contains_frame(&bytes, offset) => {
                 let what = "a damaged frame precedes an intact one";
                 return Err(corrupt(path, offset, what));
             }
-            cut(path, offset, bytes.len())?;
-            break;
+            Err(Fault::Damaged) => break,
         };
         for entry in entries {
             if !insert_entry(&mut tail, base, entry) {
@@ -291,6 +311,7 @@
     }
     Ok(LogContents {
         base,
+        file_length: bytes.len(),
         length: offset,
         tail,
     })
--- a/crates/coordination/tests/log_storage.rs
+++ b/crates/coordination/tests/log_storage.rs
@@ -182,6 +182,35 @@
         assert_eq!(reopen(directory).entries, entries(2, 6..=9));
     };
 
+    /// Guards against an intact frame of another build that is taken for damage by a
+    /// crash, and against a start that changes the files before it refuses them.
+    frames_of_an_unknown_format_are_refused |directory| {
+        drop(fill_directory(directory));
+        let other = fs::read(directory.join("identity")).expect("file is readable");
+        for name in ["vote", "log"] {
+            let path = directory.join(name);
+            let whole = fs::read(&path).expect("file is readable");
+            fs::write(&path, &other).expect("write succeeds");
+            refused(directory, &format!("{name}, offset 0: an intact frame has a format"));
+            assert_eq!(fs::read(&path).expect("file is readable"), other);
+            fs::write(&path, &whole).expect("write succeeds");
+        }
+        assert_eq!(reopen(directory).entries, entries(2, 1..=9));
+    };
+
+    /// Guards against a start that truncates the log although its entries are refused.
+    refused_entries_are_left_as_they_are |directory| {
+        drop(fill_directory(directory));
+        let path = directory.join("log");
+        let mut bytes = fs::read(&path).expect("file is readable");
+        bytes.extend([1, 2, 3]);
+        fs::write(&path, &bytes).expect("write succeeds");
+        let refuse = |_: &RestoredState| Err(error_stack::Report::new(ErrorKind::Corrupt));
+        let report = Storage::open_checked(directory, refuse).expect_err("entries are refused");
+        assert_eq!(*report.current_context(), ErrorKind::Corrupt);
+        assert_eq!(fs::read(&path).expect("file is readable"), bytes);
+    };
+
     /// Guards against a crash between the snapshot and the truncation of the
     /// log: entries must be neither lost nor applied twice.
     crash_before_truncation |directory| {
--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -4,13 +4,14 @@
 use pomelovale_coordination::log::Event;
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::frame::decode_body_unlimited;
-use pomelovale_protocol::log::ReplicaId;
+use pomelovale_protocol::log::{LogMessage, ReplicaId};
 use pomelovale_protocol::messages::{Content, LogPacket, PeerMessage, Request, Response};
 use pomelovale_state::{ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
 
 use crate::control::calls::{Sink, Target};
 use crate::control::feed::ProofContext;
+use crate::control::stored;
 
 use super::EventLoop;
 
@@ -114,7 +115,34 @@
             () if from.name != link.peer || to.name != self.own.name => link.reject(),
             // Addressed to the replica of an earlier data directory.
             () if to != self.own && to.incarnation != ReplicaId::ANY => {}
-            () => self.step(Event::Receive { from, message }),
+            () => match self.check_message(&message) {
+                Err(fault) => self.fail(format!("received from {from}: {fault}")),
+                Ok(()) => {
+                    self.step(Event::Receive { from, message });
+                    self.received_snapshot = None;
+                }
+            },
+        }
+    }
+
+    // Checks that what a leader sends can be decoded, so that this replica neither
+    // stores nor acknowledges what it can't apply.
+    fn check_message(&mut self, message: &LogMessage) -> Result<(), String> {
+        let checked = match message {
+            LogMessage::Append { entries, .. } => stored::check_entries(entries),
+            LogMessage::Install { snapshot, .. } => stored::decode_snapshot(snapshot)
+                .map(|state| self.received_snapshot = Some((snapshot.position(), state))),
+            _ => return Ok(()),
+        };
+        match (checked, message) {
+            (Ok(()), _) => Ok(()),
+            // The replica refuses what a former leader sends.
+            (Err(_), LogMessage::Append { epoch, .. } | LogMessage::Install { epoch, .. })
+                if *epoch < self.replica.status().epoch =>
+            {
+                Ok(())
+            }
+            (Err(fault), _) => Err(fault),
         }
     }
 
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -4,14 +4,15 @@
 mod messages;
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::path::PathBuf;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use pomelovale_coordination::control::ControlCall;
 use pomelovale_coordination::log::{Action, Event, LogStatus, Replica, Role as LogRole, TICK_MS};
 use pomelovale_coordination::view::View;
-use pomelovale_protocol::frame::{decode_body_unlimited, encode_body, FRAME_MAX_BYTES};
+use pomelovale_protocol::frame::{encode_body, FRAME_MAX_BYTES};
 use pomelovale_protocol::log::{
     Entry, EntryData, LogIndex, Payload, Position, ReplicaId, Snapshot,
 };
@@ -23,7 +24,6 @@
 use pomelovale_state::machine::StateMachine;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
-use serde::{Deserialize, Serialize};
 use tokio::time::MissedTickBehavior;
 
 use super::calls::{Calls, Sink, Target};
@@ -33,6 +33,7 @@
 use super::leader::Leader;
 use super::log_writer::LogWriter;
 use super::quota::Quota;
+use super::stored::{self, SnapshotState};
 use super::{role_name, ControlStatus};
 
 /// Maximum number of peer events and maximum number of calls in one batch, before changes are pushed and the status is published.
@@ -56,6 +57,8 @@
 /// State that the loop publishes to the rest of the process.
 #[derive(Clone, Default)]
 pub(super) struct Outputs {
+    /// Description of data that can't be read, on which the loop has stopped.
+    pub(super) fault: Arc<OnceLock<String>>,
     pub(super) source: Arc<ArcSwap<RoutingSource>>,
     pub(super) status: Arc<ArcSwap<ControlStatus>>,
     pub(super) view: Arc<View>,
@@ -65,13 +68,6 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct RoutingSource(pub(super) Arc<str>);
 
-/// Content of a snapshot.
-#[derive(Default, Deserialize, Serialize)]
-pub(super) struct SnapshotState {
-    machine: StateMachine,
-    position: Position,
-}
-
 // Subscribers don't use the source text of the routing table.
 fn without_routing_source(mut change: Change) -> Change {
     if let Command::ReplaceRouting { source, .. } = &mut change.command {
@@ -80,15 +76,6 @@
     change
 }
 
-impl SnapshotState {
-    pub(super) fn decode(snapshot: &Snapshot) -> Result<SnapshotState, ErrorKind> {
-        match snapshot.payload.is_empty() {
-            true => Ok(SnapshotState::default()),
-            false => decode_body_unlimited(&snapshot.payload).map_err(|_| ErrorKind::Corrupt),
-        }
-    }
-}
-
 /// State of the event loop.
 pub(super) struct EventLoop {
     pub(super) config: ControlConfig,
@@ -99,6 +86,8 @@
     pub(super) machine: StateMachine,
     applied: Position,
     snapshot_index: LogIndex,
+    // State of the snapshot that is being installed, decoded when it arrived.
+    received_snapshot: Option<(Position, SnapshotState)>,
     compactions: (flume::Sender<Event>, flume::Receiver<Event>),
     compacting: bool,
     feed: Feed,
@@ -113,7 +102,6 @@
     quota: Quota,
     pub(super) leader: Option<Leader>,
     stopping: bool,
-    failed: bool,
 }
 
 impl EventLoop {
@@ -136,6 +124,7 @@
             machine: StateMachine::default(),
             applied: Position::default(),
             snapshot_index: LogIndex(0),
+            received_snapshot: None,
             compactions: flume::bounded(1),
             compacting: false,
             outputs,
@@ -148,16 +137,16 @@
             quota,
             leader: None,
             stopping: false,
-            failed: false,
         }
     }
 
     /// Runs until the instance is stopped, a write to its disk fails, or a change
-    /// or snapshot can't be decoded.
+    /// or snapshot can't be decoded. In the last case nothing more is applied,
+    /// written, sent or published.
     pub(super) async fn run(mut self, inputs: Inputs) {
         let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while !self.failed {
+        loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick(),
                 Ok(event) = inputs.events.recv_async() => self.handle_peer_event(event),
@@ -182,6 +171,9 @@
                 },
             }
             self.process_ready_inputs(&inputs);
+            if self.has_failed() {
+                return;
+            }
             let status = self.publish_state();
             if self.stopping && status.role != LogRole::Leader {
                 return;
@@ -193,6 +185,9 @@
     // and the status is published once per batch, not once per input.
     fn process_ready_inputs(&mut self, inputs: &Inputs) {
         for _ in 0..INPUT_BATCH {
+            if self.has_failed() {
+                return;
+            }
             match (inputs.events.try_recv(), inputs.calls.try_recv()) {
                 (Err(_), Err(_)) => return,
                 (event, call) => {
@@ -203,6 +198,17 @@
         }
     }
 
+    // Stops the loop because of data that can't be read. To skip it would let the
+    // state diverge from the other replicas.
+    fn fail(&mut self, fault: String) {
+        log::error!("stopping this control instance: {fault}");
+        let _ = self.outputs.fault.set(fault);
+    }
+
+    fn has_failed(&self) -> bool {
+        self.outputs.fault.get().is_some()
+    }
+
     fn tick(&mut self) {
         self.step(Event::Tick);
         self.calls.expire(self.clock.now());
@@ -301,11 +307,17 @@
     }
 
     pub(super) fn step(&mut self, event: Event) {
+        if self.has_failed() {
+            return;
+        }
         let actions = self.replica.step(self.clock.now(), event);
         for action in actions {
             match action {
+                _ if self.has_failed() => return,
                 Action::Accepted { .. } => {}
-                Action::Apply(entries) => entries.iter().for_each(|e| self.apply(e)),
+                Action::Apply(entries) => {
+                    entries.iter().take_while(|e| self.apply(e)).for_each(drop);
+                }
                 Action::Persist(persist) => self.log_writer.write(persist),
                 Action::Rejected { token, kind, .. } => self.handle_rejected(token, kind),
                 Action::Restore(snapshot) => self.restore(&snapshot),
@@ -330,19 +342,18 @@
         }
     }
 
-    fn apply(&mut self, entry: &Entry) {
-        self.applied = entry.position();
-        let EntryData::Change(payload) = &entry.data else {
-            return;
+    // Returns whether the entry was applied.
+    fn apply(&mut self, entry: &Entry) -> bool {
+        let change = match stored::decode_entry(entry) {
+            Ok(change) => change,
+            Err(fault) => {
+                self.fail(format!("{}: {fault}", self.log_path().display()));
+                return false;
+            }
         };
-        let Ok(change) = decode_body_unlimited::<Change>(payload) else {
-            // To skip the change would let the state diverge from the other replicas.
-            log::error!(
-                "can't decode the change at {}, stopping this control instance",
-                entry.index
-            );
-            self.failed = true;
-            return;
+        self.applied = entry.position();
+        let (Some(change), EntryData::Change(payload)) = (change, &entry.data) else {
+            return true;
         };
         let before = self.machine.document.version;
         let applied = self.machine.apply(&change);
@@ -362,22 +373,29 @@
                 .for_each(|l| l.set_limits(document, now));
         }
         self.snapshot_if_due();
+        true
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.config.directory.join("log")
     }
 
     fn restore(&mut self, snapshot: &Snapshot) {
-        match SnapshotState::decode(snapshot) {
+        let received = self.received_snapshot.take();
+        let restored = match received.filter(|(at, _)| *at == snapshot.position()) {
+            Some((_, state)) => Ok(state),
+            None => stored::decode_snapshot(snapshot),
+        };
+        match restored {
             Ok(saved) => {
                 self.machine = saved.machine;
                 self.feed.reset(saved.position);
                 self.applied = snapshot.position();
                 self.snapshot_index = snapshot.index;
             }
-            Err(_) => {
-                log::error!(
-                    "can't decode the snapshot at {}, stopping this control instance",
-                    snapshot.index
-                );
-                self.failed = true;
+            Err(fault) => {
+                let path = self.config.directory.join("snapshot");
+                self.fail(format!("{}: {fault}", path.display()));
             }
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,12 +11,14 @@
 mod log_writer;
 mod quota;
 mod serve;
+mod stored;
 
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use error_stack::Report;
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::log::{
     DirectoryLock, LogConfig, Membership, Replica, Role as LogRole, Storage,
@@ -25,7 +27,7 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::log::ReplicaId;
 use pomelovale_protocol::messages::ClusterStatus;
-use pomelovale_state::{Clock, Name};
+use pomelovale_state::{Clock, ErrorKind, Name};
 use pomelovale_transport::peer_client::{PeerAddress, PeerClient};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters};
 use pomelovale_transport::peer_server::PeerServer;
@@ -37,7 +39,7 @@
 
 use self::config::{ControlConfig, Joining};
 use self::dial::Dialer;
-use self::event_loop::{EventLoop, Inputs, LoopRequest, Outputs, SnapshotState};
+use self::event_loop::{EventLoop, Inputs, LoopRequest, Outputs};
 use self::log_writer::LogWriter;
 
 /// Capacity of the queue of calls to the event loop.
@@ -54,14 +56,26 @@
     /// The address for peers can't be bound.
     Listen(std::io::Error),
     /// The data directory is unusable or corrupt.
-    Storage(String),
+    Storage(Report<ErrorKind>),
+}
+
+impl ControlError {
+    /// Kind of the error, which determines the exit code of the process.
+    pub fn kind(&self) -> ErrorKind {
+        match self {
+            ControlError::Listen(_) => ErrorKind::BadSettings,
+            ControlError::Storage(report) => *report.current_context(),
+        }
+    }
 }
 
 impl fmt::Display for ControlError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ControlError::Listen(e) => write!(f, "can't listen for peer connections: {e}"),
-            ControlError::Storage(text) => write!(f, "can't use the data directory: {text}"),
+            ControlError::Storage(report) => {
+                write!(f, "can't use the data directory: {}", describe(report))
+            }
         }
     }
 }
@@ -116,6 +130,8 @@
     requests: flume::Sender<LoopRequest>,
     outputs: Outputs,
     task: JoinHandle<()>,
+    // Disconnected once the event loop has ended.
+    end: flume::Receiver<()>,
     // Disconnected once the log writer's thread has ended.
     disk_closed: flume::Receiver<()>,
 }
@@ -124,12 +140,12 @@
     /// Opens the data directory, listens for peers and joins the replication of
     /// the log.
     pub async fn start(config: ControlConfig, clock: Clock) -> Result<ControlServer, ControlError> {
-        let lock = DirectoryLock::acquire(&config.directory)
-            .map_err(|e| ControlError::Storage(describe(&e)))?;
-        let opened = Storage::open(&config.directory);
-        let (storage, restored) = opened.map_err(|e| ControlError::Storage(describe(&e)))?;
-        SnapshotState::decode(&restored.snapshot)
-            .map_err(|_| ControlError::Storage("the snapshot can't be decoded".to_string()))?;
+        let directory = &config.directory;
+        let lock = DirectoryLock::acquire(directory).map_err(ControlError::Storage)?;
+        let opened = Storage::open_checked(directory, |restored| {
+            stored::check_restored(directory, restored)
+        });
+        let (storage, restored) = opened.map_err(ControlError::Storage)?;
         let log = log_config(&config);
         let replica = Replica::new(log, restored, rand::random(), clock.now());
         let counters = Arc::new(PeerCounters::default());
@@ -171,9 +187,10 @@
             events: received,
             requests: requested,
         };
+        let (ended, end) = flume::bounded(0);
         let task = tokio::spawn(async move {
             event_loop.run(inputs).await;
-            drop((server, clients));
+            drop((server, clients, ended));
         });
         Ok(ControlServer {
             address,
@@ -182,6 +199,7 @@
             requests,
             outputs,
             task,
+            end,
             disk_closed,
         })
     }
@@ -251,6 +269,16 @@
         !self.task.is_finished()
     }
 
+    /// Waits until the instance stops because it can't read what it stores or what
+    /// a leader sent, and returns the error. The process has to end.
+    pub async fn unreadable(&self) -> Report<ErrorKind> {
+        let _ = self.end.recv_async().await;
+        match self.outputs.fault.get() {
+            Some(fault) => Report::new(ErrorKind::Corrupt).attach(fault.clone()),
+            None => std::future::pending().await,
+        }
+    }
+
     /// Hands leadership over and stops.
     pub async fn stop(self) {
         let _ = self.requests.send(LoopRequest::Stop);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -26,6 +26,7 @@
 Exit codes:
     0 stopped gracefully, or the settings are valid   2 bad arguments
     3 bad settings   70 the instance could not start or run
+    74 the data is damaged, or of a build whose format this one can't read
 
 Examples:
     pomelovaled check examples/north.json
@@ -131,18 +132,20 @@
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
     );
-    match (&mut term, &mut int) {
+    let fault = match (&mut term, &mut int) {
         (Ok(term), Ok(int)) => tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
+            _ = term.recv() => None,
+            _ = int.recv() => None,
+            fault = node.unreadable() => Some(fault),
         },
         _ => {
             return Err(internal(
                 "can't install the handlers for SIGTERM and SIGINT".to_owned(),
             ))
         }
-    }
+    };
+    // Also after a fault, so that requests in flight are answered.
     node.stop().await;
     println!("{} stopped", settings.instance);
-    Ok(())
+    fault.map_or(Ok(()), Err)
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -107,6 +107,15 @@
         Arc::clone(&self.view)
     }
 
+    /// Waits until the control instance stops because of data that it can't read;
+    /// see [`ControlServer::unreadable`].
+    pub async fn unreadable(&self) -> Report<ErrorKind> {
+        match &self.control {
+            Some(control) => control.unreadable().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Stops gracefully. The entry role stops first, since its requests in flight
     /// need the control role until they are finished.
     pub async fn stop(self) {
@@ -164,7 +173,7 @@
     };
     let control = Control::start(config, clock)
         .await
-        .map_err(|e| Report::new(ErrorKind::BadSettings).attach(e.to_string()))?;
+        .map_err(|e| Report::new(e.kind()).attach(e.to_string()))?;
     Ok(Arc::new(control))
 }
 
--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
+use pomelovale_coordination::log::{Persist, Storage};
+use pomelovale_protocol::log::{Entry, EntryData};
 use process::{run, Backend, Cluster};
 
 macro_rules! exits {
@@ -118,3 +120,32 @@
         "{text}"
     );
 }
+
+/// Guards against a process that goes on, or ends with the code of bad settings, when
+/// a build whose format it can't read has written its log.
+#[test]
+fn process_on_unreadable_data_exits_with_the_code_of_damaged_data() {
+    let backend = Backend::start(Duration::ZERO);
+    let mut cluster = Cluster::start(&backend);
+    let follower = (cluster.leader() + 1) % 3;
+    cluster.kill(follower);
+    let (mut storage, restored) = Storage::open(cluster.data(follower)).unwrap();
+    let last = restored.entries.last().unwrap();
+    let unreadable = Entry {
+        data: EntryData::Change([255, 9].as_slice().into()),
+        epoch: last.epoch,
+        index: last.index.next(),
+    };
+    let expected = format!("can't decode the change at {}", unreadable.index);
+    let persist = Persist {
+        entries: vec![unreadable],
+        ..Persist::default()
+    };
+    storage.write(&persist).unwrap();
+    storage.sync().unwrap();
+    drop(storage);
+    cluster.spawn(follower);
+    assert_eq!(cluster.wait_for_exit(follower), Some(74));
+    let logged = cluster.logged(follower);
+    assert!(logged.contains(&expected), "{logged}");
+}
