Refuse callers of an entry until a control instance has proven its view

An entry that had just started answered 404 to requests on routes that exist, because its document was still empty. Gateways already refuse such requests. An entry now answers 503 stale-view, outcome not-run, until its document has been proven current once, also one that can't read the document it is sent.

entry_without_a_proven_view_refuses_callers failed before with 404.

--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Whether the document was ever proven current. Until then it may be empty, or lack
+    /// accepted changes.
+    pub fn is_proven(&self) -> bool {
+        self.proven.load(Ordering::Acquire) != u64::MAX
+    }
+
     /// Whether the view is recent enough to check the API keys of requests by it.
     pub fn is_fresh_for_keys(&self, now: Millis) -> bool {
         self.age(now) <= KEY_VIEW_AGE_MAX_MS
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -102,6 +102,9 @@
     if parts.uri.path() == list::PATH && parts.method == Method::GET {
         return list::answer(shared, caller.address.ip(), parts.uri.query());
     }
+    if !shared.view.is_proven() {
+        return Err(ErrorKind::StaleView.into());
+    }
     let policy = route_policy(shared, &parts)?;
     let verified_key = match policy.open {
         true => None,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -274,8 +274,7 @@
     /// Returns whether a document with a routing table has arrived, and a proof of
     /// a control instance that it was current.
     fn has_routing(&self) -> bool {
-        let proven = self.view.age(self.clock.now()) != u64::MAX;
-        proven && self.view.document().routing.is_some()
+        self.view.is_proven() && self.view.document().routing.is_some()
     }
 
     fn log_stop(&self, finished: bool) {
--- a/crates/daemon/tests/entry_keys.rs
+++ b/crates/daemon/tests/entry_keys.rs
@@ -2,9 +2,15 @@
 
 mod entry_support;
 
+use std::sync::Arc;
+
 use entry_support::{keyed, ok, setup, Caller, Server, KEY};
+use pomelovale_coordination::view::View;
 use pomelovale_state::command::Command;
+use pomelovale_state::document::Document;
 use pomelovale_state::Name;
+use pomelovaled::entry::config::EntryConfig;
+use pomelovaled::entry::Entry;
 
 /// Credentials of basic authentication with the test key as the user name.
 const KEY_BASE64: &str = "cGsuazEuc2VjcmV0LTE6";
@@ -132,6 +138,42 @@
     assert_eq!((got.status, server.requests().len()), (200, 1));
 }
 
+/// Guards against an entry that answers 404, as if services and routes had been
+/// removed, before a control instance has proven its first document.
+#[tokio::test]
+async fn entry_without_a_proven_view_refuses_callers() {
+    let control = setup(&[]);
+    let view = Arc::new(View::default());
+    let config = EntryConfig {
+        instance: Name::from("e1"),
+        poll_ms: 0,
+        ..EntryConfig::default()
+    };
+    let started = Entry::start(
+        config,
+        view.clone(),
+        control.handle.clone(),
+        control.clock.clone(),
+    );
+    let entry = started.await.unwrap();
+    let mut caller = Caller::connect(entry.address()).await;
+    let request = without_bearer("/unknown/x", "");
+    for _ in 0..2 {
+        let got = caller.round_trip(&request).await.unwrap();
+        assert_eq!(
+            (got.status, got.outcome().as_deref()),
+            (503, Some("not-run")),
+            "{got:?}"
+        );
+        view.publish(Document {
+            version: 1,
+            ..Document::default()
+        });
+    }
+    view.prove(control.clock.now());
+    assert_eq!(caller.round_trip(&request).await.unwrap().status, 404);
+}
+
 /// Guards against a workspace within its rate that is told that it exceeded the
 /// limit because the ledger did not reply.
 #[tokio::test]
