Keep a low limit of a server until several answers name none

Servers that named less than one request in 2.5 s for a gateway got bursts: limit_below_one failed now and then with 10 requests in 4 s, where 8 are allowed.

A limit ended at the first answer without it that came 2.5 s after it was last named. At 0.285 requests a second for a gateway each answer comes later than that, so each answer without the limit ended it, and the gateway sent freely until the next one. Arrivals of a failed run in ms (u: the answer names none): 68 68u 445 3947 4061u 4225 4245 7424u 7567 7568 7568u 7568 7645. Answers to long requests from before the start ended it in the same way.

A limit now ends at the third successive answer without it, counted from 2.5 s after it was last named, and only by requests sent since then. Each of these answers allows one request at once, so that the end of a low limit is still confirmed in two round trips.

Four tests of server_limit fail without the change. Two of them are changed: they took one answer for the end of a limit, and now check that the first two don't end it and the third does.

--- a/crates/steering/src/server_limit.rs
+++ b/crates/steering/src/server_limit.rs
@@ -27,6 +27,9 @@
 /// Time for which a limit is kept since it was last named, in milliseconds. A server need
 /// not name it in each answer, and answers to requests from before its start are late.
 pub const HOLD_MS: u64 = 2_500;
+/// Successive answers without a limit after which it ends. At a low limit each answer comes
+/// later than `HOLD_MS` after the one before, so that time alone shows no end.
+const SILENT_MIN: u32 = 3;
 
 /// What an answer of a server says about its limit.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -82,6 +85,8 @@
     noticed: Option<Noticed>,
     // When the limit in force started here or was last named.
     named_at: Millis,
+    // Answers without a limit since `HOLD_MS` after it was last named.
+    silent: u32,
     share: LimitShare,
     is_isolated: bool,
     tokens: f64,
@@ -120,6 +125,7 @@
         }
         if before.is_none() && after.is_some() {
             self.named_at = now;
+            self.silent = 0;
         }
     }
 
@@ -137,13 +143,14 @@
             Some(_) => !self
                 .noticed
                 .is_some_and(|n| n.rate.is_none() && sent < n.sent),
-            None => before.is_some() && now.since(self.named_at) >= HOLD_MS,
+            None => before.is_some() && self.is_over(now, sent),
         };
         if !counts {
             return false;
         }
         if rate.is_some() {
             self.named_at = now;
+            self.silent = 0;
         }
         let noticed = Noticed {
             rate,
@@ -154,6 +161,18 @@
         before.is_some() != rate.is_some()
     }
 
+    // Counts an answer that names no limit. Returns whether the limit is over; until then
+    // another request may be sent at once to confirm it.
+    fn is_over(&mut self, now: Millis, sent: Millis) -> bool {
+        if sent < self.named_at || now.since(self.named_at) < HOLD_MS {
+            return false;
+        }
+        self.silent += 1;
+        self.tokens = self.tokens_at(now).max(1.0);
+        self.refilled_at = now;
+        self.silent >= SILENT_MIN
+    }
+
     /// Sets the limit that the document holds.
     pub fn set_recorded(&mut self, now: Millis, recorded: Option<u64>) {
         if self.recorded != recorded {
--- a/crates/steering/tests/server_limit.rs
+++ b/crates/steering/tests/server_limit.rs
@@ -18,6 +18,15 @@
     limit
 }
 
+/// Ends the limit by answers that name none, the last one at `at`.
+fn end(limit: &mut ServerLimit, at: u64) -> bool {
+    let ended = [200, 100, 0].map(|before| {
+        let answered = Millis(at - before);
+        limit.record_notice(answered, answered.minus(100), LimitNotice::Unlimited)
+    });
+    ended == [false, false, true]
+}
+
 /// Sends whenever that is allowed, at each millisecond of a period.
 fn sends(limit: &mut ServerLimit, from: u64, to: u64) -> usize {
     let send = |at: &u64| {
@@ -42,8 +51,18 @@
         let mut limit = limited();
         assert!(!limit.record_notice(Millis(600), Millis(100), LimitNotice::Unlimited));
         assert_eq!(limit.rate(Millis(600)), Some(4_000));
-        assert!(limit.record_notice(Millis(2_600), Millis(2_500), LimitNotice::Unlimited));
-        assert_eq!(limit.rate(Millis(2_600)), None);
+        assert!(end(&mut limit, 2_800));
+        assert_eq!(limit.rate(Millis(2_800)), None);
+    }
+
+    /// Guards against a limit that ends by answers to long requests from before its start.
+    answers_to_requests_from_before_a_limit_do_not_end_it {
+        let mut limit = ServerLimit::default();
+        limit.record_notice(Millis(400), Millis(350), LimitNotice::Limited(4_000));
+        for n in 0..8 {
+            let sent = Millis(40 * n);
+            assert!(!limit.record_notice(Millis(3_000 + n), sent, LimitNotice::Unlimited));
+        }
     }
 
     /// Guards against a limit that ends by each answer that doesn't name it.
@@ -60,11 +79,54 @@
         }
     }
 
+    /// Guards against a limit below one request in `HOLD_MS` that ends by each answer that
+    /// doesn't name it.
+    low_limit_that_some_answers_name_is_kept {
+        let mut limit = ServerLimit::default();
+        limit.set_share(Millis(0), WHOLE);
+        limit.record_notice(Millis(0), Millis(0), LimitNotice::Limited(300));
+        limit.set_recorded(Millis(0), Some(300));
+        let mut sent: Vec<u64> = Vec::new();
+        for at in 1..60_000 {
+            if !limit.may_send(Millis(at)) {
+                continue;
+            }
+            limit.record_send(Millis(at));
+            sent.push(at);
+            let notice = match sent.len() % 3 {
+                0 => LimitNotice::Limited(300),
+                _ => LimitNotice::Unlimited,
+            };
+            limit.record_notice(Millis(at), Millis(at), notice);
+            assert_eq!(limit.rate(Millis(at)), Some(300), "{at} ms");
+        }
+        // 0.3 a second in 4 s, exceeded by half, and five more.
+        let count = |from: u64| sent.iter().filter(|at| (from..from + 4_000).contains(*at)).count();
+        assert!(sent.iter().all(|from| count(*from) <= 6), "{sent:?}");
+    }
+
+    /// Guards against the end of a low limit that is noticed only after several of its rare
+    /// requests.
+    end_of_a_low_limit_is_confirmed_at_once {
+        let mut limit = ServerLimit::default();
+        limit.set_share(Millis(0), WHOLE);
+        limit.record_notice(Millis(0), Millis(0), LimitNotice::Limited(300));
+        limit.set_recorded(Millis(0), Some(300));
+        let first = (1..10_000).find(|at| limit.may_send(Millis(*at))).unwrap();
+        for answer in 0..3 {
+            let at = Millis(first + answer * 50);
+            assert!(limit.may_send(at));
+            limit.record_send(at);
+            limit.record_notice(at, at, LimitNotice::Unlimited);
+        }
+        assert_eq!(limit.rate(Millis(first + 100)), None);
+    }
+
     /// Guards against a limit that starts again by the late answer of a request from before
     /// its end.
     late_answer_with_a_limit_does_not_start_it_again {
         let mut limit = limited();
-        limit.record_notice(Millis(2_900), Millis(2_700), LimitNotice::Unlimited);
+        assert!(end(&mut limit, 2_900));
         assert!(!limit.record_notice(Millis(2_950), Millis(2_600), LimitNotice::Limited(4_000)));
         assert_eq!(limit.rate(Millis(2_950)), None);
     }
