Catch panics when a response body is dropped

hyper drops a body of known length once all of it is sent, without polling its end, and the callback on the end of a streamed response runs in that drop. A panic in it unwound the task of the connection and with it all requests in progress. It is caught like other panics of a handler, also in the drop of its future.

The new case of connection_ends.rs ended without an answer before; now it passes.

--- a/crates/transport/src/serving.rs
+++ b/crates/transport/src/serving.rs
@@ -35,6 +35,8 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
+        let body = std::mem::replace(&mut self.body, CallerBody::Full(Bytes::new()));
+        catch(|| drop(body));
         self.link.end_body();
     }
 }
@@ -113,7 +115,7 @@
         if let Answer::Running(future) = &mut this.answer {
             let polled = catch(|| future.as_mut().poll(cx));
             let response = ready!(polled.unwrap_or_else(|| Poll::Ready(panicked())));
-            this.answer = Answer::Held(Some(response));
+            catch(|| this.answer = Answer::Held(Some(response)));
         }
         let held = match &mut this.answer {
             Answer::Held(held) if this.link.is_turn(this.place) => held.take(),
--- a/crates/transport/tests/connection_ends.rs
+++ b/crates/transport/tests/connection_ends.rs
@@ -184,6 +184,8 @@
     /// The same if the panic is in the handler of a pipelined request.
     panic_between_others: [get("/50/a"), get("/0/panic"), get("/0/panic-at-once"), get("/100/d")]
         => [200, 500, 500, 200];
+    /// The same if the code that takes notice of the end of a streamed answer panics.
+    panic_at_the_end_of_an_answer: [get("/0/panic-at-end"), get("/0/b")] => [200, 200];
     /// The same with requests that are not pipelined.
     panic_in_an_unsafe_request: [post("/0/panic", "x"), post("/0/b", "x")] => [500, 200];
 }
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -1,14 +1,16 @@
 //! A server with a scripted handler, and callers that send raw requests.
 #![allow(dead_code)]
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{header, Response};
-use http_body_util::BodyExt;
-use pomelovale_transport::body::CallerBody;
+use http::{header, HeaderName, Request, Response};
+use http_body_util::{BodyExt, Full};
+use pomelovale_transport::backend::Connection;
+use pomelovale_transport::body::{CallerBody, Passing};
 use pomelovale_transport::http_server::{Handler, Server, ServerLimits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -49,9 +51,13 @@
 /// Starts a server that answers `/DELAY/TEXT` after the delay, in milliseconds, with
 /// the text and the request body. If the text is "close", it closes the connection; if
 /// it is "panic" or "panic-at-once", the handler panics after the delay or in its call.
+/// If it is "stream", "cut" or "panic-at-end", the answer is the text "stream" in two
+/// parts 100 ms apart; "cut" breaks off after the first one, and the end of
+/// "panic-at-end" panics.
 pub async fn start_with(limits: ServerLimits) -> (Server, Arc<HandlerStats>) {
     let stats = Arc::new(HandlerStats::default());
     let counted = stats.clone();
+    let backend = start_backend().await;
     let handler: Handler = Arc::new(move |request, _| {
         let stats = counted.clone();
         let running = stats.running.fetch_add(1, Ordering::SeqCst) + 1;
@@ -69,6 +75,9 @@
             sleep(Duration::from_millis(delay)).await;
             assert!(text != "panic");
             stats.ended.fetch_add(1, Ordering::SeqCst);
+            if let "cut" | "panic-at-end" | "stream" = text {
+                return stream(backend, text).await;
+            }
             let all = [text.as_bytes(), &body].concat();
             let mut response = Response::new(CallerBody::Full(Bytes::from(all)));
             if text == "close" {
@@ -83,6 +92,42 @@
     (server, stats)
 }
 
+// Starts a backend server that answers with a streamed body.
+async fn start_backend() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 1_024];
+                let n = stream.read(&mut request).await.unwrap();
+                let cuts = request[..n].starts_with(b"GET /cut ");
+                let head = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n";
+                stream.write_all(head.as_bytes()).await.unwrap();
+                stream.write_all(b"str").await.unwrap();
+                sleep(Duration::from_millis(100)).await;
+                if !cuts {
+                    stream.write_all(b"eam").await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+async fn stream(backend: SocketAddr, text: &str) -> Response<CallerBody> {
+    let limit = Duration::from_secs(5);
+    let connection = Connection::open(backend, limit).await.unwrap();
+    let request = Request::get(format!("/{text}")).header("host", "a");
+    let request = request.body(Full::default()).unwrap();
+    let name = HeaderName::from_static("id");
+    let reply = connection.send(request, &name, b"", limit).await.unwrap();
+    let panics = text == "panic-at-end";
+    let on_end = Box::new(move |_| assert!(!panics));
+    let passing = Passing::new(Bytes::new(), reply.body, limit, false, on_end);
+    Response::new(CallerBody::Stream(Box::new(passing)))
+}
+
 pub fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
