Count and log why callers' connections end

Nothing told why a connection ended and how many requests were in progress, so that the causes of lost requests could not be distinguished.

Tasks that are dropped with the process are reported, too. Read and write errors are recorded where they happen, since hyper reports none for an idle connection.

entry_connections_evicted_total counted connections that were refused because none could be evicted; these now count as full.

--- a/crates/transport/src/caller_io.rs
+++ b/crates/transport/src/caller_io.rs
@@ -6,7 +6,6 @@
 use std::task::{ready, Context, Poll};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use tokio::net::TcpStream;
 
 use crate::framing::READ_BYTES;
 use crate::link::{Link, Place};
@@ -46,9 +45,9 @@
             match this.link.stream.try_read(&mut this.buffer) {
                 Ok(n) => this.link.receive(&this.buffer[..n]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
-                Err(e) => return Poll::Ready(Err(e)),
+                Err(e) => return Poll::Ready(Err(this.link.fail(e))),
             }
-            if this.link.is_eof() {
+            if this.link.broken().is_some() {
                 return Poll::Ready(Ok(()));
             }
         }
@@ -61,7 +60,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        poll_send(&self.link.stream, cx, |s| s.try_write(bytes))
+        self.link.poll_send(cx, |s| s.try_write(bytes))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -85,21 +84,6 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        poll_send(&self.link.stream, cx, |s| s.try_write_vectored(parts))
-    }
-}
-
-/// Writes to the socket once it is writable.
-pub(crate) fn poll_send(
-    stream: &TcpStream,
-    cx: &mut Context<'_>,
-    send: impl Fn(&TcpStream) -> io::Result<usize>,
-) -> Poll<io::Result<usize>> {
-    loop {
-        ready!(stream.poll_write_ready(cx))?;
-        match send(stream) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            result => return Poll::Ready(result),
-        }
+        self.link.poll_send(cx, |s| s.try_write_vectored(parts))
     }
 }
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -16,9 +16,10 @@
 use tokio::time::timeout;
 
 use crate::caller_io::CallerIo;
+use crate::ending::{Cause, EndReport};
 use crate::framing::Verdicts;
 use crate::http_server::{Phase, Shared, Slot};
-use crate::link::{Cause, Link, Progress};
+use crate::link::{Link, Progress};
 use crate::pipeline::PipelinedRequests;
 use crate::serving::{Calls, Requests};
 use crate::timers::{Expired, Timers, Waiting};
@@ -97,8 +98,9 @@
                 Some(_) => {
                     // A request that has already arrived is served.
                     self.last_read = true;
-                    if self.link.receive_now().is_err() {
-                        return Poll::Ready(Cause::Io);
+                    self.link.receive_now();
+                    if let Some(cause) = self.link.broken() {
+                        return Poll::Ready(cause);
                     }
                 }
                 None => {
@@ -114,13 +116,13 @@
 
     // Why hyper has closed the connection on its side.
     fn cause(&self, result: hyper::Result<()>) -> Cause {
-        match result {
-            _ if self.link.is_eof() => Cause::Caller,
-            Ok(()) => self.link.closing().unwrap_or(Cause::Unread),
-            Err(e) if e.is_parse() => Cause::Protocol,
+        match (result, self.link.broken()) {
+            (_, Some(cause)) => cause,
+            (Ok(()), None) => self.link.closing().unwrap_or(Cause::Unread),
+            (Err(e), None) if e.is_parse() => Cause::Protocol,
             // The body of the response failed, or is shorter than announced.
-            Err(e) if e.is_user() => Cause::Incomplete,
-            Err(_) => Cause::Io,
+            (Err(e), None) if e.is_user() => Cause::Incomplete,
+            (Err(_), None) => Cause::Io,
         }
     }
 
@@ -162,6 +164,13 @@
         shared: shared.clone(),
         address,
     };
+    let mut report = EndReport {
+        shared: shared.clone(),
+        link: Some(link.clone()),
+        address,
+        opened: shared.now(),
+        cause: Cause::Aborted,
+    };
     let mut timeouts = shared.timeouts();
     let mut connection = Connection {
         shared,
@@ -199,7 +208,8 @@
     };
     let refuses = link.progress().in_head && !link.is_announced();
     drop(connection);
-    tracing::debug!(event = "connection-ended", ?cause);
+    report.cause = cause;
+    drop(report);
     let answer = match cause {
         Cause::HeadTimeout => Some(BuiltinResponse::HeadTimeout),
         Cause::Evicted | Cause::Stop if refuses => Some(BuiltinResponse::Full),
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -19,6 +19,7 @@
 
 use crate::body::CallerBody;
 use crate::connection::{self, BuiltinResponse};
+use crate::ending::{Cause, EndLog, EndReport};
 use crate::socket;
 
 // Value of `Slot::idle_since` while a request is in progress.
@@ -140,6 +141,7 @@
     pub(crate) handler: Handler,
     /// Origin of the times of this server.
     pub(crate) start: Instant,
+    pub(crate) end_log: EndLog,
     slots: Mutex<HashMap<u64, Arc<Slot>>>,
 }
 
@@ -160,6 +162,7 @@
             timeouts: timeouts.clone(),
             handler,
             start: Instant::now(),
+            end_log: EndLog::default(),
             slots: Mutex::default(),
         });
         tokio::spawn(accept(listener, shared, watched, connection_guard));
@@ -214,6 +217,13 @@
             (shared.clone(), phase.clone(), connection_guard.clone());
         match shared.register(id) {
             None => {
+                drop(EndReport {
+                    opened: shared.now(),
+                    shared,
+                    link: None,
+                    address,
+                    cause: Cause::Full,
+                });
                 tokio::spawn(async move {
                     connection::close(&stream, Some(BuiltinResponse::Full)).await;
                 });
@@ -261,12 +271,12 @@
     fn register(&self, id: u64) -> Option<Arc<Slot>> {
         let mut slots = self.slots();
         if slots.len() >= self.limits.connections {
-            metrics::counter!("entry_connections_evicted_total").increment(1);
             let idle = |s: &Arc<Slot>| s.idle_since.load(Ordering::Relaxed);
             let (oldest, slot) = slots.iter().min_by_key(|(id, s)| (idle(s), **id))?;
             if idle(slot) == BUSY {
                 return None;
             }
+            metrics::counter!("entry_connections_evicted_total").increment(1);
             slot.close.notify_one();
             let oldest = *oldest;
             slots.remove(&oldest);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod body;
 mod caller_io;
 mod connection;
+mod ending;
 pub mod framing;
 pub mod http_server;
 mod link;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -1,9 +1,10 @@
 //! State that the parts of one caller's connection share: hyper, which reads one
 //! request at a time, and the pipelined requests behind that one.
 
-use std::io::{self, Read};
+use std::io::{self, ErrorKind, Read};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
+use std::task::{ready, Context, Poll};
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::header::{self, HeaderValue};
@@ -14,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use crate::body::CallerBody;
+use crate::ending::Cause;
 use crate::framing::{Direction, Framing, Verdicts, READ_BYTES};
 
 /// Maximum number of pipelined requests of one connection that are served at a
@@ -25,33 +27,6 @@
 /// order in which they are executed does not matter.
 const METHODS: [&[u8]; 2] = [b"GET ", b"HEAD "];
 
-/// Why a connection ends.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Cause {
-    /// The caller closed it.
-    Caller,
-    /// It was closed in favour of a new one.
-    Evicted,
-    /// A request head was not received in time.
-    HeadTimeout,
-    /// There was no request for the idle timeout.
-    Idle,
-    /// The server of a response broke off within its body.
-    Incomplete,
-    /// Reading or writing failed.
-    Io,
-    /// A request is malformed.
-    Protocol,
-    /// A request asked for the close.
-    Request,
-    /// A response asked for the close.
-    Response,
-    /// The server stops.
-    Stop,
-    /// A response was sent before the body of its request was read.
-    Unread,
-}
-
 /// Who serves a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Place {
@@ -71,8 +46,8 @@
     serving: bool,
     // Whether requests may be started behind that request.
     safe: bool,
-    // Whether the caller has closed the connection.
-    eof: bool,
+    // Why the connection can't be used any more.
+    broken: Option<Cause>,
     // Bytes that were received and not forwarded yet.
     pending: BytesMut,
     // Parser of the requests that are forwarded to hyper.
@@ -176,7 +151,7 @@
             forwarding: false,
             serving: false,
             safe: true,
-            eof: false,
+            broken: None,
             pending: BytesMut::new(),
             framing: Framing::new(Direction::Requests, verdicts),
             scan: Framing::new(Direction::Requests, Verdicts::default()),
@@ -205,22 +180,48 @@
 
     /// Adds received bytes; none mean that the caller has closed the connection.
     pub(crate) fn receive(&self, bytes: &[u8]) {
-        let mut state = self.lock();
-        state.eof |= bytes.is_empty();
-        state.pending.extend_from_slice(bytes);
+        match bytes {
+            [] => drop(self.lock().broken.get_or_insert(Cause::Caller)),
+            _ => self.lock().pending.extend_from_slice(bytes),
+        }
+    }
+
+    /// Records that reading or writing failed. hyper does not report this for an idle
+    /// connection.
+    pub(crate) fn fail(&self, error: io::Error) -> io::Error {
+        let cause = match error.kind() {
+            ErrorKind::BrokenPipe | ErrorKind::ConnectionReset => Cause::Caller,
+            _ => Cause::Io,
+        };
+        self.lock().broken.get_or_insert(cause);
+        error
     }
 
     /// Reads what has already arrived, if anything, without waiting. Unlike the reads
     /// of tokio, this does not depend on whether its event was handled yet.
-    pub(crate) fn receive_now(&self) -> io::Result<()> {
+    pub(crate) fn receive_now(&self) {
         let mut buffer = [0; READ_BYTES];
         let socket = SockRef::from(&self.stream);
         match (&*socket).read(&mut buffer) {
             Ok(n) => self.receive(&buffer[..n]),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => drop(self.fail(e)),
+        }
+    }
+
+    /// Writes to the socket once it is writable.
+    pub(crate) fn poll_send(
+        &self,
+        cx: &mut Context<'_>,
+        send: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match send(&self.stream) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result.map_err(|e| self.fail(e))),
+            }
         }
-        Ok(())
     }
 
     /// Whether reading pauses. It goes on once a response is written.
@@ -306,9 +307,11 @@
         }
     }
 
-    /// Number of requests for which the handler was called.
-    pub(crate) fn started(&self) -> u64 {
-        self.lock().started
+    /// Numbers of requests for which the handler was called, and of those that were
+    /// answered.
+    pub(crate) fn counts(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.started, state.answered)
     }
 
     /// Whether the response of a request may be written.
@@ -396,9 +399,9 @@
         self.lock().announced
     }
 
-    /// Whether the caller has closed the connection.
-    pub(crate) fn is_eof(&self) -> bool {
-        self.lock().eof
+    /// Why the connection can't be used any more.
+    pub(crate) fn broken(&self) -> Option<Cause> {
+        self.lock().broken
     }
 
     /// What has happened so far.
--- a/crates/transport/src/pipeline.rs
+++ b/crates/transport/src/pipeline.rs
@@ -17,8 +17,8 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 
-use crate::caller_io::poll_send;
-use crate::link::{Cause, Link, Place};
+use crate::ending::Cause;
+use crate::link::{Link, Place};
 use crate::serving::{Calls, Requests};
 
 /// In-memory connection with one request as input. The response is written to the
@@ -60,7 +60,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         match self.link.is_turn(self.place) {
-            true => poll_send(&self.link.stream, cx, |s| s.try_write(bytes)),
+            true => self.link.poll_send(cx, |s| s.try_write(bytes)),
             // Polled again after the response before this one.
             false => Poll::Pending,
         }
@@ -85,7 +85,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         match self.link.is_turn(self.place) {
-            true => poll_send(&self.link.stream, cx, |s| s.try_write_vectored(parts)),
+            true => self.link.poll_send(cx, |s| s.try_write_vectored(parts)),
             false => Poll::Pending,
         }
     }
@@ -180,14 +180,14 @@
     // Starts the pipelined requests that have arrived.
     fn start(&mut self, cx: &mut Context<'_>, requests: &Requests) {
         while let Some((number, input)) = self.link.next_pipelined() {
-            let before = self.link.started();
+            let (before, _) = self.link.counts();
             let mut request = PipelinedRequest {
                 exchange: Some(requests.serve_pipelined(&self.link, number, input)),
                 refused: false,
             };
             // Parses the head and calls the handler.
             request.poll(cx);
-            if self.link.started() == before {
+            if self.link.counts().0 == before {
                 request.refused = true;
                 self.link.close(Cause::Protocol);
             }
