Don't delay an answer past its deadline to check or record a crash

Callers whose server ended under their request, without another one to run it, were answered up to 2 s after their deadline by an entry, and up to 0.6 s by a gateway: both wait for the check of the server, and then until other instances know of its crash, without regard to the time that is left.

Both waits now end at the deadline of the request. The check and the record go on; only the answer doesn't wait for them.

Before, unrecorded_crash_does_not_delay_an_answer_past_the_deadline (a deadline of 0.4 s, a record that takes 4 s) was answered after 4.1 s. Now it passes.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
 use pomelovale_coordination::control::ControlHandle;
@@ -413,12 +414,12 @@
 
     /// Checks whether the server of a run that was lost has ended, and records the crash.
     /// Completes also if the returned future is dropped, and if the result takes longer than
-    /// a retry should wait for it.
-    pub async fn check(self: &Arc<Self>, run: Run) -> ServerCheck {
+    /// a retry should wait for it, or than the time `left` until the answer is due.
+    pub async fn check(self: &Arc<Self>, run: Run, left: Duration) -> ServerCheck {
         self.lock().add_cut(run.address);
         let tracker = self.clone();
         let check = tokio::spawn(async move { tracker.check_lost(run, RunLoss::Cut).await });
-        let limit = Millis(CHECK_WAIT_MS).duration();
+        let limit = Millis(CHECK_WAIT_MS).duration().min(left);
         match timeout(limit, check).await {
             Ok(Ok(found)) => found,
             Ok(Err(_)) | Err(_) => ServerCheck::default(),
--- a/crates/daemon/src/crash/reports.rs
+++ b/crates/daemon/src/crash/reports.rs
@@ -186,13 +186,13 @@
 
     /// Waits until the crashes of a request are recorded and this instance's view has
     /// them, so that a resend through another instance already counts them.
-    pub async fn wait_until_recorded(&self, fingerprint: &Digest) {
+    pub async fn wait_until_recorded(&self, fingerprint: &Digest, left: Duration) {
         let recorded = async {
             while self.lock().pending.contains(fingerprint) {
                 sleep(Millis(VIEW_POLL_MS).duration()).await;
             }
         };
-        let limit = Millis(self.timings.spread_ms).duration();
+        let limit = Millis(self.timings.spread_ms).duration().min(left);
         let _ = timeout(limit, recorded).await;
     }
 
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -244,7 +244,8 @@
                     // The whole failure domain may be failing.
                     retries.suspect_servers = shared.view.document().domain_peers(&choice.server);
                     let fingerprint = admitted.fingerprint();
-                    shared.crashes.wait_until_recorded(&fingerprint).await;
+                    let left = admitted.left();
+                    shared.crashes.wait_until_recorded(&fingerprint, left).await;
                 }
                 Some(failure)
             }
@@ -426,7 +427,7 @@
             }
             let cut = failure.fault == ExchangeError::Cut && failure.written;
             running.run.take_if(|_| cut);
-            let ended = cut && shared.crashes.check(run).await.ended;
+            let ended = cut && shared.crashes.check(run, admitted.left()).await.ended;
             running.end(match failure.fault {
                 ExchangeError::Silent => AttemptEnd::TimedOut,
                 _ => AttemptEnd::Failed,
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -394,7 +394,10 @@
 async fn wait_until_recorded(shared: &Shared, routed: &RoutedRequest, progress: &Progress) {
     if !progress.avoided.is_empty() {
         let fingerprint = routed.fingerprint();
-        shared.crashes.wait_until_recorded(&fingerprint).await;
+        let recorded = shared
+            .crashes
+            .wait_until_recorded(&fingerprint, routed.left());
+        recorded.await;
     }
 }
 
@@ -538,7 +541,7 @@
                     .record_disconnect(now, chosen.address, idle);
                 if failure.written {
                     running.run = None;
-                    found = shared.crashes.check(run).await;
+                    found = shared.crashes.check(run, routed.left()).await;
                 }
             }
             failed(shared, chosen, failure, start, found, &mut running)
--- a/crates/daemon/tests/entry_crashes.rs
+++ b/crates/daemon/tests/entry_crashes.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use entry_support::{
     keyed, ok, setup, until, Caller, Control, ReceivedRequest, Server, ServerAction,
@@ -168,3 +168,23 @@
     let limit = Duration::from_secs(10);
     tokio::time::timeout(limit, found).await.unwrap();
 }
+
+/// Guards against a caller that waits past its deadline until the crash of a server is
+/// recorded.
+#[tokio::test]
+async fn unrecorded_crash_does_not_delay_an_answer_past_the_deadline() {
+    let server = Server::start(|_, _| ServerAction::CrashAfter(100)).await;
+    let control = setup(&[&server]);
+    let entry = control.entry(|c| c.spread_ms = 4_000).await;
+    control.ignore_changes.store(true, Ordering::SeqCst);
+    let mut caller = Caller::connect(entry.address()).await;
+    let start = Instant::now();
+    let request = keyed("GET", "/catalogue/x", "pomelovale-deadline-ms: 400\r\n", "");
+    let answer = caller.round_trip(&request).await.expect("a response");
+    assert_eq!(answer.outcome().as_deref(), Some("unknown"));
+    assert!(
+        start.elapsed() < Duration::from_millis(1_400),
+        "{:?}",
+        start.elapsed()
+    );
+}
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -105,6 +105,8 @@
     pub proposed: Arc<Mutex<Vec<Command>>>,
     /// Whether requests for tokens get no reply.
     pub ignore_grants: Arc<AtomicBool>,
+    /// Whether proposals get no reply.
+    pub ignore_changes: Arc<AtomicBool>,
 }
 
 impl Control {
@@ -115,10 +117,13 @@
         let proposed: Arc<Mutex<Vec<Command>>> = Arc::default();
         let ignore_grants: Arc<AtomicBool> = Arc::default();
         let ignoring = ignore_grants.clone();
+        let ignore_changes: Arc<AtomicBool> = Arc::default();
+        let silent = ignore_changes.clone();
         let (applying, published, log) = (machine.clone(), views.clone(), proposed.clone());
         tokio::spawn(async move {
             while let Ok(call) = calls.recv_async().await {
                 match call {
+                    ControlCall::Propose(..) if silent.load(Ordering::SeqCst) => {}
                     ControlCall::Propose(change, reply) => {
                         log.lock().unwrap().push(change.command.clone());
                         let applied = applying.lock().unwrap().apply(&change);
@@ -140,6 +145,7 @@
             clock: Clock::manual(),
             proposed,
             ignore_grants,
+            ignore_changes,
         }
     }
 
