Log and count requests whose connection ends before they are answered

Nothing said that a request had ended with its caller's connection: its handler was dropped without a line. Such requests now have a `request` line with status 0, the cause `closed`, or `closed-sent` if a server may have run them, and are counted in gateway_requests_closed_total. Together with the line at the end of a stop this tells a caller that gave up from a gateway that cut a connection. There is no test of the line.

--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderValue};
-use http::{request, Request, Response, Uri};
+use http::{request, Request, Response, StatusCode, Uri};
 use hyper::body::{Body, Incoming};
 use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_protocol::http::strip_hop_by_hop;
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{self, RoutedRequest};
-use super::request_log::RequestLog;
+use super::request_log::{RequestEnd, RequestLog};
 use super::stopping::Sent;
 use super::{relaying, Shared};
 use crate::caller_body;
@@ -40,16 +40,13 @@
     caller: Caller,
 ) -> Response<CallerBody> {
     let start = Instant::now();
-    shared.running.fetch_add(1, Ordering::Relaxed);
-    let seq = shared.request_count.fetch_add(1, Ordering::Relaxed);
-    let guard = InFlightGuard(&shared);
     let (parts, mut body) = request.into_parts();
     let id = parts
         .headers
         .get(&shared.config.header_names.request)
         .cloned();
     let waits_for_continue = parts.headers.contains_key(header::EXPECT);
-    let mut request_log = RequestLog::default();
+    let mut record = RequestRecord::new(&shared, id, start);
     let version = || {
         let document = shared.view.document();
         document.routing.as_ref().map_or(0, |r| r.version)
@@ -67,26 +64,17 @@
         start,
         length_is_clear: caller.length_is_clear,
         relayed: relayed.as_ref().map(|r| r.attempts),
-        sent: Arc::default(),
+        sent: record.sent.clone(),
     };
-    let handling = handle(&shared, parts, &mut body, &arrival, &mut request_log);
+    let handling = handle(&shared, parts, &mut body, &arrival, &mut record.log);
     let result = shared.stopping.limit(&arrival.sent, handling).await;
     drop(relayed);
-    let spent_ms = start.elapsed().as_millis() as u64;
     let refusal = result.as_ref().err().copied();
     let response = match result {
         Ok(response) => response,
         Err(refusal) => refusal.fractional_response(),
     };
-    drop(guard);
-    metrics::counter!("gateway_requests_total").increment(1);
-    metrics::histogram!("gateway_request_seconds").record(start.elapsed());
-    if refusal.is_some()
-        || seq.is_multiple_of(shared.config.log_one_in)
-        || request_log.attempts.len() > 1
-    {
-        request_log.log(id.as_ref(), response.status(), refusal, spent_ms);
-    }
+    record.end(response.status(), refusal);
     // A leaving instance closes its connections, so that callers fetch the list of
     // gateways before their next request.
     let leaving = shared.leaving.load(Ordering::Relaxed);
@@ -108,12 +96,59 @@
     sent: Arc<Sent>,
 }
 
-/// Counts a request in flight.
-struct InFlightGuard<'a>(&'a Shared);
+/// Counts a request in flight and logs its end, also if its connection ends first.
+struct RequestRecord<'a> {
+    shared: &'a Shared,
+    id: Option<HeaderValue>,
+    start: Instant,
+    log: RequestLog,
+    sent: Arc<Sent>,
+    ended: bool,
+}
+
+impl<'a> RequestRecord<'a> {
+    fn new(shared: &'a Shared, id: Option<HeaderValue>, start: Instant) -> RequestRecord<'a> {
+        shared.running.fetch_add(1, Ordering::Relaxed);
+        RequestRecord {
+            shared,
+            id,
+            start,
+            log: RequestLog::default(),
+            sent: Arc::default(),
+            ended: false,
+        }
+    }
 
-impl Drop for InFlightGuard<'_> {
+    fn end(mut self, status: StatusCode, refusal: Option<Refusal>) {
+        self.ended = true;
+        let seq = self.shared.request_count.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("gateway_requests_total").increment(1);
+        metrics::histogram!("gateway_request_seconds").record(self.start.elapsed());
+        if refusal.is_some()
+            || seq.is_multiple_of(self.shared.config.log_one_in)
+            || self.log.attempts.len() > 1
+        {
+            let end = refusal.map_or(RequestEnd::Answered(status), |refusal| {
+                RequestEnd::Refused(status, refusal)
+            });
+            self.log(end);
+        }
+    }
+
+    fn log(&self, end: RequestEnd) {
+        let spent_ms = self.start.elapsed().as_millis() as u64;
+        self.log.log(self.id.as_ref(), end, spent_ms);
+    }
+}
+
+impl Drop for RequestRecord<'_> {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.shared.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.ended {
+            let sent = self.sent.get();
+            metrics::counter!("gateway_requests_closed_total").increment(1);
+            self.log(RequestEnd::Closed { sent });
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/request_log.rs
+++ b/crates/daemon/src/gateway/request_log.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// How the handling of a request has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum RequestEnd {
+    Answered(StatusCode),
+    /// The connection to the caller ended before there was a response.
+    Closed {
+        /// Whether a server may have run the request.
+        sent: bool,
+    },
+    Refused(StatusCode, Refusal),
+}
+
 /// Log fields of a request.
 #[derive(Debug, Default)]
 pub(super) struct RequestLog {
@@ -104,25 +116,27 @@
     }
 
     /// Logs one line about the request: its route, workspace and object, the version
-    /// of the document, the attempts, and the status or refusal. Priority,
+    /// of the document, the attempts, and the status or refusal, or that its
+    /// connection has ended. Priority,
     /// deadline, latency objective and home regions are not logged.
-    pub(super) fn log(
-        &self,
-        id: Option<&HeaderValue>,
-        status: StatusCode,
-        refusal: Option<Refusal>,
-        spent_ms: u64,
-    ) {
+    pub(super) fn log(&self, id: Option<&HeaderValue>, end: RequestEnd, spent_ms: u64) {
         let id = id.and_then(|v| v.to_str().ok()).unwrap_or("");
         let attempts: Vec<String> = self.attempts.iter().map(AttemptLog::to_string).collect();
         let workspace = self.workspace.as_ref().map_or("", Name::as_str);
-        let cause = refusal.map_or("", |r| r.kind.answer().code);
-        let retry_ms = refusal.map_or(0, |r| r.retry_ms);
+        let (status, cause, retry_ms) = match end {
+            RequestEnd::Answered(status) => (status.as_u16(), "", 0),
+            RequestEnd::Closed { sent: true } => (0, "closed-sent", 0),
+            RequestEnd::Closed { sent: false } => (0, "closed", 0),
+            RequestEnd::Refused(status, refusal) => {
+                let code = refusal.kind.answer().code;
+                (status.as_u16(), code, refusal.retry_ms)
+            }
+        };
         let fingerprint = self.fingerprint.map(tracing::field::display);
         tracing::info!(
             event = "request",
             id,
-            status = status.as_u16(),
+            status,
             cause,
             retry_ms,
             route = %self.route,
