--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -124,7 +124,8 @@
     let reply = connection.send(request, &name, b"", limit).await.unwrap();
     let panics = text == "panic-at-end";
     let on_end = Box::new(move |_| assert!(!panics));
-    let passing = Passing::new(Bytes::new(), reply.body, limit, false, on_end);
+    let deadline = tokio::time::Instant::now() + limit;
+    let passing = Passing::new(Bytes::new(), reply.body, limit, deadline, false, on_end);
     Response::new(CallerBody::Stream(Box::new(passing)))
 }
 
