Read nothing more from a connection that has ended

After the last response a connection was read for up to 500 ms, also when it was idle. A request that crossed the close was read whole and dropped without an answer, and a stop took as long on each connection that its caller kept open.

Now the socket is kept open without reading until the caller has closed its side or 500 ms have passed since the last response, so that this response isn't lost to a reset; an idle connection is closed at once. What a caller still sends of a request that was answered or refused is read on, as it may not read the answer before. A part of a head that arrives before a stop or an eviction is refused with 503 (not-run).

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,57 +1,26 @@
 //! Drives a caller's connection until it ends.
 
 use std::future::{poll_fn, Future};
-use std::io;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
 
 use hyper::server::conn::http1;
 use pomelovale_state::clock::Millis;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
 
 use crate::caller_io::CallerIo;
 use crate::ending::{Cause, EndReport};
 use crate::framing::Verdicts;
 use crate::http_server::{Phase, Shared, Slot};
+use crate::linger::{self, BuiltinResponse, LINGER_MS};
 use crate::link::{Link, Progress};
 use crate::pipeline::PipelinedRequests;
 use crate::serving::{Calls, Requests};
 use crate::timers::{Expired, Timers, Waiting};
 
-// Limits on the time and the bytes for which a connection is read after its last
-// response. Closing a socket with unread data resets the connection, and the caller
-// may lose the response.
-const LINGER_MS: u64 = 500;
-const LINGER_MAX_BYTES: usize = 1024 * 1024;
-
-/// Complete responses that the server sends without calling the handler.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum BuiltinResponse {
-    Full,
-    HeadTimeout,
-}
-
-impl BuiltinResponse {
-    fn bytes(self) -> &'static [u8] {
-        match self {
-            BuiltinResponse::Full => {
-                b"HTTP/1.1 503 Service Unavailable\r\npomelovale-outcome: not-run\r\n\
-                retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
-            }
-            BuiltinResponse::HeadTimeout => {
-                b"HTTP/1.1 408 Request Timeout\r\npomelovale-outcome: not-run\r\n\
-                connection: close\r\ncontent-length: 0\r\n\r\n"
-            }
-        }
-    }
-}
-
 struct Connection<'a> {
     shared: &'a Shared,
     slot: &'a Slot,
@@ -64,6 +33,8 @@
     progress: Progress,
     timers: Timers,
     head_since: Millis,
+    // When the last response was written.
+    answered: Millis,
     // Whether the socket was read once more before the close.
     last_read: bool,
 }
@@ -144,6 +115,9 @@
             Progress { in_head: true, .. } => (Waiting::Head, self.head_since),
             _ => (Waiting::Request, now),
         };
+        if progress.answered != self.progress.answered {
+            self.answered = now;
+        }
         self.progress = progress;
         self.timers.wait_for(waiting, since);
         self.slot.set_idle((!progress.is_serving).then_some(now));
@@ -183,6 +157,7 @@
         progress: link.progress(),
         timers: Timers::new(shared.start, shared.now(), *timeouts.borrow_and_update()),
         head_since: Millis(0),
+        answered: Millis(0),
         last_read: false,
     };
     let mut closing = pin!(async {
@@ -206,6 +181,8 @@
             cause = poll_fn(|cx| connection.poll(cx)) => break cause,
         }
     };
+    connection.update_timers();
+    let answered = connection.answered;
     let refuses = link.progress().in_head && !link.is_announced();
     drop(connection);
     report.cause = cause;
@@ -215,33 +192,15 @@
         Cause::Evicted | Cause::Stop if refuses => Some(BuiltinResponse::Full),
         _ => None,
     };
-    close(&link.stream, answer).await;
-}
-
-/// Writes a last response, if any, and closes the connection.
-pub(crate) async fn close(stream: &TcpStream, answer: Option<BuiltinResponse>) {
-    let lingering = async {
-        let mut rest = answer.map_or(&b""[..], BuiltinResponse::bytes);
-        while !rest.is_empty() {
-            stream.writable().await?;
-            match stream.try_write(rest) {
-                Ok(n) => rest = &rest[n..],
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
-        }
-        SockRef::from(stream).shutdown(Shutdown::Write)?;
-        let (mut buffer, mut left) = ([0; 4096], LINGER_MAX_BYTES);
-        while left > 0 {
-            stream.readable().await?;
-            match stream.try_read(&mut buffer) {
-                Ok(0) => break,
-                Ok(n) => left = left.saturating_sub(n),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
+    if link.broken().is_none() {
+        let limit = match (cause, answer) {
+            // The last response may have been received long ago.
+            (Cause::Evicted | Cause::Idle | Cause::Stop, None) => {
+                LINGER_MS.saturating_sub(shared.now().since(answered))
             }
-        }
-        Ok::<_, io::Error>(())
-    };
-    let _ = timeout(Duration::from_millis(LINGER_MS), lingering).await;
+            _ => LINGER_MS,
+        };
+        let drains = answer.is_some() || link.is_mid_request();
+        linger::close(&link.stream, answer, drains, limit).await;
+    }
 }
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -13,13 +13,14 @@
 use hyper::body::Incoming;
 use pomelovale_state::clock::Millis;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::Instant;
 
 use crate::body::CallerBody;
-use crate::connection::{self, BuiltinResponse};
+use crate::connection;
 use crate::ending::{Cause, EndLog, EndReport};
+use crate::linger::{self, BuiltinResponse, LINGER_MS};
 use crate::socket;
 
 // Value of `Slot::idle_since` while a request is in progress.
@@ -195,46 +196,61 @@
 async fn accept(
     listener: TcpListener,
     shared: Arc<Shared>,
-    mut phase: watch::Receiver<Phase>,
+    watched: watch::Receiver<Phase>,
     connection_guard: mpsc::Sender<()>,
 ) {
     let mut id = 0;
+    let mut admit = |stream, address| {
+        id += 1;
+        admit(id, stream, address, &shared, &watched, &connection_guard);
+    };
+    let mut phase = watched.clone();
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = phase.changed() => return,
+            _ = phase.changed() => break,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, address)) = accepted else {
+        match accepted {
+            Ok((stream, address)) => admit(stream, address),
             // Most likely the process is out of file descriptors, which are freed as
             // connections end.
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        socket::configure(&stream);
-        id += 1;
-        let (shared, phase, connection_guard) =
-            (shared.clone(), phase.clone(), connection_guard.clone());
-        match shared.register(id) {
-            None => {
-                drop(EndReport {
-                    opened: shared.now(),
-                    shared,
-                    link: None,
-                    address,
-                    cause: Cause::Full,
-                });
-                tokio::spawn(async move {
-                    connection::close(&stream, Some(BuiltinResponse::Full)).await;
-                });
-            }
-            Some(slot) => {
-                let entry = SlotEntry { shared, id, slot };
-                tokio::spawn(async move {
-                    connection::serve(stream, address, &entry.shared, &entry.slot, phase).await;
-                    drop((entry, connection_guard));
-                });
-            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+// Serves a new connection, or refuses it at the limit.
+fn admit(
+    id: u64,
+    stream: TcpStream,
+    address: SocketAddr,
+    shared: &Arc<Shared>,
+    phase: &watch::Receiver<Phase>,
+    connection_guard: &mpsc::Sender<()>,
+) {
+    socket::configure(&stream);
+    let (shared, phase) = (shared.clone(), phase.clone());
+    let connection_guard = connection_guard.clone();
+    match shared.register(id) {
+        None => {
+            drop(EndReport {
+                opened: shared.now(),
+                shared,
+                link: None,
+                address,
+                cause: Cause::Full,
+            });
+            tokio::spawn(async move {
+                linger::close(&stream, Some(BuiltinResponse::Full), true, LINGER_MS).await;
+            });
+        }
+        Some(slot) => {
+            let entry = SlotEntry { shared, id, slot };
+            tokio::spawn(async move {
+                connection::serve(stream, address, &entry.shared, &entry.slot, phase).await;
+                drop((entry, connection_guard));
+            });
         }
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod ending;
 pub mod framing;
 pub mod http_server;
+mod linger;
 mod link;
 pub mod peer_client;
 pub mod peer_link;
--- /dev/null
+++ b/crates/transport/src/linger.rs
@@ -0,0 +1,104 @@
+//! Closes callers' connections.
+
+use std::io::{self, ErrorKind};
+use std::net::Shutdown;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Time for which a socket is kept open after its last response, in milliseconds.
+/// Closing a socket with unread data, or to which data is sent later, resets the
+/// connection, and the caller may lose the response.
+pub(crate) const LINGER_MS: u64 = 500;
+// Maximum number of bytes read in that time.
+const DRAIN_MAX_BYTES: usize = 1024 * 1024;
+
+/// Complete responses that the server sends without calling the handler.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum BuiltinResponse {
+    Full,
+    HeadTimeout,
+}
+
+impl BuiltinResponse {
+    fn bytes(self) -> &'static [u8] {
+        match self {
+            BuiltinResponse::Full => {
+                b"HTTP/1.1 503 Service Unavailable\r\npomelovale-outcome: not-run\r\n\
+                retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+            }
+            BuiltinResponse::HeadTimeout => {
+                b"HTTP/1.1 408 Request Timeout\r\npomelovale-outcome: not-run\r\n\
+                connection: close\r\ncontent-length: 0\r\n\r\n"
+            }
+        }
+    }
+}
+
+/// Writes a last response, if any, and closes the connection once the caller has
+/// done so, or after `limit` milliseconds. `drains` tells whether the caller may still
+/// be sending a request that was answered; it may not read the response before that.
+/// Otherwise nothing more is read, so that no request is received without an answer.
+pub(crate) async fn close(
+    stream: &TcpStream,
+    answer: Option<BuiltinResponse>,
+    drains: bool,
+    limit: u64,
+) {
+    if limit == 0 {
+        return;
+    }
+    let lingering = async {
+        if let Some(answer) = answer {
+            write(stream, answer.bytes()).await?;
+        }
+        SockRef::from(stream).shutdown(Shutdown::Write)?;
+        match drains {
+            true => drain(stream).await,
+            false => wait_closed(stream).await,
+        }
+    };
+    let _ = timeout(Duration::from_millis(limit), lingering).await;
+}
+
+async fn write(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+async fn drain(stream: &TcpStream) -> io::Result<()> {
+    let (mut buffer, mut left) = ([0; 4096], DRAIN_MAX_BYTES);
+    while left > 0 {
+        stream.readable().await?;
+        match stream.try_read(&mut buffer) {
+            Ok(0) => return Ok(()),
+            Ok(n) => left = left.saturating_sub(n),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+// Waits until the caller has closed its side, without reading.
+async fn wait_closed(stream: &TcpStream) -> io::Result<()> {
+    loop {
+        if stream.ready(Interest::READABLE).await?.is_read_closed() {
+            return Ok(());
+        }
+        // Clears the readiness, so that the next event is waited for.
+        let _ = stream.try_io(Interest::READABLE, || {
+            Err::<(), _>(ErrorKind::WouldBlock.into())
+        });
+    }
+}
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -80,7 +80,8 @@
 pub(crate) struct Progress {
     received: u64,
     started: u64,
-    answered: u64,
+    /// Number of answered requests.
+    pub(crate) answered: u64,
     /// Whether a request is in progress.
     pub(crate) is_serving: bool,
     /// Whether a part of a request head was received.
@@ -404,6 +405,12 @@
         self.lock().broken
     }
 
+    /// Whether the caller may still be sending a request that was answered or refused.
+    pub(crate) fn is_mid_request(&self) -> bool {
+        let state = self.lock();
+        state.forwarding || (state.busy && !state.serving)
+    }
+
     /// What has happened so far.
     pub(crate) fn progress(&self) -> Progress {
         let state = self.lock();
--- /dev/null
+++ b/crates/transport/tests/closing.rs
@@ -0,0 +1,121 @@
+//! Tests of connections that the server closes while they are idle or while requests
+//! arrive.
+
+mod support;
+
+use std::io::Write;
+use std::net::TcpStream as BlockingStream;
+use std::time::{Duration, Instant};
+
+use pomelovale_transport::http_server::{Server, ServerLimits};
+use support::{all_answers, bodies, closed_bodies, get, send, start_server, start_with};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+async fn pause(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
+
+// Connects and sends text before the server can take notice.
+fn send_unnoticed(server: &Server, text: &str) -> BlockingStream {
+    let mut stream = BlockingStream::connect(server.address()).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    stream
+}
+
+fn reader(stream: BlockingStream) -> TcpStream {
+    stream.set_nonblocking(true).unwrap();
+    TcpStream::from_std(stream).unwrap()
+}
+
+/// Guards against a stop that waits for callers of idle connections.
+#[tokio::test]
+async fn stop_closes_idle_connections_at_once() {
+    let (server, _) = start_server().await;
+    let mut stream = send(&server, &[get("/0/a")]).await;
+    assert_eq!(bodies(&mut stream, 1).await, ["a"]);
+    pause(600).await;
+    let start = Instant::now();
+    server.stop().await;
+    assert!(start.elapsed() < Duration::from_millis(300));
+}
+
+/// Guards against a request that has arrived and is lost in a stop.
+#[tokio::test]
+async fn stop_serves_a_request_that_has_arrived() {
+    let (server, _) = start_server().await;
+    let mut stream = send(&server, &[get("/0/a")]).await;
+    assert_eq!(bodies(&mut stream, 1).await, ["a"]);
+    let stream = stream.into_std().unwrap();
+    (&stream).write_all(get("/0/b").as_bytes()).unwrap();
+    let stop = tokio::spawn(server.stop());
+    assert_eq!(
+        closed_bodies(&all_answers(&mut reader(stream)).await),
+        ["b"]
+    );
+    stop.await.unwrap();
+}
+
+/// Guards against a request whose head is incomplete in a stop and that gets neither
+/// an answer nor a refusal.
+#[tokio::test]
+async fn stop_refuses_an_incomplete_head() {
+    let (server, stats) = start_server().await;
+    let mut stream = send(&server, &["GET /0/a HTTP/1.1\r\n".to_owned()]).await;
+    pause(50).await;
+    let stop = tokio::spawn(server.stop());
+    let got = all_answers(&mut stream).await;
+    assert_eq!((got.len(), got[0].status), (1, 503));
+    assert!(got[0].head.contains("\r\npomelovale-outcome: not-run\r\n"));
+    drop(stream);
+    stop.await.unwrap();
+    assert_eq!(stats.started.load(std::sync::atomic::Ordering::SeqCst), 0);
+}
+
+/// Guards against a request that arrives while its connection is evicted and is lost.
+#[tokio::test]
+async fn eviction_serves_a_request_that_has_arrived() {
+    let limits = ServerLimits {
+        connections: 1,
+        ..ServerLimits::default()
+    };
+    let (server, _) = start_with(limits).await;
+    let mut stream = send(&server, &[get("/0/a")]).await;
+    assert_eq!(bodies(&mut stream, 1).await, ["a"]);
+    let stream = stream.into_std().unwrap();
+    let other = send_unnoticed(&server, &get("/0/c"));
+    (&stream).write_all(get("/50/b").as_bytes()).unwrap();
+    assert_eq!(bodies(&mut reader(other), 1).await, ["c"]);
+    assert_eq!(
+        closed_bodies(&all_answers(&mut reader(stream)).await),
+        ["b"]
+    );
+}
+
+/// Guards against a last response that is lost because the caller has sent another
+/// request behind it, which is not read.
+#[tokio::test]
+async fn last_answer_arrives_in_spite_of_a_late_request() {
+    let (server, stats) = start_server().await;
+    let mut stream = send(&server, &[get("/0/close")]).await;
+    pause(50).await;
+    for _ in 0..20 {
+        stream.write_all(get("/0/b").as_bytes()).await.unwrap();
+        pause(5).await;
+    }
+    assert_eq!(closed_bodies(&all_answers(&mut stream).await), ["close"]);
+    assert_eq!(stats.started.load(std::sync::atomic::Ordering::SeqCst), 1);
+}
+
+/// Guards against a refusal that a caller does not see because it is still sending.
+#[tokio::test]
+async fn refusal_reaches_a_caller_that_sends_on() {
+    let (server, _) = start_server().await;
+    let mut stream = send(&server, &["GET /".to_owned()]).await;
+    let long = "x".repeat(200_000);
+    let sent = timeout(Duration::from_secs(2), stream.write_all(long.as_bytes())).await;
+    sent.expect("no deadlock").unwrap();
+    let got = all_answers(&mut stream).await;
+    assert_eq!(got.iter().map(|a| a.status).collect::<Vec<_>>(), [431]);
+}
