Serve connections that are established but not accepted at a stop

The listener was closed as soon as the stop was noticed. Connections in its backlog were reset, with the requests that they had already sent. They are now accepted first and served like other connections in a stop.

--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -218,6 +218,16 @@
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
         }
     }
+    // Connections that are already established would be reset with the listener.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, address)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+            admit(stream, address);
+        }
+    }
 }
 
 // Serves a new connection, or refuses it at the limit.
--- a/crates/transport/tests/closing.rs
+++ b/crates/transport/tests/closing.rs
@@ -57,6 +57,24 @@
     stop.await.unwrap();
 }
 
+/// Guards against a connection that is reset in a stop because it was not accepted yet.
+#[tokio::test]
+async fn stop_serves_connections_that_were_not_accepted() {
+    let (server, _) = start_server().await;
+    pause(10).await;
+    let streams: Vec<BlockingStream> = (0..20)
+        .map(|_| send_unnoticed(&server, &get("/50/a")))
+        .collect();
+    let stop = tokio::spawn(server.stop());
+    for stream in streams {
+        assert_eq!(
+            closed_bodies(&all_answers(&mut reader(stream)).await),
+            ["a"]
+        );
+    }
+    stop.await.unwrap();
+}
+
 /// Guards against a request whose head is incomplete in a stop and that gets neither
 /// an answer nor a refusal.
 #[tokio::test]
