Limit what a stream that breaks off takes down with it

A streamed response that breaks off has to end the connection, since nothing else tells the caller that it is incomplete. All requests that were started behind it got no answer.

Requests are not started any more behind a response that is known to be a stream, also while that one waits for the responses before it; before, only while it was being written. Requests that were started before the response was known to be a stream still end with it.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer_server;
 mod pipeline;
 pub mod pool;
+mod response;
 mod serving;
 mod socket;
 mod timers;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -8,13 +8,12 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use http::header::{self, HeaderValue};
-use http::{HeaderMap, Request, Response, Version};
+use http::{HeaderMap, Request, Version};
 use hyper::body::Incoming;
 use hyper::rt::ReadBufCursor;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use crate::body::CallerBody;
 use crate::ending::Cause;
 use crate::framing::{Direction, Framing, Verdicts, READ_BYTES};
 
@@ -60,7 +59,10 @@
     next: u64,
     // Number of started requests that may still announce the close in their response.
     undecided: u64,
-    // Whether the response that is being written is a stream.
+    // Number of responses that are streams and not completely written, and whether
+    // the one that is being written is a stream. No request is started behind them,
+    // since a stream that breaks off ends the connection.
+    streams: u64,
     streaming: bool,
     // Why no further requests are started, unless `reopened`.
     closing: Option<Cause>,
@@ -107,7 +109,7 @@
         };
         behind
             && self.next - self.front < PIPELINED_MAX
-            && !self.streaming
+            && self.streams == 0
             && !self.announced
             && (self.closing.is_none() || self.reopened)
     }
@@ -160,6 +162,7 @@
             front: 0,
             next: 0,
             undecided: 0,
+            streams: 0,
             streaming: false,
             closing: None,
             reopened: false,
@@ -324,13 +327,18 @@
         }
     }
 
+    /// Records that the response to a request is a stream.
+    pub(crate) fn expect_stream(&self) {
+        self.lock().streams += 1;
+    }
+
     /// Decides whether a response that is to be written next announces the close:
     /// only that of the last started request may.
-    pub(crate) fn prepare(&self, response: &mut Response<CallerBody>) {
+    pub(crate) fn prepare(&self, headers: &mut HeaderMap, streams: bool) {
         let mut state = self.lock();
         state.undecided -= 1;
         state.reopened = false;
-        let headers = response.headers_mut();
+        state.streaming = streams;
         let asks = has_option(headers, b"close");
         if asks {
             state.close(Cause::Response);
@@ -343,7 +351,6 @@
             Some(_) | None if asks => drop(headers.remove(header::CONNECTION)),
             Some(_) | None => {}
         }
-        state.streaming = matches!(response.body(), CallerBody::Stream(_));
     }
 
     /// Records that hyper has dropped the body of the response that is being written.
@@ -359,6 +366,7 @@
         }
         let mut state = self.lock();
         state.answered += 1;
+        state.streams -= u64::from(state.streaming);
         state.streaming = false;
         match place {
             Place::Own => (state.busy, state.serving) = (false, false),
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -52,7 +52,7 @@
 /// the text and the request body. If the text is "close", it closes the connection; if
 /// it is "panic" or "panic-at-once", the handler panics after the delay or in its call.
 /// If it is "stream", "cut" or "panic-at-end", the answer is the text "stream" in two
-/// parts 100 ms apart; "cut" breaks off after the first one, and the end of
+/// parts 200 ms apart; "cut" breaks off after the first one, and the end of
 /// "panic-at-end" panics.
 pub async fn start_with(limits: ServerLimits) -> (Server, Arc<HandlerStats>) {
     let stats = Arc::new(HandlerStats::default());
@@ -105,7 +105,7 @@
                 let head = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n";
                 stream.write_all(head.as_bytes()).await.unwrap();
                 stream.write_all(b"str").await.unwrap();
-                sleep(Duration::from_millis(100)).await;
+                sleep(Duration::from_millis(200)).await;
                 if !cuts {
                     stream.write_all(b"eam").await.unwrap();
                 }
