--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -129,9 +129,9 @@
     // stores nor acknowledges what it can't apply.
     fn check_message(&mut self, message: &LogMessage) -> Result<(), String> {
         let checked = match message {
-            LogMessage::Append { entries, .. } => stored::check_entries(entries),
+            LogMessage::Append { entries, .. } => stored::check_entries(entries).map(drop),
             LogMessage::Install { snapshot, .. } => stored::decode_snapshot(snapshot)
-                .map(|state| self.received_snapshot = Some((snapshot.position(), state))),
+                .map(|(state, _)| self.received_snapshot = Some((snapshot.position(), state))),
             _ => return Ok(()),
         };
         match (checked, message) {
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -12,6 +12,7 @@
 use pomelovale_coordination::control::ControlCall;
 use pomelovale_coordination::log::{Action, Event, LogStatus, Replica, Role as LogRole, TICK_MS};
 use pomelovale_coordination::view::View;
+use pomelovale_protocol::format::{encode_state, Format};
 use pomelovale_protocol::frame::{encode_body, FRAME_MAX_BYTES};
 use pomelovale_protocol::log::{
     Entry, EntryData, LogIndex, Payload, Position, ReplicaId, Snapshot,
@@ -352,7 +353,7 @@
             }
         };
         self.applied = entry.position();
-        let (Some(change), EntryData::Change(payload)) = (change, &entry.data) else {
+        let (Some((change, _)), EntryData::Change(payload)) = (change, &entry.data) else {
             return true;
         };
         let before = self.machine.document.version;
@@ -384,12 +385,12 @@
         let received = self.received_snapshot.take();
         let restored = match received.filter(|(at, _)| *at == snapshot.position()) {
             Some((_, state)) => Ok(state),
-            None => stored::decode_snapshot(snapshot),
+            None => stored::decode_snapshot(snapshot).map(|(state, _)| state),
         };
         match restored {
-            Ok(saved) => {
-                self.machine = saved.machine;
-                self.feed.reset(saved.position);
+            Ok((machine, position)) => {
+                self.machine = machine;
+                self.feed.reset(position);
                 self.applied = snapshot.position();
                 self.snapshot_index = snapshot.index;
             }
@@ -409,13 +410,11 @@
             return;
         }
         self.compacting = true;
-        let saved = SnapshotState {
-            machine: self.machine.clone(),
-            position: self.feed.position(),
-        };
+        let (machine, position) = (self.machine.clone(), self.feed.position());
         let (index, done) = (self.applied.index, self.compactions.0.clone());
         tokio::task::spawn_blocking(move || {
-            let snapshot = Payload::from(encode_body(&saved).unwrap_or_default());
+            let state = encode_state(&machine, position, Format::LATEST);
+            let snapshot = Payload::from(state.unwrap_or_default());
             let _ = done.send(Event::Compact { index, snapshot });
         });
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -143,7 +143,7 @@
         let directory = &config.directory;
         let lock = DirectoryLock::acquire(directory).map_err(ControlError::Storage)?;
         let opened = Storage::open_checked(directory, |restored| {
-            stored::check_restored(directory, restored)
+            stored::check_restored(directory, restored).map(drop)
         });
         let (storage, restored) = opened.map_err(ControlError::Storage)?;
         let log = log_config(&config);
--- /dev/null
+++ b/crates/daemon/tests/control_formats.rs
@@ -0,0 +1,140 @@
+//! Data folders that earlier builds wrote, in `formats/BUILD`: `log` without and
+//! `snapshot` with a snapshot, and the document that the build itself listed for each.
+//! 0ef57c59 writes format 1, f133e7a5 format 2.
+
+mod control_kit;
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use control_kit::{change, put_key, put_workspace, running_clock, secret, until, within};
+use pomelovale_state::command::{Applied, Command};
+use pomelovale_state::Name;
+use pomelovaled::control::config::{ControlConfig, ControlLimits};
+use pomelovaled::control::{Control, ControlServer};
+use serde_json::{json, Value};
+use tempfile::TempDir;
+
+fn fixture(build: &str) -> PathBuf {
+    let tests = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
+    tests.join("formats").join(build)
+}
+
+fn copy(build: &str, folder: &str) -> TempDir {
+    let directory = TempDir::new().unwrap();
+    for file in fs::read_dir(fixture(build).join(folder)).unwrap() {
+        let file = file.unwrap();
+        fs::copy(file.path(), directory.path().join(file.file_name())).unwrap();
+    }
+    directory
+}
+
+/// What the build that wrote a folder listed, with the fields added since.
+fn listing(build: &str, folder: &str) -> Value {
+    let path = fixture(build).join(folder).with_extension("json");
+    let text = fs::read_to_string(path).unwrap();
+    let mut listing: Value = serde_json::from_str(&text).unwrap();
+    let fields = listing.as_object_mut().unwrap();
+    fields
+        .entry("limits")
+        .or_insert(Value::Object(Default::default()));
+    listing
+}
+
+fn config(directory: &Path, snapshot_entries: u64) -> ControlConfig {
+    ControlConfig {
+        name: Name::from("c1"),
+        directory: directory.to_path_buf(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        peers: Vec::new(),
+        joining: Default::default(),
+        secret: secret(),
+        initial: Vec::new(),
+        timings: Default::default(),
+        limits: ControlLimits {
+            snapshot_entries,
+            ..Default::default()
+        },
+    }
+}
+
+async fn start(directory: &Path, snapshot_entries: u64) -> ControlServer {
+    let config = config(directory, snapshot_entries);
+    let server = Control::start(config, running_clock()).await.unwrap();
+    until("the instance leads and has applied its log", || {
+        let status = server.status();
+        status.role == "leader" && status.applied == status.last && status.age_ms < 1_000
+    })
+    .await;
+    server
+}
+
+fn listed(server: &ControlServer) -> Value {
+    serde_json::to_value(&*server.view().document()).unwrap()
+}
+
+async fn propose(server: &ControlServer, request: &str, command: Command) -> Applied {
+    let answer = server.handle().propose(change(request, command)).await;
+    answer.unwrap()
+}
+
+macro_rules! earlier_data {
+    ($($name:ident: $build:literal, $folder:literal;)*) => {$(
+        /// Guards against accepted changes of an earlier build, such as a revocation,
+        /// that are skipped or read as another change, and against a state that
+        /// differs after a restart or from a snapshot.
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            let directory = copy($build, $folder);
+            let server = start(directory.path(), 4_096).await;
+            assert_eq!(listed(&server), listing($build, $folder));
+            for (key, revoked) in [("k1", true), ("k2", true), ("k3", true)] {
+                assert_eq!(server.view().document().keys[key].revoked, revoked, "{key}");
+            }
+            // The results of its changes are kept, too.
+            let resent = propose(&server, "r3", put_workspace("w", 10)).await;
+            assert_eq!(resent, Applied::Accepted { version: 4, item: 1 });
+            propose(&server, "new-1", put_key("k4", "w")).await;
+            propose(&server, "new-2", Command::RevokeKey(Name::from("k4"))).await;
+            let expected = listed(&server);
+            server.kill().await;
+            let server = start(directory.path(), 1).await;
+            assert_eq!(listed(&server), expected);
+            propose(&server, "new-3", put_key("k5", "w")).await;
+            let expected = listed(&server);
+            until("a snapshot is written", || {
+                let snapshot = fs::metadata(directory.path().join("snapshot"));
+                snapshot.is_ok_and(|file| file.len() > 600)
+            })
+            .await;
+            server.kill().await;
+            let server = start(directory.path(), 4_096).await;
+            assert_eq!(listed(&server), expected);
+            within("the end of the instance", server.kill()).await;
+        }
+    )*};
+}
+
+earlier_data! {
+    log_of_format_1: "0ef57c59", "log";
+    snapshot_of_format_1: "0ef57c59", "snapshot";
+    log_of_format_2: "f133e7a5", "log";
+    snapshot_of_format_2: "f133e7a5", "snapshot";
+}
+
+/// Guards against a fixture that lacks the changes whose bytes differ between formats.
+#[test]
+fn earlier_data_holds_what_differs_between_formats() {
+    for folder in ["log", "snapshot"] {
+        assert_eq!(listing("0ef57c59", folder)["limits"], json!({}));
+        let limits = json!({"north-1": 2_500, "south-1": 4_000});
+        assert_eq!(listing("f133e7a5", folder)["limits"], limits);
+        for build in ["0ef57c59", "f133e7a5"] {
+            assert_eq!(
+                listing(build, folder)["moves"]["m1"]["reason"],
+                "maintenance"
+            );
+            assert_eq!(listing(build, folder)["keys"]["k2"]["revoked"], true);
+        }
+    }
+}
--- a/crates/daemon/tests/control_unreadable.rs
+++ b/crates/daemon/tests/control_unreadable.rs
@@ -25,7 +25,8 @@
 use pomelovaled::control::{Control, ControlServer};
 use tempfile::TempDir;
 
-const UNREADABLE: [u8; 5] = [255, 9, 1, 2, 3];
+/// Starts with the mark of a later format: its number, and the build that wrote it.
+const UNREADABLE: &[u8] = b"\xff\x09\x031.4\x01\x02";
 
 fn readable(request: &str) -> Payload {
     Payload::from(encode_body(&change(request, put_workspace("w", 10))).unwrap())
@@ -123,11 +124,11 @@
 
 refused_starts! {
     unreadable_change: None,
-        vec![entry(1, readable("a")), entry(2, Payload::from(&UNREADABLE[..])), entry(3, readable("b"))],
-        ["log", "index 2"];
-    unreadable_last_change: None, vec![entry(1, Payload::from(&UNREADABLE[..]))], ["log", "index 1"];
-    unreadable_snapshot_state: unreadable_snapshot(4, &UNREADABLE), vec![entry(5, readable("a"))],
-        ["snapshot", "index 4"];
+        vec![entry(1, readable("a")), entry(2, Payload::from(UNREADABLE)), entry(3, readable("b"))],
+        ["log", "index 2", "format 9 of build \"1.4\""];
+    unreadable_last_change: None, vec![entry(1, Payload::from(UNREADABLE))], ["log", "index 1"];
+    unreadable_snapshot_state: unreadable_snapshot(4, UNREADABLE), vec![entry(5, readable("a"))],
+        ["snapshot", "index 4", "format 9 of build \"1.4\""];
     empty_snapshot_state: unreadable_snapshot(4, &[]), Vec::new(), ["snapshot", "index 4"];
 }
 
@@ -256,15 +257,15 @@
 
 refused_messages! {
     unreadable_change_of_a_leader:
-        append(1, vec![entry(2, Payload::from(&UNREADABLE[..])), entry(3, readable("b"))], 3),
+        append(1, vec![entry(2, Payload::from(UNREADABLE)), entry(3, readable("b"))], 3),
         "index 2";
     unreadable_uncommitted_change_of_a_leader:
-        append(1, vec![entry(2, readable("b")), entry(3, Payload::from(&UNREADABLE[..]))], 1),
+        append(1, vec![entry(2, readable("b")), entry(3, Payload::from(UNREADABLE))], 1),
         "index 3";
     unreadable_snapshot_of_a_leader: LogMessage::Install {
         epoch: Epoch(1),
         round: 2,
-        snapshot: unreadable_snapshot(9, &UNREADABLE).unwrap(),
+        snapshot: unreadable_snapshot(9, UNREADABLE).unwrap(),
     }, "index 9";
 }
 
@@ -290,7 +291,7 @@
     };
     leader.send(&link, of_epoch(3, Vec::new()));
     control_kit::until("the follower knows epoch 3", || server.status().epoch == 3).await;
-    let unreadable = entry(1, Payload::from(&UNREADABLE[..]));
+    let unreadable = entry(1, Payload::from(UNREADABLE));
     leader.send(&link, of_epoch(1, vec![unreadable]));
     let mut entry = entry(1, readable("a"));
     entry.epoch = Epoch(3);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! paths.
 
 pub mod auth;
+pub mod format;
 pub mod frame;
 pub mod grants;
 pub mod header_names;
