--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -188,7 +188,8 @@
     report.cause = cause;
     drop(report);
     let answer = match cause {
-        Cause::HeadTimeout => Some(BuiltinResponse::HeadTimeout),
+        // The rest of the head may have arrived in the last read.
+        Cause::HeadTimeout if refuses => Some(BuiltinResponse::HeadTimeout),
         Cause::Evicted | Cause::Stop if refuses => Some(BuiltinResponse::Full),
         _ => None,
     };
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -116,6 +116,7 @@
 
     fn close(&mut self, cause: Cause) {
         self.closing.get_or_insert(cause);
+        self.reopened = false;
     }
 
     fn restart_scan(&mut self) {
--- a/crates/transport/src/serving.rs
+++ b/crates/transport/src/serving.rs
@@ -36,6 +36,13 @@
     place: Place,
 }
 
+impl Drop for Serving {
+    fn drop(&mut self) {
+        let answer = std::mem::replace(&mut self.answer, Answer::Held(None));
+        catch(|| drop(answer));
+    }
+}
+
 impl Future for Serving {
     type Output = Result<Response<TrackedBody>, Infallible>;
 
--- a/crates/transport/tests/closing.rs
+++ b/crates/transport/tests/closing.rs
@@ -5,10 +5,13 @@
 
 use std::io::Write;
 use std::net::TcpStream as BlockingStream;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use pomelovale_transport::http_server::{Server, ServerLimits};
-use support::{all_answers, bodies, closed_bodies, get, send, start_server, start_with};
+use support::{
+    all_answers, bodies, closed_bodies, get, last, post, send, start_server, start_with,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -75,6 +78,40 @@
     stop.await.unwrap();
 }
 
+// Sends requests while a streamed answer is being written, which can't announce the
+// close any more, and stops the server. The listed bodies must arrive, the last one
+// with the announcement, and no other request may be run.
+macro_rules! stops_in_a_stream {
+    ($($(#[$doc:meta])* $name:ident: $requests:expr => $bodies:expr;)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let (server, stats) = start_server().await;
+            let mut stream = send(&server, &[get("/0/stream")]).await;
+            pause(50).await;
+            let requests: Vec<String> = $requests.to_vec();
+            stream.write_all(requests.concat().as_bytes()).await.unwrap();
+            pause(20).await;
+            let stop = tokio::spawn(server.stop());
+            let got = all_answers(&mut stream).await;
+            assert_eq!(closed_bodies(&got), $bodies);
+            assert_eq!(stats.started.load(Ordering::SeqCst), $bodies.len());
+            drop(stream);
+            stop.await.unwrap();
+        })*
+    };
+}
+
+stops_in_a_stream! {
+    /// Guards against requests that were read and end without an answer or an
+    /// announcement of the close.
+    stop_in_a_stream_serves_what_has_arrived: [get("/20/a"), get("/0/b"), get("/0/c")]
+        => ["stream", "a", "b", "c"];
+    /// The same with a request that is not pipelined.
+    stop_in_a_stream_serves_an_unsafe_request: [post("/0/a", ""), get("/0/b")] => ["stream", "a"];
+    /// Guards against a request that is started behind one that asks for the close.
+    stop_in_a_stream_ends_with_the_last_request: [get("/20/a"), last("/0/b"), get("/0/c")]
+        => ["stream", "a", "b"];
+}
+
 /// Guards against a request whose head is incomplete in a stop and that gets neither
 /// an answer nor a refusal.
 #[tokio::test]
@@ -88,7 +125,7 @@
     assert!(got[0].head.contains("\r\npomelovale-outcome: not-run\r\n"));
     drop(stream);
     stop.await.unwrap();
-    assert_eq!(stats.started.load(std::sync::atomic::Ordering::SeqCst), 0);
+    assert_eq!(stats.started.load(Ordering::SeqCst), 0);
 }
 
 /// Guards against a request that arrives while its connection is evicted and is lost.
@@ -123,7 +160,7 @@
         pause(5).await;
     }
     assert_eq!(closed_bodies(&all_answers(&mut stream).await), ["close"]);
-    assert_eq!(stats.started.load(std::sync::atomic::Ordering::SeqCst), 1);
+    assert_eq!(stats.started.load(Ordering::SeqCst), 1);
 }
 
 /// Guards against a refusal that a caller does not see because it is still sending.
--- a/crates/transport/tests/connection_ends.rs
+++ b/crates/transport/tests/connection_ends.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use support::{
-    all_answers, answers, bodies, closed_bodies, get, post, send, start_server, start_timed,
+    all_answers, answers, bodies, closed_bodies, get, last, post, send, start_server, start_timed,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::time::{sleep, timeout};
@@ -90,10 +90,6 @@
         => ["a", "bxyz", "c", "d"];
 }
 
-fn last(path: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: x, Close\r\n\r\n")
-}
-
 fn old(path: &str) -> String {
     format!("GET {path} HTTP/1.0\r\n\r\n")
 }
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +22,8 @@
     pub running: AtomicUsize,
     pub max_running: AtomicUsize,
     pub started: AtomicUsize,
+    /// Third parts of the paths, in the order in which requests were started.
+    pub ids: Mutex<Vec<String>>,
     pub ended: AtomicUsize,
 }
 
@@ -53,7 +55,7 @@
 /// it is "panic" or "panic-at-once", the handler panics after the delay or in its call.
 /// If it is "stream", "cut" or "panic-at-end", the answer is the text "stream" in two
 /// parts 200 ms apart; "cut" breaks off after the first one, and the end of
-/// "panic-at-end" panics.
+/// "panic-at-end" panics. A third part of the path is sent back in the header "id".
 pub async fn start_with(limits: ServerLimits) -> (Server, Arc<HandlerStats>) {
     let stats = Arc::new(HandlerStats::default());
     let counted = stats.clone();
@@ -62,9 +64,11 @@
         let stats = counted.clone();
         let running = stats.running.fetch_add(1, Ordering::SeqCst) + 1;
         stats.started.fetch_add(1, Ordering::SeqCst);
+        let id = request.uri().path().split('/').nth(3).map(str::to_owned);
+        stats.ids.lock().unwrap().extend(id.clone());
         stats.max_running.fetch_max(running, Ordering::SeqCst);
         let guard = RunningGuard(stats.clone());
-        assert!(!request.uri().path().ends_with("/panic-at-once"));
+        assert!(!request.uri().path().contains("/panic-at-once"));
         Box::pin(async move {
             let _running = guard;
             let path = request.uri().path().to_owned();
@@ -76,7 +80,7 @@
             assert!(text != "panic");
             stats.ended.fetch_add(1, Ordering::SeqCst);
             if let "cut" | "panic-at-end" | "stream" = text {
-                return stream(backend, text).await;
+                return with_id(stream(backend, text).await, id);
             }
             let all = [text.as_bytes(), &body].concat();
             let mut response = Response::new(CallerBody::Full(Bytes::from(all)));
@@ -84,7 +88,7 @@
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            response
+            with_id(response, id)
         })
     });
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -92,6 +96,13 @@
     (server, stats)
 }
 
+fn with_id(mut response: Response<CallerBody>, id: Option<String>) -> Response<CallerBody> {
+    if let Some(id) = id {
+        response.headers_mut().insert("id", id.parse().unwrap());
+    }
+    response
+}
+
 // Starts a backend server that answers with a streamed body.
 async fn start_backend() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -133,6 +144,11 @@
     format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
 
+/// A request that asks for the close of the connection.
+pub fn last(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: x, Close\r\n\r\n")
+}
+
 pub fn post(path: &str, body: &str) -> String {
     let length = body.len();
     format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{body}")
@@ -147,6 +163,11 @@
 }
 
 impl Answer {
+    /// Value of the header "id".
+    pub fn id(&self) -> Option<&str> {
+        self.head.lines().find_map(|l| l.strip_prefix("id: "))
+    }
+
     /// Whether the response announces the close of the connection.
     pub fn closes(&self) -> bool {
         self.head.contains("\r\nconnection: close\r\n")
@@ -188,8 +209,8 @@
     answers
 }
 
-// The first response and its length, if it is complete.
-fn parse(bytes: &[u8]) -> Option<(Answer, usize)> {
+/// The first response and its length, if it is complete.
+pub fn parse(bytes: &[u8]) -> Option<(Answer, usize)> {
     let text = String::from_utf8_lossy(bytes);
     let (head, rest) = text.split_at(text.find("\r\n\r\n")? + 4);
     let length = head
