Report a streamed answer of known length as complete

hyper does not poll a body of known length after its last byte, but drops it. The drop was reported as an answer that was cut, so that each complete streamed answer with a Content-Length to an idempotent request closed its connection to the backend server and counted as cancelled for its server, not as answered. It is now complete with its last byte. The callback is called there before the caller has that byte, so that its panics are caught where it is called.

Before: complete_stream_is_reusable failed; now it passes.

--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, Instant, Sleep};
 
 use crate::backend::{Connection, ExchangeError, ReplyBody};
+use crate::response::catch;
 
 /// Callback for the end of a response body, with the reusable connection or the
 /// cause of the failure.
@@ -91,21 +92,25 @@
             }
         };
         match &part {
+            // hyper doesn't poll a body of known length after its last byte.
+            Some(Ok(_)) if rest.remaining_length() == Some(0) => self.complete(),
             Some(Ok(_)) => self.waiting = false,
             Some(Err(fault)) => self.end(Err(*fault)),
-            None => {
-                if let Some(rest) = self.rest.take() {
-                    self.end(Ok(rest.finish()));
-                }
-            }
+            None => self.complete(),
         }
         Poll::Ready(part)
     }
 
+    fn complete(&mut self) {
+        if let Some(rest) = self.rest.take() {
+            self.end(Ok(rest.finish()));
+        }
+    }
+
     fn end(&mut self, result: Result<Connection, ExchangeError>) {
         self.rest = None;
         if let Some(on_end) = self.on_end.take() {
-            on_end(result);
+            catch(|| on_end(result));
         }
     }
 }
@@ -120,7 +125,7 @@
             }
             (rest, Some(on_end)) => {
                 drop(rest);
-                on_end(Err(ExchangeError::Cut));
+                catch(|| on_end(Err(ExchangeError::Cut)));
             }
             (_, None) => {}
         }
--- a/crates/transport/tests/streams.rs
+++ b/crates/transport/tests/streams.rs
@@ -97,3 +97,26 @@
     let mut stream = send(&server, &requests).await;
     assert_eq!(bodies(&mut stream, 3).await, ["a", "stream", "c"]);
 }
+
+// Sends requests and reads all answers, of which one is a stream; its end must be
+// reported as listed.
+macro_rules! reuses {
+    ($($(#[$doc:meta])* $name:ident: $requests:expr => $reusable:literal;)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let (server, stats) = start_server().await;
+            let mut stream = send(&server, &$requests).await;
+            answers(&mut stream, $requests.len()).await;
+            pause(20).await;
+            assert_eq!(*stats.reusable.lock().unwrap(), [$reusable]);
+        })*
+    };
+}
+
+reuses! {
+    /// Guards against a complete answer that is taken for one which was broken off.
+    complete_stream_is_reusable: [get("/0/stream")] => true;
+    /// The same if it waits for the answer before it.
+    complete_held_stream_is_reusable: [get("/300/a"), get("/0/stream")] => true;
+    /// Guards against an answer that is broken off and taken for a complete one.
+    broken_stream_is_not_reusable: [get("/0/cut")] => false;
+}
--- a/crates/transport/tests/support/mod.rs
+++ b/crates/transport/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{header, HeaderName, Request, Response};
 use http_body_util::{BodyExt, Full};
-use pomelovale_transport::backend::Connection;
+use pomelovale_transport::backend::{Connection, ExchangeError};
 use pomelovale_transport::body::{CallerBody, Passing};
 use pomelovale_transport::http_server::{Handler, Server, ServerLimits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -24,6 +24,8 @@
     pub started: AtomicUsize,
     /// Third parts of the paths, in the order in which requests were started.
     pub ids: Mutex<Vec<String>>,
+    /// For each streamed answer that has ended, whether its connection can be reused.
+    pub reusable: Mutex<Vec<bool>>,
     pub ended: AtomicUsize,
 }
 
@@ -80,7 +82,7 @@
             assert!(text != "panic");
             stats.ended.fetch_add(1, Ordering::SeqCst);
             if let "cut" | "panic-at-end" | "stream" = text {
-                return with_id(stream(backend, text).await, id);
+                return with_id(stream(backend, text, stats).await, id);
             }
             let all = [text.as_bytes(), &body].concat();
             let mut response = Response::new(CallerBody::Full(Bytes::from(all)));
@@ -117,8 +119,9 @@
                 stream.write_all(head.as_bytes()).await.unwrap();
                 stream.write_all(b"str").await.unwrap();
                 sleep(Duration::from_millis(200)).await;
-                if !cuts {
-                    stream.write_all(b"eam").await.unwrap();
+                if !cuts && stream.write_all(b"eam").await.is_ok() {
+                    // Keeps the connection open until the server closes it.
+                    let _ = stream.read(&mut request).await;
                 }
             });
         }
@@ -126,7 +129,7 @@
     address
 }
 
-async fn stream(backend: SocketAddr, text: &str) -> Response<CallerBody> {
+async fn stream(backend: SocketAddr, text: &str, stats: Arc<HandlerStats>) -> Response<CallerBody> {
     let limit = Duration::from_secs(5);
     let connection = Connection::open(backend, limit).await.unwrap();
     let request = Request::get(format!("/{text}")).header("host", "a");
@@ -134,7 +137,11 @@
     let name = HeaderName::from_static("id");
     let reply = connection.send(request, &name, b"", limit).await.unwrap();
     let panics = text == "panic-at-end";
-    let on_end = Box::new(move |_| assert!(!panics));
+    let on_end = Box::new(move |result: Result<Connection, ExchangeError>| {
+        let reusable = result.is_ok_and(|mut c| c.is_usable());
+        stats.reusable.lock().unwrap().push(reusable);
+        assert!(!panics);
+    });
     let deadline = tokio::time::Instant::now() + limit;
     let passing = Passing::new(Bytes::new(), reply.body, limit, deadline, false, on_end);
     Response::new(CallerBody::Stream(Box::new(passing)))
