Check the keys of waiting requests before refusing them without a server

A request whose key was withdrawn while it waited was refused with 503 instead of 401 if the last server of its service went as well: since waiting requests are refused once no server is left, their keys were not checked again.

The wait now ends with an admission instead of a refusal. The request then takes the usual way: its key and deadline are checked, it is relayed if this instance has lost its way to the servers, and otherwise refused since there is none.

--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -27,8 +27,6 @@
 /// until a higher one.
 const PEAK_DECAY_RESPONSES: u64 = 64;
 const BITS_PER_MBIT: f64 = 1e6;
-/// Time after which a request to a service without servers may succeed, in milliseconds.
-const UNSERVED_RETRY_MS: u64 = 1_000;
 
 /// Result of a wait: admitted here, sent to another region, or refused with the
 /// time in milliseconds after which to retry.
@@ -335,14 +333,15 @@
         }
     }
 
-    /// Refuses the requests that wait if no server is left that could run them.
-    pub fn refuse_if_unserved(&mut self) {
+    /// Ends the wait of all requests if no server is left that could run them. They are
+    /// refused like requests that don't have to wait, after their keys were checked again.
+    pub fn admit_if_unserved(&mut self) {
         if !self.addresses.is_empty() {
             return;
         }
         for ticket in self.admission.take_waiting() {
             if let Some(waiter) = self.waiting.remove(&ticket) {
-                let _ = waiter.admit.send(Err(UNSERVED_RETRY_MS));
+                let _ = waiter.admit.send(Ok(None));
             }
         }
     }
--- a/crates/daemon/src/entry/steering.rs
+++ b/crates/daemon/src/entry/steering.rs
@@ -251,15 +251,15 @@
         })
     }
 
-    /// Refuses requests whose wait has expired, or whose service has lost its last
-    /// server. Call every few tens of milliseconds.
+    /// Refuses requests whose wait has expired, and ends the wait for services that have
+    /// lost their last server. Call every few tens of milliseconds.
     pub fn refuse_expired(&self) {
         let (now, document) = (self.clock.now(), self.view.document());
         for service in self.all_services() {
             let mut steering = service.1.lock().expect("no panic while held");
             if !steering.waiting.is_empty() {
                 steering.sync(now, &self.config.instance, &document);
-                steering.refuse_if_unserved();
+                steering.admit_if_unserved();
                 steering.refuse_expired(now);
             }
         }
