Let callers' connections outlast a link that stands still for seconds

A caller whose link takes nothing for 2.5 s lost its response, and all others in progress on the connection: TCP_USER_TIMEOUT, which is to notice backend servers and instances out of reach, was set on callers' connections as well. It counts the time in which written bytes are not acknowledged, or in which the receive window is closed, so a congested link of the instance itself is enough; a new table, sent to all instances, is one more load on it.

--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -24,7 +24,7 @@
 use tokio::time::{timeout, Instant};
 
 use crate::framing::{Direction, Framing, Verdicts, READ_BYTES};
-use crate::socket;
+use crate::socket::{self, Remote};
 
 // Maximum size of a response head.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
@@ -171,7 +171,7 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(ExchangeError::Connect),
         };
-        socket::configure(&stream);
+        socket::configure(&stream, Remote::Server);
         let verdicts = Verdicts::default();
         let framing = Framing::new(Direction::Responses, verdicts.clone());
         let monitor = Arc::new(IoMonitor {
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -21,7 +21,7 @@
 use crate::connection;
 use crate::ending::{Cause, EndLog, EndReport};
 use crate::linger::{self, BuiltinResponse, LINGER_MS};
-use crate::socket;
+use crate::socket::{self, Remote};
 
 // Value of `Slot::idle_since` while a request is in progress.
 const BUSY: u64 = u64::MAX;
@@ -239,7 +239,7 @@
     phase: &watch::Receiver<Phase>,
     connection_guard: &mpsc::Sender<()>,
 ) {
-    socket::configure(&stream);
+    socket::configure(&stream, Remote::Caller);
     let (shared, phase) = (shared.clone(), phase.clone());
     let connection_guard = connection_guard.clone();
     match shared.register(id) {
--- a/crates/transport/src/peer_client.rs
+++ b/crates/transport/src/peer_client.rs
@@ -18,7 +18,7 @@
 use crate::peer_link::{
     self, CountingStream, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS, WINDOW_BYTES,
 };
-use crate::socket;
+use crate::socket::{self, Remote};
 
 /// Request path of the single HTTP/2 stream of a peer connection.
 pub(crate) const STREAM_PATH: &str = "/peer";
@@ -87,7 +87,7 @@
     let limit = Duration::from_millis(config.timings.connect_ms);
     let socket = match timeout(limit, TcpStream::connect(target.address)).await {
         Ok(Ok(socket)) => {
-            socket::configure(&socket);
+            socket::configure(&socket, Remote::Server);
             CountingStream::new(socket, config.counters.clone())
         }
         _ => return false,
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -20,7 +20,7 @@
 use crate::peer_link::{
     self, CountingStream, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS, WINDOW_BYTES,
 };
-use crate::socket;
+use crate::socket::{self, Remote};
 
 /// Maximum number of open connections. The design scale has 440 instances.
 const CONNECTIONS_MAX: usize = 1_024;
@@ -83,7 +83,7 @@
 }
 
 async fn serve(config: &PeerConfig, socket: TcpStream, events: &flume::Sender<PeerEvent>) {
-    socket::configure(&socket);
+    socket::configure(&socket, Remote::Server);
     let socket = CountingStream::new(socket, config.counters.clone());
     let limit = Duration::from_millis(config.timings.connect_ms);
     let mut builder = server::Builder::new();
