--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -298,10 +298,6 @@
     let admission = shared.steering.acquire_permit(&info, left);
     let permit = admission.instrument(tracing::info_span!("queue")).await;
     metrics::histogram!("entry_queue_seconds").record(queued_at.elapsed());
-    if let (Err(_), Some(key)) = (&permit, &verified_key) {
-        // A caller whose key was revoked meanwhile must not come back.
-        keys::recheck(&shared.view, shared.clock.now(), key)?;
-    }
     let (permit, spilled) = permit?;
     let mut admitted = AdmittedRequest {
         info,
