Write the last log lines at once when a process exits

The writer thread collects lines for 500 ms, and an exit waited for that. A process whose requests take the whole grace period has 300 ms left for it. An exit also returned while the lines it waited for were taken, but not written.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -21,7 +21,7 @@
 /// Time for which lines are collected before they are written. Together with
 /// [`BUFFER_MAX_BYTES`] it bounds the bytes per second.
 const WRITE_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum time, beyond [`WRITE_INTERVAL`], to wait for the last lines at exit.
+/// Maximum time to wait for the last lines at exit.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Environment variable with the log filter.
 const FILTER_VARIABLE: &str = "POMELOVALE_LOG";
@@ -30,6 +30,10 @@
 struct Pending {
     bytes: Vec<u8>,
     dropped: u64,
+    // Whether lines that were taken are not written yet.
+    writing: bool,
+    // Whether the process is about to exit, so that nothing more is collected.
+    flushing: bool,
 }
 
 #[derive(Debug, Default)]
@@ -67,16 +71,23 @@
         loop {
             let pending = self.lock();
             let ready = self.filled.wait_while(pending, |p| p.bytes.is_empty());
-            drop(ready.expect("no panic while held"));
-            thread::sleep(WRITE_INTERVAL);
-            let lines = std::mem::take(&mut *self.lock());
-            let mut written = out.write_all(&lines.bytes);
-            if lines.dropped > 0 {
-                let note = format!("{{\"event\":\"dropped\",\"lines\":{}}}\n", lines.dropped);
+            let ready = ready.expect("no panic while held");
+            let collected = self
+                .filled
+                .wait_timeout_while(ready, WRITE_INTERVAL, |p| !p.flushing);
+            let (mut pending, _) = collected.expect("no panic while held");
+            let bytes = std::mem::take(&mut pending.bytes);
+            let dropped = std::mem::take(&mut pending.dropped);
+            pending.writing = true;
+            drop(pending);
+            let mut written = out.write_all(&bytes);
+            if dropped > 0 {
+                let note = format!("{{\"event\":\"dropped\",\"lines\":{dropped}}}\n");
                 written = written.and_then(|()| out.write_all(note.as_bytes()));
             }
             // If standard output is closed, there is nowhere to report the error.
             let _ = written.and_then(|()| out.flush());
+            self.lock().writing = false;
             self.written.notify_all();
         }
     }
@@ -144,17 +155,17 @@
     thread::spawn(move || buffer.write_all(io::stdout()));
 }
 
-/// Waits until the buffered lines are written, up to a timeout.
+/// Writes the buffered lines at once, and waits for that up to a timeout. A process that
+/// stops has little time left until it is killed.
 pub fn flush() {
     let Some(buffer) = BUFFER.get() else {
         return;
     };
-    let pending = buffer.lock();
-    if !pending.bytes.is_empty() {
-        let limit = WRITE_INTERVAL + FLUSH_TIMEOUT;
-        let waited = buffer
-            .written
-            .wait_timeout_while(pending, limit, |p| !p.bytes.is_empty());
-        drop(waited.expect("no panic while held"));
-    }
+    let mut pending = buffer.lock();
+    pending.flushing = true;
+    buffer.filled.notify_one();
+    let waited = buffer
+        .written
+        .wait_timeout_while(pending, FLUSH_TIMEOUT, |p| p.writing || !p.bytes.is_empty());
+    drop(waited.expect("no panic while held"));
 }
