Run no head timeout for requests that wait for their turn

Callers that sent several requests at once got 408 for one that had arrived whole, and lost those behind it: what waits behind a request in progress counted as a head that is being received since its first byte, and the timeout was asked as soon as the request before was answered, before hyper was offered the bytes behind it. Beside a table that sets a short header timeout, each request that waits longer than that behind an unsafe one is affected.

hyper is now offered what waits before a timeout is asked. complete_requests_have_no_head_timeout and complete_requests_behind_a_stream_have_no_head_timeout failed before and pass now.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -35,6 +35,8 @@
     head_since: Millis,
     // When the last response was written.
     answered: Millis,
+    // Number of answered requests when hyper was last offered what waits behind them.
+    offered: u64,
     // Whether the socket was read once more before the close.
     last_read: bool,
 }
@@ -63,6 +65,11 @@
             if self.progress.is_serving {
                 return Poll::Pending;
             }
+            if self.offered != self.progress.answered && self.link.has_more() {
+                // These bytes may be a complete request, for which no timeout runs.
+                self.offered = self.progress.answered;
+                continue;
+            }
             let ends = self.http_ended || self.last_read || self.link.is_announced();
             match self.link.closing() {
                 Some(cause) if ends => return Poll::Ready(cause),
@@ -158,6 +165,7 @@
         timers: Timers::new(shared.start, shared.now(), *timeouts.borrow_and_update()),
         head_since: Millis(0),
         answered: Millis(0),
+        offered: 0,
         last_read: false,
     };
     let mut closing = pin!(async {
