Don't reset a connection under its last response

A caller that was still receiving the last response of its connection, on a slow or congested link, and sent another request meanwhile got a part of the response and a reset: since nothing is read any more from a connection that has ended, the socket was closed with unread bytes after 500 ms, and at once if the last response had been written longer ago than that.

Sockets now stay open for 500 ms in each case. What has arrived by the end of that time is discarded, so that the close doesn't reset the connection; these requests came after the close was announced, or crossed it. A stop doesn't wait for this if the last response was written long ago.

late_request_does_not_reset_a_response_on_its_way and stop_does_not_reset_a_response_on_its_way failed before and pass now; the other cases of the crate pass, too.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -201,15 +201,13 @@
         Cause::Evicted | Cause::Stop if refuses => Some(BuiltinResponse::Full),
         _ => None,
     };
-    if link.broken().is_none() {
-        let limit = match (cause, answer) {
-            // The last response may have been received long ago.
-            (Cause::Evicted | Cause::Idle | Cause::Stop, None) => {
-                LINGER_MS.saturating_sub(shared.now().since(answered))
-            }
-            _ => LINGER_MS,
-        };
-        let drains = answer.is_some() || link.is_mid_request();
-        linger::close(&link.stream, answer, drains, limit).await;
+    if link.broken().is_some() {
+        return;
+    }
+    let drains = answer.is_some() || link.is_mid_request();
+    let lingering = tokio::spawn(async move { linger::close(&link.stream, answer, drains).await });
+    let was_idle = matches!(cause, Cause::Evicted | Cause::Idle | Cause::Stop) && answer.is_none();
+    if !was_idle || shared.now().since(answered) < LINGER_MS {
+        let _ = lingering.await;
     }
 }
--- a/crates/transport/src/linger.rs
+++ b/crates/transport/src/linger.rs
@@ -1,6 +1,6 @@
 //! Closes callers' connections.
 
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, Read};
 use std::net::Shutdown;
 use std::time::Duration;
 
@@ -39,18 +39,12 @@
 }
 
 /// Writes a last response, if any, and closes the connection once the caller has
-/// done so, or after `limit` milliseconds. `drains` tells whether the caller may still
-/// be sending a request that was answered; it may not read the response before that.
-/// Otherwise nothing more is read, so that no request is received without an answer.
-pub(crate) async fn close(
-    stream: &TcpStream,
-    answer: Option<BuiltinResponse>,
-    drains: bool,
-    limit: u64,
-) {
-    if limit == 0 {
-        return;
-    }
+/// done so, or after `LINGER_MS`. `drains` tells whether the caller may still be sending
+/// a request that was answered; it may not read the response before that. Otherwise
+/// nothing is read before the end of that time, so that no request is received without
+/// an answer. What has arrived by then is discarded, since it would reset the
+/// connection under a response that is still on its way.
+pub(crate) async fn close(stream: &TcpStream, answer: Option<BuiltinResponse>, drains: bool) {
     let lingering = async {
         if let Some(answer) = answer {
             write(stream, answer.bytes()).await?;
@@ -61,7 +55,8 @@
             false => wait_closed(stream).await,
         }
     };
-    let _ = timeout(Duration::from_millis(limit), lingering).await;
+    let _ = timeout(Duration::from_millis(LINGER_MS), lingering).await;
+    discard(stream);
 }
 
 async fn write(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
@@ -90,6 +85,18 @@
     Ok(())
 }
 
+// Reads what has arrived, without waiting.
+fn discard(stream: &TcpStream) {
+    let (mut buffer, mut left) = ([0; 4096], DRAIN_MAX_BYTES);
+    let socket = SockRef::from(stream);
+    while let Ok(n @ 1..) = (&*socket).read(&mut buffer) {
+        left = left.saturating_sub(n);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 // Waits until the caller has closed its side, without reading.
 async fn wait_closed(stream: &TcpStream) -> io::Result<()> {
     loop {
