Don't count connections opened before a failure as contact after it

callers_of_gateways_with_refused_connections_are_served failed beside load: a server was taken out of service (Away, for all instances) because gateways that no server accepted connections from any more had reported it as down.

A failure to connect is the server's only if another server was reached on a new connection after it. An answer on a connection that had not been answered on before was taken for that, also if the connection was opened before the failure, or in advance. The trace of a failing run shows the report 13 ms after the failure, and all other servers out of reach 100 ms later. An answer now counts from the opening of its connection.

It has no case without load: the race needs a request that is sent before the cut and answered after the first failure.

--- a/crates/daemon/src/crash/check.rs
+++ b/crates/daemon/src/crash/check.rs
@@ -165,11 +165,12 @@
         if self.reach.is_resting(run.address) {
             return Some(Sign::Full);
         }
+        let opened = Instant::now();
         let reaction = probe(&mut stream, &run.probe, hung_limit(run)).await;
         let lasting = Millis(LASTING_MS).duration();
         match reaction {
             Reaction::Answers => {
-                self.reach.record_answer(true);
+                self.reach.record_answer(Some(opened));
                 Some(Sign::Answers)
             }
             _ if self.heard_since(run.address, quiet_since) => Some(Sign::Answers),
--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -108,6 +108,8 @@
     /// Time that it took to open the connection, in milliseconds; `None` if the server had
     /// answered on it before.
     pub connect_ms: Option<u64>,
+    /// When that connection was opened; `None` likewise.
+    pub opened: Option<Instant>,
 }
 
 /// Keeps a run registered while it is in flight.
@@ -393,10 +395,10 @@
         }
     }
 
-    /// Records that a server has answered, whatever the answer says. `fresh` tells whether
-    /// the connection was new.
-    pub fn record_reply(&self, address: SocketAddr, fresh: bool) {
-        self.reach.record_answer(fresh);
+    /// Records that a server has answered, whatever the answer says. `opened` tells when a
+    /// connection on which nothing had been answered before was opened.
+    pub fn record_reply(&self, address: SocketAddr, opened: Option<Instant>) {
+        self.reach.record_answer(opened);
         let mut inner = self.lock();
         if inner.heard.len() >= HEARD_MAX {
             inner.heard.sort_by(|_, a, _, b| b.cmp(a));
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -389,6 +389,7 @@
         probe: poll::PATH.into(),
         since: Instant::now(),
         connect_ms: connection.is_fresh().then_some(connect_ms),
+        opened: connection.is_fresh().then(|| connection.proven()),
     };
     running.run = Some((run.clone(), shared.crashes.start_run(run.clone())));
     let id = shared.unique_id();
@@ -536,8 +537,8 @@
     mut running: AttemptGuard,
 ) -> Result<AttemptOutcome, (Failure, AttemptGuard)> {
     let address = running.choice.address;
-    let is_fresh = matches!(&running.run, Some((run, _)) if run.connect_ms.is_some());
-    shared.crashes.record_reply(address, is_fresh);
+    let opened = running.run.as_ref().and_then(|(run, _)| run.opened);
+    shared.crashes.record_reply(address, opened);
     let Reply { parts, mut body } = reply;
     let shed = parts.status == StatusCode::SERVICE_UNAVAILABLE
         && parts.headers.get(SHED).is_some_and(|v| v == NOT_RUN);
--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -154,10 +154,10 @@
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .ok()?;
-    let is_fresh = connection.is_fresh();
+    let opened = connection.is_fresh().then(|| connection.proven());
     let limit = Millis(shared.config.poll_ms).duration();
     let mut reply = connection.send(request, &REQUEST, b"", limit).await.ok()?;
-    shared.crashes.record_reply(address, is_fresh);
+    shared.crashes.record_reply(address, opened);
     let leaving = shared.header_names.says_leaving(&reply.parts.headers);
     let mut body = BytesMut::new();
     loop {
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -516,6 +516,7 @@
         probe: probe_path(shared, routed),
         since: start,
         connect_ms: connection.is_fresh().then_some(timing.connect_ms),
+        opened: connection.is_fresh().then(|| connection.proven()),
     };
     running.run = Some((run.clone(), shared.crashes.start_run(run.clone())));
     routed.sent.set(true);
@@ -684,10 +685,8 @@
     mut running: AttemptGuard,
 ) -> Result<(Outcome, &'static str), (Failure, AttemptGuard)> {
     let header_names = &shared.config.header_names;
-    let is_fresh = matches!(&running.run, Some((run, _)) if run.connect_ms.is_some());
-    shared
-        .crashes
-        .record_reply(running.chosen.address, is_fresh);
+    let opened = running.run.as_ref().and_then(|(run, _)| run.opened);
+    shared.crashes.record_reply(running.chosen.address, opened);
     let Reply { parts, mut body } = reply;
     let server = (&running.chosen.server, running.chosen.address);
     let rests = availability::record(shared, &routed.service, server, &parts);
--- a/crates/daemon/src/reach/mod.rs
+++ b/crates/daemon/src/reach/mod.rs
@@ -160,12 +160,19 @@
         self.inner.lock().expect("no panic while held")
     }
 
-    /// Records that a server has answered. `fresh` tells whether the connection was new.
-    pub fn record_answer(&self, fresh: bool) {
-        self.lock().heard = Instant::now();
-        if fresh {
-            self.record_contact(LinkFault::Silent);
-        }
+    /// Records that a server has answered. `opened` tells when a connection on which nothing
+    /// had been answered before was opened.
+    pub fn record_answer(&self, opened: Option<Instant>) {
+        let now = Instant::now();
+        self.lock().heard = now;
+        let Some(opened) = opened else {
+            return;
+        };
+        // The answer doesn't show that new connections could be opened until now.
+        self.contact.send_modify(|c| {
+            c.opened = c.opened.max(opened);
+            c.answered = now;
+        });
     }
 
     // Records contact that confirms failures of a kind.
