Write changes and messages in the format of earlier builds until all members know the latest

Each side of a peer connection now names its latest format in a header, which earlier builds ignore. Messages to a peer that names none are in the format that its reports, documents and changes, or the log, show, else in format 2. A log of format 1 that gets its first data of format 2 seals its directory, so that earlier builds refuse it before they write to it. Messages and documents that can't be read are logged.

Settings of peers, subscribers, control instances and gateways in tests have the field for the format of peers that name none; the test cluster of processes has an operator's key.

--- a/crates/coordination/src/frame.rs
+++ b/crates/coordination/src/frame.rs
@@ -54,7 +54,8 @@
     (offset..bytes.len()).any(|at| body(bytes, at).is_some())
 }
 
-fn body(bytes: &[u8], offset: usize) -> Option<&[u8]> {
+/// Returns the body of the intact frame at `offset`.
+pub(crate) fn body(bytes: &[u8], offset: usize) -> Option<&[u8]> {
     let header = bytes.get(offset..offset + HEADER_BYTES)?;
     if read_u32(header, 8) != header_checksum(&header[..8], offset as u64) {
         return None;
--- a/crates/coordination/src/storage.rs
+++ b/crates/coordination/src/storage.rs
@@ -2,7 +2,7 @@
 //!
 //! | file | content |
 //! | --- | --- |
-//! | `identity` | incarnation of the directory; written last on creation |
+//! | `identity` | incarnation of the directory, written last on creation; the format, if it is sealed |
 //! | `vote` | latest epoch and vote |
 //! | `snapshot` | latest snapshot |
 //! | `log` | a base position, then frames of entries |
@@ -20,8 +20,10 @@
 use std::path::{Path, PathBuf};
 
 use error_stack::Report;
+use pomelovale_protocol::format::{self, Format, FormatError, MARK};
 use pomelovale_protocol::log::{Entry, Epoch, Position, Snapshot};
 use pomelovale_state::ErrorKind;
+use serde::{Deserialize, Serialize};
 
 use crate::frame::{self, Fault};
 use crate::log::{HardState, Persist, RestoredState};
@@ -41,9 +43,11 @@
     base: Position,
     directory: PathBuf,
     failed: bool,
+    incarnation: u64,
     length: u64,
     log: File,
     queue: Vec<Persist>,
+    sealed: bool,
     /// The stored entries after `base`; payloads are shared with the replica.
     tail: Vec<Entry>,
 }
@@ -88,9 +92,9 @@
         let directory = directory.as_ref().to_path_buf();
         fs::create_dir_all(&directory).map_err(|error| io_error(&directory, &error))?;
         snapshot::sync_directory(&directory)?;
-        let incarnation = match snapshot::read(&directory.join("identity"))? {
-            Some(incarnation) => incarnation,
-            None => create(&directory)?,
+        let (incarnation, sealed) = match read_identity(&directory.join("identity"))? {
+            Some(identity) => identity,
+            None => (create(&directory)?, false),
         };
         let hard_state: HardState = read_required(&directory.join("vote"))?;
         let stored: Snapshot = snapshot::read(&directory.join("snapshot"))?.unwrap_or_default();
@@ -124,9 +128,11 @@
             base: contents.base,
             directory,
             failed: false,
+            incarnation,
             length: contents.length as u64,
             log: open_log(&path)?,
             queue: Vec::new(),
+            sealed,
             tail: contents.tail,
         };
         if rewrite_needed {
@@ -162,6 +168,26 @@
         result
     }
 
+    /// Makes builds that don't know a format refuse the directory before they write to
+    /// it. Those before format 2 can't tell formats apart.
+    pub fn seal(&mut self, format: Format) -> Result<()> {
+        let seal = Seal {
+            mark: MARK,
+            number: format.number(),
+            build: env!("CARGO_PKG_VERSION").to_owned(),
+            incarnation: self.incarnation,
+        };
+        let sealed = snapshot::replace(&self.directory.join("identity"), &seal);
+        self.failed |= sealed.is_err();
+        self.sealed = sealed.is_ok();
+        sealed
+    }
+
+    /// Whether the directory is sealed.
+    pub fn is_sealed(&self) -> bool {
+        self.sealed
+    }
+
     /// Size of the log file in bytes.
     pub fn log_bytes(&self) -> u64 {
         self.length
@@ -238,6 +264,31 @@
     }
 }
 
+/// Content of `identity` in a sealed directory; the start is common to all later formats.
+#[derive(Deserialize, Serialize)]
+struct Seal {
+    mark: u8,
+    number: u32,
+    build: String,
+    incarnation: u64,
+}
+
+/// Reads the incarnation of a directory, and whether it is sealed.
+fn read_identity(path: &Path) -> Result<Option<(u64, bool)>> {
+    let Some(bytes) = snapshot::read_bytes(path)? else {
+        return Ok(None);
+    };
+    let mark = frame::body(&bytes, 0).map_or(Ok(()), format::check_mark);
+    match mark {
+        Err(FormatError::Later { number, .. }) if number <= Format::LATEST.number() => {
+            let seal: Option<Seal> = snapshot::read(path)?;
+            Ok(seal.map(|seal| (seal.incarnation, true)))
+        }
+        Err(error) => Err(corrupt(path, 0, &error.to_string())),
+        Ok(()) => Ok(snapshot::read(path)?.map(|incarnation| (incarnation, false))),
+    }
+}
+
 /// Creates the files of an empty log and returns its random incarnation.
 fn create(directory: &Path) -> Result<u64> {
     let hard_state: Option<HardState> = snapshot::read(&directory.join("vote"))?;
--- a/crates/daemon/benches/capacity_state/mod.rs
+++ b/crates/daemon/benches/capacity_state/mod.rs
@@ -48,6 +48,7 @@
         timings: Default::default(),
         limits: Default::default(),
         counters: counters.clone(),
+        unnamed: Arc::default(),
     };
     let view = Arc::new(View::default());
     SubscribedEntry {
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use pomelovale_coordination::measurements::LOST_AFTER_MS;
 use pomelovale_protocol::auth::Secret;
 use pomelovale_state::command::Command;
 use pomelovale_state::Name;
 use pomelovale_transport::peer_client::PeerAddress;
+use pomelovale_transport::peer_format::UnnamedFormat;
 use pomelovale_transport::peer_link::PeerTimings;
 use serde::Deserialize;
 
@@ -40,6 +42,9 @@
     /// Time limits and sizes of the control role.
     #[serde(default)]
     pub limits: ControlLimits,
+    /// Format of the peers that name none.
+    #[serde(skip)]
+    pub unnamed: Arc<UnnamedFormat>,
 }
 
 /// How control instances find each other.
--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -33,6 +33,13 @@
         let known = self.dialer.is_some() || self.config.peers.iter().any(|p| p.name == link.peer);
         match link.role {
             Role::Entry => self.feed.open(link.clone()),
+            Role::Control if self.formats.is_sealed() && link.named_format().is_none() => {
+                log::warn!(
+                    "closing the connection of {}: its build can't read this log",
+                    link.peer
+                );
+                return link.close();
+            }
             Role::Control if known => {
                 let old = self.controls.insert(link.peer.clone(), link.id);
                 if let Some(old) = old.and_then(|id| self.links.get(&id)) {
@@ -62,7 +69,10 @@
                     Ok(None) => {}
                     Ok(Some((Content::Log, body))) => match decode_body_unlimited(&body) {
                         Ok(packet) => self.handle_log_packet(packet, &link),
-                        Err(_) => link.reject(),
+                        Err(e) => {
+                            log::warn!("can't read a log message of {}: {e}", link.peer);
+                            link.reject();
+                        }
                     },
                     Ok(Some((Content::Document(_), _))) | Err(_) => link.reject(),
                 }
@@ -115,7 +125,7 @@
             () if from.name != link.peer || to.name != self.own.name => link.reject(),
             // Addressed to the replica of an earlier data directory.
             () if to != self.own && to.incarnation != ReplicaId::ANY => {}
-            () => match self.check_message(&message) {
+            () => match self.check_message(&message, link.named_format().is_none()) {
                 Err(fault) => self.fail(format!("received from {from}: {fault}")),
                 Ok(()) => {
                     self.step(Event::Receive { from, message });
@@ -127,21 +137,29 @@
 
     // Checks that what a leader sends can be decoded, so that this replica neither
     // stores nor acknowledges what it can't apply.
-    fn check_message(&mut self, message: &LogMessage) -> Result<(), String> {
+    fn check_message(&mut self, message: &LogMessage, is_earlier: bool) -> Result<(), String> {
         let checked = match message {
-            LogMessage::Append { entries, .. } => stored::check_entries(entries).map(drop),
-            LogMessage::Install { snapshot, .. } => stored::decode_snapshot(snapshot)
-                .map(|(state, _)| self.received_snapshot = Some((snapshot.position(), state))),
+            LogMessage::Append { entries, .. } => stored::check_entries(entries),
+            LogMessage::Install { snapshot, .. } => {
+                stored::decode_snapshot(snapshot).map(|(state, format)| {
+                    self.received_snapshot = Some((snapshot.position(), state));
+                    format
+                })
+            }
             _ => return Ok(()),
         };
         match (checked, message) {
-            (Ok(()), _) => Ok(()),
+            (Ok(None), _) => Ok(()),
             // The replica refuses what a former leader sends.
-            (Err(_), LogMessage::Append { epoch, .. } | LogMessage::Install { epoch, .. })
+            (_, LogMessage::Append { epoch, .. } | LogMessage::Install { epoch, .. })
                 if *epoch < self.replica.status().epoch =>
             {
                 Ok(())
             }
+            (Ok(format), _) => {
+                self.note_format(format, is_earlier);
+                Ok(())
+            }
             (Err(fault), _) => Err(fault),
         }
     }
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -31,6 +31,7 @@
 use super::config::ControlConfig;
 use super::dial::Dialer;
 use super::feed::{Feed, ProofContext};
+use super::formats::FormatState;
 use super::leader::Leader;
 use super::log_writer::LogWriter;
 use super::quota::Quota;
@@ -77,23 +78,27 @@
     change
 }
 
+/// An encoded snapshot and its format.
+type Compaction = (Event, Format);
+
 /// State of the event loop.
 pub(super) struct EventLoop {
     pub(super) config: ControlConfig,
     pub(super) clock: Clock,
     pub(super) replica: Replica,
     own: ReplicaId,
-    log_writer: LogWriter,
+    pub(super) log_writer: LogWriter,
+    pub(super) formats: FormatState,
     pub(super) machine: StateMachine,
     applied: Position,
     snapshot_index: LogIndex,
     // State of the snapshot that is being installed, decoded when it arrived.
     received_snapshot: Option<(Position, SnapshotState)>,
-    compactions: (flume::Sender<Event>, flume::Receiver<Event>),
+    compactions: (flume::Sender<Compaction>, flume::Receiver<Compaction>),
     compacting: bool,
     feed: Feed,
     outputs: Outputs,
-    links: HashMap<u64, PeerLink>,
+    pub(super) links: HashMap<u64, PeerLink>,
     pub(super) controls: HashMap<Name, u64>,
     assemblers: HashMap<u64, ChunkAssembler>,
     pub(super) calls: Calls,
@@ -111,6 +116,7 @@
         clock: Clock,
         replica: Replica,
         log_writer: LogWriter,
+        formats: FormatState,
         dialer: Option<Dialer>,
         outputs: Outputs,
     ) -> EventLoop {
@@ -122,6 +128,7 @@
             own: replica.status().id,
             replica,
             log_writer,
+            formats,
             machine: StateMachine::default(),
             applied: Position::default(),
             snapshot_index: LogIndex(0),
@@ -152,7 +159,7 @@
                 _ = ticks.tick() => self.tick(),
                 Ok(event) = inputs.events.recv_async() => self.handle_peer_event(event),
                 Ok(call) = inputs.calls.recv_async() => self.handle_local_call(call),
-                Ok(event) = self.compactions.1.recv_async() => self.compact(event),
+                Ok(compaction) = self.compactions.1.recv_async() => self.compact(compaction),
                 Ok(granted) = self.quota.replies.1.recv_async() => {
                     self.quota.receive(self.clock.now(), granted);
                 }
@@ -409,21 +416,30 @@
         if self.compacting || entries_since < self.config.limits.snapshot_entries {
             return;
         }
+        // Only the latest format has limits.
+        let format = match self.machine.document.limits.is_empty() {
+            true => self.write_format(),
+            false => Some(Format::LATEST),
+        };
+        let Some(format) = format else {
+            return;
+        };
         self.compacting = true;
         let (machine, position) = (self.machine.clone(), self.feed.position());
         let (index, done) = (self.applied.index, self.compactions.0.clone());
         tokio::task::spawn_blocking(move || {
-            let state = encode_state(&machine, position, Format::LATEST);
+            let state = encode_state(&machine, position, format);
             let snapshot = Payload::from(state.unwrap_or_default());
-            let _ = done.send(Event::Compact { index, snapshot });
+            let _ = done.send((Event::Compact { index, snapshot }, format));
         });
     }
 
-    fn compact(&mut self, event: Event) {
+    fn compact(&mut self, (event, format): Compaction) {
         self.compacting = false;
         match &event {
             Event::Compact { index, snapshot } if !snapshot.is_empty() => {
                 self.snapshot_index = self.snapshot_index.max(*index);
+                self.note_format(Some(format), false);
                 self.step(event);
             }
             _ => log::error!("can't encode the state for a snapshot; the log is not compacted"),
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use pomelovale_protocol::frame::encode_body;
+use pomelovale_protocol::format::{encode_document, Format};
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{split_into_chunks, Content, Delta, PeerMessage, Proof, Renew};
 use pomelovale_state::document::Document;
@@ -63,6 +63,7 @@
 }
 
 struct EncodedDocument {
+    format: Format,
     position: Position,
     at: Millis,
     body: Arc<[u8]>,
@@ -201,15 +202,19 @@
     fn load(&mut self, id: u64, seq: Option<u64>, document: &Document, context: &ProofContext) {
         self.send_proof(id, seq, context, Vec::new());
         let position = self.position;
+        let Some(format) = self.subscribers.get(&id).map(|s| s.link.format()) else {
+            return;
+        };
         let body = match &self.encoded {
-            Some(e) if e.position == position => e.body.clone(),
-            _ => match encode_body(document) {
+            Some(e) if e.position == position && e.format == format => e.body.clone(),
+            _ => match encode_document(document, format) {
                 Ok(body) => Arc::from(body),
                 Err(e) => return log::error!("can't encode the document for a subscriber: {e}"),
             },
         };
         self.document_size = Some(body.len());
         self.encoded = Some(EncodedDocument {
+            format,
             position,
             at: context.now,
             body: body.clone(),
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -170,6 +170,7 @@
         &mut self,
         own: &Name,
         document: &Document,
+        with_limits: bool,
         now: Millis,
     ) -> Vec<Change> {
         if now.since(self.last_membership_check) < MEMBERSHIP_CHECK_INTERVAL_MS {
@@ -198,7 +199,8 @@
             tracing::info!(event = "outages", ?reporters, "{outages:?}");
             commands.push(("outages".to_owned(), Command::Batch(outages)));
         }
-        if let Some(limits) = self.limit_changes(document, now) {
+        let limits = with_limits.then(|| self.limit_changes(document, now));
+        if let Some(limits) = limits.flatten() {
             tracing::info!(event = "server-limits", "{limits:?}");
             commands.push(("limits".to_owned(), limits));
         }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod dial;
 mod event_loop;
 mod feed;
+mod formats;
 mod leader;
 mod log_writer;
 mod quota;
@@ -40,6 +41,7 @@
 use self::config::{ControlConfig, Joining};
 use self::dial::Dialer;
 use self::event_loop::{EventLoop, Inputs, LoopRequest, Outputs};
+use self::formats::FormatState;
 use self::log_writer::LogWriter;
 
 /// Capacity of the queue of calls to the event loop.
@@ -142,10 +144,13 @@
     pub async fn start(config: ControlConfig, clock: Clock) -> Result<ControlServer, ControlError> {
         let directory = &config.directory;
         let lock = DirectoryLock::acquire(directory).map_err(ControlError::Storage)?;
+        let mut stored_format = None;
         let opened = Storage::open_checked(directory, |restored| {
-            stored::check_restored(directory, restored).map(drop)
+            stored_format = stored::check_restored(directory, restored)?;
+            Ok(())
         });
         let (storage, restored) = opened.map_err(ControlError::Storage)?;
+        let formats = FormatState::new(stored_format, storage.is_sealed(), &config.unnamed);
         let log = log_config(&config);
         let replica = Replica::new(log, restored, rand::random(), clock.now());
         let counters = Arc::new(PeerCounters::default());
@@ -156,6 +161,7 @@
             timings: config.timings,
             delay_ms: config.limits.delay_ms,
             counters: counters.clone(),
+            unnamed: config.unnamed.clone(),
         };
         let (events, received) = flume::bounded(EVENT_QUEUE);
         let server = PeerServer::start(peering.clone(), config.listen, events.clone());
@@ -180,8 +186,15 @@
         let outputs = Outputs::default();
         let (log_writer, disk_closed) = LogWriter::start(storage, lock);
         let address = server.address();
-        let event_loop =
-            EventLoop::new(config, clock, replica, log_writer, dialer, outputs.clone());
+        let event_loop = EventLoop::new(
+            config,
+            clock,
+            replica,
+            log_writer,
+            formats,
+            dialer,
+            outputs.clone(),
+        );
         let inputs = Inputs {
             calls,
             events: received,
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -2,7 +2,7 @@
 //! the leader.
 
 use pomelovale_coordination::log::{Event, ELECTION_MS};
-use pomelovale_protocol::frame::encode_body;
+use pomelovale_protocol::format::{encode_change, is_common, Format};
 use pomelovale_protocol::grants::GrantRequest;
 use pomelovale_protocol::log::Payload;
 use pomelovale_protocol::messages::{PeerMessage, Request, Response};
@@ -80,16 +80,26 @@
             return self.calls.answer(token, &refused);
         }
         let epoch = leader.epoch;
-        match encode_body(&change) {
-            Ok(body) => {
+        let is_common = is_common(&change.command);
+        let format = self.write_format();
+        let body = match (is_common, format) {
+            (true, _) => encode_change(&change, Format::LATEST),
+            (false, Some(format)) => encode_change(&change, format),
+            (false, None) => None,
+        };
+        match body {
+            Some(body) => {
+                self.note_format(format.filter(|_| !is_common), false);
                 self.calls.set_target(token, Target::Log(epoch));
                 let payload = Payload::from(body);
                 self.step(Event::Propose { token, payload });
             }
-            Err(_) => {
+            None if is_common => {
                 let refused = Response::Failed(ErrorKind::BadRequest);
                 self.calls.answer(token, &refused);
             }
+            // Waits until all members know a format that has this change.
+            None => {}
         }
     }
 
@@ -111,11 +121,16 @@
     /// for outages.
     pub(super) fn propose_membership(&mut self) {
         let now = self.clock.now();
+        if self.leader.is_none() {
+            return;
+        }
+        let with_limits = self.write_format() == Some(Format::LATEST);
         let Some(leader) = self.leader.as_mut() else {
             return;
         };
         let until = now.plus(self.config.limits.call_ms);
-        for change in leader.membership_changes(&self.config.name, &self.machine.document, now) {
+        let (own, document) = (&self.config.name, &self.machine.document);
+        for change in leader.membership_changes(own, document, with_limits, now) {
             if let Some(token) = self.calls.add(Request::Propose(change), None, until) {
                 self.serve_or_forward(token);
             }
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -1,11 +1,13 @@
 //! Settings of the gateway role.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 use pomelovale_protocol::auth::Secret;
 use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_state::Name;
 use pomelovale_transport::http_server::ServerLimits;
+use pomelovale_transport::peer_format::UnnamedFormat;
 
 /// Settings of the connections between gateways.
 #[derive(Clone, Debug)]
@@ -14,6 +16,8 @@
     pub listen: SocketAddr,
     /// Secret that all instances of the deployment share.
     pub secret: Secret,
+    /// Format of the peers that name none.
+    pub unnamed: Arc<UnnamedFormat>,
 }
 
 /// Settings of a gateway. Durations are in milliseconds.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -220,6 +220,7 @@
         timings: PeerTimings::default(),
         delay_ms: 0,
         counters: Arc::new(PeerCounters::default()),
+        unnamed: peering.unnamed.clone(),
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -170,6 +170,7 @@
         initial,
         timings: settings.peering,
         limits: settings.control,
+        unnamed: Default::default(),
     };
     let control = Control::start(config, clock)
         .await
@@ -194,6 +195,7 @@
         timings: settings.peering,
         limits: Default::default(),
         counters: Default::default(),
+        unnamed: Default::default(),
     };
     let view = Arc::new(View::default());
     let handle = Subscriber::start(config, Arc::clone(&view), clock);
--- a/crates/daemon/src/subscriber/endpoints.rs
+++ b/crates/daemon/src/subscriber/endpoints.rs
@@ -6,6 +6,7 @@
 use pomelovale_protocol::auth::Secret;
 use pomelovale_state::document::{Digest, Document, Instance, MemberState};
 use pomelovale_state::Name;
+use pomelovale_transport::peer_format::UnnamedFormat;
 use pomelovale_transport::peer_link::{PeerCounters, PeerTimings};
 use serde::Deserialize;
 
@@ -46,6 +47,9 @@
     /// Counters of the connections.
     #[serde(skip)]
     pub counters: Arc<PeerCounters>,
+    /// Format of the peers that name none.
+    #[serde(skip)]
+    pub unnamed: Arc<UnnamedFormat>,
 }
 
 /// Time limits of a subscription, in milliseconds.
--- a/crates/daemon/src/subscriber/mod.rs
+++ b/crates/daemon/src/subscriber/mod.rs
@@ -11,7 +11,7 @@
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Role;
-use pomelovale_protocol::frame::decode_body_unlimited;
+use pomelovale_protocol::format::decode_document;
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{
     Chunk, ChunkAssembler, Content, PeerMessage, Proof, Renew, Request, Response,
@@ -68,6 +68,7 @@
             timings: config.timings,
             delay_ms: config.limits.delay_ms,
             counters: config.counters.clone(),
+            unnamed: config.unnamed.clone(),
         };
         let session = Session {
             endpoints: ranked_endpoints(&config),
@@ -406,7 +407,7 @@
         };
         let older = self.position.is_some_and(|p| position.index < p.index);
         if !older {
-            self.document = decode_body_unlimited(&body).map_err(|_| ErrorKind::BadRequest)?;
+            self.document = self.decode_document(&body)?;
             self.position = Some(position);
             tracing::info!(
                 event = "document",
@@ -421,6 +422,23 @@
         Ok(())
     }
 
+    fn decode_document(&self, body: &[u8]) -> Result<Document, ErrorKind> {
+        let link = self.link.as_ref();
+        match decode_document(body) {
+            Ok((document, format)) => {
+                if link.is_some_and(|link| link.named_format().is_none()) {
+                    self.config.unnamed.set(format);
+                }
+                Ok(document)
+            }
+            Err(e) => {
+                let peer = link.map(|link| link.peer.as_str()).unwrap_or_default();
+                log::warn!("can't read the document of {peer}: {e}");
+                Err(ErrorKind::BadRequest)
+            }
+        }
+    }
+
     fn handle_reply(&mut self, id: u64, response: &Response) {
         match response {
             Response::Failed(ErrorKind::NotLeader | ErrorKind::Unavailable) => {
--- a/crates/daemon/tests/control_formats.rs
+++ b/crates/daemon/tests/control_formats.rs
@@ -6,8 +6,10 @@
 
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use control_kit::{change, put_key, put_workspace, running_clock, secret, until, within};
+use pomelovale_protocol::format::MARK;
 use pomelovale_state::command::{Applied, Command};
 use pomelovale_state::Name;
 use pomelovaled::control::config::{ControlConfig, ControlLimits};
@@ -15,6 +17,9 @@
 use serde_json::{json, Value};
 use tempfile::TempDir;
 
+/// Length and checksums before the content of a file.
+const FRAME_HEADER_BYTES: usize = 12;
+
 fn fixture(build: &str) -> PathBuf {
     let tests = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
     tests.join("formats").join(build)
@@ -55,6 +60,7 @@
             snapshot_entries,
             ..Default::default()
         },
+        unnamed: Default::default(),
     }
 }
 
@@ -79,13 +85,17 @@
 }
 
 macro_rules! earlier_data {
-    ($($name:ident: $build:literal, $folder:literal;)*) => {$(
+    ($($name:ident: $build:literal, $folder:literal, sealed: $sealed:literal;)*) => {$(
         /// Guards against accepted changes of an earlier build, such as a revocation,
         /// that are skipped or read as another change, and against a state that
-        /// differs after a restart or from a snapshot.
+        /// differs after a restart or from a snapshot. Guards also against a log of
+        /// format 1 that builds of that format open once it holds another one, and
+        /// against one of format 2 that earlier builds can't open any more.
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
         async fn $name() {
             let directory = copy($build, $folder);
+            let identity = || fs::read(directory.path().join("identity")).unwrap();
+            let unsealed = identity();
             let server = start(directory.path(), 4_096).await;
             assert_eq!(listed(&server), listing($build, $folder));
             for (key, revoked) in [("k1", true), ("k2", true), ("k3", true)] {
@@ -98,15 +108,25 @@
             propose(&server, "new-2", Command::RevokeKey(Name::from("k4"))).await;
             let expected = listed(&server);
             server.kill().await;
+            // Builds of the first format decode the content as an integer, and refuse it.
+            assert_eq!(identity() != unsealed, $sealed);
+            assert_eq!(identity()[FRAME_HEADER_BYTES] == MARK, $sealed);
             let server = start(directory.path(), 1).await;
             assert_eq!(listed(&server), expected);
-            propose(&server, "new-3", put_key("k5", "w")).await;
+            // A change that is applied while a snapshot is encoded is not in it, and the
+            // next snapshot needs another change.
+            let has_snapshot = || {
+                let snapshot = fs::read(directory.path().join("snapshot")).unwrap_or_default();
+                snapshot.windows(5).any(|bytes| bytes == b"new-3")
+            };
+            let mut n = 3;
+            while !has_snapshot() {
+                propose(&server, &format!("new-{n}"), put_workspace("w", n)).await;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                n += 1;
+                assert!(n < 1_000, "no snapshot is written");
+            }
             let expected = listed(&server);
-            until("a snapshot is written", || {
-                let snapshot = fs::metadata(directory.path().join("snapshot"));
-                snapshot.is_ok_and(|file| file.len() > 600)
-            })
-            .await;
             server.kill().await;
             let server = start(directory.path(), 4_096).await;
             assert_eq!(listed(&server), expected);
@@ -116,10 +136,10 @@
 }
 
 earlier_data! {
-    log_of_format_1: "0ef57c59", "log";
-    snapshot_of_format_1: "0ef57c59", "snapshot";
-    log_of_format_2: "f133e7a5", "log";
-    snapshot_of_format_2: "f133e7a5", "snapshot";
+    log_of_format_1: "0ef57c59", "log", sealed: true;
+    snapshot_of_format_1: "0ef57c59", "snapshot", sealed: true;
+    log_of_format_2: "f133e7a5", "log", sealed: false;
+    snapshot_of_format_2: "f133e7a5", "snapshot", sealed: false;
 }
 
 /// Guards against a fixture that lacks the changes whose bytes differ between formats.
--- a/crates/daemon/tests/control_kit/mod.rs
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -282,6 +282,7 @@
                 delay_ms: self.delay_ms,
                 ..self.limits
             },
+            unnamed: Arc::default(),
         }
     }
 
@@ -393,6 +394,7 @@
                 ..Default::default()
             },
             counters: counters.clone(),
+            unnamed: Arc::default(),
         };
         let view = Arc::new(View::default());
         let handle = Subscriber::start(config, view.clone(), clock.clone());
--- a/crates/daemon/tests/control_peers.rs
+++ b/crates/daemon/tests/control_peers.rs
@@ -31,6 +31,7 @@
         },
         delay_ms: 0,
         counters: Arc::new(PeerCounters::default()),
+        unnamed: Arc::default(),
     }
 }
 
--- a/crates/daemon/tests/control_subscriber.rs
+++ b/crates/daemon/tests/control_subscriber.rs
@@ -51,6 +51,7 @@
         timings: Default::default(),
         limits: Default::default(),
         counters: Default::default(),
+        unnamed: Default::default(),
     }
 }
 
@@ -64,6 +65,7 @@
             timings: Default::default(),
             delay_ms: 0,
             counters: Default::default(),
+            unnamed: Default::default(),
         };
         let listen = "127.0.0.1:0".parse().unwrap();
         let server = PeerServer::start(peering, listen, sender).await.unwrap();
@@ -319,6 +321,7 @@
         timings: Default::default(),
         delay_ms: 0,
         counters: Default::default(),
+        unnamed: Default::default(),
     };
     let listen = "127.0.0.1:0".parse().unwrap();
     let server = PeerServer::start(peering, listen, sender).await.unwrap();
--- a/crates/daemon/tests/control_unreadable.rs
+++ b/crates/daemon/tests/control_unreadable.rs
@@ -51,6 +51,7 @@
         initial: Vec::new(),
         timings: PeerTimings::default(),
         limits: Default::default(),
+        unnamed: Arc::default(),
     }
 }
 
@@ -149,6 +150,7 @@
             timings: PeerTimings::default(),
             delay_ms: 0,
             counters: Arc::default(),
+            unnamed: Arc::default(),
         };
         let (sender, events) = flume::unbounded();
         let listen = "127.0.0.1:0".parse().unwrap();
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -199,6 +199,7 @@
         let peering = Peering {
             listen: "127.0.0.1:0".parse().unwrap(),
             secret: secret.clone(),
+            unnamed: Arc::default(),
         };
         sites.push((
             format!("g{i}"),
--- a/crates/daemon/tests/process/mod.rs
+++ b/crates/daemon/tests/process/mod.rs
@@ -1,9 +1,10 @@
 //! A cluster of three daemon processes in a temporary directory, and a simulated
 //! backend server.
+#![allow(dead_code)]
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use tempfile::TempDir;
 
 pub const KEY: &str = "pk.k1.00112233";
+const OPERATOR_KEY: &str = "pk.op.44556677";
 const NAMES: [&str; 3] = ["i0", "i1", "i2"];
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -36,10 +38,12 @@
 
 /// Runs the daemon's binary with the given arguments.
 pub fn run(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_pomelovaled"))
-        .args(args)
-        .output()
-        .unwrap()
+    run_build(Path::new(env!("CARGO_BIN_EXE_pomelovaled")), args)
+}
+
+/// Likewise, with the binary of another build.
+pub fn run_build(binary: &Path, args: &[&str]) -> Output {
+    Command::new(binary).args(args).output().unwrap()
 }
 
 /// A simulated backend server that answers every request after a delay.
@@ -96,12 +100,18 @@
     pub dir: TempDir,
     ports: Vec<u16>,
     backend: SocketAddr,
+    binaries: [PathBuf; 3],
     children: Vec<Option<Child>>,
 }
 
 impl Cluster {
     /// Starts the processes and waits until each serves keyed requests.
     pub fn start(backend: &Backend) -> Cluster {
+        Cluster::start_build(backend, Path::new(env!("CARGO_BIN_EXE_pomelovaled")))
+    }
+
+    /// Likewise, with the binary of another build.
+    pub fn start_build(backend: &Backend, binary: &Path) -> Cluster {
         let ports = (0..9).map(|_| free_port()).collect();
         let dir = TempDir::new().unwrap();
         std::fs::write(dir.path().join("secret"), "a secret of the tests").unwrap();
@@ -110,6 +120,7 @@
             dir,
             ports,
             backend: backend.address,
+            binaries: std::array::from_fn(|_| binary.to_path_buf()),
             children,
         };
         (0..3).for_each(|i| cluster.spawn(i));
@@ -150,17 +161,47 @@
                     "domain": "a", "slots": 6, "connections": 100}},
                 "instances": instances,
                 "workspaces": {"w": {"rate": 1000, "burst": 2000}},
-                "keys": {"k1": {"workspace": "w", "digest": Digest::of_key(KEY)}}
+                "keys": {
+                    "k1": {"workspace": "w", "digest": Digest::of_key(KEY)},
+                    "op": {"operator": "ann", "digest": Digest::of_key(OPERATOR_KEY)},
+                }
             }
         })
     }
 
+    /// Chooses the binary for the next start of a process.
+    pub fn set_build(&mut self, i: usize, binary: &Path) {
+        self.binaries[i] = binary.to_path_buf();
+    }
+
+    /// Sends a request to the listener for operators, and returns status and body; status
+    /// 0 if there was no response.
+    pub fn operate(&self, i: usize, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        let body = body.to_string();
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {OPERATOR_KEY}\r\n\
+             content-length: {}\r\nconnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        let exchange = || {
+            let mut stream = TcpStream::connect(self.address(2, i))?;
+            stream.write_all(head.as_bytes())?;
+            let mut text = String::new();
+            stream.read_to_string(&mut text)?;
+            std::io::Result::Ok(text)
+        };
+        let text = exchange().unwrap_or_default();
+        let status = text.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
+        let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        (status, serde_json::from_str(body).unwrap_or_default())
+    }
+
     /// Starts a process.
     pub fn spawn(&mut self, i: usize) {
         let path = self.dir.path().join(format!("{}.json", NAMES[i]));
         std::fs::write(&path, self.settings(i).to_string()).unwrap();
         let log = std::fs::File::create(self.log(i)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_pomelovaled"))
+        let child = Command::new(&self.binaries[i])
             .args([Path::new("--config"), &path])
             .stdout(Stdio::null())
             .stderr(log)
@@ -189,15 +230,24 @@
 
     /// Returns the status of a keyed GET request; 0 if there was no response.
     pub fn status(&self, i: usize) -> u16 {
-        let text = self.get(i, "/s/x").unwrap_or_default();
+        self.status_of_key(i, KEY)
+    }
+
+    /// Likewise, with another key.
+    pub fn status_of_key(&self, i: usize, key: &str) -> u16 {
+        let text = self.get_with_key(i, "/s/x", key).unwrap_or_default();
         text.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
 
     /// Returns the whole response to a keyed GET request.
     pub fn get(&self, i: usize, path: &str) -> std::io::Result<String> {
+        self.get_with_key(i, path, KEY)
+    }
+
+    fn get_with_key(&self, i: usize, path: &str, key: &str) -> std::io::Result<String> {
         let mut stream = TcpStream::connect(self.address(0, i))?;
         let request =
-            format!("GET {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\nconnection: close\r\n\r\n");
+            format!("GET {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\nconnection: close\r\n\r\n");
         stream.write_all(request.as_bytes())?;
         let mut text = String::new();
         stream.read_to_string(&mut text)?;
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -68,7 +68,11 @@
 
 /// Encodes one message as a frame.
 pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, FrameError> {
-    let body = encode_body(message)?;
+    encode_frame(&encode_body(message)?)
+}
+
+/// Puts an encoded message into a frame.
+pub fn encode_frame(body: &[u8]) -> Result<Bytes, FrameError> {
     let size = body.len() + FRAME_HEADER_BYTES;
     if size > FRAME_MAX_BYTES {
         return Err(FrameError::TooLarge);
@@ -76,7 +80,7 @@
     let mut frame = BytesMut::with_capacity(size);
     frame.put_u32(size as u32);
     frame.put_u8(PROTOCOL_VERSION);
-    frame.put_slice(&body);
+    frame.put_slice(body);
     Ok(frame.freeze())
 }
 
@@ -108,6 +112,12 @@
 
     /// The next complete message; `None` if more bytes are needed.
     pub fn next_message<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+        let body = self.next_body()?;
+        body.map(|body| decode_body(&body)).transpose()
+    }
+
+    /// The next complete message, encoded; `None` if more bytes are needed.
+    pub fn next_body(&mut self) -> Result<Option<Bytes>, FrameError> {
         if self.buffer.len() < FRAME_HEADER_BYTES {
             return Ok(None);
         }
@@ -119,7 +129,8 @@
             _ if self.buffer.len() < size => return Ok(None),
             _ => {}
         }
-        let frame = self.buffer.split_to(size);
-        decode_body(&frame[FRAME_HEADER_BYTES..]).map(Some)
+        let mut frame = self.buffer.split_to(size);
+        frame.advance(FRAME_HEADER_BYTES);
+        Ok(Some(frame.freeze()))
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod header_names;
 pub mod http;
 pub mod log;
+pub mod message_format;
 pub mod messages;
 pub mod report;
 pub mod trace;
--- a/crates/transport/src/peer_client.rs
+++ b/crates/transport/src/peer_client.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::peer_format::{self, LinkFormat};
 use crate::peer_link::{
     self, CountingStream, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS, WINDOW_BYTES,
 };
@@ -104,12 +105,12 @@
     let mut connection = std::pin::pin!(connection);
     let session = async {
         let opening = open_stream(config, target, requests);
-        let frames = match timeout(limit, opening).await {
+        let (frames, format) = match timeout(limit, opening).await {
             Err(_) => return (false, LinkEnd::Silent),
             Ok(Err(end)) => return (false, end),
-            Ok(Ok(frames)) => frames,
+            Ok(Ok(opened)) => opened,
         };
-        let (link, outgoing) = peer_link::link(target.name.clone(), Role::Control);
+        let (link, outgoing) = peer_link::link(target.name.clone(), Role::Control, format);
         let id = link.id;
         if events.send_async(PeerEvent::Opened(link)).await.is_err() {
             return (false, LinkEnd::Closed);
@@ -136,13 +137,17 @@
     config: &PeerConfig,
     target: &PeerAddress,
     requests: client::SendRequest<Bytes>,
-) -> Result<Frames, LinkEnd> {
+) -> Result<(Frames, LinkFormat), LinkEnd> {
     let mut requests = requests.ready().await?;
+    let (name, value) = peer_format::header();
     let request = Request::post(STREAM_PATH)
+        .header(name, value)
         .body(())
         .map_err(|_| LinkEnd::Failed)?;
     let (response, send) = requests.send_request(request, false)?;
-    let receive = response.await?.into_body();
+    let response = response.await?;
+    let format = LinkFormat::of(response.headers(), &config.unnamed);
+    let receive = response.into_body();
     let mut frames = Frames {
         send,
         receive,
@@ -150,7 +155,7 @@
     };
     authenticate(config, target, &mut frames).await?;
     frames.decoder.set_limit(FRAME_MAX_BYTES);
-    Ok(frames)
+    Ok((frames, format))
 }
 
 async fn authenticate(
--- /dev/null
+++ b/crates/transport/src/peer_format.rs
@@ -0,0 +1,81 @@
+//! Formats of the messages on a peer connection.
+//!
+//! Each side names the latest format that it knows in a header when the connection is
+//! opened. Builds before that send no header and ignore it.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use pomelovale_protocol::format::Format;
+
+/// Names the latest format that a side knows.
+pub(crate) const FORMAT: HeaderName = HeaderName::from_static("pomelovale-format");
+
+/// The format of the peers that name none, shared by all connections of a process. All
+/// of them are of one build.
+#[derive(Debug, Default)]
+pub struct UnnamedFormat(AtomicU32);
+
+impl UnnamedFormat {
+    /// The format; `None` until something was read that belongs to one format only.
+    pub fn get(&self) -> Option<Format> {
+        match self.0.load(Ordering::Acquire) {
+            0 => None,
+            1 => Some(Format::First),
+            _ => Some(Format::Second),
+        }
+    }
+
+    /// Records the format of a message of such a peer.
+    pub fn set(&self, format: Format) {
+        let before = self.0.swap(format.number(), Ordering::AcqRel);
+        if before != format.number() {
+            log::info!("instances of earlier builds use {format}");
+        }
+    }
+
+    /// Records the format of stored data, unless something is known already: such a peer
+    /// may have written it.
+    pub fn assume(&self, format: Format) {
+        let number = format.number();
+        let order = (Ordering::AcqRel, Ordering::Acquire);
+        let _ = self.0.compare_exchange(0, number, order.0, order.1);
+    }
+}
+
+/// The format of one connection.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkFormat {
+    /// What the peer named.
+    pub(crate) named: Option<Format>,
+    pub(crate) unnamed: Arc<UnnamedFormat>,
+}
+
+impl LinkFormat {
+    /// The format of a connection whose peer sent these headers.
+    pub(crate) fn of(headers: &HeaderMap, unnamed: &Arc<UnnamedFormat>) -> LinkFormat {
+        let text = headers.get(FORMAT).and_then(|value| value.to_str().ok());
+        let number: Option<u32> = text.and_then(|text| text.parse().ok());
+        let named = number.map(|number| match number {
+            0 | 1 => Format::First,
+            _ => Format::LATEST,
+        });
+        LinkFormat {
+            named,
+            unnamed: unnamed.clone(),
+        }
+    }
+
+    /// The format of messages to the peer.
+    pub(crate) fn outgoing(&self) -> Format {
+        self.named
+            .or_else(|| self.unnamed.get())
+            .unwrap_or(Format::LATEST)
+    }
+}
+
+/// The header that this build sends.
+pub(crate) fn header() -> (HeaderName, HeaderValue) {
+    (FORMAT, HeaderValue::from(Format::LATEST.number()))
+}
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -12,7 +12,9 @@
 use bytes::Bytes;
 use h2::{RecvStream, SendStream};
 use pomelovale_protocol::auth::{Role, Secret};
-use pomelovale_protocol::frame::{self, Decoder, FrameError};
+use pomelovale_protocol::format::Format;
+use pomelovale_protocol::frame::{self, decode_body, Decoder, FrameError};
+use pomelovale_protocol::message_format::{decode_message, encode_message};
 use pomelovale_protocol::messages::PeerMessage;
 use pomelovale_state::Name;
 use serde::de::DeserializeOwned;
@@ -22,6 +24,8 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant};
 
+use crate::peer_format::{LinkFormat, UnnamedFormat};
+
 /// Maximum number of queued messages of a connection. A peer that falls further
 /// behind is disconnected.
 const QUEUE_MAX: usize = 8_192;
@@ -73,6 +77,8 @@
     pub delay_ms: u64,
     /// Counters of all connections of the process.
     pub counters: Arc<PeerCounters>,
+    /// Format of the peers that name none.
+    pub unnamed: Arc<UnnamedFormat>,
 }
 
 /// Counters of all peer connections of a process.
@@ -160,6 +166,7 @@
     pub peer: Name,
     /// Role of the instance at the other end.
     pub role: Role,
+    format: LinkFormat,
     queue: flume::Sender<QueuedMessage>,
     bulk: flume::Sender<QueuedMessage>,
     busy: Arc<AtomicBool>,
@@ -168,6 +175,17 @@
 }
 
 impl PeerLink {
+    /// The format of messages to the peer.
+    pub fn format(&self) -> Format {
+        self.format.outgoing()
+    }
+
+    /// The format that the peer has named; `None` if it is of an earlier build, which
+    /// names none.
+    pub fn named_format(&self) -> Option<Format> {
+        self.format.named
+    }
+
     /// Queues a message. Closes the connection and returns false if the queue is full.
     pub fn send(&self, message: PeerMessage) -> bool {
         let sent = self.queue.try_send((Instant::now(), message)).is_ok();
@@ -213,9 +231,11 @@
     bulk: flume::Receiver<QueuedMessage>,
     rejected: Arc<AtomicBool>,
     closed: Arc<Notify>,
+    peer: Name,
+    format: LinkFormat,
 }
 
-pub(crate) fn link(peer: Name, role: Role) -> (PeerLink, OutgoingQueues) {
+pub(crate) fn link(peer: Name, role: Role, format: LinkFormat) -> (PeerLink, OutgoingQueues) {
     static NEXT_ID: AtomicU64 = AtomicU64::new(1);
     let (queue, queue_out) = flume::bounded(QUEUE_MAX);
     let (bulk, bulk_out) = flume::bounded(BULK_QUEUE_MAX);
@@ -226,12 +246,15 @@
         bulk: bulk_out,
         rejected: rejected.clone(),
         closed: closed.clone(),
+        peer: peer.clone(),
+        format: format.clone(),
     };
     let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
     let link = PeerLink {
         id,
         peer,
         role,
+        format,
         queue,
         bulk,
         busy: Arc::default(),
@@ -250,7 +273,8 @@
 
 impl Frames {
     pub(crate) async fn read<T: DeserializeOwned>(&mut self) -> Result<T, LinkEnd> {
-        read_message(&mut self.receive, &mut self.decoder).await
+        let body = read_body(&mut self.receive, &mut self.decoder).await?;
+        Ok(decode_body(&body)?)
     }
 
     pub(crate) async fn write<T: Serialize>(&mut self, message: &T) -> Result<(), LinkEnd> {
@@ -258,13 +282,10 @@
     }
 }
 
-async fn read_message<T: DeserializeOwned>(
-    receive: &mut RecvStream,
-    decoder: &mut Decoder,
-) -> Result<T, LinkEnd> {
+async fn read_body(receive: &mut RecvStream, decoder: &mut Decoder) -> Result<Bytes, LinkEnd> {
     loop {
-        if let Some(message) = decoder.next_message()? {
-            return Ok(message);
+        if let Some(body) = decoder.next_body()? {
+            return Ok(body);
         }
         let bytes = receive.data().await.ok_or(LinkEnd::Closed)??;
         receive.flow_control().release_capacity(bytes.len())?;
@@ -290,6 +311,17 @@
     Ok(())
 }
 
+fn decode(body: &[u8], format: &LinkFormat) -> Result<PeerMessage, FrameError> {
+    if format.named.is_some() {
+        return decode_body(body);
+    }
+    let (message, found) = decode_message(body, format.unnamed.get())?;
+    found
+        .into_iter()
+        .for_each(|found| format.unnamed.set(found));
+    Ok(message)
+}
+
 /// Exchanges messages on an authenticated connection until it ends.
 pub(crate) async fn run(
     config: &PeerConfig,
@@ -304,14 +336,23 @@
         mut decoder,
     } = frames;
     let (closed, rejected) = (outgoing.closed.clone(), outgoing.rejected.clone());
+    let (peer, format) = (outgoing.peer.clone(), outgoing.format.clone());
     let reader = async {
         let limit = Duration::from_millis(config.timings.silence_ms);
         loop {
-            let message = match timeout(limit, read_message(&mut receive, &mut decoder)).await {
+            let body = match timeout(limit, read_body(&mut receive, &mut decoder)).await {
                 Err(_) => return LinkEnd::Silent,
                 Ok(Err(end)) => return end,
-                Ok(Ok(PeerMessage::Ping)) => continue,
-                Ok(Ok(message)) => message,
+                Ok(Ok(body)) => body,
+            };
+            let message = match decode(&body, &format) {
+                Ok(PeerMessage::Ping) => continue,
+                Ok(message) => message,
+                Err(e) => {
+                    let index = body.first().copied().unwrap_or_default();
+                    log::warn!("can't read message {index} of {peer}, closing the connection: {e}");
+                    return e.into();
+                }
             };
             if events
                 .send_async(PeerEvent::Message(id, message))
@@ -330,7 +371,7 @@
                 Err(end) => return end,
                 Ok(message) => message,
             };
-            let written = match frame::encode(&message) {
+            let written = match encode_message(&message, outgoing.format.outgoing()) {
                 Ok(bytes) => write_bytes(&mut send, bytes).await,
                 // A message that exceeds the size limit is dropped; the connection
                 // stays usable.
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::peer_client::STREAM_PATH;
+use crate::peer_format::{self, LinkFormat};
 use crate::peer_link::{
     self, CountingStream, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS, WINDOW_BYTES,
 };
@@ -107,7 +108,10 @@
         return config.counters.count_end(LinkEnd::Rejected);
     }
     let session = async {
-        let send = respond.send_response(Response::new(()), false)?;
+        let format = LinkFormat::of(request.headers(), &config.unnamed);
+        let mut response = Response::new(());
+        response.headers_mut().extend([peer_format::header()]);
+        let send = respond.send_response(response, false)?;
         let mut frames = Frames {
             send,
             receive: request.into_body(),
@@ -118,7 +122,7 @@
             Ok(peer) => peer?,
         };
         frames.decoder.set_limit(FRAME_MAX_BYTES);
-        let (link, outgoing) = peer_link::link(peer, role);
+        let (link, outgoing) = peer_link::link(peer, role, format);
         let id = link.id;
         let opened = events.send_async(PeerEvent::Opened(link)).await;
         opened.map_err(|_| LinkEnd::Closed)?;
