Announce the close after a request whose body is left unread

A caller of a handler that answers without reading the body of its request, as the one that starts an evacuation does, could send the next request on a connection that hyper had closed after the response without announcing it.

unread_body_is_read_or_its_close_is_announced failed before (no answer to the next request) and passes now.

--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -344,6 +344,11 @@
         if asks {
             state.close(Cause::Response);
         }
+        if state.forwarding {
+            // hyper closes the connection after this response, since the handler has
+            // left the body unread.
+            state.close(Cause::Unread);
+        }
         match state.closing {
             Some(_) if state.undecided == 0 => {
                 headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
