Never take the services of a gateway back to an older document

A request that asks the coordinator for a server keeps the document of before the question. If a new table arrived meanwhile, the services were updated back to the old one with the answer, and then to the new one again: services and servers that the new table had added lost their counts of requests in flight, cold times and retry budgets.

Documents that are older than the one in use are ignored now. Found by reading; there is no test of its own.

--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -224,7 +224,7 @@
     }
 
     fn sync(&self, inner: &mut Inner, now: Millis, document: &Document) {
-        if inner.version == Some(document.version) {
+        if inner.version >= Some(document.version) {
             return;
         }
         inner.version = Some(document.version);
