Don't poll pipelined requests whose response is held

Each wake of a connection polled all pipelined requests, also those whose response only waits for the responses before it. These are skipped now. Their responses are written from one buffer again instead of with vectored writes, which cost more for small ones.

--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -57,6 +57,9 @@
     // Numbers of the first unanswered and of the next pipelined request.
     front: u64,
     next: u64,
+    // Pipelined requests whose response is held until the responses before it are
+    // written, as a set of bits.
+    held: u64,
     // Number of started requests that may still announce the close in their response.
     undecided: u64,
     // Number of responses that are streams and not completely written, and whether
@@ -125,6 +128,12 @@
     }
 }
 
+/// The bit of a pipelined request in a set. Less than 64 of them are in progress at a
+/// time.
+pub(crate) fn bit(number: u64) -> u64 {
+    1 << (number % 64)
+}
+
 fn is_safe(request: &[u8]) -> bool {
     METHODS.iter().any(|m| request.starts_with(m))
 }
@@ -162,6 +171,7 @@
             scanned: 0,
             front: 0,
             next: 0,
+            held: 0,
             undecided: 0,
             streams: 0,
             streaming: false,
@@ -328,9 +338,18 @@
         }
     }
 
-    /// Records that the response to a request is a stream.
-    pub(crate) fn expect_stream(&self) {
-        self.lock().streams += 1;
+    /// Records that the response to a request is ready, and whether it is a stream.
+    pub(crate) fn hold(&self, place: Place, streams: bool) {
+        let mut state = self.lock();
+        state.streams += u64::from(streams);
+        if let Place::Pipelined(number) = place {
+            state.held |= bit(number);
+        }
+    }
+
+    /// Pipelined requests whose response is held, as a set of bits.
+    pub(crate) fn held(&self) -> u64 {
+        self.lock().held
     }
 
     /// Decides whether a response that is to be written next announces the close:
@@ -376,7 +395,10 @@
         state.streaming = false;
         match place {
             Place::Own => (state.busy, state.serving) = (false, false),
-            Place::Pipelined(_) => state.front += 1,
+            Place::Pipelined(number) => {
+                state.front += 1;
+                state.held &= !bit(number);
+            }
         }
         true
     }
--- a/crates/transport/src/pipeline.rs
+++ b/crates/transport/src/pipeline.rs
@@ -18,7 +18,7 @@
 use hyper::server::conn::http1;
 
 use crate::ending::Cause;
-use crate::link::{Link, Place};
+use crate::link::{bit, Link, Place};
 use crate::serving::{Calls, Requests};
 
 /// In-memory connection with one request as input. The response is written to the
@@ -74,21 +74,6 @@
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        match self.link.is_turn(self.place) {
-            true => self.link.poll_send(cx, |s| s.try_write_vectored(parts)),
-            false => Poll::Pending,
-        }
-    }
 }
 
 /// The connection of one pipelined request.
@@ -147,8 +132,12 @@
         cx: &mut Context<'_>,
         requests: &Requests,
     ) -> Result<bool, Cause> {
-        for request in &mut self.running {
-            request.poll(cx);
+        let held = self.link.held();
+        for (number, request) in (self.first..).zip(&mut self.running) {
+            // The first one is polled if it may be written now.
+            if number == self.first || held & bit(number) == 0 {
+                request.poll(cx);
+            }
         }
         let mut completed = false;
         loop {
--- a/crates/transport/src/serving.rs
+++ b/crates/transport/src/serving.rs
@@ -52,9 +52,8 @@
             let polled = catch(|| future.as_mut().poll(cx));
             let panicked = || Poll::Ready(error_response(ErrorKind::Internal));
             let response = ready!(polled.unwrap_or_else(panicked));
-            if let CallerBody::Stream(_) = response.body() {
-                this.link.expect_stream();
-            }
+            let streams = matches!(response.body(), CallerBody::Stream(_));
+            this.link.hold(this.place, streams);
             catch(|| this.answer = Answer::Held(Some(response)));
         }
         let held = match &mut this.answer {
