Don't hold a relayed request for the body of a refusal

A caller whose request was relayed was held to its deadline if another instance sent the head of a refusal and not its body: the body is read so that the connection can be reused, up to the deadline of the request. It is now waited for at most 0.1 s, after which the next instance is asked.

Before, refusal_whose_body_stalls_does_not_hold_a_booking was answered after 1.5 s, its deadline; now it is served in time.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -41,6 +41,8 @@
 const IDLE_MS: u64 = 2_000;
 /// Time that the answer takes on its way back, in milliseconds.
 const RETURN_MS: u64 = 10;
+/// Time for the body of a refusal, in milliseconds. Without it the connection is closed.
+const DISCARD_MS: u64 = 100;
 /// Time for which a request that no instance has taken waits for another look at the
 /// servers.
 pub const RECHECK: Duration = Duration::from_millis(60);
@@ -327,7 +329,7 @@
         let message = self.message(request, left);
         match connection.send(message, &names.request, id, left).await {
             Ok(reply) if reply.parts.headers.get(&names.relay) == Some(&REFUSED) => {
-                self.discard(address, reply, request.deadline).await;
+                self.discard(address, reply).await;
                 TargetEnd::NotTaken
             }
             Ok(reply) => self.receive(address, reply, request).await,
@@ -364,8 +366,9 @@
     }
 
     // Reads the body of a refusal, so that the connection can be reused.
-    async fn discard(&self, address: SocketAddr, mut reply: Reply, end: Instant) {
+    async fn discard(&self, address: SocketAddr, mut reply: Reply) {
         let limit = self.config.answer_bytes;
+        let end = Instant::now() + Millis(DISCARD_MS).duration();
         if let Ok(BufferedBody::All(_)) = buffer_body(&mut reply.body, limit, end).await {
             self.pool.put(address, reply.body.finish());
         }
--- a/crates/daemon/tests/gateway_relay.rs
+++ b/crates/daemon/tests/gateway_relay.rs
@@ -14,6 +14,9 @@
 
 /// Longest time until a request is refused that nobody takes.
 const AT_ONCE: Duration = Duration::from_millis(300);
+/// Longest time for a request of which an instance sends half a refusal; its deadline is at
+/// 1.5 s.
+const STALLED: Duration = Duration::from_millis(1_000);
 const REFUSAL: &str = "pomelovale-relay: refused\r\npomelovale-outcome: not-run\r\n";
 
 /// Reactions of the other instances, in the order in which they are asked.
@@ -99,6 +102,17 @@
     response("503 Service Unavailable", REFUSAL, "")
 }
 
+fn first_stalls(n: usize) -> ServerAction {
+    match n {
+        0 => {
+            let head = "HTTP/1.1 503 Service Unavailable\r\npomelovale-request: q1\r\n";
+            let text = format!("{head}{REFUSAL}content-length: 5\r\n\r\n");
+            ServerAction::Write(text.into_bytes())
+        }
+        _ => fine(n),
+    }
+}
+
 macro_rules! relays {
     ($($(#[$doc:meta])* $name:ident($method:literal, $path:literal, $script:expr) => ($status:literal, $outcome:expr, $relayed:literal);)*) => {
         $($(#[$doc])* #[tokio::test] async fn $name() {
@@ -138,6 +152,17 @@
     }
 }
 
+/// Guards against a booking that waits to its deadline for the body of a refusal.
+#[tokio::test]
+async fn refusal_whose_body_stalls_does_not_hold_a_booking() {
+    let site = Site::start(2, "north", first_stalls).await;
+    let start = Instant::now();
+    let answer = site.send(&keyed("POST", "/once/x")).await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(start.elapsed() < STALLED, "{:?}", start.elapsed());
+    assert_eq!(site.relayed().len(), 2);
+}
+
 /// Guards against requests that go round between instances without a way to the servers.
 #[tokio::test]
 async fn relayed_request_is_not_relayed_again() {
