Test connections with peers of earlier builds and sealed data directories

A peer that names no format is sent the format that its report shows; one that names a later format is sent the latest of this build. A sealed directory opens with its identity and entries, and one of a later format is refused by name.

--- a/crates/coordination/tests/log_storage.rs
+++ b/crates/coordination/tests/log_storage.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use pomelovale_coordination::log::{DirectoryLock, HardState, Persist, RestoredState, Storage};
+use pomelovale_protocol::format::Format;
 use pomelovale_protocol::log::{Entry, EntryData, Epoch, LogIndex, Snapshot};
 use pomelovale_state::ErrorKind;
 
@@ -198,6 +199,35 @@
         assert_eq!(reopen(directory).entries, entries(2, 1..=9));
     };
 
+    /// Guards against a sealed directory that is lost or gets another identity.
+    sealed_directory_opens_again |directory| {
+        let mut storage = fill_directory(directory);
+        let before = reopen(directory);
+        storage.seal(Format::LATEST).expect("the directory is sealed");
+        save_entries(&mut storage, entries(2, 10..=10));
+        let (storage, restored) = Storage::open(directory).expect("storage opens");
+        assert!(storage.is_sealed());
+        assert_eq!(restored.incarnation, before.incarnation);
+        assert_eq!(restored.entries, entries(2, 1..=10));
+    };
+
+    /// Guards against a directory of a later build that is opened, or refused without the
+    /// name of the build.
+    directory_of_a_later_format_is_refused_by_name |directory| {
+        drop(fill_directory(directory));
+        let path = directory.join("identity");
+        let body = b"\xff\x09\x031.4 and more";
+        let mut frame = (body.len() as u32).to_le_bytes().to_vec();
+        frame.extend(crc32fast::hash(body).to_le_bytes());
+        let offset = [0; 8];
+        let header = [frame.as_slice(), &offset].concat();
+        frame.extend(crc32fast::hash(&header).to_le_bytes());
+        frame.extend(body);
+        fs::write(&path, &frame).expect("write succeeds");
+        refused(directory, "identity, offset 0: format 9 of build \"1.4\"");
+        assert_eq!(fs::read(&path).expect("file is readable"), frame);
+    };
+
     /// Guards against a start that truncates the log although its entries are refused.
     refused_entries_are_left_as_they_are |directory| {
         drop(fill_directory(directory));
--- a/crates/daemon/tests/control_peers.rs
+++ b/crates/daemon/tests/control_peers.rs
@@ -6,16 +6,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::HeaderName;
 use pomelovale_protocol::auth::{nonce, Handshake, Role, Secret, Session};
-use pomelovale_protocol::frame::{self, Decoder};
-use pomelovale_protocol::messages::{PeerMessage, Renew};
-use pomelovale_state::Name;
+use pomelovale_protocol::format::Format;
+use pomelovale_protocol::frame::{self, Decoder, FRAME_HEADER_BYTES};
+use pomelovale_protocol::log::Position;
+use pomelovale_protocol::message_format::encode_message;
+use pomelovale_protocol::messages::{Delta, PeerMessage, Proof, Renew};
+use pomelovale_protocol::report::Report;
+use pomelovale_state::command::{Change, Command};
+use pomelovale_state::{Millis, Name};
 use pomelovale_transport::peer_client::{PeerAddress, PeerClient};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerEvent, PeerTimings};
 use pomelovale_transport::peer_server::PeerServer;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+const FORMAT_HEADER: HeaderName = HeaderName::from_static("pomelovale-format");
 const SECRET: &str = "a shared secret of the tests";
 
 fn config(name: &str, secret: &str) -> PeerConfig {
@@ -139,13 +146,24 @@
 
 impl RawClient {
     async fn open(address: SocketAddr) -> RawClient {
+        RawClient::open_with(address, None).await
+    }
+
+    /// Opens a stream and names a format, as builds since format 2 do.
+    async fn open_with(address: SocketAddr, format: Option<&str>) -> RawClient {
         let socket = TcpStream::connect(address).await.unwrap();
         let (requests, connection) = h2::client::handshake(socket).await.unwrap();
         tokio::spawn(connection);
         let mut requests = requests.ready().await.unwrap();
-        let request = http::Request::post("/peer").body(()).unwrap();
+        let mut request = http::Request::post("/peer").body(()).unwrap();
+        let value = format.map(|format| format.parse().unwrap());
+        request
+            .headers_mut()
+            .extend(value.map(|value| (FORMAT_HEADER, value)));
         let (response, send) = requests.send_request(request, false).unwrap();
-        let receive = response.await.unwrap().into_body();
+        let response = response.await.unwrap();
+        assert_eq!(response.headers()[FORMAT_HEADER], "2");
+        let receive = response.into_body();
         RawClient {
             send,
             receive,
@@ -170,6 +188,16 @@
         }
     }
 
+    async fn read_body(&mut self) -> Bytes {
+        loop {
+            if let Some(body) = self.decoder.next_body().unwrap() {
+                return body;
+            }
+            let received = self.receive.data().await.unwrap().unwrap();
+            self.decoder.push(&received);
+        }
+    }
+
     async fn hello(&mut self) -> Session {
         let client_nonce = nonce();
         self.send(&Handshake::Hello {
@@ -255,6 +283,70 @@
     });
 }
 
+fn proof() -> PeerMessage {
+    let change = Change {
+        request: Name::from("r1"),
+        sender: Name::from("operator"),
+        base: None,
+        at: Millis(1),
+        command: Command::RevokeKey(Name::from("k1")),
+    };
+    PeerMessage::Proof(Proof {
+        seq: None,
+        age_ms: 0,
+        position: Position::default(),
+        leader: None,
+        changes: vec![Arc::new(Delta {
+            position: Position::default(),
+            version: 1,
+            change,
+        })],
+    })
+}
+
+macro_rules! format_cases {
+    ($($name:ident: $named:expr, $sent:ident, $received:ident;)*) => {$(
+        /// Guards against a peer of an earlier build whose report is refused, or that is
+        /// sent what it can't read.
+        #[tokio::test]
+        async fn $name() {
+            let listener = listen().await;
+            let named: Option<&str> = $named;
+            let mut raw = RawClient::open_with(listener.server.address(), named).await;
+            raw.authenticate().await;
+            let PeerEvent::Opened(link) = listener.events.recv_async().await.unwrap() else {
+                panic!("the connection was not opened");
+            };
+            let report = PeerMessage::Report(Report {
+                instance: Name::from("e9"),
+                down: vec![Name::from("north-1")],
+                ..Report::default()
+            });
+            raw.write(encode_message(&report, Format::$sent).unwrap());
+            let PeerEvent::Message(_, read) = listener.events.recv_async().await.unwrap() else {
+                panic!("the report was not read");
+            };
+            assert_eq!(read, report);
+            assert_eq!(link.named_format().is_some(), named.is_some());
+            link.send(proof());
+            let expected = encode_message(&proof(), Format::$received).unwrap();
+            let ping = encode_message(&PeerMessage::Ping, Format::Second).unwrap();
+            let mut body = raw.read_body().await;
+            while body == ping[FRAME_HEADER_BYTES..] {
+                body = raw.read_body().await;
+            }
+            assert_eq!(body, expected[FRAME_HEADER_BYTES..]);
+        }
+    )*};
+}
+
+format_cases! {
+    peer_of_the_first_format: None, First, First;
+    peer_of_the_second_format_that_names_none: None, Second, Second;
+    peer_that_names_the_second_format: Some("2"), Second, Second;
+    peer_that_names_a_later_format: Some("9"), Second, Second;
+}
+
 // Guards against a client that accepts a server which lacks the secret or isn't
 // the instance that the client is configured to reach.
 #[tokio::test]
