Limit an entry's connections to half of its descriptors

Callers of an entry whose limit on descriptors is below its limit on connections (4,096 by default; many systems allow 1,024 descriptors) hung without an answer once idle connections of others had used them up: nothing more was accepted, and connections to backend servers could not be opened either.

The daemon reads its limit on descriptors and lowers entry.server.connections to half of it, with a warning. At that limit an idle connection is closed for a new one, or the new one gets 503.

Before, idle_callers_leave_descriptors_for_others (128 descriptors, 200 idle callers) did not end: its caller had no answer after ten minutes, when the run was stopped. Now it is served within 3 s. Reads of these tests now end after 10 s, so that such a fault fails a test instead of holding it.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use pomelovale_state::command::Command;
 use pomelovale_state::{Clock, ErrorKind};
 use pomelovale_transport::peer_client::PeerAddress;
+use rustix::process::{getrlimit, Resource};
 use serde_json::{json, Value};
 use tokio::runtime::Handle;
 use tokio::time::timeout;
@@ -24,6 +25,9 @@
 use crate::settings::{Role, Settings};
 use crate::subscriber::{ControlEndpoint, Subscriber, SubscriberConfig};
 
+/// Part of the process's descriptors that connections of callers may use: one in so many.
+/// The others are for connections to backend servers and to other instances.
+const CALLERS_ONE_IN: u64 = 2;
 /// Timeout for the leader's answer to a status request.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -208,7 +212,16 @@
     handle: &ControlHandle,
     clock: &Clock,
 ) -> Result<EntryHandle, Report<ErrorKind>> {
-    let config = settings.entry_config();
+    let mut config = settings.entry_config();
+    let connections = &mut config.server.connections;
+    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let most = usize::try_from(descriptors / CALLERS_ONE_IN).unwrap_or(usize::MAX);
+    if *connections > most {
+        log::warn!(
+            "entry.server.connections is lowered from {connections} to {most}, half of the limit on descriptors"
+        );
+        *connections = most;
+    }
     Entry::start(config, Arc::clone(view), handle.clone(), clock.clone()).await
 }
 
--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -2,9 +2,10 @@
 
 mod process;
 
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pomelovale_coordination::log::{Persist, Storage};
 use pomelovale_protocol::log::{Entry, EntryData};
@@ -149,3 +150,25 @@
     let logged = cluster.logged(follower);
     assert!(logged.contains(&expected), "{logged}");
 }
+
+/// Guards against callers that hang because the connections of others have used up the
+/// descriptors of the process.
+#[test]
+fn idle_callers_leave_descriptors_for_others() {
+    let backend = Backend::start(Duration::ZERO);
+    let mut cluster = Cluster::start(&backend);
+    cluster.kill(0);
+    cluster.spawn_limited(0, 128);
+    cluster.wait_until_ready(0);
+    let connect = |_| TcpStream::connect(cluster.callers(0)).unwrap();
+    let idle: Vec<TcpStream> = (0..200).map(connect).collect();
+    thread::sleep(Duration::from_millis(300));
+    let start = Instant::now();
+    assert_eq!(cluster.status(0), 200, "{}", cluster.logged(0));
+    assert!(
+        start.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        start.elapsed()
+    );
+    drop(idle);
+}
--- a/crates/daemon/tests/process/mod.rs
+++ b/crates/daemon/tests/process/mod.rs
@@ -36,9 +36,13 @@
     }
 }
 
+/// Longest wait for a response.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+const BINARY: &str = env!("CARGO_BIN_EXE_pomelovaled");
+
 /// Runs the daemon's binary with the given arguments.
 pub fn run(args: &[&str]) -> Output {
-    run_build(Path::new(env!("CARGO_BIN_EXE_pomelovaled")), args)
+    run_build(Path::new(BINARY), args)
 }
 
 /// Likewise, with the binary of another build.
@@ -128,6 +132,11 @@
         cluster
     }
 
+    /// Address of a process for callers.
+    pub fn callers(&self, i: usize) -> String {
+        self.address(0, i)
+    }
+
     fn address(&self, kind: usize, i: usize) -> String {
         format!("127.0.0.1:{}", self.ports[3 * kind + i])
     }
@@ -198,10 +207,22 @@
 
     /// Starts a process.
     pub fn spawn(&mut self, i: usize) {
+        self.spawn_as(i, Command::new(&self.binaries[i]));
+    }
+
+    /// Starts a process that may open so many descriptors.
+    pub fn spawn_limited(&mut self, i: usize, descriptors: usize) {
+        let mut command = Command::new("sh");
+        let limit = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        command.args(["-c", &limit, BINARY]);
+        self.spawn_as(i, command);
+    }
+
+    fn spawn_as(&mut self, i: usize, mut command: Command) {
         let path = self.dir.path().join(format!("{}.json", NAMES[i]));
         std::fs::write(&path, self.settings(i).to_string()).unwrap();
         let log = std::fs::File::create(self.log(i)).unwrap();
-        let child = Command::new(&self.binaries[i])
+        let child = command
             .args([Path::new("--config"), &path])
             .stdout(Stdio::null())
             .stderr(log)
@@ -246,6 +267,7 @@
 
     fn get_with_key(&self, i: usize, path: &str, key: &str) -> std::io::Result<String> {
         let mut stream = TcpStream::connect(self.address(0, i))?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
         let request =
             format!("GET {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\nconnection: close\r\n\r\n");
         stream.write_all(request.as_bytes())?;
