Probe a server at the path by which its request was routed

A server got GET / without an id after it had cut a request: the path for the check whether it has ended was looked up in the newest table, and "/" was taken if that had dropped the service since the request was routed. A server may take it for a request of a caller.

The path is now kept with the routed request.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -52,6 +52,8 @@
 #[derive(Debug)]
 pub(super) struct RoutedRequest {
     pub(super) service: Name,
+    /// Path at which the servers of the service answer probes.
+    pub(super) probe: Name,
     pub(super) route: HostRoute,
     /// Hash of the object that the request concerns.
     pub(super) object: u64,
@@ -513,7 +515,7 @@
         server: chosen.server.clone(),
         address: chosen.address,
         known: progress.known_crash,
-        probe: probe_path(shared, routed),
+        probe: routed.probe.clone(),
         since: start,
         connect_ms: connection.is_fresh().then_some(timing.connect_ms),
         opened: connection.is_fresh().then(|| connection.proven()),
@@ -652,14 +654,6 @@
     }
 }
 
-// Path at which the servers of the request's service answer probes.
-fn probe_path(shared: &Shared, routed: &RoutedRequest) -> Name {
-    let document = shared.view.document();
-    let routing = document.routing.as_ref();
-    let service = routing.and_then(|r| r.services.get(&routed.service));
-    service.map_or_else(|| Name::from("/"), |s| Name::from(s.probe.as_str()))
-}
-
 fn request(shared: &Shared, routed: &RoutedRequest, chosen: &Chosen) -> Request<Full<Bytes>> {
     let header_names = &shared.config.header_names;
     let mut request = Request::new(Full::new(routed.body.clone()));
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -265,6 +265,8 @@
         .next_service(route)
         .ok_or(ErrorKind::Unavailable)?;
     let routing = document.routing.as_ref();
+    let routed_service = routing.and_then(|r| r.services.get(&service));
+    let probe = routed_service.ok_or(ErrorKind::Unavailable)?.probe.as_str();
     let routed_workspace = workspace
         .as_ref()
         .and_then(|name| routing?.workspaces.get(name));
@@ -277,6 +279,7 @@
         .relayed
         .map_or(route.attempts, |left| left.min(route.attempts));
     Ok(RoutedRequest {
+        probe: Name::from(probe),
         service,
         is_relayed: arrival.relayed.is_some(),
         authorization: parts.headers.get(header::AUTHORIZATION).cloned(),
