--- a/crates/daemon/src/control/formats.rs
+++ b/crates/daemon/src/control/formats.rs
@@ -69,8 +69,10 @@
         let Some(format) = format else {
             return;
         };
-        let is_turn = (self.formats.stored, format) == (Some(Format::First), Format::Second);
-        if is_turn && !is_earlier {
+        // Before it holds such data, a log may be of any earlier build.
+        let earlier = self.formats.stored.or(self.formats.unnamed.get());
+        let is_turn = (earlier, format) == (Some(Format::First), Format::Second);
+        if is_turn && !is_earlier && !self.formats.sealed {
             log::info!("all members know {format}; earlier builds can't read this log from now on");
             self.log_writer.seal(format);
             self.formats.sealed = true;
--- a/crates/daemon/tests/control_formats.rs
+++ b/crates/daemon/tests/control_formats.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use control_kit::{change, put_key, put_workspace, running_clock, secret, until, within};
-use pomelovale_protocol::format::MARK;
+use pomelovale_protocol::format::{Format, MARK};
 use pomelovale_state::command::{Applied, Command};
 use pomelovale_state::Name;
 use pomelovaled::control::config::{ControlConfig, ControlLimits};
@@ -65,7 +65,10 @@
 }
 
 async fn start(directory: &Path, snapshot_entries: u64) -> ControlServer {
-    let config = config(directory, snapshot_entries);
+    start_with(config(directory, snapshot_entries)).await
+}
+
+async fn start_with(config: ControlConfig) -> ControlServer {
     let server = Control::start(config, running_clock()).await.unwrap();
     until("the instance leads and has applied its log", || {
         let status = server.status();
@@ -142,6 +145,24 @@
     snapshot_of_format_2: "f133e7a5", "snapshot", sealed: false;
 }
 
+/// Guards against a log of format 1 whose changes so far have the same bytes in both
+/// formats: builds of format 1 would open it after it has others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn log_of_a_site_with_peers_of_format_1_is_sealed() {
+    let directory = TempDir::new().unwrap();
+    let identity = || fs::read(directory.path().join("identity")).unwrap();
+    let config = config(directory.path(), 4_096);
+    let unnamed = config.unnamed.clone();
+    let server = start_with(config).await;
+    propose(&server, "new-1", put_workspace("w", 10)).await;
+    propose(&server, "new-2", put_key("k1", "w")).await;
+    unnamed.set(Format::First);
+    assert_ne!(identity()[FRAME_HEADER_BYTES], MARK);
+    propose(&server, "new-3", Command::RevokeKey(Name::from("k1"))).await;
+    within("the end of the instance", server.kill()).await;
+    assert_eq!(identity()[FRAME_HEADER_BYTES], MARK);
+}
+
 /// Guards against a fixture that lacks the changes whose bytes differ between formats.
 #[test]
 fn earlier_data_holds_what_differs_between_formats() {
