Seal the directories of instances that join a sealed log

A build of format 1 then opens the directory, skips what it can't read, and votes and leads.

Sealed instances now say so when a connection is opened, and open their connections anew when they are sealed; a peer seals its directory before it stores what it is sent. Earlier builds ignore the header.

new_disk_of_a_sealed_log_is_sealed and all_members_are_sealed_with_their_leader failed before (identity without the mark; not sealed after 60 s) and pass now with the other cases of control_formats.

--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -41,6 +41,7 @@
                 return link.close();
             }
             Role::Control if known => {
+                self.note_seal(&link);
                 let old = self.controls.insert(link.peer.clone(), link.id);
                 if let Some(old) = old.and_then(|id| self.links.get(&id)) {
                     old.close();
--- a/crates/daemon/src/control/formats.rs
+++ b/crates/daemon/src/control/formats.rs
@@ -4,6 +4,7 @@
 
 use pomelovale_protocol::format::Format;
 use pomelovale_transport::peer_format::UnnamedFormat;
+use pomelovale_transport::peer_link::PeerLink;
 
 use super::event_loop::EventLoop;
 
@@ -25,6 +26,9 @@
         // Only a log of the first format is ever sealed.
         let earlier = if sealed { Some(Format::First) } else { stored };
         earlier.into_iter().for_each(|f| unnamed.assume(f));
+        if sealed {
+            unnamed.exclude();
+        }
         FormatState {
             stored,
             sealed,
@@ -74,10 +78,29 @@
         let is_turn = (earlier, format) == (Some(Format::First), Format::Second);
         if is_turn && !is_earlier && !self.formats.sealed {
             log::info!("all members know {format}; earlier builds can't read this log from now on");
-            self.log_writer.seal(format);
-            self.formats.sealed = true;
+            self.seal();
+            // Tells the peers when they connect again: those whose data shows no format
+            // can't see the turn.
+            let controls = self.controls.values();
+            let links = controls.filter_map(|id| self.links.get(id));
+            links.for_each(|link| link.close());
         }
         self.formats.stored = Some(format);
         self.formats.unnamed.assume(format);
     }
+
+    /// Seals the directory if a peer's is sealed: this instance has joined the log since
+    /// then, and what it was sent doesn't show it.
+    pub(super) fn note_seal(&mut self, link: &PeerLink) {
+        if link.is_sealed() && !self.formats.sealed {
+            log::info!("the log of {} is sealed, sealing this one", link.peer);
+            self.seal();
+        }
+    }
+
+    fn seal(&mut self) {
+        self.log_writer.seal(Format::LATEST);
+        self.formats.sealed = true;
+        self.formats.unnamed.exclude();
+    }
 }
--- a/crates/daemon/tests/control_formats.rs
+++ b/crates/daemon/tests/control_formats.rs
@@ -8,7 +8,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use control_kit::{change, put_key, put_workspace, running_clock, secret, until, within};
+use control_kit::{change, put_key, put_workspace, running_clock, secret, until, within, Cluster};
+use pomelovale_coordination::log::Storage;
 use pomelovale_protocol::format::{Format, MARK};
 use pomelovale_state::command::{Applied, Command};
 use pomelovale_state::Name;
@@ -163,6 +164,81 @@
     assert_eq!(identity()[FRAME_HEADER_BYTES], MARK);
 }
 
+fn is_sealed(cluster: &Cluster, i: usize) -> bool {
+    let identity = fs::read(cluster.config(i).directory.join("identity"));
+    identity.unwrap()[FRAME_HEADER_BYTES] == MARK
+}
+
+async fn until_caught_up(cluster: &Cluster, i: usize) {
+    let leader = cluster.leader().await;
+    let goal = cluster.server(leader).status().commit;
+    until("the instance has caught up", || {
+        let status = cluster.server(i).status();
+        status.applied >= goal
+            && status
+                .voters
+                .iter()
+                .any(|id| Some(id) == status.id.as_ref())
+    })
+    .await;
+}
+
+/// Guards against a directory that builds of format 1 open, and lead without its content,
+/// since its instance joined after the others were sealed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_disk_of_a_sealed_log_is_sealed() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.propose(0, change("r1", put_key("k1", "w"))).await;
+    for i in 0..3 {
+        cluster.kill(i).await;
+    }
+    for i in 0..3 {
+        let opened = Storage::open(cluster.config(i).directory);
+        opened.unwrap().0.seal(Format::LATEST).unwrap();
+    }
+    for i in 0..3 {
+        cluster.restart(i).await;
+    }
+    let new = cluster.follower().await;
+    cluster.kill(new).await;
+    cluster.wipe(new);
+    cluster.restart(new).await;
+    until_caught_up(&cluster, new).await;
+    within("the end of the instance", cluster.kill(new)).await;
+    assert!(is_sealed(&cluster, new));
+}
+
+/// Guards against members that builds of format 1 can still open because only the leader
+/// has met such builds.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_members_are_sealed_with_their_leader() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    cluster.unnamed[leader].set(Format::First);
+    for (n, command) in [put_workspace("w", 10), put_key("k1", "w")]
+        .into_iter()
+        .enumerate()
+    {
+        cluster
+            .propose(leader, change(&format!("r{n}"), command))
+            .await;
+    }
+    let revoke = Command::RevokeKey(Name::from("k1"));
+    cluster.propose(leader, change("revoke", revoke)).await;
+    let version = cluster.server(leader).status().version;
+    until("all instances have the revocation and are sealed", || {
+        let has_all = |i| cluster.server(i).status().version == version;
+        (0..3).all(|i| has_all(i) && is_sealed(&cluster, i))
+    })
+    .await;
+    cluster
+        .propose(leader, change("r9", put_key("k2", "w")))
+        .await;
+    for i in 0..3 {
+        cluster.kill(i).await;
+    }
+}
+
 /// Guards against a fixture that lacks the changes whose bytes differ between formats.
 #[test]
 fn earlier_data_holds_what_differs_between_formats() {
--- a/crates/daemon/tests/control_kit/mod.rs
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -16,6 +16,7 @@
 use pomelovale_state::document::{Digest, KeyHolder, Workspace};
 use pomelovale_state::{Clock, Millis, Name};
 use pomelovale_transport::peer_client::PeerAddress;
+use pomelovale_transport::peer_format::UnnamedFormat;
 use pomelovale_transport::peer_link::PeerCounters;
 use pomelovaled::control::config::{ControlConfig, ControlLimits};
 use pomelovaled::control::{Control, ControlServer};
@@ -191,6 +192,8 @@
     pub delay_ms: u64,
     pub initial: Vec<Command>,
     pub limits: ControlLimits,
+    /// Formats that each instance knows of peers that name none.
+    pub unnamed: Vec<Arc<UnnamedFormat>>,
     directories: Vec<TempDir>,
 }
 
@@ -248,6 +251,7 @@
             delay_ms,
             initial,
             limits,
+            unnamed: (0..count).map(|_| Arc::default()).collect(),
             directories: (0..count).map(|_| data_directory()).collect(),
         };
         for from in &names {
@@ -282,11 +286,12 @@
                 delay_ms: self.delay_ms,
                 ..self.limits
             },
-            unnamed: Arc::default(),
+            unnamed: self.unnamed[i].clone(),
         }
     }
 
     pub async fn restart(&mut self, i: usize) {
+        self.unnamed[i] = Arc::default();
         let started = Control::start(self.config(i), self.clocks[i].clone()).await;
         let server = started.unwrap();
         self.set_proxy_targets(i, Some(server.address()));
--- a/crates/transport/src/peer_client.rs
+++ b/crates/transport/src/peer_client.rs
@@ -139,11 +139,10 @@
     requests: client::SendRequest<Bytes>,
 ) -> Result<(Frames, LinkFormat), LinkEnd> {
     let mut requests = requests.ready().await?;
-    let (name, value) = peer_format::header();
-    let request = Request::post(STREAM_PATH)
-        .header(name, value)
+    let mut request = Request::post(STREAM_PATH)
         .body(())
         .map_err(|_| LinkEnd::Failed)?;
+    *request.headers_mut() = peer_format::headers(&config.unnamed);
     let (response, send) = requests.send_request(request, false)?;
     let response = response.await?;
     let format = LinkFormat::of(response.headers(), &config.unnamed);
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -1,9 +1,10 @@
 //! Formats of the messages on a peer connection.
 //!
 //! Each side names the latest format that it knows in a header when the connection is
-//! opened. Builds before that send no header and ignore it.
+//! opened. Builds before that send no header and ignore it. A second header says that the
+//! log is sealed against them.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -12,15 +13,21 @@
 /// Names the latest format that a side knows.
 pub(crate) const FORMAT: HeaderName = HeaderName::from_static("pomelovale-format");
 
+/// Sent by processes whose log is sealed against builds that name no format.
+pub(crate) const SEALED: HeaderName = HeaderName::from_static("pomelovale-sealed");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
-pub struct UnnamedFormat(AtomicU32);
+pub struct UnnamedFormat {
+    number: AtomicU32,
+    excluded: AtomicBool,
+}
 
 impl UnnamedFormat {
     /// The format; `None` until something was read that belongs to one format only.
     pub fn get(&self) -> Option<Format> {
-        match self.0.load(Ordering::Acquire) {
+        match self.number.load(Ordering::Acquire) {
             0 => None,
             1 => Some(Format::First),
             _ => Some(Format::Second),
@@ -29,7 +36,7 @@
 
     /// Records the format of a message of such a peer.
     pub fn set(&self, format: Format) {
-        let before = self.0.swap(format.number(), Ordering::AcqRel);
+        let before = self.number.swap(format.number(), Ordering::AcqRel);
         if before != format.number() {
             log::info!("instances of earlier builds use {format}");
         }
@@ -40,7 +47,18 @@
     pub fn assume(&self, format: Format) {
         let number = format.number();
         let order = (Ordering::AcqRel, Ordering::Acquire);
-        let _ = self.0.compare_exchange(0, number, order.0, order.1);
+        let _ = self.number.compare_exchange(0, number, order.0, order.1);
+    }
+
+    /// Records that control instances that name no format can't take part in the log any
+    /// more. Connections that are opened later tell the peer.
+    pub fn exclude(&self) {
+        self.excluded.store(true, Ordering::Release);
+    }
+
+    /// Whether [`UnnamedFormat::exclude`] was called.
+    pub fn is_excluded(&self) -> bool {
+        self.excluded.load(Ordering::Acquire)
     }
 }
 
@@ -49,6 +67,8 @@
 pub(crate) struct LinkFormat {
     /// What the peer named.
     pub(crate) named: Option<Format>,
+    /// Whether the peer's log is sealed.
+    pub(crate) sealed: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -63,6 +83,7 @@
         });
         LinkFormat {
             named,
+            sealed: headers.contains_key(SEALED),
             unnamed: unnamed.clone(),
         }
     }
@@ -75,7 +96,12 @@
     }
 }
 
-/// The header that this build sends.
-pub(crate) fn header() -> (HeaderName, HeaderValue) {
-    (FORMAT, HeaderValue::from(Format::LATEST.number()))
+/// The headers that this build sends.
+pub(crate) fn headers(unnamed: &UnnamedFormat) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(FORMAT, HeaderValue::from(Format::LATEST.number()));
+    if unnamed.is_excluded() {
+        headers.insert(SEALED, HeaderValue::from(1));
+    }
+    headers
 }
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -186,6 +186,11 @@
         self.format.named
     }
 
+    /// Whether the peer's log is sealed against builds that name no format.
+    pub fn is_sealed(&self) -> bool {
+        self.format.sealed
+    }
+
     /// Queues a message. Closes the connection and returns false if the queue is full.
     pub fn send(&self, message: PeerMessage) -> bool {
         let sent = self.queue.try_send((Instant::now(), message)).is_ok();
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -110,7 +110,7 @@
     let session = async {
         let format = LinkFormat::of(request.headers(), &config.unnamed);
         let mut response = Response::new(());
-        response.headers_mut().extend([peer_format::header()]);
+        *response.headers_mut() = peer_format::headers(&config.unnamed);
         let send = respond.send_response(response, false)?;
         let mut frames = Frames {
             send,
