Start the delay of a trial when the last crash is learned

A caller that came back after the Retry-After of a quarantined request was refused once more: the time since the last crash was counted from the first request that asked for it, not from the arrival of the record. A record that arrived while nobody asked postponed the trial by its whole delay.

Its log shows the cause: the first refusal, 14 ms after the crash and before the record had arrived, names 286 ms; 500 ms later all five copies are refused with 300 ms. In other runs the refusal came after the record, and itself started the delay.

The time of a document is now noted when it arrives. The test now waits for each crash to be recorded before it sends the next copy, which may otherwise be the trial itself; it still asks for a refusal, and for exactly one run of five copies. A second test asks for the trial with no request before it.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -221,12 +221,16 @@
         self.trials.contains_key(fingerprint)
     }
 
-    // Requests whose record another instance has cleared, since it has answered them, are not
-    // suspected here either.
-    fn follow_clears(&mut self, document: &Arc<Document>, now: Millis) {
+    // Follows the time in the document, so that trials fall due whether or not a request asks
+    // for them. Requests whose record another instance has cleared, since it has answered them,
+    // are not suspected here either.
+    fn follow(&mut self, document: &Arc<Document>, now: Millis) {
         if Arc::ptr_eq(&self.compared, document) {
             return;
         }
+        if document.time > self.log_time {
+            (self.log_time, self.first_seen) = (document.time, now);
+        }
         let before = std::mem::replace(&mut self.compared, document.clone());
         // A full set of records drops some that nobody has answered.
         if document.crashes.len() + 1 >= CRASH_RECORDS_MAX {
@@ -249,9 +253,6 @@
         now: Millis,
         fingerprint: &Digest,
     ) -> (Vec<Name>, u64) {
-        if document.time > self.log_time {
-            (self.log_time, self.first_seen) = (document.time, now);
-        }
         let log_now = self.log_time.plus(now.since(self.first_seen));
         let recorded = document.crashes.get(fingerprint);
         let recorded = recorded.filter(|r| log_now < r.until);
@@ -325,7 +326,7 @@
     ) -> R {
         let document = self.view.document();
         let mut inner = self.lock();
-        inner.follow_clears(&document, self.clock.now());
+        inner.follow(&document, self.clock.now());
         if document.crashes.is_empty() && inner.own.is_empty() {
             return R::default();
         }
@@ -388,7 +389,7 @@
             sleep(Millis(WATCH_INTERVAL_MS).duration()).await;
             let document = self.view.document();
             let mut inner = self.lock();
-            inner.follow_clears(&document, self.clock.now());
+            inner.follow(&document, self.clock.now());
             let oldest = inner.running.values().map(|run| run.since).min();
             drop(inner);
             self.reach.check_silence(oldest);
@@ -558,6 +559,7 @@
         let (now, document) = (self.clock.now(), self.view.document());
         let fingerprint = &run.fingerprint;
         let mut inner = self.lock();
+        inner.follow(&document, now);
         let (crashes, _) = inner.crashes(&document, now, fingerprint);
         let answered = inner.answered.contains(now, fingerprint);
         let crash = quarantine::next_crash(&crashes, run.known).filter(|_| !answered);
--- a/crates/daemon/tests/gateway_crash_signs.rs
+++ b/crates/daemon/tests/gateway_crash_signs.rs
@@ -10,6 +10,7 @@
 use entry_support::{PortAfterCrash, ReceivedRequest, Server, ServerAction};
 use gateway_support::fleet::Fleet;
 use gateway_support::{document, keyed, proven, send_to, status};
+use pomelovale_state::command::QUARANTINE_CRASHES;
 use pomelovaled::gateway::config::GatewayConfig;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -155,22 +156,42 @@
     assert_eq!(fleet.document().crashes.len(), 1);
 }
 
+/// A gateway that tries quarantined requests after a short time.
+async fn start_fleet(servers: &[Server], trial_ms: u64) -> Fleet {
+    let all: Vec<&Server> = servers.iter().collect();
+    let config = GatewayConfig {
+        trial_ms,
+        ..GatewayConfig::default()
+    };
+    Fleet::start_with(config, 1, document(&all)).await
+}
+
+/// Sends a request until it is quarantined, each time after the previous crash is recorded.
+async fn quarantine(fleet: &Fleet, request: &str) {
+    let recorded = || {
+        let crashes = fleet.document().crashes;
+        crashes.values().map(|r| r.crashed.len()).sum::<usize>()
+    };
+    for crashes in 1..=QUARANTINE_CRASHES {
+        send_to(fleet.gateways[0].address(), request).await;
+        while recorded() < crashes {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
 /// Guards against copies of a quarantined request that are let through while the end of the
 /// server under the first one is not known yet.
 #[tokio::test]
 async fn one_copy_of_a_quarantined_request_is_tried_at_a_time() {
     let (servers, runs) = start_servers(6, PortAfterCrash::Hangs(RESTART)).await;
-    let all: Vec<&Server> = servers.iter().collect();
-    let config = GatewayConfig {
-        trial_ms: 300,
-        ..GatewayConfig::default()
-    };
-    let fleet = Fleet::start_with(config, 1, document(&all)).await;
+    let fleet = start_fleet(&servers, 1_000).await;
     let address = fleet.gateways[0].address();
     let request = keyed("POST", "/once/poison");
-    while status(&send_to(address, &request).await) != 503 {}
+    quarantine(&fleet, &request).await;
+    assert_eq!(status(&send_to(address, &request).await), 503);
     let before = runs.lock().unwrap().len();
-    sleep(Duration::from_millis(500)).await;
+    sleep(Duration::from_millis(1_500)).await;
     let mut copies = JoinSet::new();
     for _ in 0..5 {
         let request = request.clone();
@@ -180,3 +201,16 @@
     let tried = runs.lock().unwrap().len() - before;
     assert_eq!(tried, 1, "{statuses:?}");
 }
+
+/// Guards against a trial that falls due only after another request has asked for it.
+#[tokio::test]
+async fn quarantined_request_is_tried_when_its_trial_is_due() {
+    let (servers, runs) = start_servers(6, PortAfterCrash::Hangs(RESTART)).await;
+    let fleet = start_fleet(&servers, 500).await;
+    let request = keyed("POST", "/once/poison");
+    quarantine(&fleet, &request).await;
+    let before = runs.lock().unwrap().len();
+    sleep(Duration::from_millis(800)).await;
+    let answer = send_to(fleet.gateways[0].address(), &request).await;
+    assert_eq!(runs.lock().unwrap().len(), before + 1, "{answer}");
+}
