Leave a request that crosses an unannounced close unread

A caller that reused an idle connection while its close was on the way saw the connection end without an answer, and could not tell whether its request had been received: what had arrived was read and discarded when the caller closed its side or the linger time was over. An unsafe request must not be sent again then, and a process that stands still for some hundred milliseconds, as while it applies a table, reads such a request long after it was sent.

Bytes behind a close that no response announced are no longer read. The socket stays open for up to 2 s, in which a slow caller can receive an earlier response, and is then closed unread, so that the reset shows that the request was not received. Behind an announced close, and behind a refusal of the server, bytes are discarded as before.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -15,7 +15,7 @@
 use crate::ending::{Cause, EndReport};
 use crate::framing::Verdicts;
 use crate::http_server::{Phase, Shared, Slot};
-use crate::linger::{self, BuiltinResponse, LINGER_MS};
+use crate::linger::{self, BuiltinResponse, LateBytes, LINGER_MS};
 use crate::link::{Link, Progress};
 use crate::pipeline::PipelinedRequests;
 use crate::serving::{Calls, Requests};
@@ -204,9 +204,13 @@
     if link.broken().is_some() {
         return;
     }
-    let drains = answer.is_some() || link.is_mid_request();
-    let lingering = tokio::spawn(async move { linger::close(&link.stream, answer, drains).await });
     let was_idle = matches!(cause, Cause::Evicted | Cause::Idle | Cause::Stop) && answer.is_none();
+    let late = match answer.is_some() || link.is_mid_request() {
+        true => LateBytes::Read,
+        false if was_idle && !link.is_announced() => LateBytes::Leave,
+        false => LateBytes::Discard,
+    };
+    let lingering = tokio::spawn(async move { linger::close(&link.stream, answer, late).await });
     if !was_idle || shared.now().since(answered) < LINGER_MS {
         let _ = lingering.await;
     }
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -20,7 +20,7 @@
 use crate::body::CallerBody;
 use crate::connection;
 use crate::ending::{Cause, EndLog, EndReport};
-use crate::linger::{self, BuiltinResponse};
+use crate::linger::{self, BuiltinResponse, LateBytes};
 use crate::socket::{self, Remote};
 
 // Value of `Slot::idle_since` while a request is in progress.
@@ -252,7 +252,7 @@
                 cause: Cause::Full,
             });
             tokio::spawn(async move {
-                linger::close(&stream, Some(BuiltinResponse::Full), true).await;
+                linger::close(&stream, Some(BuiltinResponse::Full), LateBytes::Read).await;
             });
         }
         Some(slot) => {
--- a/crates/transport/src/linger.rs
+++ b/crates/transport/src/linger.rs
@@ -13,9 +13,26 @@
 /// Closing a socket with unread data, or to which data is sent later, resets the
 /// connection, and the caller may lose the response.
 pub(crate) const LINGER_MS: u64 = 500;
+/// Longest time for which the socket of a connection that was closed without an announcement
+/// is kept open, in milliseconds. Its caller may still be receiving an earlier response.
+const UNREAD_MS: u64 = 2_000;
 // Maximum number of bytes read in that time.
 const DRAIN_MAX_BYTES: usize = 1024 * 1024;
 
+/// What happens to bytes that a caller sends after the last response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LateBytes {
+    /// They are discarded at the end of the linger time, since they would reset the
+    /// connection under a response that is still on its way. The caller was told of the close.
+    Discard,
+    /// They are read and discarded as they arrive: the rest of a request that was answered. The
+    /// caller may not read the response before it has sent all.
+    Read,
+    /// They are never read. The caller was not told of the close, and learns from the reset
+    /// that its request was not received.
+    Leave,
+}
+
 /// Complete responses that the server sends without calling the handler.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum BuiltinResponse {
@@ -38,25 +55,27 @@
     }
 }
 
-/// Writes a last response, if any, and closes the connection once the caller has
-/// done so, or after `LINGER_MS`. `drains` tells whether the caller may still be sending
-/// a request that was answered; it may not read the response before that. Otherwise
-/// nothing is read before the end of that time, so that no request is received without
-/// an answer. What has arrived by then is discarded, since it would reset the
-/// connection under a response that is still on its way.
-pub(crate) async fn close(stream: &TcpStream, answer: Option<BuiltinResponse>, drains: bool) {
+/// Writes a last response, if any, and closes the connection once the caller has done so, or
+/// after a limited time.
+pub(crate) async fn close(stream: &TcpStream, answer: Option<BuiltinResponse>, late: LateBytes) {
     let lingering = async {
         if let Some(answer) = answer {
             write(stream, answer.bytes()).await?;
         }
         SockRef::from(stream).shutdown(Shutdown::Write)?;
-        match drains {
-            true => drain(stream).await,
-            false => wait_closed(stream).await,
+        match late {
+            LateBytes::Read => drain(stream).await,
+            LateBytes::Discard | LateBytes::Leave => wait_closed(stream).await,
         }
     };
-    let _ = timeout(Duration::from_millis(LINGER_MS), lingering).await;
-    discard(stream);
+    let limit_ms = match late {
+        LateBytes::Discard | LateBytes::Read => LINGER_MS,
+        LateBytes::Leave => UNREAD_MS,
+    };
+    let _ = timeout(Duration::from_millis(limit_ms), lingering).await;
+    if late != LateBytes::Leave {
+        discard(stream);
+    }
 }
 
 async fn write(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
--- a/crates/transport/tests/closing.rs
+++ b/crates/transport/tests/closing.rs
@@ -12,7 +12,7 @@
 use support::{
     all_answers, bodies, closed_bodies, get, last, post, send, start_server, start_with,
 };
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -174,3 +174,27 @@
     let got = all_answers(&mut stream).await;
     assert_eq!(got.iter().map(|a| a.status).collect::<Vec<_>>(), [431]);
 }
+
+/// Guards against a request that crosses the close of an idle connection, is read whole and
+/// gets no answer.
+#[tokio::test]
+async fn request_that_crosses_an_idle_close_is_not_read() {
+    let limits = ServerLimits {
+        idle_ms: 100,
+        ..ServerLimits::default()
+    };
+    let (server, _) = start_with(limits).await;
+    let mut stream = send(&server, &[get("/0/a")]).await;
+    assert_eq!(bodies(&mut stream, 1).await, ["a"]);
+    assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
+    stream
+        .write_all(post("/0/b", "x").as_bytes())
+        .await
+        .unwrap();
+    let start = Instant::now();
+    // A reset that follows the end of the stream is reported as a broken pipe.
+    while stream.take_error().unwrap().is_none() {
+        assert!(start.elapsed() < Duration::from_secs(5), "no reset");
+        pause(50).await;
+    }
+}
