Refuse late requests that may outlast the stop of a gateway

A request that reached a gateway in the second half of the grace period and lasted longer than its rest was sent to a server. At the end of the grace period its caller got 502 with an unknown outcome, and the request was broken off at a server that was at work on it. Callers that were sent away since the start of the stop may wait so long for nothing, and a request that isn't idempotent can't be sent again.

A stop had one bound for sending, five sixths of the grace period, that did not look at the deadline of the request. From the middle of the grace period on, a request whose deadline is after its end is now refused before it is charged or sent, with 503 (not run) and the close of its connection, so that its caller goes to another instance at once. One whose deadline comes before is served: its server stops at the deadline that it was given.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -321,15 +321,17 @@
 
     /// Stops the gateway: removes it from the entry list, serves on until
     /// callers have refreshed their copies of the list, then finishes the
-    /// requests in flight. Towards the end of the grace period, those that no
+    /// requests in flight. From the middle of the grace period on, new requests
+    /// whose deadline is after its end are refused. Towards its end, those that no
     /// server was sent are refused; those that a server still runs at its end are
     /// answered as unknown.
     pub async fn stop(mut self) {
         let config = &self.shared.config;
         let (start, grace) = (Instant::now(), Millis(config.grace_ms).duration());
+        self.shared.stopping.begin(start, grace);
         let stopping = self.shared.clone();
         self.tasks
-            .spawn(async move { stopping.stopping.run(start, grace).await });
+            .spawn(async move { stopping.stopping.run().await });
         self.shared.leaving.store(true, Ordering::Relaxed);
         tracing::info!(event = "leave", instance = %config.instance);
         maintenance::report(&self.shared);
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -182,6 +182,9 @@
     let limit = HeaderNames::parse_integer(&parts.headers, &header_names.deadline)
         .unwrap_or(DEFAULT_TIMEOUT_MS);
     let deadline = start + Duration::from_millis(limit.min(route.timeout_ms));
+    if shared.stopping.may_outlast(start, deadline) {
+        return Err(shared.stopping.refusal());
+    }
     let relay_due = arrival.relayed.is_none() && shared.reach.is_relay_due();
     let limited = workspace
         .clone()
--- a/crates/daemon/src/gateway/stopping.rs
+++ b/crates/daemon/src/gateway/stopping.rs
@@ -1,8 +1,10 @@
-//! The end of a stop: requests that no server was sent are refused, the others are waited
+//! The grace period of a stop: requests that may outlast it are refused as they arrive in its
+//! second half. At its end, those that no server was sent are refused, the others are waited
 //! for and answered before the process ends.
 
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use pomelovale_state::ErrorKind;
@@ -11,6 +13,9 @@
 
 use crate::entry::refusal::Refusal;
 
+/// Part of the grace period after which a request must be finished by the end of that period.
+/// Callers have been told to leave since the start of the stop, so that few come later.
+const LATE_SHARE: f64 = 0.5;
 /// Part of the grace period after which no request is sent to a server any more.
 const SERVING_SHARE: f64 = 5.0 / 6.0;
 /// Time before the end of the grace period at which requests at a server are answered, so
@@ -43,9 +48,21 @@
     }
 }
 
+/// The times of a stop.
+#[derive(Debug)]
+struct Schedule {
+    /// From when on requests are late.
+    late: Instant,
+    /// From when on no request is sent to a server.
+    refusing: Instant,
+    /// When the requests that servers are still at work on are answered.
+    answering: Instant,
+}
+
 /// Ends the requests of a stopping gateway.
 #[derive(Debug)]
 pub(super) struct Stopping {
+    schedule: OnceLock<Schedule>,
     phase: watch::Sender<Phase>,
     refused: AtomicU64,
     unknown: AtomicU64,
@@ -54,21 +71,42 @@
 impl Stopping {
     pub(super) fn new() -> Stopping {
         Stopping {
+            schedule: OnceLock::new(),
             phase: watch::Sender::new(Phase::Serving),
             refused: AtomicU64::new(0),
             unknown: AtomicU64::new(0),
         }
     }
 
-    /// Follows the grace period of a stop that began at `start`.
-    pub(super) async fn run(&self, start: Instant, grace: Duration) {
-        sleep_until(start + grace.mul_f64(SERVING_SHARE)).await;
-        self.phase.send_replace(Phase::Refusing);
+    /// Begins a stop.
+    pub(super) fn begin(&self, start: Instant, grace: Duration) {
         let left = ANSWER_TIME.min(grace.mul_f64(ANSWER_SHARE));
-        sleep_until(start + grace.saturating_sub(left)).await;
+        let schedule = Schedule {
+            late: start + grace.mul_f64(LATE_SHARE),
+            refusing: start + grace.mul_f64(SERVING_SHARE),
+            answering: start + grace.saturating_sub(left),
+        };
+        self.schedule.get_or_init(|| schedule);
+    }
+
+    /// Follows the grace period of a stop that has begun.
+    pub(super) async fn run(&self) {
+        let Some(schedule) = self.schedule.get() else {
+            return;
+        };
+        sleep_until(schedule.refusing).await;
+        self.phase.send_replace(Phase::Refusing);
+        sleep_until(schedule.answering).await;
         self.phase.send_replace(Phase::Answering);
     }
 
+    /// Whether a request that arrived at `start` is late and may take longer than the grace
+    /// period. If it were sent, its server could be at work on it when the process ends.
+    pub(super) fn may_outlast(&self, start: Instant, deadline: Instant) -> bool {
+        let schedule = self.schedule.get();
+        schedule.is_some_and(|s| start >= s.late && deadline > s.answering)
+    }
+
     /// Whether it is too late to send a request to a server.
     pub(super) fn is_late(&self) -> bool {
         *self.phase.borrow() >= Phase::Refusing
