Keep a connection open while its last response may be under way

A caller that took longer than 500 ms to receive the last response of its connection, and sent another request after that, lost the rest of the response: the socket was closed by then, and what arrives at a closed socket resets the connection. The time now is 2.5 s after a response, unless the caller closes its side first or the connection is evicted. A stop waits for idle connections as before, up to 500 ms after their last response.

random_ends took a reset as a normal end, which hid this. It now fails on any error that the caller reads, and its callers pause, have small receive buffers and get large answers. A reset that a write meets first looks like an end in the middle of an answer, which it counted already.

Callers that take longer than 2.5 s and send beyond the announced close still lose what they have not received.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -15,7 +15,7 @@
 use crate::ending::{Cause, EndReport};
 use crate::framing::Verdicts;
 use crate::http_server::{Phase, Shared, Slot};
-use crate::linger::{self, BuiltinResponse, LateBytes, LINGER_MS};
+use crate::linger::{self, BuiltinResponse, LateBytes};
 use crate::link::{Link, Progress};
 use crate::pipeline::PipelinedRequests;
 use crate::serving::{Calls, Requests};
@@ -34,7 +34,7 @@
     timers: Timers,
     head_since: Millis,
     // When the last response was written.
-    answered: Millis,
+    answered: Option<Millis>,
     // Number of answered requests when hyper was last offered what waits behind them.
     offered: u64,
     // Whether the socket was read once more before the close.
@@ -123,7 +123,7 @@
             _ => (Waiting::Request, now),
         };
         if progress.answered != self.progress.answered {
-            self.answered = now;
+            self.answered = Some(now);
         }
         self.progress = progress;
         self.timers.wait_for(waiting, since);
@@ -164,7 +164,7 @@
         progress: link.progress(),
         timers: Timers::new(shared.start, shared.now(), *timeouts.borrow_and_update()),
         head_since: Millis(0),
-        answered: Millis(0),
+        answered: None,
         offered: 0,
         last_read: false,
     };
@@ -210,8 +210,18 @@
         false if was_idle && !link.is_announced() => LateBytes::Leave,
         false => LateBytes::Discard,
     };
-    let lingering = tokio::spawn(async move { linger::close(&link.stream, answer, late).await });
-    if !was_idle || shared.now().since(answered) < LINGER_MS {
+    let since = match answer {
+        Some(_) => Some(0),
+        None => answered.map(|at| shared.now().since(at)),
+    };
+    let limit = match cause {
+        // The connection makes room for a new one.
+        Cause::Evicted => linger::limit(None),
+        _ => linger::limit(since),
+    };
+    let close = async move { linger::close(&link.stream, answer, late, limit).await };
+    let lingering = tokio::spawn(close);
+    if !was_idle || linger::is_recent(since) {
         let _ = lingering.await;
     }
 }
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -252,7 +252,9 @@
                 cause: Cause::Full,
             });
             tokio::spawn(async move {
-                linger::close(&stream, Some(BuiltinResponse::Full), LateBytes::Read).await;
+                let limit = linger::limit(None);
+                let refusal = Some(BuiltinResponse::Full);
+                linger::close(&stream, refusal, LateBytes::Read, limit).await;
             });
         }
         Some(slot) => {
--- a/crates/transport/src/linger.rs
+++ b/crates/transport/src/linger.rs
@@ -9,13 +9,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Time for which a socket is kept open after its last response, in milliseconds.
-/// Closing a socket with unread data, or to which data is sent later, resets the
-/// connection, and the caller may lose the response.
-pub(crate) const LINGER_MS: u64 = 500;
-/// Longest time for which the socket of a connection that was closed without an announcement
-/// is kept open, in milliseconds. Its caller may still be receiving an earlier response.
-const UNREAD_MS: u64 = 2_000;
+/// Time for which an idle socket is kept open, in milliseconds.
+const IDLE_MS: u64 = 500;
+/// Time after a response for which its socket is kept open, in milliseconds. Closing a
+/// socket with unread data, or to which data is sent later, resets the connection, and
+/// the caller loses what it has not received yet. Round trips between regions take
+/// 110 ms; the rest of the time covers the loss of two packets, and callers that pause.
+const RESPONSE_MS: u64 = 2_500;
 // Maximum number of bytes read in that time.
 const DRAIN_MAX_BYTES: usize = 1024 * 1024;
 
@@ -55,9 +55,27 @@
     }
 }
 
+/// Time for which a socket is kept open if its last response was written `since` ago, in
+/// milliseconds.
+pub(crate) fn limit(since: Option<u64>) -> Duration {
+    let left = since.map_or(0, |ms| RESPONSE_MS.saturating_sub(ms));
+    Duration::from_millis(left.max(IDLE_MS))
+}
+
+/// Whether a stop waits for a socket that is idle `since` its last response, in
+/// milliseconds.
+pub(crate) fn is_recent(since: Option<u64>) -> bool {
+    since.is_some_and(|ms| ms < IDLE_MS)
+}
+
 /// Writes a last response, if any, and closes the connection once the caller has done so, or
-/// after a limited time.
-pub(crate) async fn close(stream: &TcpStream, answer: Option<BuiltinResponse>, late: LateBytes) {
+/// after `limit`.
+pub(crate) async fn close(
+    stream: &TcpStream,
+    answer: Option<BuiltinResponse>,
+    late: LateBytes,
+    limit: Duration,
+) {
     let lingering = async {
         if let Some(answer) = answer {
             write(stream, answer.bytes()).await?;
@@ -68,11 +86,7 @@
             LateBytes::Discard | LateBytes::Leave => wait_closed(stream).await,
         }
     };
-    let limit_ms = match late {
-        LateBytes::Discard | LateBytes::Read => LINGER_MS,
-        LateBytes::Leave => UNREAD_MS,
-    };
-    let _ = timeout(Duration::from_millis(limit_ms), lingering).await;
+    let _ = timeout(limit, lingering).await;
     if late != LateBytes::Leave {
         discard(stream);
     }
--- a/crates/transport/tests/random_ends.rs
+++ b/crates/transport/tests/random_ends.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashSet;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,10 +15,14 @@
 use support::{parse, start_with, Answer, HandlerStats};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+/// Limit on the sizes of large bodies, which the answers repeat.
+const LARGE_BYTES: usize = 100_000;
+/// Receive buffers of callers in bytes, which the kernel doubles.
+const BUFFER_BYTES: u32 = 4_096;
 /// Number of mixes that run at the same time.
 const PARALLEL: usize = 8;
 
@@ -30,6 +35,8 @@
 struct Exchange {
     requests: Vec<String>,
     received: Vec<u8>,
+    // How the connection ended if not by the close of the server.
+    error: Option<ErrorKind>,
 }
 
 fn request(rng: &mut SmallRng, id: &str) -> String {
@@ -48,7 +55,9 @@
     };
     let line = format!("/{delay}/{text}/{id}");
     match rng.random_range(0..30) {
-        0..5 => support::post(&line, "xyz"),
+        0..4 => support::post(&line, "xyz"),
+        // The answer is larger than a receive buffer.
+        4 => support::post(&line, &"x".repeat(rng.random_range(1..LARGE_BYTES))),
         5 => format!("GET {line} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"),
         6 => format!("GET {line} HTTP/1.0\r\n\r\n"),
         7 => format!("GET {line} HTTP/1.0\r\nconnection: keep-alive\r\n\r\n"),
@@ -66,7 +75,7 @@
     let text = requests.concat();
     let mut rest = text.as_bytes();
     while !rest.is_empty() {
-        let n = rng.random_range(1..=rest.len().min(400));
+        let n = rng.random_range(1..=rest.len().min(400 + rest.len() / 8));
         if stream.write_all(&rest[..n]).await.is_err() {
             break;
         }
@@ -80,12 +89,24 @@
     stream
 }
 
-async fn read(mut stream: OwnedReadHalf) -> Vec<u8> {
+// Reads to the end, with random pauses, one of which may be longer than the time for which
+// an idle connection lingers.
+async fn read(mut stream: OwnedReadHalf, mut rng: SmallRng) -> (Vec<u8>, Option<ErrorKind>) {
     let (mut received, mut buffer) = (Vec::new(), [0; 4_096]);
-    while let Ok(n @ 1..) = stream.read(&mut buffer).await {
-        received.extend_from_slice(&buffer[..n]);
+    let long = rng.random_range(0..40);
+    for i in 0.. {
+        match rng.random_range(0..10) {
+            _ if i == long => pause(rng.random_range(300..1_000)).await,
+            0 => pause(rng.random_range(0..30)).await,
+            _ => {}
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) => break,
+            Ok(n) => received.extend_from_slice(&buffer[..n]),
+            Err(e) => return (received, Some(e.kind())),
+        }
     }
-    received
+    (received, None)
 }
 
 async fn exchange(
@@ -94,15 +115,22 @@
     name: String,
 ) -> Option<Exchange> {
     pause(rng.random_range(0..100)).await;
-    let stream = TcpStream::connect(server).await.ok()?;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(BUFFER_BYTES).unwrap();
+    let stream = socket.connect(server).await.ok()?;
     let requests: Vec<String> = (0..rng.random_range(1..40))
         .map(|i| request(&mut rng, &format!("{name}-{i}")))
         .collect();
     let (reader, writer) = stream.into_split();
+    let pauses = SmallRng::seed_from_u64(rng.random());
     let writing = tokio::spawn(write(writer, rng, requests.clone()));
-    let received = bounded("the end of a connection", read(reader)).await;
+    let (received, error) = bounded("the end of a connection", read(reader, pauses)).await;
     drop(bounded("the end of the writes", writing).await);
-    Some(Exchange { requests, received })
+    Some(Exchange {
+        requests,
+        received,
+        error,
+    })
 }
 
 async fn bounded<T>(what: &str, future: impl Future<Output = T>) -> T {
@@ -138,6 +166,9 @@
 
 fn check(exchange: &Exchange, started: &HashSet<String>) -> Result<(), String> {
     let (answers, cut) = answers(&exchange.received);
+    if let Some(error) = exchange.error {
+        return Err(format!("{error:?} after {} answers", answers.len()));
+    }
     if answers.len() > exchange.requests.len() {
         return Err("more answers than requests".into());
     }
--- a/crates/transport/tests/unread.rs
+++ b/crates/transport/tests/unread.rs
@@ -67,6 +67,17 @@
     assert_whole(drain(&mut stream).await);
 }
 
+/// The same with a request that is sent after the linger time.
+#[tokio::test]
+async fn request_after_the_linger_time_does_not_reset_a_response_on_its_way() {
+    let (server, _) = start_server().await;
+    let mut stream = ask(&server, "/0/close").await;
+    pause(1_000).await;
+    stream.write_all(get("/0/b").as_bytes()).await.unwrap();
+    pause(100).await;
+    assert_whole(drain(&mut stream).await);
+}
+
 /// The same in a stop, more than the linger time after the response was written.
 #[tokio::test]
 async fn stop_does_not_reset_a_response_on_its_way() {
