Count chunked request bodies towards the memory of a gateway

Only bodies with a declared length counted towards held_bytes. Callers that send their bodies in chunks could fill the memory of a gateway, each up to the limit on one body, until the process is ended with all requests on it. A body of unknown length now reserves its bytes as they arrive; beyond the limit its request is refused as overloaded (503, not run). An entry reserves the maximum for such a body, as before.

held_chunked_bodies_are_bounded failed before (200 for a body beyond the limit) and passes now.

--- a/crates/daemon/src/caller_body.rs
+++ b/crates/daemon/src/caller_body.rs
@@ -15,12 +15,14 @@
 const DISCARD_MAX_BYTES: usize = 1024 * 1024;
 const DISCARD_MS: u64 = 300;
 
-/// Reads a body of at most `max_bytes` within `limit`. Trailers are dropped, since they
-/// could contain a key.
+/// Reads a body of at most `max_bytes` within `limit`. `reserve` is told its length as it
+/// grows, and returns whether there is room for it. Trailers are dropped, since they could
+/// contain a key.
 pub(crate) async fn read(
     body: &mut Incoming,
     max_bytes: usize,
     limit: Duration,
+    mut reserve: impl FnMut(usize) -> bool,
 ) -> Result<Bytes, ErrorKind> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
@@ -31,9 +33,13 @@
             let Ok(data) = frame.map_err(|_| ErrorKind::BadRequest)?.into_data() else {
                 continue;
             };
-            if held.len() + data.len() > max_bytes {
+            let length = held.len() + data.len();
+            if length > max_bytes {
                 return Err(ErrorKind::TooLarge);
             }
+            if !reserve(length) {
+                return Err(ErrorKind::Overloaded);
+            }
             held.extend_from_slice(&data);
         }
         Ok(held.freeze())
--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -129,7 +129,8 @@
         Err(kind) => return refuse_and_close(kind.into()),
     };
     let limit = Duration::from_millis(shared.config.body_ms);
-    let body = match caller_body::read(body, shared.config.body_bytes, limit).await {
+    // A body of unknown length has reserved the maximum.
+    let body = match caller_body::read(body, shared.config.body_bytes, limit, |_| true).await {
         Ok(body) => body,
         Err(kind) => return refuse_and_close(kind.into()),
     };
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -39,8 +39,8 @@
     /// Limits of the server for callers. Those of the routing table replace its
     /// timeouts.
     pub server: ServerLimits,
-    /// Limit on the bytes of request bodies in memory, by their declared lengths. A
-    /// body of unknown length reserves none.
+    /// Limit on the bytes of request bodies in memory: their declared lengths, and what
+    /// has arrived of those of unknown length.
     pub held_bytes: usize,
     /// Size in bytes up to which a response is buffered whole before any of it
     /// is sent to the caller.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -193,10 +193,11 @@
     if let Some(name) = limited.as_ref().filter(|_| !relay_due) {
         shared.quota.admit(&document, name).await?;
     }
-    let hold = Hold::acquire(shared, &routing, body)?;
+    let mut hold = Hold::acquire(shared, &routing, body)?;
     let left = deadline.saturating_duration_since(Instant::now());
     let limit = left.min(Duration::from_millis(BODY_TIMEOUT_MS));
-    let body = caller_body::read(body, routing.limits.body_bytes as usize, limit).await?;
+    let max_bytes = routing.limits.body_bytes as usize;
+    let body = caller_body::read(body, max_bytes, limit, |n| hold.reserve(n)).await?;
     request_log.received_ms = start.elapsed().as_millis() as u64;
     let routed = route_request(
         shared, &document, route, workspace, host, parts, body, deadline, arrival,
@@ -369,15 +370,23 @@
         let bytes = match body.size_hint().exact() {
             Some(n) if n > max_bytes as u64 => return Err(ErrorKind::TooLarge.into()),
             Some(n) => n as usize,
+            // Reserved as it arrives.
             None => 0,
         };
-        let before = shared.held.fetch_add(bytes, Ordering::Relaxed);
-        let hold = Hold { shared, bytes };
-        match before + bytes > shared.config.held_bytes && bytes > 0 {
-            true => Err(ErrorKind::Overloaded.into()),
-            false => Ok(hold),
+        let mut hold = Hold { shared, bytes: 0 };
+        match hold.reserve(bytes) {
+            true => Ok(hold),
+            false => Err(ErrorKind::Overloaded.into()),
         }
     }
+
+    // Extends the reservation to `bytes`. Returns false if that exceeds the limit.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        let added = bytes.saturating_sub(self.bytes);
+        self.bytes += added;
+        let before = self.shared.held.fetch_add(added, Ordering::Relaxed);
+        added == 0 || before + added <= self.shared.config.held_bytes
+    }
 }
 
 impl Drop for Hold<'_> {
--- a/crates/daemon/tests/gateway_bodies.rs
+++ b/crates/daemon/tests/gateway_bodies.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use entry_support::{header, Caller, ReceivedResponse, Server};
-use gateway_support::{document, keyed, proven, site, Site, KEY};
+use gateway_support::{document, keyed, proven, site, start_with, Site, KEY};
 use pomelovale_protocol::messages::Admitted;
 
 /// Time within which a refusal must arrive.
@@ -117,3 +117,35 @@
     assert_eq!(next.expect("a response").status, 200);
     assert_eq!(server.requests().len(), 1);
 }
+
+/// Limit on the bodies that a gateway holds, in bytes.
+const HELD_BYTES: usize = 2_000;
+
+fn chunk(length: usize) -> String {
+    format!("{length:x}\r\n{}\r\n", "y".repeat(length))
+}
+
+/// Guards against bodies without a length that take any amount of memory together.
+#[tokio::test]
+async fn held_chunked_bodies_are_bounded() {
+    let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let site = start_with("g", None, |config| config.held_bytes = HELD_BYTES).await;
+    site.show(document(&[&server]));
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nhost: shop.example\r\npomelovale-request: q1\r\n{}transfer-encoding: chunked\r\n\r\n",
+        key()
+    );
+    let mut first = Caller::connect(site.gateway.address()).await;
+    first.write(&format!("{head}{}", chunk(1_500))).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut second = Caller::connect(site.gateway.address()).await;
+    let request = format!("{head}{}0\r\n\r\n", chunk(1_000));
+    let refused = second.round_trip(&request).await.expect("a refusal");
+    let outcome = refused.outcome();
+    assert_eq!((refused.status, outcome.as_deref()), (503, Some("not-run")));
+    first.write("0\r\n\r\n").await;
+    assert_eq!(first.read().await.expect("a response").status, 200);
+    let served = second.round_trip(&request).await.expect("a response");
+    assert_eq!(served.status, 200);
+    assert_eq!(server.requests().len(), 2);
+}
