Clear crash records of requests that another instance has just answered

An instance doesn't suspect a request that it has answered in the last 5 to 10 s. One that has not, since it has just started or gets the request rarely, recorded both crashes, and all instances then refused the request: none could answer it, and clear the record, before a trial was due. That another instance had answered it a moment before the crashes was not asked.

An instance now clears the records of requests that it has answered itself in the last 5 s. An exemption that was taken over from another instance clears nothing, so that it can't be passed on without end: a request that begins to end servers after an answer counts again 15 s after that at the latest. A request that was never answered is quarantined as before.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -145,11 +145,11 @@
     Digest::of(&[head, &parts].concat())
 }
 
-/// Requests that this instance has returned an answer to in the last moments.
+/// Requests that were answered in the last moments.
 #[derive(Debug, Default)]
 struct RecentAnswers {
-    current: IndexSet<Digest>,
-    previous: IndexSet<Digest>,
+    current: IndexMap<Digest, Millis>,
+    previous: IndexMap<Digest, Millis>,
     since: Millis,
 }
 
@@ -169,13 +169,20 @@
     fn insert(&mut self, now: Millis, fingerprint: Digest) {
         self.expire(now);
         if self.current.len() < ANSWERED_MAX {
-            self.current.insert(fingerprint);
+            self.current.insert(fingerprint, now);
         }
     }
 
     fn contains(&mut self, now: Millis, fingerprint: &Digest) -> bool {
         self.expire(now);
-        self.current.contains(fingerprint) || self.previous.contains(fingerprint)
+        self.age(now, fingerprint).is_some()
+    }
+
+    // Time since the last answer in milliseconds.
+    fn age(&self, now: Millis, fingerprint: &Digest) -> Option<u64> {
+        let current = self.current.get(fingerprint);
+        let at = current.or_else(|| self.previous.get(fingerprint));
+        at.map(|at| now.since(*at))
     }
 }
 
@@ -189,6 +196,8 @@
     /// Changes of the crash records that are still to be proposed.
     pending: PendingChanges,
     answered: RecentAnswers,
+    /// Requests whose record another instance has cleared in the last moments.
+    cleared: RecentAnswers,
     /// Document in which the records were last compared.
     compared: Arc<Document>,
     /// Runs whose outcome nobody waits for any more.
@@ -223,27 +232,33 @@
 
     // Follows the time in the document, so that trials fall due whether or not a request asks
     // for them. Requests whose record another instance has cleared, since it has answered them,
-    // are not suspected here either.
-    fn follow(&mut self, document: &Arc<Document>, now: Millis) {
+    // are not suspected here either. Returns the recorded requests that this instance has
+    // answered a moment ago: those that recorded them may not know of that answer.
+    fn follow(&mut self, document: &Arc<Document>, now: Millis) -> Vec<Digest> {
         if Arc::ptr_eq(&self.compared, document) {
-            return;
+            return Vec::new();
         }
         if document.time > self.log_time {
             (self.log_time, self.first_seen) = (document.time, now);
         }
         let before = std::mem::replace(&mut self.compared, document.clone());
         // A full set of records drops some that nobody has answered.
-        if document.crashes.len() + 1 >= CRASH_RECORDS_MAX {
-            return;
-        }
-        let gone = |(f, r): &(&Digest, &CrashRecord)| {
-            document.time < r.until && !document.crashes.contains_key(*f)
-        };
-        for (fingerprint, _) in before.crashes.iter().filter(gone) {
-            self.answered.insert(now, *fingerprint);
-            self.own.forget(fingerprint);
-            self.pending.drop_crashes(fingerprint);
+        if document.crashes.len() + 1 < CRASH_RECORDS_MAX {
+            let gone = |(f, r): &(&Digest, &CrashRecord)| {
+                document.time < r.until && !document.crashes.contains_key(*f)
+            };
+            for (fingerprint, _) in before.crashes.iter().filter(gone) {
+                self.cleared.insert(now, *fingerprint);
+                self.own.forget(fingerprint);
+                self.pending.drop_crashes(fingerprint);
+            }
         }
+        let recorded = document.crashes.keys();
+        let answered = recorded.filter(|f| {
+            let age_ms = self.answered.age(now, f);
+            age_ms.is_some_and(|ms| ms < ANSWERED_MS) && !self.pending.is_clearing(f)
+        });
+        answered.copied().collect()
     }
 
     // Crashes counted for a request, and the time since the last one in milliseconds.
@@ -326,7 +341,7 @@
     ) -> R {
         let document = self.view.document();
         let mut inner = self.lock();
-        inner.follow(&document, self.clock.now());
+        self.follow(&mut inner, &document);
         if document.crashes.is_empty() && inner.own.is_empty() {
             return R::default();
         }
@@ -389,7 +404,7 @@
             sleep(Millis(WATCH_INTERVAL_MS).duration()).await;
             let document = self.view.document();
             let mut inner = self.lock();
-            inner.follow(&document, self.clock.now());
+            self.follow(&mut inner, &document);
             let oldest = inner.running.values().map(|run| run.since).min();
             drop(inner);
             self.reach.check_silence(oldest);
@@ -559,9 +574,10 @@
         let (now, document) = (self.clock.now(), self.view.document());
         let fingerprint = &run.fingerprint;
         let mut inner = self.lock();
-        inner.follow(&document, now);
+        self.follow(&mut inner, &document);
         let (crashes, _) = inner.crashes(&document, now, fingerprint);
-        let answered = inner.answered.contains(now, fingerprint);
+        let answered =
+            inner.answered.contains(now, fingerprint) || inner.cleared.contains(now, fingerprint);
         let crash = quarantine::next_crash(&crashes, run.known).filter(|_| !answered);
         metrics::counter!("entry_backend_crashes_total").increment(1);
         tracing::info!(event = "server-ended", server = %run.server, %fingerprint,
@@ -586,15 +602,23 @@
         inner.own.forget(&fingerprint);
         let recorded = document.crashes.contains_key(&fingerprint);
         let known = recorded || inner.pending.contains(&fingerprint);
-        if inner.pending.is_clearing(&fingerprint) || !known {
-            return;
+        if !inner.pending.is_clearing(&fingerprint) && known {
+            self.clear(&mut inner, fingerprint, &document);
+        }
+    }
+
+    fn follow(&self, inner: &mut Inner, document: &Arc<Document>) {
+        for fingerprint in inner.follow(document, self.clock.now()) {
+            self.clear(inner, fingerprint, document);
         }
+    }
+
+    fn clear(&self, inner: &mut Inner, fingerprint: Digest, document: &Document) {
         metrics::counter!("entry_crashes_cleared_total").increment(1);
         tracing::info!(event = "crashes-cleared", %fingerprint);
         let request = self.request_id(&fingerprint, "clear");
         let instances = document.instances.len();
         inner.pending.add_clear(fingerprint, request, instances);
-        drop(inner);
         self.wake.notify_one();
     }
 
--- a/crates/daemon/tests/gateway_crashes.rs
+++ b/crates/daemon/tests/gateway_crashes.rs
@@ -284,6 +284,29 @@
     assert_eq!(send(1).await, 200);
 }
 
+/// Guards against a request that is quarantined by gateways that have not answered it,
+/// although another one did a moment before the servers ended.
+#[tokio::test]
+async fn request_that_another_gateway_answered_before_the_crashes_is_not_suspected() {
+    let failing = Arc::new(AtomicBool::new(false));
+    let mut servers = Vec::new();
+    for _ in 0..8 {
+        servers.push(start_failing(failing.clone()).await);
+    }
+    let fleet = start(&servers, 2).await;
+    let request = keyed("POST", "/once/popular");
+    let send = async |n| status(&send_through(&fleet, n, &request).await);
+    assert_eq!(send(0).await, 200);
+    failing.store(true, Ordering::SeqCst);
+    for _ in 0..QUARANTINE_CRASHES {
+        assert_eq!(send(1).await, 502);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    failing.store(false, Ordering::SeqCst);
+    remove_ended_servers(&fleet, &servers);
+    assert_eq!(send(1).await, 200);
+}
+
 /// Guards against counting connections that a full server closes, or something on the way
 /// to it, as crashes.
 #[tokio::test]
