Test orders of operators beside a peer whose format is unknown

Routing tables and evacuations have the same bytes in all formats, so that they are accepted while an earlier build is connected and nothing shows its format; a revocation waits for its first report.

--- a/crates/daemon/tests/control_peers.rs
+++ b/crates/daemon/tests/control_peers.rs
@@ -1,4 +1,7 @@
-//! Peer connections with unauthenticated, malformed and silent peers.
+//! Peer connections with unauthenticated, malformed and silent peers, and with peers of
+//! earlier builds.
+
+mod control_kit;
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -6,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use control_kit::{change, Cluster};
 use http::header::HeaderName;
 use pomelovale_protocol::auth::{nonce, Handshake, Role, Secret, Session};
 use pomelovale_protocol::format::Format;
@@ -14,7 +18,8 @@
 use pomelovale_protocol::message_format::encode_message;
 use pomelovale_protocol::messages::{Delta, PeerMessage, Proof, Renew};
 use pomelovale_protocol::report::Report;
-use pomelovale_state::command::{Change, Command};
+use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::routing::Routing;
 use pomelovale_state::{Millis, Name};
 use pomelovale_transport::peer_client::{PeerAddress, PeerClient};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerEvent, PeerTimings};
@@ -139,6 +144,7 @@
 }
 
 struct RawClient {
+    server: Name,
     send: h2::SendStream<Bytes>,
     receive: h2::RecvStream,
     decoder: Decoder,
@@ -165,6 +171,7 @@
         assert_eq!(response.headers()[FORMAT_HEADER], "2");
         let receive = response.into_body();
         RawClient {
+            server: Name::from("c1"),
             send,
             receive,
             decoder: Decoder::new(4096),
@@ -212,14 +219,18 @@
             client: Name::from("e9"),
             role: Role::Entry,
             client_nonce,
-            server: Name::from("c1"),
+            server: self.server.clone(),
             server_nonce,
         }
     }
 
     async fn authenticate(&mut self) {
-        let session = self.hello().await;
         let secret = Secret::try_from(SECRET.to_string()).unwrap();
+        self.authenticate_with(secret).await;
+    }
+
+    async fn authenticate_with(&mut self, secret: Secret) {
+        let session = self.hello().await;
         self.send(&Handshake::Confirm(session.client_tag(&secret)));
         assert!(matches!(self.read().await, Some(Handshake::Welcome(_))));
     }
@@ -347,6 +358,57 @@
     peer_that_names_a_later_format: Some("9"), Second, Second;
 }
 
+/// Guards against orders of operators that wait, unacknowledged, until it is known which
+/// earlier build a connected peer is of, although all builds read them, and against a
+/// revocation that is written before that.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_are_accepted_beside_a_peer_of_unknown_format() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    let put_key = change("k", control_kit::put_key("k1", "w"));
+    let put_workspace = change("w", control_kit::put_workspace("w", 10));
+    cluster.propose(leader, put_workspace).await;
+    cluster.propose(leader, put_key).await;
+    // As in a replacement, one member is down, so that not all have named a format.
+    cluster.kill(others[1]).await;
+    let mut raw = RawClient::open(cluster.server(leader).address()).await;
+    raw.server = cluster.names[leader].clone();
+    raw.authenticate_with(control_kit::secret()).await;
+    let replace = Command::ReplaceRouting {
+        base: 0,
+        routing: Arc::new(Routing {
+            version: 1,
+            ..Routing::default()
+        }),
+        source: Arc::from("{}"),
+    };
+    let orders = [
+        ("replace", replace),
+        ("evacuate", Command::EvacuateDomain(Name::from("a"))),
+        ("readmit", Command::ReadmitDomain(Name::from("a"))),
+    ];
+    for (request, command) in orders {
+        let applied = cluster.propose(others[0], change(request, command)).await;
+        let is_accepted = matches!(applied, Applied::Accepted { .. });
+        assert!(is_accepted, "{request}: {applied:?}");
+    }
+    let handle = cluster.server(others[0]).handle();
+    let revoke = change("revoke", Command::RevokeKey(Name::from("k1")));
+    let mut revoked = std::pin::pin!(handle.propose(revoke));
+    let waits = tokio::time::timeout(Duration::from_millis(300), &mut revoked).await;
+    assert!(waits.is_err(), "{waits:?}");
+    let report = PeerMessage::Report(Report::default());
+    raw.write(encode_message(&report, Format::Second).unwrap());
+    let applied = control_kit::within("the revocation", revoked).await;
+    assert!(
+        matches!(applied, Ok(Applied::Accepted { .. })),
+        "{applied:?}"
+    );
+    let view = cluster.server(leader).view();
+    assert!(view.document().keys["k1"].revoked);
+}
+
 // Guards against a client that accepts a server which lacks the secret or isn't
 // the instance that the client is configured to reach.
 #[tokio::test]
