Admit requests whose reply arrived while the gateway stood still

Callers got 503 with Retry-After within the rate of their workspace, from a gateway that had stood still for longer than the 180 ms for which it waits for its control instance: after the stall, the timer wakes the request directly, while the reply is still in the socket and has two tasks to pass through. Each admission in flight counted as unanswered, and all limited requests of the next 300 ms were limited to a burst of one.

The timeout is now waited for in four steps, and a step that ends late does not count, up to eight steps in all.

--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -7,7 +7,7 @@
 use pomelovale_protocol::messages::Admitted;
 use pomelovale_state::document::Document;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
-use tokio::time::timeout;
+use pomelovale_transport::stall::timeout;
 
 use crate::entry::refusal::Refusal;
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -18,4 +18,5 @@
 mod response;
 mod serving;
 mod socket;
+pub mod stall;
 mod timers;
