Wait for the first request of a new connection in a stop

A caller that connected just before a stop lost its first request: the connection had sent nothing yet, so it was closed as idle, and the request that was on its way was not read. Callers connect when they have a request to send. A stop now waits for it up to 500 ms after the connection was opened; its response announces the close. Connections that were opened earlier and not used are closed at once, as before.

stop_serves_the_first_request_of_a_new_connection failed before (no answer) and passes now. stop_does_not_wait_for_a_first_request_that_does_not_come passes before and after.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -21,6 +21,10 @@
 use crate::serving::{Calls, Requests};
 use crate::timers::{Expired, Timers, Waiting};
 
+/// Time after the opening of a connection for which its first request is waited for in a
+/// stop, in milliseconds. It covers a round trip between regions.
+const FIRST_REQUEST_MS: u64 = 500;
+
 struct Connection<'a> {
     shared: &'a Shared,
     slot: &'a Slot,
@@ -32,6 +36,7 @@
     pipelined: PipelinedRequests,
     progress: Progress,
     timers: Timers,
+    opened: Millis,
     head_since: Millis,
     // When the last response was written.
     answered: Option<Millis>,
@@ -73,6 +78,9 @@
             let ends = self.http_ended || self.last_read || self.link.is_announced();
             match self.link.closing() {
                 Some(cause) if ends => return Poll::Ready(cause),
+                Some(Cause::Stop) if self.progress.is_unused() && !self.is_late(cx) => {
+                    return Poll::Pending;
+                }
                 Some(_) => {
                     // A request that has already arrived is served.
                     self.last_read = true;
@@ -91,6 +99,12 @@
         }
     }
 
+    // Whether the time for the first request is over.
+    fn is_late(&mut self, cx: &mut Context<'_>) -> bool {
+        let end = self.opened.plus(FIRST_REQUEST_MS);
+        self.timers.poll_until(cx, end).is_ready()
+    }
+
     // Why hyper has closed the connection on its side.
     fn cause(&self, result: hyper::Result<()>) -> Cause {
         match (result, self.link.broken()) {
@@ -151,6 +165,7 @@
         opened: shared.now(),
         cause: Cause::Aborted,
     };
+    let opened = report.opened;
     let mut timeouts = shared.timeouts();
     let mut connection = Connection {
         shared,
@@ -162,6 +177,7 @@
         pipelined: PipelinedRequests::new(link.clone()),
         progress: link.progress(),
         timers: Timers::new(shared.start, shared.now(), *timeouts.borrow_and_update()),
+        opened,
         head_since: Millis(0),
         answered: None,
         offered: 0,
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -94,6 +94,11 @@
 }
 
 impl Progress {
+    /// Whether no part of a request was received yet.
+    pub(crate) fn is_unused(&self) -> bool {
+        self.received == 0 && !self.is_serving && !self.in_head
+    }
+
     /// Whether another head has begun since `earlier`.
     pub(crate) fn has_new_head(&self, earlier: &Progress) -> bool {
         self.in_head && (!earlier.in_head || self.received != earlier.received)
--- a/crates/transport/src/timers.rs
+++ b/crates/transport/src/timers.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// Waits until `end`, whatever the timeouts.
+    pub(crate) fn poll_until(&mut self, cx: &mut Context<'_>, end: Millis) -> Poll<()> {
+        if self.armed != end {
+            self.arm(end);
+        }
+        self.sleep.as_mut().poll(cx)
+    }
+
     fn arm(&mut self, deadline: Millis) {
         let at = self.origin + deadline.duration();
         self.sleep.as_mut().reset(at);
--- a/crates/transport/tests/closing.rs
+++ b/crates/transport/tests/closing.rs
@@ -227,3 +227,29 @@
         }
     });
 }
+/// Guards against a new connection that is closed in a stop though its first request is on
+/// its way.
+#[tokio::test]
+async fn stop_serves_the_first_request_of_a_new_connection() {
+    let (server, _) = start_server().await;
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    pause(50).await;
+    let stop = tokio::spawn(server.stop());
+    pause(100).await;
+    let _ = stream.write_all(get("/0/a").as_bytes()).await;
+    assert_eq!(closed_bodies(&all_answers(&mut stream).await), ["a"]);
+    stop.await.unwrap();
+}
+
+/// Guards against a stop that waits for connections which are opened and not used.
+#[tokio::test]
+async fn stop_does_not_wait_for_a_first_request_that_does_not_come() {
+    let (server, _) = start_server().await;
+    let mut new = TcpStream::connect(server.address()).await.unwrap();
+    pause(50).await;
+    let stop = tokio::spawn(server.stop());
+    assert!(all_answers(&mut new).await.is_empty());
+    drop(new);
+    let stop = timeout(Duration::from_millis(900), stop).await;
+    stop.expect("an end of the stop").unwrap();
+}
