Apply the limit on heads of the routing table

max-header-bytes of the table had no reader: a gateway served heads of up to 32 KiB, whatever the operator set. The limit in force now holds for each request, also on connections that are open when it changes. A larger header section is refused with 431 (not run), and the connection goes on. A relayed request, to which a header was added, is not measured again.

The server's own limit of 32 KiB still holds for tables that allow more.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -37,7 +37,7 @@
     /// Names of the HTTP headers.
     pub header_names: HeaderNames,
     /// Limits of the server for callers. Those of the routing table replace its
-    /// timeouts.
+    /// timeouts, and lower its limit on heads.
     pub server: ServerLimits,
     /// Limit on the bytes of request bodies in memory: their declared lengths, and what
     /// has arrived of those of unknown length.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -172,6 +172,11 @@
         return Err(ErrorKind::StaleView.into());
     };
     request_log.version = routing.version;
+    // The instance that relays a request has checked it, and has added a header.
+    let is_direct = arrival.relayed.is_none();
+    if is_direct && head_bytes(&parts.headers) > routing.limits.head_bytes {
+        return Err(ErrorKind::HeaderTooLarge.into());
+    }
     let host = host(&parts)?;
     let Some(route) = routing.route(&host, parts.uri.path()) else {
         return Err(ErrorKind::NotFound.into());
@@ -219,6 +224,13 @@
     result
 }
 
+// Size of the header section, without optional white space.
+fn head_bytes(headers: &HeaderMap) -> u64 {
+    let lines = headers.iter();
+    let sizes = lines.map(|(name, value)| name.as_str().len() + ": \r\n".len() + value.len());
+    sizes.sum::<usize>() as u64
+}
+
 // Returns the host of the request. That of an absolute URI has precedence over
 // the Host header.
 fn host(parts: &request::Parts) -> Result<String, Refusal> {
--- a/crates/daemon/tests/gateway_table_changes.rs
+++ b/crates/daemon/tests/gateway_table_changes.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use entry_support::{until, Caller, Server, ServerAction};
-use gateway_support::{document, keyed, peers, response, site, Site};
+use gateway_support::{document, keyed, peers, request, response, site, Site, KEY};
 use pomelovale_state::document::Document;
 use pomelovale_state::routing::Routing;
 use tokio::time::sleep;
@@ -159,3 +159,32 @@
         assert_eq!(caller.read().await.expect("a response").status, 200);
     }
 }
+
+/// Guards against a limit on heads that the gateway does not read, or reads only for new
+/// connections, and against a refusal that ends the connection.
+#[tokio::test]
+async fn limit_on_heads_follows_the_table() {
+    let server = Server::start(|_, _| fine()).await;
+    let wide = document(&[&server]);
+    let site = site(Some(wide.clone())).await;
+    let mut caller = Caller::connect(site.gateway.address()).await;
+    let head = format!(
+        "authorization: Bearer {KEY}\r\nx: {}\r\n",
+        "y".repeat(2_000)
+    );
+    let large = request("GET", "/safe/x", &head);
+    let mut status = async |request: &str| {
+        let answer = caller.round_trip(request).await.expect("a response");
+        (answer.status, answer.outcome())
+    };
+    assert_eq!(status(&large).await.0, 200);
+    site.show(edited(&wide, 2, |routing| {
+        routing.limits.head_bytes = 1_000
+    }));
+    let refused = (431, Some("not-run".to_owned()));
+    assert_eq!(status(&large).await, refused);
+    assert_eq!(status(&keyed("GET", "/safe/x")).await.0, 200);
+    site.show(edited(&wide, 3, |_| {}));
+    assert_eq!(status(&large).await.0, 200);
+    assert_eq!(server.requests().len(), 3);
+}
