Limit how long a stop of an entry waits for slow callers

A stop of an entry waited without limit for callers to take their responses. One that reads nothing holds its connection up to 60 s, and one that takes a byte now and then for as long as it likes, so that the process never hands over its leadership and is killed in the end. The stop now waits as long as the longest timeout of a service, by which all requests are answered, and then 30 s (unread_ms) for the callers. A gateway has its grace period.

stop_does_not_wait_for_a_caller_that_hardly_reads failed before (still waiting after 5 s with limits of 2 s and 0.3 s) and passes now. While an entry or a gateway runs, such a caller still keeps its connection.

--- a/crates/daemon/src/entry/config.rs
+++ b/crates/daemon/src/entry/config.rs
@@ -58,6 +58,9 @@
     /// Time within which a change is expected to be in effect on every reachable
     /// instance, in milliseconds.
     pub spread_ms: u64,
+    /// Time beyond the longest timeout of a service for which a stop waits for callers to
+    /// take their responses.
+    pub unread_ms: u64,
     /// Time after the last crash until a request that is quarantined for crashes of its
     /// servers may be tried once more.
     pub trial_ms: u64,
@@ -87,6 +90,7 @@
             control_ms: 2_000,
             list_ms: 5_000,
             spread_ms: 2_000,
+            unread_ms: 30_000,
             trial_ms: 3_000,
         }
     }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use pomelovale_coordination::control::ControlHandle;
@@ -29,6 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::timeout;
 
 use config::EntryConfig;
 use steering::EntrySteering;
@@ -80,7 +82,7 @@
             command,
         };
         let limit = Millis(self.config.control_ms).duration();
-        let proposed = tokio::time::timeout(limit, self.control.propose(change));
+        let proposed = timeout(limit, self.control.propose(change));
         proposed.await.unwrap_or(Err(ErrorKind::Unavailable))
     }
 
@@ -112,6 +114,15 @@
         }
     }
 
+    /// How long a stop waits for connections. All requests are answered by the longest
+    /// timeout of a service; the rest of the time is for callers to take the responses.
+    fn stop_limit(&self) -> Duration {
+        let document = self.view.document();
+        let timeouts = document.services.values().map(|s| s.timeout_ms);
+        let longest = timeouts.max().unwrap_or(0);
+        Millis(longest.saturating_add(self.config.unread_ms)).duration()
+    }
+
     /// Spawns a task that a graceful stop waits for.
     fn spawn<F>(self: &Arc<Self>, task: F) -> JoinHandle<F::Output>
     where
@@ -240,7 +251,8 @@
     }
 
     /// Removes the instance from the entry list, keeps serving until callers'
-    /// copies of the list have expired, completes requests in flight and stops.
+    /// copies of the list have expired, completes requests in flight and stops. Callers
+    /// that take their responses too slowly don't hold it up.
     pub async fn stop(mut self) {
         let config = &self.shared.config;
         self.shared.leaving.store(true, Ordering::Relaxed);
@@ -251,7 +263,15 @@
         self.shared.leave().await;
         let window = Millis(config.list_ms + config.spread_ms);
         tokio::time::sleep(window.duration()).await;
-        self.server.stop().await;
+        if timeout(self.shared.stop_limit(), self.server.stop())
+            .await
+            .is_err()
+        {
+            log::warn!(
+                "{}: closing connections whose callers have not taken their responses",
+                self.shared.config.instance
+            );
+        }
         drop(self.task_guard);
         let _ = self.done.recv().await;
         let limit = Millis(self.shared.config.control_ms).duration();
--- a/crates/daemon/tests/entry_stop.rs
+++ b/crates/daemon/tests/entry_stop.rs
@@ -2,12 +2,22 @@
 
 mod entry_support;
 
+use std::time::Duration;
+
 use entry_support::{keyed, ok, ok_bytes, setup, until, Caller, Control, Server, ServerAction};
 use pomelovale_state::blocks::BlockChange;
 use pomelovale_state::command::Command;
 use pomelovale_state::document::Site;
 use pomelovale_state::Name;
+use pomelovaled::entry::config::EntryConfig;
 use pomelovaled::entry::EntryHandle;
+use tokio::io::AsyncReadExt;
+use tokio::time::{sleep, timeout};
+
+/// Timeout of the service.
+const SERVICE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time that a stop may take beyond that.
+const STOP_SLACK: Duration = Duration::from_millis(3_000);
 
 macro_rules! cases {
     ($run:ident: $($(#[$doc:meta])* $name:ident => ($($arg:expr),* $(,)?);)*) => {
@@ -129,3 +139,30 @@
     let ended = |c: &Command| matches!(c, Command::EndIntent(_));
     assert!(control.proposed.lock().unwrap().iter().any(ended));
 }
+
+/// Size of a body that no socket buffer holds.
+const BODY_BYTES: usize = 24 * 1024 * 1024;
+
+/// Guards against a stop that is held up by a caller which takes a little of its response
+/// now and then.
+#[tokio::test]
+async fn stop_does_not_wait_for_a_caller_that_hardly_reads() {
+    let response = ok_bytes(&"x".repeat(BODY_BYTES));
+    let server = Server::start(move |_, _| ServerAction::Write(response.clone())).await;
+    let control = setup(&[&server]);
+    let edit = |c: &mut EntryConfig| (c.list_ms, c.spread_ms, c.unread_ms) = (1, 1, 300);
+    let entry = control.entry(edit).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    let request = keyed("GET", "/catalogue/x", "", "");
+    caller.write(&request).await;
+    let reading = tokio::spawn(async move {
+        let mut buffer = [0; 64];
+        while let Ok(1..) = caller.stream.read(&mut buffer).await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    sleep(Duration::from_millis(300)).await;
+    let stopped = timeout(SERVICE_TIMEOUT + STOP_SLACK, entry.stop()).await;
+    stopped.expect("an end of the stop");
+    reading.abort();
+}
