Leave relayed requests to other instances late in a stop

A gateway that relays a request tries another instance if the first one says that it does not take it. A stopping gateway took relayed requests to the end; what it refused as late was the answer to the caller, though other instances could have served it. From the middle of its grace period on, it now refuses them as not taken, and announces the close.

Such a refusal was also counted and logged as a connection that its caller had closed; it is now logged as a refusal.

late_relayed_request_is_left_to_other_instances failed before (a refusal without the mark of a relay) and passes now.

--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -51,13 +51,19 @@
         let document = shared.view.document();
         document.routing.as_ref().map_or(0, |r| r.version)
     };
-    let is_lost = shared.reach.is_lost();
+    let is_lost = shared.reach.is_lost() || shared.stopping.refuses_relays();
     let accepted = shared.relays.accept(&parts.headers, version, is_lost);
     let relayed = match accepted.await {
         Acceptance::Direct => None,
         Acceptance::Relayed(relayed) => Some(relayed),
         Acceptance::Refused => {
-            return caller_body::finish(shared.relays.refusal(), &mut body).await
+            let response = shared.relays.refusal();
+            record.end(response.status(), Some(relay::not_taken()));
+            let response = caller_body::finish(response, &mut body).await;
+            return match shared.leaving.load(Ordering::Relaxed) {
+                true => caller_body::close(response),
+                false => response,
+            };
         }
     };
     let arrival = Arrival {
--- a/crates/daemon/src/gateway/stopping.rs
+++ b/crates/daemon/src/gateway/stopping.rs
@@ -107,6 +107,12 @@
         schedule.is_some_and(|s| start >= s.late && deadline > s.answering)
     }
 
+    /// Whether other instances are better placed to serve a request that one of them relays.
+    pub(super) fn refuses_relays(&self) -> bool {
+        let schedule = self.schedule.get();
+        schedule.is_some_and(|s| Instant::now() >= s.late)
+    }
+
     /// Whether it is too late to send a request to a server.
     pub(super) fn is_late(&self) -> bool {
         *self.phase.borrow() >= Phase::Refusing
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -183,7 +183,8 @@
     }
 
     /// Decides whether a request with these headers is served here. `version` returns that of
-    /// the routing table in force, `is_lost` tells whether this instance has lost the servers.
+    /// the routing table in force, `is_lost` tells whether this instance has lost the servers or
+    /// is about to end.
     pub async fn accept(
         self: &Arc<Self>,
         headers: &HeaderMap,
--- a/crates/daemon/tests/gateway_stop.rs
+++ b/crates/daemon/tests/gateway_stop.rs
@@ -166,3 +166,19 @@
     assert_eq!(header(&answer.head, "connection").as_deref(), Some("close"));
     assert!(closes);
 }
+
+/// Guards against a relayed request that a stopping gateway refuses in the name of all, so
+/// that the instance that relays it does not try another one.
+#[tokio::test]
+async fn late_relayed_request_is_left_to_other_instances() {
+    let server = Server::start(|_, _| slow(0)).await;
+    let headers =
+        format!("authorization: Bearer {KEY}\r\npomelovale-relay: version=1;attempts=2\r\n");
+    let (answer, _, closes) = send_late(&server, &request("POST", "/once/x", &headers)).await;
+    let outcome = answer.outcome();
+    assert_eq!((answer.status, outcome.as_deref()), (503, Some("not-run")));
+    let relay = header(&answer.head, "pomelovale-relay");
+    assert_eq!(relay.as_deref(), Some("refused"));
+    assert_eq!(header(&answer.head, "connection").as_deref(), Some("close"));
+    assert!(closes && server.requests().is_empty());
+}
