Count the deadline of a request from its arrival

A request that waits on its connection behind a stream, an unsafe request or 16 others was sent to a server with its whole deadline when its turn came, and its caller got the answer that much too late. At an entry, the time for accepting the request of a relay was added as well.

The connection now notes when its bytes were received, and passes that time to the handler of each request. Both request paths count the deadline from it, and refuse a request as deadline-spent whose deadline has passed before its turn.

In the two tests the second of two requests, with a deadline of 1000 ms, arrives 100 ms after the first, whose streamed response takes 800 ms. Its server was handed 999 ms before, at the gateway and at the entry, and is handed less than 400 ms now.

--- a/crates/daemon/src/entry/pipeline.rs
+++ b/crates/daemon/src/entry/pipeline.rs
@@ -51,7 +51,7 @@
     request: Request<Incoming>,
     caller: Caller,
 ) -> Response<CallerBody> {
-    let start = Instant::now();
+    let start = caller.received;
     let (parts, mut body) = request.into_parts();
     let waits_for_continue = parts.headers.contains_key(header::EXPECT);
     let trace = TraceContext::from_headers(&parts.headers);
@@ -117,7 +117,10 @@
         Some(ms) => policy.timeout.min(Duration::from_millis(ms)),
         None => policy.timeout,
     };
-    let deadline = Instant::now() + limit;
+    let deadline = caller.received + limit;
+    if deadline <= Instant::now() {
+        return Err(ErrorKind::DeadlineSpent.into());
+    }
     // The instance that serves a relayed request charges its workspace.
     let relay_due = relayed.is_none() && shared.reach.is_relay_due();
     let workspace = verified_key.as_ref().map(|key| key.workspace.clone());
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -39,7 +39,7 @@
     request: Request<Incoming>,
     caller: Caller,
 ) -> Response<CallerBody> {
-    let start = Instant::now();
+    let start = caller.received;
     let (parts, mut body) = request.into_parts();
     let id = parts
         .headers
@@ -193,7 +193,11 @@
     let limit = HeaderNames::parse_integer(&parts.headers, &header_names.deadline)
         .unwrap_or(DEFAULT_TIMEOUT_MS);
     let deadline = start + Duration::from_millis(limit.min(route.timeout_ms));
-    if shared.stopping.may_outlast(start, deadline) {
+    let now = Instant::now();
+    if deadline <= now {
+        return Err(ErrorKind::DeadlineSpent.into());
+    }
+    if shared.stopping.may_outlast(now, deadline) {
         return Err(shared.stopping.refusal());
     }
     let relay_due = arrival.relayed.is_none() && shared.reach.is_relay_due();
--- a/crates/daemon/tests/entry_streams.rs
+++ b/crates/daemon/tests/entry_streams.rs
@@ -4,9 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use entry_support::{keyed, setup, Caller, Server, ServerAction};
+use entry_support::{header, keyed, setup, Caller, ReceivedRequest, Server, ServerAction};
 use pomelovaled::entry::config::EntryConfig;
 use pomelovaled::entry::EntryHandle;
+use tokio::time::sleep;
 
 /// Silence that ends a response after the deadline of its request.
 const PAUSE_MS: u64 = 150;
@@ -20,11 +21,14 @@
     setup(&[server]).entry(edit).await
 }
 
-async fn paused_server(ms: u64) -> Server {
+fn paused(ms: u64) -> ServerAction {
     let head = b"HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\n0123456789abcdefghij";
     let rest = b"klmnopqrstuvwxyz0123";
-    let parts = vec![(0, head.to_vec()), (ms, rest.to_vec())];
-    Server::start(move |_, _| ServerAction::WriteParts(parts.clone())).await
+    ServerAction::WriteParts(vec![(0, head.to_vec()), (ms, rest.to_vec())])
+}
+
+async fn paused_server(ms: u64) -> Server {
+    Server::start(move |_, _| paused(ms)).await
 }
 
 /// Guards against a response that is cut because its server pauses within the time that
@@ -55,3 +59,34 @@
         "{spent:?}"
     );
 }
+
+/// Guards against a request that is sent to a server with a longer deadline than its caller
+/// has set, since it has waited behind a stream on its connection.
+#[tokio::test]
+async fn deadline_of_a_request_behind_a_stream_counts_from_its_arrival() {
+    let server = Server::start(
+        |seen: &ReceivedRequest, _| match seen.head.contains("/second") {
+            true => paused(0),
+            false => paused(800),
+        },
+    );
+    let server = server.await;
+    let entry = entry(&server).await;
+    let mut caller = Caller::connect(entry.address()).await;
+    caller
+        .write(&keyed("GET", "/catalogue/first", "", ""))
+        .await;
+    sleep(Duration::from_millis(100)).await;
+    let deadline = "pomelovale-deadline-ms: 1000\r\n";
+    caller
+        .write(&keyed("GET", "/catalogue/second", deadline, ""))
+        .await;
+    for _ in 0..2 {
+        assert_eq!(caller.read().await.expect("a response").status, 200);
+    }
+    let requests = server.requests();
+    let second = requests.iter().find(|seen| seen.head.contains("/second"));
+    let deadline = second.and_then(|seen| header(&seen.head, "pomelovale-deadline-ms"));
+    let deadline: u64 = deadline.unwrap().parse().unwrap();
+    assert!(deadline <= 400, "{deadline}");
+}
--- a/crates/daemon/tests/gateway_streams.rs
+++ b/crates/daemon/tests/gateway_streams.rs
@@ -9,7 +9,7 @@
 
 use entry_support::{Caller, ReceivedRequest, Server, ServerAction};
 use gateway_support::fleet::Fleet;
-use gateway_support::{document, keyed, start_with, Site};
+use gateway_support::{document, header_value, keyed, proven, request, start_with, Site, KEY};
 use pomelovale_state::document::{Backend, Document, Instance, MemberState};
 use pomelovaled::gateway::config::GatewayConfig;
 use tokio::time::sleep;
@@ -102,3 +102,37 @@
     assert_eq!(answer.expect("a whole response").body.len(), 40);
     assert_eq!(other.requests().len(), 1);
 }
+
+/// Guards against a request that is sent to a server with a longer deadline than its caller
+/// has set, since it has waited behind a stream on its connection.
+#[tokio::test]
+async fn deadline_of_a_request_behind_a_stream_counts_from_its_arrival() {
+    let react = |seen: &ReceivedRequest, _: usize| match seen.head.contains("/safe/second") {
+        true => proven("200 OK", "fine"),
+        false => paused(800),
+    };
+    // The server of the stream counts as too slow for the second request.
+    let servers = [Server::start(react).await, Server::start(react).await];
+    let site = gateway(&servers[0]).await;
+    site.show(Document {
+        version: 2,
+        ..document(&[&servers[0], &servers[1]])
+    });
+    let mut caller = Caller::connect(site.gateway.address()).await;
+    caller.write(&keyed("GET", "/safe/first")).await;
+    sleep(Duration::from_millis(100)).await;
+    let headers = format!("authorization: Bearer {KEY}\r\npomelovale-deadline-ms: 1000\r\n");
+    caller
+        .write(&request("GET", "/safe/second", &headers))
+        .await;
+    for _ in 0..2 {
+        assert_eq!(caller.read().await.expect("a response").status, 200);
+    }
+    let requests = servers.iter().flat_map(Server::requests);
+    let mut second = requests.filter(|seen| seen.head.contains("/safe/second"));
+    let deadline = second
+        .next()
+        .and_then(|seen| header_value(&seen, "pomelovale-deadline-ms"));
+    let deadline: u64 = deadline.unwrap().parse().unwrap();
+    assert!(deadline <= 400, "{deadline}");
+}
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -95,6 +95,8 @@
     pub address: SocketAddr,
     /// Whether the length of the request is unambiguous.
     pub length_is_clear: bool,
+    /// When the request was received. It may have waited for others on its connection.
+    pub received: Instant,
 }
 
 /// Future of the response to one request.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,5 +1,6 @@
 //! Network transport: peer connections, the HTTP server and the HTTP client.
 
+mod arrivals;
 pub mod backend;
 pub mod body;
 mod caller_io;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -13,7 +13,9 @@
 use hyper::rt::ReadBufCursor;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
+use crate::arrivals::Arrivals;
 use crate::ending::Cause;
 use crate::framing::{Direction, Framing, Verdicts, READ_BYTES};
 
@@ -35,6 +37,15 @@
     Pipelined(u64),
 }
 
+/// A complete request that was removed from the pending bytes.
+#[derive(Debug)]
+pub(crate) struct Pipelined {
+    pub(crate) number: u64,
+    pub(crate) input: Bytes,
+    /// When its last byte was received.
+    pub(crate) received: Instant,
+}
+
 #[derive(Debug)]
 struct State {
     // Whether hyper has a part of a request, whether the end of that request is still
@@ -49,6 +60,9 @@
     broken: Option<Cause>,
     // Bytes that were received and not forwarded yet.
     pending: BytesMut,
+    // When they were received, and when the last forwarded byte was.
+    arrivals: Arrivals,
+    forwarded_received: Instant,
     // Parser of the requests that are forwarded to hyper.
     framing: Framing,
     // Parser of the first pending request, and how much of it was parsed.
@@ -171,6 +185,8 @@
             safe: true,
             broken: None,
             pending: BytesMut::new(),
+            arrivals: Arrivals::default(),
+            forwarded_received: Instant::now(),
             framing: Framing::new(Direction::Requests, verdicts),
             scan: Framing::new(Direction::Requests, Verdicts::default()),
             scanned: 0,
@@ -204,7 +220,11 @@
     pub(crate) fn receive(&self, bytes: &[u8]) {
         match bytes {
             [] => drop(self.lock().broken.get_or_insert(Cause::Caller)),
-            _ => self.lock().pending.extend_from_slice(bytes),
+            _ => {
+                let mut state = self.lock();
+                state.pending.extend_from_slice(bytes);
+                state.arrivals.push(bytes.len(), Instant::now());
+            }
         }
     }
 
@@ -280,6 +300,7 @@
         let n = end.unwrap_or(n);
         out.put_slice(&state.pending[..n]);
         state.pending.advance(n);
+        state.forwarded_received = state.arrivals.take(n);
         if end.is_some() {
             state.forwarding = false;
             // If the handler leaves the body unread, hyper closes the connection
@@ -290,9 +311,14 @@
         true
     }
 
-    /// Removes the next pipelined request from the pending bytes, with its number, if
-    /// it may be started now.
-    pub(crate) fn next_pipelined(&self) -> Option<(u64, Bytes)> {
+    /// When the last byte that was forwarded to hyper was received.
+    pub(crate) fn forwarded_received(&self) -> Instant {
+        self.lock().forwarded_received
+    }
+
+    /// Removes the next pipelined request from the pending bytes, if it may be started
+    /// now.
+    pub(crate) fn next_pipelined(&self) -> Option<Pipelined> {
         let mut guard = self.lock();
         let state = &mut *guard;
         if !state.may_pipeline() || !is_safe(&state.pending) {
@@ -313,7 +339,11 @@
         state.next += 1;
         state.undecided += 1;
         state.received += 1;
-        Some((number, state.pending.split_to(end).freeze()))
+        Some(Pipelined {
+            number,
+            input: state.pending.split_to(end).freeze(),
+            received: state.arrivals.take(end),
+        })
     }
 
     /// Records that the handler is called for a request.
--- a/crates/transport/src/pipeline.rs
+++ b/crates/transport/src/pipeline.rs
@@ -168,10 +168,10 @@
 
     // Starts the pipelined requests that have arrived.
     fn start(&mut self, cx: &mut Context<'_>, requests: &Requests) {
-        while let Some((number, input)) = self.link.next_pipelined() {
+        while let Some(pipelined) = self.link.next_pipelined() {
             let (before, _) = self.link.counts();
             let mut request = PipelinedRequest {
-                exchange: Some(requests.serve_pipelined(&self.link, number, input)),
+                exchange: Some(requests.serve_pipelined(&self.link, pipelined)),
                 refused: false,
             };
             // Parses the head and calls the handler.
--- a/crates/transport/src/serving.rs
+++ b/crates/transport/src/serving.rs
@@ -7,19 +7,19 @@
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
-use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::rt::{Read, Write};
 use hyper::server::conn::http1;
 use hyper::service::Service;
 use pomelovale_state::ErrorKind;
+use tokio::time::Instant;
 
 use crate::body::CallerBody;
 use crate::caller_io::CallerIo;
 use crate::framing::Verdicts;
 use crate::http_server::{Caller, ResponseFuture, Shared};
-use crate::link::{Link, Place};
+use crate::link::{Link, Pipelined, Place};
 use crate::pipeline::{Exchange, PipelinedIo};
 use crate::response::{catch, error_response, TrackedBody};
 
@@ -75,6 +75,8 @@
     requests: Requests,
     link: Arc<Link>,
     place: Place,
+    // When a pipelined request was received.
+    received: Option<Instant>,
     // Requests with an ambiguous length are never pipelined.
     verdicts: Option<Verdicts>,
 }
@@ -89,6 +91,9 @@
         let caller = Caller {
             address: self.requests.address,
             length_is_clear: self.verdicts.as_ref().is_none_or(Verdicts::next),
+            received: self
+                .received
+                .unwrap_or_else(|| self.link.forwarded_received()),
         };
         let future = catch(|| (self.requests.shared.handler)(request, caller));
         Serving {
@@ -132,20 +137,22 @@
             requests: self.clone(),
             link: link.clone(),
             place: Place::Own,
+            received: None,
             verdicts: Some(verdicts),
         };
         self.serve(CallerIo::new(link.clone()), calls)
     }
 
     /// Serves a pipelined request.
-    pub(crate) fn serve_pipelined(&self, link: &Arc<Link>, number: u64, input: Bytes) -> Exchange {
-        let place = Place::Pipelined(number);
+    pub(crate) fn serve_pipelined(&self, link: &Arc<Link>, request: Pipelined) -> Exchange {
+        let place = Place::Pipelined(request.number);
         let calls = Calls {
             requests: self.clone(),
             link: link.clone(),
             place,
+            received: Some(request.received),
             verdicts: None,
         };
-        Box::new(self.serve(PipelinedIo::new(input, link.clone(), place), calls))
+        Box::new(self.serve(PipelinedIo::new(request.input, link.clone(), place), calls))
     }
 }
