Keep asking the coordinator after a stall of the gateway

A gateway that had stood still for more than 90 ms took its coordinator to be down and selected servers itself for 300 ms: the questions in flight timed out before their replies were read, and three of them counted as three misses.

The timeout now leaves out the time for which the process stood still, and questions that were asked at the same time count as one miss. Once the coordinator is down, each further miss keeps it down for another 300 ms, so that a coordinator that hangs does not delay more requests than before.

--- a/crates/daemon/src/gateway/coordinator_client.rs
+++ b/crates/daemon/src/gateway/coordinator_client.rs
@@ -8,9 +8,9 @@
 use pomelovale_steering::placement::{PlacementDecision, PlacementEnd, ServerReport};
 use pomelovale_transport::peer_client::{connect_once, PeerAddress};
 use pomelovale_transport::peer_link::{PeerConfig, PeerEvent, PeerLink};
+use pomelovale_transport::stall::timeout;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
 
 /// Timeout for a reply of a coordinator, in milliseconds. It runs in the same
 /// failure domain, but responses to callers may delay its messages on a slow
@@ -77,9 +77,10 @@
     link: Option<PeerLink>,
     session: Option<JoinHandle<bool>>,
     tried: Option<Millis>,
-    // Consecutive timeouts, and the time until which the coordinator is not
-    // asked.
+    // Consecutive timeouts, when the last one was, and the time until which the
+    // coordinator is not asked.
     missed: u32,
+    missed_at: Millis,
     local_until: Millis,
 }
 
@@ -130,6 +131,7 @@
                 session: None,
                 tried: None,
                 missed: 0,
+                missed_at: Millis(0),
                 local_until: Millis(0),
             });
             let ended = peer.session.as_ref().is_none_or(JoinHandle::is_finished);
@@ -153,10 +155,10 @@
         name: &Name,
         request: PlaceRequest,
     ) -> Option<Answer> {
-        let now = self.clock.now();
+        let asked = self.clock.now();
         let (id, answer) = {
             let mut inner = self.lock();
-            let peer = inner.peers.get(name).filter(|p| p.local_until <= now)?;
+            let peer = inner.peers.get(name).filter(|p| p.local_until <= asked)?;
             let link = peer.link.clone()?;
             inner.last += 1;
             let id = inner.last;
@@ -174,9 +176,12 @@
         let mut inner = self.lock();
         inner.waiting.swap_remove(&id);
         metrics::counter!("gateway_coordinator_unanswered_total").increment(1);
-        if let Some(peer) = inner.peers.get_mut(name) {
+        // Questions that were asked at the same time count as one.
+        let peer = inner.peers.get_mut(name);
+        if let Some(peer) = peer.filter(|p| p.missed == 0 || p.missed_at <= asked) {
             peer.missed += 1;
-            if peer.missed.is_multiple_of(MISSED_MAX) {
+            peer.missed_at = now;
+            if peer.missed >= MISSED_MAX {
                 peer.local_until = now.plus(LOCAL_PLACEMENT_MS);
                 tracing::info!(event = "dependency", name = "coordinator", up = false,
                     peer = %name, cause = "no answer in time", missed = peer.missed);
--- a/crates/daemon/tests/gateway_stalls.rs
+++ b/crates/daemon/tests/gateway_stalls.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use entry_support::Server;
-use gateway_support::{document, keyed, proven, send_to, status};
+use gateway_support::{document, keyed, peers, proven, send_to, status};
+use metrics_exporter_prometheus::PrometheusBuilder;
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::messages::Admitted;
@@ -109,3 +110,32 @@
         assert_eq!(caller.await.unwrap(), 200);
     }
 }
+
+/// Guards against a coordinator that is taken to be down because the gateway that asks it
+/// has stood still.
+#[tokio::test]
+async fn coordinator_is_asked_on_after_stalls() {
+    let metrics = PrometheusBuilder::new().install_recorder().unwrap();
+    let server = Server::start(|_, _| proven("200 OK", "fine")).await;
+    let sites = peers(2, document(&[&server])).await;
+    let address = sites[1].gateway.address();
+    for _ in 0..CALLERS {
+        tokio::spawn(async move {
+            loop {
+                send_to(address, &keyed("GET", "/safe/x")).await;
+            }
+        });
+    }
+    for _ in 0..20 {
+        sleep(Duration::from_millis(20)).await;
+        thread::sleep(Duration::from_millis(150));
+    }
+    sleep(Duration::from_millis(200)).await;
+    let text = metrics.render();
+    let count = |name: &str| {
+        let mut values = text.lines().filter_map(|l| l.strip_prefix(name));
+        values.next().map_or(0, |v| v.trim().parse().unwrap())
+    };
+    assert!(count("gateway_placed_for_others_total") > 0, "{text}");
+    assert_eq!(count("gateway_coordinator_unanswered_total"), 0);
+}
