Measure the cost of table changes and the delays of the runtime

`load_ms` counts from the connection on and only for a whole document, so that neither the processor time of a document nor the cost of a change was known: changes arrive as deltas, without a duration. Nothing told either when an instance stood still.

`document_apply_seconds` and `gateway_sync_seconds` measure each change, `routing` lines carry `apply_ms` and `document` lines `decode_ms`, and changes that take 20 ms or more get a line. `runtime_delay_ms` is the longest delay of a task in the last second; delays of 100 ms or more are logged once a second.

Neither metric existed before.

--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -2,6 +2,7 @@
 //! document.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use indexmap::IndexMap;
 use pomelovale_state::document::{Backend, Document, Instance, MemberState};
@@ -20,6 +21,8 @@
 /// Share of the common retry budgets that the instances use, in per mille. The
 /// rest covers instances that restart and then spend their share a second time.
 const BUDGET_USED_PER_MILLE: u64 = 600;
+/// Time for following a change of the document from which it is logged, in milliseconds.
+const SLOW_SYNC_MS: u64 = 20;
 
 /// State of one service on this instance.
 #[derive(Debug)]
@@ -227,6 +230,17 @@
         if inner.version >= Some(document.version) {
             return;
         }
+        let start = Instant::now();
+        self.apply(inner, now, document);
+        let spent = start.elapsed();
+        metrics::histogram!("gateway_sync_seconds").record(spent);
+        let (version, sync_ms) = (document.version, spent.as_millis() as u64);
+        if sync_ms >= SLOW_SYNC_MS {
+            tracing::info!(event = "slow-sync", version, sync_ms);
+        }
+    }
+
+    fn apply(&self, inner: &mut Inner, now: Millis, document: &Document) {
         inner.version = Some(document.version);
         let Some(routing) = &document.routing else {
             return;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operators;
 pub mod reach;
 pub mod relay;
+pub mod runtime_delay;
 pub mod schema;
 pub mod settings;
 pub mod subscriber;
--- a/crates/daemon/src/subscriber/mod.rs
+++ b/crates/daemon/src/subscriber/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use pomelovale_coordination::control::{ControlCall, ControlHandle};
@@ -24,6 +24,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::control::calls::{Calls, Sink, Target};
+use crate::runtime_delay;
 
 use endpoints::{distance, known_endpoints};
 pub use endpoints::{ranked_endpoints, ControlEndpoint, SubscriberConfig, SubscriberLimits};
@@ -47,6 +48,8 @@
 /// Several times what the document takes on a 2 Mbit/s link that callers' traffic
 /// saturates.
 const DOCUMENT_TIMEOUT_MS: u64 = 4_000;
+/// Time for applying a change of the document from which it is logged, in milliseconds.
+const SLOW_APPLY_MS: u64 = 20;
 /// Value of [`distance`] for control instances in other regions.
 const OTHER_REGION: u8 = 2;
 /// Maximum number of unanswered renewals whose send times are kept.
@@ -145,6 +148,8 @@
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut watching = JoinSet::new();
+        watching.spawn(runtime_delay::watch());
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick(),
@@ -339,6 +344,7 @@
     }
 
     fn apply_proof(&mut self, proof: Proof) -> Result<(), ErrorKind> {
+        let start = Instant::now();
         let before = self.document.version;
         for delta in &proof.changes {
             match delta.version {
@@ -357,7 +363,7 @@
             self.position = Some(delta.position);
         }
         if self.document.version > before {
-            self.publish();
+            self.publish(start);
         }
         let complete = self
             .position
@@ -375,7 +381,8 @@
         Ok(())
     }
 
-    fn publish(&mut self) {
+    // `start` is when the change of the document was received.
+    fn publish(&mut self, start: Instant) {
         self.endpoints = known_endpoints(&self.config, &self.document);
         let routing = self.document.routing.as_ref().map_or(0, |r| r.version);
         let before = self
@@ -384,11 +391,17 @@
             .routing
             .as_ref()
             .map_or(0, |r| r.version);
-        if routing != before {
-            let version = self.document.version;
-            tracing::info!(event = "routing", routing, before, version);
-        }
         self.view.publish(self.document.clone());
+        let spent = start.elapsed();
+        metrics::histogram!("document_apply_seconds").record(spent);
+        let (version, apply_ms) = (self.document.version, spent.as_millis() as u64);
+        match routing != before {
+            true => tracing::info!(event = "routing", routing, before, version, apply_ms),
+            false if apply_ms >= SLOW_APPLY_MS => {
+                tracing::info!(event = "slow-change", version, apply_ms);
+            }
+            false => {}
+        }
     }
 
     fn renewal_sent_at(&self, seq: u64) -> Option<Millis> {
@@ -407,15 +420,17 @@
         };
         let older = self.position.is_some_and(|p| position.index < p.index);
         if !older {
+            let start = Instant::now();
             self.document = self.decode_document(&body)?;
             self.position = Some(position);
             tracing::info!(
                 event = "document",
                 bytes = body.len(),
                 version = self.document.version,
-                load_ms = self.clock.now().since(self.connected_at)
+                load_ms = self.clock.now().since(self.connected_at),
+                decode_ms = start.elapsed().as_millis() as u64
             );
-            self.publish();
+            self.publish(start);
         }
         // Requests the changes made since, without waiting for the next renewal.
         self.renew(self.clock.now());
--- a/crates/daemon/tests/control_subscriber.rs
+++ b/crates/daemon/tests/control_subscriber.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use control_kit::{change, put_workspace, secret, until, within};
+use metrics_exporter_prometheus::PrometheusBuilder;
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::auth::Role;
@@ -220,6 +221,21 @@
     until("the view is proven", || fake.view_age() != u64::MAX).await;
 }
 
+// Guards against changes of the document whose cost is not measured, since they arrive
+// without a whole document.
+#[tokio::test]
+async fn changes_are_timed() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let metrics = recorder.handle();
+    let _guard = metrics::set_default_local_recorder(&recorder);
+    let mut fake = FakeControl::start().await;
+    fake.load_version_2().await;
+    fake.prove(None, 0, 30, vec![delta(3)]);
+    until("the change is there", || fake.view.document().version == 3).await;
+    let text = metrics.render();
+    assert!(text.contains("document_apply_seconds_count 2"), "{text}");
+}
+
 macro_rules! faults {
     ($($name:ident: $resumes:expr, $fault:expr;)*) => {$(
         #[tokio::test]
