Leave a trial that reached no server to the next copy

A quarantined request is tried once when its trial is due, and other copies are refused until the outcome of that may be known, for 3 s. A copy that was let through and then found no server free, or whose connections were refused, had used up the trial although no server had seen the request: callers of an innocent request were refused for another 3 s. It now hands the trial back when it ends.

trial_that_was_not_sent_is_left_to_the_next_copy failed before (503 quarantined for the copy after one that was refused as overloaded, no run). Found while one_copy_of_a_quarantined_request_is_tried_at_a_time was traced; it is not what made that test fail.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -13,8 +13,8 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, Weak};
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -78,15 +78,34 @@
     pub trial_ms: u64,
 }
 
-/// Whether a quarantined request is let through as a trial: the number of the last crash
-/// for which that was decided, or 0.
+/// Whether a quarantined request is let through as a trial. One that ends before it was sent
+/// to a server leaves the trial to another copy of the request.
 #[derive(Debug, Default)]
-pub struct Trial(AtomicU64);
+pub struct Trial {
+    /// Number of the last crash for which that was decided, or 0.
+    last: AtomicU64,
+    sent: AtomicBool,
+    holder: OnceLock<(Weak<CrashTracker>, Digest)>,
+}
 
 impl Trial {
     /// Whether the request was let through as a trial. It gets one attempt only.
     pub fn is_taken(&self) -> bool {
-        self.0.load(Ordering::Relaxed) > 0
+        self.last.load(Ordering::Relaxed) > 0
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let Some((tracker, fingerprint)) = self.holder.get() else {
+            return;
+        };
+        match tracker.upgrade() {
+            Some(tracker) if !*self.sent.get_mut() => {
+                tracker.lock().trials.swap_remove(fingerprint);
+            }
+            Some(_) | None => {}
+        }
     }
 }
 
@@ -357,14 +376,18 @@
     /// Returns the time after which a quarantined request may be sent again, in
     /// milliseconds, or `None` if it may be sent now. Of the requests that arrive when a
     /// trial is due, one for each instance of the deployment is let through on average.
-    pub fn blocked_ms(&self, trial: &Trial, fingerprint: impl FnOnce() -> Digest) -> Option<u64> {
+    pub fn blocked_ms(
+        self: &Arc<Self>,
+        trial: &Trial,
+        fingerprint: impl FnOnce() -> Digest,
+    ) -> Option<u64> {
         self.with_crashes(fingerprint, |inner, fingerprint, crashes, since_ms| {
             let delay_ms = quarantine::trial_delay(crashes.len(), self.timings.trial_ms)?;
             let last = quarantine::last_crash(crashes);
             if since_ms < delay_ms {
                 return Some(delay_ms - since_ms);
             }
-            if trial.0.load(Ordering::Relaxed) == last {
+            if trial.last.load(Ordering::Relaxed) == last {
                 return None;
             }
             let instances = self.view.document().instances.len().max(1);
@@ -372,7 +395,10 @@
                 return Some(TRIAL_RETRY_MS);
             }
             inner.trials.insert(fingerprint, Instant::now());
-            trial.0.store(last, Ordering::Relaxed);
+            trial.last.store(last, Ordering::Relaxed);
+            trial
+                .holder
+                .get_or_init(|| (Arc::downgrade(self), fingerprint));
             metrics::counter!("entry_crash_trials_total").increment(1);
             None
         })
@@ -386,7 +412,8 @@
     }
 
     /// Registers a run for as long as the returned guard lives.
-    pub fn start_run(self: &Arc<Self>, run: Run) -> RunGuard {
+    pub fn start_run(self: &Arc<Self>, run: Run, trial: &Trial) -> RunGuard {
+        trial.sent.store(true, Ordering::Relaxed);
         let mut inner = self.lock();
         inner.started += 1;
         let id = inner.started;
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -391,7 +391,10 @@
         connect_ms: connection.is_fresh().then_some(connect_ms),
         opened: connection.is_fresh().then(|| connection.proven()),
     };
-    running.run = Some((run.clone(), shared.crashes.start_run(run.clone())));
+    running.run = Some((
+        run.clone(),
+        shared.crashes.start_run(run.clone(), &admitted.trial),
+    ));
     let id = shared.unique_id();
     let request = request(admitted, choice, trace, &id);
     let may_follow = admitted.idempotent && retries.attempts < admitted.attempts;
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -520,7 +520,10 @@
         connect_ms: connection.is_fresh().then_some(timing.connect_ms),
         opened: connection.is_fresh().then(|| connection.proven()),
     };
-    running.run = Some((run.clone(), shared.crashes.start_run(run.clone())));
+    running.run = Some((
+        run.clone(),
+        shared.crashes.start_run(run.clone(), &routed.trial),
+    ));
     routed.sent.set(true);
     let limit = end.saturating_duration_since(start);
     let sending = connection.send(request, &header_names.request, id, limit);
--- a/crates/daemon/tests/gateway_crash_signs.rs
+++ b/crates/daemon/tests/gateway_crash_signs.rs
@@ -11,6 +11,7 @@
 use gateway_support::fleet::Fleet;
 use gateway_support::{document, keyed, proven, send_to, status};
 use pomelovale_state::command::QUARANTINE_CRASHES;
+use pomelovale_state::document::MemberState;
 use pomelovaled::gateway::config::GatewayConfig;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -214,3 +215,24 @@
     let answer = send_to(fleet.gateways[0].address(), &request).await;
     assert_eq!(runs.lock().unwrap().len(), before + 1, "{answer}");
 }
+
+/// Guards against a trial that is used up by a copy of the request that reaches no server.
+#[tokio::test]
+async fn trial_that_was_not_sent_is_left_to_the_next_copy() {
+    let (servers, runs) = start_servers(6, PortAfterCrash::Hangs(RESTART)).await;
+    let fleet = start_fleet(&servers, 300).await;
+    let address = fleet.gateways[0].address();
+    let request = keyed("POST", "/once/poison");
+    quarantine(&fleet, &request).await;
+    let before = runs.lock().unwrap().len();
+    let set_all = |state| {
+        fleet.edit(|document| document.backends.values_mut().for_each(|b| b.state = state));
+    };
+    set_all(MemberState::Leaving);
+    sleep(Duration::from_millis(500)).await;
+    let refused = send_to(address, &request).await;
+    assert!(refused.contains("overloaded"), "{refused}");
+    set_all(MemberState::Serving);
+    let answer = send_to(address, &request).await;
+    assert_eq!(runs.lock().unwrap().len(), before + 1, "{answer}");
+}
