Keep the crash reports of the requests with most crashes

When servers ended together with more requests in flight than 256, or no leader accepted reports for a while, the reports of further crashes were dropped, also those of a request that had ended another server before: other instances went on sending it. What waited first was kept, whatever it was.

512 reports wait now, as many as the document has records. Beyond that, those of requests with the fewest crashes are dropped, and of these the oldest ones, as in the document. The most urgent ones are proposed first: answers that clear a record, then requests with most crashes. A further crash of a request reports the earlier ones again if they were dropped.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -613,8 +613,11 @@
             return;
         };
         inner.own.record_crash(now, *fingerprint, &crash);
-        let request = self.request_id(fingerprint, &crash);
-        inner.pending.add_crash(*fingerprint, crash, request);
+        // Reports of earlier crashes may have been dropped.
+        for crash in inner.own.crashes(now, fingerprint).to_vec() {
+            let request = self.request_id(fingerprint, &crash);
+            inner.pending.add_crash(*fingerprint, crash, request);
+        }
         drop(inner);
         self.wake.notify_one();
     }
--- a/crates/daemon/src/crash/reports.rs
+++ b/crates/daemon/src/crash/reports.rs
@@ -1,10 +1,11 @@
 //! Proposals that record and clear crashes, repeated until they are accepted.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_state::command::{Applied, Change, Command, CRASH_RECORDS_MAX};
 use pomelovale_state::document::Digest;
 use pomelovale_state::{Millis, Name};
 use tokio::task::JoinSet;
@@ -12,9 +13,10 @@
 
 use super::CrashTracker;
 
-/// Maximum number of changes that wait for a proposal. When servers end together,
-/// the rest of their requests is not recorded.
-const PENDING_MAX: usize = 256;
+/// Maximum number of changes that wait for a proposal. When servers end together and more of
+/// their requests are reported, those with the fewest crashes are dropped, and of these the
+/// oldest ones, as in the document.
+const PENDING_MAX: usize = CRASH_RECORDS_MAX;
 /// Maximum number of changes that are proposed at the same time.
 const BATCH_MAX: usize = 16;
 /// Pause between two batches, and before a failed proposal is repeated, in
@@ -47,9 +49,12 @@
 pub(super) struct PendingChanges(IndexMap<(Digest, RecordChange), Proposal>);
 
 impl PendingChanges {
-    /// Adds a crash.
+    /// Adds a crash, unless it is pending.
     pub(super) fn add_crash(&mut self, fingerprint: Digest, crash: Name, request: Name) {
-        self.add(fingerprint, RecordChange::Crash(crash), request, 0);
+        let change = RecordChange::Crash(crash);
+        if !self.0.contains_key(&(fingerprint, change.clone())) {
+            self.add(fingerprint, change, request, 0);
+        }
     }
 
     /// Adds the clearing of a record, which replaces the crashes that are pending.
@@ -68,13 +73,30 @@
     }
 
     fn add(&mut self, fingerprint: Digest, change: RecordChange, request: Name, delay_ms: u64) {
-        if self.0.len() >= PENDING_MAX {
-            metrics::counter!("crash_reports_dropped_total").increment(1);
-            return;
-        }
         let due = Instant::now() + Millis(delay_ms).duration();
         self.0
             .insert((fingerprint, change), Proposal { request, due });
+        if self.0.len() > PENDING_MAX {
+            metrics::counter!("crash_reports_dropped_total").increment(1);
+            let ranks = self.ranks();
+            let least = self
+                .0
+                .keys()
+                .enumerate()
+                .min_by_key(|(_, k)| rank(&ranks, k));
+            if let Some((least, _)) = least {
+                self.0.shift_remove_index(least);
+            }
+        }
+    }
+
+    // Number of pending changes of each request.
+    fn ranks(&self) -> IndexMap<Digest, usize> {
+        let mut ranks = IndexMap::new();
+        for (fingerprint, _) in self.0.keys() {
+            *ranks.entry(*fingerprint).or_insert(0) += 1;
+        }
+        ranks
     }
 
     /// Whether a change of the record of a request is pending.
@@ -91,9 +113,14 @@
         self.0.values().map(|p| p.due).min()
     }
 
+    // The most urgent changes that are due.
     fn due(&self, now: Instant) -> Vec<(Digest, RecordChange, Name)> {
+        let ranks = self.ranks();
         let due = self.0.iter().filter(|(_, p)| p.due <= now);
-        due.take(BATCH_MAX)
+        let mut due: Vec<_> = due.collect();
+        due.sort_by_key(|(key, _)| Reverse(rank(&ranks, key)));
+        due.into_iter()
+            .take(BATCH_MAX)
             .map(|((f, change), p)| (*f, change.clone(), p.request.clone()))
             .collect()
     }
@@ -102,11 +129,20 @@
     fn remove(&mut self, fingerprint: Digest, change: RecordChange, request: &Name) {
         let key = (fingerprint, change);
         if self.0.get(&key).is_some_and(|p| p.request == *request) {
-            self.0.swap_remove(&key);
+            self.0.shift_remove(&key);
         }
     }
 }
 
+// How urgent a change is: an answer ends the refusal of a request, and a request with several
+// crashes is to be refused by all instances.
+fn rank(ranks: &IndexMap<Digest, usize>, (fingerprint, change): &(Digest, RecordChange)) -> usize {
+    match change {
+        RecordChange::Clear => usize::MAX,
+        RecordChange::Crash(_) => ranks.get(fingerprint).copied().unwrap_or(0),
+    }
+}
+
 impl CrashTracker {
     /// Proposes the pending changes until the task is aborted.
     pub async fn run(self: Arc<Self>) {
