Abandon a silent attempt only if another server has room

Callers of idempotent requests got 504 after 0.8 s of 2 s although a sound server was at work on their request. An attempt at a server that stays silent for twice the objective was abandoned if the retry budget allowed another one; only then was a server selected for that, and none had room.

The next server is selected before the attempt is abandoned, while the response is still waited for. If there is none, the wait goes on until the deadline. The selected place is given back if it isn't used.

lookup_stays_with_a_slow_server_if_there_is_no_other failed before (504 at 0.8 s) and passes now.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -110,7 +110,7 @@
 }
 
 /// State of a request over its attempts.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Progress {
     tried: Vec<Name>,
     sent: u32,
@@ -125,6 +125,8 @@
     unknown_outcome: Option<ErrorKind>,
     // Whether the request has waited for another look at servers out of reach.
     rechecked: bool,
+    // The next attempt, if its server was selected before the last one was abandoned.
+    next: Option<AttemptGuard>,
 }
 
 impl Progress {
@@ -178,6 +180,24 @@
 }
 
 impl AttemptGuard {
+    fn new(
+        shared: &Arc<Shared>,
+        routed: &Arc<RoutedRequest>,
+        chosen: Chosen,
+        place: Option<Place>,
+    ) -> AttemptGuard {
+        AttemptGuard {
+            shared: shared.clone(),
+            routed: routed.clone(),
+            chosen,
+            place,
+            since: Instant::now(),
+            report: ServerReport::default(),
+            run: None,
+            ended: false,
+        }
+    }
+
     fn end(&mut self, ended: PlacementEnd) {
         if self.ended {
             return;
@@ -303,26 +323,31 @@
         }
         progress.known_crash = shared.crashes.last_crash(|| routed.fingerprint());
         let since = Instant::now();
-        let (verdict, place) = choose(shared, &routed, &progress).await;
-        let chosen = match verdict {
-            PlacementDecision::Send(chosen) => chosen,
-            PlacementDecision::Refuse { .. }
-                if is_own_failure(shared, &routed, &mut progress).await =>
-            {
-                continue;
-            }
-            PlacementDecision::Refuse { retry_ms } => {
-                let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Overloaded);
-                return Err(Refusal { kind, retry_ms });
-            }
+        let running = match progress.next.take() {
+            Some(next) => next,
+            None => match choose(shared, &routed, &progress).await {
+                (PlacementDecision::Send(chosen), place) => {
+                    AttemptGuard::new(shared, &routed, chosen, place)
+                }
+                (PlacementDecision::Refuse { .. }, _)
+                    if is_own_failure(shared, &routed, &mut progress).await =>
+                {
+                    continue;
+                }
+                (PlacementDecision::Refuse { retry_ms }, _) => {
+                    let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Overloaded);
+                    return Err(Refusal { kind, retry_ms });
+                }
+            },
         };
+        let chosen = running.chosen.clone();
         let mut timing = Timing {
-            by_coordinator: place.is_some(),
+            by_coordinator: running.place.is_some(),
             place_ms: since.elapsed().as_millis() as u64,
             connect_ms: 0,
         };
         let since = Instant::now();
-        let (outcome, end) = attempt(shared, &routed, &chosen, place, &progress, &mut timing).await;
+        let (outcome, end) = attempt(shared, &routed, running, &mut progress, &mut timing).await;
         request_log.add_attempt(&chosen, timing, since, end);
         progress.tried.push(chosen.server.clone());
         let may_have_run = matches!(outcome, Outcome::Unknown { .. });
@@ -461,21 +486,12 @@
 async fn attempt(
     shared: &Arc<Shared>,
     routed: &Arc<RoutedRequest>,
-    chosen: &Chosen,
-    place: Option<Place>,
-    progress: &Progress,
+    mut running: AttemptGuard,
+    progress: &mut Progress,
     timing: &mut Timing,
 ) -> (Outcome, &'static str) {
-    let mut running = AttemptGuard {
-        shared: shared.clone(),
-        routed: routed.clone(),
-        chosen: chosen.clone(),
-        place,
-        since: Instant::now(),
-        report: ServerReport::default(),
-        run: None,
-        ended: false,
-    };
+    running.since = Instant::now();
+    let chosen = &running.chosen.clone();
     let connected = connections::connect(shared, chosen.address, routed.left()).await;
     timing.connect_ms = running.since.elapsed().as_millis() as u64;
     let connection = match connected {
@@ -556,29 +572,30 @@
 }
 
 /// Waits for a response. The attempt of an idempotent request is abandoned if
-/// the server stays silent, and the route, the time left and the retry budget
-/// allow a retry. A stopping instance keeps waiting, since it may end before
-/// the retry does.
+/// the server stays silent, the route, the time left and the retry budget
+/// allow a retry, and another server has room for it. A stopping instance keeps
+/// waiting, since it may end before the retry does.
 async fn await_reply(
-    shared: &Shared,
-    routed: &RoutedRequest,
+    shared: &Arc<Shared>,
+    routed: &Arc<RoutedRequest>,
     chosen: &Chosen,
-    progress: &Progress,
+    progress: &mut Progress,
     run: &Run,
     sending: impl Future<Output = Result<Reply, Failure>>,
 ) -> Result<Reply, Failure> {
+    const SILENT: Failure = Failure {
+        fault: ExchangeError::Silent,
+        written: true,
+    };
+    let retries_left = routed.is_idempotent()
+        && !routed.trial.is_taken()
+        && progress.sent + 1 < routed.route.attempts;
     let abandoned = async {
         shared.reach.lost().await;
-        let allowed = routed.is_idempotent()
-            && !routed.trial.is_taken()
-            && progress.sent + 1 < routed.route.attempts;
-        if !allowed || !has_retry_budget(shared, routed) {
+        if !retries_left || !has_retry_budget(shared, routed) {
             std::future::pending::<()>().await;
         }
-        Err(Failure {
-            fault: ExchangeError::Silent,
-            written: true,
-        })
+        Err(SILENT)
     };
     let sending = async {
         tokio::select! {
@@ -598,17 +615,23 @@
     if let Ok(sent) = timeout_at(began + silence[1], &mut sending).await {
         return sent;
     }
-    let retries_left = routed.is_idempotent()
-        && !routed.trial.is_taken()
-        && progress.sent + 1 < routed.route.attempts;
     let is_serving = !shared.leaving.load(Ordering::Relaxed);
     let time = routed.left() > Duration::from_millis(routed.route.objective_ms);
-    match retries_left && is_serving && time && has_retry_budget(shared, routed) {
-        true => Err(Failure {
-            fault: ExchangeError::Silent,
-            written: true,
-        }),
-        false => sending.await,
+    if !retries_left || !is_serving || !time || !has_retry_budget(shared, routed) {
+        return sending.await;
+    }
+    let tried = [&progress.tried[..], std::slice::from_ref(&chosen.server)].concat();
+    let (verdict, place) = tokio::select! {
+        biased;
+        sent = &mut sending => return sent,
+        selected = server_selection::choose(shared, routed, &tried) => selected,
+    };
+    match verdict {
+        PlacementDecision::Send(next) => {
+            progress.next = Some(AttemptGuard::new(shared, routed, next, place));
+            Err(SILENT)
+        }
+        PlacementDecision::Refuse { .. } => sending.await,
     }
 }
 
--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -173,6 +173,19 @@
     assert_eq!(status(&send(&site, &keyed("POST", "/once/x")).await), 504);
 }
 
+/// Guards against a lookup that leaves a slow server for a retry that no server has room for.
+#[tokio::test]
+async fn lookup_stays_with_a_slow_server_if_there_is_no_other() {
+    let response = "HTTP/1.1 200 OK\r\npomelovale-request: q1\r\npomelovale-proof: p\r\ncontent-length: 4\r\n\r\nfine";
+    let server =
+        Server::start(move |_, _| ServerAction::WriteAfter(1_200, response.as_bytes().to_vec()))
+            .await;
+    let site = site(Some(document(&[&server]))).await;
+    let answer = send(&site, &keyed("GET", "/safe/x")).await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert_eq!(server.requests().len(), 1);
+}
+
 /// Guards against a stop that aborts a request while its server still runs it.
 #[tokio::test]
 async fn stop_finishes_requests_in_flight() {
