Keep peer connections after a stall of the process

An instance that had stood still closed its connections to other instances as silent although their messages were in its sockets, and with them lost the questions in progress: the task of a connection that it has opened polls the reader, whose timeout has passed, before the connection that reads the socket.

The reader's timeout now leaves out the time for which the process stood still.

--- a/crates/daemon/tests/control_peers.rs
+++ b/crates/daemon/tests/control_peers.rs
@@ -428,3 +428,41 @@
         assert!(listener.events.is_empty());
     }
 }
+
+/// Guards against a connection that is closed as silent, while the messages of the peer are
+/// in its socket, because this process has stood still.
+#[tokio::test]
+async fn connection_outlasts_a_stall_of_the_process() {
+    let (started, address) = flume::bounded(1);
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async move {
+            let mut config = config("c1", SECRET);
+            config.timings.silence_ms = 10_000;
+            let (sender, _events) = flume::unbounded();
+            let listen = "127.0.0.1:0".parse().unwrap();
+            let server = PeerServer::start(config, listen, sender).await.unwrap();
+            started.send(server.address()).unwrap();
+            tokio::time::sleep(Duration::from_secs(5)).await;
+        });
+    });
+    let config = config("e1", SECRET);
+    let counters = config.counters.clone();
+    let target = PeerAddress {
+        name: Name::from("c1"),
+        address: address.recv().unwrap(),
+    };
+    let (sender, events) = flume::unbounded();
+    let _client = PeerClient::start(config, target, sender);
+    let opened = events.recv_async().await.unwrap();
+    assert!(matches!(opened, PeerEvent::Opened(_)));
+    for _ in 0..3 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(counters.silent.load(Ordering::Relaxed), 0);
+    assert!(events.is_empty());
+    // Keeps the connection open.
+    drop(opened);
+}
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -22,9 +22,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, Instant};
 
 use crate::peer_format::{LinkFormat, UnnamedFormat};
+use crate::stall::timeout;
 
 /// Maximum number of queued messages of a connection. A peer that falls further
 /// behind is disconnected.
--- a/crates/transport/src/stall.rs
+++ b/crates/transport/src/stall.rs
@@ -19,12 +19,12 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Elapsed;
 
-/// Waits for a reply of a peer up to `limit`, which is prolonged if this process stands
+/// Waits for a message of a peer up to `limit`, which is prolonged if this process stands
 /// still meanwhile. A step that ends late does not count, so that at least a fourth of the
-/// limit is left for the reply after a stall.
+/// limit is left for the message after a stall.
 ///
 /// # Errors
-/// There is no reply in time.
+/// There is no message in time.
 pub async fn timeout<F: Future>(limit: Duration, future: F) -> Result<F::Output, Elapsed> {
     let mut future = pin!(future);
     let (steps, steps_max) = STEPS;
