Keep the peer of the test of orders connected

The silent peer was closed after 1.2 s, so that orders that wait for its format were accepted then and the test passed over them: with such a wait put in, it failed at a later assertion only. The peer sends pings now. With the wait put in, the test fails with Unavailable at the first order; without, it passes.

--- a/crates/daemon/tests/control_peers.rs
+++ b/crates/daemon/tests/control_peers.rs
@@ -224,6 +224,20 @@
         }
     }
 
+    /// Sends pings, and a report of the second format once told to.
+    async fn keep_open(mut self, told: flume::Receiver<()>) {
+        let ping = frame::encode(&PeerMessage::Ping).unwrap();
+        let report = PeerMessage::Report(Report::default());
+        let report = encode_message(&report, Format::Second).unwrap();
+        loop {
+            match tokio::time::timeout(Duration::from_millis(100), told.recv_async()).await {
+                Ok(Ok(())) => self.write(report.clone()),
+                Ok(Err(_)) => return,
+                Err(_) => self.write(ping.clone()),
+            }
+        }
+    }
+
     async fn authenticate(&mut self) {
         let secret = Secret::try_from(SECRET.to_string()).unwrap();
         self.authenticate_with(secret).await;
@@ -375,6 +389,8 @@
     let mut raw = RawClient::open(cluster.server(leader).address()).await;
     raw.server = cluster.names[leader].clone();
     raw.authenticate_with(control_kit::secret()).await;
+    let (send_report, told) = flume::bounded(1);
+    tokio::spawn(raw.keep_open(told));
     let replace = Command::ReplaceRouting {
         base: 0,
         routing: Arc::new(Routing {
@@ -398,8 +414,7 @@
     let mut revoked = std::pin::pin!(handle.propose(revoke));
     let waits = tokio::time::timeout(Duration::from_millis(300), &mut revoked).await;
     assert!(waits.is_err(), "{waits:?}");
-    let report = PeerMessage::Report(Report::default());
-    raw.write(encode_message(&report, Format::Second).unwrap());
+    send_report.send(()).unwrap();
     let applied = control_kit::within("the revocation", revoked).await;
     assert!(
         matches!(applied, Ok(Applied::Accepted { .. })),
