Let the test of the seal wait until all members are connected

all_members_are_sealed_with_their_leader failed in 3 of 5 runs: with a member that wasn't connected yet, the leader rightly wrote the revocation in format 1, and nothing was sealed.

--- a/crates/daemon/tests/control_formats.rs
+++ b/crates/daemon/tests/control_formats.rs
@@ -223,6 +223,12 @@
             .propose(leader, change(&format!("r{n}"), command))
             .await;
     }
+    // Only then do all members of the log have named the format.
+    let version = cluster.server(leader).status().version;
+    until("all instances are connected", || {
+        (0..3).all(|i| cluster.server(i).status().version == version)
+    })
+    .await;
     let revoke = Command::RevokeKey(Name::from("k1"));
     cluster.propose(leader, change("revoke", revoke)).await;
     let version = cluster.server(leader).status().version;
