Keep the lock of the crash records usable after a panic

The last lock of both request paths that a panic poisoned for all later requests; the others are mended since, with pool_is_usable_after_a_panic. No panic under this lock is known, and it has no test of its own.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -16,7 +16,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use indexmap::{IndexMap, IndexSet};
 use pomelovale_coordination::control::ControlHandle;
@@ -195,7 +195,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().expect("no panic while held")
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     // Runs `f` on the crashes of a request. The fingerprint is only computed if there
