Read the document under the lock of the crash records

Found by reading: two threads that read the document before they took the lock could follow a newer and then an older one. A record that only the newer one has then looked cleared by another instance, so that a request which ends servers would not be counted for 5 to 10 s.

--- a/crates/daemon/src/crash/mod.rs
+++ b/crates/daemon/src/crash/mod.rs
@@ -205,8 +205,8 @@
         fingerprint: impl FnOnce() -> Digest,
         f: impl FnOnce(&mut Inner, Digest, &[Name], u64) -> R,
     ) -> R {
-        let document = self.view.document();
         let mut inner = self.lock();
+        let document = self.view.document();
         self.follow(&mut inner, &document);
         if document.crashes.is_empty() && inner.own.is_empty() {
             return R::default();
@@ -229,9 +229,9 @@
 
     // Records that a server crashed under a run.
     fn record_crash(&self, run: &Run, sign: Sign) {
-        let (now, document) = (self.clock.now(), self.view.document());
         let fingerprint = &run.fingerprint;
         let mut inner = self.lock();
+        let (now, document) = (self.clock.now(), self.view.document());
         self.follow(&mut inner, &document);
         let (crashes, _) = inner.crashes(&document, now, fingerprint);
         let answered =
@@ -268,6 +268,8 @@
         }
     }
 
+    // `document` must be read under the lock, so that no thread follows an older one after a
+    // newer one: its records would look cleared.
     fn follow(&self, inner: &mut Inner, document: &Arc<Document>) {
         for fingerprint in inner.follow(document, self.clock.now()) {
             self.clear(inner, fingerprint, document);
--- a/crates/daemon/src/crash/runs.rs
+++ b/crates/daemon/src/crash/runs.rs
@@ -85,8 +85,8 @@
     pub async fn watch_runs(self: Arc<Self>) {
         loop {
             sleep(Millis(WATCH_INTERVAL_MS).duration()).await;
-            let document = self.view.document();
             let mut inner = self.lock();
+            let document = self.view.document();
             self.follow(&mut inner, &document);
             let oldest = inner.running.values().map(|run| run.since).min();
             drop(inner);
