Don't deny a route or key by a view that is out of date

Cause: a gateway answered 401 or 404 by a view of any age.

Change: a view that was last proven more than 1.5 s ago may lack what was added since, so such a request is answered 503 stale-view, which tells the caller to come back. Tests that expect a denial keep their view proven.

Result: the three new cases failed before and pass now. A view that is proven in time denies as before.

--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -32,6 +32,9 @@
 const BODY_TIMEOUT_MS: u64 = 10_000;
 /// Timeout of a request whose caller sets none, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+/// Age of the view up to which a route or key that it lacks counts as unknown, in
+/// milliseconds. An older view may lack those that were added since.
+const DENIAL_VIEW_AGE_MAX_MS: u64 = 1_500;
 
 /// Handles one request of a caller.
 pub(super) async fn answer(
@@ -184,11 +187,11 @@
         return Err(ErrorKind::HeaderTooLarge.into());
     }
     let host = host(&parts)?;
-    let Some(route) = routing.route(&host, parts.uri.path()) else {
-        return Err(ErrorKind::NotFound.into());
-    };
+    let route = routing.route(&host, parts.uri.path());
+    let route = route.ok_or_else(|| denial(shared, ErrorKind::NotFound))?;
     request_log.route = route.name.clone();
-    let workspace = workspace(&routing, route, &parts.headers)?;
+    let workspace = workspace(&routing, route, &parts.headers);
+    let workspace = workspace.map_err(|kind| denial(shared, kind))?;
     request_log.workspace.clone_from(&workspace);
     let limit = HeaderNames::parse_integer(&parts.headers, &header_names.deadline)
         .unwrap_or(DEFAULT_TIMEOUT_MS);
@@ -234,6 +237,15 @@
     result
 }
 
+// Refusal of a request for a route or with a key that the view lacks. An instance whose view
+// is out of date does not know whether it still lacks them.
+fn denial(shared: &Shared, kind: ErrorKind) -> Refusal {
+    match shared.view.age(shared.clock.now()) > DENIAL_VIEW_AGE_MAX_MS {
+        true => ErrorKind::StaleView.into(),
+        false => kind.into(),
+    }
+}
+
 // Size of the header section, without optional white space.
 fn head_bytes(headers: &HeaderMap) -> u64 {
     let lines = headers.iter();
@@ -260,7 +272,7 @@
     routing: &Routing,
     route: &HostRoute,
     headers: &HeaderMap,
-) -> Result<Option<Name>, Refusal> {
+) -> Result<Option<Name>, ErrorKind> {
     if route.open || routing.workspaces.is_empty() {
         return Ok(None);
     }
--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -16,6 +16,7 @@
 use pomelovale_state::document::{Backend, Document};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 /// Guards against forwarding the key, or a workspace header set by the caller,
 /// to a backend server, and against forwarding a request without its expected
@@ -51,6 +52,7 @@
         $($(#[$doc])* #[tokio::test] async fn $name() {
             let server = Server::start(|_, _| proven("200 OK", "fine")).await;
             let site = site(Some(document(&[&server]))).await;
+            site.prove_for_the_test();
             let answer = send(&site, &$request).await;
             assert_eq!(status(&answer), $status, "{answer}");
             assert!(server.requests().is_empty());
@@ -79,6 +81,30 @@
     assert!(!site.gateway.readiness().is_ready());
 }
 
+/// Age of a view that may lack a route or key which others have, in milliseconds.
+const OLD_VIEW_MS: u64 = 1_600;
+
+macro_rules! refusals_of_an_old_view {
+    ($($(#[$doc:meta])* $name:ident($request:expr);)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let site = site(Some(document(&[]))).await;
+            sleep(Duration::from_millis(OLD_VIEW_MS)).await;
+            let answer = send(&site, &$request).await;
+            assert_eq!(status(&answer), 503, "{answer}");
+            assert!(answer.to_ascii_lowercase().contains("retry-after"), "{answer}");
+        })*
+    };
+}
+
+refusals_of_an_old_view! {
+    /// Guards against a 401 for a key that was added after the last proof of the view.
+    key_that_an_old_view_lacks_is_not_denied(request("GET", "/safe/x", "authorization: Bearer nobody\r\n"));
+    /// Guards against a 404 for a route that was added after the last proof of the view.
+    route_that_an_old_view_lacks_is_not_denied(keyed("GET", "/other/x"));
+    /// Guards against a 401 on a route that was opened to all after the last proof of the view.
+    missing_key_is_not_denied_by_an_old_view(request("GET", "/safe/x", ""));
+}
+
 /// Guards against an open route that requires a key.
 #[tokio::test]
 async fn open_route_needs_no_key() {
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -188,6 +188,11 @@
         self.view.publish(document);
         self.view.prove(Millis(0));
     }
+
+    /// Keeps the view current for the whole test.
+    pub fn prove_for_the_test(&self) {
+        self.view.prove(Millis(600_000));
+    }
 }
 
 /// Starts connected gateways of one failure domain. The first one is the
