Forward responses above 32 kB while they are received

Cause: a gateway held responses of up to 256 KiB whole before their first byte. On the grown Dakar deployment (90 kB on average on links of 6.3 Mbit/s) each of them filled the link once on its way in and again, in one piece, on its way out, and everything else on the link waited behind it.

Change: responses of up to 32 KiB are held, so that another server can be tried when they break off; larger ones are forwarded at once.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -43,7 +43,9 @@
     /// has arrived of those of unknown length.
     pub held_bytes: usize,
     /// Size in bytes up to which a response is buffered whole before any of it
-    /// is sent to the caller.
+    /// is sent to the caller, so that another server can be tried if it breaks off. A
+    /// larger one is forwarded while it is received: held back, it would pass the link
+    /// twice before its caller has the first byte.
     pub answer_bytes: usize,
     /// Timeout for opening a connection to a backend server.
     pub connect_ms: u64,
@@ -92,7 +94,7 @@
             header_names: HeaderNames::default(),
             server: ServerLimits::default(),
             held_bytes: 64 * 1024 * 1024,
-            answer_bytes: 256 * 1024,
+            answer_bytes: 32 * 1024,
             connect_ms: 400,
             pause_ms: 400,
             idle_ms: 6_000,
