Follow the domains of the server list that could be read

Cause: a long list is read by failure domain in parallel, and one page that failed or took more than 800 ms discarded the whole read. With nine domains behind lossy or busy links, servers that leave were learned of a second later for each such page.

Change: the domains that were read are followed at once; the servers of the others stay as they are. Only a read that fails as a whole counts as the list being out of reach.

--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -56,33 +56,62 @@
 /// Reads the servers of the given failure domain, or of all domains.
 pub type FetchServers = Arc<dyn Fn(Option<Name>) -> FetchFuture + Send + Sync>;
 
+/// What a read of the whole list has found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// The servers that were read.
+    pub servers: Vec<ListedServer>,
+    /// Number of calls made to read them.
+    pub calls: usize,
+    /// Failure domains that could not be read, and why. Their servers are unknown.
+    pub unread: Vec<(Name, String)>,
+}
+
 /// Reads the list, by failure domain in parallel if `by_domain` is set. The pages
 /// of one list are read one after another and take a round trip each, which is
-/// slow for a long list.
-async fn read(
+/// slow for a long list. A domain that can't be read does not hold back the others.
+///
+/// # Errors
+/// Why nothing could be read.
+pub async fn read(
     fetch: &FetchServers,
     domains: &[Name],
     by_domain: bool,
-) -> Result<ServerList, String> {
+) -> Result<Listing, String> {
     if !by_domain {
-        return fetch(None).await;
+        let ServerList { servers, calls } = fetch(None).await?;
+        return Ok(Listing {
+            servers,
+            calls,
+            unread: Vec::new(),
+        });
     }
     let mut reads = JoinSet::new();
     for domain in domains {
-        reads.spawn(fetch(Some(domain.clone())));
+        let part = fetch(Some(domain.clone()));
+        let domain = domain.clone();
+        reads.spawn(async move { (domain, part.await) });
     }
-    let mut whole = ServerList::default();
+    let mut whole = Listing::default();
     while let Some(read) = reads.join_next().await {
-        let part = read.map_err(|e| e.to_string())??;
-        whole.servers.extend(part.servers);
-        whole.calls += part.calls;
+        match read.map_err(|e| e.to_string())? {
+            (_, Ok(part)) => {
+                whole.servers.extend(part.servers);
+                whole.calls += part.calls;
+            }
+            (domain, Err(cause)) => whole.unread.push((domain, cause)),
+        }
+    }
+    match whole.unread.first() {
+        Some((_, cause)) if whole.unread.len() == domains.len() => Err(cause.clone()),
+        _ => Ok(whole),
     }
-    Ok(whole)
 }
 
 /// Applies changes of the list to the document until the task is aborted.
 pub async fn run(control: Arc<ControlServer>, fetch: FetchServers, clock: Clock, pause_ms: u64) {
     let (mut reachable, mut by_domain) = (true, false);
+    let mut unread: Vec<Name> = Vec::new();
     loop {
         // Reading a long list takes many calls, each of which has a cost, so it is
         // read half as often.
@@ -96,9 +125,9 @@
         let regions = document.regions.values();
         let domains: Vec<Name> = regions.flat_map(|r| r.domains.clone()).collect();
         let listed = match read(&fetch, &domains, by_domain).await {
-            Ok(part) => {
-                by_domain |= part.calls > SEQUENTIAL_CALLS_MAX;
-                part.servers
+            Ok(listing) => {
+                by_domain |= listing.calls > SEQUENTIAL_CALLS_MAX;
+                listing
             }
             Err(cause) => {
                 metrics::counter!("discovery_failures_total").increment(1);
@@ -113,6 +142,13 @@
                 continue;
             }
         };
+        metrics::counter!("discovery_failures_total").increment(listed.unread.len() as u64);
+        for (domain, cause) in &listed.unread {
+            if !unread.contains(domain) {
+                tracing::warn!(event = "dependency", name = "server list", up = false, %domain, cause);
+            }
+        }
+        unread = listed.unread.iter().map(|(name, _)| name.clone()).collect();
         if !std::mem::replace(&mut reachable, true) {
             tracing::info!(event = "dependency", name = "server list", up = true);
         }
@@ -146,18 +182,21 @@
 }
 
 /// Returns the commands that make the backend servers of the document equal to the
-/// list. Servers of unknown services or failure domains are ignored.
-pub fn changes(document: &Document, listed: &[ListedServer]) -> Vec<Command> {
-    let wanted = listed.iter().filter_map(|l| {
+/// list. Servers of unknown services or failure domains are ignored, and those of
+/// failure domains that were not read stay as they are.
+pub fn changes(document: &Document, listed: &Listing) -> Vec<Command> {
+    let is_read = |domain: &Name| listed.unread.iter().all(|(unread, _)| unread != domain);
+    let wanted = listed.servers.iter().filter_map(|l| {
         let backend = backend(document, l)?;
         Some((&l.name, backend))
     });
     let wanted: IndexMap<&Name, Backend> = wanted.collect();
-    let removed = document
+    let gone = document
         .backends
-        .keys()
-        .filter(|n| !wanted.contains_key(*n));
-    let mut commands: Vec<Command> = removed.cloned().map(Command::RemoveBackend).collect();
+        .iter()
+        .filter(|(n, b)| !wanted.contains_key(*n) && is_read(&b.domain));
+    let removed = gone.map(|(name, _)| Command::RemoveBackend(name.clone()));
+    let mut commands: Vec<Command> = removed.collect();
     for (name, backend) in wanted {
         let known = document.backends.get(name);
         let backend = match known.map(|k| k.state) {
