Keep objects on their server where many instances place beside each other

Cause: a request left the server that holds its object as soon as another one cost half of the work less. One of many gateways that place requests beside each other knows a small part of the load, so each left at another moment for another server, where the object was cold and took 3.3 times as long. All slots were then busy with cold work, and stayed so.

Change: an instance that is one of more than eight, or that stands in for a coordinator which it can't ask, counts the loss of the object four times instead of half. Coordinators and small sites decide as before.

--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -282,6 +282,8 @@
             service_state.coordinator = own
                 .map(|(_, peer)| peer.clone())
                 .filter(|peer| peer.name != self.instance);
+            let is_fallback = service_state.coordinator.is_some();
+            service_state.placement.set_fallback(is_fallback);
             let warmup_instances: Vec<Name> = match coordinators_by_domain.is_empty() {
                 true => self
                     .gateways_in_region(document)
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -14,6 +14,15 @@
 /// relative to the work of a request on a server that holds its object. Without
 /// it, all objects end up on all servers, and evict each other there.
 const NON_PRIMARY_PENALTY: f64 = 0.5;
+/// The same for one of many instances that place requests beside each other. Each knows a
+/// small part of the load, and leaves the highest-ranked server at another moment for another
+/// server. With a lower cost, a busy region whose objects are cold stays so: requests leave
+/// busy servers for others that don't hold their object, where they take longer, so that
+/// all servers stay busy.
+const MANY_INSTANCES_PENALTY: f64 = 4.0;
+/// Number of instances of a region that may place requests beside each other for
+/// [`NON_PRIMARY_PENALTY`].
+const FEW_INSTANCES: usize = 8;
 /// Number of instances that may send to one cold server. Each may send one
 /// request ahead of its rate, so more of them would overload the server.
 const WARMUP_INSTANCES_MAX: usize = 4;
@@ -61,8 +70,7 @@
         // object instead of one for each failure domain, since loading an object
         // once more costs more than the round trip to another domain.
         let one_per_region = !ranking.has_local || self.miss_weight > 0.0;
-        let non_primary_penalty =
-            NON_PRIMARY_PENALTY * work.expected(Held::Known, request.objective_ms);
+        let non_primary_penalty = self.penalty() * work.expected(Held::Known, request.objective_ms);
         let mean_work = self.mean_work.expected(Held::Known, request.objective_ms);
         let mut best: Option<Candidate> = None;
         for index in ranking.candidates {
@@ -115,6 +123,14 @@
         best
     }
 
+    // Cost of another server than the highest-ranked one, relative to the work there.
+    fn penalty(&self) -> f64 {
+        match self.is_fallback || self.warmup_peers.len() >= FEW_INSTANCES {
+            true => MANY_INSTANCES_PENALTY,
+            false => NON_PRIMARY_PENALTY,
+        }
+    }
+
     // Lists the servers that may get a request, and ranks them by rendezvous
     // hashing of its object.
     fn rank_servers(
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -100,6 +100,9 @@
     mean_work: WorkEstimate,
     // Weight of the extra work of loading an object, which delays other requests.
     miss_weight: f64,
+    // Whether another instance places the requests of this failure domain, and this one
+    // only those that the other one can't be asked about.
+    is_fallback: bool,
     // Whether the view of this instance is out of date.
     is_isolated: bool,
     // A server whose limit has started or ended by its last answer, and the limit.
@@ -143,6 +146,7 @@
             work: IndexMap::new(),
             mean_work: WorkEstimate::default(),
             miss_weight: 0.0,
+            is_fallback: false,
             is_isolated: false,
             limit_change: None,
         }
@@ -157,6 +161,12 @@
         self.warmup_peers = all.into_iter().filter(|name| name != own).collect();
     }
 
+    /// Sets whether another instance places the requests of this failure domain, and this
+    /// one only those that the other one can't be asked about.
+    pub fn set_fallback(&mut self, is_fallback: bool) {
+        self.is_fallback = is_fallback;
+    }
+
     /// Counts a request of this instance, for which another instance has chosen
     /// the server, towards the load of that server.
     pub fn record_remote_placement(&mut self, now: Millis, object: u64, chosen: &Chosen) {
