Ask a slow coordinator for few of the requests

Cause: a gateway waited up to 90 ms for its coordinator, and only three missed replies in a row made it choose by itself, for 300 ms.

Change: each gateway keeps the mean time to a reply; above 30 ms the coordinator is asked for one request in 16, which notices when it is fast again. gateway_coordinator_skipped_total counts the others.

--- a/crates/daemon/src/gateway/coordinator_client.rs
+++ b/crates/daemon/src/gateway/coordinator_client.rs
@@ -21,6 +21,15 @@
 const MISSED_MAX: u32 = 3;
 /// Time for which this instance then selects servers itself, in milliseconds.
 const LOCAL_PLACEMENT_MS: u64 = 300;
+/// Mean time to a reply above which a coordinator is slow, in milliseconds. It delays
+/// requests by more than its choice of a server gains, as it does where large responses
+/// share a narrow link with its messages.
+const SLOW_REPLY_MS: f64 = 30.0;
+/// Weight of a new sample in the mean time to a reply.
+const REPLY_SAMPLE_WEIGHT: f64 = 0.1;
+/// A slow coordinator is asked to choose for one in this many requests, so that it is
+/// noticed when its replies are fast again.
+const SLOW_ASKED_ONE_IN: u64 = 16;
 /// Pause between two attempts to connect, in milliseconds.
 const RECONNECT_MS: u64 = 400;
 /// Capacity of the queue of events.
@@ -82,6 +91,31 @@
     missed: u32,
     missed_at: Millis,
     local_until: Millis,
+    reply_time: ReplyTime,
+}
+
+/// Mean time of a coordinator to a reply, by which it is asked or not.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReplyTime {
+    mean_ms: f64,
+    // Requests since it became slow.
+    skipped: u64,
+}
+
+impl ReplyTime {
+    fn record(&mut self, spent_ms: u64) {
+        self.mean_ms += REPLY_SAMPLE_WEIGHT * (spent_ms as f64 - self.mean_ms);
+    }
+
+    // Whether the coordinator is to be asked for the next request.
+    fn is_worth_asking(&mut self) -> bool {
+        if self.mean_ms <= SLOW_REPLY_MS {
+            self.skipped = 0;
+            return true;
+        }
+        self.skipped += 1;
+        self.skipped.is_multiple_of(SLOW_ASKED_ONE_IN)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -133,6 +167,7 @@
                 missed: 0,
                 missed_at: Millis(0),
                 local_until: Millis(0),
+                reply_time: ReplyTime::default(),
             });
             let ended = peer.session.as_ref().is_none_or(JoinHandle::is_finished);
             let due = peer.tried.is_none_or(|at| now.since(at) >= RECONNECT_MS);
@@ -158,8 +193,13 @@
         let asked = self.clock.now();
         let (id, answer) = {
             let mut inner = self.lock();
-            let peer = inner.peers.get(name).filter(|p| p.local_until <= asked)?;
+            let peer = inner.peers.get_mut(name);
+            let peer = peer.filter(|p| p.local_until <= asked)?;
             let link = peer.link.clone()?;
+            if !peer.reply_time.is_worth_asking() {
+                metrics::counter!("gateway_coordinator_skipped_total").increment(1);
+                return None;
+            }
             inner.last += 1;
             let id = inner.last;
             let (reply, answer) = oneshot::channel();
@@ -169,11 +209,15 @@
             inner.waiting.insert(id, (link, reply));
             (id, answer)
         };
-        if let Ok(answered) = timeout(Millis(WAIT_MS).duration(), answer).await {
-            return answered.ok().flatten();
-        }
+        let answered = timeout(Millis(WAIT_MS).duration(), answer).await;
         let now = self.clock.now();
         let mut inner = self.lock();
+        if let Some(peer) = inner.peers.get_mut(name) {
+            peer.reply_time.record(now.since(asked));
+        }
+        if let Ok(answered) = answered {
+            return answered.ok().flatten();
+        }
         inner.waiting.swap_remove(&id);
         metrics::counter!("gateway_coordinator_unanswered_total").increment(1);
         // Questions that were asked at the same time count as one.
