--- a/crates/steering/tests/warmth.rs
+++ b/crates/steering/tests/warmth.rs
@@ -46,7 +46,7 @@
     // How many times as long a server takes.
     fn factor(&self, now: u64, server: usize) -> u64 {
         match self.slow_one_in {
-            n if n > 0 && server % n == 0 && now >= WARMUP_MS => SLOWDOWN,
+            n if n > 0 && server.is_multiple_of(n) && now >= WARMUP_MS => SLOWDOWN,
             _ => 1,
         }
     }
@@ -155,7 +155,7 @@
                 self.ends.pop();
                 self.finish(now, job, server);
             }
-            if now % STEP_MS == 0 {
+            if now.is_multiple_of(STEP_MS) {
                 self.instances.iter_mut().for_each(|i| i.tick(Millis(now)));
             }
             while arrival <= now as f64 {
