Keep at most 64 KiB under way to an entry on a connection

Cause: the flow-control window of a peer connection is 1 MiB, so that a sender may queue several seconds of a 2 Mbit/s link. Answers to calls, proofs and small changes wait behind it, and the sender can't tell that the link is behind.

Change: entries grant 64 KiB; control instances keep 1 MiB for the log.

--- a/crates/transport/src/peer_client.rs
+++ b/crates/transport/src/peer_client.rs
@@ -16,9 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::peer_format::{self, LinkFormat};
-use crate::peer_link::{
-    self, CountingStream, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS, WINDOW_BYTES,
-};
+use crate::peer_link::{self, CountingStream, Frames, LinkEnd, PeerConfig, PeerEvent, FLUSH_MS};
 use crate::socket::{self, Remote};
 
 /// Request path of the single HTTP/2 stream of a peer connection.
@@ -93,10 +91,11 @@
         }
         _ => return false,
     };
+    let window = peer_link::window_bytes(config.role);
     let mut builder = client::Builder::new();
     builder
-        .initial_window_size(WINDOW_BYTES)
-        .initial_connection_window_size(WINDOW_BYTES)
+        .initial_window_size(window)
+        .initial_connection_window_size(window)
         .enable_push(false);
     let (requests, connection) = match timeout(limit, builder.handshake(socket)).await {
         Ok(Ok(opened)) => opened,
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -34,6 +34,17 @@
 const BULK_QUEUE_MAX: usize = 4;
 /// HTTP/2 flow-control window of the connection and of its stream.
 pub(crate) const WINDOW_BYTES: u32 = 1024 * 1024;
+/// The same for what an entry receives. Messages behind a large one wait for no more than
+/// this on a narrow link.
+const ENTRY_WINDOW_BYTES: u32 = 64 * 1024;
+
+/// Flow-control window for what an instance with this role receives.
+pub(crate) fn window_bytes(role: Role) -> u32 {
+    match role {
+        Role::Control => WINDOW_BYTES,
+        Role::Entry => ENTRY_WINDOW_BYTES,
+    }
+}
 /// Timeout for writing buffered frames when a connection is closed.
 pub(crate) const FLUSH_MS: u64 = 200;
 
@@ -201,6 +212,12 @@
         sent
     }
 
+    /// Whether messages wait for the connection, since the peer receives them more slowly
+    /// than they are queued.
+    pub fn has_backlog(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
     /// Sends the chunks of a large message with lower priority than other messages.
     /// Returns false and sends nothing while an earlier large message is being queued.
     pub fn send_bulk(&self, chunks: impl Iterator<Item = PeerMessage> + Send + 'static) -> bool {
