Leave out routing tables that a later one supersedes on busy links

Cause: each replacement of the routing table was sent whole to each gateway, at about 40 kB for 190 workspaces. Eight within two seconds take more than a second of a 2 Mbit/s link, and changes behind them, such as that a server leaves, wait for it. A table also counted with its operator's text, so that a whole document looked smaller than the changes that it replaced.

Change: while messages wait for the connection of a subscriber, changes of more than 8 KiB are held back, and tables that a later one supersedes are replaced by changes without effect. The later table then follows the one that the subscriber has. Tables that define other services or workspaces are sent. Sizes count without the operator's text.

--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -369,12 +369,17 @@
         self.unpublished_results
             .push((change.request.clone(), applied));
         if version > before {
+            let source_bytes = match &change.command {
+                Command::ReplaceRouting { source, .. } => source.len(),
+                _ => 0,
+            };
             let delta = Delta {
                 position: entry.position(),
                 version,
                 change: without_routing_source(change),
             };
-            self.feed.add(delta, payload.len());
+            self.feed
+                .add(delta, payload.len().saturating_sub(source_bytes));
             let (now, document) = (self.clock.now(), &self.machine.document);
             self.leader
                 .iter_mut()
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -6,7 +6,10 @@
 use pomelovale_protocol::format::{encode_document, Format};
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{split_into_chunks, Content, Delta, PeerMessage, Proof, Renew};
+use pomelovale_state::command::{Change, Command};
+use pomelovale_state::digest::Digest;
 use pomelovale_state::document::Document;
+use pomelovale_state::routing::Routing;
 use pomelovale_state::{Millis, Name};
 use pomelovale_transport::peer_link::PeerLink;
 
@@ -16,6 +19,9 @@
 /// Maximum encoded size of all kept changes. Decoded, they take four times as
 /// much memory.
 const RECENT_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Encoded size of the changes that are still to be sent to a subscriber up to which they
+/// are sent although earlier messages wait for its connection.
+const BACKLOG_MAX_BYTES: usize = 8 * 1024;
 /// Time that an encoded document is reused for other subscribers that load it,
 /// in milliseconds.
 const ENCODED_TTL_MS: u64 = 5_000;
@@ -35,11 +41,79 @@
     progress: Progress,
 }
 
+#[derive(Clone)]
 struct RecentChange {
     delta: Arc<Delta>,
     size: usize,
 }
 
+impl RecentChange {
+    fn table(&self) -> Option<(u64, &Arc<Routing>)> {
+        match &self.delta.change.command {
+            Command::ReplaceRouting { base, routing, .. } => Some((*base, routing)),
+            _ => None,
+        }
+    }
+
+    // The same change with another command.
+    fn with_command(&self, command: Command) -> RecentChange {
+        let change = Change {
+            command,
+            ..self.delta.change.clone()
+        };
+        RecentChange {
+            delta: Arc::new(Delta {
+                change,
+                ..(*self.delta).clone()
+            }),
+            size: self.size,
+        }
+    }
+}
+
+// Encoded size of changes.
+fn size(changes: &[RecentChange]) -> usize {
+    changes.iter().map(|r| r.size).sum()
+}
+
+/// Replaces routing tables that a later one of the same changes supersedes by changes
+/// without effect, so that versions stay without gaps. The last table then follows the one
+/// that the first of them has followed. Tables that define other services or workspaces have
+/// effects beside the table, and are kept.
+fn drop_superseded_tables(changes: &mut [RecentChange]) {
+    let Some(last) = changes.iter().rposition(|r| r.table().is_some()) else {
+        return;
+    };
+    let Some((_, newest)) = changes[last].table().map(|(base, t)| (base, t.clone())) else {
+        return;
+    };
+    let defines_same = |table: &Routing| {
+        table.services.keys().eq(newest.services.keys()) && table.workspaces == newest.workspaces
+    };
+    let mut first_base = None;
+    for change in changes[..last].iter_mut().rev() {
+        match change.table() {
+            None => {}
+            Some((base, table)) if defines_same(table) => {
+                first_base = Some(base);
+                // There is no record of a crash with this fingerprint.
+                *change = RecentChange {
+                    size: 0,
+                    ..change.with_command(Command::ClearCrash(Digest([0; 32])))
+                };
+            }
+            Some(_) => break,
+        }
+    }
+    if let Some(base) = first_base {
+        changes[last] = changes[last].with_command(Command::ReplaceRouting {
+            base,
+            routing: newest,
+            source: Arc::from(""),
+        });
+    }
+}
+
 /// Values of a proof that come from the state of the log, not from the feed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ProofContext {
@@ -137,7 +211,9 @@
         self.subscribers.remove(&id);
     }
 
-    /// Sends new changes to every subscriber that was sent all earlier ones.
+    /// Sends new changes to every subscriber that was sent all earlier ones. Large ones,
+    /// such as routing tables, are kept while earlier messages wait for its connection: the
+    /// next one may supersede them.
     pub(super) fn push(&mut self, context: &ProofContext) {
         if !context.is_proven() {
             return;
@@ -146,9 +222,23 @@
         self.encoded = self.encoded.take().filter(is_recent);
         let ids: Vec<u64> = self.subscribers.keys().copied().collect();
         for id in ids {
-            if let Some(Progress::Current(sent)) = self.subscribers.get(&id).map(|s| s.progress) {
-                self.send_changes(id, sent, None, context);
+            let Some(Subscriber {
+                link,
+                progress: Progress::Current(sent),
+            }) = self.subscribers.get(&id)
+            else {
+                continue;
+            };
+            let sent = *sent;
+            if sent.index < self.base.index {
+                // It loads the document with its next renewal.
+                continue;
             }
+            let changes = self.changes_after(sent);
+            if changes.is_empty() || link.has_backlog() && size(&changes) > BACKLOG_MAX_BYTES {
+                continue;
+            }
+            self.send_changes(id, sent, None, changes, context);
         }
     }
 
@@ -189,16 +279,25 @@
         document: &Document,
         context: &ProofContext,
     ) {
-        let missed = self.recent.iter().rev();
-        let missed = missed.take_while(|r| r.delta.position.index > held.index);
-        let missed: usize = missed.map(|r| r.size).sum();
+        let changes = self.changes_after(held);
+        let missed = size(&changes);
         let document_is_smaller = self.document_size.is_some_and(|size| size < missed);
         match held.index < self.base.index || document_is_smaller {
             true => self.load(id, seq, document, context),
-            false => self.send_changes(id, held, seq, context),
+            false => self.send_changes(id, held, seq, changes, context),
         }
     }
 
+    // The changes after a position, as they are sent to a subscriber that has all earlier ones.
+    fn changes_after(&self, held: Position) -> Vec<RecentChange> {
+        let start = self
+            .recent
+            .partition_point(|r| r.delta.position.index <= held.index);
+        let mut changes: Vec<RecentChange> = self.recent.range(start..).cloned().collect();
+        drop_superseded_tables(&mut changes);
+        changes
+    }
+
     fn load(&mut self, id: u64, seq: Option<u64>, document: &Document, context: &ProofContext) {
         self.send_proof(id, seq, context, Vec::new());
         let position = self.position;
@@ -229,27 +328,28 @@
         }
     }
 
-    fn send_changes(&mut self, id: u64, sent: Position, seq: Option<u64>, context: &ProofContext) {
-        let start = self
-            .recent
-            .partition_point(|r| r.delta.position.index <= sent.index);
+    fn send_changes(
+        &mut self,
+        id: u64,
+        sent: Position,
+        seq: Option<u64>,
+        changes: Vec<RecentChange>,
+        context: &ProofContext,
+    ) {
         let (mut groups, mut size) = (vec![Vec::new()], 0);
-        for r in self.recent.range(start..) {
+        for r in changes {
             if size > 0 && size + r.size > GROUP_MAX_BYTES {
                 groups.push(Vec::new());
                 size = 0;
             }
             size += r.size;
             if let Some(group) = groups.last_mut() {
-                group.push(r.delta.clone());
+                group.push(r.delta);
             }
         }
         if let Some(s) = self.subscribers.get_mut(&id) {
             s.progress = Progress::Current(sent.max(self.position));
         }
-        if seq.is_none() && start == self.recent.len() {
-            return;
-        }
         for changes in groups {
             self.send_proof(id, seq, context, changes);
         }
--- a/crates/daemon/tests/control_kit/mod.rs
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -70,6 +70,8 @@
     opened: Arc<AtomicU64>,
     // Highest identifier of the connections that are silent for good.
     silent: Arc<AtomicU64>,
+    // Bytes per second towards the client; 0 for no limit.
+    rate: Arc<AtomicU64>,
 }
 
 impl Proxy {
@@ -81,8 +83,10 @@
             mode: Arc::default(),
             opened: Arc::default(),
             silent: Arc::default(),
+            rate: Arc::default(),
         };
         let (target, mode) = (proxy.target.clone(), proxy.mode.clone());
+        let rate = proxy.rate.clone();
         let (opened, silent) = (proxy.opened.clone(), proxy.silent.clone());
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
@@ -92,7 +96,7 @@
                     mode.load(Ordering::SeqCst) == PASS && silent.load(Ordering::SeqCst) < id
                 };
                 let target = *target.lock().unwrap();
-                tokio::spawn(forward(socket, target, passes));
+                tokio::spawn(forward(socket, target, passes, rate.clone()));
             }
         });
         proxy
@@ -102,6 +106,16 @@
         *self.target.lock().unwrap() = target;
     }
 
+    /// Number of connections that were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::SeqCst)
+    }
+
+    /// Limits the bytes per second towards the client of each connection.
+    pub fn limit_rate(&self, rate: u64) {
+        self.rate.store(rate, Ordering::SeqCst);
+    }
+
     /// Makes all connections silent, including new ones, or lets new ones pass
     /// again. Connections that were silenced stay silent.
     pub fn cut(&self, cut: bool) {
@@ -123,6 +137,7 @@
     mut socket: TcpStream,
     target: Option<SocketAddr>,
     passes: impl Fn() -> bool + Clone,
+    rate: Arc<AtomicU64>,
 ) {
     let Some(target) = target else {
         return;
@@ -151,7 +166,13 @@
         let mut buffer = [0; 16 * 1024];
         loop {
             match server_in.read(&mut buffer).await {
-                Ok(n) if has_data_to_pass(&passes, n) => client_out.write_all(&buffer[..n]).await?,
+                Ok(n) if has_data_to_pass(&passes, n) => {
+                    if let rate @ 1.. = rate.load(Ordering::SeqCst) {
+                        let spent = Duration::from_secs_f64(n as f64 / rate as f64);
+                        tokio::time::sleep(spent).await;
+                    }
+                    client_out.write_all(&buffer[..n]).await?;
+                }
                 Ok(n) if n > 0 => {}
                 _ if passes() => return std::io::Result::Ok(()),
                 _ => std::future::pending().await,
