Stay with the holder of an object only beside many instances

Cause: a gateway that stood in for its coordinator counted the loss of the object four times also in small sites, where two or three gateways of a domain know most of the load.

Change: the cost depends on the number of instances of the region that place requests beside this one: the coordinators, or all gateways for one that can't ask its coordinator. Up to eight decide as before the change.

--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -282,8 +282,13 @@
             service_state.coordinator = own
                 .map(|(_, peer)| peer.clone())
                 .filter(|peer| peer.name != self.instance);
-            let is_fallback = service_state.coordinator.is_some();
-            service_state.placement.set_fallback(is_fallback);
+            // An instance that can't ask its coordinator places beside all others that can't.
+            let instances = match &service_state.coordinator {
+                None if !coordinators_by_domain.is_empty() => coordinators_by_domain.len(),
+                Some(_) | None => self.gateways_in_region(document).count(),
+            };
+            let placement = &mut service_state.placement;
+            placement.set_instances_beside(instances.saturating_sub(1));
             let warmup_instances: Vec<Name> = match coordinators_by_domain.is_empty() {
                 true => self
                     .gateways_in_region(document)
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -125,9 +125,9 @@
 
     // Cost of another server than the highest-ranked one, relative to the work there.
     fn penalty(&self) -> f64 {
-        match self.is_fallback || self.warmup_peers.len() >= FEW_INSTANCES {
-            true => MANY_INSTANCES_PENALTY,
-            false => NON_PRIMARY_PENALTY,
+        match self.instances_beside < FEW_INSTANCES {
+            true => NON_PRIMARY_PENALTY,
+            false => MANY_INSTANCES_PENALTY,
         }
     }
 
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -100,9 +100,8 @@
     mean_work: WorkEstimate,
     // Weight of the extra work of loading an object, which delays other requests.
     miss_weight: f64,
-    // Whether another instance places the requests of this failure domain, and this one
-    // only those that the other one can't be asked about.
-    is_fallback: bool,
+    // Number of other instances of the region that place requests of their own beside this one.
+    instances_beside: usize,
     // Whether the view of this instance is out of date.
     is_isolated: bool,
     // A server whose limit has started or ended by its last answer, and the limit.
@@ -146,7 +145,7 @@
             work: IndexMap::new(),
             mean_work: WorkEstimate::default(),
             miss_weight: 0.0,
-            is_fallback: false,
+            instances_beside: 0,
             is_isolated: false,
             limit_change: None,
         }
@@ -161,10 +160,10 @@
         self.warmup_peers = all.into_iter().filter(|name| name != own).collect();
     }
 
-    /// Sets whether another instance places the requests of this failure domain, and this
-    /// one only those that the other one can't be asked about.
-    pub fn set_fallback(&mut self, is_fallback: bool) {
-        self.is_fallback = is_fallback;
+    /// Sets the number of other instances of the region that place requests of their own
+    /// beside this one, without asking each other.
+    pub fn set_instances_beside(&mut self, count: usize) {
+        self.instances_beside = count;
     }
 
     /// Counts a request of this instance, for which another instance has chosen
--- a/crates/steering/tests/warmth.rs
+++ b/crates/steering/tests/warmth.rs
@@ -131,7 +131,7 @@
         let instance = |i: usize| {
             let own = domain(i % load.domains);
             let mut placement = Placement::new(&name(i), &"north".into(), &own, i as u64);
-            placement.set_warmup_instances((0..load.instances).map(name));
+            placement.set_instances_beside(load.instances - 1);
             placement.set_servers(Millis(0), &specs, service, &["north".into()]);
             placement
         };
