--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With
 //! `TROUBLE=0` in the environment, the disruption is left out.
 
+mod evacuation;
 mod http;
 mod list_entry;
 mod long_day;
@@ -119,6 +120,7 @@
         exit(2);
     };
     let run: fn(&mut Stage) -> Result<bool, Fault> = match name.as_str() {
+        "evacuation" => evacuation::run,
         "list-entry" => list_entry::run,
         "long-day" => long_day::run,
         "pipelining" => pipelining::run,
--- a/review/standins/operator.rs
+++ b/review/standins/operator.rs
@@ -1,6 +1,6 @@
 //! The operator: configs, sent and resent as PROTOCOL.md says.
 
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
 
 use crate::http::{self, CallEnd};
@@ -20,6 +20,8 @@
 
 /// Time after which a call without a response goes to another node.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
+/// Time for which an order may be sent again and answered (`ack-s`).
+const ORDER_LIMIT: Duration = Duration::from_secs(5);
 
 pub struct Operator {
     pub nodes: Vec<String>,
@@ -110,4 +112,42 @@
         let number = text.split("\"version\":").nth(1)?.split(',').next()?;
         (message.status() == 200).then(|| number.trim().parse().ok())?
     }
+
+    /// Starts or finishes the evacuation of a zone: asks the nodes in the given order until one
+    /// acknowledges it. After a second without a response it moves on to the next node, while the
+    /// call may still be answered up to `ack-s`.
+    pub fn evacuate(&self, start: bool, zone: &str, order: &[usize]) -> Result<f64, Fault> {
+        let call = if start { "Start" } else { "Finish" };
+        let request = format!(
+            "POST /-/Evacuation.{call}/{zone} HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n"
+        );
+        let order_text = format!("Evacuation.{call}/{zone}");
+        let (sender, answers) = mpsc::channel();
+        let began = Instant::now();
+        for node in order.iter().cycle() {
+            if began.elapsed() > ORDER_LIMIT {
+                break;
+            }
+            let (address, request) = (self.nodes[*node].clone(), request.clone());
+            let (sender, record) = (sender.clone(), self.record.clone());
+            let text = order_text.clone();
+            record.say(&format!("operator sends {text} to {address}"));
+            std::thread::spawn(move || {
+                let end = http::call(&address, request.as_bytes(), ORDER_LIMIT);
+                record.say(&format!(
+                    "operator gets for {text} from {address}: {}",
+                    end.text()
+                ));
+                let _ = sender.send(end.status());
+            });
+            match answers.recv_timeout(CALL_LIMIT) {
+                Ok(200..=299) => return Ok(self.record.now()),
+                Ok(_) => std::thread::sleep(Duration::from_millis(100)),
+                Err(_) => {}
+            }
+        }
+        Err(format!(
+            "Evacuation.{call} was not acknowledged within ack-s"
+        ))
+    }
 }
--- a/review/standins/servers.rs
+++ b/review/standins/servers.rs
@@ -1,7 +1,8 @@
 //! Stand-ins for upstreams and for the platform's list of them.
 
+use std::collections::HashMap;
 use std::io::{self, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
@@ -32,7 +33,7 @@
     pub breaks_one_in: AtomicUsize,
     answers: AtomicUsize,
     ended: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+    connections: Mutex<HashMap<SocketAddr, TcpStream>>,
     busy: Mutex<usize>,
     free: Condvar,
     waiting: AtomicUsize,
@@ -82,15 +83,22 @@
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         let _ = stream.set_nodelay(true);
+        let peer = stream.peer_addr()?;
         let own = stream.try_clone()?;
-        self.connections.lock().expect("no panic").push(own);
+        self.connections.lock().expect("no panic").insert(peer, own);
+        let served = self.serve_all(&stream);
+        self.connections.lock().expect("no panic").remove(&peer);
+        served
+    }
+
+    fn serve_all(&self, stream: &TcpStream) -> io::Result<()> {
         let mut reader = Reader::new(stream.try_clone()?);
         while let Some(request) = reader.next()? {
             if self.ended.load(Ordering::SeqCst) {
                 return Ok(());
             }
             let answer = self.answer(&request);
-            if self.send(&stream, &request, &answer)? {
+            if self.send(stream, &request, &answer)? {
                 return Ok(());
             }
             if self.draining.load(Ordering::SeqCst) {
@@ -197,7 +205,7 @@
         // Wakes the thread that accepts connections, which closes the port.
         let _ = TcpStream::connect(&self.address);
         let connections = std::mem::take(&mut *self.connections.lock().expect("no panic"));
-        for connection in connections {
+        for connection in connections.into_values() {
             let _ = connection.shutdown(Shutdown::Both);
         }
     }
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -181,6 +181,14 @@
         (0..self.nodes.len()).for_each(|i| self.start(i, true));
     }
 
+    /// Sends a signal to a process that this program has started.
+    pub fn signal(&self, i: usize, signal: &str) {
+        if let Some(child) = &self.nodes[i].child {
+            let command = format!("kill -{signal} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
+        }
+    }
+
     /// The most memory that a process has used, without pages of files, in MB.
     pub fn memory_mb(&self, i: usize) -> u64 {
         let pid = self.nodes[i].child.as_ref().map_or(0, Child::id);
