--- a/review/standins/list_entry.rs
+++ b/review/standins/list_entry.rs
@@ -14,10 +14,13 @@
 /// `drain-s`, and `max-lag-s` with a margin for what was under way.
 const DRAIN_S: f64 = 3.0;
 const MARGIN_S: f64 = 1.3;
-/// Time for which a server serves on after the list shows it as draining, and from one
-/// replacement to the next.
+/// Time for which a server serves on after the list shows it as draining.
 const SERVES_ON: f64 = 6.0;
-const GAP: f64 = 1.5;
+/// Share of the servers that a release replaces, the time from one to the next, and the time
+/// between two releases.
+const RELEASE_SHARE: f64 = 0.45;
+const GAP: f64 = 1.0;
+const PAUSE: f64 = 5.0;
 /// Rows of another writer, whose `id` can't be read, by the value of VARIANT: raw control bytes
 /// (the default), half of a surrogate pair, and a number that is out of range.
 const FOREIGN: [(&str, &str); 3] = [
@@ -66,7 +69,7 @@
     }
     sleep(Duration::from_secs(1));
     let left = replace_all(stage);
-    sleep(Duration::from_secs(3));
+    sleep(Duration::from_secs(5));
     let until = record.now();
     let (lookups, filings) = (lookups.stop(), filings.stop());
     let reached = record.all_reached();
@@ -101,18 +104,20 @@
     Ok(late > 0)
 }
 
-// Replaces the servers of a service one after the other: the new one starts first, the old one
-// drains, and ends some time later.
+// Replaces the servers of a service one after the other, in three releases: the new one starts
+// first, the old one drains, and ends some time later.
 fn replace_all(stage: &mut Stage) -> Vec<Leaving> {
     let record = stage.record.clone();
     let old = stage.servers.iter().filter(|s| s.service == REGISTRY);
     let old: Vec<Arc<Server>> = old.cloned().collect();
-    let mut left: Vec<Leaving> = Vec::new();
+    let at_once = (old.len() as f64 * RELEASE_SHARE) as usize;
     let start = record.now();
-    let steps = old.len() + (SERVES_ON / GAP).ceil() as usize + 1;
-    for step in 0..steps {
-        if let Some(server) = old.get(step) {
-            stage.servers.push(stage.successor(step, server));
+    let due = |n: usize| start + GAP * n as f64 + PAUSE * (n / at_once) as f64;
+    let mut left: Vec<Leaving> = Vec::new();
+    while left.len() < old.len() || left.iter().any(|l| !l.ended) {
+        let n = left.len();
+        if let Some(server) = old.get(n).filter(|_| record.now() >= due(n)) {
+            stage.servers.push(stage.successor(n, server));
             server.draining.store(true, Ordering::SeqCst);
             record.say(&format!(
                 "the list shows {} as draining, and its successor",
@@ -133,8 +138,7 @@
             }
         }
         stage.list.set(&stage.servers);
-        let next = start + GAP * (step + 1) as f64;
-        sleep(Duration::from_secs_f64((next - record.now()).max(0.0)));
+        sleep(Duration::from_millis(100));
     }
     left
 }
--- a/review/standins/long_day.rs
+++ b/review/standins/long_day.rs
@@ -16,7 +16,9 @@
 const ROUTES: usize = 904;
 /// Changes of the day, and the time between two of them.
 const CHANGES: u64 = 700;
-const GAP: Duration = Duration::from_millis(80);
+const GAP: Duration = Duration::from_millis(60);
+/// Longest time for all changes, so that the run ends in time.
+const CHANGES_MAX: Duration = Duration::from_secs(80);
 /// Time for which killed processes are down, and after which one that used too much memory is
 /// started again.
 const DOWN: Duration = Duration::from_millis(800);
@@ -31,6 +33,9 @@
     let mut version = stage.operator.version;
     let start = Instant::now();
     for n in 0..CHANGES {
+        if start.elapsed() > CHANGES_MAX {
+            return Err(format!("only {n} changes in {CHANGES_MAX:?}"));
+        }
         change(stage, n, version)?;
         version += 1;
         if n % 140 == 0 {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -23,7 +23,7 @@
 use operator::Operator;
 use record::Record;
 use servers::{List, Server};
-use site::{Site, ZONES};
+use site::{Site, Zones, GHIRLANDA, ROPES};
 
 /// Why a case couldn't run.
 pub type Fault = String;
@@ -52,13 +52,13 @@
 
 impl Stage {
     /// Starts a site with one gateway in each zone, and sends the first config.
-    pub fn start() -> Result<Stage, Fault> {
+    pub fn start(zones: Zones) -> Result<Stage, Fault> {
         let record = Arc::new(Record::new());
         let net = free_net().ok_or("no part of the loopback network is free")?;
         let (list, address) = List::start(&format!("{net}.200.1"));
         let mut servers = Vec::new();
         for (service, block) in [(operator::REGISTRY, 64), (operator::FIELDBOOK, 65)] {
-            for (z, (zone, _)) in ZONES.iter().enumerate() {
+            for (z, (zone, _)) in zones.iter().enumerate() {
                 for n in 0..PER_ZONE {
                     let ip = format!("{net}.{block}.{}", 10 + z * PER_ZONE + n);
                     let name = format!("i-{service}-{zone}-{n}");
@@ -67,7 +67,7 @@
             }
         }
         list.set(&servers);
-        let mut site = Site::new(&net, ZONES.len(), &address);
+        let mut site = Site::new(&net, zones, &address);
         site.start_all();
         let nodes = site.controls().iter().map(|n| n.control()).collect();
         let operator = Operator::new(nodes, &record);
@@ -129,7 +129,8 @@
             exit(2);
         }
     };
-    let mut stage = match Stage::start() {
+    let zones = if name == "long-day" { GHIRLANDA } else { ROPES };
+    let mut stage = match Stage::start(zones) {
         Ok(stage) => stage,
         Err(fault) => {
             eprintln!("could not run: {fault}");
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -4,8 +4,9 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
-/// Zones with their regions, as on `crrt-ropes`.
-pub const ZONES: [(&str, &str); 6] = [
+/// Zones with their regions.
+pub type Zones = [(&'static str, &'static str); 6];
+pub const ROPES: Zones = [
     ("squamish", "coast-south"),
     ("revelstoke", "columbia"),
     ("terrace", "coast-north"),
@@ -13,6 +14,14 @@
     ("golden", "columbia"),
     ("stewart", "coast-north"),
 ];
+pub const GHIRLANDA: Zones = [
+    ("ardeal-cluj", "ardeal"),
+    ("muntenia-buc", "muntenia"),
+    ("moldova-iasi", "moldova"),
+    ("ardeal-sibiu", "ardeal"),
+    ("muntenia-ploiesti", "muntenia"),
+    ("moldova-suceava", "moldova"),
+];
 pub const CONTROLS: usize = 5;
 const CONTROL_PORT: u16 = 8381;
 const DIRECTORY_PORT: u16 = 8383;
@@ -52,21 +61,22 @@
 /// All processes; they are killed when it is dropped.
 pub struct Site {
     pub nodes: Vec<Node>,
+    zones: Zones,
     folder: PathBuf,
     list: String,
 }
 
 impl Site {
-    /// Lays out a site with `gateways` gateways whose addresses begin with `net`. `list` is the
+    /// Lays out a site with a gateway in each zone, whose addresses begin with `net`. `list` is the
     /// address of the platform's list.
-    pub fn new(net: &str, gateways: usize, list: &str) -> Site {
+    pub fn new(net: &str, zones: Zones, list: &str) -> Site {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let node = |is_control: bool, i: usize| {
-            let (zone, region) = ZONES[i % ZONES.len()];
+            let (zone, region) = zones[i % zones.len()];
             let (kind, block) = if is_control { ("core", 1) } else { ("edge", 2) };
             Node {
-                name: format!("{kind}-{zone}-{}", i / ZONES.len() + 1),
+                name: format!("{kind}-{zone}-{}", i / zones.len() + 1),
                 zone,
                 region,
                 ip: format!("{net}.{block}.{}", 11 + i),
@@ -77,8 +87,9 @@
         let controls = (0..CONTROLS).map(|i| node(true, i));
         Site {
             nodes: controls
-                .chain((0..gateways).map(|i| node(false, i)))
+                .chain((0..zones.len()).map(|i| node(false, i)))
                 .collect(),
+            zones,
             folder,
             list: list.to_owned(),
         }
@@ -125,7 +136,8 @@
             .iter()
             .map(|n| format!("\"{}\"", n.control()))
             .collect();
-        let zones: String = ZONES
+        let zones: String = self
+            .zones
             .iter()
             .map(|(z, r)| format!("{z} = \"{r}\"\n"))
             .collect();
