Repeat failed writes of the log, and end the process when a part of it ends

Callers saw: after a disk refused writes for 4.5 s, its control instance took no part in the log for the rest of its life.

Cause: the thread that writes the log ended at the first error, and the event loop with it, but nothing ended the process; main waited only for data that can't be read. So the platform didn't start it again.

As the content of the log file is unknown after a failed write or sync, the next attempt first replaces the file, from the entries that are known to be durable. Nothing is reported as synced before its sync has succeeded.

--- a/crates/coordination/src/control.rs
+++ b/crates/coordination/src/control.rs
@@ -33,6 +33,11 @@
         (ControlHandle { calls }, receiver)
     }
 
+    /// Whether calls are still received.
+    pub fn is_open(&self) -> bool {
+        !self.calls.is_disconnected()
+    }
+
     /// Proposes a change and waits until it is applied. After `Unavailable` or
     /// `Internal` the change may still have been accepted. Send it again with the
     /// same request identifier to learn its outcome.
--- a/crates/coordination/src/snapshot.rs
+++ b/crates/coordination/src/snapshot.rs
@@ -35,7 +35,11 @@
         file.sync_all()?;
         fs::rename(&unfinished, path)
     };
-    write().map_err(|error| io_error(path, &error))?;
+    if let Err(error) = write() {
+        // On a full disk, its bytes would be missing for the next attempt.
+        let _ = fs::remove_file(&unfinished);
+        return Err(io_error(path, &error));
+    }
     sync_directory(path)
 }
 
--- a/crates/coordination/src/storage.rs
+++ b/crates/coordination/src/storage.rs
@@ -15,6 +15,7 @@
 //! can damage only the last frame. A damaged frame before an intact one means that
 //! the disk lost data that was acknowledged.
 
+use std::collections::VecDeque;
 use std::fs::{self, File, OpenOptions};
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -36,17 +37,18 @@
 /// Result of a storage operation.
 pub type Result<T> = std::result::Result<T, Report<ErrorKind>>;
 
-/// The data directory of a replica. After an error the state on disk is
-/// unknown, and the process has to stop.
+/// The data directory of a replica. After a failed [`Storage::sync`] the content of
+/// the log file is unknown; the next one writes that file anew.
 #[derive(Debug)]
 pub struct Storage {
     base: Position,
     directory: PathBuf,
-    failed: bool,
     incarnation: u64,
     length: u64,
     log: File,
-    queue: Vec<Persist>,
+    queue: VecDeque<Persist>,
+    /// Whether the log file has to be written anew, as a write to it has failed.
+    rewrite_due: bool,
     sealed: bool,
     /// The stored entries after `base`; payloads are shared with the replica.
     tail: Vec<Entry>,
@@ -127,11 +129,11 @@
         let mut storage = Storage {
             base: contents.base,
             directory,
-            failed: false,
             incarnation,
             length: contents.length as u64,
             log: open_log(&path)?,
-            queue: Vec::new(),
+            queue: VecDeque::new(),
+            rewrite_due: false,
             sealed,
             tail: contents.tail,
         };
@@ -154,17 +156,18 @@
 
     /// Queues a write, which is durable after the next [`Storage::sync`].
     pub fn write(&mut self, persist: &Persist) -> Result<()> {
-        self.queue.push(persist.clone());
+        self.queue.push_back(persist.clone());
         Ok(())
     }
 
-    /// Writes and syncs all queued writes.
+    /// Writes and syncs all queued writes. After an error, those that are not durable
+    /// yet are written again by the next call.
     pub fn sync(&mut self) -> Result<()> {
-        if self.failed {
-            return Err(Report::new(ErrorKind::Internal).attach("an earlier write failed"));
+        if self.rewrite_due {
+            self.rewrite()?;
         }
         let result = self.write_queue();
-        self.failed = result.is_err();
+        self.rewrite_due = result.is_err();
         result
     }
 
@@ -177,10 +180,9 @@
             build: env!("CARGO_PKG_VERSION").to_owned(),
             incarnation: self.incarnation,
         };
-        let sealed = snapshot::replace(&self.directory.join("identity"), &seal);
-        self.failed |= sealed.is_err();
-        self.sealed = sealed.is_ok();
-        sealed
+        snapshot::replace(&self.directory.join("identity"), &seal)?;
+        self.sealed = true;
+        Ok(())
     }
 
     /// Whether the directory is sealed.
@@ -194,32 +196,37 @@
     }
 
     fn write_queue(&mut self) -> Result<()> {
-        let queue = std::mem::take(&mut self.queue);
-        if let Some(hard_state) = queue
-            .iter()
-            .rev()
-            .find_map(|persist| persist.hard_state.as_ref())
-        {
+        let latest = self.queue.iter().rev();
+        if let Some(hard_state) = latest.filter_map(|p| p.hard_state.as_ref()).next() {
             snapshot::replace(&self.directory.join("vote"), hard_state)?;
         }
-        let mut batch = Vec::new();
-        let mut size = 0;
-        for persist in queue {
-            if let Some(stored) = &persist.snapshot {
-                self.append(&std::mem::take(&mut batch))?;
-                self.install(stored)?;
-                size = 0;
+        while let Some(persist) = self.queue.pop_front() {
+            if let Err(error) = self.write_persist(&persist) {
+                self.queue.push_front(persist);
+                return Err(error);
             }
-            for entry in persist.entries {
+        }
+        Ok(())
+    }
+
+    // May be repeated after an error: entries replace those at their indexes.
+    fn write_persist(&mut self, persist: &Persist) -> Result<()> {
+        if let Some(stored) = &persist.snapshot {
+            self.install(stored)?;
+        }
+        let mut rest = persist.entries.as_slice();
+        while !rest.is_empty() {
+            let mut size = 0;
+            let full = |entry: &Entry| {
                 size += entry.size();
-                batch.push(entry);
-                if size >= FRAME_BYTES_TARGET {
-                    self.append(&std::mem::take(&mut batch))?;
-                    size = 0;
-                }
-            }
+                size >= FRAME_BYTES_TARGET
+            };
+            let count = rest.iter().position(full).map_or(rest.len(), |at| at + 1);
+            let (frame, later) = rest.split_at(count);
+            self.append(frame)?;
+            rest = later;
         }
-        self.append(&batch)
+        Ok(())
     }
 
     /// Writes the entries after the base as one frame and syncs it.
--- a/crates/coordination/tests/log_storage.rs
+++ b/crates/coordination/tests/log_storage.rs
@@ -114,6 +114,35 @@
         assert_eq!(reopen(directory).entries, expected);
     };
 
+    /// Guards against an instance that never writes again after one failed write, for
+    /// example on a disk that was full for a moment.
+    failed_writes_are_repeated |directory| {
+        let mut storage = fill_directory(directory);
+        for (blocked, epoch) in [("vote.tmp", 3), ("log.tmp", 4), ("snapshot.tmp", 5)] {
+            let snapshot = Snapshot {
+                epoch: Epoch(2),
+                index: LogIndex(epoch + 1),
+                ..Snapshot::default()
+            };
+            let persist = Persist {
+                entries: entries(epoch, 10..=10 + epoch),
+                snapshot: Some(snapshot.clone()),
+                ..hard_state(epoch)
+            };
+            fs::create_dir(directory.join(blocked)).expect("created");
+            storage.write(&persist).expect("queued");
+            assert!(storage.sync().is_err() && storage.sync().is_err(), "{blocked} is replaced");
+            fs::remove_dir(directory.join(blocked)).expect("removed");
+            storage.sync().expect("the disk can be written again");
+            save_entries(&mut storage, entries(epoch, 11 + epoch..=11 + epoch));
+            let restored = reopen(directory);
+            assert_eq!(restored.hard_state.epoch, Epoch(epoch));
+            assert_eq!(restored.snapshot, snapshot);
+            let last = restored.entries.last().map(Entry::position);
+            assert_eq!(last.map(|p| (p.epoch, p.index)), Some((Epoch(epoch), LogIndex(11 + epoch))));
+        }
+    };
+
     /// Guards against a start that fails or loses an earlier frame after a
     /// crash at any byte of the last frame, and against a log that cannot be
     /// appended to afterwards.
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -36,7 +36,7 @@
 use super::log_writer::LogWriter;
 use super::quota::Quota;
 use super::stored::{self, SnapshotState};
-use super::{role_name, ControlStatus};
+use super::{role_name, ControlStatus, Fault};
 
 /// Maximum number of peer events and maximum number of calls in one batch, before changes are pushed and the status is published.
 const INPUT_BATCH: usize = 256;
@@ -59,8 +59,8 @@
 /// State that the loop publishes to the rest of the process.
 #[derive(Clone, Default)]
 pub(super) struct Outputs {
-    /// Description of data that can't be read, on which the loop has stopped.
-    pub(super) fault: Arc<OnceLock<String>>,
+    /// Why the loop has stopped by itself.
+    pub(super) fault: Arc<OnceLock<Fault>>,
     pub(super) source: Arc<ArcSwap<RoutingSource>>,
     pub(super) status: Arc<ArcSwap<ControlStatus>>,
     pub(super) view: Arc<View>,
@@ -148,7 +148,7 @@
         }
     }
 
-    /// Runs until the instance is stopped, a write to its disk fails, or a change
+    /// Runs until the instance is stopped, its disk can't be written, or a change
     /// or snapshot can't be decoded. In the last case nothing more is applied,
     /// written, sent or published.
     pub(super) async fn run(mut self, inputs: Inputs) {
@@ -210,7 +210,7 @@
     // state diverge from the other replicas.
     fn fail(&mut self, fault: String) {
         log::error!("stopping this control instance: {fault}");
-        let _ = self.outputs.fault.set(fault);
+        let _ = self.outputs.fault.set(Fault::corrupt(fault));
     }
 
     fn has_failed(&self) -> bool {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -84,6 +84,28 @@
 
 impl std::error::Error for ControlError {}
 
+/// Why a control instance has stopped by itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Fault {
+    kind: ErrorKind,
+    text: String,
+}
+
+impl Fault {
+    /// Data that can't be read.
+    fn corrupt(text: String) -> Fault {
+        let kind = ErrorKind::Corrupt;
+        Fault { kind, text }
+    }
+
+    fn of(report: &Report<ErrorKind>) -> Fault {
+        Fault {
+            kind: *report.current_context(),
+            text: describe(report),
+        }
+    }
+}
+
 /// Status of a control instance, as reported to operators.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct ControlStatus {
@@ -165,7 +187,7 @@
         };
         let (events, received) = flume::bounded(EVENT_QUEUE);
         let server = PeerServer::start(peering.clone(), config.listen, events.clone());
-        let server = server.await.map_err(ControlError::Listen)?;
+        let mut server = server.await.map_err(ControlError::Listen)?;
         // Each pair of instances has one connection, which the instance with the
         // smaller name opens.
         let larger = config.peers.iter().filter(|p| p.name > config.name);
@@ -184,7 +206,7 @@
         let (handle, calls) = ControlHandle::new(CALL_QUEUE);
         let (requests, requested) = flume::unbounded();
         let outputs = Outputs::default();
-        let (log_writer, disk_closed) = LogWriter::start(storage, lock);
+        let (log_writer, disk_closed) = LogWriter::start(storage, lock, outputs.fault.clone());
         let address = server.address();
         let event_loop = EventLoop::new(
             config,
@@ -202,7 +224,10 @@
         };
         let (ended, end) = flume::bounded(0);
         let task = tokio::spawn(async move {
-            event_loop.run(inputs).await;
+            tokio::select! {
+                () = event_loop.run(inputs) => {}
+                () = server.ended() => log::error!("the listener for peers has ended"),
+            }
             drop((server, clients, ended));
         });
         Ok(ControlServer {
@@ -276,19 +301,19 @@
         rows.recv_async().await.unwrap_or_default()
     }
 
-    /// Whether the instance still runs; it stops when a write to its disk fails
-    /// or a change or snapshot can't be decoded.
+    /// Whether the instance still runs; see [`ControlServer::failed`].
     pub fn is_running(&self) -> bool {
         !self.task.is_finished()
     }
 
-    /// Waits until the instance stops because it can't read what it stores or what
-    /// a leader sent, and returns the error. The process has to end.
-    pub async fn unreadable(&self) -> Report<ErrorKind> {
+    /// Waits until the instance stops by itself, and returns the error: it can't write to
+    /// its disk, can't read what it stores or what a leader sent, or a part of it has
+    /// ended. It takes no part in the log any more, so the process has to end.
+    pub async fn failed(&self) -> Report<ErrorKind> {
         let _ = self.end.recv_async().await;
         match self.outputs.fault.get() {
-            Some(fault) => Report::new(ErrorKind::Corrupt).attach(fault.clone()),
-            None => std::future::pending().await,
+            Some(fault) => Report::new(fault.kind).attach(fault.text.clone()),
+            None => Report::new(ErrorKind::Internal).attach("a part of the instance has ended"),
         }
     }
 
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -38,6 +38,7 @@
 use crate::crash::{CrashTimings, CrashTracker};
 use crate::reach::{ProbePath, Reach};
 use crate::relay::{RelayConfig, Relays};
+use crate::tasks::has_panicked;
 
 // Attempts to report that this instance leaves, and the pause between them. The
 // retries must outlast the election of a new leader, which takes about 2 s.
@@ -250,6 +251,16 @@
         self.server.address()
     }
 
+    /// Returns the part of the entry role that has ended although it isn't stopping, if
+    /// any.
+    pub fn ended_part(&mut self) -> Option<&'static str> {
+        match () {
+            () if has_panicked(&mut self.background_tasks) => Some("a task of the entry role"),
+            () if !self.server.is_running() => Some("the listener for callers"),
+            () => None,
+        }
+    }
+
     /// Removes the instance from the entry list, keeps serving until callers'
     /// copies of the list have expired, completes requests in flight and stops. Callers
     /// that take their responses too slowly don't hold it up.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 use crate::crash::{CrashTimings, CrashTracker};
 use crate::reach::{LinkFault, ProbePath, Reach};
 use crate::relay::{RelayConfig, Relays};
+use crate::tasks::has_panicked;
 
 /// Capacity of the queue of messages from other gateways. While it is full, no
 /// more messages are read.
@@ -319,6 +320,18 @@
         }
     }
 
+    /// Returns the part of the gateway that has ended although it isn't stopping, if any.
+    /// Callers would be served wrongly or not at all without it.
+    pub fn ended_part(&mut self) -> Option<&'static str> {
+        let peers = self.peers.as_ref();
+        match () {
+            () if has_panicked(&mut self.tasks) => Some("a task of the gateway"),
+            () if !self.server.is_running() => Some("the listener for callers"),
+            () if peers.is_some_and(|p| !p.is_running()) => Some("the listener for gateways"),
+            () => None,
+        }
+    }
+
     /// Stops the gateway: removes it from the entry list, serves on until
     /// callers have refreshed their copies of the list, then finishes the
     /// requests in flight. From the middle of the grace period on, new requests
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod schema;
 pub mod settings;
 pub mod subscriber;
+pub mod tasks;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -121,7 +121,7 @@
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|e| internal(e.to_string()))?;
-    let node = Node::start(settings, Clock::monotonic(), metrics).await?;
+    let mut node = Node::start(settings, Clock::monotonic(), metrics).await?;
     let callers = node.callers().map(|a| a.to_string()).unwrap_or_default();
     println!(
         "{} serves callers on {callers:?} and operators on {}",
@@ -136,7 +136,7 @@
         (Ok(term), Ok(int)) => tokio::select! {
             _ = term.recv() => None,
             _ = int.recv() => None,
-            fault = node.unreadable() => Some(fault),
+            fault = node.failed() => Some(fault),
         },
         _ => {
             return Err(internal(
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -24,6 +24,7 @@
 use crate::operators::{OperatorServer, OperatorServerConfig, OperatorServerSources, StatusSource};
 use crate::settings::{Role, Settings};
 use crate::subscriber::{ControlEndpoint, Subscriber, SubscriberConfig};
+use crate::tasks::until_ended;
 
 /// Part of the process's descriptors that connections of callers may use: one in so many.
 /// The others are for connections to backend servers and to other instances.
@@ -111,12 +112,31 @@
         Arc::clone(&self.view)
     }
 
-    /// Waits until the control instance stops because of data that it can't read;
-    /// see [`ControlServer::unreadable`].
-    pub async fn unreadable(&self) -> Report<ErrorKind> {
-        match &self.control {
-            Some(control) => control.unreadable().await,
-            None => std::future::pending().await,
+    /// Waits until a part of the process has ended by itself, and returns the error; see
+    /// [`ControlServer::failed`]. The process has to end.
+    pub async fn failed(&mut self) -> Report<ErrorKind> {
+        let Node {
+            control,
+            entry,
+            handle,
+            ..
+        } = self;
+        let check = || match entry.as_mut().and_then(EntryHandle::ended_part) {
+            None if !handle.is_open() => Some("the connection to the control instances"),
+            ended => ended,
+        };
+        let control_failed = async {
+            match control {
+                Some(control) => control.failed().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            fault = control_failed => fault,
+            part = until_ended(check) => {
+                Report::new(ErrorKind::Internal).attach(format!("{part} has ended"))
+            }
         }
     }
 
--- a/crates/daemon/tests/control_unreadable.rs
+++ b/crates/daemon/tests/control_unreadable.rs
@@ -241,7 +241,7 @@
             })
             .await;
             leader.send(&link, $message);
-            let fault = within("the end of the instance", server.unreadable()).await;
+            let fault = within("the end of the instance", server.failed()).await;
             assert_eq!(*fault.current_context(), ErrorKind::Corrupt);
             let text = format!("{fault:?}");
             assert!(text.contains($text) && text.contains("c2"), "{text}");
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::body::CallerBody;
@@ -135,6 +136,7 @@
     phase: watch::Sender<Phase>,
     timeouts: TimeoutsHandle,
     done: mpsc::Receiver<()>,
+    accepting: JoinHandle<()>,
 }
 
 /// State that all connections of a server share.
@@ -168,8 +170,9 @@
             end_log: EndLog::default(),
             slots: Mutex::default(),
         });
-        tokio::spawn(accept(listener, shared, watched, connection_guard));
+        let accepting = tokio::spawn(accept(listener, shared, watched, connection_guard));
         Ok(Server {
+            accepting,
             address,
             phase,
             timeouts,
@@ -187,6 +190,11 @@
         self.timeouts.clone()
     }
 
+    /// Whether connections are still accepted.
+    pub fn is_running(&self) -> bool {
+        !self.accepting.is_finished()
+    }
+
     /// Stops accepting connections, finishes the requests in flight and closes all
     /// connections.
     pub async fn stop(mut self) {
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -54,6 +54,16 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Whether connections are still accepted.
+    pub fn is_running(&self) -> bool {
+        !self.task.is_finished()
+    }
+
+    /// Waits until no more connections are accepted.
+    pub async fn ended(&mut self) {
+        let _ = (&mut self.task).await;
+    }
 }
 
 impl Drop for PeerServer {
