Bound the log of control instances in bytes, and read it frame by frame

Callers saw: after 700 changes of a routing table of 907 routes, all processes were killed and started again.

A start held the whole file and its decoded entries at the same time.

The log is read, and written anew, frame by frame.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -96,6 +96,16 @@
         taken
     }
 
+    /// Whether the entries after `after`, up to and including `upto`, have more than
+    /// `bytes` of payload.
+    pub(crate) fn exceeds(&self, after: LogIndex, upto: LogIndex, bytes: usize) -> bool {
+        let mut size = 0;
+        (after.0 + 1..=upto.0).any(|index| {
+            size += self.get(LogIndex(index)).map_or(0, Entry::size);
+            size > bytes
+        })
+    }
+
     /// Entries after `after`, up to and including `upto`.
     pub(crate) fn range(&self, after: LogIndex, upto: LogIndex) -> Vec<Entry> {
         (after.0 + 1..=upto.0)
--- a/crates/coordination/src/frame.rs
+++ b/crates/coordination/src/frame.rs
@@ -4,6 +4,8 @@
 //! checksum of these two fields and the frame's offset in the file, and the
 //! body. The offset keeps bytes of a payload from being mistaken for a frame.
 
+use std::io::{self, Read};
+
 use error_stack::Report;
 use pomelovale_state::ErrorKind;
 use serde::de::DeserializeOwned;
@@ -49,22 +51,82 @@
     }
 }
 
-/// Returns whether a frame with intact checksums starts at `offset` or later.
-pub(crate) fn contains_frame(bytes: &[u8], offset: usize) -> bool {
-    (offset..bytes.len()).any(|at| body(bytes, at).is_some())
+/// Returns whether a frame with intact checksums starts in `bytes`, which is the rest of
+/// a file from `offset` on.
+pub(crate) fn contains_frame(bytes: &[u8], offset: u64) -> bool {
+    (0..bytes.len()).any(|at| body_in(bytes, at, offset + at as u64).is_some())
 }
 
 /// Returns the body of the intact frame at `offset`.
 pub(crate) fn body(bytes: &[u8], offset: usize) -> Option<&[u8]> {
-    let header = bytes.get(offset..offset + HEADER_BYTES)?;
-    if read_u32(header, 8) != header_checksum(&header[..8], offset as u64) {
+    body_in(bytes, offset, offset as u64)
+}
+
+// Returns the body of the intact frame at `at` in `bytes`, which is at `offset` in its file.
+fn body_in(bytes: &[u8], at: usize, offset: u64) -> Option<&[u8]> {
+    let header = bytes.get(at..at + HEADER_BYTES)?;
+    if read_u32(header, 8) != header_checksum(&header[..8], offset) {
         return None;
     }
-    let start = offset + HEADER_BYTES;
+    let start = at + HEADER_BYTES;
     let body = bytes.get(start..start + read_u32(header, 0) as usize)?;
     (crc32fast::hash(body) == read_u32(header, 4)).then_some(body)
 }
 
+/// A frame's value, or why there is none and the bytes from there on to the end of the
+/// file if it is damaged.
+pub(crate) type ReadFrame<T> = Result<T, (Fault, Vec<u8>)>;
+
+/// Reads a file frame by frame, so that only one of them is in memory.
+pub(crate) struct FrameReader<R> {
+    source: R,
+    offset: u64,
+}
+
+impl<R: Read> FrameReader<R> {
+    /// Reads from the start of a file.
+    pub(crate) fn new(source: R) -> FrameReader<R> {
+        FrameReader { source, offset: 0 }
+    }
+
+    /// Offset of the next frame.
+    pub(crate) fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Reads the next frame; `None` at the end of the file.
+    pub(crate) fn next<T: DeserializeOwned>(&mut self) -> io::Result<Option<ReadFrame<T>>> {
+        let mut frame = Vec::new();
+        self.read(HEADER_BYTES, &mut frame)?;
+        if frame.is_empty() {
+            return Ok(None);
+        }
+        let intact = frame.len() == HEADER_BYTES
+            && read_u32(&frame, 8) == header_checksum(&frame[..8], self.offset);
+        if intact {
+            let length = read_u32(&frame, 0) as usize;
+            self.read(length, &mut frame)?;
+        }
+        let Some(body) = body_in(&frame, 0, self.offset) else {
+            self.source.read_to_end(&mut frame)?;
+            return Ok(Some(Err((Fault::Damaged, frame))));
+        };
+        match bincode::serde::decode_from_slice(body, bincode::config::standard()) {
+            Ok((value, used)) if used == body.len() => {
+                self.offset += frame.len() as u64;
+                Ok(Some(Ok(value)))
+            }
+            _ => Ok(Some(Err((Fault::Unknown, Vec::new())))),
+        }
+    }
+
+    // Appends up to `bytes` bytes.
+    fn read(&mut self, bytes: usize, frame: &mut Vec<u8>) -> io::Result<()> {
+        let source = self.source.by_ref();
+        source.take(bytes as u64).read_to_end(frame).map(drop)
+    }
+}
+
 fn read_u32(header: &[u8], at: usize) -> u32 {
     let mut word = [0; 4];
     word.copy_from_slice(&header[at..at + 4]);
--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -67,9 +67,12 @@
         entries.push(entry);
     }
 
-    /// Adds a snapshot of this replica's own applied state.
+    /// Adds a snapshot of this replica's own applied state. Entries that it covers need
+    /// not be written; while a disk doesn't accept writes, they would fill the memory.
     pub(crate) fn write_compaction(&mut self, snapshot: Snapshot) {
-        self.pending_mut().snapshot = Some(snapshot);
+        let pending = self.pending_mut();
+        pending.entries.retain(|e| e.index > snapshot.index);
+        pending.snapshot = Some(snapshot);
     }
 
     /// Adds a snapshot from the leader, which replaces all entries.
--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -13,12 +13,19 @@
 /// Largest number of unacknowledged entries in flight to a replica.
 const INFLIGHT_ENTRIES_MAX: u64 = 4_096;
 
+/// Largest payload of the unacknowledged entries in flight to a replica, in bytes; the
+/// entry that exceeds it is the last one. Heartbeats wait behind them on a slow link.
+const INFLIGHT_BYTES_MAX: usize = 1024 * 1024;
+
 /// Largest number of messages sent to a replica at once.
 const APPEND_BURST_MAX: usize = 4;
 
 /// Largest number of uncommitted entries; further proposals are rejected.
 const UNCOMMITTED_ENTRIES_MAX: u64 = 10_000;
 
+/// Largest payload of the uncommitted entries, in bytes; further proposals are rejected.
+const UNCOMMITTED_BYTES_MAX: usize = 8 * 1024 * 1024;
+
 /// Time to wait for the reply to a snapshot before it is sent again, in
 /// milliseconds, in addition to its transfer time.
 const INSTALL_RETRY_MS: u64 = 3_000;
@@ -251,7 +258,9 @@
         // the snapshot.
         let installing = progress.next <= base.index;
         let before = progress.next.previous().max(base.index);
-        let full = progress.next.0 > progress.matched.0 + INFLIGHT_ENTRIES_MAX;
+        let matched = progress.matched.max(base.index);
+        let full = progress.next.0 > progress.matched.0 + INFLIGHT_ENTRIES_MAX
+            || (self.entries).exceeds(matched, progress.next.previous(), INFLIGHT_BYTES_MAX);
         let probing = progress.probe.is_some() && !heartbeat;
         let entries = if installing || full || probing {
             Vec::new()
@@ -400,12 +409,20 @@
     }
 
     pub(crate) fn propose(&mut self, token: u64, payload: Payload) {
-        let waiting = self.entries.last().index.0 - self.commit.0;
+        let last = self.entries.last().index;
+        let waiting = last.0 - self.commit.0;
         let refusal = match &self.leader_state {
             None => Some(ErrorKind::NotLeader),
             Some(leader_state) if leader_state.transfer.is_some() => Some(ErrorKind::NotLeader),
             Some(_) if payload.len() > self.config.entry_bytes => Some(ErrorKind::TooLarge),
             Some(_) if waiting >= UNCOMMITTED_ENTRIES_MAX => Some(ErrorKind::Overloaded),
+            Some(_)
+                if self
+                    .entries
+                    .exceeds(self.commit, last, UNCOMMITTED_BYTES_MAX) =>
+            {
+                Some(ErrorKind::Overloaded)
+            }
             Some(_) => None,
         };
         match refusal {
--- a/crates/coordination/src/snapshot.rs
+++ b/crates/coordination/src/snapshot.rs
@@ -28,18 +28,31 @@
 
 /// Replaces the content of `path` atomically and durably.
 pub(crate) fn replace_bytes(path: &Path, bytes: &[u8]) -> Result<(), Report<ErrorKind>> {
+    let failed = |error| io_error(path, &error);
+    replace_with(path, |file| file.write_all(bytes).map_err(failed))
+}
+
+/// Replaces the content of `path` atomically and durably by what `write` writes.
+pub(crate) fn replace_with(
+    path: &Path,
+    write: impl FnOnce(&mut File) -> Result<(), Report<ErrorKind>>,
+) -> Result<(), Report<ErrorKind>> {
     let unfinished = path.with_extension(TEMP_EXTENSION);
-    let write = || {
-        let mut file = File::create(&unfinished)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
-        fs::rename(&unfinished, path)
-    };
-    if let Err(error) = write() {
+    let failed = |error| io_error(path, &error);
+    let replaced = File::create(&unfinished)
+        .map_err(failed)
+        .and_then(|mut file| {
+            write(&mut file)?;
+            let synced = file.sync_all();
+            synced
+                .and_then(|()| fs::rename(&unfinished, path))
+                .map_err(failed)
+        });
+    if replaced.is_err() {
         // On a full disk, its bytes would be missing for the next attempt.
         let _ = fs::remove_file(&unfinished);
-        return Err(io_error(path, &error));
     }
+    replaced?;
     sync_directory(path)
 }
 
--- a/crates/coordination/src/storage.rs
+++ b/crates/coordination/src/storage.rs
@@ -17,7 +17,7 @@
 
 use std::collections::VecDeque;
 use std::fs::{self, File, OpenOptions};
-use std::io::Write;
+use std::io::{self, BufReader, Write};
 use std::path::{Path, PathBuf};
 
 use error_stack::Report;
@@ -26,13 +26,13 @@
 use pomelovale_state::ErrorKind;
 use serde::{Deserialize, Serialize};
 
-use crate::frame::{self, Fault};
+use crate::frame::{self, Fault, FrameReader};
 use crate::log::{HardState, Persist, RestoredState};
 use crate::snapshot::{self, corrupt, io_error, UNKNOWN_FORMAT};
 
 /// Payload size from which on a frame is written out, in bytes. The last entry of
 /// a frame may exceed it.
-const FRAME_BYTES_TARGET: usize = 16 * 1024 * 1024;
+const FRAME_BYTES_TARGET: usize = 1024 * 1024;
 
 /// Result of a storage operation.
 pub type Result<T> = std::result::Result<T, Report<ErrorKind>>;
@@ -214,17 +214,8 @@
         if let Some(stored) = &persist.snapshot {
             self.install(stored)?;
         }
-        let mut rest = persist.entries.as_slice();
-        while !rest.is_empty() {
-            let mut size = 0;
-            let full = |entry: &Entry| {
-                size += entry.size();
-                size >= FRAME_BYTES_TARGET
-            };
-            let count = rest.iter().position(full).map_or(rest.len(), |at| at + 1);
-            let (frame, later) = rest.split_at(count);
-            self.append(frame)?;
-            rest = later;
+        for entries in frames(&persist.entries) {
+            self.append(entries)?;
         }
         Ok(())
     }
@@ -260,17 +251,42 @@
     /// Replaces the log file by one that starts at the base.
     fn rewrite(&mut self) -> Result<()> {
         let path = self.directory.join("log");
-        let mut bytes = frame::encode(0, &self.base)?;
-        if !self.tail.is_empty() {
-            bytes.extend(frame::encode(bytes.len() as u64, &self.tail)?);
-        }
-        snapshot::replace_bytes(&path, &bytes)?;
+        let mut length = 0;
+        snapshot::replace_with(&path, |file| {
+            let base = frame::encode(0, &self.base)?;
+            write_frame(file, &path, &base)?;
+            length = base.len() as u64;
+            for entries in frames(&self.tail) {
+                let frame = frame::encode(length, &entries)?;
+                write_frame(file, &path, &frame)?;
+                length += frame.len() as u64;
+            }
+            Ok(())
+        })?;
         self.log = open_log(&path)?;
-        self.length = bytes.len() as u64;
+        self.length = length;
         Ok(())
     }
 }
 
+fn write_frame(file: &mut File, path: &Path, frame: &[u8]) -> Result<()> {
+    file.write_all(frame)
+        .map_err(|error| io_error(path, &error))
+}
+
+/// Divides entries into those of one frame each.
+fn frames(entries: &[Entry]) -> impl Iterator<Item = &[Entry]> {
+    let mut size = 0;
+    entries.split_inclusive(move |entry| {
+        size += entry.size();
+        let is_full = size >= FRAME_BYTES_TARGET;
+        if is_full {
+            size = 0;
+        }
+        is_full
+    })
+}
+
 /// Content of `identity` in a sealed directory; the start is common to all later formats.
 #[derive(Deserialize, Serialize)]
 struct Seal {
@@ -335,42 +351,47 @@
 }
 
 fn read_log(path: &Path) -> Result<LogContents> {
-    let Some(bytes) = snapshot::read_bytes(path)? else {
-        return Err(corrupt(path, 0, "the file is missing"));
+    let failed = |error: io::Error| io_error(path, &error);
+    let file = match File::open(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => {
+            return Err(corrupt(path, 0, "the file is missing"));
+        }
+        opened => opened.map_err(failed)?,
     };
-    let (base, mut offset) = match frame::decode::<Position>(&bytes, 0) {
-        Ok(first) => first,
-        Err(Fault::Unknown) => return Err(corrupt(path, 0, UNKNOWN_FORMAT)),
-        Err(Fault::Damaged) => {
+    let file_length = file.metadata().map_err(failed)?.len();
+    let mut frames = FrameReader::new(BufReader::new(file));
+    let base = match frames.next::<Position>().map_err(failed)? {
+        Some(Ok(base)) => base,
+        Some(Err((Fault::Unknown, _))) => return Err(corrupt(path, 0, UNKNOWN_FORMAT)),
+        None | Some(Err((Fault::Damaged, _))) => {
             return Err(corrupt(path, 0, "the first frame is incomplete or damaged"));
         }
     };
     let mut tail = Vec::new();
-    while offset < bytes.len() {
-        let (entries, end) = match frame::decode::<Vec<Entry>>(&bytes, offset) {
-            Ok(next) => next,
-            Err(Fault::Unknown) => return Err(corrupt(path, offset, UNKNOWN_FORMAT)),
-            Err(Fault::Damaged) if frame::contains_frame(&bytes, offset) => {
+    loop {
+        let offset = frames.offset();
+        let at = offset as usize;
+        let entries: Vec<Entry> = match frames.next().map_err(failed)? {
+            None => break,
+            Some(Ok(entries)) => entries,
+            Some(Err((Fault::Unknown, _))) => return Err(corrupt(path, at, UNKNOWN_FORMAT)),
+            Some(Err((Fault::Damaged, rest))) if frame::contains_frame(&rest, offset) => {
                 let what = "a damaged frame precedes an intact one";
-                return Err(corrupt(path, offset, what));
+                return Err(corrupt(path, at, what));
             }
-            Err(Fault::Damaged) => break,
+            Some(Err((Fault::Damaged, _))) => break,
         };
         for entry in entries {
             if !insert_entry(&mut tail, base, entry) {
-                return Err(corrupt(
-                    path,
-                    offset,
-                    "entries are missing before or within this frame",
-                ));
+                let what = "entries are missing before or within this frame";
+                return Err(corrupt(path, at, what));
             }
         }
-        offset = end;
     }
     Ok(LogContents {
         base,
-        file_length: bytes.len(),
-        length: offset,
+        file_length: file_length as usize,
+        length: frames.offset() as usize,
         tail,
     })
 }
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -84,6 +84,9 @@
     /// Log entries kept in memory that precede the last snapshot, for control
     /// instances that lag behind.
     pub retain: usize,
+    /// Size of the log entries applied between two snapshots, in bytes. It bounds the log
+    /// on disk and in memory, unless a snapshot is larger than it.
+    pub snapshot_bytes: usize,
     /// Number of log entries applied between two snapshots.
     pub snapshot_entries: u64,
 }
@@ -97,6 +100,7 @@
             lost_all_ms: 0,
             recent: 4_096,
             retain: 2_000,
+            snapshot_bytes: 8 * 1024 * 1024,
             snapshot_entries: 4_096,
         }
     }
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -14,9 +14,7 @@
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::format::{encode_state, Format};
 use pomelovale_protocol::frame::{encode_body, FRAME_MAX_BYTES};
-use pomelovale_protocol::log::{
-    Entry, EntryData, LogIndex, Payload, Position, ReplicaId, Snapshot,
-};
+use pomelovale_protocol::log::{Entry, EntryData, Payload, Position, ReplicaId, Snapshot};
 use pomelovale_protocol::messages::{
     split_into_chunks, ChunkAssembler, ClusterStatus, Content, Delta, LogPacket, PeerMessage,
     Request, Response,
@@ -35,6 +33,7 @@
 use super::leader::Leader;
 use super::log_writer::LogWriter;
 use super::quota::Quota;
+use super::snapshots::SnapshotSchedule;
 use super::stored::{self, SnapshotState};
 use super::{role_name, ControlStatus, Fault};
 
@@ -91,11 +90,10 @@
     pub(super) formats: FormatState,
     pub(super) machine: StateMachine,
     applied: Position,
-    snapshot_index: LogIndex,
+    snapshots: SnapshotSchedule,
     // State of the snapshot that is being installed, decoded when it arrived.
     received_snapshot: Option<(Position, SnapshotState)>,
     compactions: (flume::Sender<Compaction>, flume::Receiver<Compaction>),
-    compacting: bool,
     feed: Feed,
     outputs: Outputs,
     pub(super) links: HashMap<u64, PeerLink>,
@@ -121,6 +119,8 @@
         outputs: Outputs,
     ) -> EventLoop {
         let quota = Quota::new(&config.name);
+        let limits = &config.limits;
+        let snapshots = SnapshotSchedule::new(limits.snapshot_entries, limits.snapshot_bytes);
         EventLoop {
             feed: Feed::new(config.limits.recent, Position::default()),
             config,
@@ -131,10 +131,9 @@
             formats,
             machine: StateMachine::default(),
             applied: Position::default(),
-            snapshot_index: LogIndex(0),
+            snapshots,
             received_snapshot: None,
             compactions: flume::bounded(1),
-            compacting: false,
             outputs,
             links: HashMap::new(),
             controls: HashMap::new(),
@@ -360,6 +359,7 @@
             }
         };
         self.applied = entry.position();
+        self.snapshots.add(entry.size());
         let (Some((change, _)), EntryData::Change(payload)) = (change, &entry.data) else {
             return true;
         };
@@ -404,7 +404,7 @@
                 self.machine = machine;
                 self.feed.reset(position);
                 self.applied = snapshot.position();
-                self.snapshot_index = snapshot.index;
+                self.snapshots.restore(snapshot.payload.len());
             }
             Err(fault) => {
                 let path = self.config.directory.join("snapshot");
@@ -413,12 +413,10 @@
         }
     }
 
-    // Takes a snapshot every `snapshot_entries` entries. The state is encoded on
-    // another thread, since a large one takes longer to encode than an election
-    // timeout.
+    // The state is encoded on another thread, since a large one takes longer to encode
+    // than an election timeout.
     fn snapshot_if_due(&mut self) {
-        let entries_since = self.applied.index.0 - self.snapshot_index.0;
-        if self.compacting || entries_since < self.config.limits.snapshot_entries {
+        if !self.snapshots.is_due() {
             return;
         }
         // Only the latest format has limits.
@@ -429,26 +427,34 @@
         let Some(format) = format else {
             return;
         };
-        self.compacting = true;
+        self.snapshots.begin();
         let (machine, position) = (self.machine.clone(), self.feed.position());
         let (index, done) = (self.applied.index, self.compactions.0.clone());
-        tokio::task::spawn_blocking(move || {
-            let state = encode_state(&machine, position, format);
+        let encoding =
+            tokio::task::spawn_blocking(move || encode_state(&machine, position, format));
+        // Also after a panic, so that the next snapshot is taken.
+        tokio::spawn(async move {
+            let state = encoding.await.ok().and_then(Result::ok);
             let snapshot = Payload::from(state.unwrap_or_default());
-            let _ = done.send((Event::Compact { index, snapshot }, format));
+            let event = Event::Compact { index, snapshot };
+            let _ = done.send_async((event, format)).await;
         });
     }
 
     fn compact(&mut self, (event, format): Compaction) {
-        self.compacting = false;
-        match &event {
-            Event::Compact { index, snapshot } if !snapshot.is_empty() => {
-                self.snapshot_index = self.snapshot_index.max(*index);
-                self.note_format(Some(format), false);
-                self.step(event);
-            }
-            _ => log::error!("can't encode the state for a snapshot; the log is not compacted"),
+        let size = match &event {
+            Event::Compact { snapshot, .. } => snapshot.len(),
+            _ => 0,
+        };
+        self.snapshots.end((size > 0).then_some(size));
+        if size == 0 {
+            log::error!("can't encode the state for a snapshot; the log is not compacted");
+            return;
         }
+        self.note_format(Some(format), false);
+        self.step(event);
+        // Much may have been applied meanwhile.
+        self.snapshot_if_due();
     }
 
     fn send_log(&mut self, packet: LogPacket) {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod log_writer;
 mod quota;
 mod serve;
+mod snapshots;
 mod stored;
 
 use std::fmt;
