Refuse orders to evacuate or readmit that may have come late

Cause: these orders name no version. A copy that waited in a frozen control process was read when it woke up and accepted, though a copy of it and a later, contrary order had been accepted through other processes meanwhile. The time limit of the call ran from when the order was read.

Fix: an order that may have waited for half a second before it was read is refused with 503, which makes an operator that still wants it send it again; the process notices that it stood still, by the clock that counts suspensions. From then on to the log, the order is based on the version of the domain that its instance knew, so that one that reaches the leader late is refused by the log. A list of servers that was read across a stall or a loss of leadership is given up, too.

--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -25,6 +25,8 @@
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
 use tokio::time::MissedTickBehavior;
 
+use crate::stalls::Stalls;
+
 use super::calls::{Calls, Sink, Target};
 use super::config::ControlConfig;
 use super::dial::Dialer;
@@ -56,15 +58,29 @@
 }
 
 /// State that the loop publishes to the rest of the process.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(super) struct Outputs {
     /// Why the loop has stopped by itself.
     pub(super) fault: Arc<OnceLock<Fault>>,
     pub(super) source: Arc<ArcSwap<RoutingSource>>,
+    /// When the process has stood still.
+    pub(super) stalls: Arc<Stalls>,
     pub(super) status: Arc<ArcSwap<ControlStatus>>,
     pub(super) view: Arc<View>,
 }
 
+impl Outputs {
+    pub(super) fn new(clock: Clock) -> Outputs {
+        Outputs {
+            fault: Arc::default(),
+            source: Arc::default(),
+            stalls: Arc::new(Stalls::new(clock)),
+            status: Arc::default(),
+            view: Arc::default(),
+        }
+    }
+}
+
 /// Source text of the routing table as its operator sent it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RoutingSource(pub(super) Arc<str>);
@@ -217,6 +233,7 @@
     }
 
     fn tick(&mut self) {
+        self.outputs.stalls.observe();
         self.step(Event::Tick);
         self.calls.expire(self.clock.now());
         self.dial();
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -38,6 +38,7 @@
 use tokio::time::timeout;
 
 use crate::error_report::describe;
+use crate::stalls::Stalls;
 
 use self::config::{ControlConfig, Joining};
 use self::dial::Dialer;
@@ -206,7 +207,7 @@
         };
         let (handle, calls) = ControlHandle::new(CALL_QUEUE);
         let (requests, requested) = flume::unbounded();
-        let outputs = Outputs::default();
+        let outputs = Outputs::new(clock.clone());
         let (log_writer, disk_closed) = LogWriter::start(storage, lock, outputs.fault.clone());
         let address = server.address();
         let event_loop = EventLoop::new(
@@ -273,6 +274,11 @@
         &self.counters
     }
 
+    /// When this process has stood still.
+    pub fn stalls(&self) -> &Stalls {
+        &self.outputs.stalls
+    }
+
     /// A handle whose calls this instance serves or forwards to the leader.
     pub fn handle(&self) -> ControlHandle {
         self.handle.clone()
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -152,6 +152,10 @@
         if !std::mem::replace(&mut reachable, true) {
             tracing::info!(event = "dependency", name = "server list", up = true);
         }
+        // Another leader may have read a later list since.
+        if control.stalls().any_since(start) || control.status().role != "leader" {
+            continue;
+        }
         let document = control.view().document();
         let commands = changes(&document, &listed);
         if commands.is_empty() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod runtime_delay;
 pub mod schema;
 pub mod settings;
+pub mod stalls;
 pub mod subscriber;
 pub mod tasks;
--- a/crates/daemon/src/operator_commands.rs
+++ b/crates/daemon/src/operator_commands.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use pomelovale_coordination::control::ControlHandle;
-use pomelovale_state::command::{Applied, Change, Command};
+use pomelovale_coordination::view::View;
+use pomelovale_state::command::{Applied, Change, Command, Item};
 use pomelovale_state::digest::Digest;
 use pomelovale_state::routing::Routing;
 use pomelovale_state::{ErrorKind, Millis, Name};
@@ -13,20 +14,32 @@
 /// milliseconds.
 pub const READ_MAX_AGE_MS: u64 = 1_000;
 
+/// Time that an order without a version may have waited before it was read, in
+/// milliseconds. Operators turn to another instance after a second, and may have sent a
+/// later order by then.
+pub const ORDER_MAX_AGE_MS: u64 = 500;
+
 /// Proposes commands to the control instances and waits for the results.
 #[derive(Clone, Debug)]
 pub struct OperatorCommands {
     handle: ControlHandle,
+    view: Arc<View>,
     sender: Name,
     timeout_ms: u64,
 }
 
 impl OperatorCommands {
     /// Creates a client that proposes as `sender` and waits up to `timeout_ms` for
-    /// each result.
-    pub fn new(handle: ControlHandle, sender: Name, timeout_ms: u64) -> OperatorCommands {
+    /// each result. `view` is that of the instance which has read the commands.
+    pub fn new(
+        handle: ControlHandle,
+        view: Arc<View>,
+        sender: Name,
+        timeout_ms: u64,
+    ) -> OperatorCommands {
         OperatorCommands {
             handle,
+            view,
             sender,
             timeout_ms,
         }
@@ -51,30 +64,56 @@
             routing: Arc::new(routing),
             source: Arc::from(source),
         };
-        self.send(Name::from(fingerprint.to_string()), command)
+        self.send(Name::from(fingerprint.to_string()), command, None)
             .await
     }
 
     /// Evacuates a failure domain, so that it gets no new work, or readmits it.
+    /// `unread_ms` is how long the order may have waited before it was read.
+    ///
+    /// An order names no version. So that a late copy of it doesn't undo a later order, it
+    /// is based on the version of this instance's view, and one that may have waited for
+    /// too long is refused. Its sender sends it again.
     ///
     /// # Errors
     /// `BadRequest` if the name is not valid, `Unavailable` if the result is
-    /// unknown.
-    pub async fn evacuate(&self, domain: Name, start: bool) -> Result<(), ErrorKind> {
+    /// unknown, a later order may have been accepted, or the view is not current.
+    pub async fn evacuate(
+        &self,
+        domain: Name,
+        start: bool,
+        unread_ms: u64,
+    ) -> Result<(), ErrorKind> {
+        if unread_ms >= ORDER_MAX_AGE_MS {
+            tracing::info!(event = "order", %domain, start, unread_ms, "not taken: it may be late");
+            return Err(ErrorKind::Unavailable);
+        }
+        let base = self
+            .view
+            .document()
+            .item_version(&Item::Domain(domain.clone()));
         let command = match start {
             true => Command::EvacuateDomain(domain),
             false => Command::ReadmitDomain(domain),
         };
         let request = format!("order-{:016x}", rand::random::<u64>());
-        self.send(Name::from(request), command).await
+        match self.send(Name::from(request), command, Some(base)).await {
+            Err(ErrorKind::VersionConflict) => Err(ErrorKind::Unavailable),
+            other => other,
+        }
     }
 
-    async fn send(&self, request: Name, command: Command) -> Result<(), ErrorKind> {
+    async fn send(
+        &self,
+        request: Name,
+        command: Command,
+        base: Option<u64>,
+    ) -> Result<(), ErrorKind> {
         let item = format!("{:?}", command.item());
         let change = Change {
             request,
             sender: self.sender.clone(),
-            base: None,
+            base,
             at: Millis(0),
             command,
         };
