Bootstrap the log although a seed has ended and started again before it

Callers saw: each order and each read of the configuration was answered with 503, for good, and registrations of gateways failed as unavailable.

Reproduced with real processes: a seed is killed 0.15 s after the first start, and started again with bootstrap = false. The first table was not accepted within 15 s.

Cause: the log is bootstrapped once all seeds have announced empty disks. A process that is told that this isn't the first start took its empty disk for a lost one.

Fix: a directory that is created in the first start says so, with the seeds it was created with. An empty disk is announced as one whatever the process was told; only the seed with the smallest address bootstraps the log, on a directory of the first start, and it isn't empty if it has done so before.

--- a/crates/coordination/src/log.rs
+++ b/crates/coordination/src/log.rs
@@ -10,6 +10,7 @@
 use pomelovale_state::{ErrorKind, Millis, Name};
 
 pub use crate::replica::Replica;
+pub use crate::snapshot::{read_bytes as read_file, replace_bytes as replace_file};
 pub use crate::storage::{DirectoryLock, Storage};
 
 /// Longest time between two ticks, in milliseconds.
@@ -42,9 +43,8 @@
     pub election_ms: (u64, u64),
     /// Largest payload of a proposal, in bytes.
     pub entry_bytes: usize,
-    /// Whether this is the first start of the whole system. If not, an empty
-    /// disk means that data was lost, and the replica takes no part in a
-    /// bootstrap of the log.
+    /// Whether this replica may bootstrap the log if its disk is empty: its disk is of
+    /// the first start of the whole system. On any other, data may have been lost.
     pub founding: bool,
     /// Time between two heartbeat rounds, in milliseconds.
     pub heartbeat_ms: u64,
--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -43,7 +43,7 @@
             self.bootstrap_log();
             return;
         }
-        let vacant = self.is_vacant();
+        let vacant = self.is_empty();
         let members = self.entries.members();
         let known = members.voters.iter().chain(&members.learners);
         let mut peers: BTreeSet<Name> = known.map(|id| id.name.clone()).collect();
@@ -91,10 +91,9 @@
         }
     }
 
-    fn is_vacant(&self) -> bool {
-        self.config.founding
-            && self.hard_state.epoch == Epoch(0)
-            && self.entries.last().index == LogIndex(0)
+    /// Whether this replica has neither voted nor stored an entry.
+    fn is_empty(&self) -> bool {
+        self.hard_state.epoch == Epoch(0) && self.entries.last().index == LogIndex(0)
     }
 
     fn is_recent(&self, announcement: &Announcement) -> bool {
@@ -102,16 +101,21 @@
     }
 
     /// Returns whether this replica may bootstrap the log: its name is the first of
-    /// all peers, its disk is empty, and all other peers recently announced an
-    /// empty disk. A peer that holds data or is unreachable prevents the
-    /// bootstrap, so that the log is not bootstrapped twice.
+    /// all peers, its disk is empty and of the first start, and all other peers
+    /// recently announced an empty disk. A peer that holds data or is unreachable
+    /// prevents the bootstrap, so that the log is not bootstrapped twice. The disks
+    /// of the others need not be of the first start: only this replica bootstraps the
+    /// log, and would not be empty if it had.
     fn may_bootstrap(&self) -> bool {
         let vacant = |name| match self.announcements.get(name) {
             Some(announcement) => announcement.vacant && self.is_recent(announcement),
             None => *name == self.id.name,
         };
         let peers = &self.config.peers;
-        self.is_vacant() && peers.iter().min() == Some(&self.id.name) && peers.iter().all(vacant)
+        self.config.founding
+            && self.is_empty()
+            && peers.iter().min() == Some(&self.id.name)
+            && peers.iter().all(vacant)
     }
 
     fn bootstrap_log(&mut self) {
--- a/crates/coordination/src/snapshot.rs
+++ b/crates/coordination/src/snapshot.rs
@@ -27,7 +27,7 @@
 }
 
 /// Replaces the content of `path` atomically and durably.
-pub(crate) fn replace_bytes(path: &Path, bytes: &[u8]) -> Result<(), Report<ErrorKind>> {
+pub fn replace_bytes(path: &Path, bytes: &[u8]) -> Result<(), Report<ErrorKind>> {
     let failed = |error| io_error(path, &error);
     replace_with(path, |file| file.write_all(bytes).map_err(failed))
 }
@@ -81,7 +81,7 @@
 }
 
 /// Reads the bytes of a file; `None` if it does not exist.
-pub(crate) fn read_bytes(path: &Path) -> Result<Option<Vec<u8>>, Report<ErrorKind>> {
+pub fn read_bytes(path: &Path) -> Result<Option<Vec<u8>>, Report<ErrorKind>> {
     match fs::read(path) {
         Ok(bytes) => Ok(Some(bytes)),
         Err(error) if error.kind() == IoKind::NotFound => Ok(None),
--- a/crates/coordination/tests/log_core/open.rs
+++ b/crates/coordination/tests/log_core/open.rs
@@ -121,6 +121,21 @@
     };
 }
 
+/// Guards against a first start that never ends: a founder ended before the log was
+/// bootstrapped, and was started again like after any other end.
+#[test]
+fn founders_that_ended_early_take_part_in_the_bootstrap() {
+    for seed in 0..10 {
+        let mut sim = Sim::open(3, FOUNDERS, seed);
+        (1..3).for_each(|n| sim.crash(n));
+        sim.run(1_000);
+        assert_eq!(sim.current_leader(), None);
+        sim.founding = false;
+        (1..3).for_each(|n| sim.start(n));
+        run_until_voters(&mut sim, 3);
+    }
+}
+
 /// Guards against the bootstrap of a second log: an empty disk after the first
 /// start means that data was lost, and its instance must not bootstrap a log.
 #[test]
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod event_loop;
 mod feed;
 mod formats;
+mod founding;
 mod leader;
 mod log_writer;
 mod quota;
@@ -168,6 +169,7 @@
     pub async fn start(config: ControlConfig, clock: Clock) -> Result<ControlServer, ControlError> {
         let directory = &config.directory;
         let lock = DirectoryLock::acquire(directory).map_err(ControlError::Storage)?;
+        let founding = founding::is_founding(&config).map_err(ControlError::Storage)?;
         let mut stored_format = None;
         let opened = Storage::open_checked(directory, |restored| {
             stored_format = stored::check_restored(directory, restored)?;
@@ -175,7 +177,7 @@
         });
         let (storage, restored) = opened.map_err(ControlError::Storage)?;
         let formats = FormatState::new(stored_format, storage.is_sealed(), &config.unnamed);
-        let log = log_config(&config);
+        let log = log_config(&config, founding);
         let replica = Replica::new(log, restored, rand::random(), clock.now());
         let counters = Arc::new(PeerCounters::default());
         let peering = PeerConfig {
@@ -245,13 +247,13 @@
     }
 }
 
-fn log_config(config: &ControlConfig) -> LogConfig {
+fn log_config(config: &ControlConfig, founding: bool) -> LogConfig {
     let mut names: Vec<Name> = config.peers.iter().map(|p| p.name.clone()).collect();
-    let (founding, membership) = match config.joining {
-        Joining::ByAddress { founding, voters } => (founding, Membership::Open { voters }),
+    let membership = match config.joining {
+        Joining::ByAddress { voters, .. } => Membership::Open { voters },
         Joining::Fixed => {
             names.push(config.name.clone());
-            (true, Membership::Fixed)
+            Membership::Fixed
         }
     };
     names.sort();
