--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -258,9 +258,10 @@
         // the snapshot.
         let installing = progress.next <= base.index;
         let before = progress.next.previous().max(base.index);
-        let matched = progress.matched.max(base.index);
-        let full = progress.next.0 > progress.matched.0 + INFLIGHT_ENTRIES_MAX
-            || (self.entries).exceeds(matched, progress.next.previous(), INFLIGHT_BYTES_MAX);
+        let (matched, sent) = (progress.matched, progress.next.previous());
+        let many = sent.0 >= matched.0 + INFLIGHT_ENTRIES_MAX;
+        let stored = &self.entries;
+        let full = many || stored.exceeds(matched.max(base.index), sent, INFLIGHT_BYTES_MAX);
         let probing = progress.probe.is_some() && !heartbeat;
         let entries = if installing || full || probing {
             Vec::new()
@@ -409,18 +410,14 @@
     }
 
     pub(crate) fn propose(&mut self, token: u64, payload: Payload) {
-        let last = self.entries.last().index;
-        let waiting = last.0 - self.commit.0;
+        let (commit, last) = (self.commit, self.entries.last().index);
+        let waiting = last.0 - commit.0;
         let refusal = match &self.leader_state {
             None => Some(ErrorKind::NotLeader),
             Some(leader_state) if leader_state.transfer.is_some() => Some(ErrorKind::NotLeader),
             Some(_) if payload.len() > self.config.entry_bytes => Some(ErrorKind::TooLarge),
             Some(_) if waiting >= UNCOMMITTED_ENTRIES_MAX => Some(ErrorKind::Overloaded),
-            Some(_)
-                if self
-                    .entries
-                    .exceeds(self.commit, last, UNCOMMITTED_BYTES_MAX) =>
-            {
+            Some(_) if self.entries.exceeds(commit, last, UNCOMMITTED_BYTES_MAX) => {
                 Some(ErrorKind::Overloaded)
             }
             Some(_) => None,
--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -36,6 +36,19 @@
         assert!(sim.writes - before <= 12, "{} writes", sim.writes - before);
     };
 
+    /// Guards against a leader that fills its memory with large proposals which can't be
+    /// committed.
+    uncommitted_proposals_are_bounded_in_bytes(3, 1) |mut sim| {
+        let leader = sim.current_leader().expect("there is a leader");
+        sim.partition(|node| usize::from(node == leader));
+        for token in 0..100 {
+            let payload = vec![0; 256 * 1024].into();
+            sim.step(leader, Event::Propose { token, payload });
+        }
+        let status = sim.status(leader).expect("the leader runs");
+        assert_eq!(status.last.0 - status.commit.0, 33);
+    };
+
     /// Guards against acceptance before a majority has synced.
     accepts_after_sync(3, 5) |mut sim| {
         let leader = sim.current_leader().unwrap_or(0);
