--- a/crates/daemon/tests/control_subscriber.rs
+++ b/crates/daemon/tests/control_subscriber.rs
@@ -221,8 +221,8 @@
     until("the view is proven", || fake.view_age() != u64::MAX).await;
 }
 
-// Guards against changes of the document whose cost is not measured, since they arrive
-// without a whole document.
+// Guards against changes of the document whose apply time is not recorded, since they
+// are received without a whole document.
 #[tokio::test]
 async fn changes_are_timed() {
     let recorder = PrometheusBuilder::new().build_recorder();
