--- a/crates/coordination/tests/log_core/cases.rs
+++ b/crates/coordination/tests/log_core/cases.rs
@@ -343,6 +343,35 @@
     assert!(probes.count() > 1);
 }
 
+/// Guards against a slow link on which heartbeats wait behind hundreds of large entries
+/// that the other replica has not acknowledged.
+#[test]
+fn unacknowledged_entries_are_bounded_in_bytes() {
+    const ENTRY_BYTES: usize = 128 * 1024;
+    let mut sim = Sim::with_leader(3, 1);
+    let (mut replica, now) = restart_and_elect(&mut sim);
+    // The other replica has acknowledged all entries so far, and nothing later.
+    let last = replica.status().last;
+    let acknowledged = append_reply(&sim, 1, &replica, last, None);
+    let mut actions = replica.step(now, acknowledged);
+    for token in 0..30 {
+        let payload = vec![0; ENTRY_BYTES].into();
+        actions.extend(replica.step(now, Event::Propose { token, payload }));
+    }
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Send {
+            to,
+            message: LogMessage::Append { entries, .. },
+        } if *to == sim.id(1) => Some(entries.iter().map(Entry::size).sum::<usize>()),
+        _ => None,
+    });
+    let sent: usize = sent.sum();
+    assert!(
+        (1_000_000..1_500_000).contains(&sent),
+        "{sent} bytes are in flight"
+    );
+}
+
 /// Restarts the replica of the first instance and gets it elected.
 fn restart_and_elect(sim: &mut Sim) -> (Replica, Millis) {
     let mut replica = sim.new_replica(0);
