Follow a change of the server list by its version

The lines could not tell which step had taken the time. There was a line for each server that changed, of which a storm lost most (22 and 24 lines of batches of 100 and more); none for the time from the proposal to the commit, to subscribers, on a gateway, or from the last check of the document to the write; no runtime delays of control instances; and none of which changes fill the log.

Now one bounded line a step, under the version of the document: list-read, list-sent, list-change and late-send, with a histogram each; control-load and members say once a second what a control instance is busy with.

No logic is changed.

--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -23,8 +23,10 @@
 use pomelovale_state::machine::StateMachine;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
+use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
+use crate::runtime_delay;
 use crate::stalls::Stalls;
 
 use super::calls::{Calls, Sink, Target};
@@ -34,6 +36,7 @@
 use super::formats::FormatState;
 use super::leader::Leader;
 use super::log_writer::LogWriter;
+use super::loop_stats::LoopStats;
 use super::quota::Quota;
 use super::snapshots::SnapshotSchedule;
 use super::stored::{self, SnapshotState};
@@ -122,6 +125,7 @@
     quota: Quota,
     pub(super) leader: Option<Leader>,
     stopping: bool,
+    stats: LoopStats,
 }
 
 impl EventLoop {
@@ -138,6 +142,7 @@
         let limits = &config.limits;
         let snapshots = SnapshotSchedule::new(limits.snapshot_entries, limits.snapshot_bytes);
         EventLoop {
+            stats: LoopStats::new(&clock),
             feed: Feed::new(config.limits.recent, Position::default()),
             config,
             clock,
@@ -169,6 +174,8 @@
     pub(super) async fn run(mut self, inputs: Inputs) {
         let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut watching = JoinSet::new();
+        watching.spawn(runtime_delay::watch());
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick(),
@@ -193,11 +200,13 @@
                     Err(_) => return,
                 },
             }
+            self.stats.begin_pass(inputs.events.len());
             self.process_ready_inputs(&inputs);
             if self.has_failed() {
                 return;
             }
             let status = self.publish_state();
+            self.stats.end_pass(self.clock.now());
             if self.stopping && status.role != LogRole::Leader {
                 return;
             }
@@ -386,6 +395,7 @@
         self.unpublished_results
             .push((change.request.clone(), applied));
         if version > before {
+            self.stats.record_change(&change.command);
             let source_bytes = match &change.command {
                 Command::ReplaceRouting { source, .. } => source.len(),
                 _ => 0,
@@ -395,9 +405,9 @@
                 version,
                 change: without_routing_source(change),
             };
-            self.feed
-                .add(delta, payload.len().saturating_sub(source_bytes));
             let (now, document) = (self.clock.now(), &self.machine.document);
+            let size = payload.len().saturating_sub(source_bytes);
+            self.feed.add(delta, size, now);
             self.leader
                 .iter_mut()
                 .for_each(|l| l.set_limits(document, now));
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -13,6 +13,8 @@
 use pomelovale_state::{Millis, Name};
 use pomelovale_transport::peer_link::PeerLink;
 
+use crate::list_change::ListChange;
+
 /// Maximum encoded size of the changes in one message. A change that is larger is
 /// sent in a message of its own.
 const GROUP_MAX_BYTES: usize = 128 * 1024;
@@ -25,6 +27,8 @@
 /// Time that an encoded document is reused for other subscribers that load it,
 /// in milliseconds.
 const ENCODED_TTL_MS: u64 = 5_000;
+/// Maximum number of changes of the server list that are followed until they are sent.
+const UNSENT_MAX: usize = 64;
 
 #[derive(Clone, Copy, Debug)]
 enum Progress {
@@ -41,6 +45,13 @@
     progress: Progress,
 }
 
+/// A change by which servers leave that some subscribers haven't been sent yet.
+struct Unsent {
+    position: Position,
+    version: u64,
+    applied: Millis,
+}
+
 #[derive(Clone)]
 struct RecentChange {
     delta: Arc<Delta>,
@@ -155,6 +166,7 @@
     // Encoded size of the document when it was last encoded.
     document_size: Option<usize>,
     subscribers: HashMap<u64, Subscriber>,
+    unsent: VecDeque<Unsent>,
 }
 
 impl Feed {
@@ -168,6 +180,7 @@
             encoded: None,
             document_size: None,
             subscribers: HashMap::new(),
+            unsent: VecDeque::new(),
         }
     }
 
@@ -187,8 +200,19 @@
 
     /// Adds an accepted change of `size` encoded bytes and drops the oldest ones
     /// over the limits.
-    pub(super) fn add(&mut self, delta: Delta, size: usize) {
+    pub(super) fn add(&mut self, delta: Delta, size: usize, now: Millis) {
         self.position = delta.position;
+        let list_change = ListChange::of(&delta.change.command);
+        if list_change.is_some_and(|change| !change.closed.is_empty()) {
+            if self.unsent.len() == UNSENT_MAX {
+                self.unsent.pop_front();
+            }
+            self.unsent.push_back(Unsent {
+                position: delta.position,
+                version: delta.version,
+                applied: now,
+            });
+        }
         self.bytes += size;
         let delta = Arc::new(delta);
         self.recent.push_back(RecentChange { delta, size });
@@ -240,6 +264,29 @@
             }
             self.send_changes(id, sent, None, changes, context);
         }
+        self.record_sent(context.now);
+    }
+
+    // Logs the changes of the server list that all subscribers have been sent which have the
+    // document.
+    fn record_sent(&mut self, now: Millis) {
+        let positions = self.subscribers.values().filter_map(|s| match s.progress {
+            Progress::Current(sent) => Some(sent.index),
+            Progress::New | Progress::Loading(_) => None,
+        });
+        let (subscribers, least) = (positions.clone().count(), positions.min());
+        let is_sent = |unsent: &Unsent| least.is_none_or(|i| i >= unsent.position.index);
+        let count = self.unsent.iter().take_while(|u| is_sent(u)).count();
+        for sent in self.unsent.drain(..count) {
+            let spent_ms = now.since(sent.applied);
+            metrics::histogram!("feed_send_seconds").record(Millis(spent_ms).duration());
+            tracing::info!(
+                event = "list-sent",
+                version = sent.version,
+                subscribers,
+                spent_ms
+            );
+        }
     }
 
     /// Answers a renewal with a proof and with what the subscriber is missing.
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -30,6 +30,9 @@
 /// not reported their leases yet are logged, in milliseconds.
 const SILENT_HOLDERS_LOG_DELAY_MS: u64 = 1_500;
 
+/// Number of instances that a log line names.
+const NAMED_MAX: usize = 8;
+
 /// State of a leader, created for each epoch that this instance leads.
 pub(super) struct Leader {
     pub(super) epoch: Epoch,
@@ -58,6 +61,16 @@
     }
 }
 
+// Logs how many instances are taken out and back, and names some of them.
+fn log_members(changes: &[(Name, MemberState)]) {
+    let back = |(_, state): &&(Name, MemberState)| *state == MemberState::Serving;
+    let back = changes.iter().filter(back).count();
+    let away = changes.len() - back;
+    let names = changes.iter().map(|(name, _)| name.as_str());
+    let names: Vec<&str> = names.take(NAMED_MAX).collect();
+    tracing::info!(event = "members", away, back, names = names.join(" "));
+}
+
 // Gateways hold no leases: their control instance admits requests for them.
 fn is_gateway(instance: &Instance) -> bool {
     instance.callers.is_some() && instance.peers.is_some()
@@ -180,6 +193,9 @@
         self.measurements.retain(document, now);
         let outages = outages::changes(&self.measurements, document, now);
         let changes = self.measurements.membership_changes(document, now);
+        if !changes.is_empty() {
+            log_members(&changes);
+        }
         let epoch = self.epoch;
         let change = |(kind, command): (String, Command)| Change {
             request: format!("{kind}-{}-{}", epoch.0, now.0).into(),
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod founding;
 mod leader;
 mod log_writer;
+mod loop_stats;
 mod quota;
 mod serve;
 mod snapshots;
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use crate::control::ControlServer;
+use crate::list_change::ListChange;
 
 /// Maximum number of successive calls for the whole list. A list that takes more
 /// is read by failure domain, all domains in parallel.
@@ -108,16 +109,58 @@
     }
 }
 
+/// Duration of the steps from the list to the document, in milliseconds.
+struct Steps {
+    // Between the starts of two successive reads: the longest time for which a change of the
+    // list can have waited for this one. `None` for the first read of a leader.
+    wait_ms: Option<u64>,
+    read_ms: u64,
+    commit_ms: u64,
+}
+
+impl Steps {
+    fn record_read(&self) {
+        if let Some(wait_ms) = self.wait_ms {
+            metrics::histogram!("server_list_wait_seconds").record(Millis(wait_ms).duration());
+        }
+        metrics::histogram!("server_list_read_seconds").record(Millis(self.read_ms).duration());
+    }
+
+    fn log(&self, version: u64, change: &ListChange, calls: usize) {
+        let Steps {
+            wait_ms,
+            read_ms,
+            commit_ms,
+        } = *self;
+        metrics::histogram!("server_list_commit_seconds").record(Millis(commit_ms).duration());
+        let (closed, updated) = (change.closed.len(), change.updated);
+        tracing::info!(
+            event = "list-read",
+            version,
+            closed,
+            updated,
+            wait_ms,
+            read_ms,
+            commit_ms,
+            calls,
+            names = change.closed_names()
+        );
+    }
+}
+
 /// Applies changes of the list to the document until the task is aborted.
 pub async fn run(control: Arc<ControlServer>, fetch: FetchServers, clock: Clock, pause_ms: u64) {
     let (mut reachable, mut by_domain) = (true, false);
     let mut unread: Vec<Name> = Vec::new();
+    // When the last successful read began.
+    let mut last_read: Option<Millis> = None;
     loop {
         // Reading a long list takes many calls, each of which has a cost, so it is
         // read half as often.
         let pause = if by_domain { 2 * pause_ms } else { pause_ms };
         tokio::time::sleep(Millis(pause).duration()).await;
         if control.status().role != "leader" || control.view().document().version == 0 {
+            last_read = None;
             continue;
         }
         let start = clock.now();
@@ -152,6 +195,13 @@
         if !std::mem::replace(&mut reachable, true) {
             tracing::info!(event = "dependency", name = "server list", up = true);
         }
+        let mut steps = Steps {
+            wait_ms: last_read.map(|last| start.since(last)),
+            read_ms: clock.now().since(start),
+            commit_ms: 0,
+        };
+        steps.record_read();
+        last_read = Some(start);
         // Another leader may have read a later list since.
         if control.stalls().any_since(start) || control.status().role != "leader" {
             continue;
@@ -161,13 +211,6 @@
         if commands.is_empty() {
             continue;
         }
-        for command in &commands {
-            tracing::info!(
-                event = "discovery",
-                age_ms = clock.now().since(start),
-                "{command:?}"
-            );
-        }
         let change = Change {
             request: Name::from(format!("discovery-{:016x}", rand::random::<u64>())),
             sender: Name::from("discovery"),
@@ -175,8 +218,13 @@
             at: Millis(0),
             command: Command::Batch(commands),
         };
+        let listed_change = ListChange::of(&change.command).unwrap_or_default();
+        let proposed = clock.now();
         match control.handle().propose(change).await {
-            Ok(Applied::Accepted { .. }) => {}
+            Ok(Applied::Accepted { version, .. }) => {
+                steps.commit_ms = clock.now().since(proposed);
+                steps.log(version, &listed_change, listed.calls);
+            }
             other => tracing::warn!(
                 event = "discovery",
                 "changes from the server list were not accepted: {other:?}"
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -26,7 +26,7 @@
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
 use super::stopping::Sent;
-use super::{availability, connections, relaying, server_selection, Shared};
+use super::{availability, connections, late_sends, relaying, server_selection, Shared};
 use crate::crash::{self, Run, RunGuard, ServerCheck, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
@@ -542,8 +542,10 @@
     ));
     routed.sent.set(true);
     let limit = end.saturating_duration_since(start);
+    let write_time = connection.write_time();
     let sending = connection.send(request, &header_names.request, id, limit);
     let sent = await_reply(shared, routed, chosen, progress, &run, sending).await;
+    late_sends::record(shared, &chosen.server, start, write_time.get());
     let result = match sent {
         Ok(reply) => receive(shared, routed, reply, end, running).await,
         Err(failure) => Err((failure, running)),
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -2,7 +2,7 @@
 //! document.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use pomelovale_state::document::{Backend, Document, Instance, MemberState};
@@ -21,6 +21,8 @@
 /// Share of the common retry budgets that the instances use, in per mille. The
 /// rest covers instances that restart and then spend their share a second time.
 const BUDGET_USED_PER_MILLE: u64 = 600;
+/// Time for which the departure of a server is kept.
+const DEPARTURE_TTL: Duration = Duration::from_secs(10);
 /// Time for following a change of the document from which it is logged, in milliseconds.
 const SLOW_SYNC_MS: u64 = 20;
 
@@ -65,9 +67,20 @@
     }
 }
 
+/// A server that gets no more requests by the latest document.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Departure {
+    /// Version of the document that took it out.
+    pub(super) version: u64,
+    /// When this instance followed it.
+    pub(super) at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     version: Option<u64>,
+    // Servers that were taken out recently.
+    departures: IndexMap<Name, Departure>,
     services: IndexMap<Name, Service>,
     // State of the smooth weighted round robin of each route with several
     // targets: credit by service.
@@ -129,6 +142,11 @@
         inner.services.iter_mut().for_each(|(name, s)| f(name, s));
     }
 
+    /// Returns the departure of a server that was taken out recently.
+    pub(super) fn departure(&self, server: &Name) -> Option<Departure> {
+        self.lock().departures.get(server).copied()
+    }
+
     /// Returns the other gateways that select servers for this failure domain.
     pub(super) fn coordinators(&self) -> Vec<PeerAddress> {
         let inner = self.lock();
@@ -251,8 +269,20 @@
         inner
             .services
             .retain(|name, _| routing.services.contains_key(name));
+        let departure = Departure {
+            version: document.version,
+            at: Instant::now(),
+        };
+        inner
+            .departures
+            .retain(|_, d| d.at.elapsed() < DEPARTURE_TTL);
         for (name, routed) in &routing.services {
             let server_specs = self.server_specs(document, name);
+            if !inner.departures.is_empty() {
+                for spec in &server_specs {
+                    inner.departures.swap_remove(&spec.name);
+                }
+            }
             let service = ServiceSpec {
                 cold_ms: routed.cold_ms,
                 cold_rate: (routed.cold_rate > 0).then_some(routed.cold_rate as f64 / 1_000.0),
@@ -302,9 +332,12 @@
             service_state
                 .placement
                 .set_warmup_instances(warmup_instances.into_iter());
-            service_state
-                .placement
-                .set_servers(now, &server_specs, service, &regions);
+            let removed =
+                service_state
+                    .placement
+                    .set_servers(now, &server_specs, service, &regions);
+            let departed = removed.into_iter().map(|name| (name, departure));
+            inner.departures.extend(departed);
             service_state.retry_budget.set_policy(policy);
             service_state.probe.clone_from(&routed.probe);
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod error_report;
 pub mod gateway;
+pub mod list_change;
 pub mod logging;
 pub mod node;
 pub mod operator_commands;
--- a/crates/daemon/src/subscriber/mod.rs
+++ b/crates/daemon/src/subscriber/mod.rs
@@ -24,6 +24,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::control::calls::{Calls, Sink, Target};
+use crate::list_change::ListChange;
 use crate::runtime_delay;
 
 use endpoints::{distance, known_endpoints};
@@ -358,6 +359,7 @@
     fn apply_proof(&mut self, proof: Proof) -> Result<(), ErrorKind> {
         let start = Instant::now();
         let before = self.document.version;
+        let mut list_changes = Vec::new();
         for delta in &proof.changes {
             match delta.version {
                 v if v <= self.document.version => continue,
@@ -373,9 +375,22 @@
                 }
             }
             self.position = Some(delta.position);
+            let change = ListChange::of(&delta.change.command);
+            let closing = change.filter(|change| !change.closed.is_empty());
+            list_changes.extend(closing.map(|change| (delta.version, change)));
         }
         if self.document.version > before {
+            // The document was current then, without these changes.
+            let lag_ms = self.view_ms(self.clock.now());
             self.publish(start);
+            let apply_ms = start.elapsed().as_millis() as u64;
+            for (version, change) in list_changes {
+                let closed = change.closed.len();
+                tracing::info!(event = "list-change", version, closed, lag_ms, apply_ms);
+            }
+            let lag = lag_ms.map(|ms| Millis(ms).duration());
+            lag.into_iter()
+                .for_each(|lag| metrics::histogram!("document_lag_seconds").record(lag));
         }
         let complete = self
             .position
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -203,14 +203,14 @@
     /// all regions. A server that was not in the previous list, or was there with
     /// another address, counts as cold, since it has just started or was out of
     /// service for a while. If the previous list was empty, no server counts as
-    /// cold for that reason.
+    /// cold for that reason. Returns the servers that were only in the previous list.
     pub fn set_servers(
         &mut self,
         now: Millis,
         specs: &[ServerSpec],
         service: ServiceSpec,
         regions: &[Name],
-    ) {
+    ) -> Vec<Name> {
         self.service = service;
         let first = self.servers.is_empty();
         let mut old = std::mem::take(&mut self.servers);
@@ -247,6 +247,7 @@
             };
             self.servers.insert(spec.name.clone(), server);
         }
+        let removed = old.keys().cloned().collect();
         // A server may be left out for a moment, as its failure domain is evacuated.
         let closed = old.into_iter().map(|(name, s)| {
             let key = (name, s.spec.address);
@@ -260,6 +261,7 @@
         };
         let capacities: Vec<(Name, u32)> = regions.iter().map(|r| (r.clone(), slots(r))).collect();
         self.assignment.set_capacities(&capacities);
+        removed
     }
 
     /// Adjusts the share of objects that go to other regions by one step, and the
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
@@ -57,12 +57,21 @@
 #[derive(Debug)]
 struct IoMonitor {
     written: AtomicU64,
+    // When the first byte of the current request was written.
+    write_time: Mutex<Option<Instant>>,
     framing: Mutex<Framing>,
     verdicts: Verdicts,
 }
 
 impl IoMonitor {
+    fn write_time(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.write_time
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn expect_head(&self) {
+        *self.write_time() = None;
         let mut framing = self.framing.lock().unwrap_or_else(PoisonError::into_inner);
         framing.restart();
     }
@@ -143,6 +152,20 @@
     fn count(&self, result: &io::Result<usize>) {
         let n = *result.as_ref().unwrap_or(&0) as u64;
         self.monitor.written.fetch_add(n, Ordering::Relaxed);
+        if n > 0 {
+            self.monitor.write_time().get_or_insert_with(Instant::now);
+        }
+    }
+}
+
+/// Tells when the request on a connection was written.
+#[derive(Clone, Debug)]
+pub struct WriteTime(Arc<IoMonitor>);
+
+impl WriteTime {
+    /// When the first byte of the request was written to the socket; `None` if none was yet.
+    pub fn get(&self) -> Option<Instant> {
+        *self.0.write_time()
     }
 }
 
@@ -176,6 +199,7 @@
         let framing = Framing::new(Direction::Responses, verdicts.clone());
         let monitor = Arc::new(IoMonitor {
             written: AtomicU64::new(0),
+            write_time: Mutex::default(),
             framing: Mutex::new(framing),
             verdicts,
         });
@@ -205,6 +229,11 @@
         self.proven
     }
 
+    /// Tells when the next request is written.
+    pub fn write_time(&self) -> WriteTime {
+        WriteTime(self.monitor.clone())
+    }
+
     /// Whether no response was received on the connection yet.
     pub fn is_fresh(&self) -> bool {
         self.fresh
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -390,7 +390,7 @@
         let delay = Duration::from_millis(config.delay_ms);
         let heartbeat = Duration::from_millis(config.timings.heartbeat_ms);
         loop {
-            let message = match next_message(&outgoing, delay, heartbeat).await {
+            let (queued, message) = match next_message(&outgoing, delay, heartbeat).await {
                 Err(end) => return end,
                 Ok(message) => message,
             };
@@ -406,6 +406,9 @@
             if let Err(end) = written {
                 return end;
             }
+            if matches!(&message, PeerMessage::Proof(proof) if !proof.changes.is_empty()) {
+                metrics::histogram!("peer_change_send_seconds").record(queued.elapsed());
+            }
         }
     };
     tokio::select! {
@@ -425,18 +428,18 @@
     outgoing: &OutgoingQueues,
     delay: Duration,
     heartbeat: Duration,
-) -> Result<PeerMessage, LinkEnd> {
+) -> Result<QueuedMessage, LinkEnd> {
     let received = tokio::select! {
         biased;
         m = outgoing.queue.recv_async() => m,
         m = outgoing.bulk.recv_async() => m,
-        () = tokio::time::sleep(heartbeat) => return Ok(PeerMessage::Ping),
+        () = tokio::time::sleep(heartbeat) => return Ok((Instant::now(), PeerMessage::Ping)),
     };
     let (queued, message) = received.map_err(|_| LinkEnd::Closed)?;
     if !delay.is_zero() {
         sleep_until(queued + delay).await;
     }
-    Ok(message)
+    Ok((queued, message))
 }
 
 /// A TCP stream that counts the bytes received and sent.
