Don't carry out decisions of a leader that has stood still

Cause: the woken instance steps down in the same tick in which it still checks which instances report. It had read none of the reports since, proposed to take out all 281 gateways, and passed these proposals on to its successor, which accepted them. The successor took them back one by one: 1,124 changes within two seconds, for 18 followers and 281 subscribers each.

A leader now proposes states of instances, outages and limits only while a quorum has confirmed it within the shortest election timeout, as it grants tokens. Its own proposals end with its leadership. Reports that are read within a second after the process has stood still are ignored.

--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -175,6 +175,20 @@
         }
     }
 
+    /// Removes the proposals that no caller waits for: those of a leader, which rest on what
+    /// it had measured.
+    pub(crate) fn remove_own(&mut self) {
+        let proposals = &mut self.proposals;
+        self.open.retain(|_, call| {
+            let is_own = call.sinks.is_empty();
+            match &call.request {
+                Request::Propose(change) if is_own => drop(proposals.remove(&change.request)),
+                _ => {}
+            }
+            !is_own
+        });
+    }
+
     /// Answers the calls that other control instances forwarded with `NotLeader`,
     /// so that they can forward them elsewhere. Calls of other callers stay
     /// pending.
--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -88,6 +88,8 @@
                 self.feed
                     .renew(id, &renew, &self.machine.document, &context);
             }
+            // It may have waited in the socket while this process stood still.
+            (PeerMessage::Report(_), _) if self.outputs.stalls.unread_ms() > 0 => {}
             (PeerMessage::Report(report), _) => match self.leader.as_mut() {
                 Some(leader) => leader.record(&report, now),
                 None if link.role == Role::Entry => {
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -332,6 +332,7 @@
             (false, Some(_)) => {
                 log::info!("{} is no longer the leader", self.config.name);
                 self.leader = None;
+                self.calls.remove_own();
                 self.calls.reject_forwarded();
                 self.assign_calls();
             }
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,7 +1,7 @@
 //! Processing of calls: the leader serves them, other instances forward them to
 //! the leader.
 
-use pomelovale_coordination::log::{Event, ELECTION_MS};
+use pomelovale_coordination::log::{Event, Role, ELECTION_MS};
 use pomelovale_protocol::format::{encode_change, is_common, Format};
 use pomelovale_protocol::grants::GrantRequest;
 use pomelovale_protocol::log::Payload;
@@ -103,12 +103,18 @@
         }
     }
 
-    // Grants only while a quorum has confirmed this leader within the shortest
-    // election timeout: the quorum can't have elected another leader since, whose
-    // ledger would not know of this grant.
+    // Whether a quorum has confirmed this leader within the shortest election timeout, so
+    // that it can't have elected another leader since.
+    fn is_confirmed_leader(&self, now: Millis) -> bool {
+        let status = self.replica.status();
+        status.role == Role::Leader && status.staleness_ms(now) < ELECTION_MS.0
+    }
+
+    // Grants only as a confirmed leader: the ledger of another one would not know of this
+    // grant.
     fn grant(&mut self, token: u64, request: &GrantRequest, now: Millis) {
+        let is_confirmed = self.is_confirmed_leader(now);
         let status = self.replica.status();
-        let is_confirmed = status.staleness_ms(now) < ELECTION_MS.0;
         if let Some(leader) = self.leader.as_mut().filter(|_| is_confirmed) {
             let replicas = status.voters.iter().chain(&status.learners);
             let names = replicas.map(|id| &id.name);
@@ -118,10 +124,11 @@
     }
 
     /// Proposes the changes for instances whose reports stopped or resumed, and
-    /// for outages.
+    /// for outages. A leader that isn't confirmed may have stood still, and have read none
+    /// of the reports since.
     pub(super) fn propose_membership(&mut self) {
         let now = self.clock.now();
-        if self.leader.is_none() {
+        if self.leader.is_none() || !self.is_confirmed_leader(now) {
             return;
         }
         let with_limits = self.write_format() == Some(Format::LATEST);
