Propose states of instances and servers once, in one change

Cause: each check of which instances report, every 150 ms, proposed what the document did not show yet. A commit over regions takes 110 ms and more, longer where the leader is busy, so that the same 281 states were proposed three times (`members`, `back` 281 at 10.1, 10.3 and 10.6 s), each as a log entry of its own with a message to each of 18 followers and 281 subscribers.

A check now proposes one batch of states and outages, and the next check waits until it is applied, or given up after the time limit of a call.

--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -13,6 +13,7 @@
 use pomelovale_protocol::report::Report;
 use pomelovale_state::command::{Change, Command, Item, Refusal};
 use pomelovale_state::document::{Document, Instance, MemberState};
+use pomelovale_state::machine::StateMachine;
 use pomelovale_state::moves::{Move, MoveAction};
 use pomelovale_state::sheet::{MoveStatus, NextStep};
 use pomelovale_state::{Millis, Name};
@@ -44,6 +45,9 @@
     limits: IndexMap<Name, RateLimit>,
     measurements: Measurements,
     last_membership_check: Millis,
+    // Proposals of the last check, and when they are given up.
+    pending: Vec<Name>,
+    pending_until: Millis,
     limits_changed: Millis,
     logged_silent_holders: bool,
 }
@@ -93,6 +97,8 @@
             limits: IndexMap::new(),
             measurements,
             last_membership_check: now,
+            pending: Vec::new(),
+            pending_until: now,
             limits_changed: now,
             logged_silent_holders: false,
         };
@@ -176,51 +182,59 @@
         self.measurements.record(now, report);
     }
 
-    /// Returns changes for instances whose reports stopped or resumed and for
-    /// outages. It does so at most once per interval, so that the changes
-    /// proposed before are applied by then.
+    /// Returns changes for instances whose reports stopped or resumed, for outages and for
+    /// limits of servers. It does so at most once per interval, and not before the changes
+    /// proposed last are applied, or are given up after `call_ms`.
     pub(super) fn membership_changes(
         &mut self,
         own: &Name,
-        document: &Document,
+        machine: &StateMachine,
         with_limits: bool,
+        call_ms: u64,
         now: Millis,
     ) -> Vec<Change> {
-        if now.since(self.last_membership_check) < MEMBERSHIP_CHECK_INTERVAL_MS {
+        let applied = |request: &Name| machine.result(request).is_some();
+        let is_pending = now < self.pending_until && !self.pending.iter().all(applied);
+        if is_pending || now.since(self.last_membership_check) < MEMBERSHIP_CHECK_INTERVAL_MS {
             return Vec::new();
         }
         self.last_membership_check = now;
+        let document = &machine.document;
         self.measurements.retain(document, now);
+        let members = self.measurements.membership_changes(document, now);
+        if !members.is_empty() {
+            log_members(&members);
+        }
         let outages = outages::changes(&self.measurements, document, now);
-        let changes = self.measurements.membership_changes(document, now);
-        if !changes.is_empty() {
-            log_members(&changes);
+        if !outages.is_empty() {
+            let reporters = outages::reporters(&self.measurements, now);
+            tracing::info!(event = "outages", ?reporters, "{outages:?}");
+        }
+        let set_instance = |(name, state)| Command::SetInstance { name, state };
+        let states: Vec<Command> = members
+            .into_iter()
+            .map(set_instance)
+            .chain(outages)
+            .collect();
+        let limits = with_limits.then(|| self.limit_changes(document, now));
+        let limits = limits.flatten();
+        if let Some(limits) = &limits {
+            tracing::info!(event = "server-limits", "{limits:?}");
         }
+        let states = (!states.is_empty()).then_some(("states", Command::Batch(states)));
+        let commands = states.into_iter().chain(limits.map(|l| ("limits", l)));
         let epoch = self.epoch;
-        let change = |(kind, command): (String, Command)| Change {
+        let change = |(kind, command): (&str, Command)| Change {
             request: format!("{kind}-{}-{}", epoch.0, now.0).into(),
             sender: own.clone(),
             base: None,
             at: Millis(0),
             command,
         };
-        let member = |(name, state): (Name, MemberState)| {
-            let kind = format!("member-{name}");
-            (kind, Command::SetInstance { name, state })
-        };
-        let members = changes.into_iter().map(member);
-        let mut commands: Vec<(String, Command)> = members.collect();
-        if !outages.is_empty() {
-            let reporters = outages::reporters(&self.measurements, now);
-            tracing::info!(event = "outages", ?reporters, "{outages:?}");
-            commands.push(("outages".to_owned(), Command::Batch(outages)));
-        }
-        let limits = with_limits.then(|| self.limit_changes(document, now));
-        if let Some(limits) = limits.flatten() {
-            tracing::info!(event = "server-limits", "{limits:?}");
-            commands.push(("limits".to_owned(), limits));
-        }
-        commands.into_iter().map(change).collect()
+        let changes: Vec<Change> = commands.map(change).collect();
+        self.pending = changes.iter().map(|c| c.request.clone()).collect();
+        self.pending_until = now.plus(call_ms);
+        changes
     }
 
     // Limits that start or end are recorded at once, others at a bounded rate.
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -135,9 +135,10 @@
         let Some(leader) = self.leader.as_mut() else {
             return;
         };
-        let until = now.plus(self.config.limits.call_ms);
-        let (own, document) = (&self.config.name, &self.machine.document);
-        for change in leader.membership_changes(own, document, with_limits, now) {
+        let call_ms = self.config.limits.call_ms;
+        let until = now.plus(call_ms);
+        let (own, machine) = (&self.config.name, &self.machine);
+        for change in leader.membership_changes(own, machine, with_limits, call_ms, now) {
             if let Some(token) = self.calls.add(Request::Propose(change), None, until) {
                 self.serve_or_forward(token);
             }
--- a/crates/daemon/tests/control_membership.rs
+++ b/crates/daemon/tests/control_membership.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use control_kit::{change, Cluster};
+use control_kit::{change, until, Cluster};
 use pomelovale_coordination::control::ControlHandle;
 use pomelovale_coordination::view::View;
 use pomelovale_protocol::report::Report;
@@ -93,3 +93,31 @@
     }
     stopped.store(true, Ordering::SeqCst);
 }
+
+/// Guards against changes of state that are proposed again until the first ones are applied,
+/// and against a change of its own for each instance.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_instances_are_taken_out_by_one_change() {
+    // A commit takes longer than the interval of the checks.
+    let cluster = start(100).await;
+    let leader = cluster.leader().await;
+    let (stopped, other) = (Arc::new(AtomicBool::new(false)), Arc::default());
+    let handle = cluster.server(leader).handle();
+    tokio::spawn(report(handle.clone(), COUNT / 3, other));
+    tokio::spawn(report(handle, 0, stopped.clone()));
+    sleep(Duration::from_millis(LOST_MS)).await;
+    let view = cluster.server(leader).view();
+    assert_eq!(away(&view), 0);
+    let before = view.document().version;
+    stopped.store(true, Ordering::SeqCst);
+    until("the lost ones are out", || away(&view) == COUNT / 3).await;
+    // Later proposals would be applied by then.
+    sleep(Duration::from_secs(1)).await;
+    let changes = view.document().version - before;
+    // The reports may end on both sides of a check.
+    assert!(
+        changes <= 2,
+        "{changes} changes for {} instances",
+        COUNT / 3
+    );
+}
