Count what has arrived of a large message as progress

Cause: a subscriber gave a control instance up that had not proved its document within 400 ms, unless chunks of a document were arriving. Missing changes came in messages of up to 128 kB, which take more than half a second over 2 Mbit/s, and the next control instance sent them from their start. Connections were also closed as silent while a message took longer than 1.2 s.

Progress is now what the connection has received, 4 KiB within the settle time; a connection is silent if no bytes arrive; and a message holds 16 KiB of changes, as a chunk of the document does.

Evidence: edge-ardeal-sibiu-12 and -5 connected 10 to 20 times without a proof, views of 14,298 and 8,014 ms (`dependency` lines).

--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -5,7 +5,9 @@
 
 use pomelovale_protocol::format::{encode_document, Format};
 use pomelovale_protocol::log::Position;
-use pomelovale_protocol::messages::{split_into_chunks, Content, Delta, PeerMessage, Proof, Renew};
+use pomelovale_protocol::messages::{
+    split_into_chunks, Content, Delta, PeerMessage, Proof, Renew, CHUNK_BYTES,
+};
 use pomelovale_state::command::{Change, Command};
 use pomelovale_state::digest::Digest;
 use pomelovale_state::document::Document;
@@ -16,8 +18,9 @@
 use crate::list_change::ListChange;
 
 /// Maximum encoded size of the changes in one message. A change that is larger is
-/// sent in a message of its own.
-const GROUP_MAX_BYTES: usize = 128 * 1024;
+/// sent in a message of its own. What a subscriber has of a message that isn't complete is
+/// lost when it connects elsewhere.
+const GROUP_MAX_BYTES: usize = CHUNK_BYTES;
 /// Maximum encoded size of all kept changes. Decoded, they take four times as
 /// much memory.
 const RECENT_MAX_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/daemon/src/subscriber/mod.rs
+++ b/crates/daemon/src/subscriber/mod.rs
@@ -47,10 +47,13 @@
 /// tried again, in milliseconds. An isolated instance usually stays isolated
 /// for seconds.
 const EXCLUSION_MS: u64 = 4_000;
-/// Timeout for receiving the whole document after connecting, in milliseconds.
-/// Several times what the document takes on a 2 Mbit/s link that callers' traffic
-/// saturates.
+/// Timeout for receiving the whole document, or all missing changes, after connecting, in
+/// milliseconds. Several times what the document takes on a 2 Mbit/s link that callers'
+/// traffic saturates.
 const DOCUMENT_TIMEOUT_MS: u64 = 4_000;
+/// Bytes received within the settle time from which a document or changes are on their way.
+/// Proofs without changes are shorter.
+const LOADING_BYTES: u64 = 4 * 1024;
 /// Time for applying a change of the document from which it is logged, in milliseconds.
 const SLOW_APPLY_MS: u64 = 20;
 /// Value of [`distance`] for control instances in other regions.
@@ -90,7 +93,7 @@
             link: None,
             connected_at: Millis(0),
             stalled_at: None,
-            last_chunk_at: Millis(0),
+            loaded: (0, Millis(0)),
             next_nearer_attempt: Millis(0),
             nearer_pause_ms: NEARER_PAUSE_MS.0,
             excluded: IndexMap::new(),
@@ -126,8 +129,9 @@
     connected_at: Millis,
     // When a tick was last late.
     stalled_at: Option<Millis>,
-    // When the last chunk of a document was received.
-    last_chunk_at: Millis,
+    // Bytes of the connection when enough of a document or of changes had arrived last, and
+    // the time.
+    loaded: (u64, Millis),
     // When a control instance in the own region is tried next, and the pause
     // until the attempt after that.
     next_nearer_attempt: Millis,
@@ -182,9 +186,13 @@
         // did not bring the view up to date.
         let rounds = self.switch_count / self.endpoints.len().max(1);
         let settle = self.limits.settle_ms << rounds.min(SETTLE_SHIFT_MAX);
-        // While chunks of a document are arriving, switching would lose them:
-        // another control instance would send the document from its start.
-        let loading = now.since(self.last_chunk_at) <= settle
+        // While a document or changes are arriving, switching would lose them: another
+        // control instance would send them from their start.
+        let received = self.link.as_ref().map_or(0, PeerLink::received_bytes);
+        if received >= self.loaded.0 + LOADING_BYTES {
+            self.loaded = (received, now);
+        }
+        let loading = now.since(self.loaded.1) <= settle
             && now.since(self.connected_at) <= DOCUMENT_TIMEOUT_MS;
         // After a stall of this process, proofs may have arrived that are not processed yet.
         let stalled = self.stalled_at.is_some_and(|at| now.since(at) <= settle);
@@ -275,6 +283,7 @@
         let now = self.clock.now();
         tracing::info!(event = "dependency", name = "control", up = true, peer = %link.peer, view_ms = self.view_ms(now));
         self.connected_at = now;
+        self.loaded = (0, Millis(0));
         self.renewals.clear();
         self.assembly = ChunkAssembler::default();
         self.link = Some(link);
@@ -437,7 +446,6 @@
     }
 
     fn add_chunk(&mut self, chunk: Chunk) -> Result<(), ErrorKind> {
-        self.last_chunk_at = self.clock.now();
         let (content, body) = match self.assembly.push(chunk)? {
             None => return Ok(()),
             Some(whole) => whole,
--- a/crates/daemon/tests/control_storm.rs
+++ b/crates/daemon/tests/control_storm.rs
@@ -5,21 +5,36 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use control_kit::{change, put_workspace, until, Cluster, Entry};
+use control_kit::{change, put_key, put_workspace, until, Cluster, Entry};
 use pomelovale_state::command::{Applied, Command};
 use pomelovale_state::digest::Digest;
 use pomelovale_state::routing::{CallerLimits, RoutedService, RoutedWorkspace, Routing, Window};
 
 /// Rate of the link of a subscriber, in bytes per second.
 const RATE: u64 = 400_000;
+/// What callers leave of a link of 2 Mbit/s, in bytes per second.
+const SLOW_RATE: u64 = 150_000;
+/// Keys of a change, which are 100 kB, and changes that a subscriber has and that it lacks.
+const BATCH_KEYS: usize = 2_000;
+const KEPT: usize = 10;
+const MISSED: usize = 4;
+const CONTROLS: usize = 7;
+/// Time within which an instance has caught up once it can be reached.
+const CATCH_UP: Duration = Duration::from_secs(6);
 /// Keys of a table, which make up nearly all of it, and their encoded size in bytes.
 const KEYS: usize = 2_000;
 const KEY_BYTES: u64 = 34;
+const LARGE_KEYS: usize = 10_000;
 const TABLES: u64 = 30;
 
 // A table whose idle timeout and services depend on its version.
 fn table(version: u64, service: &str) -> Routing {
+    large_table(version, service, KEYS)
+}
+
+fn large_table(version: u64, service: &str, keys: usize) -> Routing {
     let workspace = RoutedWorkspace {
         priority: None,
         rate: 10,
@@ -48,16 +63,21 @@
             ..CallerLimits::default()
         },
         workspaces: [("w".into(), workspace)].into(),
-        keys: (0..KEYS).map(key).collect(),
+        keys: (0..keys).map(key).collect(),
         services: [service].into(),
         ..Routing::default()
     }
 }
 
 async fn replace(cluster: &Cluster, version: u64, service: &str) {
+    replace_by(cluster, table(version, service)).await;
+}
+
+async fn replace_by(cluster: &Cluster, table: Routing) {
+    let version = table.version;
     let command = Command::ReplaceRouting {
         base: version - 1,
-        routing: Arc::new(table(version, service)),
+        routing: Arc::new(table),
         source: Arc::from("{}"),
     };
     let applied = cluster.propose(0, change(&format!("table-{version}"), command));
@@ -147,3 +167,67 @@
     .await;
     assert_eq!(narrow.view.document().services, leader.services);
 }
+
+async fn put_keys(cluster: &Cluster, batches: std::ops::Range<usize>) {
+    for batch in batches {
+        let key = |n: usize| put_key(&format!("key-{batch}-{n}"), "w");
+        let command = Command::Batch((0..BATCH_KEYS).map(key).collect());
+        let applied = cluster.propose(0, change(&format!("keys-{batch}"), command));
+        let applied = applied.await;
+        assert!(matches!(applied, Applied::Accepted { .. }), "{applied:?}");
+    }
+}
+
+/// Guards against subscribers that give up each control instance in turn while the changes
+/// that they lack are on their way over a narrow link.
+#[tokio::test]
+async fn subscribers_that_lack_many_changes_catch_up() {
+    let mut cluster = Cluster::start_limited(CONTROLS, 0, Vec::new(), Default::default()).await;
+    cluster.leader().await;
+    let put = change("w", put_workspace("w", 10));
+    assert!(matches!(
+        cluster.propose(0, put).await,
+        Applied::Accepted { .. }
+    ));
+    put_keys(&cluster, 0..KEPT).await;
+    let entry = cluster.entry("e", 0).await;
+    until("the entry is current", || {
+        entry.version() == 1 + KEPT as u64
+    })
+    .await;
+    let links = || {
+        cluster
+            .names
+            .iter()
+            .map(|n| &cluster.proxies[&(entry.name.clone(), n.clone())])
+    };
+    links().for_each(|link| link.cut(true));
+    put_keys(&cluster, KEPT..KEPT + MISSED).await;
+    links().for_each(|link| {
+        link.limit_rate(SLOW_RATE);
+        link.cut(false);
+    });
+    let start = Instant::now();
+    let last = 1 + (KEPT + MISSED) as u64;
+    until("the entry is current again", || entry.version() == last).await;
+    let spent = start.elapsed();
+    assert!(spent < CATCH_UP, "{spent:?}");
+}
+
+/// Guards against a connection that counts as silent while a large change is on its way over a
+/// narrow link.
+#[tokio::test]
+async fn large_table_passes_a_narrow_link() {
+    let mut cluster = Cluster::start(1).await;
+    cluster.leader().await;
+    replace(&cluster, 1, "s").await;
+    let narrow = entry(&mut cluster, "e", SLOW_RATE).await;
+    until("the first table is there", || idle_ms(&narrow) == 1_000).await;
+    let start = Instant::now();
+    replace_by(&cluster, large_table(2, "s", LARGE_KEYS)).await;
+    until("the large table is there", || idle_ms(&narrow) == 2_000).await;
+    let spent = start.elapsed();
+    assert!(spent < CATCH_UP, "{spent:?}");
+    let link = (narrow.name.clone(), cluster.names[0].clone());
+    assert_eq!(cluster.proxies[&link].opened(), 1, "closed meanwhile");
+}
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -59,7 +59,7 @@
     pub heartbeat_ms: u64,
     /// Maximum pause before the first attempt to reconnect. Doubles with each failure.
     pub retry_ms: u64,
-    /// Time without a received message after which a connection is closed.
+    /// Time without received bytes after which a connection is closed.
     pub silence_ms: u64,
 }
 
@@ -104,7 +104,7 @@
     pub rejected: AtomicU64,
     /// Connections whose authentication failed.
     pub refused: AtomicU64,
-    /// Connections closed because no message was received in time.
+    /// Connections closed because nothing was received in time.
     pub silent: AtomicU64,
 }
 
@@ -139,7 +139,7 @@
     Refused,
     /// The peer sent an invalid frame or an unexpected message.
     Rejected,
-    /// No message was received in time.
+    /// Nothing was received in time.
     Silent,
 }
 
@@ -182,6 +182,7 @@
     queue: flume::Sender<QueuedMessage>,
     bulk: flume::Sender<QueuedMessage>,
     busy: Arc<AtomicBool>,
+    received: Arc<AtomicU64>,
     rejected: Arc<AtomicBool>,
     closed: Arc<Notify>,
 }
@@ -218,6 +219,11 @@
         !self.queue.is_empty()
     }
 
+    /// Bytes received so far, including those of a message that isn't complete yet.
+    pub fn received_bytes(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
     /// Sends the chunks of a large message with lower priority than other messages.
     /// Returns false and sends nothing while an earlier large message is being queued.
     pub fn send_bulk(&self, chunks: impl Iterator<Item = PeerMessage> + Send + 'static) -> bool {
@@ -252,6 +258,7 @@
 pub(crate) struct OutgoingQueues {
     queue: flume::Receiver<QueuedMessage>,
     bulk: flume::Receiver<QueuedMessage>,
+    received: Arc<AtomicU64>,
     rejected: Arc<AtomicBool>,
     closed: Arc<Notify>,
     peer: Name,
@@ -264,9 +271,11 @@
     let (bulk, bulk_out) = flume::bounded(BULK_QUEUE_MAX);
     let closed = Arc::new(Notify::new());
     let rejected = Arc::new(AtomicBool::new(false));
+    let received = Arc::<AtomicU64>::default();
     let outgoing = OutgoingQueues {
         queue: queue_out,
         bulk: bulk_out,
+        received: received.clone(),
         rejected: rejected.clone(),
         closed: closed.clone(),
         peer: peer.clone(),
@@ -281,6 +290,7 @@
         queue,
         bulk,
         busy: Arc::default(),
+        received,
         rejected,
         closed,
     };
@@ -307,15 +317,21 @@
 
 async fn read_body(receive: &mut RecvStream, decoder: &mut Decoder) -> Result<Bytes, LinkEnd> {
     loop {
-        if let Some(body) = decoder.next_body()? {
-            return Ok(body);
-        }
-        let bytes = receive.data().await.ok_or(LinkEnd::Closed)??;
-        receive.flow_control().release_capacity(bytes.len())?;
-        decoder.push(&bytes);
+        match decoder.next_body()? {
+            Some(body) => return Ok(body),
+            None => read_part(receive, decoder).await?,
+        };
     }
 }
 
+// Reads a part of a message, and returns its size in bytes.
+async fn read_part(receive: &mut RecvStream, decoder: &mut Decoder) -> Result<usize, LinkEnd> {
+    let bytes = receive.data().await.ok_or(LinkEnd::Closed)??;
+    receive.flow_control().release_capacity(bytes.len())?;
+    decoder.push(&bytes);
+    Ok(bytes.len())
+}
+
 async fn write_bytes(send: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkEnd> {
     while !bytes.is_empty() {
         send.reserve_capacity(bytes.len());
@@ -363,10 +379,18 @@
     let reader = async {
         let limit = Duration::from_millis(config.timings.silence_ms);
         loop {
-            let body = match timeout(limit, read_body(&mut receive, &mut decoder)).await {
-                Err(_) => return LinkEnd::Silent,
-                Ok(Err(end)) => return end,
-                Ok(Ok(body)) => body,
+            let body = match decoder.next_body() {
+                Err(e) => return e.into(),
+                Ok(Some(body)) => body,
+                // A large message may take longer than the limit on a narrow link.
+                Ok(None) => match timeout(limit, read_part(&mut receive, &mut decoder)).await {
+                    Err(_) => return LinkEnd::Silent,
+                    Ok(Err(end)) => return end,
+                    Ok(Ok(n)) => {
+                        outgoing.received.fetch_add(n as u64, Ordering::Relaxed);
+                        continue;
+                    }
+                },
             };
             let message = match decode(&body, &format) {
                 Ok(PeerMessage::Ping) => continue,
