Tell which servers leave beside the log, and read the list without a leader

Cause: that a server leaves went through a read by the leader, a commit, and the changes of the document, one after another. Nobody read while there was no leader, the next one read page after page first, and reads began a second after the commit of the read before.

That a server leaves is never wrong to believe early, so it needs no agreement. A reader now tells all control instances which servers leave, as soon as a part of the list is in; they tell their subscribers, ahead of all other messages of a connection. Reads begin at fixed times, whatever a commit takes. A long list is read by failure domain by each process whose document shows that it is long. Proposals from a read end with the leadership.

The message is sent only to peers that say in a header that they know it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,6 +17,7 @@
 mod replica;
 mod replication;
 pub mod server_limits;
+pub mod server_list;
 mod snapshot;
 mod storage;
 pub mod view;
--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -2,15 +2,18 @@
 //! control instance shows that the copy was current.
 //!
 //! A proof states that the document contained all accepted changes at some time.
-//! The view is then proven as of that time.
+//! The view is then proven as of that time. What is known of the external list of backend
+//! servers is kept beside the document, which shows it later.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use pomelovale_state::document::Document;
 use pomelovale_state::Millis;
 
+use crate::server_list::KnownList;
+
 /// Largest age of a view by which API keys may be checked. An accepted revocation
 /// of a key therefore takes effect within this time, even on instances that are
 /// cut off.
@@ -23,6 +26,7 @@
 pub struct View {
     document: ArcSwap<Document>,
     proven: AtomicU64,
+    list: Mutex<KnownList>,
 }
 
 impl Default for View {
@@ -30,6 +34,7 @@
         View {
             document: ArcSwap::from_pointee(Document::default()),
             proven: AtomicU64::new(u64::MAX),
+            list: Mutex::default(),
         }
     }
 }
@@ -74,4 +79,9 @@
     pub fn is_fresh_for_keys(&self, now: Millis) -> bool {
         self.age(now) <= KEY_VIEW_AGE_MAX_MS
     }
+
+    /// What is known of the external list of backend servers.
+    pub fn list(&self) -> MutexGuard<'_, KnownList> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -77,6 +77,8 @@
     pub(crate) target: Target,
     sinks: Vec<Sink>,
     until: Millis,
+    // Whether it ends with the leadership of this instance.
+    is_own: bool,
 }
 
 /// All pending calls, by token.
@@ -120,6 +122,7 @@
             target: Target::Unassigned,
             sinks: sink.into_iter().collect(),
             until,
+            is_own: false,
         };
         self.open.insert(self.last, call);
         Some(self.last)
@@ -175,18 +178,21 @@
         }
     }
 
-    /// Removes the proposals that no caller waits for: those of a leader, which rest on what
-    /// it had measured.
-    pub(crate) fn remove_own(&mut self) {
-        let proposals = &mut self.proposals;
-        self.open.retain(|_, call| {
-            let is_own = call.sinks.is_empty();
-            match &call.request {
-                Request::Propose(change) if is_own => drop(proposals.remove(&change.request)),
-                _ => {}
-            }
-            !is_own
-        });
+    /// Lets a call end with the leadership of this instance: a proposal that rests on what
+    /// the leader has measured or read, which is out of date for another one.
+    pub(crate) fn set_own(&mut self, token: u64) {
+        if let Some(call) = self.open.get_mut(&token) {
+            call.is_own = true;
+        }
+    }
+
+    /// Answers the calls that end with the leadership of this instance with `NotLeader`.
+    pub(crate) fn reject_own(&mut self) {
+        let own = |(token, call): (&u64, &Call)| call.is_own.then_some(*token);
+        let tokens: Vec<u64> = self.open.iter().filter_map(own).collect();
+        for token in tokens {
+            self.answer(token, &Response::Failed(ErrorKind::NotLeader));
+        }
     }
 
     /// Answers the calls that other control instances forwarded with `NotLeader`,
--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -85,9 +85,18 @@
                     leader: status.leader.map(|l| l.name),
                     now,
                 };
+                let list = self.outputs.view.list();
+                self.feed.renew_list(id, renew.seq, &list, now);
+                drop(list);
                 self.feed
                     .renew(id, &renew, &self.machine.document, &context);
             }
+            (PeerMessage::List(notice), Role::Control) => {
+                // It may have waited in the socket while this process stood still.
+                let unread_ms = self.outputs.stalls.unread_ms();
+                let read = notice.age_ms.map(|age| now.minus(age + unread_ms));
+                self.record_list(now, read, &notice.leaving);
+            }
             // It may have waited in the socket while this process stood still.
             (PeerMessage::Report(_), _) if self.outputs.stalls.unread_ms() > 0 => {}
             (PeerMessage::Report(report), _) => match self.leader.as_mut() {
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -16,8 +16,8 @@
 use pomelovale_protocol::frame::{encode_body, FRAME_MAX_BYTES};
 use pomelovale_protocol::log::{Entry, EntryData, Payload, Position, ReplicaId, Snapshot};
 use pomelovale_protocol::messages::{
-    split_into_chunks, ChunkAssembler, ClusterStatus, Content, Delta, LogPacket, PeerMessage,
-    Request, Response,
+    split_into_chunks, ChunkAssembler, ClusterStatus, Content, Delta, ListNotice, LogPacket,
+    PeerMessage, Request, Response,
 };
 use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::machine::StateMachine;
@@ -26,6 +26,7 @@
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
+use crate::list_change::names_for_log;
 use crate::runtime_delay;
 use crate::stalls::Stalls;
 
@@ -50,6 +51,14 @@
 /// Requests of `ControlServer` to the loop.
 pub(super) enum LoopRequest {
     ClusterStatus(flume::Sender<ClusterStatus>),
+    /// Servers that this instance has found leaving, and the start of the read if it was
+    /// complete.
+    ListRead {
+        read: Option<Millis>,
+        leaving: Vec<Name>,
+    },
+    /// A proposal that ends with the leadership of this instance.
+    ProposeOwn(Change, flume::Sender<Result<Applied, ErrorKind>>),
     Stop,
 }
 
@@ -193,6 +202,12 @@
                     Ok(LoopRequest::ClusterStatus(reply)) => {
                         self.call(Request::Status, Sink::Status(reply));
                     }
+                    Ok(LoopRequest::ListRead { read, leaving }) => {
+                        self.announce_list(read, &leaving);
+                    }
+                    Ok(LoopRequest::ProposeOwn(change, reply)) => {
+                        self.propose_own(change, Sink::Applied(reply));
+                    }
                     Ok(LoopRequest::Stop) => {
                         self.stopping = true;
                         self.step(Event::Resign);
@@ -332,7 +347,7 @@
             (false, Some(_)) => {
                 log::info!("{} is no longer the leader", self.config.name);
                 self.leader = None;
-                self.calls.remove_own();
+                self.calls.reject_own();
                 self.calls.reject_forwarded();
                 self.assign_calls();
             }
@@ -485,6 +500,44 @@
         self.snapshot_if_due();
     }
 
+    // Tells all control instances what this one has read, and its own subscribers. A part of
+    // a read is told if it says something new.
+    fn announce_list(&mut self, read: Option<Millis>, leaving: &[Name]) {
+        let now = self.clock.now();
+        let is_new = self.record_list(now, read, leaving);
+        if is_new {
+            let names = names_for_log(leaving);
+            tracing::info!(event = "list-announce", leaving = leaving.len(), names);
+        }
+        if read.is_none() && !is_new {
+            return;
+        }
+        let notice = ListNotice {
+            seq: None,
+            age_ms: read.map(|read| now.since(read)),
+            leaving: leaving.to_vec(),
+        };
+        let controls = self.controls.values().filter_map(|id| self.links.get(id));
+        for link in controls.filter(|link| link.knows_list()) {
+            link.send_urgent(PeerMessage::List(notice.clone()));
+        }
+    }
+
+    // Returns whether a server leaves that was not known to.
+    pub(super) fn record_list(
+        &mut self,
+        now: Millis,
+        read: Option<Millis>,
+        leaving: &[Name],
+    ) -> bool {
+        let mut list = self.outputs.view.list();
+        let is_new = list.record(now, read, leaving);
+        if is_new {
+            self.feed.push_leaving(&list);
+        }
+        is_new
+    }
+
     fn send_log(&mut self, packet: LogPacket) {
         let link = self.controls.get(&packet.to.name);
         let Some(link) = link.and_then(|id| self.links.get(id)) else {
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -3,10 +3,11 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use pomelovale_coordination::server_list::KnownList;
 use pomelovale_protocol::format::{encode_document, Format};
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{
-    split_into_chunks, Content, Delta, PeerMessage, Proof, Renew, CHUNK_BYTES,
+    split_into_chunks, Content, Delta, ListNotice, PeerMessage, Proof, Renew, CHUNK_BYTES,
 };
 use pomelovale_state::command::{Change, Command};
 use pomelovale_state::digest::Digest;
@@ -46,6 +47,24 @@
 struct Subscriber {
     link: PeerLink,
     progress: Progress,
+    // Number of the leaving server that it was told of last.
+    told: u64,
+}
+
+impl Subscriber {
+    // Sends a message about the list if it is the answer to a renewal, or says something new.
+    fn tell_leaving(&mut self, list: &KnownList, seq: Option<u64>, age_ms: Option<u64>) {
+        let leaving = list.noticed_after(self.told);
+        if !self.link.knows_list() || (seq.is_none() && leaving.is_empty()) {
+            return;
+        }
+        self.told = list.last_number();
+        self.link.send_urgent(PeerMessage::List(ListNotice {
+            seq,
+            age_ms,
+            leaving,
+        }));
+    }
 }
 
 /// A change by which servers leave that some subscribers haven't been sent yet.
@@ -229,9 +248,12 @@
     }
 
     pub(super) fn open(&mut self, link: PeerLink) {
-        let progress = Progress::New;
-        self.subscribers
-            .insert(link.id, Subscriber { link, progress });
+        let subscriber = Subscriber {
+            link,
+            progress: Progress::New,
+            told: 0,
+        };
+        self.subscribers.insert(subscriber.link.id, subscriber);
     }
 
     pub(super) fn close(&mut self, id: u64) {
@@ -252,6 +274,7 @@
             let Some(Subscriber {
                 link,
                 progress: Progress::Current(sent),
+                ..
             }) = self.subscribers.get(&id)
             else {
                 continue;
@@ -292,6 +315,22 @@
         }
     }
 
+    /// Tells all subscribers which servers leave that they weren't told of yet.
+    pub(super) fn push_leaving(&mut self, list: &KnownList) {
+        for subscriber in self.subscribers.values_mut() {
+            subscriber.tell_leaving(list, None, None);
+        }
+    }
+
+    /// Answers a renewal with the time as of which the list of servers is known, and with the
+    /// servers that leave which the subscriber wasn't told of yet.
+    pub(super) fn renew_list(&mut self, id: u64, seq: u64, list: &KnownList, now: Millis) {
+        let subscriber = self.subscribers.get_mut(&id);
+        if let (Some(subscriber), Some(age_ms)) = (subscriber, list.age_ms(now)) {
+            subscriber.tell_leaving(list, Some(seq), Some(age_ms));
+        }
+    }
+
     /// Answers a renewal with a proof and with what the subscriber is missing.
     pub(super) fn renew(
         &mut self,
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -31,7 +31,8 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::log::ReplicaId;
 use pomelovale_protocol::messages::ClusterStatus;
-use pomelovale_state::{Clock, ErrorKind, Name};
+use pomelovale_state::command::{Applied, Change};
+use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_transport::peer_client::{PeerAddress, PeerClient};
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters};
 use pomelovale_transport::peer_server::PeerServer;
@@ -298,6 +299,24 @@
         self.outputs.source.load().0.clone()
     }
 
+    /// Tells all instances of the deployment which servers leave, and that the list of servers
+    /// was read from `read` on, if this was a complete read.
+    pub fn announce_list(&self, read: Option<Millis>, leaving: Vec<Name>) {
+        let _ = self.requests.send(LoopRequest::ListRead { read, leaving });
+    }
+
+    /// Proposes a change as the leader. The proposal ends if this instance doesn't lead any
+    /// more, so that what rests on its state is not carried out by another leader.
+    ///
+    /// # Errors
+    /// `NotLeader`, or those of [`ControlHandle::propose`].
+    pub async fn propose_as_leader(&self, change: Change) -> Result<Applied, ErrorKind> {
+        let (reply, answer) = flume::bounded(1);
+        let _ = self.requests.send(LoopRequest::ProposeOwn(change, reply));
+        let answer = answer.recv_async().await;
+        answer.map_err(|_| ErrorKind::Unavailable)?
+    }
+
     /// Status of the log on this instance.
     pub fn status(&self) -> Arc<ControlStatus> {
         self.outputs.status.load_full()
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -9,7 +9,7 @@
 use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::{ErrorKind, Millis, Name};
 
-use super::calls::Target;
+use super::calls::{Sink, Target};
 use super::event_loop::EventLoop;
 
 /// Request identifier of the initial document.
@@ -140,11 +140,25 @@
         let (own, machine) = (&self.config.name, &self.machine);
         for change in leader.membership_changes(own, machine, with_limits, call_ms, now) {
             if let Some(token) = self.calls.add(Request::Propose(change), None, until) {
+                self.calls.set_own(token);
                 self.serve_or_forward(token);
             }
         }
     }
 
+    /// Proposes a change that ends with the leadership of this instance.
+    pub(super) fn propose_own(&mut self, change: Change, sink: Sink) {
+        if self.leader.is_none() {
+            return sink.deliver(&Response::Failed(ErrorKind::NotLeader));
+        }
+        let until = self.clock.now().plus(self.config.limits.call_ms);
+        let request = Request::Propose(change);
+        if let Some(token) = self.calls.add(request, Some(sink), until) {
+            self.calls.set_own(token);
+            self.serve_or_forward(token);
+        }
+    }
+
     /// Proposes the initial document while the document is empty.
     pub(super) fn propose_initial(&mut self) {
         let request = Name::from(INITIAL_REQUEST);
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -1,7 +1,8 @@
 //! Synchronizes the backend servers of the document with an external server list.
 //!
-//! Every control instance runs the task, but only the leader reads the list, so
-//! that the rate of reads does not grow with the number of instances.
+//! Every control instance runs the task. The leader reads the list and proposes what has
+//! changed. Others read it only while they hear of no read, so that the rate of reads does not
+//! grow with the number of instances; they propose nothing, but tell all which servers leave.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -9,17 +10,25 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use pomelovale_coordination::server_list::{ReadSchedule, Reader};
+use pomelovale_protocol::log::ReplicaId;
 use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::document::{Backend, Document, MemberState};
 use pomelovale_state::{Clock, Millis, Name};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 
-use crate::control::ControlServer;
+use crate::control::{ControlServer, ControlStatus};
 use crate::list_change::ListChange;
 
 /// Maximum number of successive calls for the whole list. A list that takes more
 /// is read by failure domain, all domains in parallel.
 const SEQUENTIAL_CALLS_MAX: usize = 2;
+/// Factor of the interval between reads of a long list: each call has a cost.
+const LONG_INTERVAL: u64 = 2;
+/// Servers in the document from which the list is expected to take more.
+const LONG_LIST: usize = 100;
+/// Longest time between two checks whether a read is due, in milliseconds.
+const CHECK_MS: u64 = 100;
 /// Maximum number of connections to a server whose service is not in the routing
 /// table.
 const DEFAULT_CONNECTIONS: u32 = 256;
@@ -70,7 +79,8 @@
 
 /// Reads the list, by failure domain in parallel if `by_domain` is set. The pages
 /// of one list are read one after another and take a round trip each, which is
-/// slow for a long list. A domain that can't be read does not hold back the others.
+/// slow for a long list. A domain that can't be read does not hold back the others:
+/// `on_part` is called with each part as soon as it was read.
 ///
 /// # Errors
 /// Why nothing could be read.
@@ -78,9 +88,11 @@
     fetch: &FetchServers,
     domains: &[Name],
     by_domain: bool,
+    on_part: impl Fn(&[ListedServer]),
 ) -> Result<Listing, String> {
     if !by_domain {
         let ServerList { servers, calls } = fetch(None).await?;
+        on_part(&servers);
         return Ok(Listing {
             servers,
             calls,
@@ -97,6 +109,7 @@
     while let Some(read) = reads.join_next().await {
         match read.map_err(|e| e.to_string())? {
             (_, Ok(part)) => {
+                on_part(&part.servers);
                 whole.servers.extend(part.servers);
                 whole.calls += part.calls;
             }
@@ -109,13 +122,20 @@
     }
 }
 
+/// Names of the servers that leave.
+fn leaving(servers: &[ListedServer]) -> Vec<Name> {
+    let leaving = servers.iter().filter(|s| s.leaving);
+    leaving.map(|s| s.name.clone()).collect()
+}
+
 /// Duration of the steps from the list to the document, in milliseconds.
+#[derive(Clone, Copy, Debug)]
 struct Steps {
     // Between the starts of two successive reads: the longest time for which a change of the
     // list can have waited for this one. `None` for the first read of a leader.
     wait_ms: Option<u64>,
     read_ms: u64,
-    commit_ms: u64,
+    calls: usize,
 }
 
 impl Steps {
@@ -126,11 +146,11 @@
         metrics::histogram!("server_list_read_seconds").record(Millis(self.read_ms).duration());
     }
 
-    fn log(&self, version: u64, change: &ListChange, calls: usize) {
+    fn log(&self, version: u64, change: &ListChange, commit_ms: u64) {
         let Steps {
             wait_ms,
             read_ms,
-            commit_ms,
+            calls,
         } = *self;
         metrics::histogram!("server_list_commit_seconds").record(Millis(commit_ms).duration());
         let (closed, updated) = (change.closed.len(), change.updated);
@@ -148,33 +168,27 @@
     }
 }
 
-/// Applies changes of the list to the document until the task is aborted.
-pub async fn run(control: Arc<ControlServer>, fetch: FetchServers, clock: Clock, pause_ms: u64) {
-    let (mut reachable, mut by_domain) = (true, false);
-    let mut unread: Vec<Name> = Vec::new();
-    // When the last successful read began.
-    let mut last_read: Option<Millis> = None;
-    loop {
-        // Reading a long list takes many calls, each of which has a cost, so it is
-        // read half as often.
-        let pause = if by_domain { 2 * pause_ms } else { pause_ms };
-        tokio::time::sleep(Millis(pause).duration()).await;
-        if control.status().role != "leader" || control.view().document().version == 0 {
-            last_read = None;
-            continue;
-        }
-        let start = clock.now();
-        let document = control.view().document();
-        let regions = document.regions.values();
-        let domains: Vec<Name> = regions.flat_map(|r| r.domains.clone()).collect();
-        let listed = match read(&fetch, &domains, by_domain).await {
-            Ok(listing) => {
-                by_domain |= listing.calls > SEQUENTIAL_CALLS_MAX;
-                listing
-            }
+// Place of this instance among those that take over reading.
+fn rank(status: &ControlStatus) -> usize {
+    let members = status.voters.iter().chain(&status.learners);
+    let own = |id: &ReplicaId| status.id.as_ref() == Some(id);
+    members.clone().position(own).unwrap_or(members.count())
+}
+
+/// Logs when the list, or a part of it, gets out of reach, and when it is back.
+#[derive(Debug, Default)]
+struct Reachability {
+    unreachable: bool,
+    unread: Vec<Name>,
+}
+
+impl Reachability {
+    fn record(&mut self, read: &Result<Listing, String>) {
+        let unread = match read {
+            Ok(listing) => listing.unread.as_slice(),
             Err(cause) => {
                 metrics::counter!("discovery_failures_total").increment(1);
-                if std::mem::replace(&mut reachable, false) {
+                if !std::mem::replace(&mut self.unreachable, true) {
                     tracing::warn!(
                         event = "dependency",
                         name = "server list",
@@ -182,54 +196,112 @@
                         cause
                     );
                 }
-                continue;
+                return;
             }
         };
-        metrics::counter!("discovery_failures_total").increment(listed.unread.len() as u64);
-        for (domain, cause) in &listed.unread {
-            if !unread.contains(domain) {
+        metrics::counter!("discovery_failures_total").increment(unread.len() as u64);
+        for (domain, cause) in unread {
+            if !self.unread.contains(domain) {
                 tracing::warn!(event = "dependency", name = "server list", up = false, %domain, cause);
             }
         }
-        unread = listed.unread.iter().map(|(name, _)| name.clone()).collect();
-        if !std::mem::replace(&mut reachable, true) {
+        self.unread = unread.iter().map(|(name, _)| name.clone()).collect();
+        if std::mem::replace(&mut self.unreachable, false) {
             tracing::info!(event = "dependency", name = "server list", up = true);
         }
-        let mut steps = Steps {
-            wait_ms: last_read.map(|last| start.since(last)),
-            read_ms: clock.now().since(start),
-            commit_ms: 0,
+    }
+}
+
+/// Applies changes of the list to the document until the task is aborted. A long list, of
+/// which each read takes many calls, is read less often than every `interval_ms`.
+pub async fn run(control: Arc<ControlServer>, fetch: FetchServers, clock: Clock, interval_ms: u64) {
+    let mut schedule = ReadSchedule::new(clock.now());
+    let mut reachability = Reachability::default();
+    let mut is_long = false;
+    // Start of the last read as the leader, and the proposal that rests on one.
+    let mut last_read: Option<Millis> = None;
+    let mut proposing: Option<JoinHandle<()>> = None;
+    loop {
+        let document = control.view().document();
+        let status = control.status();
+        let reader = match status.role {
+            "leader" => Reader::Leader,
+            _ => Reader::Standby {
+                rank: rank(&status),
+            },
+        };
+        if reader != Reader::Leader {
+            last_read = None;
+        }
+        is_long |= document.backends.len() > LONG_LIST;
+        let interval_ms = if is_long {
+            LONG_INTERVAL * interval_ms
+        } else {
+            interval_ms
         };
-        steps.record_read();
-        last_read = Some(start);
-        // Another leader may have read a later list since.
-        if control.stalls().any_since(start) || control.status().role != "leader" {
+        let now = clock.now();
+        let wait_ms = schedule
+            .due(reader, control.view().list().read(), interval_ms)
+            .since(now);
+        if wait_ms > 0 || document.version == 0 {
+            let pause = wait_ms.clamp(1, CHECK_MS);
+            tokio::time::sleep(Millis(pause).duration()).await;
             continue;
         }
-        let document = control.view().document();
-        let commands = changes(&document, &listed);
-        if commands.is_empty() {
+        schedule.begin(now);
+        let regions = document.regions.values();
+        let domains: Vec<Name> = regions.flat_map(|r| r.domains.clone()).collect();
+        let announce_part = |part: &[ListedServer]| control.announce_list(None, leaving(part));
+        let listed = read(&fetch, &domains, is_long, announce_part).await;
+        reachability.record(&listed);
+        schedule.end(listed.is_ok());
+        let Ok(listing) = listed else {
+            continue;
+        };
+        is_long |= listing.calls > SEQUENTIAL_CALLS_MAX;
+        // Another instance may have read a later list since.
+        if control.stalls().any_since(now) {
+            continue;
+        }
+        let complete = listing.unread.is_empty().then_some(now);
+        control.announce_list(complete, leaving(&listing.servers));
+        if reader != Reader::Leader || control.status().role != "leader" {
             continue;
         }
-        let change = Change {
-            request: Name::from(format!("discovery-{:016x}", rand::random::<u64>())),
-            sender: Name::from("discovery"),
-            base: None,
-            at: Millis(0),
-            command: Command::Batch(commands),
+        let steps = Steps {
+            wait_ms: last_read.map(|last| now.since(last)),
+            read_ms: clock.now().since(now),
+            calls: listing.calls,
         };
-        let listed_change = ListChange::of(&change.command).unwrap_or_default();
-        let proposed = clock.now();
-        match control.handle().propose(change).await {
-            Ok(Applied::Accepted { version, .. }) => {
-                steps.commit_ms = clock.now().since(proposed);
-                steps.log(version, &listed_change, listed.calls);
-            }
-            other => tracing::warn!(
-                event = "discovery",
-                "changes from the server list were not accepted: {other:?}"
-            ),
+        steps.record_read();
+        last_read = Some(now);
+        let commands = changes(&control.view().document(), &listing);
+        let is_proposing = proposing.as_ref().is_some_and(|task| !task.is_finished());
+        if !commands.is_empty() && !is_proposing {
+            let proposal = propose(control.clone(), commands, steps, clock.clone());
+            proposing = Some(tokio::spawn(proposal));
+        }
+    }
+}
+
+async fn propose(control: Arc<ControlServer>, commands: Vec<Command>, steps: Steps, clock: Clock) {
+    let change = Change {
+        request: Name::from(format!("discovery-{:016x}", rand::random::<u64>())),
+        sender: Name::from("discovery"),
+        base: None,
+        at: Millis(0),
+        command: Command::Batch(commands),
+    };
+    let list_change = ListChange::of(&change.command).unwrap_or_default();
+    let proposed = clock.now();
+    match control.propose_as_leader(change).await {
+        Ok(Applied::Accepted { version, .. }) => {
+            steps.log(version, &list_change, clock.now().since(proposed));
         }
+        other => tracing::warn!(
+            event = "discovery",
+            "changes from the server list were not accepted: {other:?}"
+        ),
     }
 }
 
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -151,6 +151,8 @@
     metrics::gauge!("server_limits").set(document.limits.len() as f64);
     metrics::gauge!("document_version").set(document.version as f64);
     metrics::gauge!("view_age_ms").set(view_ms as f64);
+    let list_ms = shared.view.list().age_ms(now);
+    metrics::gauge!("server_list_age_ms").set(list_ms.map_or(f64::NAN, |ms| ms as f64));
     shared.control.report(Report {
         instance: shared.config.instance.clone(),
         version: document.version,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -145,7 +145,7 @@
         );
         let relays = Relays::new(relay_config(&config));
         let shared = Arc::new(Shared {
-            services: Services::new(&config, start),
+            services: Services::new(&config, start, view.clone()),
             quota: Quota::new(control.clone(), clock.clone()),
             coordinator_client: CoordinatorClient::new(peering, clock.clone()),
             peers: peers.as_ref().map(PeerServer::address),
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -1,10 +1,12 @@
 //! Placement, retry budget and traffic split of all services, updated from the
 //! document.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use pomelovale_coordination::server_list::KnownList;
+use pomelovale_coordination::view::View;
 use pomelovale_state::document::{Backend, Document, Instance, MemberState};
 use pomelovale_state::routing::HostRoute;
 use pomelovale_state::{Millis, Name};
@@ -23,6 +25,9 @@
 const BUDGET_USED_PER_MILLE: u64 = 600;
 /// Time for which the departure of a server is kept.
 const DEPARTURE_TTL: Duration = Duration::from_secs(10);
+/// Time for which it is kept that a server leaves which the document doesn't show yet, in
+/// milliseconds.
+const NOTICED_MS: u64 = 10_000;
 /// Time for following a change of the document from which it is logged, in milliseconds.
 const SLOW_SYNC_MS: u64 = 20;
 
@@ -81,12 +86,49 @@
     version: Option<u64>,
     // Servers that were taken out recently.
     departures: IndexMap<Name, Departure>,
+    // Number of the last leaving server that was taken over from the server list.
+    noticed_number: u64,
+    // Leaving servers that the document doesn't show yet, and until when that counts.
+    noticed: IndexMap<Name, Millis>,
     services: IndexMap<Name, Service>,
     // State of the smooth weighted round robin of each route with several
     // targets: credit by service.
     splits: IndexMap<Name, IndexMap<Name, i64>>,
 }
 
+impl Inner {
+    fn follow_list(&mut self, now: Millis, list: &KnownList, version: u64) {
+        if list.last_number() == self.noticed_number {
+            return;
+        }
+        let until = now.plus(NOTICED_MS);
+        let new = list.noticed_after(self.noticed_number);
+        self.noticed
+            .extend(new.into_iter().map(|name| (name, until)));
+        self.noticed_number = list.last_number();
+        self.close_noticed(now, version);
+    }
+
+    // Closes the servers that leave. Those that the document doesn't show yet are kept.
+    fn close_noticed(&mut self, now: Millis, version: u64) {
+        let departure = Departure {
+            version,
+            at: Instant::now(),
+        };
+        let (services, departures) = (&mut self.services, &mut self.departures);
+        self.noticed.retain(|name, until| {
+            let mut services = services.values_mut();
+            let service = services.find(|s| s.placement.has_server(name));
+            if let Some(service) = service {
+                service.placement.record_leaving(now, name);
+                departures.insert(name.clone(), departure);
+                return false;
+            }
+            *until > now
+        });
+    }
+}
+
 /// State of all services on this instance.
 #[derive(Debug)]
 pub(super) struct Services {
@@ -98,10 +140,11 @@
     // Whether this instance has connections to other gateways.
     has_peering: bool,
     seed: u64,
+    view: Arc<View>,
 }
 
 impl Services {
-    pub(super) fn new(config: &GatewayConfig, seed: u64) -> Services {
+    pub(super) fn new(config: &GatewayConfig, seed: u64, view: Arc<View>) -> Services {
         Services {
             inner: Mutex::default(),
             instance: config.instance.clone(),
@@ -110,6 +153,7 @@
             retry_budget: config.retry_budget,
             has_peering: config.peering.is_some(),
             seed,
+            view,
         }
     }
 
@@ -245,9 +289,13 @@
     }
 
     fn sync(&self, inner: &mut Inner, now: Millis, document: &Document) {
-        if inner.version >= Some(document.version) {
-            return;
+        if inner.version < Some(document.version) {
+            self.follow_document(inner, now, document);
         }
+        inner.follow_list(now, &self.view.list(), document.version);
+    }
+
+    fn follow_document(&self, inner: &mut Inner, now: Millis, document: &Document) {
         let start = Instant::now();
         self.apply(inner, now, document);
         let spent = start.elapsed();
@@ -279,7 +327,11 @@
         for (name, routed) in &routing.services {
             let server_specs = self.server_specs(document, name);
             if !inner.departures.is_empty() {
-                for spec in &server_specs {
+                let placement = inner.services.get(name).map(|s| &s.placement);
+                let is_open = |spec: &&ServerSpec| {
+                    placement.is_none_or(|placement| placement.is_open(now, &spec.name))
+                };
+                for spec in server_specs.iter().filter(is_open) {
                     inner.departures.swap_remove(&spec.name);
                 }
             }
@@ -341,6 +393,7 @@
             service_state.retry_budget.set_policy(policy);
             service_state.probe.clone_from(&routed.probe);
         }
+        inner.close_noticed(now, document.version);
     }
 
     // Returns the servers that may get new requests, including those that may get
--- a/crates/daemon/src/list_change.rs
+++ b/crates/daemon/src/list_change.rs
@@ -38,14 +38,19 @@
         }
     }
 
-    /// Names of the closed servers for a log line, which are bounded.
+    /// Names of the closed servers for a log line.
     pub fn closed_names(&self) -> String {
-        let names = self.closed.iter().map(Name::as_str);
-        let named: Vec<&str> = names.take(NAMED_MAX).collect();
-        let text = named.join(" ");
-        match self.closed.len().saturating_sub(NAMED_MAX) {
-            0 => text,
-            more => format!("{text} and {more} more"),
-        }
+        names_for_log(&self.closed)
+    }
+}
+
+/// Names of servers for a log line, which are bounded.
+pub fn names_for_log(servers: &[Name]) -> String {
+    let names = servers.iter().map(Name::as_str);
+    let named: Vec<&str> = names.take(NAMED_MAX).collect();
+    let text = named.join(" ");
+    match servers.len().saturating_sub(NAMED_MAX) {
+        0 => text,
+        more => format!("{text} and {more} more"),
     }
 }
--- a/crates/daemon/src/subscriber/mod.rs
+++ b/crates/daemon/src/subscriber/mod.rs
@@ -14,7 +14,7 @@
 use pomelovale_protocol::format::decode_document;
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{
-    Chunk, ChunkAssembler, Content, PeerMessage, Proof, Renew, Request, Response,
+    Chunk, ChunkAssembler, Content, ListNotice, PeerMessage, Proof, Renew, Request, Response,
 };
 use pomelovale_state::document::Document;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
@@ -24,7 +24,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::control::calls::{Calls, Sink, Target};
-use crate::list_change::ListChange;
+use crate::list_change::{names_for_log, ListChange};
 use crate::runtime_delay;
 
 use endpoints::{distance, known_endpoints};
@@ -357,6 +357,10 @@
                 self.handle_reply(id, &response);
                 Ok(())
             }
+            PeerMessage::List(notice) => {
+                self.record_list(&notice);
+                Ok(())
+            }
             _ => Err(ErrorKind::BadRequest),
         };
         if taken.is_err() {
@@ -440,6 +444,19 @@
         }
     }
 
+    fn record_list(&self, notice: &ListNotice) {
+        // Only the answer to a renewal tells how long it was on its way.
+        let sent = notice.seq.and_then(|seq| self.renewal_sent_at(seq));
+        let read = sent.zip(notice.age_ms);
+        let read = read.and_then(|(sent, age_ms)| sent.0.checked_sub(age_ms).map(Millis));
+        let now = self.clock.now();
+        let is_new = self.view.list().record(now, read, &notice.leaving);
+        if is_new {
+            let (leaving, names) = (notice.leaving.len(), names_for_log(&notice.leaving));
+            tracing::info!(event = "list-notice", leaving, names);
+        }
+    }
+
     fn renewal_sent_at(&self, seq: u64) -> Option<Millis> {
         let found = self.renewals.iter().find(|(s, _)| *s == seq);
         found.map(|(_, at)| *at)
--- a/crates/daemon/tests/control_kit/mod.rs
+++ b/crates/daemon/tests/control_kit/mod.rs
@@ -208,7 +208,7 @@
 pub struct Cluster {
     pub clocks: Vec<Clock>,
     pub names: Vec<Name>,
-    pub servers: Vec<Option<ControlServer>>,
+    pub servers: Vec<Option<Arc<ControlServer>>>,
     pub proxies: HashMap<(Name, Name), Proxy>,
     pub delay_ms: u64,
     pub initial: Vec<Command>,
@@ -316,7 +316,7 @@
         let started = Control::start(self.config(i), self.clocks[i].clone()).await;
         let server = started.unwrap();
         self.set_proxy_targets(i, Some(server.address()));
-        self.servers[i] = Some(server);
+        self.servers[i] = Some(Arc::new(server));
     }
 
     fn set_proxy_targets(&self, i: usize, address: Option<SocketAddr>) {
@@ -326,13 +326,13 @@
 
     pub async fn kill(&mut self, i: usize) {
         self.set_proxy_targets(i, None);
-        if let Some(server) = self.servers[i].take() {
+        if let Some(server) = self.servers[i].take().and_then(Arc::into_inner) {
             server.kill().await;
         }
     }
 
     pub async fn stop(&mut self, i: usize) {
-        if let Some(server) = self.servers[i].take() {
+        if let Some(server) = self.servers[i].take().and_then(Arc::into_inner) {
             server.stop().await;
         }
         self.set_proxy_targets(i, None);
@@ -393,7 +393,7 @@
         let mut controls = Vec::new();
         for (i, control) in self.names.clone().into_iter().enumerate() {
             let proxy = Proxy::start().await;
-            proxy.set_target(self.servers[i].as_ref().map(ControlServer::address));
+            proxy.set_target(self.servers[i].as_ref().map(|s| s.address()));
             let domain = if i == near { "near" } else { "far" };
             controls.push(ControlEndpoint {
                 name: control.clone(),
--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -68,7 +68,7 @@
 
 /// Names of the servers that leave and of those that are gone, in order.
 async fn changed(failing: &'static [&'static str]) -> Result<(Vec<Name>, Vec<Name>), String> {
-    let listing = read(&fetch(failing), &domains(), true).await?;
+    let listing = read(&fetch(failing), &domains(), true, |_| {}).await?;
     let (mut leaving, mut gone) = (Vec::new(), Vec::new());
     for command in changes(&document(), &listing) {
         match command {
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -62,6 +62,20 @@
     pub changes: Vec<Arc<Delta>>,
 }
 
+/// What an instance knows of the external list of backend servers.
+///
+/// Sent only to peers that say that they know it, see `transport::peer_format`.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListNotice {
+    /// The renewal of a subscriber that this answers, if any.
+    pub seq: Option<u64>,
+    /// Time since the start of the last complete read of the list, in milliseconds; `None`
+    /// if that is not known, or not the subject of the message.
+    pub age_ms: Option<u64>,
+    /// Servers that the list shows as leaving.
+    pub leaving: Vec<Name>,
+}
+
 /// What a [`Chunk`] is part of.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Content {
@@ -250,6 +264,8 @@
     },
     /// Measurements for the leader; not answered.
     Report(Report),
+    /// What is known of the list of backend servers; not answered.
+    List(ListNotice),
 }
 
 /// Splits an encoded message into chunks.
--- a/crates/protocol/tests/formats.rs
+++ b/crates/protocol/tests/formats.rs
@@ -146,6 +146,7 @@
             PeerMessage::Renew(_) => 8,
             PeerMessage::Reply { .. } => 9,
             PeerMessage::Report(_) => 10,
+            PeerMessage::List(_) => 11,
         }
     }
     fn request(request: &Request) -> usize {
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -2,7 +2,8 @@
 //!
 //! Each side names the latest format that it knows in a header when the connection is
 //! opened. Builds before that send no header and ignore it. A second header says that the
-//! log is sealed against them.
+//! log is sealed against them, a third one that the side knows messages that the format
+//! lacks.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
@@ -16,6 +17,11 @@
 /// Sent by processes whose log is sealed against builds that name no format.
 pub(crate) const SEALED: HeaderName = HeaderName::from_static("pomelovale-sealed");
 
+/// Sent by processes that know [`PeerMessage::List`].
+///
+/// [`PeerMessage::List`]: pomelovale_protocol::messages::PeerMessage::List
+pub(crate) const LIST: HeaderName = HeaderName::from_static("pomelovale-list");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
@@ -69,6 +75,8 @@
     pub(crate) named: Option<Format>,
     /// Whether the peer's log is sealed.
     pub(crate) sealed: bool,
+    /// Whether the peer knows messages about the list of backend servers.
+    pub(crate) list: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -84,6 +92,7 @@
         LinkFormat {
             named,
             sealed: headers.contains_key(SEALED),
+            list: headers.contains_key(LIST),
             unnamed: unnamed.clone(),
         }
     }
@@ -100,6 +109,7 @@
 pub(crate) fn headers(unnamed: &UnnamedFormat) -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert(FORMAT, HeaderValue::from(Format::LATEST.number()));
+    headers.insert(LIST, HeaderValue::from(1));
     if unnamed.is_excluded() {
         headers.insert(SEALED, HeaderValue::from(1));
     }
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -179,6 +179,7 @@
     /// Role of the instance at the other end.
     pub role: Role,
     format: LinkFormat,
+    urgent: flume::Sender<QueuedMessage>,
     queue: flume::Sender<QueuedMessage>,
     bulk: flume::Sender<QueuedMessage>,
     busy: Arc<AtomicBool>,
@@ -204,9 +205,23 @@
         self.format.sealed
     }
 
+    /// Whether the peer knows [`PeerMessage::List`].
+    pub fn knows_list(&self) -> bool {
+        self.format.list
+    }
+
     /// Queues a message. Closes the connection and returns false if the queue is full.
     pub fn send(&self, message: PeerMessage) -> bool {
-        let sent = self.queue.try_send((Instant::now(), message)).is_ok();
+        self.send_to(&self.queue, message)
+    }
+
+    /// Likewise, before all other messages that wait for the connection.
+    pub fn send_urgent(&self, message: PeerMessage) -> bool {
+        self.send_to(&self.urgent, message)
+    }
+
+    fn send_to(&self, queue: &flume::Sender<QueuedMessage>, message: PeerMessage) -> bool {
+        let sent = queue.try_send((Instant::now(), message)).is_ok();
         if !sent {
             self.close();
         }
@@ -256,6 +271,7 @@
 
 /// Receivers of the queues of a [`PeerLink`].
 pub(crate) struct OutgoingQueues {
+    urgent: flume::Receiver<QueuedMessage>,
     queue: flume::Receiver<QueuedMessage>,
     bulk: flume::Receiver<QueuedMessage>,
     received: Arc<AtomicU64>,
@@ -267,12 +283,14 @@
 
 pub(crate) fn link(peer: Name, role: Role, format: LinkFormat) -> (PeerLink, OutgoingQueues) {
     static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+    let (urgent, urgent_out) = flume::bounded(QUEUE_MAX);
     let (queue, queue_out) = flume::bounded(QUEUE_MAX);
     let (bulk, bulk_out) = flume::bounded(BULK_QUEUE_MAX);
     let closed = Arc::new(Notify::new());
     let rejected = Arc::new(AtomicBool::new(false));
     let received = Arc::<AtomicU64>::default();
     let outgoing = OutgoingQueues {
+        urgent: urgent_out,
         queue: queue_out,
         bulk: bulk_out,
         received: received.clone(),
@@ -287,6 +305,7 @@
         peer,
         role,
         format,
+        urgent,
         queue,
         bulk,
         busy: Arc::default(),
@@ -455,6 +474,7 @@
 ) -> Result<QueuedMessage, LinkEnd> {
     let received = tokio::select! {
         biased;
+        m = outgoing.urgent.recv_async() => m,
         m = outgoing.queue.recv_async() => m,
         m = outgoing.bulk.recv_async() => m,
         () = tokio::time::sleep(heartbeat) => return Ok((Instant::now(), PeerMessage::Ping)),
