Ask servers whether they stay while it is not known which ones leave

Cause: gateways sent by a view and a list of any age.

A gateway that knows the list only as of more than 2.4 s ago sends requests to servers whose answers have shown within 2 s that they stay. It probes any other one on the connection of the request first, for at most 0.4 s, and sends the request only if the probe is answered with 200. After six servers without such an answer the request is refused.

The fixtures of other gateway tests keep their view proven now, as an old one leads to probes; those of an old view let theirs grow old as before.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -26,7 +26,9 @@
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
 use super::stopping::Sent;
-use super::{availability, connections, late_sends, relaying, server_selection, Shared};
+use super::{
+    availability, connections, departures, late_sends, relaying, server_selection, Shared,
+};
 use crate::crash::{self, Run, RunGuard, ServerCheck, Trial};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::entry::refusal::Refusal;
@@ -37,6 +39,9 @@
 /// example because the connection failed, or the server became ineligible while
 /// it was opened. They don't count towards the attempts of the route.
 const CONNECT_FAILURES_MAX: usize = 3;
+/// Maximum number of servers of which it is not known whether they have left, and which don't
+/// show that they stay. The request is refused then.
+const UNCONFIRMED_MAX: usize = 6;
 /// Time reserved for sending the response to the caller, in milliseconds.
 pub(super) const RESPONSE_RESERVE_MS: u64 = 5;
 /// If a server has not responded to an idempotent request within the larger of
@@ -115,6 +120,7 @@
     tried: Vec<Name>,
     sent: u32,
     connect_failures: usize,
+    unconfirmed: usize,
     // Last crash of the request that was known when the last attempt began.
     known_crash: u64,
     // Servers in the failure domain of the server that crashed last. They are avoided
@@ -145,6 +151,8 @@
     Blocked,
     /// No byte of the request was sent.
     Unsent,
+    /// Likewise, since the server may have left.
+    Unconfirmed,
     /// The server states that it did not run the request.
     NotRun,
     /// The server may have run the request.
@@ -362,6 +370,10 @@
                 progress.connect_failures += 1;
                 progress.connect_failures < CONNECT_FAILURES_MAX
             }
+            Outcome::Unconfirmed => {
+                progress.unconfirmed += 1;
+                progress.unconfirmed < UNCONFIRMED_MAX
+            }
             Outcome::NotRun => {
                 progress.sent += 1;
                 progress.sent < routed.route.attempts && spend_retry(shared, &routed)
@@ -503,6 +515,11 @@
             return (Outcome::Unsent, "connect");
         }
     };
+    let confirmed = departures::confirm_staying(shared, routed, chosen, connection).await;
+    let Some(connection) = confirmed else {
+        running.end(PlacementEnd::Cancelled);
+        return (Outcome::Unconfirmed, "may-have-left");
+    };
     if blocked_ms(shared, routed).is_some() {
         shared.connections.pool.put(chosen.address, connection);
         running.end(PlacementEnd::Cancelled);
--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::SystemTime;
 
-use http::{response, StatusCode};
+use http::{header, response, HeaderMap, StatusCode};
 use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_state::Name;
 
@@ -18,6 +18,12 @@
     open.unwrap_or(true)
 }
 
+fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options = values.flat_map(|v| v.as_bytes().split(|b| *b == b','));
+    options.any(|o| o.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
 /// Records what an answer says. Returns whether its server asks for rest.
 pub(super) fn record(
     shared: &Shared,
@@ -28,14 +34,17 @@
     let (now, document) = (shared.clock.now(), shared.view.document());
     // Another server may answer in its place.
     let is_own = parts.status != StatusCode::MISDIRECTED_REQUEST;
-    if is_own && shared.config.header_names.says_leaving(&parts.headers) {
-        let is_new = shared.services.with(now, &document, service, |s| {
-            s.placement.record_leaving(now, server)
-        });
-        if is_new == Some(true) {
-            metrics::counter!("servers_leaving_total").increment(1);
-            tracing::info!(event = "server-leaving", %service, %server);
-        }
+    let leaves = is_own && shared.config.header_names.says_leaving(&parts.headers);
+    // A server that leaves closes its connections; others do so as well at times.
+    let is_refusal = parts.status == StatusCode::SERVICE_UNAVAILABLE;
+    let stays = is_own && !is_refusal && !leaves && !closes(&parts.headers);
+    let is_new = shared.services.with(now, &document, service, |s| {
+        s.placement.record_answer(now, server, stays);
+        leaves && s.placement.record_leaving(now, server)
+    });
+    if is_new == Some(true) {
+        metrics::counter!("servers_leaving_total").increment(1);
+        tracing::info!(event = "server-leaving", %service, %server);
     }
     let Some(rest_ms) = HeaderNames::rest_ms(parts, SystemTime::now()) else {
         return false;
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -34,6 +34,8 @@
     /// Connections between gateways. Without them, the gateway selects the
     /// server of every request itself.
     pub peering: Option<Peering>,
+    /// Whether control instances follow an external list of backend servers.
+    pub has_list: bool,
     /// Names of the HTTP headers.
     pub header_names: HeaderNames,
     /// Limits of the server for callers. Those of the routing table replace its
@@ -91,6 +93,7 @@
             domain: Name::default(),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             peering: None,
+            has_list: false,
             header_names: HeaderNames::default(),
             server: ServerLimits::default(),
             held_bytes: 64 * 1024 * 1024,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod connections;
 mod coordinator;
 mod coordinator_client;
+mod departures;
 mod late_sends;
 mod maintenance;
 mod probe;
--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -52,7 +52,6 @@
         $($(#[$doc])* #[tokio::test] async fn $name() {
             let server = Server::start(|_, _| proven("200 OK", "fine")).await;
             let site = site(Some(document(&[&server]))).await;
-            site.prove_for_the_test();
             let answer = send(&site, &$request).await;
             assert_eq!(status(&answer), $status, "{answer}");
             assert!(server.requests().is_empty());
@@ -87,7 +86,8 @@
 macro_rules! refusals_of_an_old_view {
     ($($(#[$doc:meta])* $name:ident($request:expr);)*) => {
         $($(#[$doc])* #[tokio::test] async fn $name() {
-            let site = site(Some(document(&[]))).await;
+            let site = site(None).await;
+            site.show_once(document(&[]));
             sleep(Duration::from_millis(OLD_VIEW_MS)).await;
             let answer = send(&site, &$request).await;
             assert_eq!(status(&answer), 503, "{answer}");
--- a/crates/daemon/tests/gateway_bodies.rs
+++ b/crates/daemon/tests/gateway_bodies.rs
@@ -15,7 +15,6 @@
 async fn refusing_site() -> (Server, Site) {
     let server = Server::start(|_, _| proven("200 OK", "fine")).await;
     let site = site(Some(document(&[&server]))).await;
-    site.prove_for_the_test();
     (server, site)
 }
 
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -184,14 +184,16 @@
 }
 
 impl Site {
+    /// Shows a document, which stays proven for the whole test.
     pub fn show(&self, document: Document) {
         self.view.publish(document);
-        self.view.prove(Millis(0));
+        self.view.prove(Millis(600_000));
     }
 
-    /// Keeps the view current for the whole test.
-    pub fn prove_for_the_test(&self) {
-        self.view.prove(Millis(600_000));
+    /// Shows a document whose proof grows old.
+    pub fn show_once(&self, document: Document) {
+        self.view.publish(document);
+        self.view.prove(Millis(0));
     }
 }
 
--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -13,12 +13,18 @@
 /// Time for which it is kept that a server leaves that is not listed, in milliseconds.
 const UNLISTED_MS: u64 = 60_000;
 
+/// Time for which an answer of a server shows that it stays, in milliseconds: less than the
+/// time after which it may get no more requests, by the way of the answer.
+const STAYING_MS: u64 = 2_000;
+
 /// Whether a server wants requests of this instance. It tells each instance by itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Availability {
     rest_until: Millis,
     // When the server last said that it leaves, or was probed since.
     leaving: Option<Millis>,
+    // When an answer of the server last showed that it stays.
+    staying: Option<Millis>,
 }
 
 impl Availability {
@@ -38,9 +44,21 @@
 
     /// Records that the server says that it leaves. Returns whether that is new.
     pub fn record_leaving(&mut self, now: Millis) -> bool {
+        self.staying = None;
         self.leaving.replace(now).is_none()
     }
 
+    /// Records whether an answer of the server shows that it stays.
+    pub fn record_answer(&mut self, now: Millis, stays: bool) {
+        self.staying = stays.then_some(now);
+    }
+
+    /// Whether an answer has shown recently that the server stays.
+    pub fn is_staying(&self, now: Millis) -> bool {
+        let recent = |at: Millis| now.since(at) < STAYING_MS;
+        self.leaving.is_none() && self.staying.is_some_and(recent)
+    }
+
     /// Records that the server doesn't say that it leaves any more.
     pub fn record_back(&mut self) {
         self.leaving = None;
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -353,6 +353,34 @@
         server.is_some_and(|s| s.state.availability.record_leaving(now))
     }
 
+    /// Records whether an answer of a server shows that it stays.
+    pub fn record_answer(&mut self, now: Millis, name: &Name, stays: bool) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.state.availability.record_answer(now, stays);
+        }
+    }
+
+    /// Whether a server has shown recently that it stays.
+    pub fn is_staying(&self, now: Millis, name: &Name) -> bool {
+        let server = self.servers.get(name);
+        server.is_some_and(|s| s.state.availability.is_staying(now))
+    }
+
+    /// Whether a server may be asked now whether it stays. That counts towards its limit.
+    pub fn take_check(&mut self, now: Millis, name: &Name) -> bool {
+        let server = self.servers.get_mut(name);
+        let Some(server) = server.filter(|s| s.state.limit.may_send(now)) else {
+            return false;
+        };
+        server.state.limit.record_send(now);
+        true
+    }
+
+    /// Whether a server is listed.
+    pub fn has_server(&self, name: &Name) -> bool {
+        self.servers.contains_key(name)
+    }
+
     /// Whether a server wants requests of this instance, as far as is known.
     pub fn is_open(&self, now: Millis, name: &Name) -> bool {
         let server = self.servers.get(name);
--- a/crates/steering/tests/availability.rs
+++ b/crates/steering/tests/availability.rs
@@ -1,4 +1,4 @@
-//! Rest that a backend server asks one instance for.
+//! What backend servers tell one instance: rest, that they leave, and that they stay.
 
 use pomelovale_state::Millis;
 use pomelovale_steering::availability::{Availability, REST_MAX_MS};
@@ -37,3 +37,20 @@
     assert!(!server.is_open(NOW.plus(REST_MAX_MS - 1)));
     assert!(server.is_open(NOW.plus(REST_MAX_MS)));
 }
+
+/// Guards against a server that counts as staying since it did so once, or although it may
+/// leave.
+#[test]
+fn answer_shows_for_a_while_that_a_server_stays() {
+    let mut server = Availability::default();
+    assert!(!server.is_staying(NOW));
+    server.record_answer(NOW, true);
+    assert!(server.is_staying(NOW.plus(1_900)));
+    assert!(!server.is_staying(NOW.plus(2_000)));
+    server.record_answer(NOW.plus(2_000), true);
+    server.record_answer(NOW.plus(2_100), false);
+    assert!(!server.is_staying(NOW.plus(2_200)));
+    server.record_answer(NOW.plus(2_200), true);
+    server.record_leaving(NOW.plus(2_300));
+    assert!(!server.is_staying(NOW.plus(2_400)));
+}
