Let only instances in touch read the list without a leader, one by one

With the standbys of all control instances read the list as soon as they had a document after a start, and one that was cut off read it all the time.

An instance now reads beside the leader only while its document is at most 5 s old, counts the time without a read from when that began, and leaves the one before it 250 ms instead of 100, the time of a read and of its announcement.

--- a/crates/coordination/src/server_list.rs
+++ b/crates/coordination/src/server_list.rs
@@ -20,7 +20,10 @@
 /// read from another region and the announcement of it.
 const STANDBY_MS: u64 = 600;
 /// Time until each further standby reads, in milliseconds.
-const STANDBY_STEP_MS: u64 = 100;
+const STANDBY_STEP_MS: u64 = 250;
+/// Largest age of the document up to which a standby reads, in milliseconds. The calls of
+/// instances that are cut off for longer would count towards the rate that the list accepts.
+const STANDBY_VIEW_MS: u64 = 5_000;
 /// Number of times that the interval is doubled while reads of a standby fail.
 const BACKOFF_DOUBLINGS_MAX: u32 = 2;
 
@@ -94,6 +97,18 @@
     },
 }
 
+impl Reader {
+    /// Who an instance reads as. `view_ms` is the age of its document, and `rank` its place
+    /// among those that take over. `None` if it doesn't read.
+    pub fn of(is_leader: bool, view_ms: u64, rank: usize) -> Option<Reader> {
+        match is_leader {
+            true => Some(Reader::Leader),
+            false if view_ms <= STANDBY_VIEW_MS => Some(Reader::Standby { rank }),
+            false => None,
+        }
+    }
+}
+
 /// Decides when a control instance reads the list.
 #[derive(Clone, Debug)]
 pub struct ReadSchedule {
@@ -103,7 +118,7 @@
 }
 
 impl ReadSchedule {
-    /// A schedule for an instance that starts at `now`.
+    /// A schedule for an instance that may read from `now` on.
     pub fn new(now: Millis) -> ReadSchedule {
         ReadSchedule {
             started: now,
@@ -127,7 +142,7 @@
             true => next,
             false => {
                 let silence = interval_ms + STANDBY_MS + STANDBY_STEP_MS * rank as u64;
-                let heard = known.unwrap_or(self.started).plus(silence);
+                let heard = known.unwrap_or_default().max(self.started).plus(silence);
                 let retry = self.last.map(|last| last.plus(interval_ms << backoff));
                 heard.max(retry.unwrap_or_default())
             }
--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -215,7 +215,8 @@
 /// Applies changes of the list to the document until the task is aborted. A long list, of
 /// which each read takes many calls, is read less often than every `interval_ms`.
 pub async fn run(control: Arc<ControlServer>, fetch: FetchServers, clock: Clock, interval_ms: u64) {
-    let mut schedule = ReadSchedule::new(clock.now());
+    // Since this instance may read.
+    let mut schedule: Option<ReadSchedule> = None;
     let mut reachability = Reachability::default();
     let mut is_long = false;
     // Start of the last read as the leader, and the proposal that rests on one.
@@ -224,11 +225,13 @@
     loop {
         let document = control.view().document();
         let status = control.status();
-        let reader = match status.role {
-            "leader" => Reader::Leader,
-            _ => Reader::Standby {
-                rank: rank(&status),
-            },
+        let now = clock.now();
+        let view_ms = control.view().age(now);
+        let reader = Reader::of(status.role == "leader", view_ms, rank(&status));
+        let Some(reader) = reader.filter(|_| document.version > 0) else {
+            schedule = None;
+            tokio::time::sleep(Millis(CHECK_MS).duration()).await;
+            continue;
         };
         if reader != Reader::Leader {
             last_read = None;
@@ -239,11 +242,10 @@
         } else {
             interval_ms
         };
-        let now = clock.now();
-        let wait_ms = schedule
-            .due(reader, control.view().list().read(), interval_ms)
-            .since(now);
-        if wait_ms > 0 || document.version == 0 {
+        let schedule = schedule.get_or_insert_with(|| ReadSchedule::new(now));
+        let known = control.view().list().read();
+        let wait_ms = schedule.due(reader, known, interval_ms).since(now);
+        if wait_ms > 0 {
             let pause = wait_ms.clamp(1, CHECK_MS);
             tokio::time::sleep(Millis(pause).duration()).await;
             continue;
