--- a/crates/daemon/tests/leaving_servers.rs
+++ b/crates/daemon/tests/leaving_servers.rs
@@ -51,6 +51,8 @@
     next: Mutex<Option<String>>,
     // Whether servers leave as soon as they are named in `next`.
     at_once: AtomicBool,
+    // Whether servers that leave go on to answer requests as before.
+    is_quiet: AtomicBool,
     // Control instances that can't read the list.
     cut: Mutex<Vec<usize>>,
 }
@@ -124,7 +126,8 @@
     }
 }
 
-// A server says on its health path whether it stays, and closes connections while it leaves.
+// A server says on its health path whether it stays, and mostly closes connections while it
+// leaves.
 async fn server(name: String, list: Arc<List>) -> Server {
     let script = move |seen: &ReceivedRequest, _: usize| {
         let leaves = list.is_leaving(&name);
@@ -139,7 +142,8 @@
             return ServerAction::Write(answer.into_bytes());
         }
         list.record_request(&name);
-        let close = if leaves { "connection: close\r\n" } else { "" };
+        let closes = leaves && !list.is_quiet.load(Ordering::SeqCst);
+        let close = if closes { "connection: close\r\n" } else { "" };
         response("200 OK", &format!("pomelovale-proof: p\r\n{close}"), "fine")
     };
     Server::start(script).await
@@ -287,6 +291,16 @@
         assert!(self.cluster.servers[leader].is_none(), "still runs");
     }
 
+    // Cuts all gateways off from all control instances.
+    fn cut_gateways(&self) {
+        for entry in &self.entries {
+            for control in &self.cluster.names {
+                let link = (entry.name.clone(), control.clone());
+                self.cluster.proxies[&link].cut(true);
+            }
+        }
+    }
+
     fn assert_drained(&self) {
         let late = self.list.late();
         assert!(late.is_empty(), "requests 3 s after the list: {late:?}");
@@ -373,12 +387,7 @@
 async fn servers_leave_while_gateways_are_cut_off_from_control_instances() {
     let fleet = Fleet::start(Duration::from_millis(10)).await;
     fleet.list.at_once.store(true, Ordering::SeqCst);
-    for entry in &fleet.entries {
-        for control in &fleet.cluster.names {
-            let link = (entry.name.clone(), control.clone());
-            fleet.cluster.proxies[&link].cut(true);
-        }
-    }
+    fleet.cut_gateways();
     fleet.clear_counts();
     fleet.let_servers_leave().await;
     fleet.assert_drained();
@@ -388,3 +397,16 @@
     let serving = serving.filter(|b| b.state == MemberState::Serving).count();
     assert_eq!(serving, SERVERS_EACH * DOMAINS.len(), "the view is not old");
 }
+
+/// Guards against gateways that take answers to requests for a sign that a server stays.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn servers_leave_without_a_word_while_gateways_are_cut_off() {
+    let fleet = Fleet::start(Duration::from_millis(10)).await;
+    fleet.list.at_once.store(true, Ordering::SeqCst);
+    fleet.list.is_quiet.store(true, Ordering::SeqCst);
+    fleet.cut_gateways();
+    fleet.clear_counts();
+    fleet.let_servers_leave().await;
+    fleet.assert_drained();
+    fleet.assert_served();
+}
