Take back that only probes show that a server stays

Suspected, not traced: a gateway that is cut off probes once for each of its requests at a time, and reads no limit from the answers.

--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -18,9 +18,7 @@
     open.unwrap_or(true)
 }
 
-/// Whether the server closes the connection behind an answer. One that leaves does, others do
-/// so as well at times.
-pub(super) fn closes(headers: &HeaderMap) -> bool {
+fn closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
     let mut options = values.flat_map(|v| v.as_bytes().split(|b| *b == b','));
     options.any(|o| o.trim_ascii().eq_ignore_ascii_case(b"close"))
@@ -37,12 +35,11 @@
     // Another server may answer in its place.
     let is_own = parts.status != StatusCode::MISDIRECTED_REQUEST;
     let leaves = is_own && shared.config.header_names.says_leaving(&parts.headers);
+    // A server that leaves closes its connections; others do so as well at times.
     let is_refusal = parts.status == StatusCode::SERVICE_UNAVAILABLE;
-    let is_doubtful = !is_own || is_refusal || closes(&parts.headers);
+    let stays = is_own && !is_refusal && !leaves && !closes(&parts.headers);
     let is_new = shared.services.with(now, &document, service, |s| {
-        if is_doubtful {
-            s.placement.record_doubt(server);
-        }
+        s.placement.record_answer(now, server, stays);
         leaves && s.placement.record_leaving(now, server)
     });
     if is_new == Some(true) {
--- a/crates/daemon/src/gateway/departures.rs
+++ b/crates/daemon/src/gateway/departures.rs
@@ -1,9 +1,8 @@
 //! What is done while nothing is heard of servers that leave.
 //!
 //! A gateway that knows the list only as of too long ago can't know whether a server has left.
-//! It asks each server by a health probe, on the connection of a request, and uses it for a
-//! while if that shows that it stays. Answers to requests don't: a server that leaves may go on
-//! to answer them as before.
+//! It goes on to use servers whose answers show that they stay. Any other one is asked
+//! first, by a health probe on the connection of the request.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,23 +95,16 @@
     let is_shed = headers.contains_key(&header_names.refused);
     let (stays, leaves) = match reply.parts.status {
         _ if !is_expected_server => (false, false),
-        StatusCode::OK => {
-            let may_leave = header_names.says_leaving(headers) || availability::closes(headers);
-            (!may_leave, false)
-        }
+        StatusCode::OK => (!header_names.says_leaving(headers), false),
         StatusCode::SERVICE_UNAVAILABLE => (false, !is_shed),
         _ => (false, false),
     };
-    let (now, document) = (shared.clock.now(), shared.view.document());
-    shared
-        .services
-        .with(now, &document, &routed.service, |s| match leaves {
-            true => {
-                s.placement.record_leaving(now, &chosen.server);
-            }
-            false if stays => s.placement.record_staying(now, &chosen.server),
-            false => {}
+    if leaves {
+        let (now, document) = (shared.clock.now(), shared.view.document());
+        shared.services.with(now, &document, &routed.service, |s| {
+            s.placement.record_leaving(now, &chosen.server)
         });
+    }
     let body = buffer_body(&mut reply.body, CHECK_BYTES, end).await.ok()?;
     (stays && matches!(body, BufferedBody::All(_))).then(|| reply.body.finish())
 }
