Read limits from answers to probes

A gateway that has sent a server probes, but no request, for 3 s forgot the limit that it names.

A limit that is named in an answer to a probe counts as in any other. One that isn't named there says nothing.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -7,18 +7,14 @@
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
-use http::{response, Method, Request, Response, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
-use pomelovale_protocol::header_names::HeaderNames;
 use pomelovale_protocol::http::strip_hop_by_hop;
 use pomelovale_state::digest::Digest;
 use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::routing::{HostRoute, Repeat};
 use pomelovale_state::{ErrorKind, Millis, Name};
-use pomelovale_steering::placement::{
-    Chosen, LoadReport, PlacementDecision, PlacementEnd, ServerReport,
-};
-use pomelovale_steering::server_limit::LimitNotice;
+use pomelovale_steering::placement::{Chosen, PlacementDecision, PlacementEnd, ServerReport};
 use pomelovale_transport::backend::{Connection, ExchangeError, Failure, Reply, ReplyBody};
 use pomelovale_transport::body::{CallerBody, Passing};
 use tokio::time::{timeout, timeout_at, Instant};
@@ -729,7 +725,7 @@
     let Reply { parts, mut body } = reply;
     let server = (&running.chosen.server, running.chosen.address);
     let rests = availability::record(shared, &routed.service, server, &parts);
-    running.report = server_report(header_names, &parts);
+    running.report = availability::report(header_names, &parts);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
@@ -803,26 +799,6 @@
     Ok((Outcome::Answer(response), "answered"))
 }
 
-// Reads what an answer says about its server. Only an answer that proves to be the
-// server's own shows that a limit has ended; an answer of another server in its place says
-// nothing.
-fn server_report(names: &HeaderNames, parts: &response::Parts) -> ServerReport {
-    let load = names
-        .load(&parts.headers)
-        .map(|[running, waiting, slots]| LoadReport {
-            running,
-            waiting,
-            slots,
-        });
-    let is_own = parts.headers.contains_key(&names.proof);
-    let limit = match names.limit(&parts.headers) {
-        _ if parts.status == StatusCode::MISDIRECTED_REQUEST => LimitNotice::Unknown,
-        LimitNotice::Unlimited if !is_own => LimitNotice::Unknown,
-        limit => limit,
-    };
-    ServerReport { load, limit }
-}
-
 // Returns whether more time is left than the latency objective, within which a
 // retry should get its response.
 fn has_time_to_retry(routed: &RoutedRequest) -> bool {
--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -5,7 +5,9 @@
 
 use http::{header, response, HeaderMap, StatusCode};
 use pomelovale_protocol::header_names::HeaderNames;
-use pomelovale_state::Name;
+use pomelovale_state::{Millis, Name};
+use pomelovale_steering::placement::{LoadReport, ServerReport};
+use pomelovale_steering::server_limit::LimitNotice;
 
 use super::Shared;
 
@@ -24,6 +26,28 @@
     options.any(|o| o.trim_ascii().eq_ignore_ascii_case(b"close"))
 }
 
+/// Records what the answer to a probe that was sent at `sent` says.
+pub(super) fn record_probe(
+    shared: &Shared,
+    service: &Name,
+    (server, address): (&Name, SocketAddr),
+    sent: Millis,
+    parts: &response::Parts,
+) {
+    record(shared, service, (server, address), parts);
+    // A server need not name its limit to probes.
+    let limit = match report(&shared.config.header_names, parts).limit {
+        limit @ LimitNotice::Limited(_) => limit,
+        LimitNotice::Unknown | LimitNotice::Unlimited => return,
+    };
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let changed = shared.services.with(now, &document, service, |s| {
+        s.placement.record_limit(now, sent, server, limit);
+        s.placement.take_limit_change()
+    });
+    super::report_changed_limit(shared, service, changed.flatten());
+}
+
 /// Records what an answer says. Returns whether its server asks for rest.
 pub(super) fn record(
     shared: &Shared,
@@ -59,3 +83,23 @@
     }
     true
 }
+
+/// Reads what an answer says about its server. Only an answer that proves to be the
+/// server's own shows that a limit has ended; an answer of another server in its place says
+/// nothing.
+pub(super) fn report(names: &HeaderNames, parts: &response::Parts) -> ServerReport {
+    let load = names
+        .load(&parts.headers)
+        .map(|[running, waiting, slots]| LoadReport {
+            running,
+            waiting,
+            slots,
+        });
+    let is_own = parts.headers.contains_key(&names.proof);
+    let limit = match names.limit(&parts.headers) {
+        _ if parts.status == StatusCode::MISDIRECTED_REQUEST => LimitNotice::Unknown,
+        LimitNotice::Unlimited if !is_own => LimitNotice::Unknown,
+        limit => limit,
+    };
+    ServerReport { load, limit }
+}
--- a/crates/daemon/src/gateway/departures.rs
+++ b/crates/daemon/src/gateway/departures.rs
@@ -85,10 +85,11 @@
         .body(Full::new(Bytes::new()))
         .ok()?;
     let header_names = &shared.config.header_names;
+    let sent_at = shared.clock.now();
     let sent = connection.send(request, &header_names.request, b"", limit);
     let mut reply = sent.await.ok()?;
     let server = (&chosen.server, chosen.address);
-    availability::record(shared, &routed.service, server, &reply.parts);
+    availability::record_probe(shared, &routed.service, server, sent_at, &reply.parts);
     let headers = &reply.parts.headers;
     let named = headers.get(&header_names.instance);
     let is_expected_server = named.is_some_and(|v| v.as_bytes() == chosen.server.as_bytes());
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -242,14 +242,7 @@
         tracing::info!(event = "unreachable", service = %service, server = %chosen.server,
             cause = ?ended, %source);
     }
-    if let Some((server, limit)) = &changed.limit {
-        metrics::counter!("server_limit_changes_total").increment(1);
-        tracing::info!(event = "server-limit", service = %service, %server, per_1000_s = limit,
-            source = "answer");
-    }
-    if changed.limit.is_some() {
-        maintenance::report(shared);
-    }
+    report_changed_limit(shared, service, changed.limit);
     if changed.suspended {
         let (shared, since) = (shared.clone(), Instant::now());
         let fault = attempt::link_fault(ended).unwrap_or(LinkFault::Closed);
@@ -261,6 +254,16 @@
     }
 }
 
+// Likewise if the limit of a server has started or ended.
+fn report_changed_limit(shared: &Shared, service: &Name, changed: Option<(Name, Option<u64>)>) {
+    let Some((server, limit)) = changed else {
+        return;
+    };
+    metrics::counter!("server_limit_changes_total").increment(1);
+    tracing::info!(event = "server-limit", %service, %server, per_1000_s = limit, source = "answer");
+    maintenance::report(shared);
+}
+
 /// The readiness check of a gateway.
 #[derive(Clone, Debug)]
 pub struct Readiness {
--- a/crates/daemon/src/gateway/probe.rs
+++ b/crates/daemon/src/gateway/probe.rs
@@ -52,12 +52,13 @@
         .ok()?;
     let header_names = &shared.config.header_names;
     let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+    let sent_at = shared.clock.now();
     let sent = connection
         .send(request, &header_names.request, b"", limit)
         .await;
     let reply = sent.ok()?;
     // A server that refuses a probe may ask for rest, too.
-    availability::record(shared, service, (server, address), &reply.parts);
+    availability::record_probe(shared, service, (server, address), sent_at, &reply.parts);
     let headers = &reply.parts.headers;
     let is_expected_server = headers
         .get(&header_names.instance)
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -29,6 +29,7 @@
 use crate::availability::Availability;
 use crate::estimate::{Held, ServerState, WorkEstimate};
 use crate::region_assignment::RegionAssignment;
+use crate::server_limit::LimitNotice;
 
 use choice::Candidate;
 pub use types::{
@@ -476,10 +477,10 @@
         if let Some(report) = load {
             server.state.record_report(now, report);
         }
-        let sent = now.minus(latency_ms);
-        if server.state.limit.record_notice(now, sent, limit) {
-            self.limit_change = Some((chosen.server.clone(), server.state.limit.rate(now)));
-        }
+        self.record_limit(now, now.minus(latency_ms), &chosen.server, limit);
+        let Some(server) = self.servers.get_mut(&chosen.server) else {
+            return suspended;
+        };
         if ended != PlacementEnd::Answered {
             return suspended;
         }
@@ -500,6 +501,17 @@
         suspended
     }
 
+    /// Records what the answer to a request or probe that was sent at `sent` says about the
+    /// limit of its server.
+    pub fn record_limit(&mut self, now: Millis, sent: Millis, name: &Name, notice: LimitNotice) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        if server.state.limit.record_notice(now, sent, notice) {
+            self.limit_change = Some((name.clone(), server.state.limit.rate(now)));
+        }
+    }
+
     /// Sets whether the view of this instance is out of date.
     pub fn set_isolated(&mut self, now: Millis, is_isolated: bool) {
         if self.is_isolated != is_isolated {
