Ask a server that doesn't show that it stays at most every 250 ms

While the list is unknown, each request probed each server that it tried, however often that server hadn't shown that it stays, and also if it had asked for rest since it was chosen. In a trace of limit_is_kept_while_a_gateway_is_cut_off_and_another_one_ joins, whose servers don't name themselves to probes, one gateway with six callers sent each of five servers 15 to 25 probes in half a second.

A server that rests is not asked, nor is one that was asked in the last 250 ms and didn't show that it stays; the next server is tried instead.

--- a/crates/daemon/src/gateway/departures.rs
+++ b/crates/daemon/src/gateway/departures.rs
@@ -58,14 +58,26 @@
     if stays {
         return Some(connection);
     }
-    let limit = Duration::from_millis(CHECK_MS).min(routed.left());
     let checked = match may_check {
-        true => check(shared, routed, chosen, connection, limit).await,
-        false => None,
+        true => {
+            let limit = Duration::from_millis(CHECK_MS).min(routed.left());
+            check(shared, routed, chosen, connection, limit).await
+        }
+        false => {
+            shared.connections.pool.put(chosen.address, connection);
+            None
+        }
     };
+    if may_check && checked.is_none() {
+        let now = shared.clock.now();
+        shared.services.with(now, &document, &routed.service, |s| {
+            s.placement.record_unconfirmed(now, &chosen.server)
+        });
+    }
     let result = match checked {
         Some(_) => "stays",
-        None => "unknown",
+        None if may_check => "unknown",
+        None => "not-asked",
     };
     metrics::counter!("departure_checks_total", "result" => result).increment(1);
     checked
--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -17,6 +17,10 @@
 /// time after which it may get no more requests, by the way of the answer.
 const STAYING_MS: u64 = 2_000;
 
+/// Time after which a server is asked again whether it stays if its last answer didn't show
+/// it, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 250;
+
 /// Whether a server wants requests of this instance. It tells each instance by itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Availability {
@@ -25,6 +29,8 @@
     leaving: Option<Millis>,
     // When an answer of the server last showed that it stays.
     staying: Option<Millis>,
+    // When it was last asked whether it stays and didn't show it.
+    unconfirmed: Option<Millis>,
 }
 
 impl Availability {
@@ -59,6 +65,17 @@
         self.leaving.is_none() && self.staying.is_some_and(recent)
     }
 
+    /// Records that the server was asked whether it stays and didn't show it.
+    pub fn record_unconfirmed(&mut self, now: Millis) {
+        self.unconfirmed = Some(now);
+    }
+
+    /// Whether the server may be asked whether it stays.
+    pub fn may_check(&self, now: Millis) -> bool {
+        let recent = |at: Millis| now.since(at) < CHECK_INTERVAL_MS;
+        self.is_open(now) && !self.unconfirmed.is_some_and(recent)
+    }
+
     /// Records that the server doesn't say that it leaves any more.
     pub fn record_back(&mut self) {
         self.leaving = None;
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -370,13 +370,22 @@
     /// Whether a server may be asked now whether it stays. That counts towards its limit.
     pub fn take_check(&mut self, now: Millis, name: &Name) -> bool {
         let server = self.servers.get_mut(name);
-        let Some(server) = server.filter(|s| s.state.limit.may_send(now)) else {
+        let may_check =
+            |s: &&mut Server| s.state.availability.may_check(now) && s.state.limit.may_send(now);
+        let Some(server) = server.filter(may_check) else {
             return false;
         };
         server.state.limit.record_send(now);
         true
     }
 
+    /// Records that a server was asked whether it stays and didn't show it.
+    pub fn record_unconfirmed(&mut self, now: Millis, name: &Name) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.state.availability.record_unconfirmed(now);
+        }
+    }
+
     /// Whether a server is listed.
     pub fn has_server(&self, name: &Name) -> bool {
         self.servers.contains_key(name)
--- a/crates/steering/tests/availability.rs
+++ b/crates/steering/tests/availability.rs
@@ -38,6 +38,20 @@
     assert!(server.is_open(NOW.plus(REST_MAX_MS)));
 }
 
+/// Guards against a server that is asked whether it stays while it rests, or by each request
+/// although it doesn't show it.
+#[test]
+fn server_is_not_asked_at_each_request_whether_it_stays() {
+    let mut server = Availability::default();
+    assert!(server.may_check(NOW));
+    server.record_unconfirmed(NOW);
+    assert!(!server.may_check(NOW.plus(200)));
+    assert!(server.may_check(NOW.plus(250)));
+    server.record_rest(NOW.plus(250), 1_000);
+    assert!(!server.may_check(NOW.plus(1_200)));
+    assert!(server.may_check(NOW.plus(1_250)));
+}
+
 /// Guards against a server that counts as staying since it did so once, or although it may
 /// leave.
 #[test]
