Keep the limit of a server until the document is known to be newer

A gateway that was cut off forgot a limit 3 s after it was last named, by a document from before that limit. Only 4 s after it was cut off did it count as isolated and keep the limit.

An answer now counts until the document is known as of 3 s after it. Entries, whose limits are the same code, get the same. The test of the end of a limit in the document tells as of when the document is known, which it left open; it asks for the same.

--- a/crates/daemon/src/entry/poll.rs
+++ b/crates/daemon/src/entry/poll.rs
@@ -53,8 +53,8 @@
         let in_use = |address: &SocketAddr| servers.iter().any(|(_, _, a)| a == address);
         shared.pool.sweep(age, &in_use);
         shared.relays.sweep();
-        let is_isolated = shared.view.age(shared.clock.now()) > VIEW_MAX_AGE_MS;
-        shared.steering.set_isolated(is_isolated);
+        let age_ms = shared.view.age(shared.clock.now());
+        shared.steering.set_view(age_ms, age_ms > VIEW_MAX_AGE_MS);
         report(&shared);
         if polling && shared.reach.state() == State::Reached {
             // Polls would use up the limit of a server.
--- a/crates/daemon/src/entry/steering.rs
+++ b/crates/daemon/src/entry/steering.rs
@@ -319,12 +319,14 @@
         })
     }
 
-    /// Sets whether the view of this instance is out of date.
-    pub fn set_isolated(&self, is_isolated: bool) {
+    /// Sets the age of the document in milliseconds, and whether it is too old.
+    pub fn set_view(&self, age_ms: u64, is_isolated: bool) {
         let now = self.clock.now();
         for (_, service) in self.all_services() {
             let mut steering = service.lock().unwrap_or_else(PoisonError::into_inner);
-            steering.balancer.set_isolated(now, is_isolated);
+            steering
+                .balancer
+                .set_view(now, now.minus(age_ms), is_isolated);
         }
     }
 
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -70,9 +70,10 @@
         let mut due_probes = Vec::new();
         let mut suspended: IndexSet<Name> = IndexSet::new();
         let is_reached = shared.reach.state() == State::Reached;
-        let is_isolated = shared.view.age(now) > VIEW_MAX_AGE_MS;
+        let age_ms = shared.view.age(now);
+        let (known_at, is_isolated) = (now.minus(age_ms), age_ms > VIEW_MAX_AGE_MS);
         shared.services.for_each(now, &document, |name, service| {
-            service.placement.set_isolated(now, is_isolated);
+            service.placement.set_view(now, known_at, is_isolated);
             service.placement.tick(now);
             let found = service.placement.suspended_servers();
             suspended.extend(found.map(|(server, _)| server.clone()));
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -181,10 +181,10 @@
         server.is_some_and(|s| s.limit.record_notice(now, sent, notice))
     }
 
-    /// Sets whether the view of this entry is out of date.
-    pub fn set_isolated(&mut self, now: Millis, is_isolated: bool) {
+    /// Sets the time as of which the document is known, and whether that is too long ago.
+    pub fn set_view(&mut self, now: Millis, known_at: Millis, is_isolated: bool) {
         let servers = self.servers.values_mut();
-        servers.for_each(|s| s.limit.set_isolated(now, is_isolated));
+        servers.for_each(|s| s.limit.set_view(now, known_at, is_isolated));
     }
 
     /// What servers have recently said about their limits: name, limit in thousandths of
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -103,7 +103,8 @@
     miss_weight: f64,
     // Number of other instances of the region that place requests of their own beside this one.
     instances_beside: usize,
-    // Whether the view of this instance is out of date.
+    // Time as of which the document is known, and whether that is too long ago.
+    known_at: Millis,
     is_isolated: bool,
     // A server whose limit has started or ended by its last answer, and the limit.
     limit_change: Option<(Name, Option<u64>)>,
@@ -147,6 +148,7 @@
             mean_work: WorkEstimate::default(),
             miss_weight: 0.0,
             instances_beside: 0,
+            known_at: Millis(0),
             is_isolated: false,
             limit_change: None,
         }
@@ -239,7 +241,7 @@
             if spec.cold_ms > 0 && !spec.down && !cold_is_known {
                 state.set_cold(now, now.plus(spec.cold_ms));
             }
-            state.limit.set_isolated(now, self.is_isolated);
+            state.limit.set_view(now, self.known_at, self.is_isolated);
             state.limit.set_recorded(now, spec.limit);
             state.limit.set_share(now, spec.share);
             let server = Server {
@@ -521,13 +523,11 @@
         }
     }
 
-    /// Sets whether the view of this instance is out of date.
-    pub fn set_isolated(&mut self, now: Millis, is_isolated: bool) {
-        if self.is_isolated != is_isolated {
-            self.is_isolated = is_isolated;
-            let servers = self.servers.values_mut();
-            servers.for_each(|s| s.state.limit.set_isolated(now, is_isolated));
-        }
+    /// Sets the time as of which the document is known, and whether that is too long ago.
+    pub fn set_view(&mut self, now: Millis, known_at: Millis, is_isolated: bool) {
+        (self.known_at, self.is_isolated) = (known_at, is_isolated);
+        let servers = self.servers.values_mut();
+        servers.for_each(|s| s.state.limit.set_view(now, known_at, is_isolated));
     }
 
     /// Returns the server whose limit has started or ended since the last call, and its
--- a/crates/steering/src/server_limit.rs
+++ b/crates/steering/src/server_limit.rs
@@ -22,7 +22,8 @@
 /// Time for which unused tokens are kept, in milliseconds.
 const BURST_MS: f64 = 500.0;
 /// Time for which an answer counts for more than the document, in milliseconds: longer
-/// than a report takes to get there and back.
+/// than a report takes to get there and back. A document that isn't known as of that long
+/// after the answer doesn't end a limit either.
 const NOTICE_MS: u64 = 3_000;
 /// Time for which a limit is kept since it was last named, in milliseconds. A server need
 /// not name it in each answer, and answers to requests from before its start are late.
@@ -88,6 +89,8 @@
     // Answers without a limit since `HOLD_MS` after it was last named.
     silent: u32,
     share: LimitShare,
+    // Time as of which the document is known.
+    known_at: Millis,
     is_isolated: bool,
     tokens: f64,
     refilled_at: Millis,
@@ -98,9 +101,9 @@
     pub fn rate(&self, now: Millis) -> Option<u64> {
         match self.noticed {
             Some(notice) if now.since(notice.at) < NOTICE_MS => notice.rate,
-            // The document may be older than the notice.
-            Some(Noticed { rate, .. }) if self.is_isolated => {
-                [rate, self.recorded].into_iter().flatten().min()
+            // The document need not show the notice yet.
+            Some(notice) if self.known_at.since(notice.at) < NOTICE_MS => {
+                [notice.rate, self.recorded].into_iter().flatten().min()
             }
             Some(_) | None => self.recorded,
         }
@@ -187,11 +190,12 @@
         }
     }
 
-    /// Sets whether the view of this instance is out of date.
-    pub fn set_isolated(&mut self, now: Millis, is_isolated: bool) {
-        if self.is_isolated != is_isolated {
-            self.change(now, |l| l.is_isolated = is_isolated);
-        }
+    /// Sets the time as of which the document is known, and whether that is too long ago.
+    pub fn set_view(&mut self, now: Millis, known_at: Millis, is_isolated: bool) {
+        self.change(now, |l| {
+            l.known_at = known_at;
+            l.is_isolated = is_isolated;
+        });
     }
 
     // Requests a second that this instance may send, if the server is limited.
--- a/crates/steering/tests/server_limit.rs
+++ b/crates/steering/tests/server_limit.rs
@@ -152,7 +152,7 @@
     isolated_instance_uses_an_equal_part {
         let mut limit = limited();
         limit.set_recorded(Millis(0), Some(4_000));
-        limit.set_isolated(Millis(0), true);
+        limit.set_view(Millis(0), Millis(0), true);
         assert_eq!(sends(&mut limit, 0, 8_000), 7);
     }
 
@@ -160,7 +160,7 @@
     isolated_instance_keeps_the_limit_that_it_was_named {
         let mut limit = limited();
         limit.set_recorded(Millis(0), None);
-        limit.set_isolated(Millis(100), true);
+        limit.set_view(Millis(100), Millis(0), true);
         assert_eq!(limit.rate(Millis(60_000)), Some(4_000));
     }
 
@@ -169,9 +169,22 @@
         let mut limit = limited();
         limit.set_recorded(Millis(100), Some(4_000));
         limit.set_recorded(Millis(5_000), None);
+        limit.set_view(Millis(5_000), Millis(5_000), false);
         assert!(limit.may_send(Millis(5_000)));
     }
 
+    /// Guards against an instance that forgets a limit as time passes, with a document from
+    /// before that limit.
+    limit_is_kept_until_a_later_document_shows_its_end {
+        let mut limit = ServerLimit::default();
+        limit.set_share(Millis(0), WHOLE);
+        limit.record_notice(Millis(1_000), Millis(950), LimitNotice::Limited(4_000));
+        limit.set_view(Millis(4_900), Millis(1_000), false);
+        assert_eq!(limit.rate(Millis(4_900)), Some(4_000));
+        limit.set_view(Millis(5_000), Millis(4_900), false);
+        assert_eq!(limit.rate(Millis(5_000)), None);
+    }
+
     /// Guards against a server that names zero and is never sent a request again.
     limit_of_zero_is_tried_now_and_then {
         let mut limit = ServerLimit::default();
