Take only probes as a sign that a server stays

Callers' requests went on to reach servers that had left, for as long as a gateway knew nothing of the list, if these servers answered them as before. Each answer without "connection: close" and without the field that says so counted as a sign that the server stays, for two more seconds.

--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -20,7 +20,9 @@
     open.unwrap_or(true)
 }
 
-fn closes(headers: &HeaderMap) -> bool {
+/// Whether the server closes the connection behind an answer. One that leaves does, others do
+/// so as well at times.
+pub(super) fn closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
     let mut options = values.flat_map(|v| v.as_bytes().split(|b| *b == b','));
     options.any(|o| o.trim_ascii().eq_ignore_ascii_case(b"close"))
@@ -59,11 +61,12 @@
     // Another server may answer in its place.
     let is_own = parts.status != StatusCode::MISDIRECTED_REQUEST;
     let leaves = is_own && shared.config.header_names.says_leaving(&parts.headers);
-    // A server that leaves closes its connections; others do so as well at times.
     let is_refusal = parts.status == StatusCode::SERVICE_UNAVAILABLE;
-    let stays = is_own && !is_refusal && !leaves && !closes(&parts.headers);
+    let is_doubtful = !is_own || is_refusal || closes(&parts.headers);
     let is_new = shared.services.with(now, &document, service, |s| {
-        s.placement.record_answer(now, server, stays);
+        if is_doubtful {
+            s.placement.record_doubt(server);
+        }
         leaves && s.placement.record_leaving(now, server)
     });
     if is_new == Some(true) {
--- a/crates/daemon/src/gateway/departures.rs
+++ b/crates/daemon/src/gateway/departures.rs
@@ -1,8 +1,9 @@
 //! What is done while nothing is heard of servers that leave.
 //!
 //! A gateway that knows the list only as of too long ago can't know whether a server has left.
-//! It goes on to use servers whose answers show that they stay. Any other one is asked
-//! first, by a health probe on the connection of the request.
+//! It asks each server by a health probe, on the connection of a request, and uses it for a
+//! while if that shows that it stays. Answers to requests don't: a server that leaves may go on
+//! to answer them as before.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::attempt::RoutedRequest;
+use super::services::Service;
 use super::{availability, Shared};
 use crate::entry::forward::{buffer_body, BufferedBody};
 
@@ -26,6 +28,14 @@
 /// Largest body of such an answer, in bytes.
 const CHECK_BYTES: usize = 16 * 1024;
 
+/// What the answer to a probe shows about its server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Shown {
+    Leaves,
+    Nothing,
+    Stays,
+}
+
 /// Whether this instance knows which servers leave, up to the time that a request takes to its
 /// server. Without an external list, the document alone shows it.
 fn knows_leaving(shared: &Shared) -> bool {
@@ -106,18 +116,26 @@
     let named = headers.get(&header_names.instance);
     let is_expected_server = named.is_some_and(|v| v.as_bytes() == chosen.server.as_bytes());
     let is_shed = headers.contains_key(&header_names.refused);
-    let (stays, leaves) = match reply.parts.status {
-        _ if !is_expected_server => (false, false),
-        StatusCode::OK => (!header_names.says_leaving(headers), false),
-        StatusCode::SERVICE_UNAVAILABLE => (false, !is_shed),
-        _ => (false, false),
+    let shown = match reply.parts.status {
+        _ if !is_expected_server => Shown::Nothing,
+        StatusCode::OK if header_names.says_leaving(headers) => Shown::Nothing,
+        StatusCode::OK if availability::closes(headers) => Shown::Nothing,
+        StatusCode::OK => Shown::Stays,
+        StatusCode::SERVICE_UNAVAILABLE if !is_shed => Shown::Leaves,
+        _ => Shown::Nothing,
     };
-    if leaves {
-        let (now, document) = (shared.clock.now(), shared.view.document());
-        shared.services.with(now, &document, &routed.service, |s| {
-            s.placement.record_leaving(now, &chosen.server)
-        });
-    }
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let record = |s: &mut Service| match shown {
+        Shown::Leaves => {
+            s.placement.record_leaving(now, &chosen.server);
+        }
+        Shown::Nothing => {}
+        Shown::Stays => s.placement.record_staying(now, &chosen.server),
+    };
+    shared
+        .services
+        .with(now, &document, &routed.service, record);
     let body = buffer_body(&mut reply.body, CHECK_BYTES, end).await.ok()?;
-    (stays && matches!(body, BufferedBody::All(_))).then(|| reply.body.finish())
+    let is_usable = shown == Shown::Stays && matches!(body, BufferedBody::All(_));
+    is_usable.then(|| reply.body.finish())
 }
--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -37,14 +37,22 @@
 }
 
 impl Limited {
-    async fn start() -> Limited {
+    /// Starts a server that answers probes under its name, if it has one.
+    async fn start(name: Option<String>) -> Limited {
         let (named, arrivals) = (Arc::new(Mutex::new(None)), Arc::new(Mutex::new(Vec::new())));
-        let (name, arrived) = (named.clone(), arrivals.clone());
+        let (limits, arrived) = (named.clone(), arrivals.clone());
         let server = Server::start(move |seen: &ReceivedRequest, n| {
             arrived.lock().unwrap().push(Instant::now());
             // Some answers don't name the limit.
-            let limit: Option<String> = name.lock().unwrap().clone().filter(|_| n % 3 != 1);
+            let limit: Option<String> = limits.lock().unwrap().clone().filter(|_| n % 3 != 1);
             let header = limit.map_or_else(String::new, |l| format!("pomelovale-limit: {l}\r\n"));
+            if let Some(name) = name
+                .as_ref()
+                .filter(|_| seen.head.starts_with("GET /health "))
+            {
+                let headers = format!("pomelovale-backend: {name}\r\n{header}content-length: 0");
+                return ServerAction::Write(format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\n").into());
+            }
             let headers = format!("pomelovale-proof: p\r\n{header}");
             // Long and short requests, so that answers come out of order.
             let work_ms = if seen.head.contains("-0 ") { 250 } else { 20 };
@@ -88,7 +96,15 @@
 async fn start_servers() -> Vec<Limited> {
     let mut servers = Vec::new();
     for _ in 0..6 {
-        servers.push(Limited::start().await);
+        servers.push(Limited::start(None).await);
+    }
+    servers
+}
+
+async fn start_named_servers() -> Vec<Limited> {
+    let mut servers = Vec::new();
+    for n in 0..6 {
+        servers.push(Limited::start(Some(format!("b{n}"))).await);
     }
     servers
 }
@@ -196,7 +212,17 @@
 /// that joins with a burst.
 #[tokio::test]
 async fn limit_is_kept_while_a_gateway_is_cut_off_and_another_one_joins() {
-    let servers = start_servers().await;
+    cut_off_and_add_gateways(start_servers().await).await;
+}
+
+/// Guards against limits that are not kept by probes, or by requests to servers that answer
+/// probes.
+#[tokio::test]
+async fn limit_is_kept_while_a_gateway_is_cut_off_and_probes_servers() {
+    cut_off_and_add_gateways(start_named_servers().await).await;
+}
+
+async fn cut_off_and_add_gateways(servers: Vec<Limited>) {
     let mut fleet = start_fleet(&servers, 4).await;
     let callers = Callers::start(&fleet, 24);
     sleep(Duration::from_secs(1)).await;
--- a/crates/steering/src/availability.rs
+++ b/crates/steering/src/availability.rs
@@ -13,7 +13,7 @@
 /// Time for which it is kept that a server leaves that is not listed, in milliseconds.
 const UNLISTED_MS: u64 = 60_000;
 
-/// Time for which an answer of a server shows that it stays, in milliseconds: less than the
+/// Time for which an answer to a probe shows that a server stays, in milliseconds: less than the
 /// time after which it may get no more requests, by the way of the answer.
 const STAYING_MS: u64 = 2_000;
 
@@ -27,7 +27,7 @@
     rest_until: Millis,
     // When the server last said that it leaves, or was probed since.
     leaving: Option<Millis>,
-    // When an answer of the server last showed that it stays.
+    // When the server last showed that it stays.
     staying: Option<Millis>,
     // When it was last asked whether it stays and didn't show it.
     unconfirmed: Option<Millis>,
@@ -54,12 +54,17 @@
         self.leaving.replace(now).is_none()
     }
 
-    /// Records whether an answer of the server shows that it stays.
-    pub fn record_answer(&mut self, now: Millis, stays: bool) {
-        self.staying = stays.then_some(now);
+    /// Records that the server has answered a probe that it would refuse if it left.
+    pub fn record_staying(&mut self, now: Millis) {
+        self.staying = Some(now);
     }
 
-    /// Whether an answer has shown recently that the server stays.
+    /// Records an answer that may be that of a server which leaves.
+    pub fn record_doubt(&mut self) {
+        self.staying = None;
+    }
+
+    /// Whether the server has shown recently that it stays.
     pub fn is_staying(&self, now: Millis) -> bool {
         let recent = |at: Millis| now.since(at) < STAYING_MS;
         self.leaving.is_none() && self.staying.is_some_and(recent)
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -356,10 +356,17 @@
         server.is_some_and(|s| s.state.availability.record_leaving(now))
     }
 
-    /// Records whether an answer of a server shows that it stays.
-    pub fn record_answer(&mut self, now: Millis, name: &Name, stays: bool) {
+    /// Records that a server has answered a probe that it would refuse if it left.
+    pub fn record_staying(&mut self, now: Millis, name: &Name) {
         if let Some(server) = self.servers.get_mut(name) {
-            server.state.availability.record_answer(now, stays);
+            server.state.availability.record_staying(now);
+        }
+    }
+
+    /// Records an answer that may be that of a server which leaves.
+    pub fn record_doubt(&mut self, name: &Name) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.state.availability.record_doubt();
         }
     }
 
--- a/crates/steering/tests/availability.rs
+++ b/crates/steering/tests/availability.rs
@@ -55,16 +55,16 @@
 /// Guards against a server that counts as staying since it did so once, or although it may
 /// leave.
 #[test]
-fn answer_shows_for_a_while_that_a_server_stays() {
+fn probe_shows_for_a_while_that_a_server_stays() {
     let mut server = Availability::default();
     assert!(!server.is_staying(NOW));
-    server.record_answer(NOW, true);
+    server.record_staying(NOW);
     assert!(server.is_staying(NOW.plus(1_900)));
     assert!(!server.is_staying(NOW.plus(2_000)));
-    server.record_answer(NOW.plus(2_000), true);
-    server.record_answer(NOW.plus(2_100), false);
+    server.record_staying(NOW.plus(2_000));
+    server.record_doubt();
     assert!(!server.is_staying(NOW.plus(2_200)));
-    server.record_answer(NOW.plus(2_200), true);
+    server.record_staying(NOW.plus(2_200));
     server.record_leaving(NOW.plus(2_300));
     assert!(!server.is_staying(NOW.plus(2_400)));
 }
