--- a/crates/daemon/tests/gateway_limits.rs
+++ b/crates/daemon/tests/gateway_limits.rs
@@ -29,6 +29,17 @@
 /// Time after the end of a limit within which a server must get its usual load.
 const ENDED: Duration = Duration::from_secs(8);
 
+/// How a server answers probes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProbeAnswer {
+    /// Like requests, so that the answer can't be assigned to the probe.
+    Unassigned,
+    /// As a server that stays.
+    Stays,
+    /// As a server that may leave.
+    Closes,
+}
+
 /// A server and what it names in its answers.
 struct Limited {
     server: Server,
@@ -37,20 +48,23 @@
 }
 
 impl Limited {
-    /// Starts a server that answers probes under its name, if it has one.
-    async fn start(name: Option<String>) -> Limited {
+    async fn start(number: usize, probe_answer: ProbeAnswer) -> Limited {
         let (named, arrivals) = (Arc::new(Mutex::new(None)), Arc::new(Mutex::new(Vec::new())));
         let (limits, arrived) = (named.clone(), arrivals.clone());
         let server = Server::start(move |seen: &ReceivedRequest, n| {
             arrived.lock().unwrap().push(Instant::now());
-            // Some answers don't name the limit.
-            let limit: Option<String> = limits.lock().unwrap().clone().filter(|_| n % 3 != 1);
+            let is_probe = seen.head.starts_with("GET /health ");
+            // Some answers to requests don't name the limit.
+            let limit: Option<String> = limits.lock().unwrap().clone();
+            let limit = limit.filter(|_| is_probe || n % 3 != 1);
             let header = limit.map_or_else(String::new, |l| format!("pomelovale-limit: {l}\r\n"));
-            if let Some(name) = name
-                .as_ref()
-                .filter(|_| seen.head.starts_with("GET /health "))
-            {
-                let headers = format!("pomelovale-backend: {name}\r\n{header}content-length: 0");
+            let close = match probe_answer {
+                ProbeAnswer::Closes => "connection: close\r\n",
+                ProbeAnswer::Stays | ProbeAnswer::Unassigned => "",
+            };
+            if is_probe && probe_answer != ProbeAnswer::Unassigned {
+                let name = format!("pomelovale-backend: b{number}\r\n");
+                let headers = format!("{name}{header}{close}content-length: 0");
                 return ServerAction::Write(format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\n").into());
             }
             let headers = format!("pomelovale-proof: p\r\n{header}");
@@ -94,17 +108,13 @@
 }
 
 async fn start_servers() -> Vec<Limited> {
-    let mut servers = Vec::new();
-    for _ in 0..6 {
-        servers.push(Limited::start(None).await);
-    }
-    servers
+    start_servers_with(ProbeAnswer::Unassigned).await
 }
 
-async fn start_named_servers() -> Vec<Limited> {
+async fn start_servers_with(probe_answer: ProbeAnswer) -> Vec<Limited> {
     let mut servers = Vec::new();
-    for n in 0..6 {
-        servers.push(Limited::start(Some(format!("b{n}"))).await);
+    for number in 0..6 {
+        servers.push(Limited::start(number, probe_answer).await);
     }
     servers
 }
@@ -215,11 +225,39 @@
     cut_off_and_add_gateways(start_servers().await).await;
 }
 
-/// Guards against limits that are not kept by probes, or by requests to servers that answer
-/// probes.
+/// The same with servers that show that they stay.
 #[tokio::test]
 async fn limit_is_kept_while_a_gateway_is_cut_off_and_probes_servers() {
-    cut_off_and_add_gateways(start_named_servers().await).await;
+    let servers = start_servers_with(ProbeAnswer::Stays).await;
+    cut_off_and_add_gateways(servers).await;
+}
+
+macro_rules! named_to_probes {
+    ($($(#[$doc:meta])* $name:ident($value:literal, $limit:expr, $cut_ms:literal);)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let servers = start_servers_with(ProbeAnswer::Closes).await;
+            let fleet = start_fleet(&servers, 4).await;
+            sleep(Duration::from_millis($cut_ms)).await;
+            (0..4).for_each(|n| fleet.cut_off(n));
+            let callers = Callers::start(&fleet, 12);
+            sleep(Duration::from_secs(4)).await;
+            servers[0].name(Some($value));
+            let named = Instant::now();
+            sleep(Duration::from_secs(7)).await;
+            callers.stop().await;
+            let most = servers[0].most(named + TOLD * 2);
+            assert!(most <= allowed($limit), "{most} requests");
+            let unlimited = servers[1].most(named + TOLD * 2);
+            assert!(unlimited > allowed($limit), "{unlimited} requests");
+        })*
+    };
+}
+
+named_to_probes! {
+    /// Guards against a limit that is named to probes only, and exceeded by them.
+    limit_that_is_named_to_probes_is_kept("3.9", LIMIT, 1_000);
+    /// The same with gateways that know of no other one.
+    low_limit_that_is_named_to_probes_is_kept("0.6", 0.6, 0);
 }
 
 async fn cut_off_and_add_gateways(servers: Vec<Limited>) {
