Pace large responses on narrow links

Cause: a body of 90 kB takes 107 ms to pass a link of 6.7 Mbit/s, and delays each message and small response written after it by as long.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -49,6 +49,9 @@
     /// larger one is forwarded while it is received: held back, it would pass the link
     /// twice before its caller has the first byte.
     pub answer_bytes: usize,
+    /// Rate of the link of this instance in bytes per second, if it is narrow. Large
+    /// responses are then paced, so that messages and small ones don't wait for them.
+    pub narrow_link: Option<u64>,
     /// Timeout for opening a connection to a backend server.
     pub connect_ms: u64,
     /// Timeout between two parts of a response that is streamed to the caller. It
@@ -98,6 +101,7 @@
             server: ServerLimits::default(),
             held_bytes: 64 * 1024 * 1024,
             answer_bytes: 32 * 1024,
+            narrow_link: None,
             connect_ms: 400,
             pause_ms: 400,
             idle_ms: 6_000,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
 use pomelovale_steering::placement::{Chosen, PlacementEnd};
 use pomelovale_transport::http_server::{Handler, Server};
+use pomelovale_transport::pacing::Pacer;
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerTimings};
 use pomelovale_transport::peer_server::PeerServer;
 use tokio::net::TcpListener;
@@ -83,6 +84,8 @@
     crashes: Arc<CrashTracker>,
     reach: Arc<Reach>,
     relays: Arc<Relays>,
+    // Paces large responses on a narrow link.
+    pacer: Option<Arc<Pacer>>,
     // Bound address for callers.
     callers: SocketAddr,
     leaving: AtomicBool,
@@ -145,6 +148,7 @@
             reach.clone(),
         );
         let relays = Relays::new(relay_config(&config));
+        let pacer = config.narrow_link.map(|rate| Arc::new(Pacer::new(rate)));
         let shared = Arc::new(Shared {
             services: Services::new(&config, start, view.clone()),
             quota: Quota::new(control.clone(), clock.clone()),
@@ -158,6 +162,7 @@
             crashes: Arc::new(crashes),
             reach,
             relays: Arc::new(relays),
+            pacer,
             callers,
             leaving: AtomicBool::new(false),
             stopping: Stopping::new(),
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -84,6 +84,10 @@
         Err(refusal) => refusal.fractional_response(),
     };
     record.end(response.status(), refusal);
+    let response = match &shared.pacer {
+        Some(pacer) => response.map(|body| pacer.pace(body)),
+        None => response,
+    };
     // A leaving instance closes its connections, so that callers fetch the list of
     // gateways before their next request.
     let leaving = shared.leaving.load(Ordering::Relaxed);
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, Instant, Sleep};
 
 use crate::backend::{Connection, ExchangeError, ReplyBody};
+use crate::pacing::Paced;
 use crate::response::catch;
 
 /// Callback for the end of a response body, with the reusable connection or the
@@ -22,6 +23,8 @@
 pub enum CallerBody {
     /// A body that is completely in memory.
     Full(Bytes),
+    /// A body that is written no faster than a narrow link takes it.
+    Paced(Box<Paced>),
     /// A body that is forwarded while it is received.
     Stream(Box<Passing>),
 }
@@ -139,6 +142,17 @@
     }
 }
 
+impl CallerBody {
+    /// Whether the body is still received from a backend server, so that it may break off.
+    pub(crate) fn is_stream(&self) -> bool {
+        match self {
+            CallerBody::Full(_) => false,
+            CallerBody::Paced(paced) => paced.is_stream(),
+            CallerBody::Stream(_) => true,
+        }
+    }
+}
+
 impl Body for CallerBody {
     type Data = Bytes;
     type Error = std::io::Error;
@@ -150,6 +164,7 @@
         match &mut *self {
             CallerBody::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
             CallerBody::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            CallerBody::Paced(paced) => paced.poll_part(cx),
             CallerBody::Stream(passing) => {
                 let part = ready!(passing.poll_part(cx));
                 let cut = |fault: ExchangeError| std::io::Error::other(format!("{fault:?}"));
@@ -159,12 +174,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, CallerBody::Full(bytes) if bytes.is_empty())
+        match self {
+            CallerBody::Full(bytes) => bytes.is_empty(),
+            CallerBody::Paced(paced) => paced.is_end_stream(),
+            CallerBody::Stream(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             CallerBody::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            CallerBody::Paced(paced) => paced.size_hint(),
             CallerBody::Stream(passing) => {
                 let rest = passing.rest.as_ref().and_then(ReplyBody::remaining_length);
                 rest.map_or_else(SizeHint::default, |n| {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http_server;
 mod linger;
 mod link;
+pub mod pacing;
 pub mod peer_client;
 pub mod peer_format;
 pub mod peer_link;
--- a/crates/transport/src/response.rs
+++ b/crates/transport/src/response.rs
@@ -91,7 +91,7 @@
     }
 
     fn is_stream(&self) -> bool {
-        matches!(self.body, CallerBody::Stream(_))
+        self.body.is_stream()
     }
 
     fn read_ahead(&mut self, cx: &mut Context<'_>) -> Result<(), ErrorKind> {
--- a/crates/transport/src/serving.rs
+++ b/crates/transport/src/serving.rs
@@ -52,7 +52,7 @@
             let polled = catch(|| future.as_mut().poll(cx));
             let panicked = || Poll::Ready(error_response(ErrorKind::Internal));
             let response = ready!(polled.unwrap_or_else(panicked));
-            let streams = matches!(response.body(), CallerBody::Stream(_));
+            let streams = response.body().is_stream();
             this.link.hold(this.place, streams);
             catch(|| this.answer = Answer::Held(Some(response)));
         }
@@ -63,7 +63,7 @@
         let Some(response) = held else {
             return Poll::Pending;
         };
-        let streams = matches!(response.body(), CallerBody::Stream(_));
+        let streams = response.body().is_stream();
         let mut response = TrackedBody::track(response, &this.link, cx);
         this.link.prepare(response.headers_mut(), streams);
         Poll::Ready(Ok(response))
