Rank servers by size, and move objects only along their own ranking

Cause: when servers are added, removed or full, objects go to any server of the region, the ranking changes with each crossing of the utilization threshold, and one shed request sends all objects of a server elsewhere for 150 ms. The ranking doesn't know the sizes of the servers.

Change: steering::affinity scores servers by weighted rendezvous hashing; servers of one size are ranked as before. With ServiceSpec::stable (GatewayConfig::stable_placement, off by default) an object is served by the first of its three holders that has room, the ranking switches between failure domain and region at most once in 5 s, a server that sheds one request keeps its objects unless its report shows that it is full, and a server that joins takes its objects over step by step while it is cold. Metrics count displaced requests and moves.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -61,6 +61,9 @@
     /// Time after the last crash until a request that is quarantined for crashes of its
     /// servers may be tried once more.
     pub trial_ms: u64,
+    /// Whether objects change their server as little as possible when servers are added,
+    /// removed or briefly unavailable. All gateways of a deployment should have the same value.
+    pub stable_placement: bool,
     /// Interval between reports to the leader.
     pub report_ms: u64,
     /// Retry budget of each service, which all instances share.
@@ -102,6 +105,7 @@
             pause_ms: 400,
             idle_ms: 6_000,
             trial_ms: 3_000,
+            stable_placement: false,
             report_ms: 500,
             retry_budget: RetryBudgetConfig {
                 per_mille: 100,
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -137,6 +137,11 @@
     shared.services.for_each(now, &document, |name, service| {
         let left = service.retry_budget.left() as f64;
         metrics::gauge!("gateway_retries_left", "service" => name.to_string()).set(left);
+        let moves = service.placement.take_moves();
+        metrics::counter!("gateway_displaced_total", "service" => name.to_string())
+            .increment(moves.displaced);
+        metrics::counter!("gateway_moves_total", "service" => name.to_string())
+            .increment(moves.moved);
         let suspended = service.placement.suspended_servers();
         let confirmed = suspended.filter(|(_, at)| now.since(*at) >= contact_ms);
         down.extend(confirmed.map(|(server, _)| server.clone()));
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -139,6 +139,8 @@
     retry_budget: RetryBudgetConfig,
     // Whether this instance has connections to other gateways.
     has_peering: bool,
+    // Whether objects change their server as little as possible.
+    is_stable: bool,
     seed: u64,
     view: Arc<View>,
 }
@@ -152,6 +154,7 @@
             domain: config.domain.clone(),
             retry_budget: config.retry_budget,
             has_peering: config.peering.is_some(),
+            is_stable: config.stable_placement,
             seed,
             view,
         }
@@ -338,6 +341,7 @@
             let service = ServiceSpec {
                 cold_ms: routed.cold_ms,
                 cold_rate: (routed.cold_rate > 0).then_some(routed.cold_rate as f64 / 1_000.0),
+                stable: self.is_stable,
             };
             let policy = RetryPolicy::Shared {
                 per_mille: self.retry_budget.per_mille * BUDGET_USED_PER_MILLE / 1_000,
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -4,6 +4,7 @@
 use pomelovale_state::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
+use crate::affinity::pauses;
 use crate::availability::Availability;
 use crate::placement::{LoadReport, PlacementEnd};
 use crate::region_assignment::hash_bytes;
@@ -134,11 +135,13 @@
     suspended_at: Millis,
     probe_at: Millis,
     probe_interval_ms: u64,
+    cold_from: Millis,
     cold_until: Millis,
     // Requests that may be sent while the server is cold, and as of when.
     tokens: f64,
     refilled_at: Millis,
-    // End of the pause after a shed response.
+    // Last shed response, and end of the pause after it.
+    shed_at: Option<Millis>,
     paused_until: Millis,
     name_hash: u64,
     // Objects of the requests of this instance, the latest one last.
@@ -169,9 +172,11 @@
             suspended_at: now,
             probe_at: now,
             probe_interval_ms: PROBE_INTERVAL_MS.0,
+            cold_from: Millis(0),
             cold_until: Millis(0),
             tokens: 1.0,
             refilled_at: now,
+            shed_at: None,
             paused_until: Millis(0),
             name_hash: hash_bytes(name.as_bytes()),
             recent_objects: IndexSet::new(),
@@ -254,6 +259,26 @@
         now < self.cold_until
     }
 
+    /// Share of the cold period that has passed, from 0 to 1; 1 if the server isn't cold.
+    pub fn warmth(&self, now: Millis) -> f64 {
+        match self.cold_until.since(self.cold_from) {
+            period if self.is_cold(now) && period > 0 => {
+                now.since(self.cold_from) as f64 / period as f64
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Ends the pause after a request that was shed just now, unless the server is full by its
+    /// report or has shed another one in the time of a pause before.
+    pub fn keep_objects(&mut self, now: Millis, report: Option<LoadReport>) {
+        let recent = |at: Millis| now.since(at) < SHED_PAUSE_MS;
+        let again = self.shed_at.replace(now).is_some_and(recent);
+        if !pauses(report, again) {
+            self.paused_until = now;
+        }
+    }
+
     /// Whether a request may be sent now: a server that has just shed one gets
     /// none, and a cold one gets at most `cold_rate` requests per second.
     pub fn may_send(&self, now: Millis, cold_rate: Option<f64>) -> bool {
@@ -274,6 +299,7 @@
         if !self.is_cold(now) {
             self.tokens = 1.0;
             self.refilled_at = now;
+            self.cold_from = now;
         }
         self.cold_until = self.cold_until.max(until);
     }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`estimate`] and [`region_assignment`]. An entry is an instance that fills its
+//! [`affinity`], [`estimate`] and [`region_assignment`]. An entry is an instance that fills its
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
@@ -12,6 +12,7 @@
 //! use random numbers have a seeded generator, so that runs are reproducible.
 
 pub mod admission;
+pub mod affinity;
 pub mod availability;
 pub mod balancer;
 pub mod baseline;
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -4,6 +4,7 @@
 use rand::Rng;
 
 use super::{Placement, PlacementRequest, Server, REGION_COST_MS};
+use crate::affinity::{holders_wanted, reach, weight, Holders, Room, Scope, Score};
 use crate::estimate::{Held, WorkEstimate};
 use crate::region_assignment::{hash, hash_bytes};
 
@@ -44,7 +45,9 @@
     // `usize::MAX` if there are fewer.
     domain_primaries: [usize; PRIMARIES_PER_DOMAIN],
     // Region, score and index of the highest-ranked candidate of each region.
-    region_primaries: Vec<(Name, u64, usize)>,
+    region_primaries: Vec<(Name, Score, usize)>,
+    // The highest-ranked candidates of all regions.
+    holders: Holders,
 }
 
 pub(super) struct Candidate {
@@ -55,6 +58,8 @@
     pub(super) cost: f64,
     pub(super) expected_ms: f64,
     pub(super) idle: bool,
+    // Whether it is the highest-ranked one.
+    pub(super) is_first: bool,
 }
 
 impl Placement {
@@ -65,15 +70,29 @@
         allowed: &dyn Fn(&Name) -> bool,
     ) -> Option<Candidate> {
         let ranking = self.rank_servers(now, request, allowed);
+        if let Some(best) = self.best_holder(now, request, &ranking) {
+            return Some(best);
+        }
+        self.cheapest(now, request, &ranking, &ranking.candidates)
+    }
+
+    // Chooses the cheapest of some candidates.
+    fn cheapest(
+        &mut self,
+        now: Millis,
+        request: &PlacementRequest,
+        ranking: &Ranking,
+        among: &[usize],
+    ) -> Option<Candidate> {
         let work = self.work.get(request.route).cloned().unwrap_or_default();
         // While slots are scarce, only one server of the region should hold an
         // object instead of one for each failure domain, since loading an object
         // once more costs more than the round trip to another domain.
-        let one_per_region = !ranking.has_local || self.miss_weight > 0.0;
+        let one_per_region = self.scope(ranking) == Scope::Region;
         let non_primary_penalty = self.penalty() * work.expected(Held::Known, request.objective_ms);
         let mean_work = self.mean_work.expected(Held::Known, request.objective_ms);
         let mut best: Option<Candidate> = None;
-        for index in ranking.candidates {
+        for &index in among {
             let server = &self.servers[index];
             if !server.state.may_send(now, self.cold_rate_share())
                 || !self.passes_warmup_limit(now, server)
@@ -117,12 +136,86 @@
                     cost,
                     expected_ms,
                     idle,
+                    is_first: is_preferred,
                 });
             }
         }
         best
     }
 
+    // With stable placement, chooses the cheapest of the holders that may serve the object. If
+    // it would be late there, the request goes to the next server in the ranking of the object
+    // that has a free slot. `None` if there is no such server, or several regions may serve it.
+    fn best_holder(
+        &mut self,
+        now: Millis,
+        request: &PlacementRequest,
+        ranking: &Ranking,
+    ) -> Option<Candidate> {
+        if !self.service.stable || ranking.region_primaries.len() != 1 {
+            return None;
+        }
+        let holders: Vec<usize> = match self.scope(ranking) {
+            Scope::Region => ranking.holders.indices().collect(),
+            Scope::Domain => {
+                let local = ranking.domain_primaries.iter().copied();
+                let mut all: Vec<usize> = local.filter(|i| *i < self.servers.len()).collect();
+                let other = ranking.holders.indices().find(|i| !all.contains(i));
+                all.extend(other);
+                all
+            }
+        };
+        let first = &self.servers[*holders.first()?];
+        let instances = (self.instances_beside + 1) as f64;
+        let rate = self.demand.rate(now, request.object) * instances;
+        let work_ms = self.mean_work.expected(Held::Known, request.objective_ms);
+        let wanted = holders_wanted(rate * work_ms / 1_000.0, first.spec.slots);
+        let rooms = holders.iter().map(|i| self.room(now, &self.servers[*i]));
+        let count = reach(rooms, wanted);
+        let best = self.cheapest(now, request, ranking, &holders[..count]);
+        let in_time = |c: &Candidate| self.lateness_ms(request, c).is_none();
+        if best.as_ref().is_some_and(in_time) {
+            return best;
+        }
+        let has_room = |i: &usize| self.room(now, &self.servers[*i]) == Room::Free;
+        let free = ranking.candidates.iter().copied().filter(has_room);
+        let next = free.max_by_key(|i| self.score(now, request.object, &self.servers[*i]));
+        match next {
+            Some(next) => self.cheapest(now, request, ranking, &[next]),
+            None => best,
+        }
+    }
+
+    // Whether objects are ranked by failure domain or by region.
+    fn scope(&self, ranking: &Ranking) -> Scope {
+        match self.service.stable {
+            _ if !ranking.has_local => Scope::Region,
+            true => self.scope.scope(),
+            false if self.miss_weight > 0.0 => Scope::Region,
+            false => Scope::Domain,
+        }
+    }
+
+    fn room(&self, now: Millis, server: &Server) -> Room {
+        let state = &server.state;
+        if !state.may_send(now, self.cold_rate_share()) || !self.passes_warmup_limit(now, server) {
+            return Room::Closed;
+        }
+        let (slowdown, failures) = (state.slowdown(now), state.failure_rate(now));
+        Room::of(state.load(now), server.spec.slots, slowdown, failures)
+    }
+
+    // Score of a server for an object. With stable placement, a cold server takes its objects
+    // over step by step.
+    fn score(&self, now: Millis, object: u64, server: &Server) -> Score {
+        let warmth = match self.service.stable {
+            true => server.state.warmth(now),
+            false => 1.0,
+        };
+        let weight = weight(server.spec.slots, warmth);
+        Score::new(object, server.state.name_hash(), weight)
+    }
+
     // Cost of another server than the highest-ranked one, relative to the work there.
     fn penalty(&self) -> f64 {
         match self.instances_beside < FEW_INSTANCES {
@@ -131,7 +224,7 @@
         }
     }
 
-    // Lists the servers that may get a request, and ranks them by rendezvous
+    // Lists the servers that may get a request, and ranks them by weighted rendezvous
     // hashing of its object.
     fn rank_servers(
         &self,
@@ -144,8 +237,9 @@
             has_local: false,
             domain_primaries: [usize::MAX; PRIMARIES_PER_DOMAIN],
             region_primaries: Vec::new(),
+            holders: Holders::default(),
         };
-        let mut top_scores = [0; PRIMARIES_PER_DOMAIN];
+        let mut top_scores = [Score::LOWEST; PRIMARIES_PER_DOMAIN];
         for (index, (name, server)) in self.servers.iter().enumerate() {
             let spec = &server.spec;
             let may_get = server.takes_requests(now) && allowed(&spec.region);
@@ -153,7 +247,8 @@
                 continue;
             }
             ranking.candidates.push(index);
-            let score = hash(&[request.object, server.state.name_hash()]);
+            let score = self.score(now, request.object, server);
+            ranking.holders.add(score, index);
             match ranking
                 .region_primaries
                 .iter_mut()
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -26,6 +26,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use crate::affinity::{Demand, MoveCounts, ScopeSwitch};
 use crate::availability::Availability;
 use crate::estimate::{Held, ServerState, WorkEstimate};
 use crate::region_assignment::RegionAssignment;
@@ -101,6 +102,10 @@
     mean_work: WorkEstimate,
     // Weight of the extra work of loading an object, which delays other requests.
     miss_weight: f64,
+    // Whether objects are ranked by failure domain or by region if placement is stable.
+    scope: ScopeSwitch,
+    // Demand for objects, and the servers that they were sent to.
+    demand: Demand,
     // Number of other instances of the region that place requests of their own beside this one.
     instances_beside: usize,
     // Time as of which the document is known, and whether that is too long ago.
@@ -147,6 +152,8 @@
             work: IndexMap::new(),
             mean_work: WorkEstimate::default(),
             miss_weight: 0.0,
+            scope: ScopeSwitch::default(),
+            demand: Demand::default(),
             instances_beside: 0,
             known_at: Millis(0),
             is_isolated: false,
@@ -275,6 +282,13 @@
         self.assignment.step(local, &remote);
         let contention = (local - UNCONTENDED_UTILIZATION) / (1.0 - UNCONTENDED_UTILIZATION);
         self.miss_weight = MISS_WEIGHT_MAX * contention.clamp(0.0, 1.0);
+        self.scope.record(now, local, UNCONTENDED_UTILIZATION);
+    }
+
+    /// Counts of requests that weren't placed on the first server of their object, and of
+    /// objects that changed their server, since the last call.
+    pub fn take_moves(&mut self) -> MoveCounts {
+        self.demand.take_counts()
     }
 
     // Utilization of this region and of the others. Another region is left out
@@ -457,6 +471,8 @@
         let server = &mut self.servers[best.index];
         let load = server.state.load(now);
         server.state.record_start(now, object, rate);
+        let name_hash = server.state.name_hash();
+        self.demand.record(now, object, name_hash, best.is_first);
         PlacementDecision::Send(Chosen {
             server: server.spec.name.clone(),
             address: server.spec.address,
@@ -495,6 +511,9 @@
         if let Some(report) = load {
             server.state.record_report(now, report);
         }
+        if self.service.stable && ended == PlacementEnd::Shed {
+            server.state.keep_objects(now, load);
+        }
         self.record_limit(now, now.minus(latency_ms), &chosen.server, limit);
         let Some(server) = self.servers.get_mut(&chosen.server) else {
             return suspended;
--- a/crates/steering/src/placement/types.rs
+++ b/crates/steering/src/placement/types.rs
@@ -42,6 +42,8 @@
     /// Requests per second that a cold server can take from all instances
     /// together; `None` for no limit.
     pub cold_rate: Option<f64>,
+    /// Whether objects change their server as little as possible; see [`crate::affinity`].
+    pub stable: bool,
 }
 
 /// A request to place.
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -40,6 +40,7 @@
     ServiceSpec {
         cold_ms: 3_000,
         cold_rate: Some(COLD_RATE),
+        stable: false,
     }
 }
 
--- a/crates/steering/tests/warmth.rs
+++ b/crates/steering/tests/warmth.rs
@@ -126,6 +126,7 @@
         let service = ServiceSpec {
             cold_ms: 3_000,
             cold_rate: None,
+            stable: false,
         };
         let name = |i: usize| Name::from(format!("g{i}"));
         let instance = |i: usize| {
