--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -65,6 +65,9 @@
     pub report_ms: u64,
     /// Retry budget of each service, which all instances share.
     pub retry_budget: RetryBudgetConfig,
+    /// Whether the division of objects among regions follows the demand of all regions, with
+    /// measured distances and with connections that are opened before they are needed.
+    pub region_planning: bool,
     /// One in this many requests is logged. Refused and retried requests always
     /// are.
     pub log_one_in: u64,
@@ -107,6 +110,7 @@
                 per_mille: 100,
                 reserve: 20,
             },
+            region_planning: false,
             log_one_in: 16,
             deregistration_delay_ms: 2_800,
             grace_ms: 5_700,
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -72,7 +72,12 @@
         let is_reached = shared.reach.state() == State::Reached;
         let age_ms = shared.view.age(now);
         let (known_at, is_isolated) = (now.minus(age_ms), age_ms > VIEW_MAX_AGE_MS);
+        let planned = shared.config.region_planning;
+        let distances = planned.then(|| shared.connections.distances().clone());
         shared.services.for_each(now, &document, |name, service| {
+            if let Some(distances) = &distances {
+                service.placement.set_distances(distances);
+            }
             service.placement.set_view(now, known_at, is_isolated);
             service.placement.tick(now);
             let found = service.placement.suspended_servers();
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`estimate`] and [`region_assignment`]. An entry is an instance that fills its
+//! [`estimate`], [`region_assignment`], [`distances`] and [`connection_demand`]. An entry is an instance that fills its
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
@@ -16,6 +16,8 @@
 pub mod balancer;
 pub mod baseline;
 pub mod concurrency;
+pub mod connection_demand;
+pub mod distances;
 pub mod ejection;
 pub mod entries;
 pub mod estimate;
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -3,7 +3,7 @@
 use pomelovale_state::{Millis, Name};
 use rand::Rng;
 
-use super::{Placement, PlacementRequest, Server, REGION_COST_MS};
+use super::{Placement, PlacementRequest, Server};
 use crate::estimate::{Held, WorkEstimate};
 use crate::region_assignment::{hash, hash_bytes};
 
@@ -214,8 +214,11 @@
     ) -> (f64, bool) {
         let round_trip_ms = match () {
             () if server.spec.domain == self.domain => 0.0,
-            () if server.spec.region == self.region => DOMAIN_COST_MS,
-            () => REGION_COST_MS,
+            () if server.spec.region == self.region => {
+                let measured = self.distances.domain_ms(&server.spec.domain);
+                measured.unwrap_or(DOMAIN_COST_MS)
+            }
+            () => self.region_cost_ms(&server.spec.region),
         };
         let slowdown = server.state.slowdown(now);
         let run = work.expected(held, request.objective_ms) * slowdown;
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -27,6 +27,7 @@
 use rand::SeedableRng;
 
 use crate::availability::Availability;
+use crate::distances::Distances;
 use crate::estimate::{Held, ServerState, WorkEstimate};
 use crate::region_assignment::RegionAssignment;
 use crate::server_limit::LimitNotice;
@@ -101,6 +102,8 @@
     mean_work: WorkEstimate,
     // Weight of the extra work of loading an object, which delays other requests.
     miss_weight: f64,
+    // Measured round trips; empty unless they are to be used.
+    distances: Distances,
     // Number of other instances of the region that place requests of their own beside this one.
     instances_beside: usize,
     // Time as of which the document is known, and whether that is too long ago.
@@ -147,6 +150,7 @@
             work: IndexMap::new(),
             mean_work: WorkEstimate::default(),
             miss_weight: 0.0,
+            distances: Distances::default(),
             instances_beside: 0,
             known_at: Millis(0),
             is_isolated: false,
@@ -169,6 +173,16 @@
         self.instances_beside = count;
     }
 
+    /// Sets measured round trips, which replace the assumed ones where there are samples.
+    pub fn set_distances(&mut self, distances: &Distances) {
+        self.distances.clone_from(distances);
+    }
+
+    // Round trip to another region in milliseconds.
+    fn region_cost_ms(&self, region: &Name) -> f64 {
+        self.distances.region_ms(region).unwrap_or(REGION_COST_MS)
+    }
+
     /// Counts a request of this instance, for which another instance has chosen
     /// the server, towards the load of that server.
     pub fn record_remote_placement(&mut self, now: Millis, object: u64, chosen: &Chosen) {
@@ -504,7 +518,10 @@
         }
         let round_trip_ms = match server.spec.region == self.region {
             true => 0.0,
-            false => REGION_COST_MS,
+            false => {
+                let measured = self.distances.region_ms(&server.spec.region);
+                measured.unwrap_or(REGION_COST_MS)
+            }
         };
         let work_ms = (latency_ms as f64 - round_trip_ms).max(1.0);
         if chosen.idle {
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -1,6 +1,7 @@
 //! Placement of requests on backend servers.
 
 use pomelovale_state::{Millis, Name};
+use pomelovale_steering::distances::Distances;
 use pomelovale_steering::estimate::Held;
 use pomelovale_steering::placement::{
     Chosen, Placement, PlacementDecision, PlacementEnd, PlacementRequest, ServerSpec, ServiceSpec,
@@ -411,3 +412,30 @@
         assert!(resting.iter().all(|s| s.name != chosen.server));
     }
 }
+
+/// Guards against expected latencies that keep the assumed 112 ms to another region and 25 ms
+/// to another failure domain where the distance was measured.
+#[test]
+fn measured_distances_replace_the_assumed_ones() {
+    let route = "lookup".into();
+    let expected = |region: &str, domain: &str, distances: &Distances| {
+        let mut p = placement("g0", &[server("s0", region, domain)]);
+        p.set_distances(distances);
+        choose(&mut p, 0, &request(&route, 1, 1))
+            .unwrap()
+            .expected_ms
+    };
+    let mut measured = Distances::default();
+    for _ in 0..3 {
+        measured.record(&"north".into(), &"north-b".into(), 2.0);
+        measured.record(&"south".into(), &"south-a".into(), 40.0);
+    }
+    for (region, domain, difference) in [("north", "north-b", 23), ("south", "south-a", 72)] {
+        let assumed = expected(region, domain, &Distances::default());
+        assert_eq!(
+            assumed - expected(region, domain, &measured),
+            difference,
+            "{region}"
+        );
+    }
+}
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -89,6 +89,14 @@
         self.lock().get(&address).map_or(0, Vec::len)
     }
 
+    /// Number of idle connections to an address that were proven within `age` and are open.
+    pub fn count_within(&self, address: SocketAddr, age: Duration) -> usize {
+        let mut idle = self.lock();
+        let list = idle.get_mut(&address).into_iter().flatten();
+        let reusable = |c: &mut Connection| c.proven().elapsed() <= age && c.is_usable();
+        list.filter_map(|c| reusable(c).then_some(())).count()
+    }
+
     /// Numbers of idle connections to an address, as they are at the moment.
     pub fn connections(&self, address: SocketAddr) -> IdleConnections {
         let mut idle = self.lock();
