Pass on the loads that servers report among the gateways of a region

Cause: where 66 gateways share 208 servers, a gateway gets an answer of a given server once in 5 to 10 s, and its estimate of the load decays to nothing within 1.5 s: requests for permit bookings that were sent to servers thought idle took 1,750 ms and more there at the third quartile.

Change: gateways tell the coordinator of their failure domain what answers say, five times a second, and coordinators tell their gateways and each other. Only peers that name the message in the connection's headers get it.

Result: not measured yet.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -52,6 +52,8 @@
     /// Rate of the link of this instance in bytes per second, if it is narrow. Large
     /// responses are then paced, so that messages and small ones don't wait for them.
     pub narrow_link: Option<u64>,
+    /// Whether gateways of a region tell each other the loads that servers report.
+    pub load_exchange: bool,
     /// Timeout for opening a connection to a backend server.
     pub connect_ms: u64,
     /// Timeout between two parts of a response that is streamed to the caller. It
@@ -108,6 +110,7 @@
             held_bytes: 64 * 1024 * 1024,
             answer_bytes: 32 * 1024,
             narrow_link: None,
+            load_exchange: false,
             connect_ms: 400,
             pause_ms: 400,
             idle_ms: 6_000,
--- a/crates/daemon/src/gateway/coordinator.rs
+++ b/crates/daemon/src/gateway/coordinator.rs
@@ -15,7 +15,7 @@
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
 use tokio::time::MissedTickBehavior;
 
-use super::Shared;
+use super::{loads, Shared};
 use crate::reach::State;
 
 /// Interval between two checks for expired placements.
@@ -44,6 +44,7 @@
 
 /// Serves the other gateways until the task is aborted.
 pub(super) async fn run(shared: Arc<Shared>, events: flume::Receiver<PeerEvent>) {
+    let exchanges = shared.config.load_exchange;
     let mut coordinator = Coordinator {
         shared,
         links: IndexMap::new(),
@@ -51,6 +52,8 @@
     };
     let mut ticks = tokio::time::interval(EXPIRY_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut load_ticks = tokio::time::interval(loads::INTERVAL);
+    load_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             event = events.recv_async() => match event {
@@ -58,6 +61,9 @@
                 Err(_) => return,
             },
             _ = ticks.tick() => coordinator.expire(),
+            _ = load_ticks.tick(), if exchanges => {
+                loads::pass_on(&coordinator.shared, coordinator.links.values());
+            }
         }
     }
 }
@@ -88,6 +94,11 @@
                     self.finish(&grant, ended, latency_ms, report);
                 }
             }
+            PeerEvent::Message(link, PeerMessage::Loads { service, loads }) => {
+                if let Some(link) = self.links.get(&link) {
+                    loads::take_over(&self.shared, &link.peer, &service, &loads);
+                }
+            }
             PeerEvent::Message(id, _) => {
                 if let Some(link) = self.links.get(&id) {
                     link.reject();
--- a/crates/daemon/src/gateway/coordinator_client.rs
+++ b/crates/daemon/src/gateway/coordinator_client.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use pomelovale_protocol::messages::{PeerMessage, PlaceRequest};
 use pomelovale_state::{Clock, Millis, Name};
+use pomelovale_steering::load_exchange::SharedLoad;
 use pomelovale_steering::placement::{PlacementDecision, PlacementEnd, ServerReport};
 use pomelovale_transport::peer_client::{connect_once, PeerAddress};
 use pomelovale_transport::peer_link::{PeerConfig, PeerEvent, PeerLink};
@@ -234,8 +235,19 @@
         None
     }
 
+    /// Passes on loads to a coordinator, if it is connected.
+    pub(super) fn send_loads(&self, name: &Name, service: &Name, loads: Vec<SharedLoad>) {
+        let inner = self.lock();
+        let link = inner.peers.get(name).and_then(|p| p.link.as_ref());
+        if let Some(link) = link.filter(|link| link.knows_loads()) {
+            let service = service.clone();
+            link.send(PeerMessage::Loads { service, loads });
+        }
+    }
+
     /// Handles the messages of the coordinators until the task is aborted.
-    pub(super) async fn run(&self) {
+    /// Loads that they pass on go to `record`.
+    pub(super) async fn run(&self, record: impl Fn(&Name, &[SharedLoad])) {
         while let Ok(event) = self.events.1.recv_async().await {
             match event {
                 PeerEvent::Opened(link) => self.opened(link),
@@ -243,6 +255,9 @@
                 PeerEvent::Message(link, PeerMessage::Placed { id, verdict, part }) => {
                     self.placed(link, id, verdict, part);
                 }
+                PeerEvent::Message(_, PeerMessage::Loads { service, loads }) => {
+                    record(&service, &loads);
+                }
                 PeerEvent::Message(id, _) => {
                     let inner = self.lock();
                     let links = inner.peers.values().filter_map(|p| p.link.as_ref());
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod coordinator_client;
 mod departures;
 mod late_sends;
+mod loads;
 mod maintenance;
 mod probe;
 mod quota;
@@ -36,6 +37,7 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_state::routing::CallerLimits;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
+use pomelovale_steering::load_exchange::SharedLoad;
 use pomelovale_steering::placement::{Chosen, PlacementEnd};
 use pomelovale_transport::http_server::{Handler, Server};
 use pomelovale_transport::pacing::Pacer;
@@ -190,7 +192,13 @@
         tasks.spawn(shared.crashes.clone().watch_runs());
         tasks.spawn(shared.reach.clone().watch_contact());
         let client_shared = shared.clone();
-        tasks.spawn(async move { client_shared.coordinator_client.run().await });
+        tasks.spawn(async move {
+            let client = &client_shared.coordinator_client;
+            let record = |service: &Name, loads: &[SharedLoad]| {
+                loads::record(&client_shared, service, loads);
+            };
+            client.run(record).await;
+        });
         Ok(GatewayHandle {
             shared,
             server,
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -10,6 +10,7 @@
 use pomelovale_state::document::{Backend, Document, Instance, MemberState};
 use pomelovale_state::routing::HostRoute;
 use pomelovale_state::{Millis, Name};
+use pomelovale_steering::load_exchange::{LoadTable, Origin, SharedLoad};
 use pomelovale_steering::placement::{
     Chosen, Placement, PlacementEnd, ServerReport, ServerSpec, ServiceSpec,
 };
@@ -41,6 +42,10 @@
     /// The gateway that selects the servers for the requests of the service in
     /// this failure domain, or `None` if this gateway does.
     pub(super) coordinator: Option<PeerAddress>,
+    /// Those of the other failure domains of this region.
+    pub(super) other_coordinators: Vec<PeerAddress>,
+    /// Loads to pass on to other gateways.
+    pub(super) loads: LoadTable,
 }
 
 /// How the end of a request has changed the state of its server.
@@ -64,6 +69,10 @@
         latency_ms: u64,
         report: ServerReport,
     ) -> ServerChange {
+        if let Some(load) = report.load {
+            let server = hash_bytes(chosen.server.as_bytes());
+            self.loads.record(now, server, load, Origin::Domain);
+        }
         let placement = &mut self.placement;
         ServerChange {
             suspended: placement.finish(now, chosen, route, ended, latency_ms, report),
@@ -72,6 +81,17 @@
     }
 }
 
+impl Service {
+    /// Records loads that another gateway has passed on, and that this one is to pass on.
+    pub(super) fn record_loads(&mut self, now: Millis, loads: &[SharedLoad], origin: Origin) {
+        for load in loads {
+            let at = now.minus(u64::from(load.age_ms));
+            self.loads.record(at, load.server, load.report(), origin);
+        }
+        self.placement.record_shared_loads(now, loads);
+    }
+}
+
 /// A server that gets no more requests by the latest document.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Departure {
@@ -139,6 +159,7 @@
     retry_budget: RetryBudgetConfig,
     // Whether this instance has connections to other gateways.
     has_peering: bool,
+    exchanges_loads: bool,
     // Whether objects change their server as little as possible.
     is_stable: bool,
     seed: u64,
@@ -154,6 +175,7 @@
             domain: config.domain.clone(),
             retry_budget: config.retry_budget,
             has_peering: config.peering.is_some(),
+            exchanges_loads: config.load_exchange,
             is_stable: config.stable_placement,
             seed,
             view,
@@ -194,17 +216,21 @@
         self.lock().departures.get(server).copied()
     }
 
-    /// Returns the other gateways that select servers for this failure domain.
+    /// Returns the other gateways that select servers for this failure domain, and those to
+    /// which this one passes on loads.
     pub(super) fn coordinators(&self) -> Vec<PeerAddress> {
         let inner = self.lock();
         let mut all: Vec<PeerAddress> = Vec::new();
-        for peer in inner
-            .services
-            .values()
-            .filter_map(|s| s.coordinator.as_ref())
-        {
-            if !all.contains(peer) {
-                all.push(peer.clone());
+        for service in inner.services.values() {
+            // Coordinators tell each other the loads of the servers.
+            let others: &[PeerAddress] = match &service.coordinator {
+                None if self.exchanges_loads => &service.other_coordinators,
+                Some(_) | None => &[],
+            };
+            for peer in service.coordinator.iter().chain(others) {
+                if !all.contains(peer) {
+                    all.push(peer.clone());
+                }
             }
         }
         all
@@ -360,6 +386,8 @@
                     retry_budget: RetryBudget::new(policy),
                     probe: routed.probe.clone(),
                     coordinator: None,
+                    other_coordinators: Vec::new(),
+                    loads: LoadTable::default(),
                 });
             let coordinators_by_domain = self.coordinators_by_domain(document, name);
             let own = coordinators_by_domain
@@ -368,6 +396,9 @@
             service_state.coordinator = own
                 .map(|(_, peer)| peer.clone())
                 .filter(|peer| peer.name != self.instance);
+            let others = coordinators_by_domain.iter();
+            let others = others.filter(|(domain, _)| **domain != self.domain);
+            service_state.other_coordinators = others.map(|(_, peer)| peer.clone()).collect();
             // An instance that can't ask its coordinator places beside all others that can't.
             let instances = match &service_state.coordinator {
                 None if !coordinators_by_domain.is_empty() => coordinators_by_domain.len(),
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -5,6 +5,7 @@
 use pomelovale_state::command::{Applied, Change};
 use pomelovale_state::sheet::MoveStatus;
 use pomelovale_state::{ErrorKind, Name};
+use pomelovale_steering::load_exchange::SharedLoad;
 use pomelovale_steering::placement::{
     PlacementDecision, PlacementEnd, PlacementRequest, ServerReport,
 };
@@ -266,6 +267,14 @@
     Report(Report),
     /// What is known of the list of backend servers; not answered.
     List(ListNotice),
+    /// Loads of the servers of a service; not answered. Sent only to peers that say that they
+    /// know it, see `transport::peer_format`.
+    Loads {
+        /// The service.
+        service: Name,
+        /// The loads.
+        loads: Vec<SharedLoad>,
+    },
 }
 
 /// Splits an encoded message into chunks.
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -407,6 +407,14 @@
         self.has_report = true;
     }
 
+    /// Records a load report that another instance got at `at`, if it is newer than the last
+    /// one.
+    pub fn record_shared_report(&mut self, at: Millis, report: LoadReport) {
+        if !self.has_report || at > self.reported_at {
+            self.record_report(at, report);
+        }
+    }
+
     /// Adds a sample of the ratio of measured to expected work.
     pub fn record_slowdown(&mut self, now: Millis, ratio: f64) {
         let before = self.slowdown(now);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`affinity`], [`estimate`], [`region_assignment`], [`distances`] and
-//! [`connection_demand`]. An entry is an instance that fills its
+//! [`affinity`], [`estimate`], [`region_assignment`], [`distances`],
+//! [`load_exchange`] and [`connection_demand`]. An entry is an instance that fills its
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
@@ -25,6 +25,7 @@
 pub mod estimate;
 pub mod fair_queue;
 pub mod hedge;
+pub mod load_exchange;
 pub mod placement;
 pub mod quarantine;
 pub mod region;
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -30,6 +30,7 @@
 use crate::availability::Availability;
 use crate::distances::Distances;
 use crate::estimate::{Held, ServerState, WorkEstimate};
+use crate::load_exchange::SharedLoad;
 use crate::region_assignment::RegionAssignment;
 use crate::server_limit::LimitNotice;
 
@@ -555,6 +556,17 @@
         suspended
     }
 
+    /// Records loads that other instances have passed on.
+    pub fn record_shared_loads(&mut self, now: Millis, loads: &[SharedLoad]) {
+        let by_hash: IndexMap<u64, &SharedLoad> = loads.iter().map(|l| (l.server, l)).collect();
+        for server in self.servers.values_mut() {
+            if let Some(load) = by_hash.get(&server.state.name_hash()) {
+                let at = now.minus(u64::from(load.age_ms));
+                server.state.record_shared_report(at, load.report());
+            }
+        }
+    }
+
     /// Records what the answer to a request or probe that was sent at `sent` says about the
     /// limit of its server.
     pub fn record_limit(&mut self, now: Millis, sent: Millis, name: &Name, notice: LimitNotice) {
