Take the pace that servers report into the choice of a server

Cause: for about 0.6 s at a time, a seventh of the servers of two services takes 2.5 times as long. A gateway learns of that only from latencies, takes it for a failing server, and keeps avoiding it for seconds.

Change: the fourth field of the load header is the pace in percent of the usual time. steering::pace keeps the latest figure of each server, which decays to 1 with a time constant of 300 ms. The work and the wait on a server are multiplied by it in the cost by which a server is chosen. The expected latency, by which requests are refused, takes the decay during the work into account; so does the work that a latency is taken for afterwards. Figures come with responses and with health probes. Without figures, all costs are as before.

--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -37,14 +37,21 @@
     parts: &response::Parts,
 ) {
     record(shared, service, (server, address), parts);
+    let report = report(&shared.config.header_names, parts);
+    let pace = report.load.and_then(|load| load.pace);
     // A server need not name its limit to probes.
-    let limit = match report(&shared.config.header_names, parts).limit {
-        limit @ LimitNotice::Limited(_) => limit,
-        LimitNotice::Unknown | LimitNotice::Unlimited => return,
+    let limit = match report.limit {
+        limit @ LimitNotice::Limited(_) => Some(limit),
+        LimitNotice::Unknown | LimitNotice::Unlimited => None,
     };
     let (now, document) = (shared.clock.now(), shared.view.document());
     let changed = shared.services.with(now, &document, service, |s| {
-        s.placement.record_limit(now, sent, server, limit);
+        if let Some(percent) = pace {
+            s.placement.record_pace(now, server, percent);
+        }
+        if let Some(limit) = limit {
+            s.placement.record_limit(now, sent, server, limit);
+        }
         s.placement.take_limit_change()
     });
     super::report_changed_limit(shared, service, changed.flatten());
@@ -91,13 +98,12 @@
 /// server's own shows that a limit has ended; an answer of another server in its place says
 /// nothing.
 pub(super) fn report(names: &HeaderNames, parts: &response::Parts) -> ServerReport {
-    let load = names
-        .load(&parts.headers)
-        .map(|[running, waiting, slots]| LoadReport {
-            running,
-            waiting,
-            slots,
-        });
+    // Another server may answer in its place.
+    let is_expected = parts.status != StatusCode::MISDIRECTED_REQUEST;
+    let load = names.load(&parts.headers).map(|load| LoadReport {
+        pace: load.pace.filter(|_| is_expected),
+        ..load
+    });
     let is_own = parts.headers.contains_key(&names.proof);
     let limit = match names.limit(&parts.headers) {
         _ if parts.status == StatusCode::MISDIRECTED_REQUEST => LimitNotice::Unknown,
--- a/crates/protocol/src/header_names.rs
+++ b/crates/protocol/src/header_names.rs
@@ -6,6 +6,7 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{response, StatusCode};
 
+use pomelovale_steering::placement::LoadReport;
 use pomelovale_steering::server_limit::{LimitNotice, LIMIT_MAX};
 
 use crate::http::{DEADLINE, RELAY, REQUEST, SHED};
@@ -26,7 +27,8 @@
     pub proof: HeaderName,
     /// States that a backend server did not run the request.
     pub refused: HeaderName,
-    /// Load of a backend server: running and waiting requests, and its slots.
+    /// Load of a backend server: running and waiting requests, its slots, and its pace in
+    /// percent of the usual time if it knows it.
     pub load: HeaderName,
     /// Requests a second that a backend server takes from all instances together.
     pub limit: HeaderName,
@@ -85,11 +87,16 @@
         })
     }
 
-    /// The numbers in the load header: running, waiting, slots.
-    pub fn load(&self, headers: &HeaderMap) -> Option<[u32; 3]> {
+    /// The numbers in the load header. A pace that is no number is left out.
+    pub fn load(&self, headers: &HeaderMap) -> Option<LoadReport> {
         let text = headers.get(&self.load)?.to_str().ok()?;
         let mut parts = text.split(',').map(|part| part.trim().parse().ok());
-        Some([parts.next()??, parts.next()??, parts.next()??])
+        Some(LoadReport {
+            running: parts.next()??,
+            waiting: parts.next()??,
+            slots: parts.next()??,
+            pace: parts.next().flatten(),
+        })
     }
 
     /// What an answer says about the limit of its server. A value that is not a decimal
--- a/crates/protocol/tests/format_samples/mod.rs
+++ b/crates/protocol/tests/format_samples/mod.rs
@@ -492,6 +492,7 @@
         running: 3,
         waiting: 1,
         slots: 6,
+        pace: None,
     })
 }
 
--- a/crates/protocol/tests/header_names.rs
+++ b/crates/protocol/tests/header_names.rs
@@ -79,3 +79,16 @@
     leaving_word: ["yes"] => false;
     leaving_one_of_several: ["0", "1"] => true;
 }
+
+/// Guards against a load that is lost because its fourth field is missing or wrong.
+#[test]
+fn load_has_an_optional_pace() {
+    let names = HeaderNames::default();
+    let load = |value: &str| names.load(&headers(&[("pomelovale-load", value)]));
+    let paced = |value: &str| load(value).map(|l| ([l.running, l.waiting, l.slots], l.pace));
+    assert_eq!(paced("3, 1, 6"), Some(([3, 1, 6], None)));
+    assert_eq!(paced("3,1,6,250"), Some(([3, 1, 6], Some(250))));
+    assert_eq!(paced("3,1,6,slow"), Some(([3, 1, 6], None)));
+    assert_eq!(paced("3,1,6,-4"), Some(([3, 1, 6], None)));
+    assert_eq!(paced("3,1"), None);
+}
--- a/crates/steering/src/estimate.rs
+++ b/crates/steering/src/estimate.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::availability::Availability;
+use crate::pace::Pace;
 use crate::placement::{LoadReport, PlacementEnd};
 use crate::region_assignment::hash_bytes;
 use crate::server_limit::ServerLimit;
@@ -149,6 +150,8 @@
     pub limit: ServerLimit,
     /// Whether it wants requests of this instance.
     pub availability: Availability,
+    /// Pace that it reports.
+    pub pace: Pace,
 }
 
 impl ServerState {
@@ -178,6 +181,7 @@
             newly_joined: false,
             limit: ServerLimit::default(),
             availability: Availability::default(),
+            pace: Pace::default(),
         }
     }
 
@@ -377,6 +381,9 @@
         let others = (total - f64::from(self.in_flight)).max(0.0);
         let before = self.others_load * decay(now, self.reported_at, OTHERS_DECAY_MS);
         self.others_load = before + REPORT_SAMPLE_WEIGHT * (others - before);
+        if let Some(percent) = report.pace {
+            self.pace.record(now, percent);
+        }
         self.reported_at = now;
         self.has_report = true;
     }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`estimate`] and [`region_assignment`]. An entry is an instance that fills its
+//! [`estimate`], [`pace`] and [`region_assignment`]. An entry is an instance that fills its
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
@@ -21,6 +21,7 @@
 pub mod estimate;
 pub mod fair_queue;
 pub mod hedge;
+pub mod pace;
 pub mod placement;
 pub mod quarantine;
 pub mod region;
--- /dev/null
+++ b/crates/steering/src/pace.rs
@@ -0,0 +1,74 @@
+//! Pace of the machine of a backend server, by the server's own figures.
+//!
+//! Servers that share their machines with other work report how long work currently takes,
+//! as a percentage of the usual time.
+
+use pomelovale_state::Millis;
+
+/// Time constant of the decay of a figure towards the usual time, in milliseconds. A slow
+/// phase of a machine lasts about 600 ms, so a figure is on average half a phase from its end.
+const DECAY_MS: f64 = 300.0;
+/// Bounds of a figure, in percent, so that a wrong one neither excludes its server nor attracts
+/// all requests.
+const PERCENT_BOUNDS: (u32, u32) = (20, 2_000);
+/// Age of the last figure up to which a server counts as one that reports its pace, in
+/// milliseconds.
+const REPORTED_MS: u64 = 5_000;
+
+/// The latest figure of one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    // Time that work takes, as a multiple of the usual one, and when that was reported.
+    latest: Option<(f64, Millis)>,
+}
+
+impl Pace {
+    /// Records a figure in percent of the usual time.
+    pub fn record(&mut self, now: Millis, percent: u32) {
+        self.latest = Some((multiple(percent), now));
+    }
+
+    /// Time that work is expected to take, as a multiple of the usual one. Decays to 1 with the
+    /// age of the figure; 1 without a figure.
+    pub fn factor(&self, now: Millis) -> f64 {
+        self.latest
+            .map_or(1.0, |(figure, at)| aged(figure, now.since(at)))
+    }
+
+    /// Expected time for work that takes `work_ms` at the usual pace, in milliseconds. The pace
+    /// returns to the usual one meanwhile, as [`Pace::factor`] does; the plain product would
+    /// overrate long work, and drive requests away from the server that holds their object.
+    pub fn duration_ms(&self, now: Millis, work_ms: f64) -> f64 {
+        let factor = self.factor(now);
+        let slow_part = factor - (factor - 1.0) * (-work_ms / DECAY_MS).exp();
+        work_ms + DECAY_MS * slow_part.ln()
+    }
+
+    /// Whether the server has reported a figure recently.
+    pub fn is_reported(&self, now: Millis) -> bool {
+        let age_ms = self.latest.map(|(_, at)| now.since(at));
+        age_ms.is_some_and(|age_ms| age_ms < REPORTED_MS)
+    }
+}
+
+/// Time at the usual pace, in milliseconds, of work that has taken `latency_ms` until a figure in
+/// percent was reported. The opposite of [`Pace::duration_ms`], with the pace running backwards.
+pub fn usual_ms(percent: u32, latency_ms: f64) -> f64 {
+    let factor = multiple(percent);
+    let slow_part = 1.0 + (factor - 1.0) * (-latency_ms / DECAY_MS).exp();
+    latency_ms + DECAY_MS * (slow_part / factor).ln()
+}
+
+/// A figure in percent as a multiple of the usual time, within its bounds.
+pub fn multiple(percent: u32) -> f64 {
+    f64::from(percent.clamp(PERCENT_BOUNDS.0, PERCENT_BOUNDS.1)) / 100.0
+}
+
+/// A figure in percent after a time in milliseconds.
+pub fn aged_percent(percent: u32, age_ms: u64) -> u32 {
+    (aged(multiple(percent), age_ms) * 100.0).round() as u32
+}
+
+fn aged(figure: f64, age_ms: u64) -> f64 {
+    figure + (figure - 1.0) * (-(age_ms as f64) / DECAY_MS).exp_m1()
+}
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -50,7 +50,7 @@
 pub(super) struct Candidate {
     pub(super) index: usize,
     pub(super) held: Held,
-    // `expected_ms` plus the costs of a cache miss and of a server that is not the
+    // `expected_ms` plus the costs of a slow machine, of a cache miss and of a server that is not the
     // highest-ranked one, with noise; the lowest cost is chosen.
     pub(super) cost: f64,
     pub(super) expected_ms: f64,
@@ -101,7 +101,7 @@
                 false => ranking.domain_primaries[0] == index,
             };
             let noise = 1.0 + COST_NOISE * self.rng.random::<f64>();
-            let (expected_ms, idle) =
+            let (expected_ms, pace_cost, idle) =
                 self.expected_latency(now, request, server, &work, mean_work, held);
             let miss_cost = self.miss_weight * work.miss_cost(held, request.objective_ms);
             let server_penalty = if is_preferred {
@@ -109,7 +109,7 @@
             } else {
                 non_primary_penalty
             };
-            let cost = (expected_ms + miss_cost + server_penalty) * noise;
+            let cost = (expected_ms + pace_cost + miss_cost + server_penalty) * noise;
             if best.as_ref().is_none_or(|b| cost < b.cost) {
                 best = Some(Candidate {
                     index,
@@ -200,9 +200,11 @@
             .map(|rate| rate * COLD_RATE_UTILIZATION / instances)
     }
 
-    // Expected latency in milliseconds, and whether a slot is expected to be
-    // free. The latency includes the price of traffic to another failure domain
-    // and a penalty for recent failures.
+    // Expected latency in milliseconds, what the choice adds to it for a slow machine, and
+    // whether a slot is expected to be free. The latency includes the price of traffic to
+    // another failure domain and a penalty for recent failures. With the addition, its work and
+    // wait are multiplied by the pace; refusals by the product would reject twice as many
+    // requests, most of which could be answered in time.
     fn expected_latency(
         &self,
         now: Millis,
@@ -211,7 +213,7 @@
         work: &WorkEstimate,
         mean_work: f64,
         held: Held,
-    ) -> (f64, bool) {
+    ) -> (f64, f64, bool) {
         let round_trip_ms = match () {
             () if server.spec.domain == self.domain => 0.0,
             () if server.spec.region == self.region => DOMAIN_COST_MS,
@@ -223,6 +225,8 @@
         let requests_ahead = (server.state.load(now) + 1.0 - slots).max(0.0);
         let wait = requests_ahead / slots * mean_work * slowdown;
         let risk = server.state.failure_rate(now) * request.objective_ms as f64;
-        (round_trip_ms + run + wait + risk, requests_ahead < 0.5)
+        let busy = server.state.pace.duration_ms(now, run + wait);
+        let pace_cost = (run + wait) * server.state.pace.factor(now) - busy;
+        (round_trip_ms + busy + risk, pace_cost, requests_ahead < 0.5)
     }
 }
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::availability::Availability;
 use crate::estimate::{Held, ServerState, WorkEstimate};
+use crate::pace;
 use crate::region_assignment::RegionAssignment;
 use crate::server_limit::LimitNotice;
 
@@ -506,7 +507,10 @@
             true => 0.0,
             false => REGION_COST_MS,
         };
-        let work_ms = (latency_ms as f64 - round_trip_ms).max(1.0);
+        // A slow phase of its machine is no sign of a failing server.
+        let busy_ms = (latency_ms as f64 - round_trip_ms).max(1.0);
+        let percent = load.and_then(|l| l.pace);
+        let work_ms = percent.map_or(busy_ms, |percent| pace::usual_ms(percent, busy_ms));
         if chosen.idle {
             let slowdown = server.state.slowdown(now);
             let work = self.work.entry(route.clone()).or_default();
@@ -519,6 +523,19 @@
         suspended
     }
 
+    /// Records the pace of a server, in percent of the usual time.
+    pub fn record_pace(&mut self, now: Millis, name: &Name, percent: u32) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.state.pace.record(now, percent);
+        }
+    }
+
+    /// Whether servers of the service have recently reported their pace.
+    pub fn reports_pace(&self, now: Millis) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|s| s.state.pace.is_reported(now))
+    }
+
     /// Records what the answer to a request or probe that was sent at `sent` says about the
     /// limit of its server.
     pub fn record_limit(&mut self, now: Millis, sent: Millis, name: &Name, notice: LimitNotice) {
--- a/crates/steering/src/placement/types.rs
+++ b/crates/steering/src/placement/types.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::estimate::Held;
+use crate::pace::aged_percent;
 use crate::server_limit::{LimitNotice, LimitShare};
 
 /// A backend server as the shared document describes it.
@@ -127,6 +128,10 @@
     pub waiting: u32,
     /// Requests it can run at a time.
     pub slots: u32,
+    /// Time that work currently takes there, in percent of the usual time, if it says so. Not
+    /// part of the serialized form, which builds without it read; messages name it beside it.
+    #[serde(skip)]
+    pub pace: Option<u32>,
 }
 
 /// What an answer says about the state of its server.
@@ -138,6 +143,25 @@
     pub limit: LimitNotice,
 }
 
+impl ServerReport {
+    /// The report with a pace in percent, if it has a load.
+    pub fn with_pace(self, pace: u32) -> ServerReport {
+        let load = self.load.map(|load| LoadReport {
+            pace: Some(pace),
+            ..load
+        });
+        ServerReport { load, ..self }
+    }
+
+    /// The report after a time in milliseconds, in which its pace has decayed.
+    pub fn aged(self, age_ms: u64) -> ServerReport {
+        match self.load.and_then(|load| load.pace) {
+            Some(pace) => self.with_pace(aged_percent(pace, age_ms)),
+            None => self,
+        }
+    }
+}
+
 impl From<Option<LoadReport>> for ServerReport {
     fn from(load: Option<LoadReport>) -> ServerReport {
         ServerReport {
--- a/crates/steering/tests/warmth.rs
+++ b/crates/steering/tests/warmth.rs
@@ -219,6 +219,7 @@
             running: state.running,
             waiting: state.waiting.len() as u32,
             slots: SLOTS,
+            pace: None,
         };
         let latency_ms = now - job.sent;
         let (route, ended) = (Name::from("lookup"), PlacementEnd::Answered);
