Send the pace of a server to coordinators that know it

Cause: a coordinator chooses the servers for the other gateways of its failure domain and needs the figures that they get. A field in LoadReport would change the bytes of Finished, which the previous build reads.

Change: the pace isn't part of the serialized LoadReport. A message of its own, FinishedPaced, carries it beside the report, to peers that name the header pomelovale-pace when they connect, as with the messages of the server list. Others get Finished as before.

Result: all bytes of format 2 are unchanged (values_have_the_bytes_of_the_second_format); a report with a pace has the bytes of one without in both formats, and the new message comes back whole.

--- a/crates/daemon/src/gateway/coordinator.rs
+++ b/crates/daemon/src/gateway/coordinator.rs
@@ -88,6 +88,20 @@
                     self.finish(&grant, ended, latency_ms, report);
                 }
             }
+            PeerEvent::Message(
+                link,
+                PeerMessage::FinishedPaced {
+                    id,
+                    ended,
+                    latency_ms,
+                    report,
+                    pace,
+                },
+            ) => {
+                if let Some(grant) = self.grants.swap_remove(&(link, id)) {
+                    self.finish(&grant, ended, latency_ms, report.with_pace(pace));
+                }
+            }
             PeerEvent::Message(id, _) => {
                 if let Some(link) = self.links.get(&id) {
                     link.reject();
--- a/crates/daemon/src/gateway/coordinator_client.rs
+++ b/crates/daemon/src/gateway/coordinator_client.rs
@@ -53,12 +53,24 @@
 
     fn send_end(&mut self, ended: PlacementEnd, latency_ms: u64, report: ServerReport) {
         self.end_sent = true;
-        self.link.send(PeerMessage::Finished {
-            id: self.id,
-            ended,
-            latency_ms,
-            report,
-        });
+        let id = self.id;
+        let pace = report.load.and_then(|load| load.pace);
+        self.link
+            .send(match pace.filter(|_| self.link.knows_pace()) {
+                Some(pace) => PeerMessage::FinishedPaced {
+                    id,
+                    ended,
+                    latency_ms,
+                    report,
+                    pace,
+                },
+                None => PeerMessage::Finished {
+                    id,
+                    ended,
+                    latency_ms,
+                    report,
+                },
+            });
     }
 }
 
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -266,6 +266,20 @@
     Report(Report),
     /// What is known of the list of backend servers; not answered.
     List(ListNotice),
+    /// Like [`PeerMessage::Finished`], with the pace of the server. Sent only to peers
+    /// that say that they know it, see `transport::peer_format`.
+    FinishedPaced {
+        /// Identifier of the [`PeerMessage::Place`].
+        id: u64,
+        /// How the exchange with the server ended.
+        ended: PlacementEnd,
+        /// Duration of the exchange, in milliseconds.
+        latency_ms: u64,
+        /// What the answer said about the server, without its pace.
+        report: ServerReport,
+        /// Its pace, in percent of the usual time.
+        pace: u32,
+    },
 }
 
 /// Splits an encoded message into chunks.
--- a/crates/protocol/tests/formats.rs
+++ b/crates/protocol/tests/formats.rs
@@ -100,6 +100,44 @@
     assert_eq!(expected.lines().count(), samples.len());
 }
 
+/// Guards against a pace in the message that builds without it read, and against one that is lost
+/// on the way to the others.
+#[test]
+fn pace_is_sent_in_a_message_of_its_own() {
+    let with_pace = |message: PeerMessage| match message {
+        PeerMessage::Finished {
+            id,
+            ended,
+            latency_ms,
+            report,
+        } => PeerMessage::Finished {
+            id,
+            ended,
+            latency_ms,
+            report: report.with_pace(250),
+        },
+        other => other,
+    };
+    let plain = finished(LimitNotice::Unknown);
+    let paced = with_pace(plain.clone());
+    assert_ne!(paced, plain);
+    for format in [Format::First, Format::Second] {
+        let bytes = |message| encode_message(message, format).unwrap();
+        assert_eq!(bytes(&paced), bytes(&plain));
+    }
+    let message = PeerMessage::FinishedPaced {
+        id: 8,
+        ended: samples::ended(),
+        latency_ms: 30,
+        report: ServerReport::default(),
+        pace: 250,
+    };
+    let frame = encode_message(&message, Format::Second).unwrap();
+    let body = &frame[FRAME_HEADER_BYTES..];
+    assert_eq!(body[0], 12, "the index that other builds know");
+    assert_eq!(decode_body::<PeerMessage>(body).unwrap(), message);
+}
+
 /// Guards against a variant that is added to an enum without a sample, and without a new
 /// format: builds that lack it can't read it. A new variant doesn't compile here.
 #[test]
@@ -147,6 +185,7 @@
             PeerMessage::Reply { .. } => 9,
             PeerMessage::Report(_) => 10,
             PeerMessage::List(_) => 11,
+            PeerMessage::FinishedPaced { .. } => 12,
         }
     }
     fn request(request: &Request) -> usize {
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -210,6 +210,11 @@
         self.format.list
     }
 
+    /// Whether the peer knows [`PeerMessage::FinishedPaced`].
+    pub fn knows_pace(&self) -> bool {
+        self.format.pace
+    }
+
     /// Queues a message. Closes the connection and returns false if the queue is full.
     pub fn send(&self, message: PeerMessage) -> bool {
         self.send_to(&self.queue, message)
