Split the exchange with one server from the attempts of a request

Change: gateway::exchange holds one attempt, from the connection to the response; gateway::attempt decides what is sent and when it is sent again. Nothing else changes.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,32 +1,23 @@
-//! Attempts to send one request to backend servers.
+//! Attempts to send one request to backend servers, and when it is sent again.
 
-use std::future::Future;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
-use http::{Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
-use pomelovale_protocol::http::strip_hop_by_hop;
+use http::{Method, Response, Uri};
 use pomelovale_state::digest::Digest;
-use pomelovale_state::document::{Document, MemberState};
 use pomelovale_state::routing::{HostRoute, Repeat};
-use pomelovale_state::{ErrorKind, Millis, Name};
+use pomelovale_state::{ErrorKind, Name};
 use pomelovale_steering::placement::{Chosen, PlacementDecision, PlacementEnd, ServerReport};
-use pomelovale_transport::backend::{Connection, ExchangeError, Failure, Reply, ReplyBody};
-use pomelovale_transport::body::{CallerBody, Passing};
-use tokio::time::{timeout, timeout_at, Instant};
+use pomelovale_transport::body::CallerBody;
+use tokio::time::{timeout, Instant};
 
 use super::coordinator_client::Place;
 use super::request_log::{RequestLog, Timing};
 use super::stopping::Sent;
-use super::{
-    availability, connections, departures, late_sends, relaying, server_selection, Shared,
-};
-use crate::crash::{self, Run, RunGuard, ServerCheck, Trial};
-use crate::entry::forward::{buffer_body, BufferedBody};
+use super::{exchange, relaying, server_selection, Shared};
+use crate::crash::{self, Run, RunGuard, Trial};
 use crate::entry::refusal::Refusal;
 use crate::reach::{LinkFault, State};
 use crate::relay::{self, RelayEnd};
@@ -40,14 +31,6 @@
 const UNCONFIRMED_MAX: usize = 6;
 /// Time reserved for sending the response to the caller, in milliseconds.
 pub(super) const RESPONSE_RESERVE_MS: u64 = 5;
-/// If a server has not responded to an idempotent request within the larger of
-/// this many times the expected time and twice the latency objective of the
-/// route, the attempt is abandoned, provided that a retry is allowed.
-const SILENCE_FACTOR: u64 = 4;
-/// If a server has not responded to any request within the larger of this many times the
-/// expected time and `SILENCE_CHECK_MS`, it is checked whether it has ended.
-const CHECK_FACTOR: u64 = 2;
-
 /// A request that is within the limits of its workspace, with its route and
 /// service.
 #[derive(Debug)]
@@ -112,13 +95,13 @@
 
 /// State of a request over its attempts.
 #[derive(Default)]
-struct Progress {
-    tried: Vec<Name>,
-    sent: u32,
+pub(super) struct Progress {
+    pub(super) tried: Vec<Name>,
+    pub(super) sent: u32,
     connect_failures: usize,
     unconfirmed: usize,
     // Last crash of the request that was known when the last attempt began.
-    known_crash: u64,
+    pub(super) known_crash: u64,
     // Servers in the failure domain of the server that crashed last. They are avoided
     // if others are available.
     avoided: Vec<Name>,
@@ -128,7 +111,7 @@
     // Whether the request has waited for another look at servers out of reach.
     rechecked: bool,
     // The next attempt, if its server was selected before the last one was abandoned.
-    next: Option<AttemptGuard>,
+    pub(super) next: Option<AttemptGuard>,
 }
 
 impl Progress {
@@ -141,7 +124,7 @@
 }
 
 /// How one attempt ended.
-enum Outcome {
+pub(super) enum Outcome {
     Answer(Response<CallerBody>),
     /// The request was quarantined before it was sent.
     Blocked,
@@ -161,7 +144,7 @@
 
 impl Outcome {
     /// A response of the server, which is up, without proof that it ran the request.
-    fn unproven() -> Outcome {
+    pub(super) fn unproven() -> Outcome {
         Outcome::Unknown {
             kind: ErrorKind::UnknownOutcome,
             ended: false,
@@ -171,20 +154,20 @@
 
 /// Records the end of an attempt; an attempt whose guard is dropped counts as
 /// cancelled.
-struct AttemptGuard {
-    shared: Arc<Shared>,
-    routed: Arc<RoutedRequest>,
-    chosen: Chosen,
+pub(super) struct AttemptGuard {
+    pub(super) shared: Arc<Shared>,
+    pub(super) routed: Arc<RoutedRequest>,
+    pub(super) chosen: Chosen,
     place: Option<Place>,
-    since: Instant,
-    report: ServerReport,
+    pub(super) since: Instant,
+    pub(super) report: ServerReport,
     // Set once the request is sent, until the attempt ends.
-    run: Option<(Run, RunGuard)>,
+    pub(super) run: Option<(Run, RunGuard)>,
     ended: bool,
 }
 
 impl AttemptGuard {
-    fn new(
+    pub(super) fn new(
         shared: &Arc<Shared>,
         routed: &Arc<RoutedRequest>,
         chosen: Chosen,
@@ -202,7 +185,7 @@
         }
     }
 
-    fn end(&mut self, ended: PlacementEnd) {
+    pub(super) fn end(&mut self, ended: PlacementEnd) {
         if self.ended {
             return;
         }
@@ -351,7 +334,8 @@
             connect_ms: 0,
         };
         let since = Instant::now();
-        let (outcome, end) = attempt(shared, &routed, running, &mut progress, &mut timing).await;
+        let (outcome, end) =
+            exchange::attempt(shared, &routed, running, &mut progress, &mut timing).await;
         request_log.add_attempt(&chosen, timing, since, end);
         progress.tried.push(chosen.server.clone());
         let may_have_run = matches!(outcome, Outcome::Unknown { .. });
@@ -452,7 +436,7 @@
     server_selection::choose(shared, routed, &progress.tried).await
 }
 
-fn blocked_ms(shared: &Shared, routed: &RoutedRequest) -> Option<u64> {
+pub(super) fn blocked_ms(shared: &Shared, routed: &RoutedRequest) -> Option<u64> {
     let crashes = &shared.crashes;
     crashes.blocked_ms(&routed.trial, || routed.fingerprint())
 }
@@ -464,7 +448,7 @@
     });
 }
 
-fn has_retry_budget(shared: &Shared, routed: &RoutedRequest) -> bool {
+pub(super) fn has_retry_budget(shared: &Shared, routed: &RoutedRequest) -> bool {
     let (now, document) = (shared.clock.now(), shared.view.document());
     let left = shared.services.with(now, &document, &routed.service, |s| {
         s.retry_budget.left() > 0
@@ -479,362 +463,3 @@
     });
     spent.unwrap_or(false)
 }
-
-// Returns whether the server may still get requests at the same address, which
-// may have changed while the connection was opened.
-fn is_still_eligible(document: &Document, chosen: &Chosen) -> bool {
-    let backend = document.backends.get(&chosen.server);
-    backend.is_some_and(|b| {
-        b.address == chosen.address
-            && b.state == MemberState::Serving
-            && !document.evacuated.contains(&b.domain)
-    })
-}
-
-async fn attempt(
-    shared: &Arc<Shared>,
-    routed: &Arc<RoutedRequest>,
-    mut running: AttemptGuard,
-    progress: &mut Progress,
-    timing: &mut Timing,
-) -> (Outcome, &'static str) {
-    running.since = Instant::now();
-    let chosen = &running.chosen.clone();
-    let connected = connections::connect(shared, chosen.address, routed.left()).await;
-    timing.connect_ms = running.since.elapsed().as_millis() as u64;
-    let connection = match connected {
-        Ok(connection) => connection,
-        Err(_) => {
-            running.end(PlacementEnd::Unreachable);
-            let unreachable = |name: &Name| *name == chosen.server;
-            shared.crashes.check_abandoned(unreachable);
-            return (Outcome::Unsent, "connect");
-        }
-    };
-    let confirmed = departures::confirm_staying(shared, routed, chosen, connection).await;
-    let Some(connection) = confirmed else {
-        running.end(PlacementEnd::Cancelled);
-        return (Outcome::Unconfirmed, "may-have-left");
-    };
-    if blocked_ms(shared, routed).is_some() {
-        shared.connections.pool.put(chosen.address, connection);
-        running.end(PlacementEnd::Cancelled);
-        return (Outcome::Blocked, "quarantined");
-    }
-    let is_open = availability::is_open(shared, &routed.service, &chosen.server);
-    if !is_open || !is_still_eligible(&shared.view.document(), chosen) {
-        shared.connections.pool.put(chosen.address, connection);
-        running.end(PlacementEnd::Cancelled);
-        return (Outcome::Unsent, "left");
-    }
-    // `proven` is the time of the last complete response on the connection, or of
-    // its opening.
-    let idle = connection.proven().elapsed();
-    let header_names = &shared.config.header_names;
-    let id = routed.headers.get(&header_names.request).cloned();
-    let id = id.as_ref().map_or(&b""[..], HeaderValue::as_bytes);
-    let start = Instant::now();
-    let end = start
-        + routed
-            .left()
-            .saturating_sub(Duration::from_millis(RESPONSE_RESERVE_MS));
-    let request = request(shared, routed, chosen);
-    let run = Run {
-        fingerprint: routed.fingerprint(),
-        server: chosen.server.clone(),
-        address: chosen.address,
-        known: progress.known_crash,
-        probe: routed.probe.clone(),
-        since: start,
-        connect_ms: connection.is_fresh().then_some(timing.connect_ms),
-        opened: connection.is_fresh().then(|| connection.proven()),
-    };
-    running.run = Some((
-        run.clone(),
-        shared.crashes.start_run(run.clone(), &routed.trial),
-    ));
-    routed.sent.set(true);
-    let limit = end.saturating_duration_since(start);
-    let write_time = connection.write_time();
-    let sending = connection.send(request, &header_names.request, id, limit);
-    let sent = await_reply(shared, routed, chosen, progress, &run, sending).await;
-    late_sends::record(shared, &chosen.server, start, write_time.get());
-    let result = match sent {
-        Ok(reply) => receive(shared, routed, reply, end, running).await,
-        Err(failure) => Err((failure, running)),
-    };
-    match result {
-        Ok(outcome) => outcome,
-        Err((failure, mut running)) => {
-            let mut found = ServerCheck::default();
-            if failure.fault == ExchangeError::Cut {
-                if run.connect_ms.is_some() {
-                    // Connections may be reset before they get through.
-                    shared.reach.record_failure(LinkFault::Closed);
-                }
-                let now = shared.clock.now();
-                shared
-                    .connections
-                    .record_disconnect(now, chosen.address, idle);
-                if failure.written {
-                    running.run = None;
-                    found = shared.crashes.check(run, routed.left()).await;
-                }
-            }
-            failed(shared, chosen, failure, start, found, &mut running)
-        }
-    }
-}
-
-/// Waits for a response. The attempt of an idempotent request is abandoned if
-/// the server stays silent, the route, the time left and the retry budget
-/// allow a retry, and another server has room for it. A stopping instance keeps
-/// waiting, since it may end before the retry does.
-async fn await_reply(
-    shared: &Arc<Shared>,
-    routed: &Arc<RoutedRequest>,
-    chosen: &Chosen,
-    progress: &mut Progress,
-    run: &Run,
-    sending: impl Future<Output = Result<Reply, Failure>>,
-) -> Result<Reply, Failure> {
-    const SILENT: Failure = Failure {
-        fault: ExchangeError::Silent,
-        written: true,
-    };
-    let retries_left = routed.is_idempotent()
-        && !routed.trial.is_taken()
-        && progress.sent + 1 < routed.route.attempts;
-    let abandoned = async {
-        shared.reach.lost().await;
-        if !retries_left || !has_retry_budget(shared, routed) {
-            std::future::pending::<()>().await;
-        }
-        Err(SILENT)
-    };
-    let sending = async {
-        tokio::select! {
-            sent = sending => sent,
-            lost = abandoned => lost,
-        }
-    };
-    let mut sending = std::pin::pin!(sending);
-    let silence_ms = (chosen.expected_ms * SILENCE_FACTOR).max(routed.route.objective_ms * 2);
-    let check_ms = (chosen.expected_ms * CHECK_FACTOR).max(crash::SILENCE_CHECK_MS);
-    let silence = [check_ms.min(silence_ms), silence_ms].map(|ms| Millis(ms).duration());
-    let began = Instant::now();
-    if let Ok(sent) = timeout_at(began + silence[0], &mut sending).await {
-        return sent;
-    }
-    shared.crashes.check_silent(run.clone());
-    if let Ok(sent) = timeout_at(began + silence[1], &mut sending).await {
-        return sent;
-    }
-    let is_serving = !shared.leaving.load(Ordering::Relaxed);
-    let time = routed.left() > Duration::from_millis(routed.route.objective_ms);
-    if !retries_left || !is_serving || !time || !has_retry_budget(shared, routed) {
-        return sending.await;
-    }
-    let tried = [&progress.tried[..], std::slice::from_ref(&chosen.server)].concat();
-    let (verdict, place) = tokio::select! {
-        biased;
-        sent = &mut sending => return sent,
-        selected = server_selection::choose(shared, routed, &tried) => selected,
-    };
-    match verdict {
-        PlacementDecision::Send(next) => {
-            progress.next = Some(AttemptGuard::new(shared, routed, next, place));
-            Err(SILENT)
-        }
-        PlacementDecision::Refuse { .. } => sending.await,
-    }
-}
-
-fn failed(
-    shared: &Shared,
-    chosen: &Chosen,
-    failure: Failure,
-    start: Instant,
-    found: ServerCheck,
-    running: &mut AttemptGuard,
-) -> (Outcome, &'static str) {
-    if failure.fault == ExchangeError::Silent {
-        // The other connections that were open before may have failed, too.
-        shared.connections.pool.purge(chosen.address, start);
-    }
-    let (ended, kind, text) = match failure.fault {
-        ExchangeError::Connect => (
-            PlacementEnd::Unreachable,
-            ErrorKind::UnknownOutcome,
-            "connect",
-        ),
-        ExchangeError::Cut if found.down => (
-            PlacementEnd::Unreachable,
-            ErrorKind::UnknownOutcome,
-            "ended",
-        ),
-        ExchangeError::Cut => (PlacementEnd::Cut, ErrorKind::UnknownOutcome, "cut"),
-        ExchangeError::Foreign => (PlacementEnd::Failed, ErrorKind::UnknownOutcome, "foreign"),
-        ExchangeError::Malformed => (PlacementEnd::Failed, ErrorKind::UnknownOutcome, "malformed"),
-        ExchangeError::Silent => (PlacementEnd::TimedOut, ErrorKind::UnknownTimeout, "silent"),
-    };
-    let malformed = matches!(
-        failure.fault,
-        ExchangeError::Foreign | ExchangeError::Malformed
-    );
-    if let Some((run, _)) = running.run.take_if(|_| malformed) {
-        shared.crashes.abandon(run);
-    }
-    running.end(ended);
-    match failure.written {
-        true => {
-            let ended = found.ended;
-            (Outcome::Unknown { kind, ended }, text)
-        }
-        false => (Outcome::Unsent, text),
-    }
-}
-
-fn request(shared: &Shared, routed: &RoutedRequest, chosen: &Chosen) -> Request<Full<Bytes>> {
-    let header_names = &shared.config.header_names;
-    let mut request = Request::new(Full::new(routed.body.clone()));
-    *request.method_mut() = routed.method.clone();
-    *request.uri_mut() = routed.target.clone();
-    let mut headers = routed.headers.clone();
-    let left = routed.left().as_millis() as u64;
-    headers.insert(header_names.deadline.clone(), HeaderValue::from(left));
-    if let Ok(name) = HeaderValue::from_str(&chosen.server) {
-        headers.insert(header_names.expect.clone(), name);
-    }
-    *request.headers_mut() = headers;
-    request
-}
-
-/// Reads a response and decides whether it is returned to the caller, and what
-/// it says about the server.
-async fn receive(
-    shared: &Arc<Shared>,
-    routed: &RoutedRequest,
-    reply: Reply,
-    end: Instant,
-    mut running: AttemptGuard,
-) -> Result<(Outcome, &'static str), (Failure, AttemptGuard)> {
-    let header_names = &shared.config.header_names;
-    let opened = running.run.as_ref().and_then(|(run, _)| run.opened);
-    shared.crashes.record_reply(running.chosen.address, opened);
-    let Reply { parts, mut body } = reply;
-    let server = (&running.chosen.server, running.chosen.address);
-    let rests = availability::record(shared, &routed.service, server, &parts);
-    running.report = availability::report(header_names, &parts);
-    let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
-        Ok(held) => held,
-        Err(fault) => {
-            let failure = Failure {
-                fault,
-                written: true,
-            };
-            return Err((failure, running));
-        }
-    };
-    let status = parts.status;
-    let moved = status == StatusCode::MISDIRECTED_REQUEST;
-    let refused = moved || parts.headers.contains_key(&header_names.refused);
-    // Callers conclude from these statuses that the request was not run.
-    let status_means_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    // The proof header shows that the response comes from a backend server.
-    // Without it, the server may or may not have run the request.
-    let has_proof =
-        !refused && !status_means_not_run && parts.headers.contains_key(&header_names.proof);
-    let complete = matches!(held, BufferedBody::All(_));
-    if has_proof && complete {
-        shared.crashes.record_answer(routed.fingerprint());
-    }
-    let is_server_error = status.is_server_error();
-    let is_retryable = is_server_error && routed.is_idempotent();
-    let body = match held {
-        BufferedBody::All(bytes) => {
-            shared
-                .connections
-                .pool
-                .put(running.chosen.address, body.finish());
-            if rests {
-                // Rest is no failure of the server.
-                running.run = None;
-            }
-            running.end(match () {
-                () if moved => PlacementEnd::Moved,
-                () if rests => PlacementEnd::Cancelled,
-                () if refused => PlacementEnd::Shed,
-                () if !has_proof || is_server_error => PlacementEnd::Failed,
-                () => PlacementEnd::Answered,
-            });
-            CallerBody::Full(bytes)
-        }
-        BufferedBody::Part(prefix) if has_proof => {
-            let pause = Duration::from_millis(shared.config.pause_ms);
-            CallerBody::Stream(Box::new(stream_response(
-                routed, prefix, body, pause, running,
-            )))
-        }
-        BufferedBody::Part(_) => {
-            running.end(PlacementEnd::Failed);
-            CallerBody::Full(Bytes::new())
-        }
-    };
-    match () {
-        () if refused && rests => return Ok((Outcome::NotRun, "rest")),
-        () if refused => return Ok((Outcome::NotRun, if moved { "moved" } else { "shed" })),
-        () if !has_proof => return Ok((Outcome::unproven(), "unproven")),
-        // A server error is returned to the caller unless a retry is possible.
-        () if is_retryable && routed.route.attempts > 1 && has_time_to_retry(routed) => {
-            return Ok((Outcome::unproven(), "fault"));
-        }
-        () => {}
-    }
-    let mut headers = parts.headers;
-    strip_hop_by_hop(&mut headers);
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    Ok((Outcome::Answer(response), "answered"))
-}
-
-// Returns whether more time is left than the latency objective, within which a
-// retry should get its response.
-fn has_time_to_retry(routed: &RoutedRequest) -> bool {
-    routed.left() > Duration::from_millis(routed.route.objective_ms)
-}
-
-fn stream_response(
-    routed: &RoutedRequest,
-    prefix: Bytes,
-    body: ReplyBody,
-    pause: Duration,
-    mut running: AttemptGuard,
-) -> Passing {
-    running.shared.streaming.fetch_add(1, Ordering::Relaxed);
-    let on_end = move |result: Result<Connection, ExchangeError>| {
-        running.shared.streaming.fetch_sub(1, Ordering::Relaxed);
-        match result {
-            Ok(connection) => {
-                let address = running.chosen.address;
-                running.shared.connections.pool.put(address, connection);
-                running.end(PlacementEnd::Answered);
-                let AttemptGuard { shared, routed, .. } = &running;
-                shared.crashes.record_answer(routed.fingerprint());
-            }
-            // The body also ends with this fault if the caller disconnects, which says
-            // nothing about the server.
-            Err(ExchangeError::Cut) => running.end(PlacementEnd::Cancelled),
-            Err(_) => running.end(PlacementEnd::Failed),
-        }
-    };
-    Passing::new(
-        prefix,
-        body,
-        pause,
-        routed.deadline,
-        !routed.is_idempotent(),
-        Box::new(on_end),
-    )
-}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod coordinator;
 mod coordinator_client;
 mod departures;
+mod exchange;
 mod late_sends;
 mod maintenance;
 mod probe;
