--- a/crates/steering/src/load_exchange.rs
+++ b/crates/steering/src/load_exchange.rs
@@ -40,6 +40,7 @@
             running: self.running,
             waiting: self.waiting,
             slots: self.slots,
+            pace: self.pace,
         }
     }
 }
@@ -108,7 +109,7 @@
         running: known.report.running,
         waiting: known.report.waiting,
         slots: known.report.slots,
-        pace: None,
+        pace: known.report.pace,
         age_ms: now.since(known.at) as u32,
     }
 }
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -2,7 +2,7 @@
 //!
 //! Each side names the latest format that it knows in a header when the connection is
 //! opened. Builds before that send no header and ignore it. A second header says that the
-//! log is sealed against them, a third one that the side knows messages that the format
+//! log is sealed against them, two more that the side knows messages that the format
 //! lacks.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -27,6 +27,11 @@
 /// [`PeerMessage::Loads`]: pomelovale_protocol::messages::PeerMessage::Loads
 pub(crate) const LOADS: HeaderName = HeaderName::from_static("pomelovale-loads");
 
+/// Sent by processes that know [`PeerMessage::FinishedPaced`].
+///
+/// [`PeerMessage::FinishedPaced`]: pomelovale_protocol::messages::PeerMessage::FinishedPaced
+pub(crate) const PACE: HeaderName = HeaderName::from_static("pomelovale-pace");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
@@ -84,6 +89,8 @@
     pub(crate) list: bool,
     /// Whether the peer knows messages about the loads of backend servers.
     pub(crate) loads: bool,
+    /// Whether the peer knows messages with the pace of a server.
+    pub(crate) pace: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -101,6 +108,7 @@
             sealed: headers.contains_key(SEALED),
             list: headers.contains_key(LIST),
             loads: headers.contains_key(LOADS),
+            pace: headers.contains_key(PACE),
             unnamed: unnamed.clone(),
         }
     }
@@ -119,6 +127,7 @@
     headers.insert(FORMAT, HeaderValue::from(Format::LATEST.number()));
     headers.insert(LIST, HeaderValue::from(1));
     headers.insert(LOADS, HeaderValue::from(1));
+    headers.insert(PACE, HeaderValue::from(1));
     if unnamed.is_excluded() {
         headers.insert(SEALED, HeaderValue::from(1));
     }
