--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -76,6 +76,10 @@
     /// Whether the division of objects among regions follows the demand of all regions, with
     /// measured distances and with connections that are opened before they are needed.
     pub region_planning: bool,
+    /// Whether tokens of workspaces are obtained from the control instance in advance of the
+    /// requests that use them. For gateways on narrow links, where each round trip waits
+    /// behind responses.
+    pub token_prefetch: bool,
     /// One in this many requests is logged. Refused and retried requests always
     /// are.
     pub log_one_in: u64,
@@ -122,6 +126,7 @@
                 reserve: 20,
             },
             region_planning: false,
+            token_prefetch: false,
             log_one_in: 16,
             deregistration_delay_ms: 2_800,
             grace_ms: 5_700,
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -2,7 +2,7 @@
 //!
 //! Each side names the latest format that it knows in a header when the connection is
 //! opened. Builds before that send no header and ignore it. A second header says that the
-//! log is sealed against them, two more that the side knows messages that the format
+//! log is sealed against them, the others that the side knows messages that the format
 //! lacks.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -32,6 +32,11 @@
 /// [`PeerMessage::FinishedPaced`]: pomelovale_protocol::messages::PeerMessage::FinishedPaced
 pub(crate) const PACE: HeaderName = HeaderName::from_static("pomelovale-pace");
 
+/// Sent by processes that know [`Request::Tokens`].
+///
+/// [`Request::Tokens`]: pomelovale_protocol::messages::Request::Tokens
+pub(crate) const TOKENS: HeaderName = HeaderName::from_static("pomelovale-tokens");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
@@ -91,6 +96,8 @@
     pub(crate) loads: bool,
     /// Whether the peer knows messages with the pace of a server.
     pub(crate) pace: bool,
+    /// Whether the peer knows requests for tokens of a workspace.
+    pub(crate) tokens: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -109,6 +116,7 @@
             list: headers.contains_key(LIST),
             loads: headers.contains_key(LOADS),
             pace: headers.contains_key(PACE),
+            tokens: headers.contains_key(TOKENS),
             unnamed: unnamed.clone(),
         }
     }
@@ -128,6 +136,7 @@
     headers.insert(LIST, HeaderValue::from(1));
     headers.insert(LOADS, HeaderValue::from(1));
     headers.insert(PACE, HeaderValue::from(1));
+    headers.insert(TOKENS, HeaderValue::from(1));
     if unnamed.is_excluded() {
         headers.insert(SEALED, HeaderValue::from(1));
     }
