Compare rankings when servers change, and keep objects on their holders

Cause: the first version of few moves sent requests of full holders to the next server with a free slot anywhere in the ranking.

A move counts only if the new server isn't known to have the object.

--- a/crates/steering/benches/policy.rs
+++ b/crates/steering/benches/policy.rs
@@ -8,8 +8,10 @@
 //! - `--case TEXT`: run only the cases whose label contains the text.
 //! - `--ablations`: add variants in which one of the policies under test is
 //!   replaced.
+//! - `--moves`: run only the comparison of rankings when servers change.
 
 mod model;
+mod moves;
 
 use std::hint::black_box;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -36,6 +38,9 @@
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let has = |flag: &str| args.iter().any(|a| a == flag);
+    if has("--moves") {
+        return moves::run();
+    }
     let wanted = args
         .iter()
         .position(|a| a == "--case")
@@ -62,6 +67,7 @@
         print_tables(size, &cases, &policy_sets, &results, baselines);
         print_summary(size, &cases, &policy_sets, &results, baselines);
     }
+    moves::run();
     println!(
         "seeds {seeds:?}, wall time {:.0} s",
         started.elapsed().as_secs_f64()
--- a/crates/steering/src/affinity.rs
+++ b/crates/steering/src/affinity.rs
@@ -222,7 +222,8 @@
 pub struct MoveCounts {
     /// Requests that were placed on a server other than the first of their object.
     pub displaced: u64,
-    /// Requests that were placed on another server than the one before for their object.
+    /// Requests that were placed on another server than the one before for their object, and
+    /// on one that isn't known to have it.
     pub moved: u64,
 }
 
@@ -257,11 +258,18 @@
     }
 
     /// Records that a request for an object is sent to a server, given by a hash of its name,
-    /// and whether that is the first one of the object.
-    pub fn record(&mut self, now: Millis, object: u64, server: u64, is_first: bool) {
+    /// whether that is the first one of the object, and whether it is known to have it.
+    pub fn record(
+        &mut self,
+        now: Millis,
+        object: u64,
+        server: u64,
+        (is_first, is_known): (bool, bool),
+    ) {
         self.counts.displaced += u64::from(!is_first);
         let before = self.objects.get(&object).copied();
-        self.counts.moved += u64::from(before.is_some_and(|u| u.server != server));
+        let changes = before.is_some_and(|u| u.server != server);
+        self.counts.moved += u64::from(changes && !is_known);
         if before.is_none() && !self.has_place(now) {
             return;
         }
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -144,8 +144,11 @@
     }
 
     // With stable placement, chooses the cheapest of the holders that may serve the object. If
-    // it would be late there, the request goes to the next server in the ranking of the object
-    // that has a free slot. `None` if there is no such server, or several regions may serve it.
+    // it would be late there, the first holder with a free slot is chosen. `None` if it would
+    // be late at all of them, or several regions may serve it: then the cheapest of all servers
+    // is chosen. The next server in the ranking after the holders would not do: in a busy
+    // region, objects are then loaded on so many servers that they evict each other, and the
+    // extra work keeps the region busy.
     fn best_holder(
         &mut self,
         now: Millis,
@@ -166,24 +169,34 @@
             }
         };
         let first = &self.servers[*holders.first()?];
-        let instances = (self.instances_beside + 1) as f64;
-        let rate = self.demand.rate(now, request.object) * instances;
-        let work_ms = self.mean_work.expected(Held::Known, request.objective_ms);
-        let wanted = holders_wanted(rate * work_ms / 1_000.0, first.spec.slots);
+        // A server that joins takes its objects over although others still have them.
+        let joins = first.state.is_cold(now) && self.room(now, first) == Room::Free;
         let rooms = holders.iter().map(|i| self.room(now, &self.servers[*i]));
-        let count = reach(rooms, wanted);
-        let best = self.cheapest(now, request, ranking, &holders[..count]);
+        let count = match joins {
+            true => 1,
+            false => reach(rooms, self.holders_wanted(now, request, first)),
+        };
+        // Those that have the object already cost no move.
+        let has = |i: &usize| !joins && self.servers[*i].state.sent_recently(request.object);
+        let later = holders[count..].iter().filter(|i| has(i));
+        let among: Vec<usize> = holders[..count].iter().chain(later).copied().collect();
+        let best = self.cheapest(now, request, ranking, &among);
         let in_time = |c: &Candidate| self.lateness_ms(request, c).is_none();
         if best.as_ref().is_some_and(in_time) {
             return best;
         }
         let has_room = |i: &usize| self.room(now, &self.servers[*i]) == Room::Free;
-        let free = ranking.candidates.iter().copied().filter(has_room);
-        let next = free.max_by_key(|i| self.score(now, request.object, &self.servers[*i]));
-        match next {
-            Some(next) => self.cheapest(now, request, ranking, &[next]),
-            None => best,
-        }
+        let next = holders.into_iter().find(has_room)?;
+        let best = self.cheapest(now, request, ranking, &[next]);
+        best.filter(|c| self.lateness_ms(request, c).is_none())
+    }
+
+    // Number of holders that the demand for the object of a request calls for.
+    fn holders_wanted(&self, now: Millis, request: &PlacementRequest, first: &Server) -> usize {
+        let instances = (self.instances_beside + 1) as f64;
+        let rate = self.demand.rate(now, request.object) * instances;
+        let work_ms = self.mean_work.expected(Held::Known, request.objective_ms);
+        holders_wanted(rate * work_ms / 1_000.0, first.spec.slots)
     }
 
     // Whether objects are ranked by failure domain or by region.
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -286,7 +286,7 @@
     }
 
     /// Counts of requests that weren't placed on the first server of their object, and of
-    /// objects that changed their server, since the last call.
+    /// requests that moved their object to another server, since the last call.
     pub fn take_moves(&mut self) -> MoveCounts {
         self.demand.take_counts()
     }
@@ -472,7 +472,8 @@
         let load = server.state.load(now);
         server.state.record_start(now, object, rate);
         let name_hash = server.state.name_hash();
-        self.demand.record(now, object, name_hash, best.is_first);
+        let place = (best.is_first, best.held == Held::Known);
+        self.demand.record(now, object, name_hash, place);
         PlacementDecision::Send(Chosen {
             server: server.spec.name.clone(),
             address: server.spec.address,
