Order requests of a service while demand exceeds its capacity

Cause: a request that exceeds a share of its objective is rejected by the expected latency alone, so requests that miss their objective take the room of those that would make it, and most callers that retry are rejected again.

Change: `steering::scheduler` places, holds or rejects requests by priority, returning callers, fair shares and slack; `steering::returns` gives rejected callers places by the drain rate and recognizes them when they return. The gateway uses both for its own selections with `GatewayConfig::scheduling`, off by default, or once the servers share machines. A request that a server with free slots has shed is then rejected with a retry delay of 60 to 120 ms.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts to send one request to backend servers.
 
 use std::future::Future;
+use std::ops::RangeInclusive;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -35,6 +36,9 @@
 /// example because the connection failed, or the server became ineligible while
 /// it was opened. They don't count towards the attempts of the route.
 const CONNECT_FAILURES_MAX: usize = 3;
+/// Retry delay of a request that a server with free slots has shed, in milliseconds. It is
+/// random, so that callers don't return together.
+const SHED_RETRY_MS: RangeInclusive<u64> = 60..=120;
 /// Maximum number of servers of which it is not known whether they have left, and which don't
 /// show that they stay. The request is refused then.
 const UNCONFIRMED_MAX: usize = 6;
@@ -110,6 +114,15 @@
     }
 }
 
+impl RoutedRequest {
+    /// Returns the first 8 bytes of the fingerprint.
+    pub(super) fn short_fingerprint(&self) -> u64 {
+        let Digest(bytes) = self.fingerprint();
+        let first = bytes.first_chunk().copied();
+        u64::from_le_bytes(first.unwrap_or_default())
+    }
+}
+
 /// State of a request over its attempts.
 #[derive(Default)]
 struct Progress {
@@ -125,6 +138,8 @@
     // The error to return instead of a refusal, once a server may have run the
     // request.
     unknown_outcome: Option<ErrorKind>,
+    // Whether the last server shed the request although it reports free slots.
+    shed_idle: bool,
     // Whether the request has waited for another look at servers out of reach.
     rechecked: bool,
     // The next attempt, if its server was selected before the last one was abandoned.
@@ -150,7 +165,10 @@
     /// Likewise, since the server may have left.
     Unconfirmed,
     /// The server states that it did not run the request.
-    NotRun,
+    NotRun {
+        /// Whether it shed the request although it reports free slots.
+        has_slots: bool,
+    },
     /// The server may have run the request.
     Unknown {
         kind: ErrorKind,
@@ -355,6 +373,7 @@
         request_log.add_attempt(&chosen, timing, since, end);
         progress.tried.push(chosen.server.clone());
         let may_have_run = matches!(outcome, Outcome::Unknown { .. });
+        progress.shed_idle = matches!(outcome, Outcome::NotRun { has_slots: true });
         let sent = progress.unknown_outcome.is_some() || may_have_run;
         routed.sent.set(sent);
         let retry = match outcome {
@@ -370,7 +389,7 @@
                 progress.unconfirmed += 1;
                 progress.unconfirmed < UNCONFIRMED_MAX
             }
-            Outcome::NotRun => {
+            Outcome::NotRun { .. } => {
                 progress.sent += 1;
                 progress.sent < routed.route.attempts && spend_retry(shared, &routed)
             }
@@ -391,6 +410,11 @@
         if !retry && is_own_failure(shared, &routed, &mut progress).await {
             continue;
         }
+        if !retry && progress.unknown_outcome.is_none() && progress.shed_idle {
+            if let Some(refusal) = shed_refusal(shared, &routed) {
+                return Err(refusal);
+            }
+        }
         if !retry {
             wait_until_recorded(shared, &routed, &progress).await;
             let kind = progress.unknown_outcome.unwrap_or(ErrorKind::Unavailable);
@@ -406,6 +430,23 @@
     !routed.is_relayed && (progress.unknown_outcome.is_none() || routed.is_idempotent())
 }
 
+// Refusal of a request that a server has shed although it has free slots, if the requests of
+// the service are ordered: the next server has capacity.
+fn shed_refusal(shared: &Shared, routed: &RoutedRequest) -> Option<Refusal> {
+    let (now, document) = (shared.clock.now(), shared.view.document());
+    let retry_ms = rand::random_range(SHED_RETRY_MS);
+    let fingerprint = routed.short_fingerprint();
+    let is_active = shared.services.with(now, &document, &routed.service, |s| {
+        s.scheduling.expect_return(now, fingerprint, retry_ms);
+        s.scheduling.is_active()
+    });
+    let refusal = Refusal {
+        kind: ErrorKind::Unavailable,
+        retry_ms,
+    };
+    is_active?.then_some(refusal)
+}
+
 // Waits until it is known whether the way to the servers is blocked, if that is suspected and a
 // request that no server has run fails. It is relayed then.
 async fn is_own_failure(
@@ -726,6 +767,10 @@
     let server = (&running.chosen.server, running.chosen.address);
     let rests = availability::record(shared, &routed.service, server, &parts);
     running.report = availability::report(header_names, &parts);
+    let has_slots = running
+        .report
+        .load
+        .is_some_and(|l| l.running < l.slots && l.waiting == 0);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
@@ -782,8 +827,12 @@
         }
     };
     match () {
-        () if refused && rests => return Ok((Outcome::NotRun, "rest")),
-        () if refused => return Ok((Outcome::NotRun, if moved { "moved" } else { "shed" })),
+        () if refused && rests => return Ok((Outcome::NotRun { has_slots: false }, "rest")),
+        () if refused => {
+            let text = if moved { "moved" } else { "shed" };
+            let has_slots = has_slots && !moved;
+            return Ok((Outcome::NotRun { has_slots }, text));
+        }
         () if !has_proof => return Ok((Outcome::unproven(), "unproven")),
         // A server error is returned to the caller unless a retry is possible.
         () if is_retryable && routed.route.attempts > 1 && has_time_to_retry(routed) => {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod relaying;
 mod request;
 mod request_log;
+mod scheduling;
 mod server_selection;
 mod services;
 mod stopping;
@@ -41,6 +42,7 @@
 use pomelovale_transport::peer_link::{PeerConfig, PeerCounters, PeerTimings};
 use pomelovale_transport::peer_server::PeerServer;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{timeout_at, Instant};
 
@@ -86,6 +88,8 @@
     // Bound address for callers.
     callers: SocketAddr,
     leaving: AtomicBool,
+    // Notified when a request starts to wait for a place.
+    waits: Notify,
     stopping: Stopping,
     // Bytes of request bodies that are reserved in memory.
     held: AtomicUsize,
@@ -160,6 +164,7 @@
             relays: Arc::new(relays),
             callers,
             leaving: AtomicBool::new(false),
+            waits: Notify::new(),
             stopping: Stopping::new(),
             held: AtomicUsize::new(0),
             running: AtomicU64::new(0),
@@ -180,6 +185,7 @@
         tasks.spawn(maintenance::run(shared.clone(), timeouts));
         tasks.spawn(maintenance::register(shared.clone()));
         tasks.spawn(maintenance::follow_reach(shared.clone()));
+        tasks.spawn(scheduling::run(shared.clone()));
         tasks.spawn(coordinator::run(shared.clone(), received));
         tasks.spawn(shared.crashes.clone().run());
         tasks.spawn(shared.crashes.clone().watch_runs());
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -6,6 +6,7 @@
 
 use super::attempt::{RoutedRequest, RESPONSE_RESERVE_MS};
 use super::coordinator_client::Place;
+use super::scheduling::{Caller, Scheduled, Wait};
 use super::Shared;
 
 /// Refusal of a request whose service is not known yet.
@@ -54,12 +55,34 @@
         }
     }
     let (now, request) = (shared.clock.now(), request(routed, tried));
-    let verdict = shared.services.with(now, &document, &routed.service, |s| {
-        s.placement.choose(now, &request.subject())
+    let is_enabled = shared.config.scheduling;
+    let selected = shared.services.with(now, &document, &routed.service, |s| {
+        match s.follow_scheduling(now, &routed.service, is_enabled) {
+            true => s.schedule(now, &request, &caller(shared, routed)),
+            false => Scheduled::Decided(s.placement.choose(now, &request.subject())),
+        }
     });
+    let verdict = match selected {
+        Some(Scheduled::Decided(verdict)) => Some(verdict),
+        Some(Scheduled::Waits(ticket, decision)) => {
+            let (service, route) = (&routed.service, &routed.route.name);
+            Wait::new(shared, service, route, ticket, decision)
+                .decision()
+                .await
+        }
+        None => None,
+    };
     (verdict.unwrap_or(UNKNOWN_SERVICE), None)
 }
 
+fn caller(shared: &Shared, routed: &RoutedRequest) -> Caller {
+    Caller {
+        workspace: routed.workspace.clone().unwrap_or_default(),
+        domain: shared.config.domain.clone(),
+        fingerprint: routed.short_fingerprint(),
+    }
+}
+
 fn request(routed: &RoutedRequest, tried: &[Name]) -> PlaceRequest {
     let spent_ms = routed.start.elapsed().as_millis() as u64;
     PlaceRequest {
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -19,6 +19,7 @@
 use pomelovale_transport::peer_client::PeerAddress;
 
 use super::config::{GatewayConfig, RetryBudgetConfig};
+use super::scheduling::Scheduling;
 
 /// Share of the common retry budgets that the instances use, in per mille. The
 /// rest covers instances that restart and then spend their share a second time.
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub(super) struct Service {
     pub(super) placement: Placement,
+    pub(super) scheduling: Scheduling,
     pub(super) retry_budget: RetryBudget,
     /// Path of the health probe of the service's servers.
     pub(super) probe: String,
@@ -65,10 +67,14 @@
         report: ServerReport,
     ) -> ServerChange {
         let placement = &mut self.placement;
-        ServerChange {
+        let changed = ServerChange {
             suspended: placement.finish(now, chosen, route, ended, latency_ms, report),
             limit: placement.take_limit_change(),
+        };
+        if self.scheduling.is_active() {
+            self.record_place_end(now);
         }
+        changed
     }
 }
 
@@ -353,6 +359,7 @@
                         &self.domain,
                         self.seed,
                     ),
+                    scheduling: Scheduling::new(),
                     retry_budget: RetryBudget::new(policy),
                     probe: routed.probe.clone(),
                     coordinator: None,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`estimate`] and [`region_assignment`]. An entry is an instance that fills its
+//! [`estimate`], [`region_assignment`],
+//! [`scheduler`] and [`returns`]. An entry is an instance that fills its
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
@@ -26,6 +27,8 @@
 pub mod region;
 pub mod region_assignment;
 pub mod retry;
+pub mod returns;
+pub mod scheduler;
 mod server;
 pub mod server_limit;
 pub mod server_stats;
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -17,6 +17,7 @@
 //! places only its own requests relies on the load reports of the servers.
 
 mod choice;
+mod scheduled;
 mod types;
 
 use std::net::SocketAddr;
@@ -32,6 +33,7 @@
 use crate::server_limit::LimitNotice;
 
 use choice::Candidate;
+pub use scheduled::Found;
 pub use types::{
     Chosen, LoadReport, PlacementDecision, PlacementEnd, PlacementRequest, ServerReport,
     ServerSpec, ServiceSpec,
