--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -80,6 +80,10 @@
     /// requests that use them. For gateways on narrow links, where each round trip waits
     /// behind responses.
     pub token_prefetch: bool,
+    /// Whether the requests of all services are ordered while demand exceeds capacity; see
+    /// docs/design/scheduler.md. Otherwise only those of services whose servers share their
+    /// machines are.
+    pub scheduling: bool,
     /// One in this many requests is logged. Refused and retried requests always
     /// are.
     pub log_one_in: u64,
@@ -127,6 +131,7 @@
             },
             region_planning: false,
             token_prefetch: false,
+            scheduling: false,
             log_one_in: 16,
             deregistration_delay_ms: 2_800,
             grace_ms: 5_700,
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -282,6 +282,10 @@
     let server = (&running.chosen.server, running.chosen.address);
     let rests = availability::record(shared, &routed.service, server, &parts);
     running.report = availability::report(header_names, &parts);
+    let has_slots = running
+        .report
+        .load
+        .is_some_and(|l| l.running < l.slots && l.waiting == 0);
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
@@ -338,8 +342,12 @@
         }
     };
     match () {
-        () if refused && rests => return Ok((Outcome::NotRun, "rest")),
-        () if refused => return Ok((Outcome::NotRun, if moved { "moved" } else { "shed" })),
+        () if refused && rests => return Ok((Outcome::NotRun { has_slots: false }, "rest")),
+        () if refused => {
+            let text = if moved { "moved" } else { "shed" };
+            let has_slots = has_slots && !moved;
+            return Ok((Outcome::NotRun { has_slots }, text));
+        }
         () if !has_proof => return Ok((Outcome::unproven(), "unproven")),
         // A server error is returned to the caller unless a retry is possible.
         () if is_retryable && routed.route.attempts > 1 && has_time_to_retry(routed) => {
