Keep tokens in the pool for instances that ask last

The instance that asked first was leased the whole rate and 0.7 of the burst, the second one the rest of the burst, and the third one got nothing until the others had returned theirs, two round trips later, which is longer than requests wait. Pools of new workspaces also started empty, so that the pool was reported as low and requests were refused without waiting.

Leases now take at most their part of the burst, as the setting says. The pool of a workspace that is added in the leader's own epoch starts full: no earlier leader can have granted any of it. A pool that is reserved for unknown leases isn't reported as low any more.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -208,6 +208,18 @@
         bucket.level = bucket.level.min(bucket.free().cap);
     }
 
+    /// Sets the limit of a workspace that was added in this epoch. Its pool is full, since no
+    /// earlier leader can have granted any of it.
+    pub fn add_limit(&mut self, workspace: &Name, rate: RateLimit, now: Millis) {
+        let is_known = self.buckets.contains_key(workspace);
+        self.set_limit(workspace, rate, now);
+        let added = self.buckets.get_mut(workspace).filter(|_| !is_known);
+        if let Some(bucket) = added {
+            bucket.unknown = Lease::default();
+            bucket.level = bucket.cap;
+        }
+    }
+
     /// Removes the limit of a workspace. Its leases stay reserved until they
     /// expire, also if the limit is set again.
     pub fn remove_limit(&mut self, workspace: &Name, now: Millis) {
@@ -414,7 +426,12 @@
             false => target,
         };
         let rate = raise(held.rate, target.rate, free.rate);
-        let cap = raise(held.cap, target.cap, free.cap);
+        // The rest of the burst stays in the pool. Were it leased to the instances that ask
+        // first, another one would wait until they return it, which takes two round trips.
+        let known = self.cap.saturating_sub(self.unknown.cap);
+        let leased = known / 1_000 * config.leased_burst_per_mille;
+        let leasable = leased.saturating_sub(self.lease_totals.cap);
+        let cap = raise(held.cap, target.cap, free.cap.min(leasable));
         let level = want.level.min(held.cap);
         let wanted = want.wanted.saturating_sub(level);
         let prefetch = want
@@ -443,7 +460,8 @@
             cap,
             tokens,
             retry_ms: self.retry_ms(want, tokens),
-            short: self.level < self.cap / LOW_POOL_DIVISOR,
+            // A pool that is reserved for unknown leases says nothing of the demand.
+            short: self.unknown.cap == 0 && self.level < self.cap / LOW_POOL_DIVISOR,
         }
     }
 
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -80,6 +80,16 @@
     instance.callers.is_some() && instance.peers.is_some()
 }
 
+fn limits_of(document: &Document) -> impl Iterator<Item = (Name, RateLimit)> + '_ {
+    document.workspaces.iter().map(|(name, w)| {
+        let rate = RateLimit {
+            per_second: w.rate,
+            burst: w.burst,
+        };
+        (name.clone(), rate)
+    })
+}
+
 impl Leader {
     pub(super) fn new(
         epoch: Epoch,
@@ -102,7 +112,10 @@
             limits_changed: now,
             logged_silent_holders: false,
         };
-        leader.set_limits(document, now);
+        for (name, rate) in limits_of(document) {
+            leader.ledger.set_limit(&name, rate, now);
+            leader.limits.insert(name, rate);
+        }
         leader
     }
 
@@ -111,17 +124,16 @@
         self.base.plus(now.since(self.since))
     }
 
-    /// Applies changed rate limits of workspaces to the ledger.
+    /// Applies changed rate limits of workspaces to the ledger. Workspaces that this leader
+    /// didn't start with were added in its epoch.
     pub(super) fn set_limits(&mut self, document: &Document, now: Millis) {
-        for (name, w) in &document.workspaces {
-            let rate = RateLimit {
-                per_second: w.rate,
-                burst: w.burst,
-            };
-            if self.limits.get(name) != Some(&rate) {
-                self.ledger.set_limit(name, rate, now);
-                self.limits.insert(name.clone(), rate);
+        for (name, rate) in limits_of(document) {
+            match self.limits.get(&name) {
+                Some(known) if *known == rate => continue,
+                Some(_) => self.ledger.set_limit(&name, rate, now),
+                None => self.ledger.add_limit(&name, rate, now),
             }
+            self.limits.insert(name, rate);
         }
     }
 
