Prefetch tokens of workspaces at gateways on narrow links

Each request waited for a round trip to a control instance, which takes 76 ms at p75 where responses fill the links' queues, and one that wasn't answered in 330 ms put all workspaces of a gateway on 1/66 of their limits.

Gateways whose settings name a link below 100 Mbit/s now hold tokens for the demand of the next 150 ms, which expire 250 ms after they were asked for. The capacity of these tokens stays reserved at the control instance until they have expired, since the tolerance that the buckets leave (0.2 of it) is smaller than the 5% of a window that such tokens can add. Workspaces go on their share one by one, and only if the control instance is silent; callers over the limit get 429 with the time of the next token that no other caller was told. The body of a request is read while it is being admitted. Other gateways admit requests as before.

Control instances that know requests for tokens say so in a header of the connection; others are asked to admit one request.

--- a/crates/coordination/src/control.rs
+++ b/crates/coordination/src/control.rs
@@ -1,7 +1,7 @@
 //! Channel through which other parts of a process call the control instances.
 
 use pomelovale_protocol::grants::{GrantReply, GrantRequest};
-use pomelovale_protocol::messages::Admitted;
+use pomelovale_protocol::messages::{Admitted, TokenReply, TokenRequest};
 use pomelovale_protocol::report::Report;
 use pomelovale_state::command::{Applied, Change};
 use pomelovale_state::{ErrorKind, Name};
@@ -18,8 +18,15 @@
     Propose(Change, flume::Sender<Result<Applied, ErrorKind>>),
     /// Sends measurements to the leader, without a reply.
     Report(Report),
+    /// Asks the control instance to which this one subscribes for tokens of a workspace.
+    /// The last reply isn't [`TokenReply::Waiting`].
+    Tokens(TokenRequest, flume::Sender<Result<TokenReply, ErrorKind>>),
 }
 
+/// Capacity of the channel for replies to a request for tokens: `Waiting`, also of a second
+/// control instance if the connection to the first one is lost, and the last reply.
+const TOKEN_REPLIES: usize = 4;
+
 /// Sends calls to the control instances. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
@@ -52,6 +59,18 @@
             .await
     }
 
+    /// Asks for tokens of a workspace. The channel is closed after the last reply.
+    pub fn tokens(
+        &self,
+        request: TokenRequest,
+    ) -> Result<flume::Receiver<Result<TokenReply, ErrorKind>>, ErrorKind> {
+        let (reply, replies) = flume::bounded(TOKEN_REPLIES);
+        self.calls
+            .try_send(ControlCall::Tokens(request, reply))
+            .map_err(|_| ErrorKind::Unavailable)?;
+        Ok(replies)
+    }
+
     /// Requests rate limit tokens from the leader.
     pub async fn grant(&self, request: GrantRequest) -> Result<GrantReply, ErrorKind> {
         self.call_and_wait(|reply| ControlCall::Grant(request, reply))
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod server_list;
 mod snapshot;
 mod storage;
+pub mod token_cache;
 pub mod view;
--- a/crates/coordination/src/limiter.rs
+++ b/crates/coordination/src/limiter.rs
@@ -69,6 +69,21 @@
     },
 }
 
+/// Tokens that a gateway has in advance of the requests that use them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Prefetched {
+    /// Number of tokens.
+    pub count: u64,
+    /// Time in which they can be used.
+    pub life_ms: u64,
+}
+
+/// Tokens are prefetched only while the level is above the capacity divided by this: what
+/// expires unused must not use up a limit.
+const PREFETCH_LEVEL_DIVISOR: u64 = 4;
+/// Prefetched tokens are at most the capacity divided by this.
+const PREFETCHED_DIVISOR: u64 = 2;
+
 /// Longest retry delay given to a caller while the ledger's pool is low.
 const LOW_POOL_RETRY_MAX_MS: u64 = 1_000;
 
@@ -98,6 +113,9 @@
     /// A grant may raise it above `cap`; refill then pauses until requests
     /// bring it below `cap`.
     level: u64,
+    /// Expiry and amount of the tokens prefetched by gateways, by expiry. Together with the
+    /// level they never exceed what the ledger reserves, as they can still be used.
+    prefetched: VecDeque<(Millis, u64)>,
     /// Level and capacity sent in the latest request to the ledger.
     reported: u64,
     reported_cap: u64,
@@ -168,10 +186,20 @@
 
     /// Decides on a new request.
     pub fn admit(&mut self, now: Millis, workspace: &Name, cost: u64) -> Admit {
+        self.decide(now, workspace, cost, self.config.refuse_early)
+    }
+
+    /// Likewise, but refuses a request immediately only if its workspace is over its limit,
+    /// and not whenever the ledger's pool is low: the pool of a small limit that is divided
+    /// between many instances is low at times without any overload.
+    pub fn admit_unless_over(&mut self, now: Millis, workspace: &Name, cost: u64) -> Admit {
+        self.decide(now, workspace, cost, false)
+    }
+
+    fn decide(&mut self, now: Millis, workspace: &Name, cost: u64, refuse_early: bool) -> Admit {
         let amount = cost.saturating_mul(TOKEN);
         let wait_ms = self.wait_ms(now);
         let outage_wait_ms = self.config.outage_wait_ms;
-        let refuse_early = self.config.refuse_early;
         let share = self.share(now, workspace);
         share.count(now, amount);
         let queued_amount: u64 = share.waiting.iter().map(|w| w.1).sum();
@@ -211,6 +239,50 @@
         Admit::Wait
     }
 
+    /// Spends up to `count` tokens for requests of the next `life_ms`, unless the workspace
+    /// has few left. Their capacity stays reserved until they have expired.
+    pub fn spend_ahead(
+        &mut self,
+        now: Millis,
+        workspace: &Name,
+        count: u64,
+        life_ms: u64,
+    ) -> Prefetched {
+        let share = self.share(now, workspace);
+        let life_ms = life_ms.min(share.until.since(now));
+        let reserve = share.cap / PREFETCH_LEVEL_DIVISOR;
+        let spare = share.level.saturating_sub(reserve);
+        let room = (share.cap / PREFETCHED_DIVISOR).saturating_sub(share.prefetched_amount());
+        let is_short = share.short || share.retry_ms > 0 || !share.waiting.is_empty();
+        let count = match is_short || life_ms == 0 {
+            true => 0,
+            false => count.min(spare.min(room) / TOKEN),
+        };
+        if count == 0 {
+            return Prefetched::default();
+        }
+        let amount = count * TOKEN;
+        share.level -= amount;
+        share.prefetched.push_back((now.plus(life_ms), amount));
+        share.count(now, amount);
+        let low = share.level < share.shortfall(now, LOOKAHEAD_MS);
+        self.urgent |= low;
+        Prefetched { count, life_ms }
+    }
+
+    /// Whether a workspace has used up its limit, as far as the ledger has said.
+    pub fn is_over_limit(&self, workspace: &Name) -> bool {
+        let share = self.shares.get(workspace);
+        share.is_some_and(|s| s.retry_ms > 0 || s.short)
+    }
+
+    /// Time in which this instance's share of a limit gains one token; `None` without a
+    /// share.
+    pub fn token_ms(&self, workspace: &Name) -> Option<u64> {
+        let share = self.shares.get(workspace).filter(|s| s.rate > 0);
+        share.map(|s| TOKEN.div_ceil(s.rate))
+    }
+
     /// Has the next request to the ledger ask for a share of a workspace, in advance
     /// of the first request of a caller.
     pub fn prefetch(&mut self, now: Millis, workspace: &Name) {
@@ -309,7 +381,8 @@
         // may be returned as surplus.
         let kept = grant.cap.max(share.reported + grant.tokens);
         let reserved = kept.max(share.reported_cap);
-        let level = (share.level + grant.tokens).min(reserved);
+        let stock = reserved.saturating_sub(share.prefetched_amount());
+        let level = (share.level + grant.tokens).min(stock);
         share.level = level.min(kept);
         share.surplus = level - share.level;
         // An increase of the rate takes effect in the next millisecond.
@@ -347,19 +420,34 @@
             self.level = 0;
             self.surplus = 0;
         }
+        // The capacity of prefetched tokens is refilled from their expiry on.
+        while let Some(&(until, _)) = self.prefetched.front().filter(|p| p.0 <= now) {
+            self.refill_until(until);
+            self.prefetched.pop_front();
+        }
+        self.refill_until(now);
+        while self.waiting.front().is_some_and(|w| w.0 <= now) {
+            self.waiting.pop_front();
+        }
+    }
+
+    fn refill_until(&mut self, now: Millis) {
         let refill = refill(self.rate, now.since(self.at));
         let withheld = refill.min(self.withheld_refill);
         self.withheld_refill -= withheld;
-        let top = self.level.max(self.cap);
+        let cap = self.cap.saturating_sub(self.prefetched_amount());
+        let top = self.level.max(cap);
         self.level = self.level.saturating_add(refill - withheld).min(top);
         self.at = self.at.max(now);
-        if self.level >= self.cap {
+        if self.level >= cap {
             // A bucket that is full gains nothing in the rest of this millisecond.
             self.at = self.at.max(now.plus(1));
         }
-        while self.waiting.front().is_some_and(|w| w.0 <= now) {
-            self.waiting.pop_front();
-        }
+    }
+
+    /// Amount of the prefetched tokens that haven't expired.
+    fn prefetched_amount(&self) -> u64 {
+        self.prefetched.iter().map(|p| p.1).sum()
     }
 
     /// Adds the amount of a new request to the demand estimates.
@@ -417,11 +505,12 @@
             self.level = keep;
         }
         self.reported = self.level;
-        self.reported_cap = self.cap.max(self.level);
+        let stock = self.level + self.prefetched_amount();
+        self.reported_cap = self.cap.max(stock);
         WorkspaceDemand {
             workspace: workspace.clone(),
             rate: self.rate,
-            cap: self.cap,
+            cap: self.reported_cap,
             level: self.level,
             wanted: self.waiting.iter().map(|w| w.1).sum(),
             demand,
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -6,7 +6,9 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::grants::GrantReply;
 use pomelovale_protocol::log::Epoch;
-use pomelovale_protocol::messages::{Admitted, ClusterStatus, PeerMessage, Request, Response};
+use pomelovale_protocol::messages::{
+    Admitted, ClusterStatus, PeerMessage, Request, Response, TokenReply,
+};
 use pomelovale_state::command::Applied;
 use pomelovale_state::{ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::PeerLink;
@@ -32,6 +34,8 @@
     },
     /// A status request of this process.
     Status(flume::Sender<ClusterStatus>),
+    /// A request for tokens of a workspace of this process.
+    Tokens(flume::Sender<Result<TokenReply, ErrorKind>>),
 }
 
 impl Sink {
@@ -55,10 +59,28 @@
             (Sink::Grant(s), _) => drop(s.try_send(Err(ErrorKind::Internal))),
             (Sink::Status(s), Response::Status(status)) => drop(s.try_send(status)),
             (Sink::Status(s), _) => drop(s.try_send(ClusterStatus::default())),
+            (Sink::Tokens(s), Response::Tokens(t)) => drop(s.try_send(Ok(t))),
+            // Of an earlier build, which was asked to admit one request.
+            (Sink::Tokens(s), Response::Admitted(a)) => drop(s.try_send(Ok(token_reply(a)))),
+            (Sink::Tokens(s), Response::Failed(kind)) => drop(s.try_send(Err(kind))),
+            (Sink::Tokens(s), _) => drop(s.try_send(Err(ErrorKind::Internal))),
         }
     }
 }
 
+fn token_reply(admitted: Admitted) -> TokenReply {
+    match admitted {
+        Admitted::Granted => TokenReply::Granted {
+            count: 1,
+            life_ms: 0,
+        },
+        Admitted::Refused { retry_ms } => TokenReply::Refused {
+            retry_ms,
+            is_over: true,
+        },
+    }
+}
+
 /// Where a call is being processed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Target {
@@ -100,7 +122,7 @@
     ) -> Option<u64> {
         let name = match &request {
             Request::Propose(change) => Some(change.request.clone()),
-            Request::Admit(_) | Request::Grant(_) | Request::Status => None,
+            Request::Admit(_) | Request::Grant(_) | Request::Status | Request::Tokens(_) => None,
         };
         let known = name.as_ref().and_then(|n| self.proposals.get(n));
         if let Some(call) = known.and_then(|token| self.open.get_mut(token)) {
@@ -138,6 +160,15 @@
         }
     }
 
+    /// Delivers a response that another one follows.
+    pub(crate) fn notify(&self, token: u64, response: &Response) {
+        let sinks = self.open.get(&token).map(|call| &call.sinks);
+        sinks
+            .into_iter()
+            .flatten()
+            .for_each(|s| s.deliver(response));
+    }
+
     /// Delivers the response to all sinks of a call and removes the call.
     pub(crate) fn answer(&mut self, token: u64, response: &Response) {
         let Some(call) = self.open.swap_remove(&token) else {
--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -5,7 +5,9 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::frame::decode_body_unlimited;
 use pomelovale_protocol::log::{LogMessage, ReplicaId};
-use pomelovale_protocol::messages::{Content, LogPacket, PeerMessage, Request, Response};
+use pomelovale_protocol::messages::{
+    Content, LogPacket, PeerMessage, Request, Response, TokenRequest,
+};
 use pomelovale_state::{ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
 
@@ -113,6 +115,13 @@
                 },
                 Role::Entry,
             ) => self.admit(workspace, Sink::Peer { link, id }),
+            (
+                PeerMessage::Call {
+                    id,
+                    request: Request::Tokens(request),
+                },
+                Role::Entry,
+            ) => self.grant_tokens(request, Sink::Peer { link, id }),
             (PeerMessage::Call { id, .. }, Role::Control) if self.leader.is_none() => {
                 let response = Response::Failed(ErrorKind::NotLeader);
                 link.send(PeerMessage::Reply { id, response });
@@ -191,6 +200,7 @@
                     self.send_to_leader(PeerMessage::Report(report));
                 }
             },
+            ControlCall::Tokens(request, reply) => self.grant_tokens(request, Sink::Tokens(reply)),
         }
     }
 
@@ -200,6 +210,12 @@
         self.request_tokens(now);
     }
 
+    fn grant_tokens(&mut self, request: TokenRequest, sink: Sink) {
+        let now = self.clock.now();
+        self.quota.grant(now, request, sink);
+        self.request_tokens(now);
+    }
+
     pub(super) fn request_tokens(&mut self, now: Millis) {
         if let Some(request) = self.quota.request(now) {
             let reply = self.quota.replies.0.clone();
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -38,12 +38,12 @@
         };
         let known = match &request {
             Request::Propose(change) => self.machine.result(&change.request).cloned(),
-            Request::Admit(_) | Request::Grant(_) | Request::Status => None,
+            Request::Admit(_) | Request::Grant(_) | Request::Status | Request::Tokens(_) => None,
         };
         let now = self.clock.now();
         match (known, &self.leader, request) {
-            // `EventLoop::admit` answers these where they arrive.
-            (None, _, Request::Admit(_)) => {
+            // `Quota` answers these where they arrive.
+            (None, _, Request::Admit(_) | Request::Tokens(_)) => {
                 self.calls
                     .answer(token, &Response::Failed(ErrorKind::BadRequest));
             }
--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -65,6 +65,10 @@
     pub report_ms: u64,
     /// Retry budget of each service, which all instances share.
     pub retry_budget: RetryBudgetConfig,
+    /// Whether tokens of workspaces are obtained from the control instance in advance of the
+    /// requests that use them. For gateways on narrow links, where each round trip waits
+    /// behind responses.
+    pub token_prefetch: bool,
     /// One in this many requests is logged. Refused and retried requests always
     /// are.
     pub log_one_in: u64,
@@ -107,6 +111,7 @@
                 per_mille: 100,
                 reserve: 20,
             },
+            token_prefetch: false,
             log_one_in: 16,
             deregistration_delay_ms: 2_800,
             grace_ms: 5_700,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -147,7 +147,7 @@
         let relays = Relays::new(relay_config(&config));
         let shared = Arc::new(Shared {
             services: Services::new(&config, start, view.clone()),
-            quota: Quota::new(control.clone(), clock.clone()),
+            quota: Quota::new(&config, control.clone(), view.clone(), clock.clone()),
             coordinator_client: CoordinatorClient::new(peering, clock.clone()),
             peers: peers.as_ref().map(PeerServer::address),
             config,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -208,14 +208,28 @@
         .clone()
         .filter(|name| document.workspaces.contains_key(name));
     // The instance that serves a relayed request charges its workspace.
-    if let Some(name) = limited.as_ref().filter(|_| !relay_due) {
-        shared.quota.admit(&document, name).await?;
-    }
-    let mut hold = Hold::acquire(shared, &routing, body)?;
-    let left = deadline.saturating_duration_since(Instant::now());
-    let limit = left.min(Duration::from_millis(BODY_TIMEOUT_MS));
-    let max_bytes = routing.limits.body_bytes as usize;
-    let body = caller_body::read(body, max_bytes, limit, |n| hold.reserve(n)).await?;
+    let admission = async {
+        match limited.as_ref().filter(|_| !relay_due) {
+            Some(name) => shared.quota.admit(&document, name).await,
+            None => Ok(()),
+        }
+    };
+    let reading = async {
+        let mut hold = Hold::acquire(shared, &routing, body)?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let limit = left.min(Duration::from_millis(BODY_TIMEOUT_MS));
+        let max_bytes = routing.limits.body_bytes as usize;
+        let body = caller_body::read(body, max_bytes, limit, |n| hold.reserve(n)).await?;
+        Ok::<_, Refusal>((hold, body))
+    };
+    // On a narrow link, the body arrives while the control instance is asked.
+    let (hold, body) = match shared.config.token_prefetch {
+        true => tokio::try_join!(admission, reading)?.1,
+        false => {
+            admission.await?;
+            reading.await?
+        }
+    };
     request_log.received_ms = start.elapsed().as_millis() as u64;
     let routed = route_request(
         shared, &document, route, workspace, host, parts, body, deadline, arrival,
--- a/crates/daemon/src/subscriber/mod.rs
+++ b/crates/daemon/src/subscriber/mod.rs
@@ -15,6 +15,7 @@
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{
     Chunk, ChunkAssembler, Content, ListNotice, PeerMessage, Proof, Renew, Request, Response,
+    TokenReply,
 };
 use pomelovale_state::document::Document;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
@@ -511,6 +512,7 @@
             Response::Failed(ErrorKind::NotLeader | ErrorKind::Unavailable) => {
                 self.calls.set_target(id, Target::Unassigned);
             }
+            Response::Tokens(TokenReply::Waiting) => self.calls.notify(id, response),
             response => self.calls.answer(id, response),
         }
     }
@@ -526,6 +528,7 @@
                 }
                 return;
             }
+            ControlCall::Tokens(request, reply) => (Request::Tokens(request), Sink::Tokens(reply)),
         };
         let until = self.clock.now().plus(self.limits.call_ms);
         if let Some(token) = self.calls.add(request, Some(sink), until) {
@@ -547,6 +550,18 @@
             return;
         };
         let id = link.id;
+        let request = match request {
+            // A control instance of an earlier build admits requests one by one.
+            Request::Tokens(t) if !link.knows_tokens() && t.waiting => Request::Admit(t.workspace),
+            Request::Tokens(_) if !link.knows_tokens() => {
+                let none = TokenReply::Granted {
+                    count: 0,
+                    life_ms: 0,
+                };
+                return self.calls.answer(token, &Response::Tokens(none));
+            }
+            request => request,
+        };
         if link.send(PeerMessage::Call { id: token, request }) {
             self.calls.set_target(token, Target::Peer(id));
         }
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -109,6 +109,21 @@
     Propose(Change),
     /// Asks for the status of all instances and moves.
     Status,
+    /// Asks for tokens of a workspace. Sent only to peers that say that they know it, see
+    /// `transport::peer_format`.
+    Tokens(TokenRequest),
+}
+
+/// A gateway's request for tokens of a workspace, with which it admits requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TokenRequest {
+    /// The workspace.
+    pub workspace: Name,
+    /// Number of tokens.
+    pub count: u32,
+    /// Whether a caller waits for the first token. The others are prefetched, and are granted
+    /// only as far as there are enough.
+    pub waiting: bool,
 }
 
 /// Status of one instance, from its reports to the leader.
@@ -143,6 +158,30 @@
     },
 }
 
+/// Answer to [`Request::Tokens`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TokenReply {
+    /// The gateway has these tokens; none if they were to be prefetched and are too few.
+    Granted {
+        /// Number of tokens.
+        count: u32,
+        /// Time from the request for them in which they can be used, in milliseconds. The
+        /// token of a waiting caller is used at once.
+        life_ms: u64,
+    },
+    /// The waiting caller gets no token.
+    Refused {
+        /// Time until a token is expected for this caller, in milliseconds.
+        retry_ms: u64,
+        /// Whether the workspace has used up its limit. Otherwise the control instance has
+        /// no tokens, since the leader didn't answer in time.
+        is_over: bool,
+    },
+    /// The caller waits at the control instance for tokens of the leader; another answer
+    /// follows.
+    Waiting,
+}
+
 /// Answer to a [`Request`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Response {
@@ -156,6 +195,8 @@
     Grant(GrantReply),
     /// Answer to [`Request::Status`].
     Status(ClusterStatus),
+    /// Answer to [`Request::Tokens`]. [`TokenReply::Waiting`] is followed by another one.
+    Tokens(TokenReply),
 }
 
 /// A request of a caller for which a gateway asks the coordinator of its failure
--- a/crates/protocol/tests/formats.rs
+++ b/crates/protocol/tests/formats.rs
@@ -14,7 +14,9 @@
 use pomelovale_protocol::frame::{decode_body, FRAME_HEADER_BYTES};
 use pomelovale_protocol::log::{EntryData, LogMessage};
 use pomelovale_protocol::message_format::{decode_message, encode_message};
-use pomelovale_protocol::messages::{PeerMessage, Proof, Request, Response};
+use pomelovale_protocol::messages::{
+    PeerMessage, Proof, Request, Response, TokenReply, TokenRequest,
+};
 use pomelovale_protocol::report::{LimitReport, Report};
 use pomelovale_state::command::{Change, Command};
 use pomelovale_state::document::Digest;
@@ -155,6 +157,7 @@
             Request::Grant(_) => 1,
             Request::Propose(_) => 2,
             Request::Status => 3,
+            Request::Tokens(_) => 4,
         }
     }
     fn response(response: &Response) -> usize {
@@ -164,6 +167,7 @@
             Response::Failed(_) => 2,
             Response::Grant(_) => 3,
             Response::Status(_) => 4,
+            Response::Tokens(_) => 5,
         }
     }
     fn log_message(message: &LogMessage) -> usize {
@@ -381,3 +385,38 @@
         }
     }
 }
+
+/// Guards against requests for tokens and their answers that builds beside this one read as
+/// others. They are sent only to peers that say that they know them.
+#[test]
+fn messages_about_tokens_keep_their_bytes() {
+    let request = Request::Tokens(TokenRequest {
+        workspace: "w".into(),
+        count: 3,
+        waiting: true,
+    });
+    let refused = TokenReply::Refused {
+        retry_ms: 40,
+        is_over: true,
+    };
+    let granted = TokenReply::Granted {
+        count: 3,
+        life_ms: 250,
+    };
+    let reply = |reply| PeerMessage::Reply {
+        id: 1,
+        response: Response::Tokens(reply),
+    };
+    for (message, bytes) in [
+        (
+            PeerMessage::Call { id: 1, request },
+            &b"\x00\x01\x04\x01w\x03\x01"[..],
+        ),
+        (reply(granted), b"\x09\x01\x05\x00\x03\xfa"),
+        (reply(refused), b"\x09\x01\x05\x01\x28\x01"),
+        (reply(TokenReply::Waiting), b"\x09\x01\x05\x02"),
+    ] {
+        assert_eq!(body(&message, Format::Second), bytes);
+        assert_eq!(decode_message(bytes, None), Ok((message, None)));
+    }
+}
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -2,7 +2,7 @@
 //!
 //! Each side names the latest format that it knows in a header when the connection is
 //! opened. Builds before that send no header and ignore it. A second header says that the
-//! log is sealed against them, a third one that the side knows messages that the format
+//! log is sealed against them, the others that the side knows messages that the format
 //! lacks.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -22,6 +22,11 @@
 /// [`PeerMessage::List`]: pomelovale_protocol::messages::PeerMessage::List
 pub(crate) const LIST: HeaderName = HeaderName::from_static("pomelovale-list");
 
+/// Sent by processes that know [`Request::Tokens`].
+///
+/// [`Request::Tokens`]: pomelovale_protocol::messages::Request::Tokens
+pub(crate) const TOKENS: HeaderName = HeaderName::from_static("pomelovale-tokens");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
@@ -77,6 +82,8 @@
     pub(crate) sealed: bool,
     /// Whether the peer knows messages about the list of backend servers.
     pub(crate) list: bool,
+    /// Whether the peer knows requests for tokens of a workspace.
+    pub(crate) tokens: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -93,6 +100,7 @@
             named,
             sealed: headers.contains_key(SEALED),
             list: headers.contains_key(LIST),
+            tokens: headers.contains_key(TOKENS),
             unnamed: unnamed.clone(),
         }
     }
@@ -110,6 +118,7 @@
     let mut headers = HeaderMap::new();
     headers.insert(FORMAT, HeaderValue::from(Format::LATEST.number()));
     headers.insert(LIST, HeaderValue::from(1));
+    headers.insert(TOKENS, HeaderValue::from(1));
     if unnamed.is_excluded() {
         headers.insert(SEALED, HeaderValue::from(1));
     }
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -210,6 +210,13 @@
         self.format.list
     }
 
+    /// Whether the peer knows [`Request::Tokens`].
+    ///
+    /// [`Request::Tokens`]: pomelovale_protocol::messages::Request::Tokens
+    pub fn knows_tokens(&self) -> bool {
+        self.format.tokens
+    }
+
     /// Queues a message. Closes the connection and returns false if the queue is full.
     pub fn send(&self, message: PeerMessage) -> bool {
         self.send_to(&self.queue, message)
