--- a/crates/coordination/tests/token_cache.rs
+++ b/crates/coordination/tests/token_cache.rs
@@ -427,3 +427,46 @@
 fn limits_hold_while_leases_are_lost() {
     (1..3).for_each(|seed| check(&run(seed, Some(4)), true));
 }
+
+/// Guards against a bucket that refills while gateways still hold what it granted: a window
+/// would admit both. All prefetched tokens are used in the last millisecond of their life.
+#[test]
+fn capacity_of_prefetched_tokens_is_not_refilled() {
+    let (rate, burst) = (200, 100);
+    let name = Name::from("w");
+    for seed in 1..6 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut ledger = Ledger::new(LedgerConfig::new(1), Millis(0));
+        ledger.add_limit(&name, limit(rate, burst), Millis(0));
+        let mut limiter = limiter("c0-0".into());
+        limiter.prefetch(Millis(0), &name);
+        let mut admitted: Vec<u64> = Vec::new();
+        let mut load = 0.0;
+        for now in 1..20_000 {
+            if let Some(request) = limiter.next_request(Millis(now)) {
+                limiter.receive(Millis(now), ledger.request(Millis(now), &request));
+            }
+            if now % 400 == 0 {
+                load = [0.0, 0.1, 0.3, 3.0][rng.random_range(0..4)];
+            }
+            if rng.random_range(0.0..1.0) < load / 3.0 {
+                let ahead = limiter.spend_ahead(Millis(now), &name, 12, TOKEN_LIFE_MS);
+                let used = now + ahead.life_ms.saturating_sub(1);
+                admitted.extend((0..ahead.count).map(|_| used));
+            }
+            let waits = || limiter.admit_unless_over(Millis(now), &name, 1) != Admit::Granted;
+            let asked = if load > 1.0 { 3 } else { 0 };
+            let denied = std::iter::repeat_with(waits).take(asked);
+            admitted.extend(denied.filter(|waits| !waits).map(|_| now));
+        }
+        admitted.sort_unstable();
+        // A bucket with the same limit is never overdrawn.
+        let (mut level, mut last) = (burst as f64, 0);
+        for at in admitted {
+            level += (at - last) as f64 * rate as f64 / 1_000.0;
+            level = level.min(burst as f64) - 1.0;
+            last = at;
+            assert!(level > -1e-6, "seed {seed}: {level} at {at} ms");
+        }
+    }
+}
--- a/crates/daemon/tests/control_far_leader.rs
+++ b/crates/daemon/tests/control_far_leader.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use control_kit::{change, until, Cluster, Entry};
-use pomelovale_protocol::messages::Admitted;
+use pomelovale_protocol::messages::{Admitted, TokenReply, TokenRequest};
 use pomelovale_state::command::{Applied, Command};
 use pomelovale_state::document::Workspace;
 use pomelovale_state::Name;
@@ -93,3 +93,66 @@
     let all = 3 * WORKSPACES;
     assert!(refused * 1_000 <= all, "{refused} of {all} were refused");
 }
+
+// The last reply to a request for one token and `ahead` further ones.
+async fn last_reply(entry: &Entry, ahead: u32) -> TokenReply {
+    let request = TokenRequest {
+        workspace: workspace(0),
+        count: 1 + ahead,
+        waiting: true,
+    };
+    let replies = entry.handle.tokens(request).expect("the entry runs");
+    let mut last = TokenReply::Waiting;
+    while let Ok(reply) = replies.recv_async().await {
+        last = reply.expect("a reply of the control instance");
+    }
+    last
+}
+
+/// Guards against requests for tokens that a control instance doesn't answer, and against
+/// callers over a limit that are all told to retry at the same time.
+#[tokio::test]
+async fn tokens_are_granted_up_to_the_limit() {
+    let mut cluster = Cluster::start_limited(1, 0, Vec::new(), Default::default()).await;
+    let leader = cluster.leader().await;
+    let limited = Workspace {
+        rate: 40,
+        burst: 40,
+        weight: 1,
+    };
+    let (name, workspace) = (workspace(0), limited);
+    let command = Command::PutWorkspace { name, workspace };
+    let applied = cluster.propose(leader, change("w", command)).await;
+    assert!(matches!(applied, Applied::Accepted { .. }));
+    let entry = Arc::new(cluster.entry("e", 0).await);
+    until("the entry has the workspace", || {
+        entry.view.document().workspaces.len() == 1
+    })
+    .await;
+    // The control instance has a lease of its own after the first request.
+    last_reply(&entry, 0).await;
+    sleep(PAUSE).await;
+    let granted = last_reply(&entry, 3).await;
+    assert!(
+        matches!(granted, TokenReply::Granted { count: 4, life_ms } if life_ms > 0),
+        "{granted:?}"
+    );
+    let mut asking = JoinSet::new();
+    for _ in 0..400 {
+        let entry = entry.clone();
+        asking.spawn(async move { last_reply(&entry, 0).await });
+    }
+    let replies = asking.join_all().await;
+    let refused = replies.iter().filter_map(|reply| match reply {
+        TokenReply::Refused { retry_ms, is_over } => Some((*retry_ms, *is_over)),
+        TokenReply::Granted { .. } | TokenReply::Waiting => None,
+    });
+    let refused: Vec<(u64, bool)> = refused.collect();
+    assert!(
+        refused.len() > 280 && refused.iter().all(|r| r.1),
+        "{refused:?}"
+    );
+    // At 40 tokens a second, 100 callers have to wait for 2.5 s.
+    let late = refused.iter().filter(|r| r.0 > 2_000).count();
+    assert!(late + 100 > refused.len() && late > 0, "{refused:?}");
+}
