Treat statuses from 600 on as malformed responses

Cause: the HTTP parser refuses status lines that don't have three digits or are below 100, but accepts 600 to 999. Such a response was returned to the caller as an answer by gateways, by gateways that relay, and by entries, counted as an answer of its server, and cleared records of crashes.

Change: a connection to a server or another instance takes only final statuses from 200 to 599; others are malformed. The outcome is then unknown, and lookups are repeated as after other malformed responses.

--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -324,7 +324,10 @@
         true => Err(ExchangeError::Foreign),
         // A body that is delimited by the end of the connection may be truncated.
         false if !ends => Err(ExchangeError::Malformed),
-        false if response.status().is_informational() => Err(ExchangeError::Malformed),
+        // No other status is one of a final response; the parser lets 600 to 999 pass, too.
+        false if !(200..=599).contains(&response.status().as_u16()) => {
+            Err(ExchangeError::Malformed)
+        }
         false => Ok(response),
     }
 }
