Hold the tokens of small workspaces at one control instance of a region

Cause: a limit of a few requests a second that is divided among 11 control instances leaves each less than one token. Requests then wait for the leader, often in another region: at gateways with few requests of a workspace, an admission took 157 ms at p75.

Change: a request for tokens of a workspace below 120 requests a second is passed on to one control instance of the region, found by rendezvous hashing. If that doesn't answer within 40 ms, the instance that was asked serves the request itself. Only requests for tokens are passed on, which gateways on narrow links send, and only to instances that know them. Large responses of a known length are forwarded on narrow links from their first byte on, instead of after 32 KiB.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -266,6 +266,19 @@
     request
 }
 
+// Size up to which a response is buffered. None of one that is known to be larger is: its
+// caller would wait for what passes a narrow link meanwhile.
+fn buffered_bytes(shared: &Shared, body: &ReplyBody) -> usize {
+    let answer_bytes = shared.config.answer_bytes;
+    let is_large = body
+        .remaining_length()
+        .is_some_and(|n| n > answer_bytes as u64);
+    match shared.config.narrow_link.is_some() && is_large {
+        true => 0,
+        false => answer_bytes,
+    }
+}
+
 /// Reads a response and decides whether it is returned to the caller, and what
 /// it says about the server.
 async fn receive(
@@ -286,7 +299,8 @@
         .report
         .load
         .is_some_and(|l| l.running < l.slots && l.waiting == 0);
-    let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
+    let limit = buffered_bytes(shared, &body);
+    let held = match buffer_body(&mut body, limit, end).await {
         Ok(held) => held,
         Err(fault) => {
             let failure = Failure {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -7,7 +7,7 @@
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
-//! [`server_limit`].
+//! [`server_limit`]. [`token_owner`] is for control instances.
 //!
 //! Functions that depend on the time take it as an argument, and policies that
 //! use random numbers have a seeded generator, so that runs are reproducible.
@@ -38,6 +38,7 @@
 pub mod server_limit;
 pub mod server_stats;
 pub mod split;
+pub mod token_owner;
 
 /// Kinds of request that the policies treat differently.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
