Queue scheduled requests at the coordinator and bound what it places

Change: a gateway asks its coordinator with `PeerMessage::Schedule`, which names workspace and fingerprint; the coordinator shows every 40 ms with `PeerMessage::Waiting` that the request waits. Both are sent only to peers with the header `pomelovale-schedule`, and only for scheduled services; other peers get `Place` as before. One extra place for 2 slots. Requests that miss their objective leave the room to others for 250 ms after one found no place, except one in ten, if few instances select servers.

--- a/crates/daemon/src/gateway/coordinator.rs
+++ b/crates/daemon/src/gateway/coordinator.rs
@@ -13,8 +13,11 @@
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::placement::{Chosen, PlacementDecision, PlacementEnd, ServerReport};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
+use tokio::task::AbortHandle;
 use tokio::time::MissedTickBehavior;
 
+use super::coordinator_client::WAITING_MS;
+use super::scheduling::{Caller, Scheduled, Wait};
 use super::Shared;
 use crate::reach::State;
 
@@ -40,6 +43,39 @@
     links: IndexMap<u64, PeerLink>,
     // By connection identifier and request identifier.
     grants: IndexMap<(u64, u64), Grant>,
+    // Requests that wait for a place, likewise, and the decisions on them.
+    waits: IndexMap<(u64, u64), AbortHandle>,
+    decisions: (flume::Sender<Decision>, flume::Receiver<Decision>),
+}
+
+/// Decision on a request that has waited.
+struct Decision {
+    link: u64,
+    id: u64,
+    request: PlaceRequest,
+    verdict: Option<PlacementDecision>,
+}
+
+// Waits for the decision on a request, and shows its gateway meanwhile that it waits.
+async fn show_waiting(
+    peer: Option<PeerLink>,
+    id: u64,
+    wait: Wait<'_>,
+) -> Option<PlacementDecision> {
+    let mut decision = std::pin::pin!(wait.decision());
+    let mut ticks = tokio::time::interval(Millis(WAITING_MS).duration());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            verdict = &mut decision => return verdict,
+            _ = ticks.tick() => {
+                if let Some(peer) = &peer {
+                    peer.send(PeerMessage::Waiting { id });
+                }
+            }
+        }
+    }
 }
 
 /// Serves the other gateways until the task is aborted.
@@ -48,7 +84,10 @@
         shared,
         links: IndexMap::new(),
         grants: IndexMap::new(),
+        waits: IndexMap::new(),
+        decisions: flume::unbounded(),
     };
+    let decisions = coordinator.decisions.1.clone();
     let mut ticks = tokio::time::interval(EXPIRY_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -57,6 +96,7 @@
                 Ok(event) => coordinator.event(event),
                 Err(_) => return,
             },
+            Ok(decision) = decisions.recv_async() => coordinator.decided(decision),
             _ = ticks.tick() => coordinator.expire(),
         }
     }
@@ -71,10 +111,25 @@
             PeerEvent::Closed(id) => {
                 self.links.swap_remove(&id);
                 self.cancel(|link, _| link == id);
+                self.waits.retain(|(link, _), task| {
+                    if *link == id {
+                        task.abort();
+                    }
+                    *link != id
+                });
             }
             PeerEvent::Message(link, PeerMessage::Place { id, request }) => {
                 self.place(link, id, &request);
             }
+            PeerEvent::Message(
+                link,
+                PeerMessage::Schedule {
+                    id,
+                    request,
+                    workspace,
+                    fingerprint,
+                },
+            ) => self.schedule(link, id, request, workspace, fingerprint),
             PeerEvent::Message(
                 link,
                 PeerMessage::Finished {
@@ -111,6 +166,90 @@
             Some((verdict, part)) => (Some(verdict), part),
             None => (None, 0.0),
         };
+        self.reply(link, id, request, verdict, part);
+    }
+
+    // Likewise, if the requests of the service are ordered.
+    fn schedule(
+        &mut self,
+        link: u64,
+        id: u64,
+        request: PlaceRequest,
+        workspace: Name,
+        fingerprint: u64,
+    ) {
+        let shared = self.shared.clone();
+        let (now, document) = (shared.clock.now(), shared.view.document());
+        let caller = Caller {
+            workspace,
+            domain: shared.config.domain.clone(),
+            fingerprint,
+        };
+        let (service, is_enabled) = (&request.service, shared.config.scheduling);
+        let scheduled = match shared.reach.state() {
+            State::Blocked | State::Lost => None,
+            State::Reached => shared.services.with(now, &document, service, |s| {
+                let scheduled = match s.follow_scheduling(now, service, is_enabled) {
+                    true => s.schedule(now, &request, &caller),
+                    false => Scheduled::Decided(s.placement.choose(now, &request.subject())),
+                };
+                (scheduled, s.placement.remote_share())
+            }),
+        };
+        match scheduled {
+            Some((Scheduled::Decided(verdict), part)) => {
+                self.reply(link, id, &request, Some(verdict), part);
+            }
+            Some((Scheduled::Waits(ticket, receiver), _)) => {
+                let peer = self.links.get(&link).cloned();
+                let decisions = self.decisions.0.clone();
+                let task = tokio::spawn(async move {
+                    let (service, route) = (&request.service, &request.route);
+                    let wait = Wait::new(&shared, service, route, ticket, receiver);
+                    let verdict = show_waiting(peer, id, wait).await;
+                    let decision = Decision {
+                        link,
+                        id,
+                        request,
+                        verdict,
+                    };
+                    drop(decisions.send(decision));
+                });
+                self.waits.insert((link, id), task.abort_handle());
+            }
+            None => self.reply(link, id, &request, None, 0.0),
+        }
+    }
+
+    fn decided(&mut self, decision: Decision) {
+        let Decision {
+            link,
+            id,
+            request,
+            verdict,
+        } = decision;
+        self.waits.swap_remove(&(link, id));
+        let shared = &self.shared;
+        let (now, document) = (shared.clock.now(), shared.view.document());
+        let part = shared.services.with(now, &document, &request.service, |s| {
+            s.placement.remote_share()
+        });
+        self.reply(link, id, &request, verdict, part.unwrap_or(0.0));
+        if !self.links.contains_key(&link) {
+            // The gateway doesn't report the end of a request that it wasn't told of.
+            self.cancel(|of, _| of == link);
+        }
+    }
+
+    fn reply(
+        &mut self,
+        link: u64,
+        id: u64,
+        request: &PlaceRequest,
+        verdict: Option<PlacementDecision>,
+        part: f64,
+    ) {
+        let now = self.shared.clock.now();
         if let Some(PlacementDecision::Send(chosen)) = &verdict {
             let source = self.links.get(&link).map(|l| l.peer.clone());
             let grant = Grant {
--- a/crates/daemon/src/gateway/coordinator_client.rs
+++ b/crates/daemon/src/gateway/coordinator_client.rs
@@ -9,13 +9,17 @@
 use pomelovale_transport::peer_client::{connect_once, PeerAddress};
 use pomelovale_transport::peer_link::{PeerConfig, PeerEvent, PeerLink};
 use pomelovale_transport::stall::timeout;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use super::scheduling::Caller;
+
 /// Timeout for a reply of a coordinator, in milliseconds. It runs in the same
 /// failure domain, but responses to callers may delay its messages on a slow
 /// link.
 const WAIT_MS: u64 = 90;
+/// Interval at which a coordinator shows that a request waits in its queue, in milliseconds.
+pub(super) const WAITING_MS: u64 = 40;
 /// Consecutive timeouts of a coordinator after which this instance selects
 /// servers itself.
 const MISSED_MAX: u32 = 3;
@@ -80,6 +84,14 @@
     pub(super) place: Option<Place>,
 }
 
+/// What a coordinator replies.
+#[derive(Debug)]
+enum Reply {
+    Decided(Option<Answer>),
+    /// The request waits there.
+    Waiting,
+}
+
 #[derive(Debug)]
 struct Peer {
     target: PeerAddress,
@@ -122,7 +134,7 @@
 struct Inner {
     last: u64,
     peers: IndexMap<Name, Peer>,
-    waiting: IndexMap<u64, (PeerLink, oneshot::Sender<Option<Answer>>)>,
+    waiting: IndexMap<u64, (PeerLink, mpsc::UnboundedSender<Reply>)>,
 }
 
 /// Connections to the coordinators of this failure domain.
@@ -183,15 +195,17 @@
         }
     }
 
-    /// Asks a coordinator for a server. Returns `None` if there is no reply in
-    /// time; this gateway then selects the server itself.
+    /// Asks a coordinator for a server; if `caller` is given, for one of a service whose
+    /// requests are ordered. Returns `None` if there is no reply in time; this gateway then
+    /// selects the server itself.
     pub(super) async fn request_server(
         &self,
         name: &Name,
         request: PlaceRequest,
+        caller: Option<Caller>,
     ) -> Option<Answer> {
         let asked = self.clock.now();
-        let (id, answer) = {
+        let (id, mut replies) = {
             let mut inner = self.lock();
             let peer = inner.peers.get_mut(name);
             let peer = peer.filter(|p| p.local_until <= asked)?;
@@ -202,21 +216,42 @@
             }
             inner.last += 1;
             let id = inner.last;
-            let (reply, answer) = oneshot::channel();
-            if !link.send(PeerMessage::Place { id, request }) {
+            let (reply, replies) = mpsc::unbounded_channel();
+            let message = match caller.filter(|_| link.knows_schedule()) {
+                Some(caller) => PeerMessage::Schedule {
+                    id,
+                    request,
+                    workspace: caller.workspace,
+                    fingerprint: caller.fingerprint,
+                },
+                None => PeerMessage::Place { id, request },
+            };
+            if !link.send(message) {
                 return None;
             }
             inner.waiting.insert(id, (link, reply));
-            (id, answer)
+            (id, replies)
+        };
+        let mut waits = false;
+        let answered = loop {
+            let reply = timeout(Millis(WAIT_MS).duration(), replies.recv()).await;
+            match reply {
+                // The next reply follows within `WAITING_MS`.
+                Ok(Some(Reply::Waiting)) => waits = true,
+                Ok(Some(Reply::Decided(answer))) => break Ok(answer),
+                Ok(None) => break Ok(None),
+                Err(late) => break Err(late),
+            }
         };
-        let answered = timeout(Millis(WAIT_MS).duration(), answer).await;
         let now = self.clock.now();
         let mut inner = self.lock();
-        if let Some(peer) = inner.peers.get_mut(name) {
+        let peer = inner.peers.get_mut(name);
+        // The time in the queue says nothing about the link.
+        if let Some(peer) = peer.filter(|_| !waits) {
             peer.reply_time.record(now.since(asked));
         }
         if let Ok(answered) = answered {
-            return answered.ok().flatten();
+            return answered;
         }
         inner.waiting.swap_remove(&id);
         metrics::counter!("gateway_coordinator_unanswered_total").increment(1);
@@ -243,6 +278,11 @@
                 PeerEvent::Message(link, PeerMessage::Placed { id, verdict, part }) => {
                     self.placed(link, id, verdict, part);
                 }
+                PeerEvent::Message(_, PeerMessage::Waiting { id }) => {
+                    if let Some((_, reply)) = self.lock().waiting.get(&id) {
+                        drop(reply.send(Reply::Waiting));
+                    }
+                }
                 PeerEvent::Message(id, _) => {
                     let inner = self.lock();
                     let links = inner.peers.values().filter_map(|p| p.link.as_ref());
@@ -302,7 +342,7 @@
         if let Some((_, reply)) = waiting {
             // If the request has timed out meanwhile, the place is dropped and
             // the coordinator releases the slot.
-            drop(reply.send(answer));
+            drop(reply.send(Reply::Decided(answer)));
         }
     }
 }
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -21,16 +21,19 @@
     tried: &[Name],
 ) -> (PlacementDecision, Option<Place>) {
     let (now, document) = (shared.clock.now(), shared.view.document());
+    let is_enabled = shared.config.scheduling;
     let known = shared.services.with(now, &document, &routed.service, |s| {
+        let is_ordered = s.follow_scheduling(now, &routed.service, is_enabled);
         let rest_ms = s.placement.all_rest_ms(now, &routed.homes);
         let closed = s.placement.closed_servers(now).cloned();
         (
             s.coordinator.clone(),
             rest_ms,
             closed.collect::<Vec<Name>>(),
+            is_ordered,
         )
     });
-    let Some((coordinator, rest_ms, closed)) = known else {
+    let Some((coordinator, rest_ms, closed, is_ordered)) = known else {
         return (UNKNOWN_SERVICE, None);
     };
     if let Some(retry_ms) = rest_ms {
@@ -39,9 +42,11 @@
     // What a server has told this instance, the coordinator doesn't know.
     let tried = &[tried, closed.as_slice()].concat();
     if let Some(peer) = coordinator {
-        let reply = shared
-            .coordinator_client
-            .request_server(&peer.name, request(routed, tried));
+        let caller = is_ordered.then(|| caller(shared, routed));
+        let reply =
+            shared
+                .coordinator_client
+                .request_server(&peer.name, request(routed, tried), caller);
         if let Some(answer) = reply.await {
             let now = shared.clock.now();
             shared.services.with(now, &document, &routed.service, |s| {
@@ -55,13 +60,12 @@
         }
     }
     let (now, request) = (shared.clock.now(), request(routed, tried));
-    let is_enabled = shared.config.scheduling;
-    let selected = shared.services.with(now, &document, &routed.service, |s| {
-        match s.follow_scheduling(now, &routed.service, is_enabled) {
+    let selected = shared
+        .services
+        .with(now, &document, &routed.service, |s| match is_ordered {
             true => s.schedule(now, &request, &caller(shared, routed)),
             false => Scheduled::Decided(s.placement.choose(now, &request.subject())),
-        }
-    });
+        });
     let verdict = match selected {
         Some(Scheduled::Decided(verdict)) => Some(verdict),
         Some(Scheduled::Waits(ticket, decision)) => {
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -199,7 +199,16 @@
 
 /// Starts connected gateways of one failure domain. The first one is the
 /// coordinator of the service `s`.
-pub async fn peers(count: usize, mut document: Document) -> Vec<Site> {
+pub async fn peers(count: usize, document: Document) -> Vec<Site> {
+    peers_with(count, document, |_| {}).await
+}
+
+/// Likewise, with other settings.
+pub async fn peers_with(
+    count: usize,
+    mut document: Document,
+    edit: impl Fn(&mut GatewayConfig),
+) -> Vec<Site> {
     let secret: Secret = String::from("a secret of the tests").try_into().unwrap();
     let mut sites = Vec::new();
     for i in 0..count {
@@ -210,7 +219,7 @@
         };
         sites.push((
             format!("g{i}"),
-            start(&format!("g{i}"), Some(peering)).await,
+            start_with(&format!("g{i}"), Some(peering), &edit).await,
         ));
     }
     for (name, site) in &sites {
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -266,6 +266,23 @@
     Report(Report),
     /// What is known of the list of backend servers; not answered.
     List(ListNotice),
+    /// Likewise asks for a server for a request, whose service may be scheduled; sent only to
+    /// peers that know it.
+    Schedule {
+        /// Unique for the connection.
+        id: u64,
+        /// The request.
+        request: PlaceRequest,
+        /// Workspace of its caller; empty on open routes.
+        workspace: Name,
+        /// First 8 bytes of the fingerprint of the request.
+        fingerprint: u64,
+    },
+    /// Shows that a [`PeerMessage::Schedule`] waits for a place; repeated until it is answered.
+    Waiting {
+        /// Identifier of the [`PeerMessage::Schedule`].
+        id: u64,
+    },
 }
 
 /// Splits an encoded message into chunks.
--- a/crates/protocol/tests/formats.rs
+++ b/crates/protocol/tests/formats.rs
@@ -147,6 +147,8 @@
             PeerMessage::Reply { .. } => 9,
             PeerMessage::Report(_) => 10,
             PeerMessage::List(_) => 11,
+            PeerMessage::Schedule { .. } => 12,
+            PeerMessage::Waiting { .. } => 13,
         }
     }
     fn request(request: &Request) -> usize {
--- a/crates/steering/benches/scheduling/main.rs
+++ b/crates/steering/benches/scheduling/main.rs
@@ -21,6 +21,8 @@
     let is_short = std::env::args().any(|a| a == "--short");
     let seeds = if is_short { &SEEDS[..1] } else { &SEEDS[..] };
     let wanted = std::env::args().skip_while(|a| a != "--case").nth(1);
+    let order = std::env::args().skip_while(|a| a != "--order").nth(1);
+    let count = std::env::args().skip_while(|a| a != "--instances").nth(1);
     for (label, rate, flood) in [
         ("moderate", 350.0, 1.0),
         ("heavy", 550.0, 1.0),
@@ -30,10 +32,16 @@
             continue;
         }
         for instances in [2, 22] {
+            if count.as_ref().is_some_and(|c| *c != instances.to_string()) {
+                continue;
+            }
             print!("\n{label}, {instances} instances, on time %:");
             KINDS.iter().for_each(|k| print!(" {:>8}", k.name));
             println!("     all   late%   rej.%  retry%  again% value/100  miss%  shed  others% worst% flooder%");
             for (name, policy) in POLICIES {
+                if order.as_ref().is_some_and(|o| o != name) {
+                    continue;
+                }
                 let run = |seed| Run {
                     policy,
                     instances,
--- a/crates/steering/src/placement/choice.rs
+++ b/crates/steering/src/placement/choice.rs
@@ -22,7 +22,7 @@
 const MANY_INSTANCES_PENALTY: f64 = 4.0;
 /// Number of instances of a region that may place requests beside each other for
 /// [`NON_PRIMARY_PENALTY`].
-const FEW_INSTANCES: usize = 8;
+pub(super) const FEW_INSTANCES: usize = 8;
 /// Number of instances that may send to one cold server. Each may send one
 /// request ahead of its rate, so more of them would overload the server.
 const WARMUP_INSTANCES_MAX: usize = 4;
--- a/crates/steering/src/placement/scheduled.rs
+++ b/crates/steering/src/placement/scheduled.rs
@@ -2,14 +2,15 @@
 
 use pomelovale_state::{Millis, Name};
 
-use super::choice::Candidate;
+use super::choice::{Candidate, FEW_INSTANCES};
 use super::{Placement, PlacementDecision, PlacementRequest, Server};
 use crate::estimate::Held;
 use crate::scheduler::{Estimate, Fit};
 
 /// A server has one place more than slots for this many slots. With the next request
-/// there already, a slot is used again as soon as it is free.
-const SLOTS_PER_EXTRA: u32 = 4;
+/// there already, a slot is used again as soon as it is free. One place for 4 slots left
+/// slots unused, since the reports of servers lag behind their load.
+const SLOTS_PER_EXTRA: u32 = 2;
 
 /// A server that has a place for a request.
 pub struct Found {
@@ -53,14 +54,18 @@
         }
         // A request whose server has no place waits for it. Sent elsewhere, it would load its
         // object once more, and the extra work would keep all servers full.
-        let has_place = |c: &Candidate| self.servers[c.index].has_place(now);
+        let has_place = |c: &Candidate| {
+            let server = &self.servers[c.index];
+            server.state.load(now) + 0.5 <= server.places()
+        };
         let fit = match &found {
             Some(best) if !has_place(best) => Fit::Full,
-            Some(best) if is_on_time(best) => Fit::OnTime { idle: best.idle },
+            Some(best) if is_on_time(best) => Fit::OnTime,
             Some(best) if best.idle && best.expected_ms <= request.left_ms as f64 => Fit::Late,
             Some(_) | None => Fit::Full,
         };
         let mean_work = self.mean_work.expected(Held::Known, request.objective_ms);
+        let exact = self.instances_beside < FEW_INSTANCES;
         let estimate = match &found {
             Some(best) => {
                 let server = &self.servers[best.index];
@@ -74,6 +79,7 @@
                     wait_ms,
                     gap_ms,
                     target: server.state.name_hash(),
+                    exact,
                 }
             }
             None => Estimate {
@@ -82,6 +88,7 @@
                 wait_ms: 0.0,
                 gap_ms: 0.0,
                 target: 0,
+                exact,
             },
         };
         let candidate = found.filter(|_| fit != Fit::Full);
@@ -112,8 +119,4 @@
         let slots = self.spec.slots.max(1);
         f64::from(slots + slots / SLOTS_PER_EXTRA)
     }
-
-    fn has_place(&self, now: Millis) -> bool {
-        self.state.load(now) + 1.0 <= self.places() + 0.5
-    }
 }
--- a/crates/steering/src/scheduler.rs
+++ b/crates/steering/src/scheduler.rs
@@ -3,8 +3,8 @@
 //! The instance that selects servers asks [`Scheduler::offer`] for each request,
 //! with an estimate of its placement. A request that makes its objective on a
 //! server with a place is placed. One that makes it after a wait waits. One that
-//! doesn't make it is placed on a free slot unless requests that make theirs need
-//! the room, and is otherwise rejected with the time at which there is capacity.
+//! doesn't make it is placed on a free slot unless a request that makes its own waits
+//! for that server, and is otherwise rejected with the time at which there is capacity.
 //!
 //! Waiting requests are placed by priority, then returning callers, then by
 //! weighted fair queueing between pairs of workspace and failure domain, then by
@@ -22,9 +22,10 @@
 
 /// Number of priorities that are told apart; lower ones count as the last.
 const PRIORITIES: usize = 4;
-/// Share of the placements that a priority gets at least while it has requests
-/// waiting, and that requests which miss their objective get while others need the room.
-const MIN_SHARE: f64 = 0.1;
+/// A priority gets at least one in this many placements while it has requests waiting, and
+/// requests that miss their objective while room is short. Without the latter, objects that
+/// no server holds would never be loaded.
+const SHARE_ONE_IN: u32 = 10;
 /// Time for which a request that found no place shows that room is short, in milliseconds.
 /// A slot of a server with 9 of them ends a request about every 60 ms.
 const SHORT_MS: u64 = 250;
@@ -70,10 +71,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fit {
     /// A server has one, and the request makes its objective there.
-    OnTime {
-        /// Whether that server has a free slot.
-        idle: bool,
-    },
+    OnTime,
     /// A server has a free slot, where the request makes its deadline only.
     Late,
     /// No server has one.
@@ -93,6 +91,8 @@
     pub gap_ms: f64,
     /// Identifies that server.
     pub target: u64,
+    /// Whether few instances place requests beside this one, so that it knows the load.
+    pub exact: bool,
 }
 
 /// What happens to a request.
@@ -142,11 +142,12 @@
     // and that of the request that was placed last.
     shares: IndexMap<(Name, Name), f64>,
     virtual_ms: f64,
-    // Placements that are due to each priority, and to requests that miss their objective.
-    credit: [f64; PRIORITIES],
-    late_credit: f64,
-    // When a request that could make its objective last found no place, by priority.
-    short_at: [Option<Millis>; PRIORITIES],
+    // Placements of other requests while each priority had requests waiting.
+    passed: [u32; PRIORITIES],
+    // Placements since that of a request that misses its objective.
+    late_passed: u32,
+    // When a request that could make its objective last found no place.
+    short_at: Option<Millis>,
     // Ends of requests in the last `DRAIN_WINDOW_MS`.
     ends: VecDeque<Millis>,
     returns: Returns,
@@ -181,12 +182,13 @@
         fingerprint: u64,
         estimate: &Estimate,
     ) -> Offer {
-        let objective_ms = request.objective_ms as f64;
-        if self.may_place(now, &request, estimate.fit) {
-            self.record_placement(now, &request, estimate);
+        if self.may_place(now, estimate, None) {
+            self.record_placement(&request, estimate);
             return Offer::Place;
         }
-        self.record_shortage(now, &request, estimate, objective_ms);
+        if estimate.work_ms <= request.objective_ms as f64 {
+            self.short_at = Some(now);
+        }
         let waiting = Waiting {
             since: now,
             work_ms: estimate.work_ms,
@@ -216,14 +218,13 @@
             let found = estimate(ticket);
             let waiting = &self.waiting[&ticket];
             let request = waiting.request.clone();
-            if self.may_place(now, &request, found.fit) {
+            if self.may_place(now, &found, Some(ticket)) {
                 self.waiting.shift_remove(&ticket);
-                self.record_placement(now, &request, &found);
+                self.record_placement(&request, &found);
                 return Some((ticket, Offer::Place));
             }
-            let objective_ms = waiting.objective_ms(now);
             if self.makes_objective(now, waiting, Some(ticket), &found) {
-                self.record_shortage(now, &request, &found, objective_ms);
+                self.short_at = Some(now);
                 continue;
             }
             let waiting = self.waiting.shift_remove(&ticket)?;
@@ -266,28 +267,21 @@
         }
     }
 
-    // A server's queue is kept for requests of the most urgent priority that is short of
-    // room; a free slot is used by any.
-    fn may_place(&self, now: Millis, request: &Candidacy, fit: Fit) -> bool {
-        let rank = rank(request.priority);
-        match fit {
-            Fit::OnTime { idle: true } => true,
-            Fit::OnTime { idle: false } => {
-                !self.is_short(now, &self.short_at[..rank]) || self.credit[rank] >= 1.0
-            }
-            Fit::Late => {
-                let is_short = self.is_short(now, &self.short_at);
-                !is_short || request.returned || self.late_credit >= 1.0
-            }
+    // A request that misses its objective leaves a free slot to those that wait for that server
+    // and make theirs. An instance that knows the load also keeps the other slots for these
+    // while room is short; one of many would reject requests for which there is room.
+    fn may_place(&self, now: Millis, estimate: &Estimate, own: Option<Ticket>) -> bool {
+        let is_recent = |at: Millis| now.since(at) < SHORT_MS;
+        let is_short = estimate.exact && self.short_at.is_some_and(is_recent);
+        let mut others = self.waiting.iter().filter(|(t, _)| own != Some(**t));
+        match estimate.fit {
+            Fit::OnTime => true,
+            Fit::Late if is_short && !is_due(self.late_passed) => false,
+            Fit::Late => !others.any(|(_, w)| w.target == estimate.target),
             Fit::Full => false,
         }
     }
 
-    fn is_short(&self, now: Millis, times: &[Option<Millis>]) -> bool {
-        let mut recent = times.iter().flatten();
-        recent.any(|at| now.since(*at) < SHORT_MS)
-    }
-
     // Whether a request makes its objective after the wait for its server and for the requests
     // that wait for the same server before it.
     fn makes_objective(
@@ -307,37 +301,21 @@
         wait_ms + estimate.work_ms <= waiting.objective_ms(now)
     }
 
-    fn record_shortage(
-        &mut self,
-        now: Millis,
-        request: &Candidacy,
-        estimate: &Estimate,
-        objective_ms: f64,
-    ) {
-        if estimate.work_ms <= objective_ms {
-            self.short_at[rank(request.priority)] = Some(now);
-        }
-    }
-
-    fn record_placement(&mut self, now: Millis, request: &Candidacy, estimate: &Estimate) {
+    fn record_placement(&mut self, request: &Candidacy, estimate: &Estimate) {
         let mut has_waiting = [false; PRIORITIES];
         for waiting in self.waiting.values() {
             has_waiting[rank(waiting.request.priority)] = true;
         }
-        for (rank, is_short) in self.short_at.iter().enumerate() {
-            has_waiting[rank] |= is_short.is_some_and(|at| now.since(at) < SHORT_MS);
-        }
-        for (credit, waits) in self.credit.iter_mut().zip(has_waiting) {
-            *credit = match waits {
-                true => (*credit + MIN_SHARE).min(1.0),
-                false => 0.0,
+        for (passed, waits) in self.passed.iter_mut().zip(has_waiting) {
+            *passed = match waits {
+                true => passed.saturating_add(1),
+                false => 0,
             };
         }
-        let credit = &mut self.credit[rank(request.priority)];
-        *credit = (*credit - 1.0).max(0.0);
-        self.late_credit = match estimate.fit {
-            Fit::Late => (self.late_credit - 1.0).max(0.0),
-            Fit::OnTime { .. } | Fit::Full => (self.late_credit + MIN_SHARE).min(1.0),
+        self.passed[rank(request.priority)] = 0;
+        self.late_passed = match estimate.fit {
+            Fit::Late => 0,
+            Fit::OnTime | Fit::Full => self.late_passed.saturating_add(1),
         };
         let start = self.start(request);
         self.virtual_ms = self.virtual_ms.max(start);
@@ -364,12 +342,12 @@
 
     fn compare(&self, now: Millis, a: &Waiting, b: &Waiting) -> Ordering {
         let slack = |w: &Waiting| w.objective_ms(now) - w.work_ms;
-        let is_due = |w: &Waiting| self.credit[rank(w.request.priority)] >= 1.0;
+        let due = |w: &Waiting| is_due(self.passed[rank(w.request.priority)]);
         let priority = |w: &Waiting| w.request.priority;
         let by_slack = || slack(a).total_cmp(&slack(b));
         match self.order {
-            Order::Fair => is_due(b)
-                .cmp(&is_due(a))
+            Order::Fair => due(b)
+                .cmp(&due(a))
                 .then(priority(a).cmp(&priority(b)))
                 .then(b.request.returned.cmp(&a.request.returned))
                 .then_with(|| self.start(&a.request).total_cmp(&self.start(&b.request)))
@@ -383,6 +361,10 @@
     }
 }
 
+fn is_due(passed: u32) -> bool {
+    passed + 1 >= SHARE_ONE_IN
+}
+
 fn rank(priority: u32) -> usize {
     (priority as usize).min(PRIORITIES - 1)
 }
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -210,6 +210,11 @@
         self.format.list
     }
 
+    /// Whether the peer knows [`PeerMessage::Schedule`] and [`PeerMessage::Waiting`].
+    pub fn knows_schedule(&self) -> bool {
+        self.format.schedule
+    }
+
     /// Queues a message. Closes the connection and returns false if the queue is full.
     pub fn send(&self, message: PeerMessage) -> bool {
         self.send_to(&self.queue, message)
