--- a/crates/protocol/tests/formats.rs
+++ b/crates/protocol/tests/formats.rs
@@ -189,6 +189,8 @@
             PeerMessage::List(_) => 11,
             PeerMessage::FinishedPaced { .. } => 12,
             PeerMessage::Loads { .. } => 13,
+            PeerMessage::Schedule { .. } => 14,
+            PeerMessage::Waiting { .. } => 15,
         }
     }
     fn request(request: &Request) -> usize {
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -37,6 +37,12 @@
 /// [`Request::Tokens`]: pomelovale_protocol::messages::Request::Tokens
 pub(crate) const TOKENS: HeaderName = HeaderName::from_static("pomelovale-tokens");
 
+/// Sent by processes that know [`PeerMessage::Schedule`] and [`PeerMessage::Waiting`].
+///
+/// [`PeerMessage::Schedule`]: pomelovale_protocol::messages::PeerMessage::Schedule
+/// [`PeerMessage::Waiting`]: pomelovale_protocol::messages::PeerMessage::Waiting
+pub(crate) const SCHEDULE: HeaderName = HeaderName::from_static("pomelovale-schedule");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
@@ -98,6 +104,8 @@
     pub(crate) pace: bool,
     /// Whether the peer knows requests for tokens of a workspace.
     pub(crate) tokens: bool,
+    /// Whether the peer knows messages about scheduled requests.
+    pub(crate) schedule: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -117,6 +125,7 @@
             loads: headers.contains_key(LOADS),
             pace: headers.contains_key(PACE),
             tokens: headers.contains_key(TOKENS),
+            schedule: headers.contains_key(SCHEDULE),
             unnamed: unnamed.clone(),
         }
     }
@@ -137,6 +146,7 @@
     headers.insert(LOADS, HeaderValue::from(1));
     headers.insert(PACE, HeaderValue::from(1));
     headers.insert(TOKENS, HeaderValue::from(1));
+    headers.insert(SCHEDULE, HeaderValue::from(1));
     if unnamed.is_excluded() {
         headers.insert(SEALED, HeaderValue::from(1));
     }
