--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -426,12 +426,13 @@
             false => target,
         };
         let rate = raise(held.rate, target.rate, free.rate);
-        // The rest of the burst stays in the pool. Were it leased to the instances that ask
-        // first, another one would wait until they return it, which takes two round trips.
-        let known = self.cap.saturating_sub(self.unknown.cap);
-        let leased = known / 1_000 * config.leased_burst_per_mille;
-        let leasable = leased.saturating_sub(self.lease_totals.cap);
-        let cap = raise(held.cap, target.cap, free.cap.min(leasable));
+        // A token stays in the pool for each instance without one. Were all of the burst
+        // leased to the instances that ask first, another one would wait until they return
+        // it, which takes two round trips.
+        let others = self.leases.iter().filter(|(name, _)| *name != instance);
+        let without = others.filter(|(_, lease)| lease.cap < TOKEN).count() as u64;
+        let leasable = free.cap.saturating_sub(without * TOKEN);
+        let cap = raise(held.cap, target.cap, leasable);
         let level = want.level.min(held.cap);
         let wanted = want.wanted.saturating_sub(level);
         let prefetch = want
--- a/crates/daemon/src/control/quota.rs
+++ b/crates/daemon/src/control/quota.rs
@@ -75,7 +75,8 @@
 
     /// Admits or refuses a request, at once or when tokens have arrived.
     pub(super) fn admit(&mut self, now: Millis, workspace: Name, sink: Sink) {
-        match self.limiter.admit(now, &workspace, TOKENS_PER_REQUEST) {
+        let limiter = &mut self.limiter;
+        match limiter.admit_unless_over(now, &workspace, TOKENS_PER_REQUEST) {
             Admit::Wait => self.waiting.push(WaitingRequest {
                 workspace,
                 since: now,
