Plan the division of objects among regions from demand

Each gateway that selects servers divides its region's objects by a share of its own, which starts from equal demand, reacts to utilizations and is the same for all routes: gateways of a region disagree about the region of an object, and requests with short objectives leave as often as those with long ones.

steering::region_plan computes the shares of each route of each region as a min-cost flow from demand to slots. Leaving costs the part of the slack that the round trip takes; slots cost more the busier a region is. Shares are whole thousandths and depend on shared figures only. Nothing uses the plan yet.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`estimate`], [`region_assignment`], [`distances`] and [`connection_demand`]. An entry is an instance that fills its
+//! [`estimate`], [`region_assignment`], [`region_plan`], [`distances`] and [`connection_demand`]. An entry is an instance that fills its
 //! share of the servers' slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
@@ -23,10 +23,12 @@
 pub mod estimate;
 pub mod fair_queue;
 pub mod hedge;
+mod min_cost_flow;
 pub mod placement;
 pub mod quarantine;
 pub mod region;
 pub mod region_assignment;
+pub mod region_plan;
 pub mod retry;
 mod server;
 pub mod server_limit;
