Follow the plan of the regions in gateways

The plan was computed nowhere: no instance knew the demand of all regions.

Gateways with region_planning report the demand of their callers by route every 500 ms. Control instances forward it to the leader, which takes a step of the plan every 500 ms and sends it to all control instances and, reduced to their region, to the gateways that report. The message is sent to peers that name it in a header, so that instances of the previous build get none. After 3 s without a plan, gateways move towards the division for equal demand; a new leader continues the last plan.

--- a/crates/coordination/src/control.rs
+++ b/crates/coordination/src/control.rs
@@ -1,7 +1,7 @@
 //! Channel through which other parts of a process call the control instances.
 
 use pomelovale_protocol::grants::{GrantReply, GrantRequest};
-use pomelovale_protocol::messages::Admitted;
+use pomelovale_protocol::messages::{Admitted, DemandReport};
 use pomelovale_protocol::report::Report;
 use pomelovale_state::command::{Applied, Change};
 use pomelovale_state::{ErrorKind, Name};
@@ -16,6 +16,8 @@
     Grant(GrantRequest, flume::Sender<Result<GrantReply, ErrorKind>>),
     /// Proposes a change; the reply follows once it is applied.
     Propose(Change, flume::Sender<Result<Applied, ErrorKind>>),
+    /// Sends the demand at a gateway to the leader, without a reply.
+    Demand(DemandReport),
     /// Sends measurements to the leader, without a reply.
     Report(Report),
 }
@@ -63,6 +65,11 @@
         let _ = self.calls.try_send(ControlCall::Report(report));
     }
 
+    /// Sends the demand at a gateway to the leader. It is dropped if the queue is full.
+    pub fn report_demand(&self, report: DemandReport) {
+        let _ = self.calls.try_send(ControlCall::Demand(report));
+    }
+
     async fn call_and_wait<T>(
         &self,
         call: impl FnOnce(flume::Sender<Result<T, ErrorKind>>) -> ControlCall,
--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use pomelovale_protocol::messages::PlanNotice;
 use pomelovale_state::document::Document;
 use pomelovale_state::Millis;
 
@@ -27,6 +28,7 @@
     document: ArcSwap<Document>,
     proven: AtomicU64,
     list: Mutex<KnownList>,
+    plan: Mutex<Option<(Millis, Arc<PlanNotice>)>>,
 }
 
 impl Default for View {
@@ -35,6 +37,7 @@
             document: ArcSwap::from_pointee(Document::default()),
             proven: AtomicU64::new(u64::MAX),
             list: Mutex::default(),
+            plan: Mutex::default(),
         }
     }
 }
@@ -80,6 +83,18 @@
         self.age(now) <= KEY_VIEW_AGE_MAX_MS
     }
 
+    /// Sets the plan of the regions, which was received at `now`.
+    pub fn set_plan(&self, now: Millis, notice: PlanNotice) {
+        let mut plan = self.plan.lock().unwrap_or_else(PoisonError::into_inner);
+        *plan = Some((now, Arc::new(notice)));
+    }
+
+    /// The plan of the regions that was received last, and when.
+    pub fn plan(&self) -> Option<(Millis, Arc<PlanNotice>)> {
+        let plan = self.plan.lock().unwrap_or_else(PoisonError::into_inner);
+        plan.clone()
+    }
+
     /// What is known of the external list of backend servers.
     pub fn list(&self) -> MutexGuard<'_, KnownList> {
         self.list.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -5,7 +5,9 @@
 use pomelovale_protocol::auth::Role;
 use pomelovale_protocol::frame::decode_body_unlimited;
 use pomelovale_protocol::log::{LogMessage, ReplicaId};
-use pomelovale_protocol::messages::{Content, LogPacket, PeerMessage, Request, Response};
+use pomelovale_protocol::messages::{
+    Content, DemandReport, LogPacket, PeerMessage, PlanNotice, RegionNotice, Request, Response,
+};
 use pomelovale_state::{ErrorKind, Millis, Name};
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
 
@@ -97,6 +99,18 @@
                 let read = notice.age_ms.map(|age| now.minus(age + unread_ms));
                 self.record_list(now, read, &notice.leaving);
             }
+            (PeerMessage::Regions(RegionNotice::Demand(report)), role) => {
+                if role == Role::Entry {
+                    self.feed.record_demand(id);
+                }
+                self.record_demand(report, role);
+            }
+            (PeerMessage::Regions(RegionNotice::Plan(notice)), Role::Control) => {
+                let leader = self.replica.status().leader;
+                if self.leader.is_none() && leader.is_some_and(|l| l.name == link.peer) {
+                    self.distribute_plan(notice);
+                }
+            }
             // It may have waited in the socket while this process stood still.
             (PeerMessage::Report(_), _) if self.outputs.stalls.unread_ms() > 0 => {}
             (PeerMessage::Report(report), _) => match self.leader.as_mut() {
@@ -185,6 +199,7 @@
             ControlCall::Propose(change, reply) => {
                 self.call(Request::Propose(change), Sink::Applied(reply));
             }
+            ControlCall::Demand(report) => self.record_demand(report, Role::Entry),
             ControlCall::Report(report) => match self.leader.as_mut() {
                 Some(leader) => leader.record(&report, self.clock.now()),
                 None => {
@@ -214,6 +229,32 @@
         }
     }
 
+    // Records the demand at a gateway, or forwards that of an own subscriber to the leader.
+    fn record_demand(&mut self, report: DemandReport, role: Role) {
+        let now = self.clock.now();
+        let may_forward = role == Role::Entry && self.leader_knows_regions();
+        match self.leader.as_mut() {
+            Some(leader) => leader.record_demand(report, &self.machine.document, now),
+            None if may_forward => {
+                self.send_to_leader(PeerMessage::Regions(RegionNotice::Demand(report)));
+            }
+            None => {}
+        }
+    }
+
+    fn leader_knows_regions(&self) -> bool {
+        let leader = self.replica.status().leader;
+        let id = leader.and_then(|l| self.controls.get(&l.name));
+        let link = id.and_then(|id| self.links.get(id));
+        link.is_some_and(PeerLink::knows_regions)
+    }
+
+    // Passes the plan of the leader on to this process and its subscribers.
+    pub(super) fn distribute_plan(&mut self, notice: PlanNotice) {
+        self.feed.push_plan(&notice, &self.machine.document);
+        self.outputs.view.set_plan(self.clock.now(), notice);
+    }
+
     pub(in crate::control) fn send_to_leader(&self, message: PeerMessage) -> Option<u64> {
         let leader = self.replica.status().leader?;
         let id = self.controls.get(&leader.name)?;
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -17,7 +17,7 @@
 use pomelovale_protocol::log::{Entry, EntryData, Payload, Position, ReplicaId, Snapshot};
 use pomelovale_protocol::messages::{
     split_into_chunks, ChunkAssembler, ClusterStatus, Content, Delta, ListNotice, LogPacket,
-    PeerMessage, Request, Response,
+    PeerMessage, RegionNotice, Request, Response,
 };
 use pomelovale_state::command::{Applied, Change, Command};
 use pomelovale_state::machine::StateMachine;
@@ -267,6 +267,7 @@
         self.assign_calls();
         self.propose_initial();
         self.propose_membership();
+        self.plan_regions(now);
     }
 
     fn dial(&mut self) {
@@ -523,6 +524,21 @@
         }
     }
 
+    // Sends the next step of the plan of the regions to all control instances and subscribers.
+    fn plan_regions(&mut self, now: Millis) {
+        let last = self.outputs.view.plan();
+        let document = &self.machine.document;
+        let step = |l: &mut Leader| l.plan_regions(document, last.as_ref(), now);
+        let Some(notice) = self.leader.as_mut().and_then(step) else {
+            return;
+        };
+        let controls = self.controls.values().filter_map(|id| self.links.get(id));
+        for link in controls.filter(|link| link.knows_regions()) {
+            link.send(PeerMessage::Regions(RegionNotice::Plan(notice.clone())));
+        }
+        self.distribute_plan(notice);
+    }
+
     // Returns whether a server leaves that was not known to.
     pub(super) fn record_list(
         &mut self,
--- a/crates/daemon/src/control/feed.rs
+++ b/crates/daemon/src/control/feed.rs
@@ -7,7 +7,8 @@
 use pomelovale_protocol::format::{encode_document, Format};
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{
-    split_into_chunks, Content, Delta, ListNotice, PeerMessage, Proof, Renew, CHUNK_BYTES,
+    split_into_chunks, Content, Delta, ListNotice, PeerMessage, PlanNotice, Proof, RegionNotice,
+    Renew, CHUNK_BYTES,
 };
 use pomelovale_state::command::{Change, Command};
 use pomelovale_state::digest::Digest;
@@ -49,6 +50,8 @@
     progress: Progress,
     // Number of the leaving server that it was told of last.
     told: u64,
+    // Whether it has reported demand, so that it follows the plan of the regions.
+    follows_plan: bool,
 }
 
 impl Subscriber {
@@ -252,6 +255,7 @@
             link,
             progress: Progress::New,
             told: 0,
+            follows_plan: false,
         };
         self.subscribers.insert(subscriber.link.id, subscriber);
     }
@@ -322,6 +326,25 @@
         }
     }
 
+    /// Records that a subscriber follows the plan of the regions.
+    pub(super) fn record_demand(&mut self, id: u64) {
+        if let Some(subscriber) = self.subscribers.get_mut(&id) {
+            subscriber.follows_plan = true;
+        }
+    }
+
+    /// Sends the plan of the regions to the subscribers that follow it, each the part for its
+    /// region.
+    pub(super) fn push_plan(&self, notice: &PlanNotice, document: &Document) {
+        let subscribers = self.subscribers.values().filter(|s| s.follows_plan);
+        for Subscriber { link, .. } in subscribers {
+            if let Some(instance) = document.instances.get(&link.peer) {
+                let plan = RegionNotice::Plan(notice.of_region(&instance.region));
+                link.send(PeerMessage::Regions(plan));
+            }
+        }
+    }
+
     /// Answers a renewal with the time as of which the list of servers is known, and with the
     /// servers that leave which the subscriber wasn't told of yet.
     pub(super) fn renew_list(&mut self, id: u64, seq: u64, list: &KnownList, now: Millis) {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -1,6 +1,8 @@
 //! State that exists only on the leader: the ledger of token leases, the log's
 //! clock and the measurements of instances.
 
+use std::sync::Arc;
+
 use indexmap::{IndexMap, IndexSet};
 use pomelovale_coordination::gate;
 use pomelovale_coordination::ledger::{Ledger, LedgerConfig, RateLimit};
@@ -9,7 +11,7 @@
 use pomelovale_coordination::server_limits;
 use pomelovale_protocol::grants::{GrantReply, GrantRequest};
 use pomelovale_protocol::log::Epoch;
-use pomelovale_protocol::messages::{ClusterStatus, InstanceStatus};
+use pomelovale_protocol::messages::{ClusterStatus, DemandReport, InstanceStatus, PlanNotice};
 use pomelovale_protocol::report::Report;
 use pomelovale_state::command::{Change, Command, Item, Refusal};
 use pomelovale_state::document::{Document, Instance, MemberState};
@@ -19,6 +21,7 @@
 use pomelovale_state::{Millis, Name};
 
 use super::config::ControlLimits;
+use super::region_planner::RegionPlanner;
 
 /// Interval of the checks of which instances still report, in milliseconds.
 const MEMBERSHIP_CHECK_INTERVAL_MS: u64 = 150;
@@ -50,6 +53,7 @@
     pending_until: Millis,
     limits_changed: Millis,
     logged_silent_holders: bool,
+    regions: RegionPlanner,
 }
 
 // While the document is empty, no earlier leader can have granted tokens, so that
@@ -101,6 +105,7 @@
             pending_until: now,
             limits_changed: now,
             logged_silent_holders: false,
+            regions: RegionPlanner::new(now),
         };
         leader.set_limits(document, now);
         leader
@@ -177,6 +182,21 @@
         checked
     }
 
+    /// Records the demand at a gateway.
+    pub(super) fn record_demand(&mut self, report: DemandReport, document: &Document, now: Millis) {
+        self.regions.record(report, document, now);
+    }
+
+    /// Returns the next step of the plan of the regions, if one is due.
+    pub(super) fn plan_regions(
+        &mut self,
+        document: &Document,
+        last: Option<&(Millis, Arc<PlanNotice>)>,
+        now: Millis,
+    ) -> Option<PlanNotice> {
+        self.regions.step(document, last, now)
+    }
+
     /// Records the measurements in an instance's report.
     pub(super) fn record(&mut self, report: &Report, now: Millis) {
         self.measurements.record(now, report);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod log_writer;
 mod loop_stats;
 mod quota;
+mod region_planner;
 mod serve;
 mod snapshots;
 mod stored;
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -12,7 +12,7 @@
 use pomelovale_steering::region_assignment::STEP_MS;
 use pomelovale_transport::http_server::TimeoutsHandle;
 
-use super::{caller_timeouts, connections, probe, Shared};
+use super::{caller_timeouts, connections, probe, region_plan, Shared};
 use crate::reach::State;
 
 /// Age of the view beyond which this instance may have been replaced in the shares of
@@ -77,6 +77,7 @@
         shared.services.for_each(now, &document, |name, service| {
             if let Some(distances) = &distances {
                 service.placement.set_distances(distances);
+                region_plan::follow(&shared, name, service, now);
             }
             service.placement.set_view(now, known_at, is_isolated);
             service.placement.tick(now);
@@ -102,6 +103,9 @@
         if now.since(last_report) >= shared.config.report_ms {
             last_report = now;
             report(&shared);
+            if planned {
+                region_plan::report(&shared, now, &document);
+            }
             let server_addresses = document.backends.values().map(|b| b.address);
             let server_addresses: IndexSet<SocketAddr> = server_addresses.collect();
             let age = Millis(shared.config.idle_ms).duration();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod maintenance;
 mod probe;
 mod quota;
+mod region_plan;
 mod relaying;
 mod request;
 mod request_log;
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -21,6 +21,9 @@
 ) -> (PlacementDecision, Option<Place>) {
     let (now, document) = (shared.clock.now(), shared.view.document());
     let known = shared.services.with(now, &document, &routed.service, |s| {
+        if let Some(plan) = s.placement.plan_mut().filter(|_| tried.is_empty()) {
+            plan.record_request(&routed.route.name, !routed.homes.is_empty());
+        }
         let rest_ms = s.placement.all_rest_ms(now, &routed.homes);
         let closed = s.placement.closed_servers(now).cloned();
         (
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -140,6 +140,7 @@
     // Whether this instance has connections to other gateways.
     has_peering: bool,
     seed: u64,
+    region_planning: bool,
     view: Arc<View>,
 }
 
@@ -153,6 +154,7 @@
             retry_budget: config.retry_budget,
             has_peering: config.peering.is_some(),
             seed,
+            region_planning: config.region_planning,
             view,
         }
     }
@@ -347,12 +349,7 @@
                 .services
                 .entry(name.clone())
                 .or_insert_with(|| Service {
-                    placement: Placement::new(
-                        &self.instance,
-                        &self.region,
-                        &self.domain,
-                        self.seed,
-                    ),
+                    placement: self.placement(name),
                     retry_budget: RetryBudget::new(policy),
                     probe: routed.probe.clone(),
                     coordinator: None,
@@ -396,6 +393,14 @@
         inner.close_noticed(now, document.version);
     }
 
+    fn placement(&self, service: &Name) -> Placement {
+        let mut placement = Placement::new(&self.instance, &self.region, &self.domain, self.seed);
+        if self.region_planning {
+            placement.follow_plan(service);
+        }
+        placement
+    }
+
     // Returns the servers that may get new requests, including those that may get
     // them only once they are reachable again.
     fn server_specs(&self, document: &Document, service: &Name) -> Vec<ServerSpec> {
--- a/crates/daemon/src/subscriber/mod.rs
+++ b/crates/daemon/src/subscriber/mod.rs
@@ -14,7 +14,8 @@
 use pomelovale_protocol::format::decode_document;
 use pomelovale_protocol::log::Position;
 use pomelovale_protocol::messages::{
-    Chunk, ChunkAssembler, Content, ListNotice, PeerMessage, Proof, Renew, Request, Response,
+    Chunk, ChunkAssembler, Content, ListNotice, PeerMessage, Proof, RegionNotice, Renew, Request,
+    Response,
 };
 use pomelovale_state::document::Document;
 use pomelovale_state::{Clock, ErrorKind, Millis, Name};
@@ -361,6 +362,10 @@
                 self.record_list(&notice);
                 Ok(())
             }
+            PeerMessage::Regions(RegionNotice::Plan(notice)) => {
+                self.view.set_plan(self.clock.now(), notice);
+                Ok(())
+            }
             _ => Err(ErrorKind::BadRequest),
         };
         if taken.is_err() {
@@ -520,6 +525,12 @@
             ControlCall::Admit(name, reply) => (Request::Admit(name), Sink::Admitted(reply)),
             ControlCall::Grant(request, reply) => (Request::Grant(request), Sink::Grant(reply)),
             ControlCall::Propose(change, reply) => (Request::Propose(change), Sink::Applied(reply)),
+            ControlCall::Demand(report) => {
+                if let Some(link) = self.link.as_ref().filter(|l| l.knows_regions()) {
+                    link.send(PeerMessage::Regions(RegionNotice::Demand(report)));
+                }
+                return;
+            }
             ControlCall::Report(report) => {
                 if let Some(link) = &self.link {
                     link.send(PeerMessage::Report(report));
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -134,7 +134,7 @@
                     ControlCall::Grant(request, reply) => {
                         let _ = reply.send(Ok(grant_all(request)));
                     }
-                    ControlCall::Admit(..) | ControlCall::Report(_) => {}
+                    ControlCall::Admit(..) | ControlCall::Demand(_) | ControlCall::Report(_) => {}
                 }
             }
         });
--- a/crates/daemon/tests/gateway_support/fleet.rs
+++ b/crates/daemon/tests/gateway_support/fleet.rs
@@ -174,7 +174,7 @@
                         });
                     }
                     ControlCall::Report(report) => control.receive(reports.now(), &report),
-                    ControlCall::Grant(..) => {}
+                    ControlCall::Demand(_) | ControlCall::Grant(..) => {}
                 }
             }
         });
--- a/crates/daemon/tests/gateway_support/mod.rs
+++ b/crates/daemon/tests/gateway_support/mod.rs
@@ -129,7 +129,7 @@
                 ControlCall::Report(report) if !report.down.is_empty() => {
                     down.store(true, Ordering::SeqCst);
                 }
-                ControlCall::Grant(..) | ControlCall::Report(_) => {}
+                ControlCall::Demand(_) | ControlCall::Grant(..) | ControlCall::Report(_) => {}
             }
         }
     });
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -8,6 +8,7 @@
 use pomelovale_steering::placement::{
     PlacementDecision, PlacementEnd, PlacementRequest, ServerReport,
 };
+pub use pomelovale_steering::region_plan::{DemandReport, PlanNotice};
 use serde::{Deserialize, Serialize};
 
 use crate::grants::{GrantReply, GrantRequest};
@@ -76,6 +77,17 @@
     pub leaving: Vec<Name>,
 }
 
+/// Figures for the division of objects among regions, and the division.
+///
+/// Sent only to peers that say that they know it, see `transport::peer_format`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RegionNotice {
+    /// Demand at one gateway, for the leader.
+    Demand(DemandReport),
+    /// The plan of the leader, or the part of it that a gateway needs.
+    Plan(PlanNotice),
+}
+
 /// What a [`Chunk`] is part of.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Content {
@@ -266,6 +278,8 @@
     Report(Report),
     /// What is known of the list of backend servers; not answered.
     List(ListNotice),
+    /// Figures or the plan of the regions; not answered.
+    Regions(RegionNotice),
 }
 
 /// Splits an encoded message into chunks.
--- a/crates/protocol/tests/formats.rs
+++ b/crates/protocol/tests/formats.rs
@@ -147,6 +147,7 @@
             PeerMessage::Reply { .. } => 9,
             PeerMessage::Report(_) => 10,
             PeerMessage::List(_) => 11,
+            PeerMessage::Regions(_) => 12,
         }
     }
     fn request(request: &Request) -> usize {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`estimate`], [`region_assignment`], [`region_plan`], [`distances`] and [`connection_demand`]. An entry is an instance that fills its
-//! share of the servers' slots without regard to objects: [`balancer`],
+//! [`estimate`], [`region_assignment`], [`region_plan`], [`distances`] and
+//! [`connection_demand`]. An entry is an instance that fills its share of the servers'
+//! slots without regard to objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
 //! [`server_limit`].
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -30,6 +30,7 @@
 use crate::distances::Distances;
 use crate::estimate::{Held, ServerState, WorkEstimate};
 use crate::region_assignment::RegionAssignment;
+use crate::region_plan::{PlanFollower, RouteDemand};
 use crate::server_limit::LimitNotice;
 
 use choice::Candidate;
@@ -96,6 +97,8 @@
     unlisted: IndexMap<(Name, SocketAddr), Availability>,
     service: ServiceSpec,
     assignment: RegionAssignment,
+    // The plan that replaces `assignment`; `None` unless it is to be followed.
+    plan: Option<PlanFollower>,
     work: IndexMap<Name, WorkEstimate>,
     // Mean work of the requests of all routes, to estimate the wait for the
     // requests ahead.
@@ -147,6 +150,7 @@
             unlisted: IndexMap::new(),
             service: ServiceSpec::default(),
             assignment: RegionAssignment::new(region),
+            plan: None,
             work: IndexMap::new(),
             mean_work: WorkEstimate::default(),
             miss_weight: 0.0,
@@ -173,6 +177,34 @@
         self.instances_beside = count;
     }
 
+    /// Follows the plan of the regions for a service, in place of an assignment of its own.
+    pub fn follow_plan(&mut self, service: &Name) {
+        self.plan = Some(PlanFollower::new(service, &self.region));
+    }
+
+    /// The plan that is followed, if any.
+    pub fn plan_mut(&mut self) -> Option<&mut PlanFollower> {
+        self.plan.as_mut()
+    }
+
+    /// Demand of this instance's callers since the last call, if a plan is followed.
+    /// `objective_ms` returns the latency objective of a route in milliseconds.
+    pub fn demand(&mut self, now: Millis, objective_ms: impl Fn(&Name) -> u64) -> Vec<RouteDemand> {
+        let work = &self.work;
+        let held_ms = |route: &Name| {
+            let work = work.get(route).cloned().unwrap_or_default();
+            work.expected(Held::Known, objective_ms(route))
+        };
+        let plan = self.plan.as_mut();
+        plan.map_or_else(Vec::new, |plan| plan.demand(now, held_ms))
+    }
+
+    fn object_region(&self, request: &PlacementRequest) -> Name {
+        let plan = self.plan.as_ref();
+        let planned = plan.and_then(|plan| plan.region(request.route, request.object));
+        planned.map_or_else(|| self.assignment.region(request.object), Name::clone)
+    }
+
     /// Sets measured round trips, which replace the assumed ones where there are samples.
     pub fn set_distances(&mut self, distances: &Distances) {
         self.distances.clone_from(distances);
@@ -278,6 +310,9 @@
         };
         let capacities: Vec<(Name, u32)> = regions.iter().map(|r| (r.clone(), slots(r))).collect();
         self.assignment.set_capacities(&capacities);
+        if let Some(plan) = &mut self.plan {
+            plan.set_capacities(&capacities);
+        }
         removed
     }
 
@@ -287,6 +322,9 @@
     pub fn tick(&mut self, now: Millis) {
         let (local, remote) = self.utilization(now);
         self.assignment.step(local, &remote);
+        if let Some(plan) = &mut self.plan {
+            plan.step(now);
+        }
         let contention = (local - UNCONTENDED_UTILIZATION) / (1.0 - UNCONTENDED_UTILIZATION);
         self.miss_weight = MISS_WEIGHT_MAX * contention.clamp(0.0, 1.0);
     }
@@ -318,7 +356,7 @@
     /// the load of the server until [`Placement::finish`].
     pub fn choose(&mut self, now: Millis, request: &PlacementRequest) -> PlacementDecision {
         let allowed = |r: &Name| request.homes.is_empty() || request.homes.contains(r);
-        let object_region = self.assignment.region(request.object);
+        let object_region = self.object_region(request);
         // A region keeps its requests even if all its servers are full; the
         // spill budget below bounds how many leave it.
         let home = self.region.clone();
@@ -524,6 +562,9 @@
             }
         };
         let work_ms = (latency_ms as f64 - round_trip_ms).max(1.0);
+        if let Some(plan) = self.plan.as_mut().filter(|_| chosen.idle) {
+            plan.record_work(route, work_ms);
+        }
         if chosen.idle {
             let slowdown = server.state.slowdown(now);
             let work = self.work.entry(route.clone()).or_default();
@@ -611,9 +652,13 @@
     /// Usable servers of other regions; none while all objects stay in this one.
     pub fn remote_servers(&self) -> impl Iterator<Item = (&Name, SocketAddr)> {
         let away = self.assignment.remote_share() > 0.0;
+        let is_used = move |region: &Name| match &self.plan {
+            Some(plan) => plan.uses(region),
+            None => away,
+        };
         let usable = self.servers.values().filter(|s| s.is_usable());
         usable
-            .filter(move |s| away && s.spec.region != self.region)
+            .filter(move |s| s.spec.region != self.region && is_used(&s.spec.region))
             .map(|s| (&s.spec.name, s.spec.address))
     }
 
@@ -625,6 +670,10 @@
 
     /// Share of objects that go to other regions, from 0 to 1.
     pub fn remote_share(&self) -> f64 {
-        self.assignment.remote_share()
+        let plan = self.plan.as_ref();
+        plan.map_or_else(
+            || self.assignment.remote_share(),
+            PlanFollower::remote_share,
+        )
     }
 }
--- a/crates/steering/tests/region_plan.rs
+++ b/crates/steering/tests/region_plan.rs
@@ -128,7 +128,7 @@
     fn plan(&mut self, ms: u64, demand: [f64; 3], is_cut: bool) {
         self.figures.push_back((ms, demand));
         let due = |(at, _): &&(u64, [f64; 3])| at + FIGURES_AGE_MS <= ms;
-        let old = self.figures.iter().filter(due).next_back().copied();
+        let old = self.figures.iter().rfind(due).copied();
         let is_due = ms % PLAN_STEP_MS < STEP_MS;
         if let Some((_, demand)) = old.filter(|_| is_due && !is_cut) {
             for (region, slots) in REGIONS.iter().zip(demand) {
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -22,6 +22,11 @@
 /// [`PeerMessage::List`]: pomelovale_protocol::messages::PeerMessage::List
 pub(crate) const LIST: HeaderName = HeaderName::from_static("pomelovale-list");
 
+/// Sent by processes that know [`PeerMessage::Regions`].
+///
+/// [`PeerMessage::Regions`]: pomelovale_protocol::messages::PeerMessage::Regions
+pub(crate) const REGIONS: HeaderName = HeaderName::from_static("pomelovale-regions");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
@@ -77,6 +82,8 @@
     pub(crate) sealed: bool,
     /// Whether the peer knows messages about the list of backend servers.
     pub(crate) list: bool,
+    /// Whether the peer knows messages about the division among regions.
+    pub(crate) regions: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -93,6 +100,7 @@
             named,
             sealed: headers.contains_key(SEALED),
             list: headers.contains_key(LIST),
+            regions: headers.contains_key(REGIONS),
             unnamed: unnamed.clone(),
         }
     }
@@ -110,6 +118,7 @@
     let mut headers = HeaderMap::new();
     headers.insert(FORMAT, HeaderValue::from(Format::LATEST.number()));
     headers.insert(LIST, HeaderValue::from(1));
+    headers.insert(REGIONS, HeaderValue::from(1));
     if unnamed.is_excluded() {
         headers.insert(SEALED, HeaderValue::from(1));
     }
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -210,6 +210,11 @@
         self.format.list
     }
 
+    /// Whether the peer knows [`PeerMessage::Regions`].
+    pub fn knows_regions(&self) -> bool {
+        self.format.regions
+    }
+
     /// Queues a message. Closes the connection and returns false if the queue is full.
     pub fn send(&self, message: PeerMessage) -> bool {
         self.send_to(&self.queue, message)
