Leave room for a rise in plans that a new leader continues

A plan that was continued had no memory of the regions' peaks and never built one, since it was only created with the list of regions.

--- a/crates/steering/src/region_plan.rs
+++ b/crates/steering/src/region_plan.rs
@@ -551,8 +551,9 @@
         if regions != self.regions {
             (self.regions, self.rows) = (regions, IndexMap::new());
             self.history.clear();
-            self.swings = vec![Swing::default(); figures.len()];
+            self.swings.clear();
         }
+        self.swings.resize(figures.len(), Swing::default());
         let leads = self.leads(now, &figures);
         let mut expected: Vec<RegionFigures> = figures.iter().map(|f| (*f).clone()).collect();
         for (region, lead) in expected.iter_mut().zip(leads) {
--- a/crates/steering/tests/region_plan.rs
+++ b/crates/steering/tests/region_plan.rs
@@ -423,3 +423,41 @@
         1_000
     );
 }
+
+/// Guards against a new leader that continues a plan and doesn't leave room for a rise of the
+/// demand, so that a small region takes more objects back than it can send away.
+#[test]
+fn continued_plans_leave_room_for_a_rise() {
+    let demand = waves(0.75);
+    let step = |plan: &mut RegionPlan, ms: u64| {
+        let figures = [0, 1, 2].map(|n| RegionFigures {
+            region: REGIONS[n].into(),
+            slots: SLOTS[n],
+            routes: routes(demand(ms)[n]),
+            round_trips: Vec::new(),
+        });
+        plan.step(Millis(ms), &figures, &objectives());
+    };
+    let mut whole = RegionPlan::default();
+    step(&mut whole, 0);
+    let notice = PlanNotice {
+        age_ms: 0,
+        regions: REGIONS.map(Name::from).into(),
+        rows: whole.rows().collect(),
+    };
+    let mut continued = RegionPlan::resume(&notice, &keys());
+    // Largest part of the small region's slots that its own demand takes.
+    let mut peaks = [0.0f64; 2];
+    for ms in (500..82_000).step_by(500) {
+        for (plan, peak) in [&mut whole, &mut continued].into_iter().zip(&mut peaks) {
+            step(plan, ms);
+            let rows = routes(demand(ms)[1]);
+            let kept = rows.iter().map(|d| {
+                let parts = plan.shares(&"mid".into(), d.key).unwrap().parts()[1];
+                f64::from(d.rate) * f64::from(d.work_ms) / 1e7 * f64::from(parts)
+            });
+            *peak = peak.max(kept.sum::<f64>() / f64::from(SLOTS[1]));
+        }
+    }
+    assert!((peaks[0] - peaks[1]).abs() < 0.05, "{peaks:?}");
+}
