--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod maintenance;
 mod probe;
 mod quota;
+mod region_plan;
 mod relaying;
 mod request;
 mod request_log;
--- a/crates/daemon/src/gateway/server_selection.rs
+++ b/crates/daemon/src/gateway/server_selection.rs
@@ -24,6 +24,9 @@
     let is_enabled = shared.config.scheduling;
     let known = shared.services.with(now, &document, &routed.service, |s| {
         let is_ordered = s.follow_scheduling(now, &routed.service, is_enabled);
+        if let Some(plan) = s.placement.plan_mut().filter(|_| tried.is_empty()) {
+            plan.record_request(&routed.route.name, !routed.homes.is_empty());
+        }
         let rest_ms = s.placement.all_rest_ms(now, &routed.homes);
         let closed = s.placement.closed_servers(now).cloned();
         (
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -169,6 +169,7 @@
     // Whether objects change their server as little as possible.
     is_stable: bool,
     seed: u64,
+    region_planning: bool,
     view: Arc<View>,
 }
 
@@ -184,6 +185,7 @@
             exchanges_loads: config.load_exchange,
             is_stable: config.stable_placement,
             seed,
+            region_planning: config.region_planning,
             view,
         }
     }
@@ -383,12 +385,7 @@
                 .services
                 .entry(name.clone())
                 .or_insert_with(|| Service {
-                    placement: Placement::new(
-                        &self.instance,
-                        &self.region,
-                        &self.domain,
-                        self.seed,
-                    ),
+                    placement: self.placement(name),
                     scheduling: Scheduling::new(),
                     retry_budget: RetryBudget::new(policy),
                     probe: routed.probe.clone(),
@@ -438,6 +435,14 @@
         inner.close_noticed(now, document.version);
     }
 
+    fn placement(&self, service: &Name) -> Placement {
+        let mut placement = Placement::new(&self.instance, &self.region, &self.domain, self.seed);
+        if self.region_planning {
+            placement.follow_plan(service);
+        }
+        placement
+    }
+
     // Returns the servers that may get new requests, including those that may get
     // them only once they are reachable again.
     fn server_specs(&self, document: &Document, service: &Name) -> Vec<ServerSpec> {
--- a/crates/daemon/tests/entry_support/mod.rs
+++ b/crates/daemon/tests/entry_support/mod.rs
@@ -134,7 +134,10 @@
                     ControlCall::Grant(request, reply) => {
                         let _ = reply.send(Ok(grant_all(request)));
                     }
-                    ControlCall::Admit(..) | ControlCall::Report(_) | ControlCall::Tokens(..) => {}
+                    ControlCall::Admit(..)
+                    | ControlCall::Demand(_)
+                    | ControlCall::Report(_)
+                    | ControlCall::Tokens(..) => {}
                 }
             }
         });
--- a/crates/protocol/tests/formats.rs
+++ b/crates/protocol/tests/formats.rs
@@ -191,6 +191,7 @@
             PeerMessage::Loads { .. } => 13,
             PeerMessage::Schedule { .. } => 14,
             PeerMessage::Waiting { .. } => 15,
+            PeerMessage::Regions(_) => 16,
         }
     }
     fn request(request: &Request) -> usize {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! The crate holds two independent designs. A gateway is an instance that sends
 //! each request to the server expected to have its object cached: [`placement`],
-//! [`affinity`], [`estimate`], [`pace`], [`region_assignment`], [`distances`],
-//! [`load_exchange`], [`connection_demand`], [`scheduler`] and [`returns`]. An entry is an instance that fills its
-//! share of the servers' slots without regard to objects: [`balancer`],
+//! [`affinity`], [`estimate`], [`pace`], [`region_assignment`], [`region_plan`],
+//! [`distances`], [`load_exchange`], [`connection_demand`], [`scheduler`] and [`returns`].
+//! An entry is an instance that fills its share of the servers' slots without regard to
+//! objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
 //! [`server_limit`]. [`token_owner`] is for control instances.
@@ -26,11 +27,13 @@
 pub mod fair_queue;
 pub mod hedge;
 pub mod load_exchange;
+mod min_cost_flow;
 pub mod pace;
 pub mod placement;
 pub mod quarantine;
 pub mod region;
 pub mod region_assignment;
+pub mod region_plan;
 pub mod retry;
 pub mod returns;
 pub mod scheduler;
--- a/crates/steering/src/placement/scheduled.rs
+++ b/crates/steering/src/placement/scheduled.rs
@@ -33,7 +33,7 @@
         request: &PlacementRequest,
     ) -> (Estimate, Option<Found>) {
         let allowed = |r: &Name| request.homes.is_empty() || request.homes.contains(r);
-        let object_region = self.assignment.region(request.object);
+        let object_region = self.object_region(request);
         let home = self.region.clone();
         let can_serve = |r: &Name| allowed(r) && self.has_candidate(now, request, r);
         let target = [object_region, home].into_iter().find(|r| can_serve(r));
--- a/crates/transport/src/peer_format.rs
+++ b/crates/transport/src/peer_format.rs
@@ -43,6 +43,11 @@
 /// [`PeerMessage::Waiting`]: pomelovale_protocol::messages::PeerMessage::Waiting
 pub(crate) const SCHEDULE: HeaderName = HeaderName::from_static("pomelovale-schedule");
 
+/// Sent by processes that know [`PeerMessage::Regions`].
+///
+/// [`PeerMessage::Regions`]: pomelovale_protocol::messages::PeerMessage::Regions
+pub(crate) const REGIONS: HeaderName = HeaderName::from_static("pomelovale-regions");
+
 /// The format of the peers that name none, shared by all connections of a process. All
 /// of them are of one build.
 #[derive(Debug, Default)]
@@ -106,6 +111,8 @@
     pub(crate) tokens: bool,
     /// Whether the peer knows messages about scheduled requests.
     pub(crate) schedule: bool,
+    /// Whether the peer knows messages about the division among regions.
+    pub(crate) regions: bool,
     pub(crate) unnamed: Arc<UnnamedFormat>,
 }
 
@@ -126,6 +133,7 @@
             pace: headers.contains_key(PACE),
             tokens: headers.contains_key(TOKENS),
             schedule: headers.contains_key(SCHEDULE),
+            regions: headers.contains_key(REGIONS),
             unnamed: unnamed.clone(),
         }
     }
@@ -147,6 +155,7 @@
     headers.insert(PACE, HeaderValue::from(1));
     headers.insert(TOKENS, HeaderValue::from(1));
     headers.insert(SCHEDULE, HeaderValue::from(1));
+    headers.insert(REGIONS, HeaderValue::from(1));
     if unnamed.is_excluded() {
         headers.insert(SEALED, HeaderValue::from(1));
     }
