Hedge long idempotent requests to servers that report their pace

Cause: an idempotent request that is long because of its server waits until twice its objective before another server is tried.

Change: after max(3 * expected, objective / 2), a gateway sends it to a second server with a free slot that is expected to answer before the time that the request has run for passes again, if the route and the retry budget allow another attempt. The first response wins, the other attempt is cancelled. A server that answered nothing meanwhile counts as timed out. Second attempts are rare while few of them answer first.

--- a/crates/daemon/src/crash/runs.rs
+++ b/crates/daemon/src/crash/runs.rs
@@ -106,7 +106,8 @@
         inner.heard.insert(address, Instant::now());
     }
 
-    pub(super) fn heard_since(&self, address: SocketAddr, since: Instant) -> bool {
+    /// Whether a server has answered anything since then.
+    pub fn heard_since(&self, address: SocketAddr, since: Instant) -> bool {
         self.lock()
             .heard
             .get(&address)
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts to send one request to backend servers, and when it is sent again.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use tokio::time::{timeout, Instant};
 
 use super::coordinator_client::Place;
+use super::hedge::Second;
 use super::request_log::{RequestLog, Timing};
 use super::stopping::Sent;
 use super::{exchange, relaying, server_selection, Shared};
@@ -112,9 +114,26 @@
     rechecked: bool,
     // The next attempt, if its server was selected before the last one was abandoned.
     pub(super) next: Option<AttemptGuard>,
+    // Whether the request has been hedged, which happens once.
+    pub(super) hedged: bool,
+    // The second attempt beside the last one.
+    pub(super) second: Option<Second>,
 }
 
 impl Progress {
+    /// State of a second attempt beside one at `chosen`.
+    pub(super) fn beside(&self, chosen: &Chosen) -> Progress {
+        let mut tried = self.tried.clone();
+        tried.push(chosen.server.clone());
+        Progress {
+            tried,
+            sent: self.sent + 1,
+            known_crash: self.known_crash,
+            hedged: true,
+            ..Progress::default()
+        }
+    }
+
     // Starts over with servers that are within reach again.
     fn restart(&mut self) {
         self.tried.clear();
@@ -161,6 +180,10 @@
     place: Option<Place>,
     pub(super) since: Instant,
     pub(super) report: ServerReport,
+    // When the answer with the report arrived.
+    pub(super) reported: Instant,
+    /// Whether the server counts as silent if the attempt is cancelled.
+    pub(super) silent: Arc<AtomicBool>,
     // Set once the request is sent, until the attempt ends.
     pub(super) run: Option<(Run, RunGuard)>,
     ended: bool,
@@ -180,11 +203,18 @@
             place,
             since: Instant::now(),
             report: ServerReport::default(),
+            reported: Instant::now(),
+            silent: Arc::default(),
             run: None,
             ended: false,
         }
     }
 
+    /// Whether a coordinator has selected the server.
+    pub(super) fn is_placed_by_other(&self) -> bool {
+        self.place.is_some()
+    }
+
     pub(super) fn end(&mut self, ended: PlacementEnd) {
         if self.ended {
             return;
@@ -196,6 +226,9 @@
         let now = self.shared.clock.now();
         let latency_ms = self.since.elapsed().as_millis() as u64;
         let document = self.shared.view.document();
+        // The body may have taken long after the head.
+        let report_ms = self.reported.elapsed().as_millis() as u64;
+        self.report = self.report.aged(report_ms);
         let (chosen, routed, report) = (&self.chosen, &self.routed, self.report);
         let services = &self.shared.services;
         let changed = services.with(now, &document, &routed.service, |s| {
@@ -250,7 +283,10 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.end(PlacementEnd::Cancelled);
+        self.end(match self.silent.load(Ordering::Relaxed) {
+            true => PlacementEnd::TimedOut,
+            false => PlacementEnd::Cancelled,
+        });
     }
 }
 
@@ -338,6 +374,12 @@
             exchange::attempt(shared, &routed, running, &mut progress, &mut timing).await;
         request_log.add_attempt(&chosen, timing, since, end);
         progress.tried.push(chosen.server.clone());
+        if let Some(second) = progress.second.take() {
+            request_log.add_attempt(&second.chosen, second.timing, second.since, second.end);
+            progress.tried.push(second.chosen.server);
+            progress.sent += 1;
+            progress.hedged = true;
+        }
         let may_have_run = matches!(outcome, Outcome::Unknown { .. });
         let sent = progress.unknown_outcome.is_some() || may_have_run;
         routed.sent.set(sent);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to a backend server.
 
 use std::future::Future;
+use std::pin::Pin;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +22,9 @@
     blocked_ms, has_retry_budget, AttemptGuard, Outcome, Progress, RoutedRequest,
     RESPONSE_RESERVE_MS,
 };
+use super::hedge::First;
 use super::request_log::Timing;
-use super::{availability, connections, departures, late_sends, server_selection, Shared};
+use super::{availability, connections, departures, hedge, late_sends, server_selection, Shared};
 use crate::crash::{self, Run, ServerCheck};
 use crate::entry::forward::{buffer_body, BufferedBody};
 use crate::reach::LinkFault;
@@ -46,6 +48,20 @@
     })
 }
 
+/// Outcome of an attempt, and how it ended for the log.
+pub(super) type Ended = (Outcome, &'static str);
+
+/// An [`attempt`] that another one may await.
+pub(super) fn boxed_attempt<'a>(
+    shared: &'a Arc<Shared>,
+    routed: &'a Arc<RoutedRequest>,
+    running: AttemptGuard,
+    progress: &'a mut Progress,
+    timing: &'a mut Timing,
+) -> Pin<Box<dyn Future<Output = Ended> + Send + 'a>> {
+    Box::pin(attempt(shared, routed, running, progress, timing))
+}
+
 /// Connects to the server, sends the request and receives the response.
 pub(super) async fn attempt(
     shared: &Arc<Shared>,
@@ -53,7 +69,7 @@
     mut running: AttemptGuard,
     progress: &mut Progress,
     timing: &mut Timing,
-) -> (Outcome, &'static str) {
+) -> Ended {
     running.since = Instant::now();
     let chosen = &running.chosen.clone();
     let connected = connections::connect(shared, chosen.address, routed.left()).await;
@@ -113,33 +129,41 @@
     let limit = end.saturating_duration_since(start);
     let write_time = connection.write_time();
     let sending = connection.send(request, &header_names.request, id, limit);
-    let sent = await_reply(shared, routed, chosen, progress, &run, sending).await;
-    late_sends::record(shared, &chosen.server, start, write_time.get());
-    let result = match sent {
-        Ok(reply) => receive(shared, routed, reply, end, running).await,
-        Err(failure) => Err((failure, running)),
-    };
-    match result {
-        Ok(outcome) => outcome,
-        Err((failure, mut running)) => {
-            let mut found = ServerCheck::default();
-            if failure.fault == ExchangeError::Cut {
-                if run.connect_ms.is_some() {
-                    // Connections may be reset before they get through.
-                    shared.reach.record_failure(LinkFault::Closed);
-                }
-                let now = shared.clock.now();
-                shared
-                    .connections
-                    .record_disconnect(now, chosen.address, idle);
-                if failure.written {
-                    running.run = None;
-                    found = shared.crashes.check(run, routed.left()).await;
+    let first = First::new(&running, start);
+    let mut next = None;
+    let exchange = async {
+        let progress = &*progress;
+        let sent = await_reply(shared, routed, progress, &first, &run, sending, &mut next).await;
+        late_sends::record(shared, &chosen.server, start, write_time.get());
+        let result = match sent {
+            Ok(reply) => receive(shared, routed, reply, end, running).await,
+            Err(failure) => Err((failure, running)),
+        };
+        match result {
+            Ok(outcome) => outcome,
+            Err((failure, mut running)) => {
+                let mut found = ServerCheck::default();
+                if failure.fault == ExchangeError::Cut {
+                    if run.connect_ms.is_some() {
+                        // Connections may be reset before they get through.
+                        shared.reach.record_failure(LinkFault::Closed);
+                    }
+                    let now = shared.clock.now();
+                    shared
+                        .connections
+                        .record_disconnect(now, chosen.address, idle);
+                    if failure.written {
+                        running.run = None;
+                        found = shared.crashes.check(run, routed.left()).await;
+                    }
                 }
+                failed(shared, chosen, failure, start, found, &mut running)
             }
-            failed(shared, chosen, failure, start, found, &mut running)
         }
-    }
+    };
+    let (ended, second) = hedge::race(shared, routed, progress, &first, exchange).await;
+    (progress.next, progress.second) = (next, second);
+    ended
 }
 
 /// Waits for a response. The attempt of an idempotent request is abandoned if
@@ -149,11 +173,13 @@
 async fn await_reply(
     shared: &Arc<Shared>,
     routed: &Arc<RoutedRequest>,
-    chosen: &Chosen,
-    progress: &mut Progress,
+    progress: &Progress,
+    first: &First,
     run: &Run,
     sending: impl Future<Output = Result<Reply, Failure>>,
+    next: &mut Option<AttemptGuard>,
 ) -> Result<Reply, Failure> {
+    let chosen = &first.chosen;
     const SILENT: Failure = Failure {
         fault: ExchangeError::Silent,
         written: true,
@@ -186,6 +212,9 @@
     if let Ok(sent) = timeout_at(began + silence[1], &mut sending).await {
         return sent;
     }
+    if first.is_hedged() {
+        return sending.await;
+    }
     let is_serving = !shared.leaving.load(Ordering::Relaxed);
     let time = routed.left() > Duration::from_millis(routed.route.objective_ms);
     if !retries_left || !is_serving || !time || !has_retry_budget(shared, routed) {
@@ -198,8 +227,8 @@
         selected = server_selection::choose(shared, routed, &tried) => selected,
     };
     match verdict {
-        PlacementDecision::Send(next) => {
-            progress.next = Some(AttemptGuard::new(shared, routed, next, place));
+        PlacementDecision::Send(selected) => {
+            *next = Some(AttemptGuard::new(shared, routed, selected, place));
             Err(SILENT)
         }
         PlacementDecision::Refuse { .. } => sending.await,
@@ -282,6 +311,7 @@
     let server = (&running.chosen.server, running.chosen.address);
     let rests = availability::record(shared, &routed.service, server, &parts);
     running.report = availability::report(header_names, &parts);
+    running.reported = Instant::now();
     let held = match buffer_body(&mut body, shared.config.answer_bytes, end).await {
         Ok(held) => held,
         Err(fault) => {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod coordinator_client;
 mod departures;
 mod exchange;
+mod hedge;
 mod late_sends;
 mod maintenance;
 mod probe;
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -10,6 +10,7 @@
 use pomelovale_state::document::{Backend, Document, Instance, MemberState};
 use pomelovale_state::routing::HostRoute;
 use pomelovale_state::{Millis, Name};
+use pomelovale_steering::pace::HedgeGate;
 use pomelovale_steering::placement::{
     Chosen, Placement, PlacementEnd, ServerReport, ServerSpec, ServiceSpec,
 };
@@ -36,6 +37,7 @@
 pub(super) struct Service {
     pub(super) placement: Placement,
     pub(super) retry_budget: RetryBudget,
+    pub(super) hedge_gate: HedgeGate,
     /// Path of the health probe of the service's servers.
     pub(super) probe: String,
     /// The gateway that selects the servers for the requests of the service in
@@ -354,6 +356,7 @@
                         self.seed,
                     ),
                     retry_budget: RetryBudget::new(policy),
+                    hedge_gate: HedgeGate::default(),
                     probe: routed.probe.clone(),
                     coordinator: None,
                 });
--- a/crates/steering/src/pace.rs
+++ b/crates/steering/src/pace.rs
@@ -15,6 +15,15 @@
 /// milliseconds.
 const REPORTED_MS: u64 = 5_000;
 
+/// Multiple of its expected latency for which a request runs before it may be hedged.
+const HEDGE_FACTOR: u64 = 3;
+/// Share of second attempts that must answer first; below it, few requests are hedged.
+const WIN_RATE_MIN: f64 = 0.25;
+/// Weight of a new sample in that share.
+const WIN_RATE_WEIGHT: f64 = 0.05;
+/// One in this many requests is hedged although few second attempts answer first.
+pub const TRIED_ONE_IN: u32 = 16;
+
 /// The latest figure of one server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
@@ -72,3 +81,56 @@
 fn aged(figure: f64, age_ms: u64) -> f64 {
     figure + (figure - 1.0) * (-(age_ms as f64) / DECAY_MS).exp_m1()
 }
+
+/// Time for which an idempotent request has run before it may be sent to a second server, in
+/// milliseconds. `expected_ms` is its expected latency when it was sent.
+pub fn hedge_wait_ms(expected_ms: u64, objective_ms: u64) -> u64 {
+    expected_ms
+        .saturating_mul(HEDGE_FACTOR)
+        .max(objective_ms / 2)
+}
+
+/// Whether a second server is expected to answer a request first that has run for `elapsed_ms`.
+/// The latencies have a long tail: a request that has taken several times as long as expected
+/// is likely to take as long again.
+pub fn is_hedge_useful(elapsed_ms: u64, expected_ms: u64) -> bool {
+    expected_ms < elapsed_ms
+}
+
+/// Decides whether the requests of a service are hedged, by how many second attempts answer
+/// first. Requests that take long on every server gain nothing, and their second attempts take
+/// slots from others.
+#[derive(Clone, Debug)]
+pub struct HedgeGate {
+    // Moving average of the share of second attempts that answer first.
+    win_rate: f64,
+    // Requests that were due since the last one that was hedged.
+    skipped: u32,
+}
+
+impl Default for HedgeGate {
+    fn default() -> HedgeGate {
+        HedgeGate {
+            win_rate: WIN_RATE_MIN,
+            skipped: 0,
+        }
+    }
+}
+
+impl HedgeGate {
+    /// Whether a request that has run for long may be hedged. While few second attempts answer
+    /// first, one in [`TRIED_ONE_IN`] may, so that a change is noticed.
+    pub fn may_hedge(&mut self) -> bool {
+        self.skipped += 1;
+        let may = self.win_rate >= WIN_RATE_MIN || self.skipped >= TRIED_ONE_IN;
+        if may {
+            self.skipped = 0;
+        }
+        may
+    }
+
+    /// Records whether a second attempt has answered first.
+    pub fn record(&mut self, won: bool) {
+        self.win_rate += WIN_RATE_WEIGHT * (f64::from(u8::from(won)) - self.win_rate);
+    }
+}
--- a/crates/steering/tests/pace.rs
+++ b/crates/steering/tests/pace.rs
@@ -7,7 +7,8 @@
 
 use indexmap::IndexSet;
 use pomelovale_state::{Millis, Name};
-use pomelovale_steering::pace::Pace;
+use pomelovale_steering::estimate::Held;
+use pomelovale_steering::pace::{hedge_wait_ms, is_hedge_useful, HedgeGate, Pace};
 use pomelovale_steering::placement::{
     Chosen, LoadReport, Placement, PlacementDecision, PlacementEnd, PlacementRequest, ServerSpec,
     ServiceSpec,
@@ -43,10 +44,14 @@
     work_ms: [f64; 2],
     /// Whether servers report their pace.
     paced: bool,
+    /// Whether requests are hedged, and within which share of all requests.
+    hedged: Option<f64>,
+    /// Whether a long request is long on every server, or on the one that it is sent to first.
+    long_everywhere: bool,
 }
 
 struct Job {
-    instance: usize,
+    request: usize,
     object: u64,
     sent: u64,
     chosen: Chosen,
@@ -54,6 +59,17 @@
     left: f64,
 }
 
+struct Sent {
+    instance: usize,
+    object: u64,
+    at: u64,
+    long: bool,
+    // Servers that it was sent to.
+    servers: Vec<usize>,
+    // When it may be hedged.
+    due: Option<u64>,
+}
+
 #[derive(Default)]
 struct MockServer {
     running: Vec<Job>,
@@ -103,6 +119,8 @@
     latencies: Vec<u64>,
     refused: usize,
     held: usize,
+    hedges: usize,
+    won: usize,
 }
 
 impl Served {
@@ -119,20 +137,16 @@
         self.held as f64 / self.latencies.len() as f64
     }
 
-    fn summary(&self) -> String {
+    fn at(&self, share: f64) -> u64 {
         let mut sorted = self.latencies.clone();
         sorted.sort_unstable();
-        let at = |share: f64| sorted[(sorted.len() as f64 * share) as usize];
-        format!(
-            "in time {:.3}, mean {:.0} ms, p90 {} ms, p99 {} ms, held {:.3}, {} refused of {}",
-            self.in_time(),
-            self.mean_ms(),
-            at(0.9),
-            at(0.99),
-            self.held_share(),
-            self.refused,
-            sorted.len() + self.refused
-        )
+        sorted[(sorted.len() as f64 * share) as usize]
+    }
+
+    fn summary(&self) -> String {
+        let (in_time, mean_ms, p99) = (self.in_time(), self.mean_ms(), self.at(0.99));
+        let (refused, hedges, won) = (self.refused, self.hedges, self.won);
+        format!("in time {in_time:.3}, mean {mean_ms:.0} ms, p99 {p99} ms, {refused} refused, {hedges} hedges, {won} won")
     }
 }
 
@@ -141,6 +155,11 @@
     rng: SmallRng,
     instances: Vec<Placement>,
     servers: Vec<MockServer>,
+    sent: Vec<Sent>,
+    // Requests that are not answered yet.
+    open: Vec<usize>,
+    budget: f64,
+    gates: Vec<HedgeGate>,
     served: Served,
 }
 
@@ -170,6 +189,10 @@
             rng: SmallRng::seed_from_u64(seed),
             instances: (0..load.instances).map(instance).collect(),
             servers: (0..SERVERS).map(|_| MockServer::default()).collect(),
+            sent: Vec::new(),
+            open: Vec::new(),
+            budget: 10.0,
+            gates: vec![HedgeGate::default(); load.instances],
             served: Served::default(),
         }
     }
@@ -190,6 +213,7 @@
                 arrival += -self.rng.random::<f64>().ln() * 1_000.0 / self.load.rate as f64;
                 self.arrive(now);
             }
+            self.hedge(now);
         }
         self.served
     }
@@ -212,37 +236,113 @@
     }
 
     fn arrive(&mut self, now: u64) {
-        let route = Name::from("lookup");
         let object = self.rng.random_range(0..OBJECTS);
         let instance = self.rng.random_range(0..self.load.instances);
         let long = self.rng.random::<f64>() < LONG_SHARE;
-        let request = PlacementRequest {
+        self.budget = (self.budget + self.load.hedged.unwrap_or(0.0)).min(10.0);
+        self.sent.push(Sent {
+            instance,
+            object,
+            at: now,
+            long,
+            servers: Vec::new(),
+            due: None,
+        });
+        let request = self.sent.len() - 1;
+        match self.choose(now, request) {
+            None => self.served.refused += usize::from(now >= WARMUP_MS),
+            Some(chosen) => {
+                let wait_ms = hedge_wait_ms(chosen.expected_ms, OBJECTIVE_MS);
+                self.sent[request].due = self.load.hedged.map(|_| now + wait_ms);
+                self.open.push(request);
+                self.send(now, request, chosen);
+            }
+        }
+    }
+
+    fn choose(&mut self, now: u64, request: usize) -> Option<Chosen> {
+        let route = Name::from("lookup");
+        let sent = &self.sent[request];
+        let spent = now - sent.at;
+        let tried: Vec<Name> = sent
+            .servers
+            .iter()
+            .map(|s| format!("s{s}").into())
+            .collect();
+        let placed = PlacementRequest {
             route: &route,
-            object: object.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            object: sent.object.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             priority: 0,
-            objective_ms: OBJECTIVE_MS,
-            left_ms: TIMEOUT_MS,
+            objective_ms: OBJECTIVE_MS.saturating_sub(spent),
+            left_ms: TIMEOUT_MS.saturating_sub(spent),
             homes: &[],
-            tried: &[],
+            tried: &tried,
         };
-        match self.instances[instance].choose(Millis(now), &request) {
-            PlacementDecision::Refuse { .. } => {
-                self.served.refused += usize::from(now >= WARMUP_MS)
+        match self.instances[sent.instance].choose(Millis(now), &placed) {
+            PlacementDecision::Refuse { .. } => None,
+            PlacementDecision::Send(chosen) => Some(chosen),
+        }
+    }
+
+    fn send(&mut self, now: u64, request: usize, chosen: Chosen) {
+        let server: usize = chosen.server[1..].parse().unwrap();
+        let sent = &mut self.sent[request];
+        let long = sent.long && (self.load.long_everywhere || sent.servers.is_empty());
+        sent.servers.push(server);
+        self.servers[server].waiting.push_back(Job {
+            request,
+            object: sent.object,
+            sent: now,
+            chosen,
+            factor: if long { LONG_FACTOR } else { 1.0 },
+            left: 0.0,
+        });
+    }
+
+    // Sends requests that have taken long to a second server.
+    fn hedge(&mut self, now: u64) {
+        for request in self.open.clone() {
+            if self.sent[request].due.is_none_or(|due| due > now) {
+                continue;
             }
-            PlacementDecision::Send(chosen) => {
-                let server: usize = chosen.server[1..].parse().unwrap();
-                self.servers[server].waiting.push_back(Job {
-                    instance,
-                    object,
-                    sent: now,
-                    chosen,
-                    factor: if long { LONG_FACTOR } else { 1.0 },
-                    left: 0.0,
-                });
+            self.sent[request].due = None;
+            let instance = self.sent[request].instance;
+            let may_hedge = self.budget >= 1.0 && self.gates[instance].may_hedge();
+            let chosen = may_hedge.then(|| self.choose(now, request)).flatten();
+            let Some(chosen) = chosen else {
+                continue;
+            };
+            let elapsed_ms = now - self.sent[request].at;
+            if !chosen.idle || !is_hedge_useful(elapsed_ms, chosen.expected_ms) {
+                self.end(now, request, &chosen, PlacementEnd::Cancelled, 0, None);
+                continue;
             }
+            self.budget -= 1.0;
+            self.served.hedges += 1;
+            self.send(now, request, chosen);
         }
     }
 
+    fn end(
+        &mut self,
+        now: u64,
+        request: usize,
+        chosen: &Chosen,
+        ended: PlacementEnd,
+        latency_ms: u64,
+        report: Option<LoadReport>,
+    ) {
+        let instance = &mut self.instances[self.sent[request].instance];
+        instance.finish(
+            Millis(now),
+            chosen,
+            &"lookup".into(),
+            ended,
+            latency_ms,
+            report,
+        );
+    }
+
     fn finish(&mut self, now: u64, server: usize, job: Job) {
         let state = &self.servers[server];
         let report = LoadReport {
@@ -251,19 +351,39 @@
             slots: SLOTS,
             pace: self.load.paced.then_some((state.pace() * 100.0) as u32),
         };
-        let latency_ms = now - job.sent;
-        self.instances[job.instance].finish(
-            Millis(now),
+        let (request, spent) = (job.request, now - job.sent);
+        self.end(
+            now,
+            request,
             &job.chosen,
-            &"lookup".into(),
             PlacementEnd::Answered,
-            latency_ms,
+            spent,
             Some(report),
         );
-        if job.sent >= WARMUP_MS {
-            self.served.latencies.push(latency_ms);
-            let held = job.chosen.held != pomelovale_steering::estimate::Held::Unlikely;
-            self.served.held += usize::from(held);
+        self.open.retain(|open| *open != request);
+        let (at, servers) = (self.sent[request].at, self.sent[request].servers.clone());
+        for other in servers.iter().filter(|s| **s != server) {
+            let state = &mut self.servers[*other];
+            let is_own = |job: &Job| job.request == request;
+            let running = state.running.iter().position(is_own);
+            let job = match running {
+                Some(index) => Some(state.running.swap_remove(index)),
+                None => {
+                    let waiting = state.waiting.iter().position(is_own);
+                    waiting.and_then(|index| state.waiting.remove(index))
+                }
+            };
+            if let Some(job) = job {
+                self.end(now, request, &job.chosen, PlacementEnd::Cancelled, 0, None);
+            }
+        }
+        if servers.len() > 1 {
+            self.gates[self.sent[request].instance].record(servers[1] == server);
+        }
+        if at >= WARMUP_MS {
+            self.served.latencies.push(now - at);
+            self.served.held += usize::from(job.chosen.held != Held::Unlikely);
+            self.served.won += usize::from(servers.len() > 1 && servers[1] == server);
         }
     }
 }
@@ -279,11 +399,24 @@
         all.latencies.extend(served.latencies);
         all.refused += served.refused;
         all.held += served.held;
+        all.hedges += served.hedges;
+        all.won += served.won;
     }
     println!("{load:?}: {}", all.summary());
     all
 }
 
+fn hedging(long_everywhere: bool) -> Load {
+    Load {
+        instances: 6,
+        rate: 900,
+        work_ms: PLAIN_MS,
+        paced: true,
+        hedged: Some(0.12),
+        long_everywhere,
+    }
+}
+
 fn compare(instances: usize, rate: u64, work_ms: [f64; 2]) -> [Served; 2] {
     [false, true].map(|paced| {
         serve(Load {
@@ -291,6 +424,8 @@
             rate,
             work_ms,
             paced,
+            hedged: None,
+            long_everywhere: true,
         })
     })
 }
@@ -320,6 +455,29 @@
     assert!(new.held_share() > old.held_share() - 0.005);
 }
 
+/// Guards against callers that wait for a request which is long on one server only.
+#[test]
+fn hedges_shorten_the_tail() {
+    let load = hedging(false);
+    let [old, new] = [None, load.hedged].map(|hedged| serve(Load { hedged, ..load }));
+    assert!(new.at(0.99) < old.at(0.99) * 3 / 4);
+    assert!(new.in_time() > old.in_time() && new.won * 3 > new.hedges);
+}
+
+/// Guards against second attempts that take slots from others although they never answer first,
+/// because a long request is long on every server.
+#[test]
+fn useless_hedges_are_rare() {
+    let load = hedging(true);
+    let [old, new] = [None, load.hedged].map(|hedged| serve(Load { hedged, ..load }));
+    assert!(
+        new.hedges * 100 < new.latencies.len(),
+        "{} hedges",
+        new.hedges
+    );
+    assert!(new.mean_ms() < old.mean_ms() * 1.02 && new.in_time() > old.in_time() - 0.005);
+}
+
 /// Guards against a figure that outlives its phase, and against one that excludes a server or
 /// attracts all requests.
 #[test]
