--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -11,6 +11,7 @@
 use pomelovale_state::routing::HostRoute;
 use pomelovale_state::{Millis, Name};
 use pomelovale_steering::load_exchange::{LoadTable, Origin, SharedLoad};
+use pomelovale_steering::pace::HedgeGate;
 use pomelovale_steering::placement::{
     Chosen, Placement, PlacementEnd, ServerReport, ServerSpec, ServiceSpec,
 };
@@ -39,6 +40,7 @@
     pub(super) placement: Placement,
     pub(super) scheduling: Scheduling,
     pub(super) retry_budget: RetryBudget,
+    pub(super) hedge_gate: HedgeGate,
     /// Path of the health probe of the service's servers.
     pub(super) probe: String,
     /// The gateway that selects the servers for the requests of the service in
@@ -388,6 +390,7 @@
                     placement: self.placement(name),
                     scheduling: Scheduling::new(),
                     retry_budget: RetryBudget::new(policy),
+                    hedge_gate: HedgeGate::default(),
                     probe: routed.probe.clone(),
                     coordinator: None,
                     other_coordinators: Vec::new(),
