Keep unscheduled services free of returning callers, and satisfy clippy

Cause: the fingerprint of a request that was shed was kept for services that aren't scheduled, too. Clippy reported a large size difference between the variants of `Reply` and a manual `is_multiple_of` in the model.

Change: the fingerprint is kept for scheduled services only; the other two are written as clippy asks.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -437,8 +437,11 @@
     let retry_ms = rand::random_range(SHED_RETRY_MS);
     let fingerprint = routed.short_fingerprint();
     let is_active = shared.services.with(now, &document, &routed.service, |s| {
-        s.scheduling.expect_return(now, fingerprint, retry_ms);
-        s.scheduling.is_active()
+        let is_active = s.scheduling.is_active();
+        if is_active {
+            s.scheduling.expect_return(now, fingerprint, retry_ms);
+        }
+        is_active
     });
     let refusal = Refusal {
         kind: ErrorKind::Unavailable,
--- a/crates/daemon/src/gateway/coordinator_client.rs
+++ b/crates/daemon/src/gateway/coordinator_client.rs
@@ -87,7 +87,7 @@
 /// What a coordinator replies.
 #[derive(Debug)]
 enum Reply {
-    Decided(Option<Answer>),
+    Decided(Box<Option<Answer>>),
     /// The request waits there.
     Waiting,
 }
@@ -238,7 +238,7 @@
             match reply {
                 // The next reply follows within `WAITING_MS`.
                 Ok(Some(Reply::Waiting)) => waits = true,
-                Ok(Some(Reply::Decided(answer))) => break Ok(answer),
+                Ok(Some(Reply::Decided(answer))) => break Ok(*answer),
                 Ok(None) => break Ok(None),
                 Err(late) => break Err(late),
             }
@@ -342,7 +342,7 @@
         if let Some((_, reply)) = waiting {
             // If the request has timed out meanwhile, the place is dropped and
             // the coordinator releases the slot.
-            drop(reply.send(Reply::Decided(answer)));
+            drop(reply.send(Reply::Decided(Box::new(answer))));
         }
     }
 }
--- a/crates/steering/benches/scheduling/model.rs
+++ b/crates/steering/benches/scheduling/model.rs
@@ -281,7 +281,7 @@
                 Event::Answer(c, ran) => self.answer(c, ran),
                 Event::Tick => {
                     (0..self.instances.len()).for_each(|i| self.release(i));
-                    if self.now % 2_000 == 0 {
+                    if self.now.is_multiple_of(2_000) {
                         let now = Millis(self.now);
                         let all = self.instances.iter_mut();
                         all.for_each(|i| i.placement.tick(now));
