Test few moves in a gateway and on warm and slow servers

The tests of placement with few moves didn't show that the setting reaches a gateway, nor that a region of many instances gets warm with it. With the setting off, the object of the new gateway test goes to another server, which the test asserts.

--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -10,7 +10,8 @@
 
 use entry_support::{ReceivedRequest, Server, ServerAction};
 use gateway_support::{
-    document, header_value, keyed, peers, proven, request, response, send, site, status, Site, KEY,
+    document, header_value, keyed, peers, proven, request, response, send, site, start_with,
+    status, Site, KEY,
 };
 use pomelovale_protocol::messages::Admitted;
 use pomelovale_state::document::{Backend, Document};
@@ -169,6 +170,39 @@
     assert_eq!((a.requests().len(), b.requests().len()), (1, 1));
 }
 
+/// Guards against a setting that doesn't reach the placement: with few moves, a server that has
+/// shed one request with free slots keeps its objects.
+#[tokio::test]
+async fn object_returns_to_a_server_that_has_shed_a_request() {
+    for stable in [false, true] {
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let script = |name: char| {
+            let seen = seen.clone();
+            move |_: &ReceivedRequest, _: usize| {
+                let mut seen = seen.lock().unwrap();
+                seen.push(name);
+                let headers = "pomelovale-shed: not-run\r\npomelovale-load: 0,0,6\r\n";
+                match seen.len() {
+                    1 => response("503 Service Unavailable", headers, ""),
+                    _ => proven("200 OK", "fine"),
+                }
+            }
+        };
+        let (a, b) = (
+            Server::start(script('a')).await,
+            Server::start(script('b')).await,
+        );
+        let site = start_with("g", None, |c| c.stable_placement = stable).await;
+        site.show(document(&[&a, &b]));
+        for _ in 0..2 {
+            assert_eq!(status(&send(&site, &object(1)).await), 200);
+        }
+        let seen = seen.lock().unwrap().clone();
+        assert_ne!(seen[0], seen[1], "{seen:?}");
+        assert_eq!(seen[0] == seen[2], stable, "{seen:?}");
+    }
+}
+
 /// Guards against a retry of a request that may run only once, after its
 /// connection was closed without a response.
 #[tokio::test]
--- a/crates/steering/tests/warmth.rs
+++ b/crates/steering/tests/warmth.rs
@@ -40,6 +40,8 @@
     rate: u64,
     /// One in this many servers turns slow after the warm-up; 0 for none.
     slow_one_in: usize,
+    /// Whether objects change their server as little as possible.
+    stable: bool,
 }
 
 impl Load {
@@ -126,7 +128,7 @@
         let service = ServiceSpec {
             cold_ms: 3_000,
             cold_rate: None,
-            stable: false,
+            stable: load.stable,
         };
         let name = |i: usize| Name::from(format!("g{i}"));
         let instance = |i: usize| {
@@ -249,6 +251,7 @@
     memory: 29,
     rate: 490,
     slow_one_in: 0,
+    stable: false,
 };
 
 macro_rules! loads {
@@ -273,4 +276,8 @@
     few_instances_use_idle_servers(Load { instances: 4, rate: 900, ..MANY_INSTANCES }) => 0.95;
     /// Guards against the same while some servers are slow.
     few_instances_leave_slow_servers(Load { instances: 4, rate: 900, slow_one_in: 7, ..MANY_INSTANCES }) => 0.8;
+    /// Guards against few moves that keep a busy region cold.
+    busy_region_with_few_moves_gets_warm(Load { rate: 1_000, stable: true, ..MANY_INSTANCES }) => 0.8;
+    /// Guards against few moves that keep objects on slow servers.
+    few_moves_leave_slow_servers(Load { instances: 4, rate: 900, slow_one_in: 7, stable: true, ..MANY_INSTANCES }) => 0.8;
 }
