--- a/crates/steering/benches/moves/region.rs
+++ b/crates/steering/benches/moves/region.rs
@@ -102,6 +102,7 @@
             running: self.running as u32,
             waiting: self.waiting.len() as u32,
             slots,
+            pace: None,
         }
     }
 }
--- a/crates/steering/benches/scheduling/model.rs
+++ b/crates/steering/benches/scheduling/model.rs
@@ -513,6 +513,7 @@
             running: server.running,
             waiting: server.queue.len() as u32,
             slots: SLOTS,
+            pace: None,
         };
         let ended = match ran {
             true => PlacementEnd::Answered,
--- a/crates/steering/tests/affinity.rs
+++ b/crates/steering/tests/affinity.rs
@@ -108,6 +108,7 @@
         running,
         waiting,
         slots: SLOTS,
+        pace: None,
     };
     assert!(!pauses(None, false));
     assert!(!pauses(Some(report(SLOTS - 1, 0)), false));
@@ -188,6 +189,7 @@
         running,
         waiting: 0,
         slots: SLOTS,
+        pace: None,
     };
     p.finish(
         Millis(now),
