--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -7,7 +7,7 @@
 use pomelovale_protocol::grants::GrantReply;
 use pomelovale_protocol::log::Epoch;
 use pomelovale_protocol::messages::{
-    Admitted, ClusterStatus, PeerMessage, Request, Response, TokenReply, TokenRequest,
+    Admitted, ClusterStatus, PeerMessage, Request, Response, TokenReply,
 };
 use pomelovale_state::command::Applied;
 use pomelovale_state::{ErrorKind, Millis, Name};
@@ -86,9 +86,6 @@
 pub(crate) enum Target {
     /// The log of this instance, as the leader of an epoch.
     Log(Epoch),
-    /// The control instance on the connection with this identifier, which holds the tokens of
-    /// the workspace for this region.
-    Owner(u64),
     /// Not assigned yet, or the previous target was lost.
     Unassigned,
     /// The peer on the connection with this identifier.
@@ -203,41 +200,6 @@
         tokens
     }
 
-    /// Removes the requests for tokens whose owner hasn't answered by `now`, or whose
-    /// connection to it is `lost`.
-    pub(crate) fn take_unanswered_tokens(
-        &mut self,
-        now: Millis,
-        lost: impl Fn(u64) -> bool,
-    ) -> Vec<(TokenRequest, Sink)> {
-        let is_due = |call: &Call| match call.target {
-            Target::Owner(id) => call.until <= now || lost(id),
-            Target::Log(_) | Target::Peer(_) | Target::Unassigned => false,
-        };
-        let due = self.open.iter().filter(|(_, call)| is_due(call));
-        let tokens: Vec<u64> = due.map(|(token, _)| *token).collect();
-        let taken = tokens.iter().filter_map(|t| self.take_tokens(*t));
-        taken.collect()
-    }
-
-    /// Whether a call is with the owner of the tokens that it asks for.
-    pub(crate) fn is_with_owner(&self, token: u64) -> bool {
-        let call = self.open.get(&token);
-        call.is_some_and(|call| matches!(call.target, Target::Owner(_)))
-    }
-
-    /// Removes a request for tokens.
-    pub(crate) fn take_tokens(&mut self, token: u64) -> Option<(TokenRequest, Sink)> {
-        let Some(Request::Tokens(_)) = self.open.get(&token).map(|call| &call.request) else {
-            return None;
-        };
-        let mut call = self.open.swap_remove(&token)?;
-        match call.request {
-            Request::Tokens(request) => Some((request, call.sinks.pop()?)),
-            _ => None,
-        }
-    }
-
     /// Answers the calls whose deadline has passed with `Unavailable`.
     pub(crate) fn expire(&mut self, now: Millis) {
         let expired = |(token, call): (&u64, &Call)| (call.until <= now).then_some(*token);
--- a/crates/daemon/src/control/event_loop/messages.rs
+++ b/crates/daemon/src/control/event_loop/messages.rs
@@ -7,10 +7,9 @@
 use pomelovale_protocol::log::{LogMessage, ReplicaId};
 use pomelovale_protocol::messages::{
     Content, DemandReport, LogPacket, PeerMessage, PlanNotice, RegionNotice, Request, Response,
-    TokenReply, TokenRequest,
+    TokenRequest,
 };
 use pomelovale_state::{ErrorKind, Millis, Name};
-use pomelovale_steering::token_owner;
 use pomelovale_transport::peer_link::{PeerEvent, PeerLink};
 
 use crate::control::calls::{Sink, Target};
@@ -19,15 +18,6 @@
 
 use super::EventLoop;
 
-/// Rate in requests per second up to which a workspace's tokens are held by one control
-/// instance of each region. Divided among all instances, each would hold less than one token
-/// of it, so that most requests would wait for the leader. Larger rates are divided, so that
-/// no instance admits most of a region's requests.
-const OWNED_RATE: u64 = 120;
-/// Timeout for the owner of tokens, in milliseconds: what is left of the time for which a
-/// gateway waits must be enough for the leader.
-const OWNER_MS: u64 = 40;
-
 impl EventLoop {
     pub(super) fn handle_peer_event(&mut self, event: PeerEvent) {
         match event {
@@ -145,14 +135,6 @@
                 },
                 Role::Entry,
             ) => self.grant_tokens(request, Sink::Peer { link, id }),
-            // Passed on by a control instance of this region.
-            (
-                PeerMessage::Call {
-                    id,
-                    request: Request::Tokens(request),
-                },
-                Role::Control,
-            ) => self.grant_own_tokens(request, Sink::Peer { link, id }),
             (PeerMessage::Call { id, .. }, Role::Control) if self.leader.is_none() => {
                 let response = Response::Failed(ErrorKind::NotLeader);
                 link.send(PeerMessage::Reply { id, response });
@@ -161,12 +143,6 @@
                 self.call(request, Sink::Peer { link, id });
             }
             (PeerMessage::Reply { id, response }, Role::Control) => match response {
-                Response::Tokens(TokenReply::Waiting) => self.calls.notify(id, &response),
-                Response::Failed(_) if self.calls.is_with_owner(id) => {
-                    if let Some((request, sink)) = self.calls.take_tokens(id) {
-                        self.grant_own_tokens(request, sink);
-                    }
-                }
                 Response::Failed(ErrorKind::NotLeader | ErrorKind::Unavailable) => {
                     self.calls.set_target(id, Target::Unassigned);
                 }
@@ -248,52 +224,7 @@
         self.request_tokens(now);
     }
 
-    // Grants tokens, or passes the request on to the instance that holds those of the workspace
-    // for this region.
     fn grant_tokens(&mut self, request: TokenRequest, sink: Sink) {
-        let Some(link) = self.token_owner(&request) else {
-            return self.grant_own_tokens(request, sink);
-        };
-        let until = self.clock.now().plus(OWNER_MS);
-        let call = Request::Tokens(request);
-        let Some(id) = self.calls.add(call.clone(), Some(sink), until) else {
-            return;
-        };
-        self.calls.set_target(id, Target::Owner(link.id));
-        link.send(PeerMessage::Call { id, request: call });
-    }
-
-    // The connection to the owner of the tokens that a request asks for, if that is another
-    // instance.
-    fn token_owner(&self, request: &TokenRequest) -> Option<PeerLink> {
-        let document = &self.machine.document;
-        let rate = document.workspaces.get(&request.workspace)?.rate;
-        let own = document.instances.get(&self.config.name)?;
-        if rate >= OWNED_RATE || !request.waiting {
-            return None;
-        }
-        let in_region = document.instances.iter().filter(|(name, i)| {
-            let is_known = **name == self.config.name || self.controls.contains_key(*name);
-            i.callers.is_none() && i.region == own.region && is_known
-        });
-        let owner = token_owner::owner(&request.workspace, in_region.map(|(name, _)| name))?;
-        let link = self.links.get(self.controls.get(owner)?)?;
-        link.knows_tokens().then(|| link.clone())
-    }
-
-    /// Serves the requests for tokens that their owner hasn't answered in time.
-    pub(super) fn serve_unanswered_tokens(&mut self) {
-        let (now, links) = (self.clock.now(), &self.links);
-        let unanswered = self
-            .calls
-            .take_unanswered_tokens(now, |id| !links.contains_key(&id));
-        for (request, sink) in unanswered {
-            metrics::counter!("quota_owner_unanswered_total").increment(1);
-            self.grant_own_tokens(request, sink);
-        }
-    }
-
-    fn grant_own_tokens(&mut self, request: TokenRequest, sink: Sink) {
         let now = self.clock.now();
         self.quota.grant(now, request, sink);
         self.request_tokens(now);
--- a/crates/daemon/src/control/event_loop/mod.rs
+++ b/crates/daemon/src/control/event_loop/mod.rs
@@ -259,7 +259,6 @@
     fn tick(&mut self) {
         self.outputs.stalls.observe();
         self.step(Event::Tick);
-        self.serve_unanswered_tokens();
         self.calls.expire(self.clock.now());
         self.dial();
         let now = self.clock.now();
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -25,8 +25,6 @@
             Target::Unassigned => true,
             Target::Log(at) => epoch != Some(at),
             Target::Peer(id) => link != Some(id),
-            // `EventLoop::serve_unanswered_tokens` looks at these.
-            Target::Owner(_) => false,
         };
         for token in self.calls.unassign_lost(lost) {
             self.serve_or_forward(token);
--- a/crates/daemon/tests/control_far_leader.rs
+++ b/crates/daemon/tests/control_far_leader.rs
@@ -8,9 +8,8 @@
 use control_kit::{change, until, Cluster, Entry};
 use pomelovale_protocol::messages::{Admitted, TokenReply, TokenRequest};
 use pomelovale_state::command::{Applied, Command};
-use pomelovale_state::document::{Instance, MemberState, Workspace};
+use pomelovale_state::document::Workspace;
 use pomelovale_state::Name;
-use pomelovale_steering::token_owner;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -157,57 +156,3 @@
     let late = refused.iter().filter(|r| r.0 > 2_000).count();
     assert!(late + 100 > refused.len() && late > 0, "{refused:?}");
 }
-
-/// Guards against requests for tokens that get no answer, because the control instance that
-/// holds the tokens of their workspace for the region is lost.
-#[tokio::test]
-async fn tokens_are_granted_while_their_owner_is_lost() {
-    let mut cluster = Cluster::start_limited(3, 0, Vec::new(), Default::default()).await;
-    let leader = cluster.leader().await;
-    let (name, limited) = (
-        workspace(0),
-        Workspace {
-            rate: RATE,
-            burst: RATE,
-            weight: 1,
-        },
-    );
-    let command = Command::PutWorkspace {
-        name,
-        workspace: limited,
-    };
-    cluster.propose(leader, change("w", command)).await;
-    for (n, name) in cluster.names.clone().into_iter().enumerate() {
-        let instance = Instance {
-            callers: None,
-            peers: None,
-            region: "r".into(),
-            domain: "d".into(),
-            state: MemberState::Serving,
-        };
-        let command = Command::PutInstance { name, instance };
-        cluster
-            .propose(leader, change(&format!("i{n}"), command))
-            .await;
-    }
-    let owner = token_owner::owner(&workspace(0), cluster.names.iter()).cloned();
-    let owner = cluster.names.iter().position(|n| Some(n) == owner.as_ref());
-    let owner = owner.expect("one of them");
-    let other = (0..3).find(|i| *i != owner && *i != leader);
-    let other = other.expect("a third instance");
-    let entry = cluster.entry("e", other).await;
-    until("the entry has the workspace", || {
-        entry.view.document().workspaces.len() == 1
-    })
-    .await;
-    let mut granted = Vec::new();
-    for n in 0..8 {
-        if n == 3 {
-            cluster.cut(&cluster.names[owner].clone(), true);
-        }
-        granted.push(last_reply(&entry, 0).await);
-        sleep(PAUSE).await;
-    }
-    let is_granted = |reply: &TokenReply| matches!(reply, TokenReply::Granted { count: 1, .. });
-    assert!(granted.iter().all(is_granted), "{granted:?}");
-}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -8,7 +8,7 @@
 //! objects: [`balancer`],
 //! [`server_stats`], [`ejection`], [`admission`], [`fair_queue`], [`concurrency`],
 //! [`region`], [`entries`] and [`split`]. Both use [`availability`], [`retry`] and
-//! [`server_limit`]. [`token_owner`] is for control instances.
+//! [`server_limit`].
 //!
 //! Functions that depend on the time take it as an argument, and policies that
 //! use random numbers have a seeded generator, so that runs are reproducible.
@@ -41,7 +41,6 @@
 pub mod server_limit;
 pub mod server_stats;
 pub mod split;
-pub mod token_owner;
 
 /// Kinds of request that the policies treat differently.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
