Serve deployments whose servers report no pace as before

Change: pacing, early forwarding, the exchange of loads and prefetching take effect on the platform only while servers report their pace.

--- a/crates/daemon/src/gateway/config.rs
+++ b/crates/daemon/src/gateway/config.rs
@@ -52,6 +52,9 @@
     /// Rate of the link of this instance in bytes per second, if it is narrow. Large
     /// responses are then paced, so that messages and small ones don't wait for them.
     pub narrow_link: Option<u64>,
+    /// Whether `narrow_link`, `load_exchange` and `token_prefetch` take effect only while
+    /// servers report their pace, which shows that they share their machines.
+    pub needs_pace: bool,
     /// Whether gateways of a region tell each other the loads that servers report.
     pub load_exchange: bool,
     /// Timeout for opening a connection to a backend server.
@@ -118,6 +121,7 @@
             held_bytes: 64 * 1024 * 1024,
             answer_bytes: 32 * 1024,
             narrow_link: None,
+            needs_pace: false,
             load_exchange: false,
             connect_ms: 400,
             pause_ms: 400,
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -302,7 +302,7 @@
     let is_large = body
         .remaining_length()
         .is_some_and(|n| n > answer_bytes as u64);
-    match shared.config.narrow_link.is_some() && is_large {
+    match shared.config.narrow_link.is_some() && shared.is_paced() && is_large {
         true => 0,
         false => answer_bytes,
     }
--- a/crates/daemon/src/gateway/loads.rs
+++ b/crates/daemon/src/gateway/loads.rs
@@ -51,6 +51,9 @@
     let (now, document) = (shared.clock.now(), shared.view.document());
     let mut messages = Vec::new();
     shared.services.for_each(now, &document, |name, service| {
+        if shared.config.needs_pace && !service.placement.reports_pace(now) {
+            return;
+        }
         let changed = service.loads.take_changed(now);
         if !changed.is_empty() {
             let (coordinator, others) = (&service.coordinator, &service.other_coordinators);
--- a/crates/daemon/src/gateway/maintenance.rs
+++ b/crates/daemon/src/gateway/maintenance.rs
@@ -68,6 +68,7 @@
             timeouts.set(caller_timeouts::of(&routing.limits));
         }
         let mut due_probes = Vec::new();
+        let mut is_paced = false;
         let mut suspended: IndexSet<Name> = IndexSet::new();
         let is_reached = shared.reach.state() == State::Reached;
         let age_ms = shared.view.age(now);
@@ -81,6 +82,7 @@
             }
             service.placement.set_view(now, known_at, is_isolated);
             service.placement.tick(now);
+            is_paced |= service.placement.reports_pace(now);
             let found = service.placement.suspended_servers();
             suspended.extend(found.map(|(server, _)| server.clone()));
             if !is_reached {
@@ -90,13 +92,18 @@
                 due_probes.push((name.clone(), server, address, service.probe.clone()));
             }
         });
+        if shared.config.needs_pace {
+            shared.paced.store(is_paced, Ordering::Relaxed);
+            let prefetch = shared.config.token_prefetch && is_paced;
+            shared.quota.set_prefetching(prefetch);
+        }
         shared.crashes.check_abandoned(|s| suspended.contains(s));
         if is_reached {
             connections::preconnect(&shared);
         }
         shared
             .coordinator_client
-            .connect_wanted(&shared.services.coordinators());
+            .connect_wanted(&shared.services.coordinators(now));
         for (service, server, address, path) in due_probes {
             tokio::spawn(probe::run(shared.clone(), service, server, address, path));
         }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -106,6 +106,8 @@
     running: AtomicU64,
     streaming: AtomicU64,
     request_count: AtomicU64,
+    // Whether the parts that need the pace of servers are in effect.
+    paced: AtomicBool,
 }
 
 /// Starts the gateway role.
@@ -157,6 +159,7 @@
             reach.clone(),
         );
         let relays = Relays::new(relay_config(&config));
+        let needs_pace = config.needs_pace;
         let pacer = config.narrow_link.map(|rate| Arc::new(Pacer::new(rate)));
         let shared = Arc::new(Shared {
             services: Services::new(&config, start, view.clone()),
@@ -180,6 +183,7 @@
             running: AtomicU64::new(0),
             streaming: AtomicU64::new(0),
             request_count: AtomicU64::new(0),
+            paced: AtomicBool::new(!needs_pace),
         });
         let handler_shared = shared.clone();
         let handler: Handler = Arc::new(move |request, caller| {
@@ -306,6 +310,11 @@
         self.view.is_proven() && self.view.document().routing.is_some()
     }
 
+    // Whether the parts are in effect that may need the pace of servers.
+    fn is_paced(&self) -> bool {
+        self.paced.load(Ordering::Relaxed)
+    }
+
     fn log_stop(&self, finished: bool) {
         let (refused, unknown) = self.stopping.counts();
         let unfinished = self.running.load(Ordering::Relaxed);
--- a/crates/daemon/src/gateway/quota.rs
+++ b/crates/daemon/src/gateway/quota.rs
@@ -1,5 +1,6 @@
 //! Checks requests against the rate limit of their workspace.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use indexmap::IndexMap;
@@ -63,7 +64,7 @@
     control: ControlHandle,
     clock: Clock,
     view: Arc<View>,
-    prefetch: bool,
+    prefetch: AtomicBool,
     state: Arc<Mutex<State>>,
 }
 
@@ -78,7 +79,7 @@
             control,
             clock,
             view,
-            prefetch: config.token_prefetch,
+            prefetch: AtomicBool::new(config.token_prefetch && !config.needs_pace),
             state: Arc::default(),
         }
     }
@@ -87,9 +88,19 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether tokens are obtained in advance.
+    pub(super) fn is_prefetching(&self) -> bool {
+        self.prefetch.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether tokens are obtained in advance.
+    pub(super) fn set_prefetching(&self, prefetch: bool) {
+        self.prefetch.store(prefetch, Ordering::Relaxed);
+    }
+
     /// Admits or refuses a request of a workspace.
     pub(super) async fn admit(&self, document: &Document, name: &Name) -> Result<(), Refusal> {
-        match self.prefetch {
+        match self.is_prefetching() {
             true => self.admit_with_tokens(document, name).await,
             false => self.admit_singly(document, name).await,
         }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -84,7 +84,7 @@
         Err(refusal) => refusal.fractional_response(),
     };
     record.end(response.status(), refusal);
-    let response = match &shared.pacer {
+    let response = match shared.pacer.as_ref().filter(|_| shared.is_paced()) {
         Some(pacer) => response.map(|body| pacer.pace(body)),
         None => response,
     };
@@ -227,7 +227,7 @@
         Ok::<_, Refusal>((hold, body))
     };
     // On a narrow link, the body arrives while the control instance is asked.
-    let (hold, body) = match shared.config.token_prefetch {
+    let (hold, body) = match shared.quota.is_prefetching() {
         true => tokio::try_join!(admission, reading)?.1,
         false => {
             admission.await?;
--- a/crates/daemon/src/gateway/services.rs
+++ b/crates/daemon/src/gateway/services.rs
@@ -168,6 +168,7 @@
     // Whether this instance has connections to other gateways.
     has_peering: bool,
     exchanges_loads: bool,
+    needs_pace: bool,
     // Whether objects change their server as little as possible.
     is_stable: bool,
     seed: u64,
@@ -185,6 +186,7 @@
             retry_budget: config.retry_budget,
             has_peering: config.peering.is_some(),
             exchanges_loads: config.load_exchange,
+            needs_pace: config.needs_pace,
             is_stable: config.stable_placement,
             seed,
             region_planning: config.region_planning,
@@ -228,13 +230,14 @@
 
     /// Returns the other gateways that select servers for this failure domain, and those to
     /// which this one passes on loads.
-    pub(super) fn coordinators(&self) -> Vec<PeerAddress> {
+    pub(super) fn coordinators(&self, now: Millis) -> Vec<PeerAddress> {
         let inner = self.lock();
         let mut all: Vec<PeerAddress> = Vec::new();
         for service in inner.services.values() {
             // Coordinators tell each other the loads of the servers.
+            let is_paced = !self.needs_pace || service.placement.reports_pace(now);
             let others: &[PeerAddress] = match &service.coordinator {
-                None if self.exchanges_loads => &service.other_coordinators,
+                None if self.exchanges_loads && is_paced => &service.other_coordinators,
                 Some(_) | None => &[],
             };
             for peer in service.coordinator.iter().chain(others) {
