--- a/crates/steering/src/region_plan.rs
+++ b/crates/steering/src/region_plan.rs
@@ -63,7 +63,7 @@
 const UNSAFE_COST: i64 = 600;
 /// Bounds of the extrapolated demand, relative to the last figures.
 const LEAD_BOUNDS: (f64, f64) = (0.6, 1.5);
-/// Round trip to another region if it was not measured, in milliseconds.
+/// Assumed round trip to another region without samples, in milliseconds.
 const ROUND_TRIP_MS: u32 = 110;
 /// Cost of a request that the round trip makes late, in thousandths; the round trip of one
 /// with `ROUND_TRIP_MS` of slack costs 1,000.
