Add review case 6: an odd list entry hides all servers

One entry of the platform's list with a string that can't be decoded makes the whole page unreadable, so that no backend server is known.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in stop_at_work pipelined; do
+for name in odd_entry stop_at_work pipelined first_start; do
     [ -f "review/standins-2/$name.rs" ] || continue
     rustc --edition 2021 -O -A dead_code --crate-name "$name" \
         -o "target/review-2/$name" "review/standins-2/$name.rs"
--- a/review/standins-2/pipelined.rs
+++ b/review/standins-2/pipelined.rs
@@ -83,6 +83,7 @@
         service: name,
         timeout_s: 5.0,
         attempts: 2,
+        target_s: 0.6,
     };
     let routes = [route("files", "download", "/files/"), route("look", "safe", "/look/")];
     let tenant = Tenant {
