--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -327,11 +327,16 @@
         (0..self.nodes.len()).filter(|i| !self.nodes[*i].is_core).collect()
     }
 
+    /// Data folder of a core machine.
+    pub fn data(&self, i: usize) -> PathBuf {
+        self.dir.join(format!("{}-data", self.nodes[i].name))
+    }
+
     fn settings(&self, i: usize, bootstrap: bool) -> String {
         let node = &self.nodes[i];
         let seeds: Vec<String> = self.seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let zones: String = self.zones.iter().map(|(z, r)| format!("{z} = \"{r}\"\n")).collect();
-        let data = self.dir.join(format!("{}-data", node.name));
+        let data = self.data(i);
         let (role, class, serves, listen, limits, data) = match node.is_core {
             true => (
                 "control",
@@ -389,14 +394,14 @@
 
     /// Starts a process with the command of the deploy file.
     pub fn start(&mut self, i: usize, bootstrap: bool) -> Fallible<()> {
-        let settings = self.settings(i, bootstrap);
+        let (settings, data) = (self.settings(i, bootstrap), self.data(i));
         let dir = self.dir.clone();
         let node = &mut self.nodes[i];
         let failed = |e: io::Error| format!("{}: {e}", node.name);
         let file = dir.join(format!("{}.toml", node.name));
         fs::write(&file, settings).map_err(failed)?;
         if node.is_core {
-            fs::create_dir_all(dir.join(format!("{}-data", node.name))).map_err(failed)?;
+            fs::create_dir_all(data).map_err(failed)?;
         }
         let log = File::options()
             .create(true)
